--- /dev/null
+++ b/ironbarrow/config.py
@@ -0,0 +1,113 @@
+"""What the program is told at its start: BALANCER_* and the JSON file, checked before anything runs."""
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from heathway import api
+from heathway.settings import ReportReader, read_settings
+from ironbarrow.http import Address, parse_address
+
+_MS = 1_000_000
+_DESCRIPTORS = 1024  # where no limit is given
+
+
+class ConfigError(Exception):
+    """A configuration that the program cannot run with; the text names what is wrong."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """A checked configuration."""
+
+    name: str
+    listen: Address
+    directory: Address
+    seed: int
+    settings: api.Settings
+    reports: ReportReader
+    known: dict[str, Any]  # the list as this dispatcher had it last, in the directory's form
+    sockets: int = _DESCRIPTORS
+    connect_timeout: int = 250 * _MS
+    idle_limit: int = 15_000 * _MS  # a provider closes a connection that was idle for so long
+
+
+def load(environment: Mapping[str, str]) -> Config:
+    """Reads the environment and the file it names."""
+    path = environment.get("BALANCER_CONFIG")
+    if not path:
+        raise ConfigError("BALANCER_CONFIG is not set")
+    try:
+        raw = json.loads(Path(path).read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError) as error:
+        raise ConfigError(f"{path}: cannot be read: {error}") from None
+    except ValueError as error:
+        raise ConfigError(f"{path}: not JSON: {error}") from None
+    if not isinstance(raw, dict):
+        raise ConfigError(f"{path}: not an object")
+    try:
+        return _config(raw, environment)
+    except ValueError as error:
+        raise ConfigError(f"{path}: {error}") from None
+
+
+def _config(raw: dict[str, Any], environment: Mapping[str, str]) -> Config:
+    conf = _object(raw, "settings")
+    limits = _object(raw, "limits")
+    rules = _object(conf, "limits")
+    known = _object(raw, "known")
+    settings = read_settings(conf)
+    sockets = _number(limits, "limits", "sockets", _DESCRIPTORS)
+    if sockets < 64:
+        raise ValueError(f"limits.sockets: {sockets} is too few; 64 are needed")
+    return Config(
+        name=_text(raw, environment, "name"),
+        listen=_address(raw, environment, "listen"),
+        directory=_address(raw, environment, "discovery"),
+        seed=_seed(raw.get("seed", 0)),
+        settings=settings,
+        reports=ReportReader(conf),
+        known=known,
+        sockets=sockets,
+        connect_timeout=_number(rules, "settings.limits", "connectTimeout", 250 * _MS),
+        idle_limit=_number(rules, "settings.limits", "connIdle", 15_000 * _MS),
+    )
+
+
+def _object(raw: dict[str, Any], name: str) -> dict[str, Any]:
+    value = raw.get(name) or {}
+    if not isinstance(value, dict):
+        raise ValueError(f"{name}: not an object")
+    return value
+
+
+def _number(raw: dict[str, Any], place: str, name: str, default: int) -> int:
+    value = raw.get(name, default)
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 < value < 1e15:
+        raise ValueError(f"{place}.{name}: not a number above 0: {value!r}")
+    return int(value)
+
+
+def _text(raw: dict[str, Any], environment: Mapping[str, str], name: str) -> str:
+    value = environment.get(f"BALANCER_{name.upper()}") or raw.get(name)
+    if not isinstance(value, str) or not value:
+        raise ValueError(f"{name}: missing, and BALANCER_{name.upper()} is not set")
+    return value
+
+
+def _address(raw: dict[str, Any], environment: Mapping[str, str], name: str) -> Address:
+    try:
+        return parse_address(_text(raw, environment, name))
+    except ValueError as error:
+        raise ValueError(f"{name}: {error}") from None
+
+
+def _seed(value: Any) -> int:
+    if isinstance(value, int):
+        return value
+    try:
+        return int(value, 16)
+    except (TypeError, ValueError):
+        raise ValueError(f"seed: neither a number nor hexadecimal: {value!r}") from None
--- /dev/null
+++ b/ironbarrow/consumers.py
@@ -0,0 +1,294 @@
+"""The listener: jobs in and final answers out, call-backs of providers, readiness."""
+
+import json
+import os
+import socket
+from collections.abc import Callable
+from hashlib import blake2b
+from typing import Any
+from urllib.parse import unquote
+
+import structlog
+
+from ironbarrow.endings import ConnectionEndedError, Ending
+from ironbarrow.host import Answer, Host, Job, Payload, Verdict
+from ironbarrow.http import Connection, Headers, Message, accept
+from ironbarrow.loop import HANGUP, MS, READ, SECOND, Coroutine, Loop, Task, Wait, sleep
+
+log = structlog.get_logger()
+
+_IDLE_LIMIT = 120 * SECOND
+_REQUEST_LIMIT = 10 * SECOND  # from a request's first byte to its last
+_WRITE_LIMIT = 5 * SECOND
+_LINGER_LIMIT = 1 * SECOND
+_PAUSE = 20 * MS  # before accepting again when no descriptor is left
+_LONGEST_MS = 24 * 3600 * 1000
+_ID_MOST = 200
+_JSON = ("Content-Type", "application/json")
+
+
+class BadRequestError(Exception):
+    """A request that is answered with an error of its sender's."""
+
+    def __init__(self, status: int, text: str, headers: Headers = ()) -> None:
+        super().__init__(text)
+        self.status = status
+        self.headers = headers
+
+
+class Consumers:
+    """Serves every connection that comes in at the listening address."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        host: Host,
+        listener: socket.socket,
+        called_back: Callable[[Any], None],
+        free_descriptors: Callable[[], None],
+        *,
+        most: int,
+    ) -> None:
+        self._loop = loop
+        self._host = host
+        self._listener = listener
+        self._called_back = called_back
+        self._free_descriptors = free_descriptors
+        self._most = most
+        self._classes = {cls.name for cls in host.settings.classes}
+        self._idle: dict[Connection, Task] = {}  # between requests, the longest idle first
+        self._open = 0
+        self._closing = False
+        self._spare = os.open(os.devnull, os.O_RDONLY)
+        loop.spawn(self._accept())
+
+    @property
+    def open(self) -> int:
+        """Connections that are open."""
+        return self._open
+
+    def close_idle(self) -> None:
+        """From now on no connection is kept: the idle ones close at once, the others after their answer."""
+        self._closing = True
+        for connection in list(self._idle):
+            self._drop_idle(connection)
+
+    def _drop_idle(self, connection: Connection) -> None:
+        # danger: a request that has just come in was taken; closing now would lose it
+        if connection.is_silent():
+            self._idle.pop(connection).cancel()
+
+    # Connections
+
+    def _accept(self) -> Coroutine[None]:
+        while True:
+            yield Wait(self._listener.fileno(), READ, self._loop.now() + 3600 * SECOND)
+            while True:
+                if self._open >= self._most and not self._make_room():
+                    yield from sleep(self._loop.now() + _PAUSE)
+                    continue
+                try:
+                    connection = accept(self._listener)
+                except OSError as error:
+                    yield from self._out_of_descriptors(error)
+                    continue
+                if connection is None:
+                    break
+                self._open += 1
+                task = self._loop.spawn(self._serve(connection))
+                self._idle[connection] = task
+
+    def _make_room(self) -> bool:
+        """Closes the connection that has been idle longest; its client opens another when it needs one."""
+        for connection in self._idle:
+            if connection.is_silent():
+                self._drop_idle(connection)
+                return True
+        return False
+
+    def _out_of_descriptors(self, error: OSError) -> Coroutine[None]:
+        """Danger: with no descriptor left, accept fails at once for ever and the loop would spin."""
+        log.warning("no descriptor left", error=str(error), connections=self._open)
+        self._free_descriptors()
+        self._make_room()
+        yield from sleep(self._loop.now() + _PAUSE)
+
+    def _serve(self, connection: Connection) -> Coroutine[None]:
+        task = self._idle.get(connection)
+        try:
+            while task is not None:
+                self._idle[connection] = task
+                request = yield from self._next_request(connection)
+                if request is None:
+                    return
+                keep = yield from self._respond(connection, task, request)
+                if not keep or not connection.next_cycle():
+                    yield from connection.linger(self._loop.now() + _LINGER_LIMIT)
+                    return
+                if self._closing and connection.is_silent() and not connection.started:
+                    return
+        except ConnectionEndedError as error:
+            yield from self._answer_malformed(connection, error)
+        finally:
+            self._idle.pop(connection, None)
+            self._open -= 1
+            connection.close()
+
+    def _next_request(self, connection: Connection) -> Coroutine[Message | None]:
+        """The next request, or None if the connection ended between two."""
+        if not connection.started:
+            if not (yield Wait(connection.sock.fileno(), READ, self._loop.now() + _IDLE_LIMIT)):
+                return None
+            if connection.is_closed():
+                return None
+        self._idle.pop(connection, None)
+        return (yield from connection.read_message(self._loop.now() + _REQUEST_LIMIT))
+
+    def _answer_malformed(self, connection: Connection, error: ConnectionEndedError) -> Coroutine[None]:
+        if error.ending not in (Ending.MALFORMED, Ending.TOO_LARGE, Ending.STALLED):
+            return
+        if not connection.can_answer():
+            return
+        try:
+            body = _body(str(error))
+            data = connection.response_bytes(error.status, [_JSON, ("Connection", "close")], body)
+            yield from connection.write(data, self._loop.now() + _WRITE_LIMIT)
+            yield from connection.linger(self._loop.now() + _LINGER_LIMIT)
+        except ConnectionEndedError:
+            return
+
+    # Requests
+
+    def _respond(self, connection: Connection, task: Task, request: Message) -> Coroutine[bool]:
+        """Answers one request; whether the connection may carry another."""
+        headers: list[tuple[str, str]] = []
+        try:
+            path = request.target.partition("?")[0]
+            if path == "/-/ready":
+                _expect(request, "GET")
+                status, body = (200, b"ready") if self._host.listed else (503, b"no list of providers yet")
+            elif path == "/callback":
+                _expect(request, "POST")
+                status, body = self._call_back(request)
+            elif unquote(path.split("/")[1] if path.startswith("/") else "") in self._classes:
+                _expect(request, "POST")
+                answer = yield from self._job(connection, task, request, path)
+                if answer is None:
+                    return False
+                status, body = _final(answer, headers)
+            else:
+                raise BadRequestError(404, "no such path")
+        except BadRequestError as error:
+            status, body = error.status, _body(str(error))
+            headers = [_JSON, *error.headers]
+        keep = request.keep and not self._closing
+        if not keep:
+            headers.append(("Connection", "close"))
+        data = connection.response_bytes(status, headers, body)
+        yield from connection.write(data, self._loop.now() + _WRITE_LIMIT)
+        return keep
+
+    def _call_back(self, request: Message) -> tuple[int, bytes]:
+        try:
+            self._called_back(json.loads(request.body))
+        except (ValueError, RecursionError) as error:
+            raise BadRequestError(400, f"malformed call-back: {error}") from None
+        return 204, b""
+
+    def _job(
+        self, connection: Connection, task: Task, request: Message, path: str
+    ) -> Coroutine[Answer | None]:
+        """Hands in a job and waits for its final answer; None if the consumer left first."""
+        answers: list[Answer] = []
+
+        def answered(answer: Answer) -> None:
+            answers.append(answer)
+            task.wake()
+
+        job = self._take(request, path, answered)
+        try:
+            while not answers:
+                until = job.deadline + 3600 * SECOND  # the host answers every job long before
+                yield Wait(connection.sock.fileno(), HANGUP, until)
+                if not answers and connection.is_gone():
+                    return None
+            return answers[0]
+        finally:
+            self._host.withdraw(job)
+
+    def _take(self, request: Message, path: str, answered: Callable[[Answer], None]) -> Job:
+        headers = request.headers
+        job_id = headers.get("x-request-id", "").strip()
+        # danger: the id becomes a header and a path towards providers
+        if not 0 < len(job_id) <= _ID_MOST or not all(c.isalnum() or c in "-_.:~" for c in job_id):
+            raise BadRequestError(400, "X-Request-ID is missing or malformed")
+        if not job_id.isascii():
+            raise BadRequestError(400, "X-Request-ID is not ASCII")
+        if self._host.knows(job_id):
+            raise BadRequestError(409, "a job with this X-Request-ID is under way")
+        attributes = _attributes(headers.get("x-attrs", ""))
+        return self._host.take(
+            Payload(job_id, request.method, request.target, request.body, headers.get("content-type", "")),
+            answered,
+            job_class=unquote(path.split("/")[1]),
+            time_left=_milliseconds(headers.get("x-timeout-ms", "")) * MS,
+            key=_key(headers.get("cookie", "")),
+            slots=attributes.get("slots", 1.0),
+            memory=attributes.get("memory", 0.0),
+            repeat=headers.get("x-retried", "").strip() == "1",
+        )
+
+
+def _expect(request: Message, method: str) -> None:
+    if request.method != method:
+        raise BadRequestError(405, f"only {method} is allowed here", [("Allow", method)])
+
+
+def _body(text: str) -> bytes:
+    return json.dumps({"error": text}).encode()
+
+
+def _final(answer: Answer, headers: list[tuple[str, str]]) -> tuple[int, bytes]:
+    """Danger: 429 and 503 promise that a repeat is harmless; a failure must never use them."""
+    if answer.verdict is Verdict.SERVED:
+        return 200, answer.result
+    if answer.verdict is Verdict.FAILED:
+        return 500, b""
+    if answer.retry_after > 0:
+        headers.append(("Retry-After", f"{answer.retry_after / SECOND:.3f}"))
+    return 503, b""
+
+
+def _milliseconds(text: str) -> int:
+    text = text.strip()
+    if not text.isascii() or not text.isdigit() or not 0 < int(text[:12]) <= _LONGEST_MS:
+        raise BadRequestError(400, "X-Timeout-Ms is missing or not a number of milliseconds")
+    return int(text[:12])
+
+
+def _attributes(text: str) -> dict[str, float]:
+    found: dict[str, float] = {}
+    for pair in text.split(",") if text.strip() else ():
+        name, equals, value = pair.partition("=")
+        name = name.strip()
+        if not equals or not name:
+            raise BadRequestError(400, f"X-Attrs: not name=value: {pair[:40]!r}")
+        if name not in ("slots", "memory"):
+            continue
+        try:
+            number = float(value)
+        except ValueError:
+            number = -1.0
+        if not 0 <= number <= 1e6 or (name == "slots" and number == 0):
+            raise BadRequestError(400, f"X-Attrs: {name} is out of range")
+        found[name] = number
+    return found
+
+
+def _key(cookie: str) -> int | None:
+    """A number for what the request is about, the same at every dispatcher."""
+    for part in cookie.split(";"):
+        name, _, value = part.strip().partition("=")
+        if name == "sid" and value:
+            return int.from_bytes(blake2b(value.encode(), digest_size=6).digest(), "big")
+    return None
--- /dev/null
+++ b/ironbarrow/directory.py
@@ -0,0 +1,150 @@
+"""The directory's list of providers: what is known at the start, then the list and a watch on it."""
+
+import json
+from collections.abc import Callable
+from typing import Any
+
+import h11
+import structlog
+
+from heathway import api
+from ironbarrow.endings import ConnectionEndedError, Ending
+from ironbarrow.http import Address, Connection, connect, parse_address
+from ironbarrow.loop import MS, SECOND, Coroutine, Loop, sleep
+
+log = structlog.get_logger()
+
+PATH = "/api/targets"
+_CONNECT_LIMIT = 1 * SECOND
+_LIST_LIMIT = 3 * SECOND
+# an empty line comes every 2 s: a watch that says nothing for longer is dead, whatever TCP thinks
+_SILENCE_LIMIT = 6 * SECOND
+_PAUSES = (100 * MS, 200 * MS, 500 * MS, 1 * SECOND)  # before one more try
+_SIZE_LIMIT = 4 << 20
+
+_STATES = {
+    "up": api.WorkerState.UP,
+    "draining": api.WorkerState.DRAINING,
+    "removed": api.WorkerState.GONE,
+}
+
+
+class Directory:
+    """Keeps the addresses of providers and passes each change on at once."""
+
+    def __init__(self, loop: Loop, address: Address, listed: Callable[[api.WorkerList], None]) -> None:
+        self._loop = loop
+        self._address = address
+        self._listed = listed
+        self._version = 0
+        self._failures = 0  # in a row, since the directory last told something
+        self._addresses: dict[str, Address] = {}
+
+    def address_of(self, provider: str) -> Address | None:
+        return self._addresses.get(provider)
+
+    def start(self, known: dict[str, Any]) -> None:
+        """Danger: the directory may be down; with what was known the program can serve all the same."""
+        if known:
+            self.take(known, api.ListKind.LAST_KNOWN)
+        self._loop.spawn(self._follow())
+
+    def take(self, raw: Any, kind: api.ListKind | None = None) -> None:
+        """One object of the directory's; a ValueError says what is wrong with it."""
+        if not isinstance(raw, dict) or not isinstance(raw.get("endpoints"), list):
+            raise ValueError("no object with endpoints")
+        if kind is None:
+            kind = api.ListKind.FULL if raw.get("snapshot") else api.ListKind.CHANGES
+        self._failures = 0
+        version = raw.get("index")
+        if isinstance(version, int):
+            self._version = version
+        entries = []
+        for item in raw["endpoints"]:
+            try:
+                entries.append(self._entry(item))
+            except (KeyError, TypeError, ValueError, OverflowError) as error:
+                # one bad entry must not hide a drain among the others
+                log.warning("directory entry ignored", error=repr(error), entry=str(item)[:200])
+        if kind is not api.ListKind.CHANGES:
+            listed = {entry.worker for entry in entries}
+            self._addresses = {n: a for n, a in self._addresses.items() if n in listed}
+        self._listed(api.WorkerList(kind, tuple(entries), self._version))
+
+    def _entry(self, item: dict[str, Any]) -> api.WorkerEntry:
+        name, state = item["name"], _STATES[item["status"]]
+        if not isinstance(name, str) or not name:
+            raise ValueError("no name")
+        if state is api.WorkerState.GONE:
+            self._addresses.pop(name, None)
+        else:
+            self._addresses[name] = parse_address(item["address"])
+        cell = item.get("group")
+        return api.WorkerEntry(
+            name,
+            str(item.get("zone") or ""),
+            None if cell is None else int(cell),
+            str(item.get("type") or ""),
+            float(item.get("weight", 1.0)),
+            int(item.get("since_ms") or 0) * MS,
+            state,
+        )
+
+    # The wire
+
+    def _follow(self) -> Coroutine[None]:
+        while True:
+            try:
+                if not self._version:
+                    yield from self._fetch()
+                yield from self._watch()
+            except ConnectionEndedError as error:
+                log.info("directory lost", ending=error.ending.name)
+            except ValueError as error:
+                log.warning("directory answer not understood", error=str(error)[:200])
+                self._version = 0  # changes may be missing: the whole list is needed again
+            pause = _PAUSES[min(self._failures, len(_PAUSES) - 1)]
+            self._failures += 1
+            yield from sleep(self._loop.now() + pause)
+
+    def _connect(self) -> Coroutine[Connection]:
+        return connect(self._address, self._loop.now() + _CONNECT_LIMIT)
+
+    def _fetch(self) -> Coroutine[None]:
+        connection = yield from self._connect()
+        try:
+            until = self._loop.now() + _LIST_LIMIT
+            yield from connection.write(self._request(connection, PATH), until)
+            answer = yield from connection.read_message(until, _SIZE_LIMIT)
+        finally:
+            connection.close()
+        if answer.status != 200:
+            raise ValueError(f"the list was answered with {answer.status}")
+        self.take(json.loads(answer.body))
+
+    def _watch(self) -> Coroutine[None]:
+        connection = yield from self._connect()
+        try:
+            target = f"{PATH}?follow=1&since={self._version}"
+            until = self._loop.now() + _LIST_LIMIT
+            yield from connection.write(self._request(connection, target), until)
+            pending = b""
+            while True:
+                event = yield from connection.event(self._loop.now() + _SILENCE_LIMIT)
+                if isinstance(event, h11.Response):
+                    if event.status_code != 200:
+                        raise ValueError(f"the watch was answered with {event.status_code}")
+                elif isinstance(event, h11.Data):
+                    *lines, pending = (pending + bytes(event.data)).split(b"\n")
+                    for line in lines:
+                        if line.strip():
+                            self.take(json.loads(line))
+                    if len(pending) > _SIZE_LIMIT:
+                        raise ConnectionEndedError(Ending.TOO_LARGE)
+                else:
+                    raise ConnectionEndedError(Ending.CLOSED)
+        finally:
+            connection.close()
+
+    def _request(self, connection: Connection, target: str) -> bytes:
+        return connection.request_bytes("GET", target, [("Host", "{}:{}".format(*self._address))])
--- /dev/null
+++ b/ironbarrow/dispatcher.py
@@ -0,0 +1,92 @@
+"""The whole program as an object: for the command line and for whoever embeds it."""
+
+import signal
+import socket
+import sys
+from types import FrameType
+
+import structlog
+
+from ironbarrow.config import Config
+from ironbarrow.consumers import Consumers
+from ironbarrow.directory import Directory
+from ironbarrow.host import Host
+from ironbarrow.http import listen
+from ironbarrow.invoker import HttpInvoker
+from ironbarrow.loop import MS, Loop
+
+log = structlog.get_logger()
+
+# after the order to stop, connections go on coming for 0.4 s at most; what a closing connection
+# crosses is sent again, but not to a dispatcher that has left
+_STILL_COMING = 500 * MS
+_RESERVED = 32  # descriptors for the program itself, the listener, epoll and the directory
+
+
+class Dispatcher:
+    """Listens, serves and stops."""
+
+    def __init__(self, config: Config, listener: socket.socket | None = None) -> None:
+        self.loop = Loop(self._task_failed)
+        self._may_stop = False
+        self.listener = listener or listen(config.listen)
+        self.host = Host(self.loop, config.settings, config.seed)
+        self.host.on_idle = self._stop_if_done
+        self.directory = Directory(self.loop, config.directory, self.host.providers_listed)
+        spare = config.sockets - _RESERVED
+        self.invoker = HttpInvoker(
+            self.loop,
+            self.host,
+            self.directory,
+            config.reports,
+            connect_timeout=config.connect_timeout,
+            idle_limit=config.idle_limit,
+            most_idle=spare // 4,
+        )
+        self.host.invoker = self.invoker
+        self.consumers = Consumers(
+            self.loop,
+            self.host,
+            self.listener,
+            self.invoker.called_back,
+            self.invoker.free_descriptors,
+            most=spare // 2,
+        )
+        self.directory.start(config.known)
+
+    def run(self) -> None:
+        """Serves until SIGTERM or SIGINT, and then until all that was taken has its answer."""
+        signal.set_wakeup_fd(self.loop.wake_fd)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self._signalled)
+        log.info("serving", address="{}:{}".format(*self.listener.getsockname()[:2]))
+        self.loop.run()
+        self.listener.close()
+        self.loop.close()
+        log.info("stopped")
+
+    def _signalled(self, number: int, frame: FrameType | None) -> None:
+        self.loop.soon(self.stop)
+
+    def stop(self) -> None:
+        """Takes what still comes for a short while, finishes what was taken, then ends ``run``."""
+        log.info("stopping", owed=self.host.owed)
+        self.loop.call_at(self.loop.now() + _STILL_COMING, self._close_idle)
+
+    def _close_idle(self) -> None:
+        self._may_stop = True
+        self.consumers.close_idle()
+        self._stop_if_done()
+
+    def _stop_if_done(self) -> None:
+        # danger: the listener stays to the end, since call-backs come in through it
+        if self._may_stop and not self.host.owed:
+            if self.consumers.open:
+                self.loop.call_at(self.loop.now() + 10 * MS, self._stop_if_done)
+            else:
+                self.loop.stop()
+
+    def _task_failed(self, error: Exception) -> None:
+        log.error("task failed", exc_info=error)
+        if not isinstance(error, Exception):
+            sys.exit(1)
--- /dev/null
+++ b/ironbarrow/endings.py
@@ -0,0 +1,78 @@
+"""Every way in which a connection, or what it carried, can end; and what that says to the module."""
+
+from enum import Enum, auto
+
+from heathway.api import Outcome
+
+
+class Ending(Enum):
+    """How it ended. For an invoker call, ``outcome_of`` tells the module's word for it."""
+
+    # told by the provider
+    DONE = auto()  # call-back: done
+    FAILED = auto()  # call-back: failed
+    RETURNED = auto()  # call-back: returned
+    LOST = auto()  # call-back: lost
+    ERROR_ANSWER = auto()  # an answer that is neither 202 nor a proof of "never ran"
+    NOT_PROCESSED = auto()  # 503 or 504 with the proof
+    # on the way there
+    NO_DESCRIPTOR = auto()  # this process has no socket left
+    CONNECT_REFUSED = auto()
+    CONNECT_TIMED_OUT = auto()
+    DRAINED = auto()  # the provider was listed as draining or gone before the first byte went out
+    # the connection itself
+    CLOSED = auto()  # the peer closed it
+    RESET = auto()  # it broke
+    STALLED = auto()  # a time limit passed in silence
+    MALFORMED = auto()  # not HTTP
+    TOO_LARGE = auto()  # over a size limit
+    # this side's doing
+    TIMED_OUT = auto()  # nothing came by the time-out of the call
+    GIVEN_UP = auto()
+    NOT_SENT = auto()  # the job was over, or had no attempts left
+
+
+class ConnectionEndedError(Exception):
+    """A connection that can carry nothing more, and how it ended."""
+
+    def __init__(self, ending: Ending, detail: str = "", status: int = 400) -> None:
+        super().__init__(f"{ending.name}: {detail}" if detail else ending.name)
+        self.ending = ending
+        self.status = status  # what to answer, if the peer can still be answered
+
+
+_BREAKS = frozenset((Ending.CLOSED, Ending.RESET, Ending.STALLED, Ending.MALFORMED, Ending.TOO_LARGE))
+
+_OUTCOMES = {
+    Ending.DONE: Outcome.OK,
+    Ending.FAILED: Outcome.ERROR,
+    Ending.ERROR_ANSWER: Outcome.ERROR,
+    Ending.RETURNED: Outcome.FULL,
+    Ending.NOT_PROCESSED: Outcome.FULL,
+    # danger: reported as a failed connection, a drain or a lack of own sockets would count as the
+    # provider's failure and set it aside
+    Ending.DRAINED: Outcome.FULL,
+    Ending.NO_DESCRIPTOR: Outcome.FULL,
+    Ending.CONNECT_REFUSED: Outcome.CONNECT_FAILED,
+    Ending.CONNECT_TIMED_OUT: Outcome.CONNECT_FAILED,
+    Ending.LOST: Outcome.RESET,
+    Ending.CLOSED: Outcome.RESET,
+    Ending.RESET: Outcome.RESET,
+    Ending.STALLED: Outcome.RESET,
+    Ending.MALFORMED: Outcome.RESET,
+    Ending.TOO_LARGE: Outcome.RESET,
+    Ending.TIMED_OUT: Outcome.TIMEOUT,
+    Ending.GIVEN_UP: Outcome.CANCELLED,
+    Ending.NOT_SENT: Outcome.MOOT,
+}
+
+
+def outcome_of(ending: Ending, written: bool) -> Outcome:
+    """The module's outcome. ``written``: the request's last byte had been written when it ended.
+
+    Danger: a break proves "never ran" only before that byte; after it, a job that must not run
+    twice may have run.
+    """
+    if ending in _BREAKS and not written:
+        return Outcome.CONNECT_FAILED
+    return _OUTCOMES[ending]
--- /dev/null
+++ b/ironbarrow/host.py
@@ -0,0 +1,330 @@
+"""The module's host: owns jobs and calls, feeds events, carries out actions in order.
+
+It knows no wire protocol. A front (``consumers.py``) hands in jobs and is given their final
+answers; a back (``Invoker``) carries calls to providers and tells how they ended. Both may be of
+any protocol: the decisions and the rules are the same.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Protocol
+
+import structlog
+
+from heathway import api
+from heathway.logic import Dispatcher
+from ironbarrow.endings import Ending, outcome_of
+from ironbarrow.loop import Loop, Timer
+
+log = structlog.get_logger()
+
+
+class Verdict(Enum):
+    """The kinds of final answer."""
+
+    SERVED = "served"
+    REJECTED = "rejected"
+    FAILED = "failed"
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A job's one final answer."""
+
+    verdict: Verdict
+    result: bytes = b""
+    retry_after: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Payload:
+    """What passes on to a provider unchanged. The host looks at the id alone."""
+
+    id: str
+    method: str
+    target: str
+    body: bytes
+    content_type: str = ""
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """A job that was taken and is owed its final answer."""
+
+    number: int
+    payload: Payload
+    arrived_at: int
+    deadline: int
+    answer: Callable[[Answer], None]
+    calls: "list[Call]" = field(default_factory=list)
+    over: bool = False
+    overdue: Timer | None = None
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    """An invoker call: one attempt of a job."""
+
+    job: Job
+    number: int
+    provider: str
+    sent_at: int
+    until: int  # when this side stops waiting for it
+    ended: bool = False
+    given_up: bool = False
+    written: bool = False  # the request's last byte is written
+    timer: Timer | None = None
+
+
+class Invoker(Protocol):
+    """What carries calls to providers."""
+
+    def start(self, call: Call) -> None:
+        """Sends it; ``Host.call_ended`` tells of its end."""
+
+    def give_up(self, call: Call, ending: Ending) -> None:
+        """Calls it off at the provider, then tells ``ending`` unless another came first."""
+
+    def probe(self, provider: str) -> None:
+        """Checks a provider; ``Host.probe_ended`` tells the result."""
+
+    def close_idle(self, provider: str) -> None:
+        """Closes the idle connections to a provider."""
+
+
+class Host:
+    """Drives one dispatcher of the module on the loop's clock."""
+
+    def __init__(self, loop: Loop, settings: api.Settings, seed: int) -> None:
+        self.loop = loop
+        self.settings = settings
+        self.invoker: Invoker
+        self.on_idle: Callable[[], None] = lambda: None  # called when the last job is over
+        self._dispatcher = Dispatcher(settings, seed)
+        self._jobs: dict[int, Job] = {}
+        self._by_id: dict[str, Job] = {}
+        self._numbers = 0
+        self._owed = 0
+        self._events: list[api.Event] = []
+        self._next_at = 0
+        self._planned = False
+        self._states: dict[str, api.WorkerState] = {}
+        self._carry_out: dict[type, Callable[..., None]] = {
+            api.Send: self._send,
+            api.Refuse: self._refuse,
+            api.Fail: self._fail,
+            api.CancelAttempt: self._cancel,
+            api.Probe: lambda action: self.invoker.probe(action.worker),
+            api.CloseIdle: lambda action: self.invoker.close_idle(action.worker),
+            api.SetTimer: self._set_timer,
+            api.Log: lambda action: log.info("decision", text=action.text),
+        }
+
+    # Events
+
+    @property
+    def owed(self) -> int:
+        """Jobs that wait for their final answer."""
+        return self._owed
+
+    @property
+    def listed(self) -> bool:
+        """Whether any list of providers has come in."""
+        return bool(self._states)
+
+    def knows(self, job_id: str) -> bool:
+        return job_id in self._by_id
+
+    def take(
+        self,
+        payload: Payload,
+        answer: Callable[[Answer], None],
+        *,
+        job_class: str,
+        time_left: int,
+        key: int | None = None,
+        slots: float = 1.0,
+        memory: float = 0.0,
+        repeat: bool = False,
+    ) -> Job:
+        """Takes a job; ``answer`` is called once, unless it is withdrawn before."""
+        now = self.loop.now()
+        self._numbers += 1
+        job = Job(self._numbers, payload, now, now + time_left, answer)
+        self._jobs[job.number] = job
+        self._by_id[payload.id] = job
+        self._owed += 1
+        job.overdue = self.loop.call_at(job.deadline + self.settings.answer_slack, self._overdue, job)
+        self._post(
+            api.JobArrived(
+                job.number, job_class, None, key, time_left, slots=slots, memory=memory, repeat=repeat
+            )
+        )
+        return job
+
+    def withdraw(self, job: Job) -> None:
+        """The consumer is gone: nothing more is owed."""
+        if not job.over:
+            self._conclude(job)
+            self._post(api.JobWithdrawn(job.number))
+
+    def providers_listed(self, news: api.WorkerList) -> None:
+        """Danger: sends that wait behind this must not go out before the module knows of a drain."""
+        for entry in news.entries:
+            self._states[entry.worker] = entry.state
+        if news.kind in (api.ListKind.FULL, api.ListKind.LAST_KNOWN):
+            listed = {entry.worker for entry in news.entries}
+            for name in self._states:
+                if name not in listed:
+                    self._states[name] = api.WorkerState.GONE
+        self._states = {n: s for n, s in self._states.items() if s is not api.WorkerState.GONE}
+        self._events.append(news)
+        self._run()
+
+    def may_send_to(self, provider: str) -> bool:
+        return self._states.get(provider) is api.WorkerState.UP
+
+    def call_out(self, job_id: str, provider: str) -> Call | None:
+        """The call of that id that is out at that provider."""
+        job = self._by_id.get(job_id)
+        if job is None:
+            return None
+        return next((c for c in job.calls if c.provider == provider and not c.ended), None)
+
+    def call_started(self, call: Call) -> None:
+        if not call.ended:
+            self._post(api.AttemptNote(call.job.number, call.number, call.provider, api.NoteKind.STARTED))
+
+    def call_progressed(self, call: Call, share: float) -> None:
+        if not call.ended:
+            self._post(
+                api.AttemptNote(call.job.number, call.number, call.provider, api.NoteKind.PROGRESS, share)
+            )
+
+    def call_ended(
+        self, call: Call, ending: Ending, report: api.LoadReport | None = None, result: bytes = b""
+    ) -> None:
+        """Tells the module, once. Danger: call-backs come twice, late, and after a time-out."""
+        if call.ended:
+            return
+        call.ended = True
+        if call.timer is not None:
+            call.timer.cancel()
+        job = call.job
+        if ending is Ending.DONE and not job.over:
+            self._conclude(job, Answer(Verdict.SERVED, result))
+        self._post(
+            api.AttemptEnded(
+                job.number,
+                call.number,
+                call.provider,
+                outcome_of(ending, call.written),
+                job.over,
+                self.loop.now() - call.sent_at,
+                report,
+            )
+        )
+        self._forget_if_done(job)
+
+    def probe_ended(
+        self, provider: str, ending: Ending, elapsed: int, report: api.LoadReport | None = None
+    ) -> None:
+        self._post(api.ProbeEnded(provider, outcome_of(ending, written=True), elapsed, report))
+
+    # The module's turn
+
+    def _post(self, event: api.Event) -> None:
+        self._events.append(event)
+        if not self._planned:
+            self._planned = True
+            if self.loop.now() >= self._next_at:
+                self.loop.soon(self._run)  # with all that came in the same turn of the loop
+            else:
+                self.loop.call_at(self._next_at, self._run)
+
+    def _run(self) -> None:
+        self._planned = False
+        if not self._events:
+            return
+        events, self._events = self._events, []
+        now = self.loop.now()
+        self._next_at = now + self.settings.tick
+        for action in self._dispatcher.handle(now, events):
+            carry_out = self._carry_out.get(type(action))
+            if carry_out is None:
+                log.warning("action not supported", action=type(action).__name__)
+            else:
+                carry_out(action)
+
+    def _set_timer(self, action: api.SetTimer) -> None:
+        self.loop.call_at(self.loop.now() + max(0, action.delay), self._post, api.TimerFired(action.name))
+
+    # Calls
+
+    def _send(self, action: api.Send) -> None:
+        job = self._jobs.get(action.job)
+        if job is None:
+            return
+        now = self.loop.now()
+        until = min(job.deadline, now + action.timeout) if action.timeout else job.deadline
+        call = Call(job, len(job.calls), action.worker, now, until)
+        job.calls.append(call)
+        if job.over or until <= now or len(job.calls) > self.settings.max_attempts:
+            self.call_ended(call, Ending.NOT_SENT)
+            return
+        call.timer = self.loop.call_at(until, self._timed_out, call)
+        self.invoker.start(call)
+
+    def _timed_out(self, call: Call) -> None:
+        at_deadline = call.until >= call.job.deadline
+        if at_deadline:  # the final answer is due: the module is told before the provider
+            self.call_ended(call, Ending.TIMED_OUT)
+        self._give_up(call, Ending.TIMED_OUT)
+
+    def _cancel(self, action: api.CancelAttempt) -> None:
+        job = self._jobs.get(action.job)
+        if job is not None and action.attempt < len(job.calls) and not job.calls[action.attempt].ended:
+            self._give_up(job.calls[action.attempt], Ending.GIVEN_UP)
+
+    def _give_up(self, call: Call, ending: Ending) -> None:
+        if not call.given_up:
+            call.given_up = True
+            self.invoker.give_up(call, ending)
+
+    # Final answers
+
+    def _refuse(self, action: api.Refuse) -> None:
+        self._answer(action.job, Answer(Verdict.REJECTED, retry_after=action.retry_after))
+
+    def _fail(self, action: api.Fail) -> None:
+        self._answer(action.job, Answer(Verdict.FAILED))
+
+    def _answer(self, number: int, answer: Answer) -> None:
+        job = self._jobs.get(number)
+        if job is not None and not job.over:
+            self._conclude(job, answer)
+            self._forget_if_done(job)
+
+    def _overdue(self, job: Job) -> None:
+        """The module owes an answer past the slack: the consumer is not left waiting for ever."""
+        log.error("answer overdue", id=job.payload.id)
+        self._conclude(job, Answer(Verdict.FAILED))
+        self._post(api.JobWithdrawn(job.number))
+        self._forget_if_done(job)
+
+    def _conclude(self, job: Job, answer: Answer | None = None) -> None:
+        job.over = True
+        self._owed -= 1
+        if job.overdue is not None:
+            job.overdue.cancel()
+        if answer is not None:
+            job.answer(answer)
+        if not self._owed:
+            self.loop.soon(self.on_idle)
+
+    def _forget_if_done(self, job: Job) -> None:
+        """Danger: memory is bounded; nothing of a finished job stays."""
+        if job.over and all(call.ended for call in job.calls):
+            self._jobs.pop(job.number, None)
+            self._by_id.pop(job.payload.id, None)
--- /dev/null
+++ b/ironbarrow/invoker.py
@@ -0,0 +1,287 @@
+"""Invoker calls to providers over HTTP: connection pools, calls, DELETE, probes."""
+
+from collections import deque
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+import structlog
+
+from heathway import api
+from heathway.settings import ReportReader
+from ironbarrow.directory import Directory
+from ironbarrow.endings import ConnectionEndedError, Ending
+from ironbarrow.host import Call, Host
+from ironbarrow.http import Address, Connection, Message, connect
+from ironbarrow.loop import MS, SECOND, Coroutine, Loop, Task
+
+log = structlog.get_logger()
+
+_POOL = 8  # idle connections kept to one provider
+# a DELETE is carried out when it arrives; a hung provider never says so, and what follows it would
+# overtake it on a shorter way
+_DELETE_LIMIT = 100 * MS
+_CLOSE_TRAVELS = 10 * MS  # so long a closed connection is given to reach the provider
+_DELETE_TRIES = 3
+_PROBE_LIMIT = 1 * SECOND
+_STATES = {"done": Ending.DONE, "failed": Ending.FAILED, "returned": Ending.RETURNED, "lost": Ending.LOST}
+
+
+@dataclass(slots=True, eq=False)
+class _Exchange:
+    """A call's way over the sockets."""
+
+    address: Address
+    task: Task | None = None
+    answered: bool = False  # the provider's 202 is in
+
+
+class HttpInvoker:
+    """Carries the host's calls to the providers that the directory names."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        host: Host,
+        directory: Directory,
+        reports: ReportReader,
+        *,
+        connect_timeout: int,
+        idle_limit: int,
+        most_idle: int,
+    ) -> None:
+        self._loop = loop
+        self._host = host
+        self._directory = directory
+        self._reports = reports
+        self._connect_timeout = connect_timeout
+        # danger: a request written to a connection that the provider is about to close ends as a reset
+        self._idle_limit = idle_limit - min(idle_limit // 2, 2 * SECOND)
+        self._most_idle = most_idle
+        self._pools: dict[Address, deque[Connection]] = {}
+        self._idle = 0
+        self._exchanges: dict[Call, _Exchange] = {}
+        self._loop.call_at(self._loop.now() + SECOND, self._sweep)
+
+    # What the host asks for
+
+    def start(self, call: Call) -> None:
+        address = self._directory.address_of(call.provider)
+        if address is None:
+            self._host.call_ended(call, Ending.DRAINED)
+            return
+        exchange = _Exchange(address)
+        self._exchanges[call] = exchange
+        exchange.task = self._loop.spawn(self._call(call, exchange))
+
+    def give_up(self, call: Call, ending: Ending) -> None:
+        exchange = self._exchanges.get(call)
+        if exchange is None:
+            self._end(call, ending)
+            return
+        if not exchange.answered and exchange.task is not None:
+            exchange.task.cancel()
+        if not call.written:
+            self._end(call, ending)
+        else:
+            self._loop.spawn(self._delete(call, exchange, ending))
+
+    def probe(self, provider: str) -> None:
+        self._loop.spawn(self._probe(provider))
+
+    def close_idle(self, provider: str) -> None:
+        address = self._directory.address_of(provider)
+        for connection in self._pools.pop(address, ()) if address else ():
+            self._idle -= 1
+            connection.close()
+
+    def free_descriptors(self) -> None:
+        """Closes every idle connection: this process has no descriptors left."""
+        for pool in self._pools.values():
+            for connection in pool:
+                connection.close()
+        self._pools.clear()
+        self._idle = 0
+
+    # Call-backs
+
+    def called_back(self, raw: Any) -> None:
+        """A provider's word on a call; a ValueError if it is malformed."""
+        if not isinstance(raw, dict):
+            raise ValueError("not an object")
+        job_id, provider, state = raw.get("id"), raw.get("from"), raw.get("state")
+        if not isinstance(job_id, str) or not isinstance(provider, str) or not isinstance(state, str):
+            raise ValueError("id, from and state must be text")
+        if state not in _STATES and state not in ("started", "running"):
+            raise ValueError(f"unknown state: {state[:40]!r}")
+        result = raw.get("result", "")
+        if state == "done" and not isinstance(result, str):
+            raise ValueError("result must be text")
+        share = raw.get("share", 0.0)
+        if isinstance(share, bool) or not isinstance(share, int | float):
+            raise ValueError("share must be a number")
+        report = self._report(raw.get("load"))
+        call = self._host.call_out(job_id, provider)
+        if call is None:
+            return  # late, sent again, or for a call that was never made: it has been counted
+        # danger: the call-back may come before the 202, even before the own write is seen to be whole
+        call.written = True
+        if state == "started":
+            self._host.call_started(call)
+        elif state == "running":
+            self._host.call_progressed(call, float(share))
+        else:
+            self._end(call, _STATES[state], report, result.encode())
+
+    def _report(self, load: Any) -> api.LoadReport | None:
+        if load is None:
+            return None
+        if not isinstance(load, dict):
+            raise ValueError("load must be an object")
+        return self._reports.read(load.items())
+
+    def _header_report(self, headers: Mapping[str, str]) -> api.LoadReport | None:
+        text = headers.get("x-server-load")
+        if text is None:
+            return None
+        pairs = [(name.strip(), value) for name, _, value in (p.partition("=") for p in text.split(","))]
+        try:
+            return self._reports.read(pairs)
+        except ValueError as error:
+            log.warning("load report ignored", error=str(error))
+            return None
+
+    # Coroutines
+
+    def _call(self, call: Call, exchange: _Exchange) -> Coroutine[None]:
+        connection: Connection | None = None
+        try:
+            connection = yield from self._connection(exchange.address)
+            if not self._host.may_send_to(call.provider):
+                # danger: it was told to drain while the connection came up
+                self._end(call, Ending.DRAINED)
+                return
+            yield from connection.write(self._request(connection, call, exchange.address), call.until)
+            call.written = True
+            answer = yield from connection.read_message(call.until)
+            exchange.answered = True
+            self._put_back(exchange.address, connection, answer)
+            connection = None
+            self._answered(call, answer)
+        except ConnectionEndedError as error:
+            if error.ending is Ending.STALLED and self._loop.now() >= call.until:
+                return  # the host's own time-out tells
+            self._end(call, error.ending)
+        finally:
+            if connection is not None:
+                connection.close()
+
+    def _answered(self, call: Call, answer: Message) -> None:
+        if answer.status == 202:
+            if call.ended:
+                self._exchanges.pop(call, None)
+            return
+        proven = answer.status in (503, 504) and answer.headers.get("x-not-processed", "").strip() == "1"
+        # danger: without the proof, a 503 may come after the job has run
+        ending = Ending.NOT_PROCESSED if proven else Ending.ERROR_ANSWER
+        self._end(call, ending, self._header_report(answer.headers))
+
+    def _end(
+        self, call: Call, ending: Ending, report: api.LoadReport | None = None, result: bytes = b""
+    ) -> None:
+        self._exchanges.pop(call, None)
+        self._host.call_ended(call, ending, report, result)
+
+    def _delete(self, call: Call, exchange: _Exchange, ending: Ending) -> Coroutine[None]:
+        """Tells the provider to stop. Danger: until it knows, a repeat would be a second copy."""
+        for _ in range(_DELETE_TRIES):
+            connection: Connection | None = None
+            try:
+                connection = yield from self._connection(exchange.address)
+                until = self._loop.now() + _DELETE_LIMIT
+                headers = [("Host", "{}:{}".format(*exchange.address))]
+                target = f"/jobs/{call.job.payload.id}"
+                yield from connection.write(connection.request_bytes("DELETE", target, headers), until)
+                answer = yield from connection.read_message(until)
+                self._put_back(exchange.address, connection, answer)
+                connection = None
+                break
+            except ConnectionEndedError as error:
+                if error.ending in (Ending.CONNECT_REFUSED, Ending.STALLED):
+                    break  # the process is gone, or has it but is silent
+            finally:
+                if connection is not None:
+                    connection.close()
+        self._end(call, ending)
+
+    def _probe(self, provider: str) -> Coroutine[None]:
+        started_at = self._loop.now()
+        until = started_at + _PROBE_LIMIT
+        ending, report = Ending.ERROR_ANSWER, None
+        address = self._directory.address_of(provider)
+        connection: Connection | None = None
+        try:
+            if address is None:
+                raise ConnectionEndedError(Ending.CONNECT_REFUSED)
+            connection = yield from self._connection(address)
+            target = "/-/load" if self._host.settings.report_fields else "/-/healthy"
+            headers = [("Host", "{}:{}".format(*address))]
+            yield from connection.write(connection.request_bytes("GET", target, headers), until)
+            answer = yield from connection.read_message(until)
+            if answer.status == 200:
+                ending = Ending.DONE
+                report = self._header_report({"x-server-load": answer.body.decode("latin-1")})
+            self._put_back(address, connection, answer)
+            connection = None
+        except ConnectionEndedError as error:
+            ending = Ending.TIMED_OUT if error.ending is Ending.STALLED else error.ending
+        finally:
+            if connection is not None:
+                connection.close()
+        self._host.probe_ended(provider, ending, self._loop.now() - started_at, report)
+
+    def _request(self, connection: Connection, call: Call, address: Address) -> bytes:
+        payload = call.job.payload
+        left = max(1, (call.until - self._loop.now()) // MS)
+        headers = [
+            ("Host", "{}:{}".format(*address)),
+            ("X-Request-ID", payload.id),
+            ("X-Timeout-Ms", str(left)),
+        ]
+        if payload.content_type:
+            headers.append(("Content-Type", payload.content_type))
+        return connection.request_bytes(payload.method, payload.target, headers, payload.body)
+
+    # Pools
+
+    def _connection(self, address: Address) -> Coroutine[Connection]:
+        """An idle connection that is surely still open, or a new one."""
+        pool = self._pools.get(address)
+        while pool:
+            connection = pool.pop()
+            self._idle -= 1
+            if self._loop.now() - connection.used_at < self._idle_limit and connection.is_silent():
+                return connection
+            connection.close()
+        return (yield from connect(address, self._loop.now() + self._connect_timeout))
+
+    def _put_back(self, address: Address, connection: Connection, answer: Message) -> None:
+        pool = self._pools.setdefault(address, deque())
+        if connection.next_cycle() and len(pool) < _POOL and self._idle < self._most_idle:
+            connection.used_at = self._loop.now()
+            pool.append(connection)
+            self._idle += 1
+        else:
+            connection.close()
+
+    def _sweep(self) -> None:
+        """Closes connections that are too old to be used again."""
+        oldest = self._loop.now() - self._idle_limit
+        for address in list(self._pools):
+            pool = self._pools[address]
+            while pool and (pool[0].used_at < oldest or not pool[0].is_silent()):
+                pool.popleft().close()
+                self._idle -= 1
+            if not pool:
+                del self._pools[address]
+        self._loop.call_at(self._loop.now() + SECOND, self._sweep)
--- /dev/null
+++ b/ironbarrow/loop.py
@@ -0,0 +1,206 @@
+"""One thread, one epoll: generators as coroutines, timers, one clock. Knows no protocol.
+
+A coroutine yields a ``Wait`` and is resumed with True when its descriptor is ready or somebody
+woke it, and with False when the wait's time limit has passed.
+"""
+
+import itertools
+import os
+import select
+import time
+from collections import deque
+from collections.abc import Callable, Generator
+from dataclasses import dataclass
+from heapq import heappop, heappush
+from typing import Any, TypeVar
+
+MS = 1_000_000
+SECOND = 1_000 * MS
+
+READ = select.EPOLLIN | select.EPOLLRDHUP
+WRITE = select.EPOLLOUT
+HANGUP = select.EPOLLRDHUP
+_LONGEST_POLL_S = 3600.0
+_SWEEP_AT = 1024  # timers in the heap at which cancelled ones are taken out
+
+
+@dataclass(frozen=True, slots=True)
+class Wait:
+    """What a coroutine waits for: a descriptor's readiness (-1: only to be woken), until a time."""
+
+    fd: int
+    mask: int
+    until: int
+
+
+T = TypeVar("T")
+Coroutine = Generator[Wait, bool, T]
+
+
+class Timer:
+    """A call to come; ``cancel`` takes it back."""
+
+    __slots__ = ("args", "call")
+
+    def __init__(self, call: Callable[..., None], args: tuple[Any, ...]) -> None:
+        self.call: Callable[..., None] | None = call
+        self.args = args
+
+    def cancel(self) -> None:
+        # danger: a cancelled timer stays in the heap until it is due; it must not hold a job alive
+        self.call, self.args = None, ()
+
+
+class Task:
+    """A running coroutine."""
+
+    __slots__ = ("_loop", "_timer", "_wait", "coroutine", "done", "turn")
+
+    def __init__(self, loop: "Loop", coroutine: Coroutine[None]) -> None:
+        self._loop = loop
+        self._wait: Wait | None = None
+        self._timer: Timer | None = None
+        self.coroutine = coroutine
+        self.done = False
+        self.turn = 0  # which wait it is in; a wake meant for an earlier one is dropped
+
+    def wake(self) -> None:
+        """Ends the present wait early, with True, in the loop's next turn."""
+        self._loop.soon(self._resume, self.turn, True)
+
+    def cancel(self) -> None:
+        """Ends the coroutine where it waits; its ``finally`` blocks run now."""
+        if not self.done and not self.coroutine.gi_running:  # type: ignore[attr-defined]
+            self._leave()
+            self.done = True
+            self.coroutine.close()
+
+    def _leave(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if self._wait is not None:
+            self._loop.forget(self._wait.fd)
+            self._wait = None
+
+    def _resume(self, turn: int, ready: bool) -> None:
+        if self.done or turn != self.turn:
+            return
+        self._leave()
+        self.turn += 1
+        try:
+            wait = self.coroutine.send(ready) if turn else next(self.coroutine)
+        except StopIteration:
+            self.done = True
+            return
+        except Exception as error:  # noqa: BLE001 - one failed connection must not end the program
+            self.done = True
+            self._loop.task_failed(error)
+            return
+        self._wait = wait
+        if wait.fd >= 0:
+            self._loop.watch(wait.fd, wait.mask, self._resume, self.turn)
+        self._timer = self._loop.call_at(wait.until, self._resume, self.turn, False)
+
+
+class Loop:
+    """Runs tasks and timers until stopped."""
+
+    def __init__(self, on_error: Callable[[Exception], None]) -> None:
+        # danger: list entries carry Unix times, and the module's clock may not go back when Unix time does
+        self._offset = time.time_ns() - time.monotonic_ns()
+        self._epoll = select.epoll()
+        self._watched: dict[int, tuple[Callable[[int, bool], None], int]] = {}
+        self._timers: list[tuple[int, int, Timer]] = []
+        self._count = itertools.count()
+        self._soon: deque[tuple[Callable[..., None], tuple[Any, ...]]] = deque()
+        self._on_error = on_error
+        self._stopped = False
+        self._sweep_at = _SWEEP_AT
+        self._wake_read, self._wake_write = os.pipe()
+        os.set_blocking(self._wake_read, False)
+        os.set_blocking(self._wake_write, False)
+        self._epoll.register(self._wake_read, select.EPOLLIN)
+
+    @property
+    def wake_fd(self) -> int:
+        """For ``signal.set_wakeup_fd``: a byte written here ends the poll."""
+        return self._wake_write
+
+    def now(self) -> int:
+        """Unix time at the start and monotonic progress since, in nanoseconds."""
+        return self._offset + time.monotonic_ns()
+
+    def spawn(self, coroutine: Coroutine[None]) -> Task:
+        task = Task(self, coroutine)
+        self.soon(task._resume, 0, True)
+        return task
+
+    def soon(self, call: Callable[..., None], *args: Any) -> None:
+        """Calls in this turn of the loop, after what runs now."""
+        self._soon.append((call, args))
+
+    def call_at(self, due: int, call: Callable[..., None], *args: Any) -> Timer:
+        timer = Timer(call, args)
+        heappush(self._timers, (due, next(self._count), timer))
+        return timer
+
+    def watch(self, fd: int, mask: int, call: Callable[[int, bool], None], turn: int) -> None:
+        self._watched[fd] = (call, turn)
+        self._epoll.register(fd, mask)
+
+    def forget(self, fd: int) -> None:
+        if self._watched.pop(fd, None) is not None:
+            self._epoll.unregister(fd)
+
+    def task_failed(self, error: Exception) -> None:
+        self._on_error(error)
+
+    def stop(self) -> None:
+        self._stopped = True
+
+    def run(self) -> None:
+        """Runs until ``stop``."""
+        while not self._stopped:
+            self.turn()
+
+    def turn(self) -> None:
+        """Waits for what comes next and runs all that is due."""
+        for fd, _ in self._epoll.poll(self._poll_time()):
+            if fd == self._wake_read:
+                os.read(fd, 4096)
+                continue
+            found = self._watched.get(fd)
+            if found is not None:
+                found[0](found[1], True)
+        now = self.now()
+        while self._timers and self._timers[0][0] <= now:
+            timer = heappop(self._timers)[2]
+            if timer.call is not None:
+                timer.call(*timer.args)
+        for _ in range(len(self._soon)):
+            call, args = self._soon.popleft()
+            call(*args)
+        if len(self._timers) > self._sweep_at:
+            # danger: each wait leaves a cancelled timer with a far-off time; unswept, the heap grows
+            self._timers = sorted(item for item in self._timers if item[2].call is not None)
+            self._sweep_at = max(_SWEEP_AT, 2 * len(self._timers))
+
+    def _poll_time(self) -> float:
+        if self._soon:
+            return 0.0
+        while self._timers and self._timers[0][2].call is None:
+            heappop(self._timers)
+        if not self._timers:
+            return _LONGEST_POLL_S
+        return min(_LONGEST_POLL_S, max(0.0, (self._timers[0][0] - self.now()) / SECOND))
+
+    def close(self) -> None:
+        self._epoll.close()
+        os.close(self._wake_read)
+        os.close(self._wake_write)
+
+
+def sleep(until: int) -> Coroutine[bool]:
+    """Waits until a time; True if woken before it."""
+    return (yield Wait(-1, 0, until))
--- a/tests/test_simhost.py
+++ b/tests/test_simhost.py
@@ -10,7 +10,8 @@
 import pytest
 
 from heathway import api
-from heathway.simhost import Host, WireError, read_settings
+from heathway.settings import read_settings
+from heathway.simhost import Host, WireError
 
 ROOT = Path(__file__).parents[1]
 CONF = {
