Test the network code by scenarios; forget withdrawn jobs

Found while writing them and mended: a job withdrawn while it was held stayed in memory (Host.withdraw did not forget it); on SIGTERM a connection that came in and said nothing would have held up the end for two minutes (idle limit in Consumers._next_request); a known list without entries raised at start.

--- a/ironbarrow/config.py
+++ b/ironbarrow/config.py
@@ -58,13 +58,15 @@
     limits = _object(raw, "limits")
     rules = _object(conf, "limits")
     known = _object(raw, "known")
-    settings = read_settings(conf)
+    if known and not isinstance(known.get("endpoints"), list):
+        raise ValueError("known: no object with endpoints")
+    settings = read_settings(conf)  # whose errors name the key
     sockets = _number(limits, "limits", "sockets", _DESCRIPTORS)
     if sockets < 64:
         raise ValueError(f"limits.sockets: {sockets} is too few; 64 are needed")
     return Config(
         name=_text(raw, environment, "name"),
-        listen=_address(raw, environment, "listen"),
+        listen=_address(raw, environment, "listen", least_port=0),  # 0: any free one
         directory=_address(raw, environment, "discovery"),
         seed=_seed(raw.get("seed", 0)),
         settings=settings,
@@ -97,9 +99,9 @@
     return value
 
 
-def _address(raw: dict[str, Any], environment: Mapping[str, str], name: str) -> Address:
+def _address(raw: dict[str, Any], environment: Mapping[str, str], name: str, least_port: int = 1) -> Address:
     try:
-        return parse_address(_text(raw, environment, name))
+        return parse_address(_text(raw, environment, name), least_port)
     except ValueError as error:
         raise ValueError(f"{name}: {error}") from None
 
--- a/ironbarrow/consumers.py
+++ b/ironbarrow/consumers.py
@@ -1,7 +1,7 @@
 """The listener: jobs in and final answers out, call-backs of providers, readiness."""
 
 import json
-import os
+import select
 import socket
 from collections.abc import Callable
 from hashlib import blake2b
@@ -59,13 +59,12 @@
         self._idle: dict[Connection, Task] = {}  # between requests, the longest idle first
         self._open = 0
         self._closing = False
-        self._spare = os.open(os.devnull, os.O_RDONLY)
         loop.spawn(self._accept())
 
     @property
-    def open(self) -> int:
-        """Connections that are open."""
-        return self._open
+    def busy(self) -> bool:
+        """Whether any connection is open or waits to be accepted."""
+        return self._open > 0 or bool(select.select([self._listener], [], [], 0)[0])
 
     def close_idle(self) -> None:
         """From now on no connection is kept: the idle ones close at once, the others after their answer."""
@@ -137,7 +136,9 @@
     def _next_request(self, connection: Connection) -> Coroutine[Message | None]:
         """The next request, or None if the connection ended between two."""
         if not connection.started:
-            if not (yield Wait(connection.sock.fileno(), READ, self._loop.now() + _IDLE_LIMIT)):
+            # danger: while the program ends, one that connects and says nothing would hold it up
+            limit = _LINGER_LIMIT if self._closing else _IDLE_LIMIT
+            if not (yield Wait(connection.sock.fileno(), READ, self._loop.now() + limit)):
                 return None
             if connection.is_closed():
                 return None
@@ -261,9 +262,9 @@
 
 def _milliseconds(text: str) -> int:
     text = text.strip()
-    if not text.isascii() or not text.isdigit() or not 0 < int(text[:12]) <= _LONGEST_MS:
+    if not (text.isascii() and text.isdigit() and len(text) < 12 and 0 < int(text) <= _LONGEST_MS):
         raise BadRequestError(400, "X-Timeout-Ms is missing or not a number of milliseconds")
-    return int(text[:12])
+    return int(text)
 
 
 def _attributes(text: str) -> dict[str, float]:
--- a/ironbarrow/dispatcher.py
+++ b/ironbarrow/dispatcher.py
@@ -2,7 +2,6 @@
 
 import signal
 import socket
-import sys
 from types import FrameType
 
 import structlog
@@ -20,6 +19,7 @@
 # after the order to stop, connections go on coming for 0.4 s at most; what a closing connection
 # crosses is sent again, but not to a dispatcher that has left
 _STILL_COMING = 500 * MS
+_DONE_CHECKED = 10 * MS
 _RESERVED = 32  # descriptors for the program itself, the listener, epoll and the directory
 
 
@@ -27,11 +27,10 @@
     """Listens, serves and stops."""
 
     def __init__(self, config: Config, listener: socket.socket | None = None) -> None:
-        self.loop = Loop(self._task_failed)
-        self._may_stop = False
+        self.loop = Loop(_task_failed)
+        self._stopping = False
         self.listener = listener or listen(config.listen)
         self.host = Host(self.loop, config.settings, config.seed)
-        self.host.on_idle = self._stop_if_done
         self.directory = Directory(self.loop, config.directory, self.host.providers_listed)
         spare = config.sockets - _RESERVED
         self.invoker = HttpInvoker(
@@ -61,32 +60,35 @@
             signal.signal(number, self._signalled)
         log.info("serving", address="{}:{}".format(*self.listener.getsockname()[:2]))
         self.loop.run()
-        self.listener.close()
-        self.loop.close()
+        self.close()
         log.info("stopped")
 
+    def close(self) -> None:
+        """Lets go of every connection and descriptor."""
+        self.loop.close()
+        self.listener.close()
+
     def _signalled(self, number: int, frame: FrameType | None) -> None:
         self.loop.soon(self.stop)
 
     def stop(self) -> None:
         """Takes what still comes for a short while, finishes what was taken, then ends ``run``."""
-        log.info("stopping", owed=self.host.owed)
-        self.loop.call_at(self.loop.now() + _STILL_COMING, self._close_idle)
+        if not self._stopping:
+            self._stopping = True
+            log.info("stopping", owed=self.host.owed)
+            self.loop.call_at(self.loop.now() + _STILL_COMING, self._close_idle)
 
     def _close_idle(self) -> None:
-        self._may_stop = True
         self.consumers.close_idle()
-        self._stop_if_done()
+        self._stop_when_done()
 
-    def _stop_if_done(self) -> None:
+    def _stop_when_done(self) -> None:
         # danger: the listener stays to the end, since call-backs come in through it
-        if self._may_stop and not self.host.owed:
-            if self.consumers.open:
-                self.loop.call_at(self.loop.now() + 10 * MS, self._stop_if_done)
-            else:
-                self.loop.stop()
-
-    def _task_failed(self, error: Exception) -> None:
-        log.error("task failed", exc_info=error)
-        if not isinstance(error, Exception):
-            sys.exit(1)
+        if self.host.owed or self.consumers.busy:
+            self.loop.call_at(self.loop.now() + _DONE_CHECKED, self._stop_when_done)
+        else:
+            self.loop.stop()
+
+
+def _task_failed(error: Exception) -> None:
+    log.error("task failed", exc_info=error)
--- a/ironbarrow/host.py
+++ b/ironbarrow/host.py
@@ -100,7 +100,6 @@
         self.loop = loop
         self.settings = settings
         self.invoker: Invoker
-        self.on_idle: Callable[[], None] = lambda: None  # called when the last job is over
         self._dispatcher = Dispatcher(settings, seed)
         self._jobs: dict[int, Job] = {}
         self._by_id: dict[str, Job] = {}
@@ -128,6 +127,11 @@
         """Jobs that wait for their final answer."""
         return self._owed
 
+    @property
+    def held_in_memory(self) -> int:
+        """Jobs that are not forgotten yet: owed their answer, or with a call that is still out."""
+        return len(self._jobs)
+
     @property
     def listed(self) -> bool:
         """Whether any list of providers has come in."""
@@ -168,6 +172,7 @@
         if not job.over:
             self._conclude(job)
             self._post(api.JobWithdrawn(job.number))
+            self._forget_if_done(job)
 
     def providers_listed(self, news: api.WorkerList) -> None:
         """Danger: sends that wait behind this must not go out before the module knows of a drain."""
@@ -320,8 +325,6 @@
             job.overdue.cancel()
         if answer is not None:
             job.answer(answer)
-        if not self._owed:
-            self.loop.soon(self.on_idle)
 
     def _forget_if_done(self, job: Job) -> None:
         """Danger: memory is bounded; nothing of a finished job stays."""
--- a/ironbarrow/http.py
+++ b/ironbarrow/http.py
@@ -5,6 +5,7 @@
 import socket
 from collections.abc import Sequence
 from dataclasses import dataclass, field
+from http import HTTPStatus
 
 import h11
 
@@ -20,10 +21,16 @@
 Address = tuple[str, int]
 
 
-def parse_address(text: str) -> Address:
+def parse_address(text: str, least_port: int = 1) -> Address:
     """``host:port``, as a socket wants it; a ValueError says what is wrong."""
     host, colon, port = text.rpartition(":")
-    if not colon or not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
+    if (
+        not colon
+        or not host
+        or not port.isascii()
+        or not port.isdigit()
+        or not least_port <= int(port) < 65536
+    ):
         raise ValueError(f"not host:port: {text[:80]!r}")
     return host, int(port)
 
@@ -164,7 +171,9 @@
         head = list(headers)
         if status != 204:  # which has no body, and so no length
             head.append(("Content-Length", str(len(body))))
-        return self._whole(h11.Response(status_code=status, headers=head), body)
+        return self._whole(
+            h11.Response(status_code=status, headers=head, reason=HTTPStatus(status).phrase), body
+        )
 
     def _whole(self, head: h11.Request | h11.Response, body: bytes) -> bytes:
         data = self._h11.send(head) or b""
--- a/ironbarrow/invoker.py
+++ b/ironbarrow/invoker.py
@@ -178,8 +178,6 @@
 
     def _answered(self, call: Call, answer: Message) -> None:
         if answer.status == 202:
-            if call.ended:
-                self._exchanges.pop(call, None)
             return
         proven = answer.status in (503, 504) and answer.headers.get("x-not-processed", "").strip() == "1"
         # danger: without the proof, a 503 may come after the job has run
--- a/ironbarrow/loop.py
+++ b/ironbarrow/loop.py
@@ -73,6 +73,7 @@
         if not self.done and not self.coroutine.gi_running:  # type: ignore[attr-defined]
             self._leave()
             self.done = True
+            self._loop.ended(self)
             self.coroutine.close()
 
     def _leave(self) -> None:
@@ -92,10 +93,11 @@
             wait = self.coroutine.send(ready) if turn else next(self.coroutine)
         except StopIteration:
             self.done = True
+            self._loop.ended(self)
             return
         except Exception as error:  # noqa: BLE001 - one failed connection must not end the program
             self.done = True
-            self._loop.task_failed(error)
+            self._loop.ended(self, error)
             return
         self._wait = wait
         if wait.fd >= 0:
@@ -115,7 +117,8 @@
         self._count = itertools.count()
         self._soon: deque[tuple[Callable[..., None], tuple[Any, ...]]] = deque()
         self._on_error = on_error
-        self._stopped = False
+        self.stopped = False
+        self._tasks: set[Task] = set()
         self._sweep_at = _SWEEP_AT
         self._wake_read, self._wake_write = os.pipe()
         os.set_blocking(self._wake_read, False)
@@ -131,8 +134,14 @@
         """Unix time at the start and monotonic progress since, in nanoseconds."""
         return self._offset + time.monotonic_ns()
 
+    @property
+    def pending(self) -> int:
+        """Timers that are kept, cancelled ones included."""
+        return len(self._timers)
+
     def spawn(self, coroutine: Coroutine[None]) -> Task:
         task = Task(self, coroutine)
+        self._tasks.add(task)
         self.soon(task._resume, 0, True)
         return task
 
@@ -153,15 +162,17 @@
         if self._watched.pop(fd, None) is not None:
             self._epoll.unregister(fd)
 
-    def task_failed(self, error: Exception) -> None:
-        self._on_error(error)
+    def ended(self, task: Task, error: Exception | None = None) -> None:
+        self._tasks.discard(task)
+        if error is not None:
+            self._on_error(error)
 
     def stop(self) -> None:
-        self._stopped = True
+        self.stopped = True
 
     def run(self) -> None:
         """Runs until ``stop``."""
-        while not self._stopped:
+        while not self.stopped:
             self.turn()
 
     def turn(self) -> None:
@@ -196,6 +207,9 @@
         return min(_LONGEST_POLL_S, max(0.0, (self._timers[0][0] - self.now()) / SECOND))
 
     def close(self) -> None:
+        """Ends every task and lets go of the descriptors."""
+        for task in list(self._tasks):
+            task.cancel()
         self._epoll.close()
         os.close(self._wake_read)
         os.close(self._wake_write)
--- /dev/null
+++ b/tests/scenario.py
@@ -0,0 +1,209 @@
+"""A small language for network tests: scripted peers that send, expect, close and wait.
+
+A scenario is text, one step a line. A line names its peer: ``c1 send ...`` and so on. ``c*`` are
+consumers and call-backs, which connect to the dispatcher; ``p*`` are providers and ``d`` is the
+directory, which the dispatcher connects to. In what is sent, ``\\r`` and ``\\n`` are written out.
+
+    c1 send TEXT      write it, after connecting if need be
+    c1 expect REGEX   read until it matches all that has come; fails after LIMIT
+    c1 silent MS      nothing comes and the connection stays open for so long
+    c1 ended          the other side has closed the connection
+    c1 close          close the connection
+    p1 refuse         take no more connections
+    wait MS           let time pass
+    stop              order the dispatcher to stop
+    exits             its loop has ended
+
+The dispatcher runs in the same thread, so that nothing races: its loop turns while a step waits.
+"""
+
+import json
+import re
+import select
+import socket
+import time
+from typing import Any
+
+from heathway.settings import ReportReader, read_settings
+from ironbarrow.config import Config
+from ironbarrow.dispatcher import Dispatcher
+from ironbarrow.http import listen
+
+LIMIT = 20.0  # seconds; only a failing step ever waits so long
+SETTINGS: dict[str, Any] = {
+    "me": 0,
+    "replicasOfMe": 1,
+    "zone": "a",
+    "zones": ["a"],
+    "round": 4_000_000,
+    "requestClasses": [
+        {"name": "map", "effect": "pure", "promise": 1_000_000_000, "giveUp": 10_000_000_000},
+        {"name": "book", "effect": "side_effect", "promise": 4_000_000_000, "giveUp": 25_000_000_000},
+    ],
+    "familyInfo": {"reportX0": "free slots", "tellsStart": True},
+    "report": {"how": "inline", "fields": ["errors_per_s", "backlog", "x0"]},
+    "limits": {"cancel": True, "retryAfter": True, "mostTries": 3, "maxRetryAfter": 2_000_000_000},
+    "guarantees": {"answerSlack": 16_000_000, "drainGrace": 1_000_000_000, "cold": 1_000_000_000},
+}
+
+
+class Peer:
+    """One scripted end of a connection."""
+
+    def __init__(self, address: tuple[str, int] | None) -> None:
+        self.address = address  # of the dispatcher; None: the peer listens itself
+        self.listener = None if address else listen(("127.0.0.1", 0))
+        self.sock: socket.socket | None = None
+        self.seen = b""
+        self.over = False
+
+    def connect(self) -> None:
+        if self.sock is None and self.address:
+            self.sock = socket.create_connection(self.address)
+            self.sock.setblocking(False)
+
+    def look(self) -> None:
+        """Takes in what has come."""
+        if self.sock is None and self.listener is not None and select.select([self.listener], [], [], 0)[0]:
+            self.sock = self.listener.accept()[0]
+            self.sock.setblocking(False)
+        if self.sock is not None and not self.over:
+            try:
+                data = self.sock.recv(1 << 20)
+            except BlockingIOError:
+                return
+            except ConnectionError:
+                data = b""
+            self.seen += data
+            self.over = not data
+
+    def close(self) -> None:
+        if self.sock is not None:
+            self.sock.close()
+        self.sock, self.seen, self.over = None, b"", False
+
+
+class Stage:
+    """A dispatcher and its peers, playing one scenario."""
+
+    def __init__(self, providers: int = 2, known: bool = True, **config: Any) -> None:
+        self.peers = {f"p{n}": Peer(None) for n in range(1, providers + 1)} | {"d": Peer(None)}
+        ports = {name: peer.listener.getsockname() for name, peer in self.peers.items() if peer.listener}
+        self.names = {f"${name}": f"{host}:{port}" for name, (host, port) in ports.items()}
+        entries = [self.entry(f"p{n}") for n in range(1, providers + 1)]
+        listener = listen(("127.0.0.1", 0))
+        self.address = listener.getsockname()
+        self.config = Config(
+            name="n1",
+            listen=self.address,
+            directory=ports["d"],
+            seed=1,
+            settings=read_settings(SETTINGS),
+            reports=ReportReader(SETTINGS),
+            known={"index": 41, "snapshot": True, "endpoints": entries} if known else {},
+            **config,
+        )
+        self.dispatcher = Dispatcher(self.config, listener)
+
+    def entry(self, name: str, status: str = "up") -> dict[str, Any]:
+        return {"name": name, "address": self.names[f"${name}"], "zone": "a", "status": status}
+
+    def news(self, *entries: dict[str, Any], index: int = 42, whole: bool = False) -> str:
+        line = json.dumps({"index": index, "snapshot": whole, "endpoints": entries}) + "\n"
+        return f"{len(line):x}\r\n{line}\r\n"
+
+    def until(self, what: str, true: Any, limit: float = LIMIT) -> None:
+        end = time.monotonic() + limit
+        while not true():
+            assert time.monotonic() < end, f"{what}: not within {limit} s; peers saw " + repr(
+                {name: peer.seen for name, peer in self.peers.items()}
+            )
+            self.pass_time(0.005)
+
+    def pass_time(self, seconds: float) -> None:
+        loop = self.dispatcher.loop
+        end = time.monotonic() + seconds
+        while not loop.stopped and time.monotonic() < end:
+            loop.call_at(loop.now() + int(1e9 * max(0.0, min(0.002, end - time.monotonic()))), lambda: None)
+            loop.turn()
+            for peer in self.peers.values():
+                peer.look()
+
+    def play(self, scenario: str) -> None:
+        try:
+            for line in scenario.strip().splitlines():
+                self.step(line.strip())
+        finally:
+            self.close()
+
+    def step(self, line: str) -> None:
+        name, _, rest = line.partition(" ")
+        verb, _, text = rest.partition(" ")
+        if name == "wait":
+            self.pass_time(float(rest) / 1000)
+        elif name == "stop":
+            self.dispatcher.stop()
+        elif name == "exits":
+            self.until(line, lambda: self.dispatcher.loop.stopped)
+        else:
+            for known, address in self.names.items():
+                text = text.replace(known, address)
+            if name not in self.peers:
+                self.peers[name] = Peer(self.address)
+            self._act(line, self.peers[name], verb, text)
+
+    def _act(self, line: str, peer: Peer, verb: str, text: str) -> None:
+        peer.connect()
+        if verb == "send":
+            self.until(line, lambda: peer.sock is not None)
+            assert peer.sock is not None
+            peer.sock.setblocking(True)
+            peer.sock.sendall(text.replace("\\r", "\r").replace("\\n", "\n").encode("latin-1"))
+            peer.sock.setblocking(False)
+        elif verb == "expect":
+            pattern = re.compile(text.encode(), re.DOTALL)
+            self.until(line, lambda: pattern.search(peer.seen))
+            found = pattern.search(peer.seen)
+            assert found is not None
+            peer.seen = peer.seen[found.end() :]
+        elif verb == "silent":
+            peer.seen = b""
+            self.pass_time(float(text) / 1000)
+            assert not peer.seen, f"{line}: came {peer.seen!r}"
+            assert not peer.over, f"{line}: closed"
+        elif verb == "ended":
+            self.until(line, lambda: peer.over)
+        elif verb == "close":
+            peer.close()
+        elif verb == "refuse":
+            assert peer.listener is not None
+            peer.listener.close()
+            peer.listener = None
+        else:
+            raise AssertionError(f"no such step: {line}")
+
+    def close(self) -> None:
+        for peer in self.peers.values():
+            peer.close()
+            if peer.listener is not None:
+                peer.listener.close()
+        self.dispatcher.close()
+
+
+def job(job_id: str = "j1", path: str = "map/x?y=1", ms: int = 9000, more: str = "", body: str = "in") -> str:
+    return (
+        f"POST /{path} HTTP/1.1\\r\\nHost: b\\r\\nX-Request-ID: {job_id}\\r\\nX-Timeout-Ms: {ms}\\r\\n"
+        f"{more}Content-Length: {len(body)}\\r\\n\\r\\n{body}"
+    )
+
+
+def call_back(state: str, job_id: str = "j1", source: str = "p1", **more: Any) -> str:
+    return post(json.dumps({"id": job_id, "from": source, "state": state, **more}))
+
+
+def post(body: str, path: str = "/callback") -> str:
+    return f"POST {path} HTTP/1.1\\r\\nHost: b\\r\\nContent-Length: {len(body)}\\r\\n\\r\\n{body}"
+
+
+def answer(status: int, more: str = "") -> str:
+    return f"HTTP/1.1 {status} X\\r\\n{more}Content-Length: 0\\r\\n\\r\\n"
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,115 @@
+"""The configuration and the command line."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from ironbarrow.config import ConfigError, load
+from tests.scenario import SETTINGS
+
+ROOT = Path(__file__).parents[1]
+GOOD: dict[str, Any] = {
+    "name": "n3",
+    "listen": "127.0.0.1:9000",
+    "discovery": "127.0.0.1:8500",
+    "seed": "8c1f30d27a5be964",
+    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+    "known": {"index": 41, "snapshot": True, "endpoints": []},
+    "settings": SETTINGS,
+}
+
+
+def written(tmp_path: Path, raw: object) -> dict[str, str]:
+    path = tmp_path / "config.json"
+    path.write_text(raw if isinstance(raw, str) else json.dumps(raw))
+    return {"BALANCER_CONFIG": str(path)}
+
+
+def test_the_environment_goes_before_the_file(tmp_path: Path) -> None:
+    environment = written(tmp_path, GOOD) | {"BALANCER_LISTEN": "127.0.0.1:9001"}
+    config = load(environment)
+    assert (config.name, config.listen, config.sockets) == ("n3", ("127.0.0.1", 9001), 1024)
+    assert config.seed == 0x8C1F30D27A5BE964
+
+
+WRONG: dict[str, tuple[object, str]] = {
+    "not JSON": ("{", "not JSON"),
+    "no object": ([1], "not an object"),
+    "no settings": ({**GOOD, "settings": {}}, "requestClasses is missing"),
+    "classes of a wrong form": ({**GOOD, "settings": {**SETTINGS, "requestClasses": 7}}, "wrong form"),
+    "a class without a name": ({**GOOD, "settings": {**SETTINGS, "requestClasses": [{}]}}, "settings: "),
+    "settings out of range": ({**GOOD, "settings": {**SETTINGS, "round": 0}}, "tick is out of range"),
+    "no listening address": ({**GOOD, "listen": ""}, "listen: missing"),
+    "a listening address without a port": ({**GOOD, "listen": "127.0.0.1"}, "listen: not host:port"),
+    "a port out of range": ({**GOOD, "discovery": "127.0.0.1:70000"}, "discovery: not host:port"),
+    "limits of a wrong form": ({**GOOD, "limits": [1]}, "limits: not an object"),
+    "too few sockets": ({**GOOD, "limits": {"sockets": 8}}, "limits.sockets: 8 is too few"),
+    "sockets that are no number": ({**GOOD, "limits": {"sockets": "x"}}, "limits.sockets: not a number"),
+    "a seed that is no number": ({**GOOD, "seed": "xyz"}, "seed: neither"),
+    "a known list of a wrong form": ({**GOOD, "known": [1]}, "known: not an object"),
+    "a known list without entries": ({**GOOD, "known": {"index": 4}}, "known: no object with endpoints"),
+}
+
+
+@pytest.mark.parametrize("name", WRONG)
+def test_a_wrong_configuration_is_named_plainly(name: str, tmp_path: Path) -> None:
+    raw, text = WRONG[name]
+    with pytest.raises(ConfigError, match=text):
+        load(written(tmp_path, raw))
+
+
+def run(*words: str, **environment: str) -> "subprocess.CompletedProcess[str]":
+    return subprocess.run(
+        [sys.executable, "-m", "ironbarrow", *words],
+        cwd=ROOT,
+        env={"PATH": os.environ["PATH"], **environment},
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+    )
+
+
+def test_the_command_line_says_what_is_wrong_and_exits_with_an_error(tmp_path: Path) -> None:
+    for words in (["serve"], ["check-config"]):
+        done = run(*words)
+        assert (done.returncode, done.stdout) == (2, "")
+        assert done.stderr == "ironbarrow: BALANCER_CONFIG is not set\n"
+    in_use = run("serve", **written(tmp_path, {**GOOD, "listen": "203.0.113.1:9"}))
+    assert in_use.returncode == 2
+    assert "cannot listen on 203.0.113.1:9" in in_use.stderr
+    assert "Traceback" not in in_use.stderr
+
+
+def test_the_command_line_tells_version_and_configuration(tmp_path: Path) -> None:
+    assert run("version").stdout.startswith("ironbarrow ")
+    done = run("check-config", **written(tmp_path, GOOD))
+    assert done.stdout == "n3: listens on 127.0.0.1:9000; classes: map, book\n"
+
+
+def test_sigterm_ends_the_program_with_0(tmp_path: Path) -> None:
+    raw = {**GOOD, "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1"}
+    process = subprocess.Popen(
+        [sys.executable, "-m", "ironbarrow", "serve"],
+        cwd=ROOT,
+        env={"PATH": os.environ["PATH"], **written(tmp_path, raw)},
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+    try:
+        assert process.stderr is not None
+        assert '"serving"' in process.stderr.readline()
+        started = time.monotonic()
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(60) == 0
+        assert time.monotonic() - started > 0.4  # it went on accepting for a while
+    finally:
+        process.kill()
+        process.wait()
--- /dev/null
+++ b/tests/test_network.py
@@ -0,0 +1,341 @@
+"""The dispatcher on real sockets, against scripted consumers, providers and a directory."""
+
+import socket
+
+import pytest
+
+from ironbarrow.endings import Ending, outcome_of
+from ironbarrow.http import BODY_LIMIT
+from tests.scenario import Stage, answer, call_back, job, post
+
+NOT_PROCESSED = answer(503, "X-Not-Processed: 1\\r\\n")
+ACCEPTED = answer(202)
+SLOTS = "X-Attrs: slots=2,other=x\\r\\n"
+KEYED = "Cookie: a=b; sid=7f3a\\r\\n"
+CLOSE = "Connection: close\\r\\n"
+
+
+def get(path: str, method: str = "GET") -> str:
+    return f"{method} {path} HTTP/1.1\\r\\nHost: b\\r\\n\\r\\n"
+
+
+SCENARIOS = {
+    "served": f"""
+        c1 send {job(more=SLOTS)}
+        p1 expect POST /map/x\\?y=1 HTTP/1.1.*X-Request-ID: j1.*X-Timeout-Ms: [0-9]+.*\\r\\n\\r\\nin$
+        p1 send {ACCEPTED}
+        c1 silent 50
+        c2 send {call_back("started")}
+        c2 expect HTTP/1.1 204
+        c2 send {call_back("running", share=0.4)}
+        c2 expect HTTP/1.1 204
+        c2 send {call_back("done", result="out", load={"x0": 3})}
+        c2 expect HTTP/1.1 204
+        c1 expect HTTP/1.1 200 .*\\r\\n\\r\\nout$
+        c1 send {job("j2")}
+        p1 expect X-Request-ID: j2
+        """,
+    # danger: call-backs overtake the 202, come twice, and come for what is over
+    "call-back before the 202, twice, late and unknown": f"""
+        c1 send {job()}
+        p1 expect in$
+        c2 send {call_back("done", result="out")}
+        c2 expect HTTP/1.1 204
+        c2 send {call_back("done", result="other")}
+        c2 expect HTTP/1.1 204
+        c1 expect HTTP/1.1 200 .*out$
+        p1 send {ACCEPTED}
+        c2 send {call_back("failed")}
+        c2 expect HTTP/1.1 204
+        c2 send {call_back("done", "never-seen", result="x")}
+        c2 expect HTTP/1.1 204
+        c1 silent 30
+        """,
+    # danger: a provider that lost the job must not end another provider's call
+    "call-back from a provider that does not have the call": f"""
+        c1 send {job()}
+        p1 expect in$
+        p1 send {ACCEPTED}
+        c2 send {call_back("done", source="p2", result="wrong")}
+        c2 expect HTTP/1.1 204
+        c1 silent 50
+        c2 send {call_back("done", result="right")}
+        c1 expect right$
+        """,
+    "a safe job that failed goes out again": f"""
+        c1 send {job()}
+        p1 expect in$
+        p1 send {answer(500)}
+        p2 expect X-Request-ID: j1
+        p2 send {ACCEPTED}
+        c2 send {call_back("done", source="p2", result="out")}
+        c1 expect 200 .*out$
+        """,
+    # danger: a 503 proves nothing by itself, and a booking must not run twice
+    "a booking after a bare 503 is failed, not sent again or refused": f"""
+        c1 send {job(path="book/x")}
+        p1 expect in$
+        p1 send {answer(503)}
+        c1 expect HTTP/1.1 500
+        p2 silent 50
+        """,
+    "a booking proven not processed goes out again": f"""
+        c1 send {job(path="book/x")}
+        p1 expect in$
+        p1 send {NOT_PROCESSED}
+        p2 expect X-Request-ID: j1
+        """,
+    "a returned booking goes out again": f"""
+        c1 send {job(path="book/x")}
+        p1 expect in$
+        p1 send {ACCEPTED}
+        c2 send {call_back("returned")}
+        p2 expect X-Request-ID: j1
+        """,
+    "a booking whose connection broke before the 202 is failed": f"""
+        c1 send {job(path="book/x")}
+        p1 expect in$
+        p1 close
+        c1 expect HTTP/1.1 500
+        """,
+    "a booking that was lost is failed": f"""
+        c1 send {job(path="book/x")}
+        p1 expect in$
+        p1 send {ACCEPTED}
+        c2 send {call_back("lost")}
+        c1 expect HTTP/1.1 500
+        """,
+    "a refused connection proves that a booking never ran": f"""
+        p1 refuse
+        c1 send {job(path="book/x")}
+        p2 expect X-Request-ID: j1
+        """,
+    # danger: a hung provider says nothing; the consumer is answered at its deadline all the same
+    "silence to the deadline": f"""
+        c1 send {job(path="book/x", ms=300)}
+        p1 expect in$
+        c1 expect HTTP/1.1 500
+        """,
+    "silence after the 202 is given up by DELETE": f"""
+        c1 send {job(ms=300)}
+        p1 expect in$
+        p1 send {ACCEPTED}
+        c1 expect HTTP/1.1 503 .*Retry-After: 0.2
+        p1 expect DELETE /jobs/j1 HTTP
+        """,
+    "a consumer that leaves has its call given up": f"""
+        c1 send {job()}
+        p1 expect in$
+        p1 send {ACCEPTED}
+        wait 30
+        c1 close
+        p1 expect DELETE /jobs/j1 HTTP
+        p1 send {answer(204)}
+        c2 send {call_back("done", result="late")}
+        c2 expect HTTP/1.1 204
+        """,
+    # danger: a connection the provider has closed would swallow the next request
+    "a closed pooled connection is not used again": f"""
+        c1 send {job()}
+        p1 expect in$
+        p1 send {ACCEPTED}
+        c2 send {call_back("done", result="a")}
+        c1 expect a$
+        p1 close
+        c1 send {job("j2", path="book/x")}
+        p1 expect X-Request-ID: j2
+        p1 send {ACCEPTED}
+        c2 send {call_back("done", "j2", result="b")}
+        c1 expect b$
+        """,
+    "an answer that says close is not pooled": f"""
+        c1 send {job()}
+        p1 expect in$
+        p1 send {answer(202, CLOSE)}
+        p1 ended
+        """,
+    # danger: a provider that answers with garbage may have run the job
+    "garbage instead of an answer": f"""
+        c1 send {job(path="book/x")}
+        p1 expect in$
+        p1 send hello?\\r\\n\\r\\n
+        c1 expect HTTP/1.1 500
+        """,
+    "stopping finishes what was taken and serves what still comes": f"""
+        c1 send {job()}
+        p1 expect in$
+        p1 send {ACCEPTED}
+        stop
+        wait 50
+        c3 send {job("j3")}
+        p2 expect X-Request-ID: j3
+        p2 send {ACCEPTED}
+        wait 600
+        c2 send {call_back("done", result="a")}
+        c2 expect HTTP/1.1 204
+        c1 expect HTTP/1.1 200 .*Connection: close.*a$
+        c4 send {call_back("done", "j3", "p2", result="b")}
+        c3 expect b$
+        c1 close
+        c2 close
+        c3 close
+        c4 close
+        exits
+        """,
+    "pieces of a request": f"""
+        c1 send {job()[:40]}
+        wait 20
+        c1 send {job()[40:]}
+        p1 expect in$
+        """,
+    "100-continue": """
+        c1 send POST /map HTTP/1.1\\r\\nHost: b\\r\\nExpect: 100-continue\\r\\nContent-Length: 2\\r\\n\\r\\n
+        c1 expect HTTP/1.1 100
+        """,
+    "the key in the cookie says where first fit starts": f"""
+        c1 send {job(more=KEYED)}
+        p2 expect in$
+        """,
+    "the class alone as the path": f"""
+        c1 send {job(path="map")}
+        p1 expect POST /map HTTP
+        """,
+}
+
+BAD = {
+    "no id": (job().replace("X-Request-ID", "X-Other"), 400),
+    "an id that would break a path": (job("a/b"), 400),
+    "no time": (job().replace("X-Timeout-Ms", "X-Other"), 400),
+    "time 0": (job(ms=0), 400),
+    "a negative time": (job(ms=-5), 400),
+    "an absurd time": (job(ms=10**30), 400),
+    "slots that are no number": (job(more="X-Attrs: slots=many\\r\\n"), 400),
+    "slots without end": (job(more="X-Attrs: slots=inf\\r\\n"), 400),
+    "slots that are not a number": (job(more="X-Attrs: slots=nan\\r\\n"), 400),
+    "attributes without a value": (job(more="X-Attrs: slots\\r\\n"), 400),
+    "not HTTP": ("hello there\\r\\n\\r\\n", 400),
+    "two lengths": (job(more="Content-Length: 7\\r\\n"), 400),
+    "a body too large by its length": (job(body="x" * (BODY_LIMIT + 1)), 413),
+    "a chunked body too large": (
+        job().replace("Content-Length: 2\\r\\n\\r\\nin", "Transfer-Encoding: chunked\\r\\n\\r\\n")
+        + f"{BODY_LIMIT + 1:x}\\r\\n{'x' * (BODY_LIMIT + 1)}\\r\\n0\\r\\n\\r\\n",
+        413,
+    ),
+    "a job by GET": (get("/map/x"), 405),
+    "a call-back by GET": (get("/callback"), 405),
+    "readiness by POST": (post("", "/-/ready"), 405),
+    "an unknown path": (get("/nowhere"), 404),
+    "a class nobody knows": (job(path="unknown/x"), 404),
+    "an absolute target": (get("http://elsewhere/"), 404),
+    "a call-back that is not JSON": (post("{"), 400),
+    "a call-back nested without end": (post("[" * 60000), 400),
+    "a call-back that is no object": (post("[1]"), 400),
+    "a call-back without an id": (post('{"from":"p1","state":"done"}'), 400),
+    "a call-back in an unknown state": (call_back("dancing"), 400),
+    "a call-back whose result is no text": (call_back("done", result=7), 400),
+    "a call-back whose share is no number": (call_back("running", share="x"), 400),
+    "a call-back whose load is no object": (call_back("done", load=[1]), 400),
+    "a call-back whose load is no number": (call_back("done", load={"x0": "y"}), 400),
+}
+
+
+@pytest.mark.parametrize("name", SCENARIOS)
+def test_scenario(name: str) -> None:
+    Stage().play(SCENARIOS[name])
+
+
+@pytest.mark.parametrize("name", BAD)
+def test_bad_input_is_answered_and_serving_goes_on(name: str, caplog: pytest.LogCaptureFixture) -> None:
+    sent, status = BAD[name]
+    Stage().play(f"c1 send {sent}\nc1 expect ^HTTP/1.1 {status} \nc2 send {job('ok')}\np1 expect : ok")
+
+
+def test_an_id_under_way_is_not_taken_twice() -> None:
+    # danger: two jobs under one id could not be told apart in call-backs
+    Stage().play(f"c1 send {job()}\np1 expect in$\nc2 send {job()}\nc2 expect ^HTTP/1.1 409")
+
+
+def test_ready_only_with_a_list() -> None:
+    Stage().play(f"c1 send {get('/-/ready')}\nc1 expect ^HTTP/1.1 200")
+    stage = Stage(known=False)
+    news = stage.news(stage.entry("p1"), whole=True).split("\r\n")[1].strip()
+    stage.play(
+        f"""c1 send {get("/-/ready")}
+        c1 expect ^HTTP/1.1 503
+        d expect GET /api/targets HTTP
+        d send HTTP/1.1 200 X\\r\\nContent-Length: {len(news)}\\r\\n\\r\\n{news}
+        c1 send {get("/-/ready")}
+        c1 expect HTTP/1.1 200 OK"""
+    )
+
+
+def watched(stage: Stage, then: str) -> None:
+    stage.play(
+        "d expect GET /api/targets\\?follow=1&since=41 HTTP\n"
+        "d send HTTP/1.1 200 X\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n1\\r\\n\\n\\r\\n\n" + then
+    )
+
+
+def escaped(text: str) -> str:
+    return text.replace("\r", "\\r").replace("\n", "\\n")
+
+
+def test_a_drained_provider_gets_nothing_new() -> None:
+    stage = Stage()
+    news = escaped(stage.news(stage.entry("p1", "draining")))
+    watched(stage, f"d send {news}\nwait 50\nc1 send {job()}\np2 expect in$")
+
+
+def test_a_bad_directory_entry_does_not_hide_the_others() -> None:
+    stage = Stage()
+    bad = [{"name": "x"}, {"name": 7, "status": "up"}, {"name": "y", "status": "up", "address": "nowhere"}]
+    news = escaped(stage.news(*bad, stage.entry("p1", "removed")))
+    watched(stage, f"d send {news}\nwait 50\nc1 send {job()}\np2 expect in$")
+
+
+def test_the_watch_is_taken_up_again_where_it_ended() -> None:
+    stage = Stage()
+    news = escaped(stage.news(stage.entry("p1", "draining"), index=57))
+    watched(stage, f"d send {news}\nwait 50\nd close\nd expect follow=1&since=57")
+
+
+def test_a_directory_that_sends_nonsense_is_asked_for_the_whole_list() -> None:
+    watched(Stage(), "d send 5\\r\\nnope\\n\\r\\n\nd ended\nd close\nd expect GET /api/targets HTTP")
+
+
+def test_no_descriptor_left_is_survived(monkeypatch: pytest.MonkeyPatch) -> None:
+    # danger: accept fails at once as long as no descriptor is free, and the loop would spin or end
+    stage = Stage()
+    real = socket.socket.accept
+    fails = iter((True, True, False))
+
+    def accept(self: socket.socket) -> tuple[socket.socket, object]:
+        if self is stage.dispatcher.listener and next(fails, False):
+            raise OSError(24, "Too many open files")
+        return real(self)
+
+    monkeypatch.setattr(socket.socket, "accept", accept)
+    stage.play(f"c1 send {job()}\np1 expect in$")
+
+
+def test_connections_over_the_limit_wait_until_idle_ones_are_closed() -> None:
+    stage = Stage(sockets=40)  # room for four consumers
+    idle = "".join(f"c{n} send {get('/-/ready')}\nc{n} expect 200\n" for n in range(1, 9))
+    stage.play(idle + f"c1 ended\nc9 send {job()}\np1 expect in$")
+
+
+def test_nothing_stays_of_finished_jobs() -> None:
+    # danger: a job withdrawn while held, or one whose call was given up, would stay for ever
+    stage = Stage(providers=0)
+    rounds = "".join(f"c1 send {job(f'j{n}')}\nwait 10\nc1 close\nwait 10\n" for n in range(3))
+    stage.play(rounds)
+    assert stage.dispatcher.host.owed == 0
+    assert stage.dispatcher.host.held_in_memory == 0
+
+
+def test_each_ending_has_one_outcome() -> None:
+    for ending in Ending:
+        assert outcome_of(ending, written=True) is not None
+    broken = (Ending.CLOSED, Ending.RESET, Ending.STALLED)
+    assert {outcome_of(ending, written=False).name for ending in broken} == {"CONNECT_FAILED"}
+    assert {outcome_of(ending, written=True).name for ending in broken} == {"RESET"}
