--- a/ironbarrow/cli.py
+++ b/ironbarrow/cli.py
@@ -19,6 +19,7 @@
     """Serve as the environment says (BALANCER_NAME, _LISTEN, _DISCOVERY, _CONFIG), until SIGTERM."""
     structlog.configure(
         processors=[
+            structlog.contextvars.merge_contextvars,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             structlog.processors.format_exc_info,
--- a/ironbarrow/consumers.py
+++ b/ironbarrow/consumers.py
@@ -94,8 +94,7 @@
                 if connection is None:
                     break
                 self._open += 1
-                task = self._loop.spawn(self._serve(connection))
-                self._idle[connection] = task
+                self._loop.spawn(self._serve(connection))
 
     def _make_room(self) -> bool:
         """Closes the connection that has been idle longest; its client opens another when it needs one."""
@@ -113,9 +112,12 @@
         yield from sleep(self._loop.now() + _PAUSE)
 
     def _serve(self, connection: Connection) -> Coroutine[None]:
-        task = self._idle.get(connection)
+        task = self._loop.current
+        assert task is not None
         try:
-            while task is not None:
+            while True:
+                # danger: listed as idle by whom accepts it, it could be ended before its first line
+                # has run; the lines at its end would not run either, and its place would stay taken
                 self._idle[connection] = task
                 request = yield from self._next_request(connection)
                 if request is None:
--- a/ironbarrow/directory.py
+++ b/ironbarrow/directory.py
@@ -26,7 +26,7 @@
     "up": api.WorkerState.UP,
     "draining": api.WorkerState.DRAINING,
     "removed": api.WorkerState.GONE,
-}
+}  # whatever else a provider may be said to be, it is not said to want new work
 
 
 class Directory:
@@ -72,7 +72,7 @@
         self._listed(api.WorkerList(kind, tuple(entries), self._version))
 
     def _entry(self, item: dict[str, Any]) -> api.WorkerEntry:
-        name, state = item["name"], _STATES[item["status"]]
+        name, state = item["name"], _STATES.get(item["status"], api.WorkerState.DRAINING)
         if not isinstance(name, str) or not name:
             raise ValueError("no name")
         if state is api.WorkerState.GONE:
@@ -100,7 +100,7 @@
                 yield from self._watch()
             except ConnectionEndedError as error:
                 log.info("directory lost", ending=error.ending.name)
-            except ValueError as error:
+            except (ValueError, RecursionError) as error:
                 log.warning("directory answer not understood", error=str(error)[:200])
                 self._version = 0  # changes may be missing: the whole list is needed again
             pause = _PAUSES[min(self._failures, len(_PAUSES) - 1)]
--- a/ironbarrow/http.py
+++ b/ironbarrow/http.py
@@ -164,7 +164,7 @@
 
     def request_bytes(self, method: str, target: str, headers: Headers, body: bytes = b"") -> bytes:
         head = [*headers, ("Content-Length", str(len(body)))] if body or method == "POST" else list(headers)
-        request = h11.Request(method=method, target=target.encode("latin-1"), headers=head)
+        request = h11.Request(method=method, target=target.encode("latin-1"), headers=_encoded(head))
         return self._whole(request, body)
 
     def response_bytes(self, status: int, headers: Headers = (), body: bytes = b"") -> bytes:
@@ -212,6 +212,11 @@
             return
 
 
+def _encoded(headers: Headers) -> list[tuple[bytes, bytes]]:
+    """Danger: a value that passes on from a consumer may hold bytes beyond ASCII."""
+    return [(name.encode("ascii"), value.encode("latin-1")) for name, value in headers]
+
+
 def connect(address: Address, until: int) -> Coroutine[Connection]:
     """A new connection in the client's role."""
     try:
--- a/ironbarrow/invoker.py
+++ b/ironbarrow/invoker.py
@@ -13,7 +13,7 @@
 from ironbarrow.endings import ConnectionEndedError, Ending
 from ironbarrow.host import Call, Host
 from ironbarrow.http import Address, Connection, Message, connect
-from ironbarrow.loop import MS, SECOND, Coroutine, Loop, Task
+from ironbarrow.loop import MS, SECOND, Coroutine, Loop, Task, sleep
 
 log = structlog.get_logger()
 
@@ -21,8 +21,8 @@
 # a DELETE is carried out when it arrives; a hung provider never says so, and what follows it would
 # overtake it on a shorter way
 _DELETE_LIMIT = 100 * MS
-_CLOSE_TRAVELS = 10 * MS  # so long a closed connection is given to reach the provider
-_DELETE_TRIES = 3
+_DELETE_TRIES = 3  # at least; where the provider cannot be reached, on to the call's own time-out
+_DELETE_PAUSE = 50 * MS
 _PROBE_LIMIT = 1 * SECOND
 _STATES = {"done": Ending.DONE, "failed": Ending.FAILED, "returned": Ending.RETURNED, "lost": Ending.LOST}
 
@@ -192,7 +192,9 @@
 
     def _delete(self, call: Call, exchange: _Exchange, ending: Ending) -> Coroutine[None]:
         """Tells the provider to stop. Danger: until it knows, a repeat would be a second copy."""
-        for _ in range(_DELETE_TRIES):
+        tries = 0
+        while tries < _DELETE_TRIES or (exchange.answered and self._loop.now() < call.until):
+            tries += 1
             connection: Connection | None = None
             try:
                 connection = yield from self._connection(exchange.address)
@@ -210,6 +212,7 @@
             finally:
                 if connection is not None:
                     connection.close()
+            yield from sleep(self._loop.now() + _DELETE_PAUSE)
         self._end(call, ending)
 
     def _probe(self, provider: str) -> Coroutine[None]:
--- a/ironbarrow/loop.py
+++ b/ironbarrow/loop.py
@@ -89,6 +89,7 @@
             return
         self._leave()
         self.turn += 1
+        self._loop.current = self
         try:
             wait = self.coroutine.send(ready) if turn else next(self.coroutine)
         except StopIteration:
@@ -99,6 +100,8 @@
             self.done = True
             self._loop.ended(self, error)
             return
+        finally:
+            self._loop.current = None
         self._wait = wait
         if wait.fd >= 0:
             self._loop.watch(wait.fd, wait.mask, self._resume, self.turn)
@@ -119,6 +122,7 @@
         self._on_error = on_error
         self.stopped = False
         self._tasks: set[Task] = set()
+        self.current: Task | None = None  # the task that runs now
         self._sweep_at = _SWEEP_AT
         self._wake_read, self._wake_write = os.pipe()
         os.set_blocking(self._wake_read, False)
@@ -188,15 +192,21 @@
         while self._timers and self._timers[0][0] <= now:
             timer = heappop(self._timers)[2]
             if timer.call is not None:
-                timer.call(*timer.args)
+                self._guarded(timer.call, timer.args)
         for _ in range(len(self._soon)):
-            call, args = self._soon.popleft()
-            call(*args)
+            self._guarded(*self._soon.popleft())
         if len(self._timers) > self._sweep_at:
             # danger: each wait leaves a cancelled timer with a far-off time; unswept, the heap grows
             self._timers = sorted(item for item in self._timers if item[2].call is not None)
             self._sweep_at = max(_SWEEP_AT, 2 * len(self._timers))
 
+    def _guarded(self, call: Callable[..., None], args: tuple[Any, ...]) -> None:
+        """Danger: one event that something fails on must not end the program and all it has taken."""
+        try:
+            call(*args)
+        except Exception as error:  # noqa: BLE001 - whatever fails is logged, and the loop goes on
+            self._on_error(error)
+
     def _poll_time(self) -> float:
         if self._soon:
             return 0.0
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -1,17 +1,21 @@
 """The dispatcher on real sockets, against scripted consumers, providers and a directory."""
 
 import socket
+from collections.abc import Iterable
 
 import pytest
 
+from heathway import api
+from heathway.logic import Dispatcher
 from ironbarrow.endings import Ending, outcome_of
 from ironbarrow.http import BODY_LIMIT
-from tests.scenario import Stage, answer, call_back, job, post
+from tests.scenario import Peer, Stage, answer, call_back, job, post
 
 NOT_PROCESSED = answer(503, "X-Not-Processed: 1\\r\\n")
 ACCEPTED = answer(202)
 SLOTS = "X-Attrs: slots=2,other=x\\r\\n"
 KEYED = "Cookie: a=b; sid=7f3a\\r\\n"
+CONTENT_TYPE = "Content-Type: text/\xe9\\r\\n"
 CLOSE = "Connection: close\\r\\n"
 
 
@@ -188,6 +192,10 @@
         c1 send {job()[40:]}
         p1 expect in$
         """,
+    "a content type beyond ASCII passes on": f"""
+        c1 send {job(more=CONTENT_TYPE)}
+        p1 expect Content-Type: text/\\xe9\\r\\n.*in$
+        """,
     "100-continue": """
         c1 send POST /map HTTP/1.1\\r\\nHost: b\\r\\nExpect: 100-continue\\r\\nContent-Length: 2\\r\\n\\r\\n
         c1 expect HTTP/1.1 100
@@ -280,9 +288,10 @@
     return text.replace("\r", "\\r").replace("\n", "\\n")
 
 
-def test_a_drained_provider_gets_nothing_new() -> None:
+@pytest.mark.parametrize("status", ["draining", "removed", "in a state nobody knows"])
+def test_a_provider_that_is_not_up_gets_nothing_new(status: str) -> None:
     stage = Stage()
-    news = escaped(stage.news(stage.entry("p1", "draining")))
+    news = escaped(stage.news(stage.entry("p1", status)))
     watched(stage, f"d send {news}\nwait 50\nc1 send {job()}\np2 expect in$")
 
 
@@ -319,11 +328,40 @@
 
 
 def test_connections_over_the_limit_wait_until_idle_ones_are_closed() -> None:
-    stage = Stage(sockets=40)  # room for four consumers
+    stage = Stage(sockets=38)  # room for four consumers
     idle = "".join(f"c{n} send {get('/-/ready')}\nc{n} expect 200\n" for n in range(1, 9))
     stage.play(idle + f"c1 ended\nc9 send {job()}\np1 expect in$")
 
 
+def test_many_that_connect_at_once_do_not_use_up_the_places() -> None:
+    # danger: a connection ended before its task had run kept its place for ever
+    stage = Stage(sockets=38)
+    peers = [Peer(stage.address) for _ in range(12)]
+    for peer in peers:
+        peer.connect()
+    stage.pass_time(0.1)
+    for peer in peers:
+        peer.close()
+    stage.play("".join(f"c{n} send {job(f'j{n}')}\np{n} expect in$\n" for n in (1, 2)))
+
+
+def test_a_decision_that_fails_does_not_end_the_program(monkeypatch: pytest.MonkeyPatch) -> None:
+    stage = Stage()
+    real = Dispatcher.handle
+    fails = iter((True,))
+
+    def handle(self: Dispatcher, now: int, events: Iterable[api.Event]) -> list[api.Action]:
+        if next(fails, False):
+            raise ZeroDivisionError
+        return real(self, now, events)
+
+    monkeypatch.setattr(Dispatcher, "handle", handle)
+    # the first job's arrival is lost with the failure, and yet it gets its one answer
+    stage.play(
+        f"c1 send {job('j1', ms=200)}\nc1 expect HTTP/1.1 500\nc2 send {job('j2')}\np1 expect : j2.*in$"
+    )
+
+
 def test_nothing_stays_of_finished_jobs() -> None:
     # danger: a job withdrawn while held, or one whose call was given up, would stay for ever
     stage = Stage(providers=0)
