Close the oldest idle connection when the pool is at its cap

Cause: _put_back closed the connection just used when six were idle, so old ones to quiet providers kept the places. Now the one idle longest is closed.

For embedders: Dispatcher.run leaves signals alone, stop_on_signals takes them.

--- a/ironbarrow/cli.py
+++ b/ironbarrow/cli.py
@@ -34,6 +34,7 @@
         dispatcher = Dispatcher(config)
     except OSError as error:
         _quit(f"cannot listen on {config.listen[0]}:{config.listen[1]}: {error}")
+    dispatcher.stop_on_signals()
     dispatcher.run()
 
 
--- a/ironbarrow/dispatcher.py
+++ b/ironbarrow/dispatcher.py
@@ -54,15 +54,18 @@
         self.directory.start(config.known)
 
     def run(self) -> None:
-        """Serves until SIGTERM or SIGINT, and then until all that was taken has its answer."""
-        signal.set_wakeup_fd(self.loop.wake_fd)
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, self._signalled)
+        """Serves until ``stop``, and then until all that was taken has its answer."""
         log.info("serving", address="{}:{}".format(*self.listener.getsockname()[:2]))
         self.loop.run()
         self.close()
         log.info("stopped")
 
+    def stop_on_signals(self) -> None:
+        """SIGTERM and SIGINT mean ``stop``. For programs that are nothing else; main thread only."""
+        signal.set_wakeup_fd(self.loop.wake_fd)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self._signalled)
+
     def close(self) -> None:
         """Lets go of every connection and descriptor."""
         self.loop.close()
--- a/ironbarrow/invoker.py
+++ b/ironbarrow/invoker.py
@@ -268,12 +268,18 @@
 
     def _put_back(self, address: Address, connection: Connection, answer: Message) -> None:
         pool = self._pools.setdefault(address, deque())
-        if connection.next_cycle() and len(pool) < _POOL and self._idle < self._most_idle:
-            connection.used_at = self._loop.now()
-            pool.append(connection)
-            self._idle += 1
-        else:
+        if not connection.next_cycle() or len(pool) >= _POOL:
             connection.close()
+            return
+        connection.used_at = self._loop.now()
+        pool.append(connection)
+        self._idle += 1
+        if self._idle > self._most_idle:
+            # danger: kept to the end of their time, old connections to providers that get little
+            # would leave none for the busy ones, and each call there would pay for a handshake
+            oldest = min((p for p in self._pools.values() if p), key=lambda p: p[0].used_at)
+            oldest.popleft().close()
+            self._idle -= 1
 
     def _sweep(self) -> None:
         """Closes connections that are too old to be used again."""
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -349,6 +349,19 @@
     stage.play(idle + f"c1 ended\nc9 send {job()}\np1 expect in$")
 
 
+def served(job_id: str, provider: str, more: str = "") -> str:
+    return (
+        f"c1 send {job(job_id, more=more)}\n{provider} expect in$\n{provider} send {ACCEPTED}\n"
+        f"c9 send {call_back('done', job_id, provider, result='out')}\nc1 expect out$\n"
+    )
+
+
+def test_the_pool_gives_up_its_oldest_connection_when_it_is_full() -> None:
+    # danger: with few sockets, idle connections to quiet providers kept out those to busy ones
+    stage = Stage(sockets=40)  # room for one idle connection to providers
+    stage.play(served("j1", "p1") + served("j2", "p2", KEYED) + "p1 ended")
+
+
 def test_many_that_connect_at_once_do_not_use_up_the_places() -> None:
     # danger: a connection ended before its task had run kept its place for ever
     stage = Stage(sockets=38)
