--- a/ironbarrow/dispatcher.py
+++ b/ironbarrow/dispatcher.py
@@ -40,7 +40,7 @@
             config.reports,
             connect_timeout=config.connect_timeout,
             idle_limit=config.idle_limit,
-            most_idle=spare // 8,
+            most_idle=spare // 4,
         )
         self.host.invoker = self.invoker
         self.consumers = Consumers(
@@ -49,7 +49,7 @@
             self.listener,
             self.invoker.called_back,
             self.invoker.free_descriptors,
-            most=spare * 3 // 4,
+            most=spare * 5 // 8,
         )
         self.directory.start(config.known)
 
