--- a/ironbarrow/http.py
+++ b/ironbarrow/http.py
@@ -14,7 +14,7 @@
 
 BODY_LIMIT = 64 * 1024
 HEAD_LIMIT = 16 * 1024
-_CHUNK = 64 * 1024
+_CHUNK = 16 * 1024  # no more than HEAD_LIMIT: h11 measures a head only while it is incomplete
 _NO_DESCRIPTORS = (errno.EMFILE, errno.ENFILE)
 
 Headers = Sequence[tuple[str, str]]
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -7,8 +7,10 @@
 
 from heathway import api
 from heathway.logic import Dispatcher
+from ironbarrow import consumers, directory
 from ironbarrow.endings import Ending, outcome_of
 from ironbarrow.http import BODY_LIMIT
+from ironbarrow.loop import MS
 from tests.scenario import Peer, Stage, answer, call_back, job, post
 
 NOT_PROCESSED = answer(503, "X-Not-Processed: 1\\r\\n")
@@ -250,6 +252,7 @@
     "readiness by POST": (post("", "/-/ready"), 405),
     "an unknown path": (get("/nowhere"), 404),
     "a class nobody knows": (job(path="unknown/x"), 404),
+    "a head too large": (job(more=f"X-Long: {'x' * 40000}\\r\\n"), 431),
     "an absolute target": (get("http://elsewhere/"), 404),
     "a call-back that is not JSON": (post("{"), 400),
     "a call-back nested without end": (post("[" * 60000), 400),
@@ -349,6 +352,23 @@
     stage.play(idle + f"c1 ended\nc9 send {job()}\np1 expect in$")
 
 
+def test_a_request_that_stops_half_way_is_answered(monkeypatch: pytest.MonkeyPatch) -> None:
+    # danger: a consumer that freezes would keep its connection for ever
+    monkeypatch.setattr(consumers, "_REQUEST_LIMIT", 200 * MS)
+    Stage().play(f"c1 send {job()[:40]}\nc1 expect ^HTTP/1.1 408\nc1 ended")
+
+
+def test_an_idle_connection_is_closed_in_the_end(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(consumers, "_IDLE_LIMIT", 200 * MS)
+    Stage().play(f"c1 send {get('/-/ready')}\nc1 expect 200\nc1 ended")
+
+
+def test_a_silent_watch_is_left_for_a_new_one(monkeypatch: pytest.MonkeyPatch) -> None:
+    # danger: a frozen directory keeps its connection open and says nothing
+    monkeypatch.setattr(directory, "_SILENCE_LIMIT", 200 * MS)
+    watched(Stage(), "d ended\nd close\nd expect follow=1&since=41")
+
+
 def served(job_id: str, provider: str, more: str = "") -> str:
     return (
         f"c1 send {job(job_id, more=more)}\n{provider} expect in$\n{provider} send {ACCEPTED}\n"
