Reload on SIGHUP; reject ambiguous requests; bound what bad clients hold

Lines at fault: dispatcher.py stop_on_signals (SIGTERM and SIGINT alone), http.py read_message (h11 takes chunks before a length and says nothing of it) and _message (the first of repeated headers won), consumers.py _IDLE_LIMIT and _REQUEST_LIMIT (120 s and 10 s against 3 s), http.py linger and _receive (a peer at full speed was read without a pause and without an end). Checked: the limit of h11 on heads holds; a length of thousands of digits raised a ValueError that nothing caught.

Now config.py reads the replaced file (its words before the environment's), dispatcher.py applies it and directory.py moves: the new address is asked for the whole list, the old one is heard until that is in. New connections have 2 s for a first byte and 2.5 s for a whole request, and are the first to make room; the bytes of unfinished requests are bounded by the memory limit, accepting and reading pause to let others have a turn.

--- a/ironbarrow/cli.py
+++ b/ironbarrow/cli.py
@@ -1,7 +1,9 @@
 """The command line."""
 
 import os
+import signal
 import sys
+from functools import partial
 from typing import NoReturn
 
 import structlog
@@ -28,6 +30,8 @@
         logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
         cache_logger_on_first_use=True,
     )
+    # danger: a reload asked for during the start must neither end the program nor be forgotten
+    signal.pthread_sigmask(signal.SIG_BLOCK, [signal.SIGHUP])
     config = _config()
     structlog.contextvars.bind_contextvars(name=config.name)
     try:
@@ -35,6 +39,7 @@
     except OSError as error:
         _quit(f"cannot listen on {config.listen[0]}:{config.listen[1]}: {error}")
     dispatcher.stop_on_signals()
+    dispatcher.reload_on_signal(partial(load, os.environ, replaced=True))
     dispatcher.run()
 
 
--- a/ironbarrow/config.py
+++ b/ironbarrow/config.py
@@ -12,6 +12,7 @@
 
 _MS = 1_000_000
 _DESCRIPTORS = 1024  # where no limit is given
+_MEMORY_MB = 192  # likewise
 
 
 class ConfigError(Exception):
@@ -30,12 +31,17 @@
     reports: ReportReader
     known: dict[str, Any]  # the list as this dispatcher had it last, in the directory's form
     sockets: int = _DESCRIPTORS
+    memory_mb: int = _MEMORY_MB
     connect_timeout: int = 250 * _MS
     idle_limit: int = 15_000 * _MS  # a provider closes a connection that was idle for so long
 
 
-def load(environment: Mapping[str, str]) -> Config:
-    """Reads the environment and the file it names."""
+def load(environment: Mapping[str, str], *, replaced: bool = False) -> Config:
+    """Reads the environment and the file it names.
+
+    ``replaced``: the file is newer than the environment, which the program was started with, and so
+    its own words for name and addresses come first.
+    """
     path = environment.get("BALANCER_CONFIG")
     if not path:
         raise ConfigError("BALANCER_CONFIG is not set")
@@ -43,17 +49,40 @@
         raw = json.loads(Path(path).read_text(encoding="utf-8"))
     except (OSError, UnicodeDecodeError) as error:
         raise ConfigError(f"{path}: cannot be read: {error}") from None
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise ConfigError(f"{path}: not JSON: {error}") from None
     if not isinstance(raw, dict):
         raise ConfigError(f"{path}: not an object")
     try:
-        return _config(raw, environment)
-    except ValueError as error:
+        return _config(raw, _Texts(raw, environment, replaced))
+    except (ValueError, TypeError, OverflowError) as error:
         raise ConfigError(f"{path}: {error}") from None
 
 
-def _config(raw: dict[str, Any], environment: Mapping[str, str]) -> Config:
+@dataclass(frozen=True, slots=True)
+class _Texts:
+    """What both the file and the environment may tell."""
+
+    raw: dict[str, Any]
+    environment: Mapping[str, str]
+    file_first: bool
+
+    def text(self, name: str) -> str:
+        variable = f"BALANCER_{name.upper()}"
+        told = (self.environment.get(variable), self.raw.get(name))
+        value = next((v for v in (reversed(told) if self.file_first else told) if v), None)
+        if not isinstance(value, str):
+            raise ValueError(f"{name}: missing, and {variable} is not set")
+        return value
+
+    def address(self, name: str, least_port: int = 1) -> Address:
+        try:
+            return parse_address(self.text(name), least_port)
+        except ValueError as error:
+            raise ValueError(f"{name}: {error}") from None
+
+
+def _config(raw: dict[str, Any], texts: _Texts) -> Config:
     conf = _object(raw, "settings")
     limits = _object(raw, "limits")
     rules = _object(conf, "limits")
@@ -65,14 +94,15 @@
     if sockets < 64:
         raise ValueError(f"limits.sockets: {sockets} is too few; 64 are needed")
     return Config(
-        name=_text(raw, environment, "name"),
-        listen=_address(raw, environment, "listen", least_port=0),  # 0: any free one
-        directory=_address(raw, environment, "discovery"),
+        name=texts.text("name"),
+        listen=texts.address("listen", least_port=0),  # 0: any free one
+        directory=texts.address("discovery"),
         seed=_seed(raw.get("seed", 0)),
         settings=settings,
         reports=ReportReader(conf),
         known=known,
         sockets=sockets,
+        memory_mb=_number(limits, "limits", "memory_mb", _MEMORY_MB),
         connect_timeout=_number(rules, "settings.limits", "connectTimeout", 250 * _MS),
         idle_limit=_number(rules, "settings.limits", "connIdle", 15_000 * _MS),
     )
@@ -92,20 +122,6 @@
     return int(value)
 
 
-def _text(raw: dict[str, Any], environment: Mapping[str, str], name: str) -> str:
-    value = environment.get(f"BALANCER_{name.upper()}") or raw.get(name)
-    if not isinstance(value, str) or not value:
-        raise ValueError(f"{name}: missing, and BALANCER_{name.upper()} is not set")
-    return value
-
-
-def _address(raw: dict[str, Any], environment: Mapping[str, str], name: str, least_port: int = 1) -> Address:
-    try:
-        return parse_address(_text(raw, environment, name), least_port)
-    except ValueError as error:
-        raise ValueError(f"{name}: {error}") from None
-
-
 def _seed(value: Any) -> int:
     if isinstance(value, int):
         return value
--- a/ironbarrow/consumers.py
+++ b/ironbarrow/consumers.py
@@ -18,10 +18,15 @@
 log = structlog.get_logger()
 
 _IDLE_LIMIT = 120 * SECOND
-_REQUEST_LIMIT = 10 * SECOND  # from a request's first byte to its last
+_FIRST_LIMIT = 2 * SECOND  # from accepting a connection to the first byte on it
+_REQUEST_LIMIT = 2500 * MS  # from a request's first byte, or from accepting, to its last byte
 _WRITE_LIMIT = 5 * SECOND
 _LINGER_LIMIT = 1 * SECOND
 _PAUSE = 20 * MS  # before accepting again when no descriptor is left
+_ACCEPTS_AT_ONCE = 16  # danger: a burst of connections would keep call-backs and the directory waiting
+_FRESH = 200 * MS  # a new connection is left so long for its first request to come
+# danger: of two that differ, another reader may take the other one
+_ONCE = frozenset(("x-request-id", "x-timeout-ms", "x-attrs", "x-retried", "cookie", "content-type"))
 _LONGEST_MS = 24 * 3600 * 1000
 _ID_MOST = 200
 _JSON = ("Content-Type", "application/json")
@@ -48,6 +53,7 @@
         free_descriptors: Callable[[], None],
         *,
         most: int,
+        most_buffered: int,
     ) -> None:
         self._loop = loop
         self._host = host
@@ -56,6 +62,9 @@
         self._free_descriptors = free_descriptors
         self._most = most
         self._classes = {cls.name for cls in host.settings.classes}
+        self._most_buffered = most_buffered
+        self._buffered = 0  # bytes of requests that are not whole yet
+        self._new: dict[Connection, Task] = {}  # no whole request yet, the oldest first
         self._idle: dict[Connection, Task] = {}  # between requests, the longest idle first
         self._open = 0
         self._closing = False
@@ -69,20 +78,22 @@
     def close_idle(self) -> None:
         """From now on no connection is kept: the idle ones close at once, the others after their answer."""
         self._closing = True
-        for connection in list(self._idle):
-            self._drop_idle(connection)
+        for connection in [c for c in self._new if not c.size] + list(self._idle):
+            self._drop(connection)
 
-    def _drop_idle(self, connection: Connection) -> None:
+    def _drop(self, connection: Connection) -> bool:
         # danger: a request that has just come in was taken; closing now would lose it
-        if connection.is_silent():
-            self._idle.pop(connection).cancel()
+        if not connection.is_silent():
+            return False
+        (self._new.pop(connection, None) or self._idle.pop(connection)).cancel()
+        return True
 
     # Connections
 
     def _accept(self) -> Coroutine[None]:
         while True:
             yield Wait(self._listener.fileno(), READ, self._loop.now() + 3600 * SECOND)
-            while True:
+            for _ in range(_ACCEPTS_AT_ONCE):
                 if self._open >= self._most and not self._make_room():
                     yield from sleep(self._loop.now() + _PAUSE)
                     continue
@@ -94,15 +105,36 @@
                 if connection is None:
                     break
                 self._open += 1
+                connection.used_at = self._loop.now()
+                connection.grew = self._grew
+                # danger: noted only by its own first line, it could be ended before that line has run;
+                # the lines at its end would not run either, and its place would stay taken
                 self._loop.spawn(self._serve(connection))
 
     def _make_room(self) -> bool:
-        """Closes the connection that has been idle longest; its client opens another when it needs one."""
-        for connection in self._idle:
-            if connection.is_silent():
-                self._drop_idle(connection)
+        """Closes a connection that has brought no whole request, else the one that has been idle
+        longest; its client opens another when it needs one.
+
+        Danger: hundreds that connect and say nothing would leave no place to the usual consumers.
+        """
+        fresh_since = self._loop.now() - _FRESH
+        for connection in self._new:
+            if connection.used_at > fresh_since:
+                break
+            if self._drop(connection):
                 return True
-        return False
+        return any(self._drop(connection) for connection in list(self._idle))
+
+    def _grew(self, connection: Connection, size: int) -> None:
+        """Danger: many requests that stop half-way would together hold more memory than there is."""
+        self._buffered += size
+        for other in list(self._new) if self._buffered > self._most_buffered else ():
+            if other is not connection and other.size and self._drop(other):
+                return
+
+    def _let_go(self, connection: Connection) -> None:
+        self._buffered -= connection.size
+        connection.size = 0
 
     def _out_of_descriptors(self, error: OSError) -> Coroutine[None]:
         """Danger: with no descriptor left, accept fails at once for ever and the loop would spin."""
@@ -114,12 +146,10 @@
     def _serve(self, connection: Connection) -> Coroutine[None]:
         task = self._loop.current
         assert task is not None
+        self._new[connection] = task
         try:
             while True:
-                # danger: listed as idle by whom accepts it, it could be ended before its first line
-                # has run; the lines at its end would not run either, and its place would stay taken
-                self._idle[connection] = task
-                request = yield from self._next_request(connection)
+                request = yield from self._next_request(connection, task)
                 if request is None:
                     return
                 keep = yield from self._respond(connection, task, request)
@@ -128,24 +158,34 @@
                     return
                 if self._closing and connection.is_silent() and not connection.started:
                     return
+                connection.used_at = self._loop.now()
         except ConnectionEndedError as error:
             yield from self._answer_malformed(connection, error)
         finally:
+            self._let_go(connection)
+            self._new.pop(connection, None)
             self._idle.pop(connection, None)
             self._open -= 1
             connection.close()
 
-    def _next_request(self, connection: Connection) -> Coroutine[Message | None]:
+    def _next_request(self, connection: Connection, task: Task) -> Coroutine[Message | None]:
         """The next request, or None if the connection ended between two."""
+        first = connection in self._new
         if not connection.started:
-            # danger: while the program ends, one that connects and says nothing would hold it up
-            limit = _LINGER_LIMIT if self._closing else _IDLE_LIMIT
-            if not (yield Wait(connection.sock.fileno(), READ, self._loop.now() + limit)):
-                return None
-            if connection.is_closed():
+            limit = _FIRST_LIMIT if first else _IDLE_LIMIT
+            if self._closing:  # danger: one that connects and says nothing would hold up the end
+                limit = _LINGER_LIMIT
+            if not first:
+                self._idle[connection] = task
+            ready = yield Wait(connection.sock.fileno(), READ, connection.used_at + limit)
+            if not ready or connection.is_closed():
                 return None
-        self._idle.pop(connection, None)
-        return (yield from connection.read_message(self._loop.now() + _REQUEST_LIMIT))
+            self._idle.pop(connection, None)
+        begun = connection.used_at if first else self._loop.now()
+        request = yield from connection.read_message(begun + _REQUEST_LIMIT)
+        self._new.pop(connection, None)
+        self._let_go(connection)
+        return request
 
     def _answer_malformed(self, connection: Connection, error: ConnectionEndedError) -> Coroutine[None]:
         if error.ending not in (Ending.MALFORMED, Ending.TOO_LARGE, Ending.STALLED):
@@ -221,6 +261,8 @@
 
     def _take(self, request: Message, path: str, answered: Callable[[Answer], None]) -> Job:
         headers = request.headers
+        if request.repeated & _ONCE:
+            raise BadRequestError(400, f"repeated: {', '.join(sorted(request.repeated & _ONCE))}")
         job_id = headers.get("x-request-id", "").strip()
         # danger: the id becomes a header and a path towards providers
         if not 0 < len(job_id) <= _ID_MOST or not all(c.isalnum() or c in "-_.:~" for c in job_id):
--- a/ironbarrow/directory.py
+++ b/ironbarrow/directory.py
@@ -2,6 +2,7 @@
 
 import json
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 import h11
@@ -10,7 +11,7 @@
 from heathway import api
 from ironbarrow.endings import ConnectionEndedError, Ending
 from ironbarrow.http import Address, Connection, connect, parse_address
-from ironbarrow.loop import MS, SECOND, Coroutine, Loop, sleep
+from ironbarrow.loop import MS, SECOND, Coroutine, Loop, Task, sleep
 
 log = structlog.get_logger()
 
@@ -29,15 +30,24 @@
 }  # whatever else a provider may be said to be, it is not said to want new work
 
 
+@dataclass(slots=True, eq=False)
+class _Source:
+    """One address of the directory, and how far its news have come."""
+
+    address: Address
+    version: int = 0  # 0: the whole list is needed first
+    failures: int = 0  # in a row, since it last told something
+    task: Task | None = None
+
+
 class Directory:
     """Keeps the addresses of providers and passes each change on at once."""
 
     def __init__(self, loop: Loop, address: Address, listed: Callable[[api.WorkerList], None]) -> None:
         self._loop = loop
-        self._address = address
         self._listed = listed
-        self._version = 0
-        self._failures = 0  # in a row, since the directory last told something
+        self._source = _Source(address)
+        self._left: list[_Source] = []  # still listened to after a move
         self._addresses: dict[str, Address] = {}
 
     def address_of(self, provider: str) -> Address | None:
@@ -46,19 +56,38 @@
     def start(self, known: dict[str, Any]) -> None:
         """Danger: the directory may be down; with what was known the program can serve all the same."""
         if known:
-            self.take(known, api.ListKind.LAST_KNOWN)
-        self._loop.spawn(self._follow())
-
-    def take(self, raw: Any, kind: api.ListKind | None = None) -> None:
-        """One object of the directory's; a ValueError says what is wrong with it."""
+            self._take(self._source, known, api.ListKind.LAST_KNOWN)
+        self._source.task = self._loop.spawn(self._follow(self._source))
+
+    def move(self, address: Address) -> None:
+        """Follows the directory at another address from now on, and asks it for the whole list.
+
+        Danger: the new one may be long in coming. Until it has told something the list stays, and
+        the old one is listened to for as long as its connection lasts.
+        """
+        if address != self._source.address:
+            self._left.append(self._source)
+            self._source = _Source(address)
+            self._source.task = self._loop.spawn(self._follow(self._source))
+
+    def _leave_old(self) -> None:
+        for source in self._left:
+            if source.task is not None:
+                source.task.cancel()
+        self._left.clear()
+
+    def _take(self, source: _Source, raw: Any, kind: api.ListKind | None = None) -> None:
+        """One object of a source's; a ValueError says what is wrong with it."""
         if not isinstance(raw, dict) or not isinstance(raw.get("endpoints"), list):
             raise ValueError("no object with endpoints")
         if kind is None:
             kind = api.ListKind.FULL if raw.get("snapshot") else api.ListKind.CHANGES
-        self._failures = 0
+        source.failures = 0
         version = raw.get("index")
         if isinstance(version, int):
-            self._version = version
+            source.version = version
+        if source is self._source:
+            self._leave_old()
         entries = []
         for item in raw["endpoints"]:
             try:
@@ -69,7 +98,7 @@
         if kind is not api.ListKind.CHANGES:
             listed = {entry.worker for entry in entries}
             self._addresses = {n: a for n, a in self._addresses.items() if n in listed}
-        self._listed(api.WorkerList(kind, tuple(entries), self._version))
+        self._listed(api.WorkerList(kind, tuple(entries), source.version))
 
     def _entry(self, item: dict[str, Any]) -> api.WorkerEntry:
         name, state = item["name"], _STATES.get(item["status"], api.WorkerState.DRAINING)
@@ -92,42 +121,42 @@
 
     # The wire
 
-    def _follow(self) -> Coroutine[None]:
-        while True:
+    def _follow(self, source: _Source) -> Coroutine[None]:
+        while source is self._source:  # else: its last connection has ended after a move
             try:
-                if not self._version:
-                    yield from self._fetch()
-                yield from self._watch()
+                if not source.version:
+                    yield from self._fetch(source)
+                yield from self._watch(source)
             except ConnectionEndedError as error:
                 log.info("directory lost", ending=error.ending.name)
             except (ValueError, RecursionError) as error:
                 log.warning("directory answer not understood", error=str(error)[:200])
-                self._version = 0  # changes may be missing: the whole list is needed again
-            pause = _PAUSES[min(self._failures, len(_PAUSES) - 1)]
-            self._failures += 1
+                source.version = 0  # changes may be missing: the whole list is needed again
+            pause = _PAUSES[min(source.failures, len(_PAUSES) - 1)]
+            source.failures += 1
             yield from sleep(self._loop.now() + pause)
 
-    def _connect(self) -> Coroutine[Connection]:
-        return connect(self._address, self._loop.now() + _CONNECT_LIMIT)
+    def _connect(self, source: _Source) -> Coroutine[Connection]:
+        return connect(source.address, self._loop.now() + _CONNECT_LIMIT)
 
-    def _fetch(self) -> Coroutine[None]:
-        connection = yield from self._connect()
+    def _fetch(self, source: _Source) -> Coroutine[None]:
+        connection = yield from self._connect(source)
         try:
             until = self._loop.now() + _LIST_LIMIT
-            yield from connection.write(self._request(connection, PATH), until)
+            yield from connection.write(self._request(source, connection, PATH), until)
             answer = yield from connection.read_message(until, _SIZE_LIMIT)
         finally:
             connection.close()
         if answer.status != 200:
             raise ValueError(f"the list was answered with {answer.status}")
-        self.take(json.loads(answer.body))
+        self._take(source, json.loads(answer.body))
 
-    def _watch(self) -> Coroutine[None]:
-        connection = yield from self._connect()
+    def _watch(self, source: _Source) -> Coroutine[None]:
+        connection = yield from self._connect(source)
         try:
-            target = f"{PATH}?follow=1&since={self._version}"
+            target = f"{PATH}?follow=1&since={source.version}"
             until = self._loop.now() + _LIST_LIMIT
-            yield from connection.write(self._request(connection, target), until)
+            yield from connection.write(self._request(source, connection, target), until)
             pending = b""
             while True:
                 event = yield from connection.event(self._loop.now() + _SILENCE_LIMIT)
@@ -138,7 +167,7 @@
                     *lines, pending = (pending + bytes(event.data)).split(b"\n")
                     for line in lines:
                         if line.strip():
-                            self.take(json.loads(line))
+                            self._take(source, json.loads(line))
                     if len(pending) > _SIZE_LIMIT:
                         raise ConnectionEndedError(Ending.TOO_LARGE)
                 else:
@@ -146,5 +175,6 @@
         finally:
             connection.close()
 
-    def _request(self, connection: Connection, target: str) -> bytes:
-        return connection.request_bytes("GET", target, [("Host", "{}:{}".format(*self._address))])
+    @staticmethod
+    def _request(source: _Source, connection: Connection, target: str) -> bytes:
+        return connection.request_bytes("GET", target, [("Host", "{}:{}".format(*source.address))])
--- a/ironbarrow/dispatcher.py
+++ b/ironbarrow/dispatcher.py
@@ -2,11 +2,12 @@
 
 import signal
 import socket
+from collections.abc import Callable
 from types import FrameType
 
 import structlog
 
-from ironbarrow.config import Config
+from ironbarrow.config import Config, ConfigError
 from ironbarrow.consumers import Consumers
 from ironbarrow.directory import Directory
 from ironbarrow.host import Host
@@ -20,6 +21,8 @@
 # crosses is sent again, but not to a dispatcher that has left
 _STILL_COMING = 500 * MS
 _DONE_CHECKED = 10 * MS
+_MB = 1 << 20
+_PROGRAM_MB = 28  # the program itself, as measured on a calm day
 _RESERVED = 32  # descriptors for the program itself, the listener, epoll and the directory
 
 
@@ -29,6 +32,7 @@
     def __init__(self, config: Config, listener: socket.socket | None = None) -> None:
         self.loop = Loop(_task_failed)
         self._stopping = False
+        self._config = config
         self.listener = listener or listen(config.listen)
         self.host = Host(self.loop, config.settings, config.seed)
         self.directory = Directory(self.loop, config.directory, self.host.providers_listed)
@@ -50,6 +54,7 @@
             self.invoker.called_back,
             self.invoker.free_descriptors,
             most=spare * 5 // 8,
+            most_buffered=max(1, config.memory_mb - _PROGRAM_MB) * _MB // 2,
         )
         self.directory.start(config.known)
 
@@ -62,10 +67,33 @@
 
     def stop_on_signals(self) -> None:
         """SIGTERM and SIGINT mean ``stop``. For programs that are nothing else; main thread only."""
-        signal.set_wakeup_fd(self.loop.wake_fd)
+        signal.set_wakeup_fd(self.loop.wake_fd, warn_on_full_buffer=False)
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, self._signalled)
 
+    def reload_on_signal(self, read: Callable[[], Config]) -> None:
+        """SIGHUP means ``reload`` with what ``read`` brings; a ConfigError leaves all as it is.
+
+        Danger: unhandled, the signal ends the program and all it has taken.
+        """
+        signal.set_wakeup_fd(self.loop.wake_fd, warn_on_full_buffer=False)
+        signal.signal(signal.SIGHUP, lambda number, frame: self.loop.soon(self._reload, read))
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, [signal.SIGHUP])  # one may wait from before
+
+    def _reload(self, read: Callable[[], Config]) -> None:
+        try:
+            self.reload(read())
+        except ConfigError as error:
+            log.error("configuration not taken, the running one stays", error=str(error))
+
+    def reload(self, config: Config) -> None:
+        """Applies what may change while it serves: the directory's address. Jobs, connections and
+        the list of providers stay; what else has changed is named in the log and waits for a start."""
+        self.directory.move(config.directory)
+        fixed = ("name", "listen", "settings", "sockets", "memory_mb", "connect_timeout", "idle_limit")
+        waits = [name for name in fixed if getattr(self._config, name) != getattr(config, name)]
+        log.info("reloaded", directory="{}:{}".format(*config.directory), waits_for_start=waits)
+
     def close(self) -> None:
         """Lets go of every connection and descriptor."""
         self.loop.close()
--- a/ironbarrow/http.py
+++ b/ironbarrow/http.py
@@ -3,7 +3,7 @@
 import errno
 import select
 import socket
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from http import HTTPStatus
 
@@ -15,6 +15,8 @@
 BODY_LIMIT = 64 * 1024
 HEAD_LIMIT = 16 * 1024
 _CHUNK = 16 * 1024  # no more than HEAD_LIMIT: h11 measures a head only while it is incomplete
+_READS_AT_ONCE = 4  # danger: a peer that sends at full speed would never let the others have a turn
+_LINGER_BYTES = 256 * 1024
 _NO_DESCRIPTORS = (errno.EMFILE, errno.ENFILE)
 
 Headers = Sequence[tuple[str, str]]
@@ -43,6 +45,7 @@
     target: str = ""
     status: int = 0
     headers: dict[str, str] = field(default_factory=dict)  # names in lower case; the first one counts
+    repeated: set[str] = field(default_factory=set)  # names that came more than once
     body: bytes = b""
     keep: bool = True  # the connection may carry another
 
@@ -56,6 +59,9 @@
         self._server = role is h11.SERVER
         self.used_at = 0  # when its owner last put it down
         self.started = False  # part of a message is in
+        self._reads = 0  # since it last waited
+        self.size = 0  # bytes of the message that is being read; its owner resets it
+        self.grew: Callable[[Connection, int], None] | None = None
 
     def close(self) -> None:
         self.sock.close()
@@ -94,6 +100,8 @@
                 found = self._h11.next_event()
             except h11.RemoteProtocolError as error:
                 raise ConnectionEndedError(Ending.MALFORMED, str(error), error.error_status_hint) from None
+            except ValueError as error:  # a length of thousands of digits
+                raise ConnectionEndedError(Ending.MALFORMED, str(error)) from None
             if found is not h11.NEED_DATA:
                 return found  # type: ignore[return-value]
             if self._server and self._h11.they_are_waiting_for_100_continue:
@@ -101,6 +109,9 @@
                 yield from self.write(self._h11.send(going_on) or b"", until)
             data = yield from self._receive(until)
             self.started = True
+            self.size += len(data)
+            if self.grew is not None:
+                self.grew(self, len(data))
             try:
                 self._h11.receive_data(data)
             except h11.RemoteProtocolError as error:
@@ -108,23 +119,28 @@
 
     def _receive(self, until: int) -> Coroutine[bytes]:
         while True:
-            try:
-                return self.sock.recv(_CHUNK)
-            except (BlockingIOError, InterruptedError):
-                pass
-            except OSError as error:
-                raise ConnectionEndedError(Ending.RESET, str(error)) from None
+            if self._reads < _READS_AT_ONCE:
+                self._reads += 1
+                try:
+                    return self.sock.recv(_CHUNK)
+                except (BlockingIOError, InterruptedError):
+                    pass
+                except OSError as error:
+                    raise ConnectionEndedError(Ending.RESET, str(error)) from None
+            self._reads = 0
             if not (yield Wait(self.sock.fileno(), READ, until)):
                 raise ConnectionEndedError(Ending.STALLED, status=408)
 
     def read_message(self, until: int, body_limit: int = BODY_LIMIT) -> Coroutine[Message]:
         """The peer's next whole message."""
+        begun = self.size
         head = yield from self.event(until)
         while isinstance(head, h11.InformationalResponse):
             head = yield from self.event(until)
         if not isinstance(head, h11.Request | h11.Response):
             raise ConnectionEndedError(Ending.CLOSED)
         message = self._message(head)
+        self._check_framing(message)
         if int(message.headers.get("content-length", "0")) > body_limit:
             raise ConnectionEndedError(Ending.TOO_LARGE, status=413)
         parts: list[bytes] = []
@@ -134,17 +150,27 @@
                 raise ConnectionEndedError(Ending.CLOSED)
             parts.append(bytes(found.data))
             size += len(found.data)
-            if size > body_limit:
+            # danger: in chunks of a byte each, the framing is many times the body
+            if size > body_limit or self.size - begun > 2 * body_limit + HEAD_LIMIT:
                 raise ConnectionEndedError(Ending.TOO_LARGE, status=413)
         message.body = b"".join(parts)
         message.keep = self._h11.their_state is h11.DONE
         return message
 
+    def _check_framing(self, message: Message) -> None:
+        """Danger: with two lengths, what one reader takes for a body another takes for a request."""
+        if self._server and "content-length" in message.headers and "transfer-encoding" in message.headers:
+            raise ConnectionEndedError(Ending.MALFORMED, "both Content-Length and Transfer-Encoding")
+
     @staticmethod
     def _message(head: h11.Request | h11.Response) -> Message:
         message = Message()
-        for name, value in head.headers:
-            message.headers.setdefault(name.decode("ascii"), value.decode("latin-1"))
+        for raw, value in head.headers:
+            name = raw.decode("ascii")
+            if name in message.headers:
+                message.repeated.add(name)
+            else:
+                message.headers[name] = value.decode("latin-1")
         if isinstance(head, h11.Request):
             message.method = head.method.decode("ascii")
             message.target = head.target.decode("latin-1")
@@ -199,15 +225,16 @@
         return self._h11.our_state in (h11.IDLE, h11.SEND_RESPONSE)
 
     def linger(self, until: int) -> Coroutine[None]:
-        """Ends the own side and reads the rest away.
+        """Ends the own side and reads the rest away, up to a limit.
 
         Danger: closed with unread bytes, the kernel resets the connection and the peer may lose the
-        answer that was just written.
+        answer that was just written; but 60 MB from each of hundreds would take the whole core.
         """
+        left = _LINGER_BYTES
         try:
             self.sock.shutdown(socket.SHUT_WR)
-            while (yield from self._receive(until)):
-                pass
+            while left > 0 and (data := (yield from self._receive(until))):
+                left -= len(data)
         except (OSError, ConnectionEndedError):
             return
 
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -1,8 +1,9 @@
 """A small language for network tests: scripted peers that send, expect, close and wait.
 
 A scenario is text, one step a line. A line names its peer: ``c1 send ...`` and so on. ``c*`` are
-consumers and call-backs, which connect to the dispatcher; ``p*`` are providers and ``d`` is the
-directory, which the dispatcher connects to. In what is sent, ``\\r`` and ``\\n`` are written out.
+consumers and call-backs, which connect to the dispatcher; ``p*`` are providers, ``d`` is the
+directory and ``d2`` another one, which the dispatcher connects to. In what is sent, ``\\r`` and
+``\\n`` are written out.
 
     c1 send TEXT      write it, after connecting if need be
     c1 expect REGEX   read until it matches all that has come; fails after LIMIT
@@ -11,6 +12,7 @@
     c1 close          close the connection
     p1 refuse         take no more connections
     wait MS           let time pass
+    reload d2         give the dispatcher a configuration that names another directory
     stop              order the dispatcher to stop
     exits             its loop has ended
 
@@ -22,12 +24,13 @@
 import select
 import socket
 import time
+from dataclasses import replace
 from typing import Any
 
 from heathway.settings import ReportReader, read_settings
 from ironbarrow.config import Config
 from ironbarrow.dispatcher import Dispatcher
-from ironbarrow.http import listen
+from ironbarrow.http import listen, parse_address
 
 LIMIT = 20.0  # seconds; only a failing step ever waits so long
 SETTINGS: dict[str, Any] = {
@@ -87,7 +90,10 @@
     """A dispatcher and its peers, playing one scenario."""
 
     def __init__(self, providers: int = 2, known: bool = True, **config: Any) -> None:
-        self.peers = {f"p{n}": Peer(None) for n in range(1, providers + 1)} | {"d": Peer(None)}
+        self.peers = {f"p{n}": Peer(None) for n in range(1, providers + 1)} | {
+            "d": Peer(None),
+            "d2": Peer(None),
+        }
         ports = {name: peer.listener.getsockname() for name, peer in self.peers.items() if peer.listener}
         self.names = {f"${name}": f"{host}:{port}" for name, (host, port) in ports.items()}
         entries = [self.entry(f"p{n}") for n in range(1, providers + 1)]
@@ -141,6 +147,8 @@
         verb, _, text = rest.partition(" ")
         if name == "wait":
             self.pass_time(float(rest) / 1000)
+        elif name == "reload":
+            self.dispatcher.reload(replace(self.config, directory=parse_address(self.names[f"${rest}"])))
         elif name == "stop":
             self.dispatcher.stop()
         elif name == "exits":
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -6,12 +6,15 @@
 import subprocess
 import sys
 import time
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
 
 import pytest
 
 from ironbarrow.config import ConfigError, load
+from ironbarrow.http import listen
 from tests.scenario import SETTINGS
 
 ROOT = Path(__file__).parents[1]
@@ -52,6 +55,9 @@
     "limits of a wrong form": ({**GOOD, "limits": [1]}, "limits: not an object"),
     "too few sockets": ({**GOOD, "limits": {"sockets": 8}}, "limits.sockets: 8 is too few"),
     "sockets that are no number": ({**GOOD, "limits": {"sockets": "x"}}, "limits.sockets: not a number"),
+    "memory that is no number": ({**GOOD, "limits": {"memory_mb": -1}}, "limits.memory_mb: not a number"),
+    "nested without end": ("[" * 100_000, "not JSON"),
+    "a round without end": ('{"settings": {"requestClasses": [], "me": 1e999}}', "infinity"),
     "a seed that is no number": ({**GOOD, "seed": "xyz"}, "seed: neither"),
     "a known list of a wrong form": ({**GOOD, "known": [1]}, "known: not an object"),
     "a known list without entries": ({**GOOD, "known": {"index": 4}}, "known: no object with endpoints"),
@@ -94,22 +100,56 @@
     assert done.stdout == "n3: listens on 127.0.0.1:9000; classes: map, book\n"
 
 
-def test_sigterm_ends_the_program_with_0(tmp_path: Path) -> None:
-    raw = {**GOOD, "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1"}
+@contextmanager
+def serving(tmp_path: Path, raw: dict[str, Any]) -> Iterator["subprocess.Popen[str]"]:
     process = subprocess.Popen(
         [sys.executable, "-m", "ironbarrow", "serve"],
         cwd=ROOT,
-        env={"PATH": os.environ["PATH"], **written(tmp_path, raw)},
+        env={"PATH": os.environ["PATH"], "BALANCER_DISCOVERY": "127.0.0.1:1", **written(tmp_path, raw)},
         stderr=subprocess.PIPE,
         text=True,
     )
     try:
+        logged(process, '"serving"')
+        yield process
+    finally:
+        process.kill()
+        process.wait()
         assert process.stderr is not None
-        assert '"serving"' in process.stderr.readline()
+        process.stderr.close()
+
+
+def logged(process: "subprocess.Popen[str]", text: str) -> str:
+    assert process.stderr is not None
+    line = next((line for line in process.stderr if text in line), None)
+    assert line is not None, f"it ended without {text} in its log"
+    return line
+
+
+UNUSED = {**GOOD, "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1"}
+
+
+def test_sigterm_ends_the_program_with_0(tmp_path: Path) -> None:
+    with serving(tmp_path, UNUSED) as process:
         started = time.monotonic()
         process.send_signal(signal.SIGTERM)
         assert process.wait(60) == 0
         assert time.monotonic() - started > 0.4  # it went on accepting for a while
-    finally:
-        process.kill()
-        process.wait()
+
+
+def test_sighup_takes_the_replaced_file_and_keeps_what_runs_if_it_cannot(tmp_path: Path) -> None:
+    # danger: unhandled, the signal ends the program; and the environment still names the old directory
+    with serving(tmp_path, UNUSED) as process, listen(("127.0.0.1", 0)) as directory:
+        written(tmp_path, "{")
+        process.send_signal(signal.SIGHUP)
+        assert "not JSON" in logged(process, "the running one stays")
+        host, port = directory.getsockname()
+        written(tmp_path, {**UNUSED, "discovery": f"{host}:{port}", "name": "other"})
+        process.send_signal(signal.SIGHUP)
+        assert '"waits_for_start": ["name"]' in logged(process, '"reloaded"')
+        directory.settimeout(20)
+        with directory.accept()[0] as connection:
+            assert connection.recv(64).startswith(b"GET /api/targets HTTP")
+            process.send_signal(signal.SIGHUP)
+            process.send_signal(signal.SIGTERM)
+            assert process.wait(60) == 0
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -2,6 +2,7 @@
 
 import socket
 from collections.abc import Iterable
+from contextlib import suppress
 
 import pytest
 
@@ -239,6 +240,24 @@
     "slots without end": (job(more="X-Attrs: slots=inf\\r\\n"), 400),
     "slots that are not a number": (job(more="X-Attrs: slots=nan\\r\\n"), 400),
     "attributes without a value": (job(more="X-Attrs: slots\\r\\n"), 400),
+    # danger: what one reader takes for the body holds a request for another
+    "a length and chunks": (
+        job(more="Transfer-Encoding: chunked\\r\\n", body="0\\r\\n\\r\\n" + job("hidden")),
+        400,
+    ),
+    "two ids": (job(more="X-Request-ID: j2\\r\\n"), 400),
+    "two times": (job(more="X-Timeout-Ms: 5\\r\\n"), 400),
+    "a length of thousands of digits": (
+        job().replace("Content-Length: 2", f"Content-Length: {'9' * 9000}"),
+        400,
+    ),
+    "a negative length": (job().replace("Content-Length: 2", "Content-Length: -2"), 400),
+    "a length without end": (job().replace("Content-Length: 2", "Content-Length: 99999999999"), 413),
+    "chunks of a byte each": (
+        job().replace("Content-Length: 2\\r\\n\\r\\nin", "Transfer-Encoding: chunked\\r\\n\\r\\n")
+        + "1\\r\\nx\\r\\n" * 40_000,
+        413,
+    ),
     "not HTTP": ("hello there\\r\\n\\r\\n", 400),
     "two lengths": (job(more="Content-Length: 7\\r\\n"), 400),
     "a body too large by its length": (job(body="x" * (BODY_LIMIT + 1)), 413),
@@ -327,6 +346,42 @@
     watched(stage, f"d send {news}\nwait 50\nd close\nd expect follow=1&since=57")
 
 
+def test_a_reload_moves_to_the_other_directory_and_drops_nothing() -> None:
+    # danger: until the new one has told something, the list, the old one's news and jobs must stay
+    stage = Stage()
+    draining = escaped(stage.news(stage.entry("p1", "draining"), index=57))
+    full = escaped(stage.news(stage.entry("p1"), stage.entry("p2", "draining"), index=3, whole=True))
+    body = full.split("\\r\\n")[1]
+    watched(
+        stage,
+        f"""c1 send {job()}
+        p1 expect in$
+        reload d2
+        d2 expect GET /api/targets HTTP
+        d send {draining}
+        wait 50
+        c2 send {job("j2")}
+        p2 expect : j2
+        d2 send HTTP/1.1 200 X\\r\\nContent-Length: {len(body) - 1}\\r\\n\\r\\n{body}
+        d ended
+        p1 send {ACCEPTED}
+        c3 send {call_back("done", result="out")}
+        c1 expect 200 .*out$
+        c1 send {job("j3")}
+        p1 expect : j3
+        d2 close
+        d2 expect follow=1&since=3 HTTP""",
+    )
+
+
+def test_a_directory_that_is_left_is_not_asked_again_when_its_connection_ends() -> None:
+    stage = Stage()
+    for line in ("d expect GET", "reload d2", "d close", "d2 expect GET /api/targets HTTP", "wait 400"):
+        stage.step(line)
+    assert stage.peers["d"].sock is None
+    stage.close()
+
+
 def test_a_directory_that_sends_nonsense_is_asked_for_the_whole_list() -> None:
     watched(Stage(), "d send 5\\r\\nnope\\n\\r\\n\nd ended\nd close\nd expect GET /api/targets HTTP")
 
@@ -358,6 +413,48 @@
     Stage().play(f"c1 send {job()[:40]}\nc1 expect ^HTTP/1.1 408\nc1 ended")
 
 
+def test_a_connection_that_brings_no_request_is_closed(monkeypatch: pytest.MonkeyPatch) -> None:
+    # danger: hundreds that say nothing would hold the places of usual consumers
+    monkeypatch.setattr(consumers, "_FIRST_LIMIT", 200 * MS)
+    Stage().play("c1 silent 100\nc1 ended")
+
+
+def test_silent_connections_make_room_for_one_that_asks(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(consumers, "_FIRST_LIMIT", 60_000 * MS)
+    stage = Stage(sockets=38)  # room for three consumers
+    silent = "".join(f"c{n} silent 1\n" for n in range(1, 6))
+    stage.play(f"{silent}c6 send {job()[:40]}\nc9 send {job()}\np1 expect in$\nc1 ended\nc6 ended")
+
+
+def test_a_fast_sender_lets_the_others_have_their_turn() -> None:
+    stage = Stage()
+    stage.step(f"c1 send {job(body='x' * (BODY_LIMIT + 1))}")
+    stage.step("c1 expect ^HTTP/1.1 413")
+    sock = stage.peers["c1"].sock
+    assert sock is not None
+    turns = 0
+    try:
+        while turns < 1000:  # it takes away a little in each turn, and in all no more than its limit
+            with suppress(BlockingIOError):
+                while sock.send(b"x" * 65536):
+                    pass
+            stage.dispatcher.loop.turn()
+            turns += 1
+    except ConnectionError:
+        pass
+    stage.close()
+    assert 3 < turns < 1000
+
+
+def test_requests_that_stop_half_way_share_a_limit_on_memory(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(consumers, "_REQUEST_LIMIT", 60_000 * MS)
+    stage = Stage(sockets=1024, memory_mb=1)  # half a megabyte for all of them
+    half = job().replace("Content-Length: 2", "Content-Length: 60000") + "x" * 50_000
+    stage.play(
+        "".join(f"c{n} send {half}\nwait 20\n" for n in range(1, 13)) + "c1 ended\nc2 ended\nc12 silent 20"
+    )
+
+
 def test_an_idle_connection_is_closed_in_the_end(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(consumers, "_IDLE_LIMIT", 200 * MS)
     Stage().play(f"c1 send {get('/-/ready')}\nc1 expect 200\nc1 ended")
