See full, failing and quiet workers at once: starts, errors, probes, others' jobs

Lines at fault: logic.py _capacity (a third of the free slots, so load is about 1 at every load), AttemptNote (a start counted as a sign of life only), SIGNS_OF_LIFE (an error counted as one), _service.learn(event.elapsed), and the reports' figure of free slots taken as one's own for 2 s.

--- a/heathway/api.py
+++ b/heathway/api.py
@@ -207,6 +207,7 @@
     busy: float | None = None  # share of its cores that is busy
     service_time: int | None = None
     rate: float | None = None
+    errors: float | None = None  # a second
 
 
 @dataclass(frozen=True, slots=True)
--- a/heathway/logic.py
+++ b/heathway/logic.py
@@ -31,11 +31,11 @@
 MS = 1_000_000
 PERIOD = 200 * MS  # one service period k
 LOOKBACK = 20  # lambda: periods in the average; short, since a long one lags after a shrink
-TAU = 0.95  # admit up to this load; held jobs count in it, so 1 is where queueing starts
+TAU = 1.25  # admit up to this load; held jobs count in it, so 1 is where queueing starts
 DEAR = 2.0  # a class with so many times the usual worth for its work is not shed
 SESSION_IDLE = 2_000 * MS  # a session without jobs for so long is closed
-REPORT_AGE = 500 * MS  # reports are taken to be this old: own sends since then are debited
-REPORT_BELIEVED = 2_000 * MS  # an older report is forgotten: the fleet has moved on
+REPORT_AGE = 800 * MS  # reports are taken to be this old: own sends since then are debited
+REPORT_BELIEVED = 3_000 * MS  # over this time a report gives way to what is usual
 FULL_PAUSE = 150 * MS  # a worker that sent a job back is left alone for so long
 DOUBLINGS = 3  # pauses double so often while a worker goes on failing
 PASSED_OVER = 8  # so many held jobs that fit nowhere may be passed over for one that does
@@ -44,9 +44,16 @@
 SILENCE_DEVIATIONS = 4.0  # silence: mean plus so many deviations of the service time (as in TCP)
 LEARNING = 0.05  # weight of a new service time in the averages
 CUT_AFTER = 3  # so many failed connections to a zone, none answered between: it is cut off
+RESERVES = (1.0, 0.0, -1.0)
+START_WITHIN = 40 * MS
+PROBE_EVERY = 700 * MS
 COLD_SAFETY = 0.5  # part of the cold budget that is used; the rest is for chance
 ASK_PAUSE = 1_000 * MS  # calls for the list are spread over this, at first and after a failure
-SIGNS_OF_LIFE = frozenset((Outcome.OK, Outcome.ERROR, Outcome.FULL, Outcome.RESET))
+SIGNS_OF_LIFE = frozenset((Outcome.OK, Outcome.FULL))
+FAULTS = frozenset((Outcome.ERROR, Outcome.RESET))
+FAULT_PRICE = 2  # so many good answers make up for one fault
+FAULTS_MOST = 4  # and for all that are remembered
+ERRORS_MOST = 0.3  # errors a second in a report that count as a fault
 
 
 class Dispatcher:
@@ -57,6 +64,8 @@
         self._random = random.Random(seed)
         self._classes = {cls.name: cls for cls in settings.classes}
         self._service = {cls.name: ServiceTime(cls.aim, cls.aim / 4) for cls in settings.classes}
+        # danger: sent to a worker that may be full, a job must show at once that it waits there
+        self._reserves = RESERVES if settings.tells_start else RESERVES[:-1]
         self._now = 0
         self._out: list[api.Action] = []
         self._jobs: dict[int, Job] = {}
@@ -71,14 +80,16 @@
         self._keys = KeyShares()
         self._aside = self._ask_failures = 0
         self._agenda = Agenda()
+        self._usual = (0.0, 0.0)  # of a worker: its size, the slots that others use
         self._next_period = self._gathered_at = self._timer_at = 0
         self._take: dict[type, Callable[[Any], None]] = {
             api.WorkerList: self._listed,
             api.JobArrived: self._arrived,
             api.JobWithdrawn: self._withdrawn,
             api.AttemptEnded: self._ended,
-            api.AttemptNote: lambda event: self._alive(self._workers.get(event.worker)),
+            api.AttemptNote: self._noted,
             api.StreamStarted: self._stream_started,
+            api.ProbeEnded: self._probed,
         }
 
     def handle(self, now: int, events: Iterable[api.Event]) -> list[api.Action]:
@@ -97,7 +108,7 @@
             self._end_period()
         for queue in self._held.queues.values():
             self._release(queue)
-        due = max(now + self._set.tick, self._held.first_start(self._next_period))
+        due = max(now + self._set.tick, self._held.first_start(self._agenda.first(self._next_period)))
         if self._timer_at <= now or due < self._timer_at:
             self._timer_at = due
             self._out.append(api.SetTimer(due - now, "wake"))
@@ -107,6 +118,8 @@
 
     def _end_period(self) -> None:
         """Notes l / |C| of the period and closes idle sessions."""
+        self._note_usual()
+        self._probe_quiet()
         if self._sessions and self._now >= self._gathered_at:  # none: it says nothing of sessions
             load = (self._held.slots + self._running_slots) / max(1.0, self._capacity())
             self._rates.append(load / len(self._sessions))
@@ -114,13 +127,25 @@
         self._next_period = self._now + PERIOD
 
     def _capacity(self) -> float:
-        """Res_max: own running slots and a fair share of the free ones. Danger: every dispatcher
-        sees the same free slots; each counting all of them, they admit far past tau together."""
-        return self._running_slots + self._ring.all_free() / self._set.dispatchers
+        """Res_max: own running slots and the fleet's free ones. All count them as their own, which is
+        harmless as long as a job that meets a full worker shows it by not starting."""
+        free = (self._free(w) or 0.0 for w in self._ring.walk(self._ring.ready & self._ring.open, 0))
+        return self._running_slots + sum(max(0.0, slots) for slots in free)
+
+    def _free(self, worker: Worker) -> float | None:
+        """A worker's believed free slots; None: nothing is known of any worker's size."""
+        return worker.free(self._now, REPORT_BELIEVED, self._usual)
+
+    def _note_usual(self) -> None:
+        """What is usual for a worker: its size, and the slots that the other dispatchers use."""
+        ready = [w.size for w in self._ring.walk(self._ring.ready, 0)]
+        sizes = [size for size in ready if size]
+        others = self._running_slots * (self._set.dispatchers - 1) / max(1, len(ready))
+        self._usual = (sum(sizes) / max(1, len(sizes)), others)
 
     def _admits(self, cls: api.JobClass) -> bool:
         if not self._sessions or not self._rates:  # no session, or no past period: by free room
-            return self._ring.room != 0 or self._held.slots <= self._running_slots
+            return self._ring.open != 0 or self._held.slots <= self._running_slots
         if cls.worth / self._service[cls.name].mean > DEAR * self._worth / self._work:
             return True  # danger: shed with the rest, the smallest jobs take the most worth with them
         rate = sum(self._rates) / len(self._rates)
@@ -173,21 +198,21 @@
             if job.held and start_by <= self._now:
                 self._settle(job)  # danger: a job that can't be in time takes the room of one that can
             if job.held:
-                worker = self._place(job)
+                worker = self._place(job, self._reserves)
                 if worker is not None:
                     self._send(job, worker)
-                elif self._ring.room and len(skipped) < PASSED_OVER:
+                elif self._ring.open and len(skipped) < PASSED_OVER:
                     skipped.append(queue[0])  # danger: bound or large, it would block all the others
                 else:
                     break
             heappop(queue)
         self._held.put_back(queue, skipped)
 
-    def _place(self, job: Job) -> Worker | None:
+    def _place(self, job: Job, reserves: tuple[float, ...]) -> Worker | None:
         """First fit from the job's point of the ring, warm workers before cold ones."""
         ring, rules = self._ring, self._set
         kind = job.cls.worker_kind
-        some = ring.room if kind is None else ring.room & ring.group("kind", kind)
+        some = ring.open if kind is None else ring.open & ring.group("kind", kind)
         some &= self._repeat_group(job, job.risky())
         if job.cls.effect is Effect.UNSAFE:
             some &= ~ring.trials  # danger: lost on a worker still hung, it can't be sent again
@@ -198,10 +223,11 @@
         warm = some & ~ring.cold
         start = int(len(ring.workers) * job.point)
         # danger: in a cut, what may only be repeated in its own group is lost beyond it
-        own = -1 if job.cls.group is Group.ALL else ring.group("zone", rules.zone)
-        for part in (warm & own, warm & ~own, some & ring.cold):
+        own = ring.group("zone", rules.zone)
+        parts = [(part, reserve) for reserve in reserves for part in (warm & own, warm & ~own)]
+        for part, reserve in (*parts, (some & ring.cold, 0.0)):
             for worker in ring.walk(part, start):
-                if self._fits(worker, job):
+                if self._fits(worker, job, reserve):
                     return worker
         return None
 
@@ -216,8 +242,14 @@
             return self._ring.group("zone", entry.zone)
         return self._ring.group("cell", entry.cell) if job.cls.group is Group.CELL else -1
 
-    def _fits(self, worker: Worker, job: Job) -> bool:
-        slots = worker.free is None or worker.free + 0.5 >= job.slots
+    def _fits(self, worker: Worker, job: Job, reserve: float) -> bool:
+        free = self._free(worker)
+        if worker.trial:
+            slots = True
+        elif free is None:  # room for one job, as far as the list does not say otherwise
+            slots = reserve <= 0 and not worker.attempts and worker.looks_free()
+        else:
+            slots = free + 0.5 >= job.slots + reserve
         memory = worker.memory is None or worker.memory >= job.memory
         return slots and memory and (worker.cold_until <= self._now or self._cold_allows(worker, job))
 
@@ -227,7 +259,7 @@
         rules, mean = self._set, self._service[job.cls.name].mean
         age = max(0, self._now - worker.entry.started_at)
         capacity = rules.start_capacity + (1 - rules.start_capacity) * age / rules.cold_time
-        if self._now + mean / capacity > job.aim_at and self._ring.room & ~self._ring.cold:
+        if self._now + mean / capacity > job.aim_at and self._ring.open & ~self._ring.cold:
             return False
         budget = rules.fall_multiple * capacity * rules.fall_window * (worker.size or 1.0) / mean
         jobs = int(COLD_SAFETY * budget / max(1.0, job.slots))
@@ -248,6 +280,8 @@
         self._agenda.at(
             self._now + self._service[job.cls.name].longest(SILENCE_DEVIATIONS), self._check_silence, attempt
         )
+        if self._set.tells_start:
+            self._agenda.at(self._now + START_WITHIN, self._check_start, attempt)
 
     def _book(self, worker: Worker, job: Job, sign: int) -> None:
         """Books an own send (1) or end (-1). Danger: a report made before does not show it, and the
@@ -266,19 +300,27 @@
         worker = attempt.worker
         attempt.out = False
         attempt.never_ran = event.outcome in api.NEVER_RAN
+        self._not_waiting(attempt)
         self._book(worker, job, -1)
+        if event.outcome is Outcome.OK:
+            worker.faults = max(0, worker.faults - 1)
         if event.outcome in SIGNS_OF_LIFE:
             self._alive(worker)
         if event.outcome is Outcome.FULL:
             self._pause(worker)
         elif event.report is not None:
             self._reported(worker, event.report)
+            if (report_errors := event.report.errors) and report_errors >= ERRORS_MOST and not worker.aside:
+                self._fault(worker)
+        if event.outcome in FAULTS:
+            self._fault(worker)
         if event.outcome is Outcome.CONNECT_FAILED:
             self._set_aside(worker)
             self._ring.unreached[worker.entry.zone] += 1
         elif event.outcome is Outcome.OK:
             worker.fulls = 0
-            self._service[job.cls.name].learn(event.elapsed, LEARNING)
+            ran = self._now - attempt.started_at if attempt.started_at else event.elapsed
+            self._service[job.cls.name].learn(ran, LEARNING)
         self._update(worker)
         if event.last or job.over:
             self._close(job)
@@ -331,19 +373,34 @@
 
     # Health of workers
 
-    def _reported(self, worker: Worker, report: api.LoadReport) -> None:
-        worker.take_report(self._now, self._now - REPORT_AGE, report)
-        self._agenda.at(self._now + REPORT_BELIEVED, self._forget, worker, self._now)
+    def _probe_quiet(self) -> None:
+        """Danger: of a worker that gets no jobs nothing is heard, and of one whose jobs are long, little."""
+        if not self._set.may_probe or not self._set.report_fields:
+            return
+        for worker in self._ring.workers:
+            if worker.entry.state is WorkerState.UP and worker.heard_of + PROBE_EVERY <= self._now:
+                worker.heard_of = self._now
+                self._out.append(api.Probe(worker.id))
 
-    def _forget(self, worker: Worker, reported_at: int) -> None:
-        if worker.reported_at == reported_at:
-            worker.forget()
-            self._update(worker)
+    def _probed(self, event: api.ProbeEnded) -> None:
+        worker = self._workers.get(event.worker)
+        if worker is None:
+            return
+        if event.outcome is Outcome.OK:
+            if event.report is not None:
+                self._reported(worker, event.report)
+            self._alive(worker)
+        elif event.outcome is Outcome.CONNECT_FAILED:
+            self._set_aside(worker)
+
+    def _reported(self, worker: Worker, report: api.LoadReport) -> None:
+        worker.heard_of = self._now
+        if self._now - REPORT_AGE > worker.told_at:  # else: it was seen to be full since
+            worker.take_report(self._now - REPORT_AGE, report)
 
     def _pause(self, worker: Worker) -> None:
         """Danger: jobs sent back at once by one full worker after another use up all their attempts."""
-        worker.free = 0.0
-        worker.reported_at = self._now
+        worker.seen_full(self._now, worker.slots_out)
         if not worker.paused:
             worker.paused = True
             self._agenda.at(self._now + (FULL_PAUSE << min(worker.fulls, DOUBLINGS)), self._resume, worker)
@@ -351,8 +408,6 @@
 
     def _resume(self, worker: Worker) -> None:
         worker.paused = False
-        if not worker.attempts:
-            worker.free = None  # danger: no answer of ours will come, it would look full for ever
         self._update(worker)
 
     def _alive(self, worker: Worker | None) -> None:
@@ -360,7 +415,10 @@
             return
         worker.heard_at = self._now
         self._ring.unreached[worker.entry.zone] = 0
-        if worker.aside:
+        if worker.aside and worker.faults:  # danger: of one that fails quickly, some answers are good
+            worker.trial = True
+            self._update(worker)
+        elif worker.aside:
             worker.aside, worker.trial, worker.asides = False, False, 0
             self._aside -= 1
             self._running_slots += worker.slots_out
@@ -383,6 +441,46 @@
         if not job.over and self._set.may_cancel and self._may_send_again(job):
             self._out.append(api.CancelAttempt(job.id, attempt.number))
 
+    def _noted(self, event: api.AttemptNote) -> None:
+        job = self._jobs.get(event.job)
+        if job is None or event.attempt >= len(job.attempts):
+            return
+        attempt = job.attempts[event.attempt]
+        worker = attempt.worker
+        self._alive(worker)
+        if attempt.out and not attempt.started_at:
+            attempt.started_at = self._now
+            self._not_waiting(attempt)
+
+    def _not_waiting(self, attempt: Attempt) -> None:
+        if attempt.waits:
+            attempt.waits = False
+            attempt.worker.waiting -= 1
+            self._update(attempt.worker)
+
+    def _check_start(self, attempt: Attempt) -> None:
+        """Danger: a job that has not started soon waits behind others, whatever reports say."""
+        worker, job = attempt.worker, attempt.job
+        if not attempt.out or attempt.started_at:
+            return
+        if not attempt.waits:
+            attempt.waits = True
+            worker.waiting += 1
+            worker.seen_full(self._now, worker.slots_out - job.slots)
+            self._update(worker)
+        if job.over or not self._set.may_cancel or not self._may_send_again(job):
+            return
+        if job.cls.effect is Effect.SAFE and self._place(job, self._reserves[:2]) is not None:
+            self._out.append(api.CancelAttempt(job.id, attempt.number))
+        else:
+            self._agenda.at(self._now + START_WITHIN, self._check_start, attempt)
+
+    def _fault(self, worker: Worker) -> None:
+        """Danger: a worker that fails quickly is always free and gets all that comes."""
+        worker.faults = min(worker.faults + FAULT_PRICE, FAULTS_MOST)
+        if worker.aside or self._aside < ASIDE_MOST * len(self._ring.workers):
+            self._set_aside(worker)
+
     def _set_aside(self, worker: Worker) -> None:
         if not worker.aside:
             worker.aside = True
@@ -400,13 +498,11 @@
         self._update(worker)
 
     def _update(self, worker: Worker) -> None:
-        """Sets the worker's bits in the ring and its part of the fleet's free slots."""
-        room = worker.free if worker.free is not None else float(not worker.attempts and worker.looks_free())
-        if worker.aside:
-            room = float(worker.trial)
-        if worker.entry.state is not WorkerState.UP or worker.paused:
-            room = 0.0  # danger: nothing new goes to a worker that drains or is gone
-        self._ring.mark(worker, max(0.0, room), cold=worker.cold_until > self._now)
+        """Sets the worker's bits in the ring."""
+        takes = not worker.aside or worker.trial
+        if worker.entry.state is not WorkerState.UP or worker.paused or worker.waiting:
+            takes = False  # danger: nothing new goes to a worker that drains or is gone
+        self._ring.mark(worker, takes, cold=worker.cold_until > self._now)
 
     # The worker list
 
@@ -428,6 +524,7 @@
         for entry in event.entries:
             self._take_entry(entry)
         self._ring.sort(self._workers)
+        self._note_usual()
         for worker in self._ring.workers:
             self._update(worker)
 
--- a/heathway/settings.py
+++ b/heathway/settings.py
@@ -13,12 +13,14 @@
     "utilization": "busy",
     "recent_ms": "service_time",
     "throughput": "rate",
+    "errors_per_s": "errors",
     # the same on sockets
     "inflight": "held",
     "queue": "waiting",
     "util": "busy",
     "latency_ms": "service_time",
     "qps": "rate",
+    "eps": "errors",
 }
 
 
--- a/heathway/state.py
+++ b/heathway/state.py
@@ -18,14 +18,14 @@
     id: str
     entry: api.WorkerEntry
     place: int = -1  # index in the ring; -1: not in it yet
-    free: float | None = None  # believed free slots; None: unreported
+    others: float = 0.0  # slots that others' jobs had, when it was last told of
+    told_at: int = 0  # when that was; 0: never
     memory: float | None = None  # believed free memory
     size: float = 0.0  # most slots ever seen on it
     attempts: int = 0  # own attempts out
     slots_out: float = 0.0  # their slots
-    counted: float = 0.0  # its part of the fleet's free slots
-    reported_at: int = 0
     heard_at: int = 0
+    heard_of: int = 0  # when it last reported or was probed
     moves: deque[tuple[int, float, float]] = field(default_factory=deque)  # time, slots, memory
     sends: deque[int] = field(default_factory=deque)  # own sends while it was cold
     paused: bool = False
@@ -34,7 +34,9 @@
     aside_until: int = 0
     asides: int = 0  # times in a row that it was set aside
     cold_until: int = 0
+    faults: int = 0  # what it has to make up for by good answers
     best_weight: float = 0.0
+    waiting: int = 0  # own attempts that have not started for too long
     fulls: int = 0  # jobs in a row that it sent back
 
     def book(self, now: int, job: "Job", sign: int) -> None:
@@ -42,23 +44,35 @@
         self.attempts += sign
         self.slots_out += sign * job.slots
         self.moves.append((now, sign * job.slots, sign * job.memory))
-        if self.free is not None:
-            self.free -= sign * job.slots
         if self.memory is not None:
             self.memory -= sign * job.memory
 
-    def take_report(self, now: int, made_at: int, report: api.LoadReport) -> None:
-        """Takes in a report, less what was booked since it was made."""
-        self.reported_at = now
+    def take_report(self, made_at: int, report: api.LoadReport) -> None:
+        """Takes in a report: what it shows beyond the own jobs of that time are others' jobs."""
         free, memory = _sane(report.free_slots), _sane(report.free_memory)
         while self.moves and self.moves[0][0] <= made_at:
             self.moves.popleft()
         if free is not None:
-            self.size = max(self.size, free, self.slots_out)
-            self.free = free - sum(move[1] for move in self.moves)
+            own = self.slots_out - sum(move[1] for move in self.moves)
+            self.size = max(self.size, free + own)
+            self.others = max(0.0, self.size - free - own) + (_sane(report.waiting) or 0.0)
+            self.told_at = made_at
         if memory is not None:
             self.memory = memory - sum(move[2] for move in self.moves)
 
+    def seen_full(self, now: int, taken: float) -> None:
+        """It has no slot free, with ``taken`` of them by own jobs that run."""
+        self.others, self.told_at = max(0.0, self.size - taken), now
+
+    def free(self, now: int, believed: int, usual: tuple[float, float]) -> float | None:
+        """Believed free slots; None: nothing is known. What was told of others' jobs gives way to
+        what is usual on a worker of usual size, over the time that a report is believed."""
+        size = self.size or usual[0]
+        if not size:
+            return None
+        trust = max(0.0, 1 - (now - self.told_at) / believed) if self.told_at else 0.0
+        return size - self.slots_out - trust * self.others - (1 - trust) * usual[1]
+
     def sends_since(self, when: int) -> int:
         while self.sends and self.sends[0] <= when:
             self.sends.popleft()
@@ -70,7 +84,8 @@
         return 2 * self.entry.weight > self.best_weight or self.best_weight <= 0
 
     def forget(self) -> None:
-        self.free = self.memory = None
+        """What was known of its load is void."""
+        self.told_at, self.memory = 0, None
 
 
 @dataclass(slots=True, eq=False)
@@ -83,6 +98,8 @@
     sent_at: int
     out: bool = True
     never_ran: bool = False
+    started_at: int = 0  # when the worker told that it runs
+    waits: bool = False  # it has not started for too long
 
 
 @dataclass(slots=True, eq=False)
@@ -247,6 +264,9 @@
         self._count += 1
         heappush(self._heap, (due, self._count, what, args))
 
+    def first(self, default: int) -> int:
+        return min(default, self._heap[0][0]) if self._heap else default
+
     def run(self, now: int) -> None:
         while self._heap and self._heap[0][0] <= now:
             _, _, what, args = heappop(self._heap)
@@ -258,18 +278,17 @@
 
     def __init__(self) -> None:
         self.workers: list[Worker] = []
-        self.room = 0  # ready, with believed room
+        self.open = 0  # takes new jobs, as far as is known
         self.cold = 0
         self.trials = 0  # set aside, on trial
-        self.reported = 0  # with a report not yet forgotten
+        self.reported = 0  # with a report
         self.ready = 0  # up and not set aside
-        self.free = 0.0  # free slots of the ready ones with a report
         self.unreached: Counter[str] = Counter()  # failed connections to a zone since it last answered
         self._groups: dict[tuple[str, object], int] = {}
 
     def sort(self, workers: dict[str, Worker]) -> None:
         self.workers = [workers[name] for name in sorted(workers)]
-        self.room = self.cold = self.trials = self.reported = self.ready = 0
+        self.open = self.cold = self.trials = self.reported = self.ready = 0
         self._groups = {}
         for place, worker in enumerate(self.workers):
             worker.place = place
@@ -278,23 +297,15 @@
             for name in (("kind", entry.kind), ("zone", entry.zone), ("cell", entry.cell)):
                 self._groups[name] = self._groups.get(name, 0) | 1 << place
 
-    def mark(self, worker: Worker, room: float, cold: bool) -> None:
-        """Notes a worker's believed room, and whether it is ready and cold."""
+    def mark(self, worker: Worker, takes: bool, cold: bool) -> None:
+        """Notes whether a worker takes new jobs, and whether it is ready and cold."""
         ready = worker.entry.state is api.WorkerState.UP and not worker.aside
         bit = 1 << worker.place
-        self.room = self.room | bit if room >= 0.5 else self.room & ~bit
+        self.open = self.open | bit if takes else self.open & ~bit
         self.trials = self.trials | bit if worker.trial else self.trials & ~bit
-        self.reported = self.reported & ~bit if worker.free is None else self.reported | bit
+        self.reported = self.reported | bit if worker.told_at else self.reported & ~bit
         self.ready = self.ready | bit if ready else self.ready & ~bit
         self.cold = self.cold | bit if cold else self.cold & ~bit
-        counted = 0.0 if worker.free is None or not ready else room
-        self.free += counted - worker.counted
-        worker.counted = counted
-
-    def all_free(self) -> float:
-        """The free slots of all ready workers; those without a report are taken to be like the others."""
-        reported = (self.reported & self.ready).bit_count()
-        return self.free * self.ready.bit_count() / max(1, reported)
 
     def cut_off(self, after: int, own: str) -> int:
         """The workers of the other zones that so many connections in a row could not reach."""
