--- a/ironbarrow/dispatcher.py
+++ b/ironbarrow/dispatcher.py
@@ -107,11 +107,9 @@
         if not self._stopping:
             self._stopping = True
             log.info("stopping", owed=self.host.owed)
-            self.loop.call_at(self.loop.now() + _STILL_COMING, self._close_idle)
-
-    def _close_idle(self) -> None:
-        self.consumers.close_idle()
-        self._stop_when_done()
+            # danger: kept, its connections would go on bringing jobs that it has no time to finish
+            self.consumers.close_idle()
+            self.loop.call_at(self.loop.now() + _STILL_COMING, self._stop_when_done)
 
     def _stop_when_done(self) -> None:
         # danger: the listener stays to the end, since call-backs come in through it
--- a/ironbarrow/invoker.py
+++ b/ironbarrow/invoker.py
@@ -207,8 +207,10 @@
                 connection = None
                 break
             except ConnectionEndedError as error:
-                if error.ending in (Ending.CONNECT_REFUSED, Ending.STALLED):
-                    break  # the process is gone, or has it but is silent
+                if error.ending in (Ending.CONNECT_REFUSED, Ending.STALLED) or not exchange.answered:
+                    # the process is gone, or has it but is silent, or has no 202 to give any more:
+                    # its call's connection is closed. Danger: a job to be moved would wait for nothing
+                    break
             finally:
                 if connection is not None:
                     connection.close()
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -8,7 +8,7 @@
 
 from heathway import api
 from heathway.logic import Dispatcher
-from ironbarrow import consumers, directory
+from ironbarrow import consumers, directory, dispatcher
 from ironbarrow.endings import Ending, outcome_of
 from ironbarrow.http import BODY_LIMIT
 from ironbarrow.loop import MS
@@ -455,6 +455,12 @@
     )
 
 
+def test_stopping_closes_idle_connections_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    # danger: what still comes on them takes longer than the program has left
+    monkeypatch.setattr(dispatcher, "_STILL_COMING", 60_000 * MS)
+    Stage().play(f"c1 send {get('/-/ready')}\nc1 expect 200\nstop\nc1 ended\nc2 send {job()}\np1 expect in$")
+
+
 def test_an_idle_connection_is_closed_in_the_end(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(consumers, "_IDLE_LIMIT", 200 * MS)
     Stage().play(f"c1 send {get('/-/ready')}\nc1 expect 200\nc1 ended")
