--- a/ironbarrow/dispatcher.py
+++ b/ironbarrow/dispatcher.py
@@ -17,9 +17,11 @@
 
 log = structlog.get_logger()
 
-# after the order to stop, connections go on coming for 0.4 s at most; what a closing connection
-# crosses is sent again, but not to a dispatcher that has left
-_STILL_COMING = 500 * MS
+# danger: closed at once, connections bring nothing more, but while another dispatcher is starting again
+# their consumers have nowhere to go
+_STILL_COMING = 1500 * MS
+# danger: SIGKILL may come 3.7 s after SIGTERM, and what came later than 0.7 s must have its answer by then
+_LAST_ANSWER = 3200 * MS
 _DONE_CHECKED = 10 * MS
 _MB = 1 << 20
 _PROGRAM_MB = 28  # the program itself, as measured on a calm day
@@ -107,9 +109,12 @@
         if not self._stopping:
             self._stopping = True
             log.info("stopping", owed=self.host.owed)
-            # danger: kept, its connections would go on bringing jobs that it has no time to finish
-            self.consumers.close_idle()
-            self.loop.call_at(self.loop.now() + _STILL_COMING, self._stop_when_done)
+            self.host.end_by = self.loop.now() + _LAST_ANSWER
+            self.loop.call_at(self.loop.now() + _STILL_COMING, self._close_idle)
+
+    def _close_idle(self) -> None:
+        self.consumers.close_idle()
+        self._stop_when_done()
 
     def _stop_when_done(self) -> None:
         # danger: the listener stays to the end, since call-backs come in through it
--- a/ironbarrow/host.py
+++ b/ironbarrow/host.py
@@ -104,6 +104,7 @@
         self._jobs: dict[int, Job] = {}
         self._by_id: dict[str, Job] = {}
         self._numbers = 0
+        self.end_by: int | None = None  # jobs that still come are answered by then
         self._owed = 0
         self._events: list[api.Event] = []
         self._next_at = 0
@@ -154,6 +155,8 @@
     ) -> Job:
         """Takes a job; ``answer`` is called once, unless it is withdrawn before."""
         now = self.loop.now()
+        if self.end_by is not None:
+            time_left = max(self.settings.tick, min(time_left, self.end_by - now))
         self._numbers += 1
         job = Job(self._numbers, payload, now, now + time_left, answer)
         self._jobs[job.number] = job
