House the program by concern and start serve without the command line's libraries

Need: a dozen subsystems are to come, and one flat package holds no line between them. serve also carried what it never uses: import times name structlog.dev with rich (120 ms of 277) and typer with pydantic (95 ms).

`serve` alone skips typer, and structlog is imported as if rich were absent.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 build: ## what run and sim need, in .venv
 	deploy/build
 
-.dev-venv: requirements.txt requirements-dev.txt
+.dev-venv: requirements.txt requirements-lab.txt requirements-dev.txt
 	python3 -m venv --clear .dev-venv
 	.dev-venv/bin/python -m pip -q install -r requirements-dev.txt
 	touch .dev-venv
@@ -15,6 +15,7 @@
 	.dev-venv/bin/ruff format --check .
 	.dev-venv/bin/ruff check .
 	.dev-venv/bin/mypy --strict heathway ironbarrow
+	.dev-venv/bin/lint-imports --no-cache
 
 format: .dev-venv ## puts the code into its format
 	.dev-venv/bin/ruff format .
--- /dev/null
+++ b/ironbarrow/backs/__init__.py
@@ -0,0 +1,1 @@
+"""What carries invoker calls to providers."""
--- a/ironbarrow/invoker.py
+++ b/ironbarrow/backs/invoker.py
@@ -9,11 +9,13 @@
 
 from heathway import api
 from heathway.settings import ReportReader
-from ironbarrow.directory import Directory
-from ironbarrow.endings import ConnectionEndedError, Ending
-from ironbarrow.host import Call, Host
-from ironbarrow.http import Address, Connection, Message, connect
-from ironbarrow.loop import MS, SECOND, Coroutine, Loop, Task, sleep
+from ironbarrow.core.endings import ConnectionEndedError, Ending
+from ironbarrow.core.host import Call, Host
+from ironbarrow.directory.client import Directory
+from ironbarrow.runtime.loop import MS, SECOND, Coroutine, Loop, Task, sleep
+from ironbarrow.runtime.sockets import Address
+from ironbarrow.transport.http import Connection, connect
+from ironbarrow.wire.http import Message
 
 log = structlog.get_logger()
 
--- /dev/null
+++ b/ironbarrow/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line, one module a group of commands."""
--- /dev/null
+++ b/ironbarrow/cli/main.py
@@ -0,0 +1,44 @@
+"""The command line: the commands of every day. Each group of commands has a module beside this one."""
+
+import os
+from typing import NoReturn
+
+import typer
+
+from ironbarrow import __version__
+from ironbarrow.cli import serve as serving
+from ironbarrow.config import Config, ConfigError, load
+
+app = typer.Typer(add_completion=False, no_args_is_help=True, help="A dispatcher of telematics jobs.")
+
+
+@app.command()
+def serve() -> None:
+    """Serve as the environment says (BALANCER_NAME, _LISTEN, _DISCOVERY, _CONFIG), until SIGTERM."""
+    raise typer.Exit(serving.serve())
+
+
+@app.command("check-config")
+def check_config() -> None:
+    """Check the configuration that serve would use, and say in short what it holds."""
+    config = _config()
+    classes = ", ".join(cls.name for cls in config.settings.classes)
+    typer.echo(f"{config.name}: listens on {config.listen[0]}:{config.listen[1]}; classes: {classes}")
+
+
+@app.command()
+def version() -> None:
+    """Print the version."""
+    typer.echo(f"ironbarrow {__version__}")
+
+
+def _config() -> Config:
+    try:
+        return load(os.environ)
+    except ConfigError as error:
+        _quit(str(error))
+
+
+def _quit(text: str) -> NoReturn:
+    typer.echo(f"ironbarrow: {text}", err=True)
+    raise typer.Exit(2)
--- a/ironbarrow/config.py
+++ b/ironbarrow/config/platform.py
@@ -8,7 +8,7 @@
 
 from heathway import api
 from heathway.settings import ReportReader, read_settings
-from ironbarrow.http import Address, parse_address
+from ironbarrow.runtime.sockets import Address, parse_address
 
 _MS = 1_000_000
 _DESCRIPTORS = 1024  # where no limit is given
--- a/ironbarrow/host.py
+++ b/ironbarrow/core/host.py
@@ -1,6 +1,6 @@
 """The module's host: owns jobs and calls, feeds events, carries out actions in order.
 
-It knows no wire protocol. A front (``consumers.py``) hands in jobs and is given their final
+It knows no wire protocol. A front (``fronts``) hands in jobs and is given their final
 answers; a back (``Invoker``) carries calls to providers and tells how they ended. Both may be of
 any protocol: the decisions and the rules are the same.
 """
@@ -14,8 +14,8 @@
 
 from heathway import api
 from heathway.logic import Dispatcher
-from ironbarrow.endings import Ending, outcome_of
-from ironbarrow.loop import Loop, Timer
+from ironbarrow.core.endings import Ending, outcome_of
+from ironbarrow.runtime.clock import Clock, Timer
 
 log = structlog.get_logger()
 
@@ -94,9 +94,9 @@
 
 
 class Host:
-    """Drives one dispatcher of the module on the loop's clock."""
+    """Drives one dispatcher of the module on a clock."""
 
-    def __init__(self, loop: Loop, settings: api.Settings, seed: int) -> None:
+    def __init__(self, loop: Clock, settings: api.Settings, seed: int) -> None:
         self.loop = loop
         self.settings = settings
         self.invoker: Invoker
--- a/ironbarrow/dispatcher.py
+++ b/ironbarrow/daemon/dispatcher.py
@@ -7,13 +7,13 @@
 
 import structlog
 
-from ironbarrow.config import Config, ConfigError
-from ironbarrow.consumers import Consumers
-from ironbarrow.directory import Directory
-from ironbarrow.host import Host
-from ironbarrow.http import listen
-from ironbarrow.invoker import HttpInvoker
-from ironbarrow.loop import MS, Loop
+from ironbarrow.backs.invoker import HttpInvoker
+from ironbarrow.config.platform import Config, ConfigError
+from ironbarrow.core.host import Host
+from ironbarrow.directory.client import Directory
+from ironbarrow.fronts.consumers import Consumers
+from ironbarrow.runtime.loop import MS, Loop
+from ironbarrow.runtime.sockets import listen
 
 log = structlog.get_logger()
 
--- /dev/null
+++ b/ironbarrow/directory/__init__.py
@@ -0,0 +1,1 @@
+"""The list of providers and the watch on it."""
--- a/ironbarrow/directory.py
+++ b/ironbarrow/directory/client.py
@@ -9,9 +9,10 @@
 import structlog
 
 from heathway import api
-from ironbarrow.endings import ConnectionEndedError, Ending
-from ironbarrow.http import Address, Connection, connect, parse_address
-from ironbarrow.loop import MS, SECOND, Coroutine, Loop, Task, sleep
+from ironbarrow.core.endings import ConnectionEndedError, Ending
+from ironbarrow.runtime.loop import MS, SECOND, Coroutine, Loop, Task, sleep
+from ironbarrow.runtime.sockets import Address, parse_address
+from ironbarrow.transport.http import Connection, connect
 
 log = structlog.get_logger()
 
--- /dev/null
+++ b/ironbarrow/fronts/__init__.py
@@ -0,0 +1,1 @@
+"""Where jobs come in and final answers go out."""
--- a/ironbarrow/consumers.py
+++ b/ironbarrow/fronts/consumers.py
@@ -10,10 +10,11 @@
 
 import structlog
 
-from ironbarrow.endings import ConnectionEndedError, Ending
-from ironbarrow.host import Answer, Host, Job, Payload, Verdict
-from ironbarrow.http import Connection, Headers, Message, accept
-from ironbarrow.loop import HANGUP, MS, READ, SECOND, Coroutine, Loop, Task, Wait, sleep
+from ironbarrow.core.endings import ConnectionEndedError, Ending
+from ironbarrow.core.host import Answer, Host, Job, Payload, Verdict
+from ironbarrow.runtime.loop import HANGUP, MS, READ, SECOND, Coroutine, Loop, Task, Wait, sleep
+from ironbarrow.transport.http import Connection, accept
+from ironbarrow.wire.http import Headers, Message
 
 log = structlog.get_logger()
 
--- a/ironbarrow/loop.py
+++ b/ironbarrow/runtime/loop.py
@@ -14,8 +14,9 @@
 from heapq import heappop, heappush
 from typing import Any, TypeVar
 
-MS = 1_000_000
-SECOND = 1_000 * MS
+from ironbarrow.runtime.clock import MS, SECOND, Timer
+
+__all__ = ["HANGUP", "MS", "READ", "SECOND", "WRITE", "Coroutine", "Loop", "Task", "Timer", "Wait", "sleep"]
 
 READ = select.EPOLLIN | select.EPOLLRDHUP
 WRITE = select.EPOLLOUT
@@ -37,20 +38,6 @@
 Coroutine = Generator[Wait, bool, T]
 
 
-class Timer:
-    """A call to come; ``cancel`` takes it back."""
-
-    __slots__ = ("args", "call")
-
-    def __init__(self, call: Callable[..., None], args: tuple[Any, ...]) -> None:
-        self.call: Callable[..., None] | None = call
-        self.args = args
-
-    def cancel(self) -> None:
-        # danger: a cancelled timer stays in the heap until it is due; it must not hold a job alive
-        self.call, self.args = None, ()
-
-
 class Task:
     """A running coroutine."""
 
--- /dev/null
+++ b/ironbarrow/runtime/sockets.py
@@ -0,0 +1,58 @@
+"""Addresses and TCP sockets, none of which ever blocks."""
+
+import errno
+import socket
+
+Address = tuple[str, int]
+_NO_DESCRIPTORS = (errno.EMFILE, errno.ENFILE)
+_BACKLOG = 1024
+
+
+def parse_address(text: str, least_port: int = 1) -> Address:
+    """``host:port``, as a socket wants it; a ValueError says what is wrong."""
+    host, colon, port = text.rpartition(":")
+    if (
+        not colon
+        or not host
+        or not port.isascii()
+        or not port.isdigit()
+        or not least_port <= int(port) < 65536
+    ):
+        raise ValueError(f"not host:port: {text[:80]!r}")
+    return host, int(port)
+
+
+def stream_socket(address: Address) -> socket.socket:
+    """A new non-blocking TCP socket of the address's family; an OSError if there is none left."""
+    sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
+    sock.setblocking(False)
+    return sock
+
+
+def listen(address: Address) -> socket.socket:
+    """A listening socket."""
+    sock = stream_socket(address)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(address)
+        sock.listen(_BACKLOG)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
+def accept(listener: socket.socket) -> socket.socket | None:
+    """The next connection that came in, or None; an OSError for want of descriptors passes on."""
+    while True:
+        try:
+            sock, _ = listener.accept()
+        except BlockingIOError:
+            return None
+        except OSError as error:
+            if error.errno in _NO_DESCRIPTORS or error.errno in (errno.ENOBUFS, errno.ENOMEM):
+                raise
+            continue  # that connection broke before it was accepted
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return sock
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -28,9 +28,9 @@
 from typing import Any
 
 from heathway.settings import ReportReader, read_settings
-from ironbarrow.config import Config
-from ironbarrow.dispatcher import Dispatcher
-from ironbarrow.http import listen, parse_address
+from ironbarrow.config.platform import Config
+from ironbarrow.daemon.dispatcher import Dispatcher
+from ironbarrow.runtime.sockets import listen, parse_address
 
 LIMIT = 20.0  # seconds; only a failing step ever waits so long
 SETTINGS: dict[str, Any] = {
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -13,8 +13,8 @@
 
 import pytest
 
-from ironbarrow.config import ConfigError, load
-from ironbarrow.http import listen
+from ironbarrow.config.platform import ConfigError, load
+from ironbarrow.runtime.sockets import listen
 from tests.scenario import SETTINGS
 
 ROOT = Path(__file__).parents[1]
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from ironbarrow.loop import READ, SECOND, Coroutine, Loop, Wait, sleep
+from ironbarrow.runtime.loop import READ, SECOND, Coroutine, Loop, Wait, sleep
 
 
 def test_the_clock_is_unix_time_and_never_goes_back(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -8,10 +8,12 @@
 
 from heathway import api
 from heathway.logic import Dispatcher
-from ironbarrow import consumers, directory, dispatcher
-from ironbarrow.endings import Ending, outcome_of
-from ironbarrow.http import BODY_LIMIT
-from ironbarrow.loop import MS
+from ironbarrow.core.endings import Ending, outcome_of
+from ironbarrow.daemon import dispatcher
+from ironbarrow.directory import client as directory
+from ironbarrow.fronts import consumers
+from ironbarrow.runtime.loop import MS
+from ironbarrow.wire.http import BODY_LIMIT
 from tests.scenario import Peer, Stage, answer, call_back, job, post
 
 NOT_PROCESSED = answer(503, "X-Not-Processed: 1\\r\\n")
