--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,6 @@
-.PHONY: build test lint format run check-config ci clean
+LAB = .lab-venv/bin/python
+
+.PHONY: build demo test lint format run check-config ci clean
 
 build: ## what run and sim need, in .venv
 	deploy/build
@@ -8,6 +10,14 @@
 	.dev-venv/bin/python -m pip -q install -r requirements-dev.txt
 	touch .dev-venv
 
+.lab-venv: requirements.txt requirements-lab.txt
+	python3 -m venv --clear .lab-venv
+	.lab-venv/bin/python -m pip -q install -r requirements-lab.txt
+	touch .lab-venv
+
+demo: .lab-venv ## three dispatchers and twelve providers on loopback for about 20 s, two of them in trouble
+	$(LAB) -m ironbarrow lab demo
+
 test: .dev-venv ## the tests
 	.dev-venv/bin/python -m pytest
 
@@ -31,4 +41,4 @@
 	.ci/run
 
 clean:
-	rm -rf .venv .dev-venv .ci-venv
+	rm -rf .venv .lab-venv .dev-venv .ci-venv
--- a/ironbarrow/cli/main.py
+++ b/ironbarrow/cli/main.py
@@ -6,10 +6,17 @@
 import typer
 
 from ironbarrow import __version__
+from ironbarrow.cli import lab
 from ironbarrow.cli import serve as serving
 from ironbarrow.config import Config, ConfigError, load
 
-app = typer.Typer(add_completion=False, no_args_is_help=True, help="A dispatcher of telematics jobs.")
+app = typer.Typer(
+    add_completion=False,
+    no_args_is_help=True,
+    pretty_exceptions_enable=False,
+    help="A dispatcher of telematics jobs.",
+)
+app.add_typer(lab.app, name="lab")
 
 
 @app.command()
--- a/ironbarrow/lab/__init__.py
+++ b/ironbarrow/lab/__init__.py
@@ -1,1 +1,1 @@
-"""The laboratory: a model of the fleet, in simulated time and on live sockets, with experiments and reports."""
+"""The laboratory: a model of the fleet, in simulated time and on live sockets, with experiments."""
--- /dev/null
+++ b/ironbarrow/lab/audit.py
@@ -0,0 +1,203 @@
+"""Judges a run from outside by the rules of service. Sees what parties do, never what the host believes.
+
+The rules, each with a name of its own in ``Breach``: one final answer for each job taken, in time; no
+second copy; at most so many attempts; nothing new past the drain grace; no cold provider pushed over; a
+booking run at most once; a rejection only where a repeat is harmless; nothing served that nobody made.
+"""
+
+from collections import Counter
+from dataclasses import dataclass, field
+from enum import Enum
+
+from ironbarrow.lab.model.provider import Watcher
+from ironbarrow.lab.model.spec import World
+from ironbarrow.runtime.clock import MS, SECOND, Clock
+
+_KEPT_EXAMPLES = 5
+_FORGET_AFTER = 60 * SECOND  # a finished job's traces are kept for late starts and call-backs
+
+
+class Breach(Enum):
+    """A broken rule."""
+
+    NO_ANSWER = "no final answer in time"
+    TWO_ANSWERS = "more than one final answer"
+    SECOND_COPY = "a second copy at the same time"
+    TOO_MANY = "more attempts than allowed"
+    PAST_DRAIN = "something new past the drain grace"
+    PUSHED_OVER = "a cold provider pushed over"
+    RAN_TWICE = "a booking run twice"
+    FALSE_PROOF = "sent again though it may have run"
+    UNLAWFUL = "a rejection of what may have run"
+    INVENTED = "served with what no provider made"
+
+
+@dataclass(slots=True, eq=False)
+class _Try:
+    """A job as a dispatcher took it: one try of its consumer's."""
+
+    root: int
+    unsafe: bool
+    dispatcher: int
+    due: int  # when its answer is due at the latest, slack included
+    attempts: int = 0
+    out: dict[str, int] = field(default_factory=dict)  # providers where an attempt is, and since when
+    may_have_run: bool = False
+    ran: bool = False
+    done: bool = False
+    answered: bool = False
+    excused: bool = False  # its dispatcher died, or its consumer left
+
+
+@dataclass(slots=True)
+class Verdicts:
+    """The result: how often each rule was broken, with examples, and what was looked at."""
+
+    breaches: Counter[str]
+    examples: list[str]
+    looked_at: Counter[str]
+
+    @property
+    def kept(self) -> bool:
+        return not self.breaches
+
+
+class Auditor(Watcher):
+    """Is told what happens and finds what must not."""
+
+    def __init__(self, clock: Clock, world: World, *, sockets_slack: int = 0) -> None:
+        rules = world.dispatchers
+        self._clock = clock
+        self._most = rules.max_attempts
+        self._slack = rules.answer_slack + sockets_slack
+        self._grace = rules.drain_grace + sockets_slack
+        self._tries: dict[str, _Try] = {}
+        self._over: list[tuple[int, str]] = []
+        self._starts: dict[int, int] = {}  # of an unsafe root
+        self._told: dict[tuple[int, str], int] = {}  # when it was told that one drains or is gone
+        self._found: Counter[str] = Counter()
+        self._examples: list[str] = []
+        self._looked: Counter[str] = Counter()
+
+    def _breach(self, what: Breach, detail: str) -> None:
+        self._found[what.value] += 1
+        if len(self._examples) < _KEPT_EXAMPLES:
+            self._examples.append(f"{what.value}: {detail} at {self._clock.now() / SECOND:.3f} s")
+
+    # Dispatchers and consumers
+
+    def taken(self, job_id: str, root: int, dispatcher: int, time_left: int, *, unsafe: bool) -> None:
+        """A dispatcher has the whole request."""
+        self._looked["jobs taken"] += 1
+        self._tries[job_id] = _Try(root, unsafe, dispatcher, self._clock.now() + time_left + self._slack)
+
+    def answered(self, job_id: str, verdict: str) -> None:
+        """A final answer left a dispatcher: served, rejected or failed."""
+        job = self._tries.get(job_id)
+        if job is None or job.excused:
+            return
+        self._looked["answers"] += 1
+        if job.answered:
+            self._breach(Breach.TWO_ANSWERS, job_id)
+        if self._clock.now() > job.due:
+            self._breach(Breach.NO_ANSWER, f"{job_id} late by {(self._clock.now() - job.due) / MS:.1f} ms")
+        if verdict == "served" and not job.done:
+            self._breach(Breach.INVENTED, job_id)
+        if verdict == "rejected" and job.unsafe and (job.ran or job.may_have_run):
+            self._breach(Breach.UNLAWFUL, job_id)
+        job.answered = True
+        self._finish(job_id, job)
+
+    def left(self, job_id: str) -> None:
+        """The consumer has gone: no answer is owed any more, unless it was due before."""
+        job = self._tries.get(job_id)
+        if job is not None and not job.answered:
+            if self._clock.now() > job.due and not job.excused:
+                self._breach(Breach.NO_ANSWER, job_id)
+            job.excused = True
+            self._finish(job_id, job)
+
+    def dispatcher_died(self, dispatcher: int) -> None:
+        """What it had taken is lost with it, and its calls with their connections."""
+        for job_id, job in self._tries.items():
+            if job.dispatcher == dispatcher and not job.answered:
+                job.excused = True
+                job.out.clear()
+                self._finish(job_id, job)
+
+    def told(self, dispatcher: int, provider: str, *, up: bool) -> None:
+        """A dispatcher was told of a provider's state."""
+        if up:
+            self._told.pop((dispatcher, provider), None)
+        else:
+            self._told.setdefault((dispatcher, provider), self._clock.now())
+
+    # Attempts
+
+    def sent(self, job_id: str, provider: str, first_byte: int | None = None) -> None:
+        """A dispatcher began to write an attempt (``first_byte``: when; now if it is not told)."""
+        job = self._tries.get(job_id)
+        if job is None:
+            return
+        self._looked["attempts"] += 1
+        at = self._clock.now() if first_byte is None else first_byte
+        job.attempts += 1
+        if job.attempts > self._most:
+            self._breach(Breach.TOO_MANY, f"{job_id}: {job.attempts}")
+        if job.out:
+            self._breach(Breach.SECOND_COPY, f"{job_id} at {provider} while at {', '.join(job.out)}")
+        if job.unsafe and job.may_have_run:
+            self._breach(Breach.FALSE_PROOF, f"{job_id} at {provider}")
+        since = self._told.get((job.dispatcher, provider))
+        if since is not None and at > since + self._grace:
+            self._breach(Breach.PAST_DRAIN, f"{job_id} to {provider} after {(at - since) / MS:.0f} ms")
+        job.out[provider] = at
+
+    def attempt_over(self, job_id: str, provider: str, *, never_ran: bool) -> None:
+        """The dispatcher heard how it ended, or gave it up; ``never_ran``: with proof."""
+        job = self._tries.get(job_id)
+        if job is not None and job.out.pop(provider, None) is not None and not never_ran:
+            job.may_have_run = True
+
+    # Providers
+
+    def job_started(self, provider: str, job_id: str) -> None:
+        job = self._tries.get(job_id)
+        if job is None:
+            return
+        self._looked["starts"] += 1
+        job.ran = True
+        if job.unsafe:
+            starts = self._starts[job.root] = self._starts.get(job.root, 0) + 1
+            if starts > 1:
+                self._breach(Breach.RAN_TWICE, f"{job_id} (order {job.root}) at {provider}")
+
+    def job_ended(self, provider: str, job_id: str, how: str) -> None:
+        job = self._tries.get(job_id)
+        if job is not None and how == "done":
+            job.done = True
+
+    def fell(self, provider: str) -> None:
+        self._breach(Breach.PUSHED_OVER, provider)
+
+    # Its end
+
+    def _finish(self, job_id: str, job: _Try) -> None:
+        self._over.append((self._clock.now(), job_id))
+        if len(self._over) > 4096:  # bounded: old traces go
+            before = self._clock.now() - _FORGET_AFTER
+            kept = []
+            for at, name in self._over:
+                if at > before:
+                    kept.append((at, name))
+                else:
+                    self._tries.pop(name, None)
+            self._over = kept
+
+    def finish(self) -> Verdicts:
+        """Judges what is still open now."""
+        now = self._clock.now()
+        for job_id, job in self._tries.items():
+            if not job.answered and not job.excused and now > job.due:
+                self._breach(Breach.NO_ANSWER, job_id)
+        return Verdicts(self._found, self._examples, self._looked)
--- /dev/null
+++ b/ironbarrow/lab/live/consumers.py
@@ -0,0 +1,134 @@
+"""Consumers on sockets: an open loop over HTTP/1.1. Latency counts from when an order was due, not from when
+it could be sent, so a generator or a dispatcher that falls behind can't hide it (coordinated omission)."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from ironbarrow.core.endings import ConnectionEndedError, Ending
+from ironbarrow.lab.audit import Auditor
+from ironbarrow.lab.live.wire import Client
+from ironbarrow.lab.model.consumer import Ended, Habits
+from ironbarrow.lab.model.front import Front
+from ironbarrow.lab.model.network import Network
+from ironbarrow.lab.model.spec import World
+from ironbarrow.lab.model.workload import Order
+from ironbarrow.lab.record import Recorder
+from ironbarrow.runtime.loop import MS, SECOND, Coroutine, Loop, sleep
+from ironbarrow.wire.http import Message
+
+_BODY = b"x" * 200
+_LOOKS_ON = 100 * MS
+
+
+@dataclass(slots=True, eq=False)
+class _Consumer:
+    order: Order
+    tries: int = 0
+    late_by: int = 0
+
+
+class Consumers:
+    """Sends each order when it is due and records its end."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        world: World,
+        habits: Habits,
+        network: Network,
+        front: Front,
+        clients: list[Client],
+        audit: Auditor,
+        recorder: Recorder,
+    ) -> None:
+        self._loop, self._world, self._network, self._front = loop, world, network, front
+        self._clients, self._audit, self._recorder, self._habits = clients, audit, recorder, habits
+        self.open = 0
+        self.wrong_results = 0
+        self.refused_connections = 0
+        self.heard: Callable[[Order, str], None] | None = None  # told of each end
+
+    def take(self, order: Order) -> None:
+        """An order is due now."""
+        self.open += 1
+        self._loop.spawn(self._serve(_Consumer(order)))
+
+    def _serve(self, consumer: _Consumer) -> Coroutine[None]:
+        order = consumer.order
+        outcome = "failed"
+        try:
+            outcome = yield from self._tries(consumer)
+        finally:
+            self.open -= 1
+            self._recorder.add(order, outcome, self._loop.now(), max(1, consumer.tries), consumer.late_by)
+            self._habits.forget(order, consumer.tries)
+            if self.heard is not None:
+                self.heard(order, outcome)
+
+    def _tries(self, consumer: _Consumer) -> Coroutine[str]:
+        order = consumer.order
+        until = order.due + order.patience
+        while True:
+            consumer.tries += 1
+            how, retry_after = yield from self._try(consumer, until)
+            if how in ("no answer", "left"):
+                return how
+            step = self._habits.next_step(order, how, consumer.tries, retry_after)
+            if isinstance(step, Ended):
+                return step.outcome
+            yield from sleep(self._loop.now() + step.pause)
+
+    def _try(self, consumer: _Consumer, until: int) -> Coroutine[tuple[str, int]]:
+        order = consumer.order
+        number = self._front.pick(order.zone)
+        yield from sleep(self._loop.now() + self._network.client_latency("consumers"))
+        if number is None:
+            return "refused", 0
+        cls = self._world.classes[order.cls]
+        job_id = self._habits.new_try(order, consumer.tries)
+        left = (order.due + order.deadline - self._loop.now()) // MS
+        if left < 1:
+            return "no answer", 0
+        headers = [("X-Request-ID", job_id), ("X-Timeout-Ms", str(left))]
+        if order.session is not None:
+            headers.append(("Cookie", f"sid={order.session}"))
+        if order.slots > 1:
+            headers.append(("X-Attrs", f"slots={order.slots}"))
+        if consumer.tries == 1:
+            due = order.due + self._world.network.client
+            consumer.late_by = max(0, self._loop.now() - due)
+
+        def sent() -> None:
+            self._audit.taken(job_id, order.number, number, left * MS, unsafe=cls.effect == "unsafe")
+
+        target = f"/{cls.name}/{order.number}"
+        if order.patience >= order.deadline:
+            # it has no use for an answer past its time, and still looks whether one comes in the slack
+            until += self._world.dispatchers.answer_slack + _LOOKS_ON
+        try:
+            answer = yield from self._clients[number].exchange("POST", target, headers, _BODY, until, sent)
+        except ConnectionEndedError as error:
+            self._audit.left(job_id)
+            if error.ending is Ending.STALLED:
+                return self._habits.gives_up(order), 0
+            if error.ending in (Ending.CONNECT_REFUSED, Ending.CONNECT_TIMED_OUT):
+                self.refused_connections += 1
+                return "refused", 0
+            return "failed", 0
+        read = self._read(job_id, answer)
+        return read if self._loop.now() <= order.due + order.deadline else ("no answer", 0)
+
+    def _read(self, job_id: str, answer: Message) -> tuple[str, int]:
+        if answer.status == 200:
+            if answer.body != f"done {job_id}".encode():
+                self.wrong_results += 1
+            self._audit.answered(job_id, "served")
+            return "served", 0
+        if answer.status in (429, 503):
+            self._audit.answered(job_id, "rejected")
+            try:
+                return "rejected", int(float(answer.headers.get("retry-after", "0")) * SECOND)
+            except ValueError:
+                return "rejected", 0
+        self._audit.answered(job_id, "failed")
+        return "failed", 0
--- /dev/null
+++ b/ironbarrow/lab/live/processes.py
@@ -0,0 +1,186 @@
+"""Dispatchers as processes, started as the deployment page says: limits, configuration file, environment."""
+
+import json
+import os
+import resource
+import signal
+import subprocess
+import sys
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from ironbarrow.core.endings import ConnectionEndedError
+from ironbarrow.lab.live.directory_server import Agent
+from ironbarrow.lab.live.wire import Client
+from ironbarrow.lab.model.spec import World
+from ironbarrow.lab.settings import settings_object
+from ironbarrow.runtime.loop import MS, SECOND, Coroutine, Loop, sleep
+from ironbarrow.runtime.sockets import Address
+
+_READY_EVERY = 20 * MS
+_READY_LIMIT = 10 * SECOND
+_ALIVE_EVERY = 10 * MS
+_KILL_AFTER = 30 * SECOND  # a dispatcher that does not end in order by then is ended
+
+
+@dataclass(slots=True)
+class Program:
+    """The command and folder of the dispatcher that is tried."""
+
+    command: list[str]
+    folder: Path
+
+    @classmethod
+    def own(cls) -> "Program":
+        """This very program."""
+        return cls([sys.executable, "-m", "ironbarrow", "serve"], Path(__file__).resolve().parents[3])
+
+
+class Instance:
+    """One dispatcher's process, over all its lives."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        world: World,
+        number: int,
+        address: Address,
+        agent: Agent,
+        folder: Path,
+        program: Program,
+        seed: int,
+    ) -> None:
+        self._loop, self._world, self.number, self.address = loop, world, number, address
+        self._agent, self._folder, self._program, self._seed = agent, folder, program, seed
+        self._process: subprocess.Popen[bytes] | None = None
+        self._starts = 0
+        self._expected = False  # its end is wanted
+        self._client = Client(loop, address)
+        self.ready_after: list[int] = []  # from start to ready, ns, one for each start
+        self.peak_kb = 0
+        self.crashes = 0
+        self.on_ready: Callable[[int], None] = lambda number: None
+        self.on_end: Callable[[int], None] = lambda number: None
+
+    @property
+    def config_path(self) -> Path:
+        return self._folder / f"d{self.number}.json"
+
+    @property
+    def log_path(self) -> Path:
+        return self._folder / f"d{self.number}.log"
+
+    def _config(self) -> dict[str, Any]:
+        rules = self._world.dispatchers
+        return {
+            "name": f"d{self.number}",
+            "listen": "{}:{}".format(*self.address),
+            "discovery": "{}:{}".format(*self._agent.address),
+            "seed": f"{self._seed * 1000 + self._starts:x}",
+            "limits": {"cores": 1.0, "memory_mb": rules.memory_mb, "sockets": rules.sockets},
+            "known": self._agent.known(),
+            "settings": settings_object(self._world, self.number),
+        }
+
+    def start(self) -> None:
+        self._starts += 1
+        self._expected = False
+        self._write_config()
+        most = self._world.dispatchers.sockets
+
+        def limit() -> None:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
+
+        environment = {
+            "PATH": os.environ.get("PATH", ""),
+            "PYTHONDONTWRITEBYTECODE": "1",
+            "BALANCER_NAME": f"d{self.number}",
+            "BALANCER_LISTEN": "{}:{}".format(*self.address),
+            "BALANCER_DISCOVERY": "{}:{}".format(*self._agent.address),
+            "BALANCER_CONFIG": str(self.config_path),
+        }
+        with self.log_path.open("ab") as log:
+            self._process = subprocess.Popen(
+                self._program.command,
+                cwd=self._program.folder,
+                env=environment,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                preexec_fn=limit,
+            )
+        self._loop.spawn(self._watch(self._process))
+
+    def _write_config(self) -> None:
+        fresh = self.config_path.with_suffix(".new")
+        fresh.write_text(json.dumps(self._config()))
+        fresh.replace(self.config_path)
+
+    def _watch(self, process: subprocess.Popen[bytes]) -> Coroutine[None]:
+        begun = self._loop.now()
+        while process.poll() is None:
+            try:
+                until = self._loop.now() + SECOND
+                answer = yield from self._client.exchange("GET", "/-/ready", [], b"", until)
+                if answer.status == 200:
+                    self.ready_after.append(self._loop.now() - begun)
+                    self.on_ready(self.number)
+                    break
+            except ConnectionEndedError:
+                pass
+            if self._loop.now() > begun + _READY_LIMIT:
+                break
+            yield from sleep(self._loop.now() + _READY_EVERY)
+        turns = 0
+        while process.poll() is None:
+            if turns % 20 == 0:
+                self._note_memory(process.pid)
+            turns += 1
+            yield from sleep(self._loop.now() + _ALIVE_EVERY)
+        if not self._expected:
+            self.crashes += 1
+        self._client.close()
+        self.on_end(self.number)
+
+    def _note_memory(self, pid: int) -> None:
+        try:
+            for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+                if line.startswith("VmHWM:"):
+                    self.peak_kb = max(self.peak_kb, int(line.split()[1]))
+        except (OSError, ValueError):
+            return
+
+    def _signal(self, number: signal.Signals) -> None:
+        if self._process is not None and self._process.poll() is None:
+            self._process.send_signal(number)
+
+    def kill(self) -> None:
+        self._expected = True
+        self._signal(signal.SIGKILL)
+
+    def stop(self) -> None:
+        """SIGTERM; SIGKILL if it has not ended by then."""
+        self._expected = True
+        process = self._process
+        self._signal(signal.SIGTERM)
+        self._loop.call_at(self._loop.now() + _KILL_AFTER, self._end, process)
+
+    def _end(self, process: subprocess.Popen[bytes] | None) -> None:
+        if process is not None and process.poll() is None:
+            process.kill()
+
+    def reload(self) -> None:
+        """The directory moves, the file is replaced, and SIGHUP says so."""
+        self._agent.move()
+        self._write_config()
+        self._signal(signal.SIGHUP)
+
+    def close(self) -> None:
+        """Ends it at once and waits for that."""
+        self._expected = True
+        if self._process is not None and self._process.poll() is None:
+            self._process.kill()
+        if self._process is not None:
+            self._process.wait()
--- /dev/null
+++ b/ironbarrow/lab/live/run.py
@@ -0,0 +1,278 @@
+"""A live run: the model's parties in this process, dispatchers in processes of their own, on loopback."""
+
+import os
+import tempfile
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import numpy as np
+import structlog
+
+from ironbarrow.lab.audit import Auditor
+from ironbarrow.lab.live.consumers import Consumers
+from ironbarrow.lab.live.directory_server import Agent
+from ironbarrow.lab.live.processes import Instance, Program
+from ironbarrow.lab.live.provider_server import Door
+from ironbarrow.lab.live.wire import Client
+from ironbarrow.lab.model.consumer import Habits
+from ironbarrow.lab.model.fleet import Faults, Fleet
+from ironbarrow.lab.model.front import Front
+from ironbarrow.lab.model.provider import Provider, State
+from ironbarrow.lab.model.randomness import Streams
+from ironbarrow.lab.model.spec import Group, World
+from ironbarrow.lab.model.workload import Workload
+from ironbarrow.lab.record import Recorder, Sampler
+from ironbarrow.lab.result import Result
+from ironbarrow.lab.settings import zone_of
+from ironbarrow.runtime.clock import MS, SECOND
+from ironbarrow.runtime.loop import Loop
+
+log = structlog.get_logger()
+
+SOCKETS_SLACK = 50 * MS  # each time limit is so much longer on sockets
+LATE = 20 * MS  # a generator whose 99th percentile of lateness is over this marks its result
+_SAMPLE_STEP = 250 * MS
+_PORT = 9000
+
+
+class LiveError(Exception):
+    """A run that could not be started."""
+
+
+class _LiveFleet(Fleet):
+    """Providers that open their doors when their processes start and shut them when these end."""
+
+    opened: Callable[[Provider], None] = staticmethod(lambda provider: None)
+    ended: Callable[[str], None] = staticmethod(lambda name: None)
+
+    def add(self, group: Group, name: str, zone: str, started_at: int = 0) -> Provider:
+        made = super().add(group, name, zone, started_at)
+        self.opened(made)
+        return made
+
+    def end(self, name: str, *, silent: bool = False) -> None:
+        super().end(name, silent=silent)
+        if self.providers[name].state is State.DOWN:
+            self.ended(name)
+
+
+class LiveRun:
+    """One world and one seed on sockets. ``folder`` takes the dispatchers' configurations and logs."""
+
+    def __init__(
+        self,
+        world: World,
+        seed: int,
+        folder: Path | None = None,
+        program: Program | None = None,
+        progress: Callable[[float, int, int], None] | None = None,
+    ) -> None:
+        self.world, self.seed = world, seed
+        self._folder = folder or Path(tempfile.mkdtemp(prefix="ironbarrow-lab-"))
+        self._folder.mkdir(parents=True, exist_ok=True)
+        self._program = program or Program.own()
+        self._progress = progress
+        self.loop = loop = Loop(self._failed)
+        self.errors = 0
+        # addresses of this run's own on the loopback net; ports of outgoing connections are elsewhere
+        net = 1 + os.getpid() % 200
+        self._host = f"127.{64 + os.getpid() // 200 % 100}.{net}"
+        self.streams = Streams(seed)
+        self.audit = Auditor(loop, world, sockets_slack=SOCKETS_SLACK)
+        self.fleet = _LiveFleet(loop, world, self.streams, self.audit)
+        self._habits = Habits(loop, world, self.streams)
+        self._doors: dict[str, list[Door]] = {}
+        count = world.dispatchers.count
+        self._listen = [(f"{self._host}.{n + 1}", _PORT) for n in range(count)]
+        self._call_backs = [Client(loop, address) for address in self._listen]
+        self._addresses: list[dict[str, str]] = [{} for _ in range(count)]
+        self._directory_told: list[set[str]] = [set() for _ in range(count)]
+        for provider in self.fleet.providers.values():
+            self._open(provider)
+        self.fleet.opened = self._open
+        self.fleet.ended = self._shut
+        self.front = Front(loop, [zone_of(world, n) for n in range(count)], world.consumers.notice)
+        self.recorder = Recorder(world)
+        self.samples = Sampler(_SAMPLE_STEP, [], [])
+        clients = [Client(loop, address) for address in self._listen]
+        self.consumers = Consumers(
+            loop,
+            world,
+            self._habits,
+            self.fleet.network,
+            self.front,
+            clients,
+            self.audit,
+            self.recorder,
+        )
+        self.workload = Workload(loop, world, self.streams, self.consumers.take)
+        self.faults = Faults(loop, world, self.fleet, self.workload, self, self.streams)
+        self._agents: list[Agent] = []
+        self.instances: list[Instance] = []
+        for number in range(count):
+            self._add_instance(number)
+        self._down: dict[int, int] = {}
+        self._ready: set[int] = set()
+
+    def _failed(self, error: Exception) -> None:
+        self.errors += 1
+        log.error("a party of the laboratory failed", exc_info=error)
+
+    def _add_instance(self, number: int) -> None:
+        def told(name: str, up: bool) -> None:
+            self.audit.told(number, name, up=up)
+
+        agent = Agent(
+            self.loop,
+            self.fleet.directory,
+            f"d{number}",
+            self._addresses[number],
+            told,
+            (self._listen[number][0], 0),
+        )
+        instance = Instance(
+            self.loop,
+            self.world,
+            number,
+            self._listen[number],
+            agent,
+            self._folder,
+            self._program,
+            self.seed * 100 + number,
+        )
+        instance.on_ready = self._is_ready
+        instance.on_end = self._has_ended
+        self._agents.append(agent)
+        self.instances.append(instance)
+
+    def _open(self, provider: Provider) -> None:
+        doors = []
+        for number, client in enumerate(self._call_backs):
+            door = Door(
+                self.loop,
+                provider,
+                (f"{self._host}.{101 + number}", 0),
+                zone=zone_of(self.world, number),
+                call_back=client,
+                needs=self._habits.needs,
+                audit=self.audit,
+                network=self.fleet.network,
+            )
+            self._addresses[number][provider.name] = "{}:{}".format(*door.address)
+            doors.append(door)
+        self._doors[provider.name] = doors
+
+    def _shut(self, name: str) -> None:
+        for door in self._doors.pop(name, ()):
+            door.close()
+
+    # Dispatchers
+
+    def _is_ready(self, number: int) -> None:
+        self._ready.add(number)
+        self.front.ready(number)
+
+    def _has_ended(self, number: int) -> None:
+        self._ready.discard(number)
+        self.audit.dispatcher_died(number)
+        self.front.died(number)
+        if number in self._down:
+            self.loop.call_at(self.loop.now() + self._down.pop(number), self.instances[number].start)
+
+    def kill(self, number: int, down: int) -> None:
+        self._down[number] = down
+        self.instances[number].kill()
+
+    def restart(self, number: int, down: int) -> None:
+        self._down[number] = down
+        self.instances[number].stop()
+
+    def reload(self, number: int) -> None:
+        self.instances[number].reload()
+
+    # The run
+
+    def run(self) -> Result:
+        """Plays it in real time; a LiveError if the dispatchers do not come up."""
+        begun = time.perf_counter()
+        try:
+            for instance in self.instances:
+                instance.start()
+            self._until_ready()
+            result = self._play()
+        finally:
+            for instance in self.instances:
+                instance.close()
+            for doors in self._doors.values():
+                for door in doors:
+                    door.close()
+            for agent in self._agents:
+                agent.close()
+            self.loop.close()
+        result.wall_s = time.perf_counter() - begun
+        return result
+
+    def _until_ready(self) -> None:
+        limit = time.monotonic() + 30
+        while len(self._ready) < len(self.instances):
+            if time.monotonic() > limit:
+                raise LiveError(f"not all dispatchers are ready after 30 s; see their logs in {self._folder}")
+            if any(instance.crashes for instance in self.instances):
+                raise LiveError(f"a dispatcher ended at its start; see its log in {self._folder}")
+            self._turn(100 * MS)
+
+    def _turn(self, most: int) -> None:
+        self.loop.call_at(self.loop.now() + most, _nothing)
+        self.loop.turn()
+
+    def _play(self) -> Result:
+        started_at = self.recorder.started_at = self.loop.now()
+        self.faults.start()
+        self.workload.start()
+        self._sample()
+        longest = max(cls.deadline for cls in self.world.classes)
+        last = started_at + self.world.duration + longest + 3 * SECOND
+        told = 0
+        while not (self.workload.ended and not self.consumers.open) and self.loop.now() < last:
+            self._turn(50 * MS)
+            if self._progress is not None and self.loop.now() > told + 200 * MS:
+                told = self.loop.now()
+                self._progress((told - started_at) / SECOND, self.workload.made, len(self.recorder))
+        span = (self.loop.now() - started_at) / SECOND
+        rows = self.recorder.columns()
+        late = float(np.percentile(rows["late_by"], 99)) if len(rows["late_by"]) else 0.0
+        starts = [ready / 1e6 for instance in self.instances for ready in instance.ready_after]
+        return Result(
+            self.world,
+            self.seed,
+            "live",
+            rows,
+            self.audit.finish(),
+            self.faults.played,
+            self.samples,
+            0.0,
+            span,
+            notes={
+                "late": late > LATE,
+                "late_p99_ms": late / 1e6,
+                "peak_mb": [round(instance.peak_kb / 1024, 1) for instance in self.instances],
+                "ready_after_ms": [round(value, 1) for value in starts],
+                "crashes": sum(instance.crashes for instance in self.instances),
+                "refused_connections": self.consumers.refused_connections,
+                "wrong_results": self.consumers.wrong_results,
+                "errors": self.errors,
+                "unheard_call_backs": sum(d.gave_up_calls for doors in self._doors.values() for d in doors),
+                "folder": str(self._folder),
+            },
+        )
+
+    def _sample(self) -> None:
+        self.samples.held.append([provider.held for provider in self.fleet.providers.values()])
+        self.samples.names = list(self.fleet.providers)
+        if not self.workload.ended:
+            self.loop.call_at(self.loop.now() + _SAMPLE_STEP, self._sample)
+
+
+def _nothing() -> None:
+    return
--- /dev/null
+++ b/ironbarrow/lab/model/consumer.py
@@ -0,0 +1,73 @@
+"""How consumers go on after an answer, and what each of their tries takes of a provider."""
+
+from dataclasses import dataclass
+
+from ironbarrow.lab.model.provider import Need
+from ironbarrow.lab.model.randomness import Streams
+from ironbarrow.lab.model.spec import World
+from ironbarrow.lab.model.workload import Order
+from ironbarrow.runtime.clock import SECOND, Clock
+
+_FORGET_AFTER = 30 * SECOND  # a late DELETE or call-back still asks for a try's needs
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """The consumer goes no further."""
+
+    outcome: str
+
+
+@dataclass(frozen=True, slots=True)
+class Again:
+    """The consumer tries again after a pause, ns."""
+
+    pause: int
+
+
+class Habits:
+    """Retries, pauses and needs of all consumers of a world."""
+
+    def __init__(self, clock: Clock, world: World, streams: Streams) -> None:
+        self._clock, self._world = clock, world
+        self._noise = streams["attempts"]
+        self._people = streams["retries"]
+        self.needs: dict[str, Need] = {}
+
+    def new_try(self, order: Order, number: int) -> str:
+        """The id of an order's next try; what it needs is known from now on."""
+        job_id = f"{order.number:x}-{number}"
+        cls = self._world.classes[order.cls]
+        work = self._noise.lognormal(order.work, cls.attempt_noise) if cls.attempt_noise else order.work
+        self.needs[job_id] = Need(work, order.slots, order.key, cls.work.mean)
+        return job_id
+
+    def forget(self, order: Order, tries: int) -> None:
+        """The order is over: after a while nobody asks for its tries any more."""
+        self._clock.call_at(self._clock.now() + _FORGET_AFTER, self._forget, order.number, tries)
+
+    def _forget(self, number: int, tries: int) -> None:
+        for n in range(1, tries + 1):
+            self.needs.pop(f"{number:x}-{n}", None)
+
+    def next_step(self, order: Order, how: str, tries: int, retry_after: int) -> Ended | Again:
+        """What a consumer does who heard ``how`` (served, rejected, failed, or refused: no connection)
+        after so many tries. What may have run and must not run twice is never tried again."""
+        people = self._world.consumers
+        unsafe = self._world.classes[order.cls].effect == "unsafe"
+        again = how in ("rejected", "refused") or (how == "failed" and not unsafe)
+        ended = Ended("failed" if how == "refused" else how)
+        if not again or tries > people.retries:
+            return ended
+        pause: int = people.pause
+        if people.backoff == "exponential":
+            pause <<= tries - 1
+        pause = int(pause * self._people.uniform(0.5, 1.5))
+        if order.honours:
+            pause = max(pause, retry_after)
+        return ended if self._clock.now() + pause >= order.due + order.patience else Again(pause)
+
+    @staticmethod
+    def gives_up(order: Order) -> str:
+        """The outcome of an order whose consumer has waited long enough."""
+        return "no answer" if order.patience >= order.deadline else "left"
--- /dev/null
+++ b/ironbarrow/lab/model/front.py
@@ -0,0 +1,36 @@
+"""The plain front layer: deals consumers out by zone, and notices a dead dispatcher late."""
+
+from ironbarrow.lab.model.spec import Duration
+from ironbarrow.runtime.clock import Clock
+
+
+class Front:
+    """Which dispatcher a consumer's next try goes to. Dispatchers are told by number."""
+
+    def __init__(self, clock: Clock, zones: list[str], notice: Duration) -> None:
+        self._clock, self._zones, self._notice = clock, zones, notice  # zones: one for each dispatcher
+        self._dealt: set[int] = set()
+        self._lives = [0] * len(zones)
+        self._turns: dict[str, int] = {}
+
+    def ready(self, number: int) -> None:
+        """It has told that it is ready."""
+        self._lives[number] += 1
+        self._dealt.add(number)
+
+    def died(self, number: int) -> None:
+        """It refuses or is gone; the front goes on dealing to it for a while."""
+        self._clock.call_at(self._clock.now() + self._notice, self._noticed, number, self._lives[number])
+
+    def _noticed(self, number: int, life: int) -> None:
+        if self._lives[number] == life:
+            self._dealt.discard(number)
+
+    def pick(self, zone: str) -> int | None:
+        """The next dispatcher for a consumer of this zone; one of another zone if it has none."""
+        own = sorted(n for n in self._dealt if self._zones[n] == zone) or sorted(self._dealt)
+        if not own:
+            return None
+        turn = self._turns.get(zone, 0)
+        self._turns[zone] = turn + 1
+        return own[turn % len(own)]
--- /dev/null
+++ b/ironbarrow/lab/model/randomness.py
@@ -0,0 +1,83 @@
+"""Random numbers by name, so that one more part of a world shifts nobody else's draws."""
+
+import math
+from bisect import bisect_right
+from hashlib import blake2b
+
+import numpy as np
+
+_BLOCK = 256  # draws at once: a scalar draw from numpy costs about a microsecond, one of a block a tenth
+
+
+class Stream:
+    """Draws for one named purpose; each kind of distribution has a generator of its own."""
+
+    def __init__(self, seed: int, name: str) -> None:
+        words = np.frombuffer(blake2b(name.encode(), digest_size=16).digest(), dtype="<u4")
+        self._entropy = [seed & 0xFFFFFFFF, seed >> 32, *(int(word) for word in words)]
+        self._uniforms: list[float] = []
+        self._exponentials: list[float] = []
+        self._normals: list[float] = []
+        self._generators: list[np.random.Generator | None] = [None, None, None]
+
+    def _generator(self, kind: int) -> np.random.Generator:
+        found = self._generators[kind]
+        if found is None:
+            found = np.random.Generator(np.random.PCG64(np.random.SeedSequence([*self._entropy, kind])))
+            self._generators[kind] = found
+        return found
+
+    def uniform(self, low: float = 0.0, high: float = 1.0) -> float:
+        """A draw from [low, high)."""
+        if not self._uniforms:
+            self._uniforms = self._generator(0).random(_BLOCK).tolist()
+        return low + (high - low) * self._uniforms.pop()
+
+    def exponential(self, mean: float) -> float:
+        if not self._exponentials:
+            self._exponentials = self._generator(1).standard_exponential(_BLOCK).tolist()
+        return mean * self._exponentials.pop()
+
+    def normal(self) -> float:
+        """A draw with mean 0 and deviation 1."""
+        if not self._normals:
+            self._normals = self._generator(2).standard_normal(_BLOCK).tolist()
+        return self._normals.pop()
+
+    def lognormal(self, mean: float, cv: float) -> float:
+        """A draw of this mean and coefficient of variation."""
+        if cv <= 0:
+            return mean
+        variance = math.log1p(cv * cv)
+        return mean * math.exp(math.sqrt(variance) * self.normal() - variance / 2)
+
+    def chance(self, probability: float) -> bool:
+        return probability > 0 and self.uniform() < probability
+
+    def below(self, number: int) -> int:
+        """A whole number from 0 to ``number`` - 1."""
+        return min(number - 1, int(self.uniform() * number))
+
+    def pick(self, cumulative: list[float]) -> int:
+        """An index, by cumulative weights that end in their sum."""
+        return min(len(cumulative) - 1, bisect_right(cumulative, self.uniform() * cumulative[-1]))
+
+
+class Streams:
+    """All streams of one seed."""
+
+    def __init__(self, seed: int) -> None:
+        self.seed = seed
+        self._made: dict[str, Stream] = {}
+
+    def __getitem__(self, name: str) -> Stream:
+        found = self._made.get(name)
+        if found is None:
+            found = self._made[name] = Stream(self.seed, name)
+        return found
+
+
+def zipf_weights(count: int, exponent: float) -> list[float]:
+    """Cumulative weights of ``count`` things, the n-th as frequent as 1/n^exponent."""
+    weights = 1.0 / np.arange(1, count + 1, dtype=float) ** exponent
+    return [float(value) for value in np.cumsum(weights)]
--- /dev/null
+++ b/ironbarrow/lab/model/spec.py
@@ -0,0 +1,328 @@
+"""A world as a file says it: TOML, checked whole before anything runs.
+
+Durations are text with a unit ("250 ms", "1.5 s", "2 min"); sizes and shares are plain numbers.
+"""
+
+import re
+from pathlib import Path
+from typing import Annotated, Any, Literal, TypeVar
+
+import msgspec
+from msgspec import Meta, Struct
+
+_UNITS = {"us": 1_000, "ms": 1_000_000, "s": 1_000_000_000, "min": 60_000_000_000, "h": 3_600_000_000_000}
+_DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?) ?(us|ms|s|min|h)")
+
+Share = Annotated[float, Meta(ge=0, le=1)]
+Count = Annotated[int, Meta(ge=1)]
+Number = Annotated[float, Meta(ge=0)]
+Positive = Annotated[float, Meta(gt=0)]
+
+
+class WorldError(Exception):
+    """A file that can't be used; the text names the file, the key and what was expected."""
+
+
+class Duration(int):
+    """A time in whole nanoseconds, written as a number with its unit."""
+
+    @classmethod
+    def parse(cls, text: object) -> "Duration":
+        found = _DURATION.fullmatch(text) if isinstance(text, str) else None
+        if found is None:
+            raise ValueError(f"expected a duration such as '250 ms' or '1.5 s', got {text!r}")
+        return cls(round(float(found[1]) * _UNITS[found[2]]))
+
+    @property
+    def seconds(self) -> float:
+        return self / 1e9
+
+
+def ms(value: float) -> Duration:
+    return Duration(round(value * 1e6))
+
+
+class Part(Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """What all tables of a world file have in common: unknown keys are refused."""
+
+
+class Draw(Part, frozen=True):
+    """A random time: its distribution, its mean and its coefficient of variation (lognormal alone)."""
+
+    mean: Duration
+    kind: Literal["fixed", "exp", "lognormal"] = "exp"
+    cv: Positive = 1.0
+
+
+class Network(Part, frozen=True):
+    """Zones and one-way latencies. ``jitter``: the mean of an exponential extra, as a share."""
+
+    zones: Annotated[list[str], Meta(min_length=1)] = msgspec.field(default_factory=lambda: ["a"])
+    same_zone: Duration = ms(0.2)
+    cross_zone: Duration = ms(0.6)
+    client: Duration = ms(0.9)
+    jitter: Share = 0.1
+
+
+class Reports(Part, frozen=True):
+    """Load reports that come with answers: renewed each period, seen ``delay`` later, noisy."""
+
+    period: Duration = ms(1000)
+    delay: Duration = ms(300)
+    noise: Share = 0.03
+
+
+class Dispatchers(Part, frozen=True):
+    """How many there are and what their settings say (see the fields of ``heathway.api.Settings``)."""
+
+    count: Count = 3
+    tick: Duration = ms(4)
+    max_attempts: Count = 3
+    max_retry_after: Duration = ms(2000)
+    answer_slack: Duration = ms(50)
+    drain_grace: Duration = ms(1000)
+    probes: bool = True
+    memory_mb: Count = 96
+    sockets: Annotated[int, Meta(ge=64)] = 512
+
+
+class Group(Part, frozen=True):
+    """Providers of one generation. Speed 1 does one second of work in a second on one core."""
+
+    name: str
+    count: Count
+    cores: Positive = 5
+    slots: Positive = 5
+    speed: Positive = 1.0
+    speed_cv: Share = 0.0
+    queue: Annotated[int, Meta(ge=0)] = 10
+    order: Literal["in order", "first fit"] = "in order"
+    overfull_at: Number = 8.0  # jobs held at which it starts to slow down
+    overfull: Number = 0.0  # part of its speed that each job beyond costs
+    keys_kept: Count = 8
+    connections: Count = 4000
+    error_rate: Share = 0.0
+    drain_returns: bool = True
+    kind: str = ""
+    listed: bool = True
+
+
+class Cold(Part, frozen=True):
+    """Start of a provider: its part of capacity at first, the time to full, when it falls over."""
+
+    time: Duration = ms(15_000)
+    start: Annotated[float, Meta(gt=0, le=1)] = 0.25
+    fall_multiple: Positive = 2.5
+    fall_window: Duration = ms(3000)
+
+
+class Store(Part, frozen=True):
+    """What jobs need and providers keep for a while; fetched from one store of limited capacity."""
+
+    fetch: Draw = Draw(mean=ms(200), kind="exp")
+    at_once: Count = 8
+    keys: Annotated[int, Meta(ge=0)] = 0  # 0: jobs need nothing
+    zipf: Number = 0.9
+
+
+class Directory(Part, frozen=True):
+    """The list of providers: pushed, and late by a uniform draw."""
+
+    soonest: Duration = ms(500)
+    latest: Duration = ms(2500)
+    weights: Literal["fixed", "live"] = "fixed"
+    weight_period: Duration = ms(1000)
+
+
+class Class(Part, frozen=True):
+    """A class of jobs; its share is by number of jobs."""
+
+    name: str
+    share: Positive
+    work: Draw
+    wanted: Duration
+    deadline: Duration
+    effect: Literal["safe", "unsafe"] = "safe"
+    stretch: Number = 2.0
+    slots: list[Share] = msgspec.field(default_factory=lambda: [1.0])  # shares of jobs of 1, 2, ... slots
+    worth: Positive = 1.0
+    attempt_noise: Number = 0.0  # cv of the work from one attempt to the next
+
+
+class Arrivals(Part, frozen=True):
+    """When jobs are due: an open loop, at ``rate`` a second or at ``load`` of the fleet's capacity."""
+
+    rate: Positive | None = None
+    load: Positive | None = None
+    shape: Literal["poisson", "bursty", "daily", "even"] = "poisson"
+    swing: Share = 0.3  # bursty, daily: how far the rate moves from its mean
+    dwell: Duration = ms(4000)  # bursty: mean time in a state
+    day: Duration = ms(60_000)  # daily: length of a day
+    zone_skew: Share = 0.0  # 0: all zones alike; 1: all jobs come in the first zone
+
+
+class Sessions(Part, frozen=True):
+    """Keys of sessions, by Zipf's law; 0: jobs have none."""
+
+    count: Annotated[int, Meta(ge=0)] = 200
+    zipf: Number = 0.8
+
+
+class Consumers(Part, frozen=True):
+    """How consumers behave, and the front that deals them out."""
+
+    retries: Annotated[int, Meta(ge=0)] = 1
+    backoff: Literal["fixed", "exponential"] = "fixed"
+    pause: Duration = ms(150)
+    honour: Share = 0.9  # share that keeps to Retry-After
+    impatient: Share = 0.0  # share that leaves before its time
+    notice: Duration = ms(3000)  # until the front notices a dead dispatcher
+
+
+class Fault(Part, frozen=True):
+    """One thing that goes wrong. Who: ``providers`` by name, else ``part`` of them; or ``dispatcher``."""
+
+    kind: Literal[
+        "slow",
+        "hang",
+        "fail fast",
+        "late reports",
+        "deploy",
+        "shrink",
+        "drain",
+        "die",
+        "vanish",
+        "cut",
+        "directory outage",
+        "dispatcher killed",
+        "dispatcher restarted",
+        "reload",
+        "flood",
+    ]
+    at: Duration
+    lasts: Duration = ms(0)
+    part: Share = 0.2
+    providers: list[str] = msgspec.field(default_factory=list)
+    size: Positive = 4.0  # slow, flood: factor; fail fast: share that fails; late reports: seconds
+    batch: Share = 0.2  # deploy: part of the fleet at a time
+    drain: Duration = ms(4000)  # deploy, shrink, drain: from draining to the end of the process
+    down: Duration = ms(1000)  # dispatcher killed or restarted: until it starts again
+    dispatcher: Annotated[int, Meta(ge=0)] = 0
+    zones: list[str] = msgspec.field(default_factory=list)  # cut: between the first and the others
+
+
+class World(Part, frozen=True):
+    """All of it."""
+
+    name: str
+    duration: Duration
+    classes: Annotated[list[Class], Meta(min_length=1)]
+    providers: Annotated[list[Group], Meta(min_length=1)]
+    arrivals: Arrivals
+    network: Network = Network()
+    dispatchers: Dispatchers = Dispatchers()
+    reports: Reports = Reports()
+    cold: Cold = Cold()
+    store: Store = Store()
+    directory: Directory = Directory()
+    sessions: Sessions = Sessions()
+    consumers: Consumers = Consumers()
+    faults: list[Fault] = msgspec.field(default_factory=list)
+
+    def check(self) -> None:
+        """What no single key shows; a ValueError names the keys."""
+        if (self.arrivals.rate is None) == (self.arrivals.load is None):
+            raise ValueError("arrivals: expected exactly one of rate and load")
+        for what, names in (
+            ("classes", [c.name for c in self.classes]),
+            ("providers", [g.name for g in self.providers]),
+            ("network.zones", self.network.zones),
+        ):
+            if len(set(names)) != len(names):
+                raise ValueError(f"{what}: expected names that differ, got {names}")
+        for cls in self.classes:
+            if not cls.slots or not sum(cls.slots) > 0:
+                raise ValueError(f"classes {cls.name!r}: slots: expected shares of which one is above 0")
+            if len(cls.slots) > max(g.slots for g in self.providers):
+                raise ValueError(f"classes {cls.name!r}: slots: expected no more than a provider has")
+        for number, fault in enumerate(self.faults):
+            place = f"faults[{number}]"
+            if fault.dispatcher >= self.dispatchers.count:
+                raise ValueError(f"{place}.dispatcher: expected less than {self.dispatchers.count}")
+            if fault.kind == "cut" and not set(fault.zones) <= set(self.network.zones):
+                raise ValueError(f"{place}.zones: expected some of {self.network.zones}, got {fault.zones}")
+            if fault.kind == "cut" and len(fault.zones) < 2:
+                raise ValueError(f"{place}.zones: expected two zones or more, got {fault.zones}")
+            known = {f"{g.name}-{i}" for g in self.providers for i in range(g.count)}
+            if not set(fault.providers) <= known:
+                unknown = sorted(set(fault.providers) - known)
+                raise ValueError(f"{place}.providers: unknown: {unknown}; expected names such as gen1-0")
+            if fault.kind == "fail fast" and fault.size > 1:
+                raise ValueError(f"{place}.size: expected a share of at most 1 for 'fail fast'")
+
+    def mean_work(self) -> float:
+        """Core-seconds at speed 1 that a job takes on average."""
+        shares = sum(c.share for c in self.classes)
+        return sum(c.share * c.work.mean.seconds * _mean_slots(c) for c in self.classes) / shares
+
+    def capacity(self) -> float:
+        """Core-seconds at speed 1 that the listed providers do in a second, keys aside."""
+        return sum(g.count * min(g.cores, g.slots) * g.speed for g in self.providers if g.listed)
+
+    def rate(self) -> float:
+        """Jobs a second, on average."""
+        if self.arrivals.rate is not None:
+            return self.arrivals.rate
+        assert self.arrivals.load is not None
+        return self.arrivals.load * self.capacity() / self.mean_work()
+
+
+def _mean_slots(cls: Class) -> float:
+    return sum(n * share for n, share in enumerate(cls.slots, 1)) / sum(cls.slots)
+
+
+def _decode(kind: type, value: Any) -> Any:
+    if kind is Duration:
+        return Duration.parse(value)
+    raise NotImplementedError(kind)
+
+
+def _encode(value: Any) -> Any:
+    if isinstance(value, Duration):
+        return f"{value / 1e6:.6f}".rstrip("0").rstrip(".") + " ms"
+    raise NotImplementedError(type(value))
+
+
+S = TypeVar("S")
+
+
+def convert(raw: Any, kind: type[S], where: str) -> S:
+    """Plain data as a checked object; a WorldError names the key and what was expected."""
+    try:
+        made = msgspec.convert(raw, kind, dec_hook=_decode)
+        if isinstance(made, World):
+            made.check()
+        return made
+    except (msgspec.ValidationError, ValueError) as error:
+        raise WorldError(f"{where}: {str(error).replace('`$.', '`')}") from None
+
+
+def read_toml(path: Path) -> dict[str, Any]:
+    """The file as plain data; a WorldError if it can't be read."""
+    try:
+        found = msgspec.toml.decode(path.read_bytes())
+    except OSError as error:
+        raise WorldError(f"{path}: can't be read: {error.strerror}") from None
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise WorldError(f"{path}: not TOML: {error}") from None
+    return dict(found)
+
+
+def load_world(path: Path) -> World:
+    """The world that a file describes."""
+    return convert(read_toml(path), World, str(path))
+
+
+def plain(world: Any) -> Any:
+    """The object as plain data, durations as text: what is hashed and stored."""
+    return msgspec.to_builtins(world, enc_hook=_encode)
--- /dev/null
+++ b/ironbarrow/lab/model/store.py
@@ -0,0 +1,43 @@
+"""The shared store that providers fetch from: so many fetches at once, the others in order."""
+
+from collections import deque
+from collections.abc import Callable
+
+from ironbarrow.lab.model.randomness import Stream
+from ironbarrow.lab.model.spec import Draw
+from ironbarrow.runtime.clock import Clock
+
+
+def draw(spec: Draw, stream: Stream) -> float:
+    """A random time of this spec, ns."""
+    if spec.kind == "fixed":
+        return float(spec.mean)
+    if spec.kind == "exp":
+        return stream.exponential(spec.mean)
+    return stream.lognormal(spec.mean, spec.cv)
+
+
+class Store:
+    """Fetches for all providers together."""
+
+    def __init__(self, clock: Clock, fetch: Draw, at_once: int, stream: Stream) -> None:
+        self._clock, self._fetch, self._stream = clock, fetch, stream
+        self._free = at_once
+        self._waiting: deque[tuple[Callable[[int], None], int]] = deque()
+
+    def fetch(self, fetched: Callable[[int], None], key: int) -> None:
+        """Calls ``fetched`` with the key once it is there."""
+        self._waiting.append((fetched, key))
+        self._start()
+
+    def _start(self) -> None:
+        while self._free and self._waiting:
+            self._free -= 1
+            fetched, key = self._waiting.popleft()
+            due = self._clock.now() + max(1, int(draw(self._fetch, self._stream)))
+            self._clock.call_at(due, self._done, fetched, key)
+
+    def _done(self, fetched: Callable[[int], None], key: int) -> None:
+        self._free += 1
+        self._start()
+        fetched(key)
--- /dev/null
+++ b/ironbarrow/lab/record.py
@@ -0,0 +1,103 @@
+"""What became of each order: one row a job, columns by name, and the figures that come of them."""
+
+from array import array
+from dataclasses import dataclass
+from typing import Any
+
+import numpy as np
+
+from ironbarrow.lab.model.spec import World
+from ironbarrow.lab.model.workload import Order
+from ironbarrow.runtime.clock import SECOND
+
+OUTCOMES = ("served", "rejected", "failed", "no answer", "left")
+Column = np.ndarray[Any, np.dtype[Any]]
+
+
+class Recorder:
+    """Takes one row for each order once it is over. Latency counts from when the order was due."""
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+        self.due = array("q")  # from the run's start, ns
+        self.latency = array("q")  # from due to the last byte of the last answer, ns
+        self.cls = array("b")
+        self.outcome = array("b")
+        self.tries = array("b")
+        self.in_time = array("b")
+        self.work = array("d")
+        self.late_by = array("q")  # how long after it was due its first try was sent, ns
+        self.started_at = 0
+
+    def __len__(self) -> int:
+        return len(self.due)
+
+    def add(self, order: Order, outcome: str, now: int, tries: int, late_by: int = 0) -> None:
+        """One order's end at ``now``."""
+        self.due.append(order.due - self.started_at)
+        self.latency.append(now - order.due)
+        self.cls.append(order.cls)
+        self.outcome.append(OUTCOMES.index(outcome))
+        self.tries.append(min(127, tries))
+        self.in_time.append(outcome == "served" and now - order.due <= order.wanted)
+        self.work.append(order.work * order.slots)
+        self.late_by.append(late_by)
+
+    def columns(self) -> dict[str, Column]:
+        """All rows as numpy columns. Times in ns, work in ns on one core at speed 1."""
+        names = ("due", "latency", "cls", "outcome", "tries", "in_time", "work", "late_by")
+        return {name: np.array(getattr(self, name)) for name in names}
+
+
+@dataclass(slots=True)
+class Sampler:
+    """Load by provider over time: one row of held jobs each step."""
+
+    step: int
+    names: list[str]
+    held: list[list[int]]
+
+
+def summarise(world: World, rows: dict[str, Column]) -> dict[str, Any]:
+    """Figures of a run: for all jobs and by class; latencies in ms over served jobs."""
+    by_class = {}
+    for number, cls in enumerate(world.classes):
+        mask = rows["cls"] == number
+        by_class[cls.name] = _figures(
+            {name: column[mask] for name, column in rows.items()}, np.full(mask.sum(), cls.worth)
+        )
+    worth = np.array([cls.worth for cls in world.classes])[rows["cls"]] if len(rows["cls"]) else np.array([])
+    return {"all": _figures(rows, worth), "classes": by_class}
+
+
+def _figures(rows: dict[str, Column], worth: Column) -> dict[str, Any]:
+    asked = len(rows["due"])
+    outcome = rows["outcome"]
+    value = worth * rows["work"]
+    served = outcome == OUTCOMES.index("served")
+    latency = rows["latency"][served] / 1e6
+    percentiles = np.percentile(latency, [50, 99, 99.9]) if len(latency) else [float("nan")] * 3
+    total = float(value.sum())
+    return {
+        "asked": asked,
+        "served": int(served.sum()),
+        "in_time": int(rows["in_time"].sum()),
+        **{name.replace(" ", "_"): int((outcome == n).sum()) for n, name in enumerate(OUTCOMES) if n},
+        "service": float(value[rows["in_time"] == 1].sum()) / total if total else float("nan"),
+        "p50_ms": float(percentiles[0]),
+        "p99_ms": float(percentiles[1]),
+        "p999_ms": float(percentiles[2]),
+        "tries": float(rows["tries"].mean()) if asked else float("nan"),
+    }
+
+
+def service_over_time(world: World, rows: dict[str, Column], step_s: float = 1.0) -> tuple[Column, Column]:
+    """Worth served in time over worth asked for, by when jobs were due: times (s) and shares."""
+    if not len(rows["due"]):
+        return np.array([]), np.array([])
+    worth = np.array([cls.worth for cls in world.classes])[rows["cls"]] * rows["work"]
+    place = (rows["due"] / (step_s * SECOND)).astype(int)
+    asked = np.bincount(place, worth)
+    got = np.bincount(place, worth * rows["in_time"], minlength=len(asked))
+    with np.errstate(invalid="ignore"):
+        return np.arange(len(asked)) * step_s, np.where(asked > 0, got / asked, np.nan)
--- /dev/null
+++ b/ironbarrow/lab/result.py
@@ -0,0 +1,31 @@
+"""What a run brought, whichever way it was driven."""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from ironbarrow.lab.audit import Verdicts
+from ironbarrow.lab.model.fleet import Played
+from ironbarrow.lab.model.spec import World
+from ironbarrow.lab.record import Column, Sampler, summarise
+
+
+@dataclass(slots=True)
+class Result:
+    """One run of a world with a seed."""
+
+    world: World
+    seed: int
+    mode: str  # simulated or live
+    rows: dict[str, Column]
+    verdicts: Verdicts
+    faults: list[Played]
+    samples: Sampler
+    wall_s: float
+    span_s: float  # on the run's own clock, from the first job's due time on
+    digest: str = ""
+    events: int = 0
+    notes: dict[str, Any] = field(default_factory=dict)
+
+    def summary(self) -> dict[str, Any]:
+        """Figures for all jobs and by class."""
+        return summarise(self.world, self.rows)
--- /dev/null
+++ b/ironbarrow/lab/settings.py
@@ -0,0 +1,73 @@
+"""What dispatchers of a world are told: the same object in simulated and in live mode."""
+
+from typing import Any
+
+from ironbarrow.lab.model.directory import Entry, News
+from ironbarrow.lab.model.spec import World
+from ironbarrow.runtime.clock import MS
+
+_EFFECTS = {"safe": "pure", "unsafe": "side_effect"}
+
+
+def zone_of(world: World, number: int) -> str:
+    """The zone of a dispatcher, by its number."""
+    return world.network.zones[number % len(world.network.zones)]
+
+
+def settings_object(world: World, number: int) -> dict[str, Any]:
+    """The settings of one dispatcher, in the form of the configuration file."""
+    rules = world.dispatchers
+    return {
+        "me": number,
+        "replicasOfMe": rules.count,
+        "zone": zone_of(world, number),
+        "zones": list(world.network.zones),
+        "round": int(rules.tick),
+        "requestClasses": [
+            {
+                "name": cls.name,
+                "effect": _EFFECTS[cls.effect],
+                "promise": int(cls.wanted),
+                "giveUp": int(cls.deadline),
+                "aimStretch": cls.stretch,
+                "worth": cls.worth,
+            }
+            for cls in world.classes
+        ],
+        "familyInfo": {"reportX0": "free slots", "tellsStart": True},
+        "report": {"how": "answers", "fields": ["eps", "queue", "x0"]},
+        "limits": {
+            "cancel": True,
+            "probes": rules.probes,
+            "retryAfter": rules.max_retry_after > 0,
+            "mostTries": rules.max_attempts,
+            "maxRetryAfter": int(rules.max_retry_after),
+        },
+        "guarantees": {
+            "answerSlack": int(rules.answer_slack),
+            "drainGrace": int(rules.drain_grace),
+            "cold": int(world.cold.time),
+            "startCapacity": world.cold.start,
+            "fallMultiple": world.cold.fall_multiple,
+            "tipAfter": int(world.cold.fall_window),
+        },
+    }
+
+
+def endpoint(entry: Entry, address: str) -> dict[str, Any]:
+    """A provider's line in the directory's form."""
+    return {
+        "name": entry.name,
+        "address": address,
+        "zone": entry.zone,
+        "type": entry.kind,
+        "status": entry.status,
+        "weight": entry.weight,
+        "since_ms": entry.since // MS,
+    }
+
+
+def list_object(news: News, address_of: dict[str, str]) -> dict[str, Any]:
+    """One object of the directory's; a provider without an address is left out."""
+    lines = [endpoint(e, address_of[e.name]) for e in news.entries if e.name in address_of]
+    return {"index": news.version, "snapshot": news.whole, "endpoints": lines}
--- /dev/null
+++ b/ironbarrow/lab/sim/run.py
@@ -0,0 +1,374 @@
+"""A run in simulated time: dispatchers, consumers, providers and faults of one world, audited."""
+
+import gc
+import time
+from dataclasses import dataclass
+from hashlib import blake2b
+from typing import Any
+
+from heathway import api
+from heathway.settings import read_settings
+from ironbarrow.core.host import Answer, Host, Payload, Verdict
+from ironbarrow.core.host import Job as HostJob
+from ironbarrow.lab.audit import Auditor
+from ironbarrow.lab.model.consumer import Ended, Habits
+from ironbarrow.lab.model.directory import News
+from ironbarrow.lab.model.fleet import Faults, Fleet
+from ironbarrow.lab.model.front import Front
+from ironbarrow.lab.model.provider import Watcher
+from ironbarrow.lab.model.randomness import Streams
+from ironbarrow.lab.model.spec import World
+from ironbarrow.lab.model.workload import Order, Workload
+from ironbarrow.lab.record import Recorder, Sampler
+from ironbarrow.lab.result import Result
+from ironbarrow.lab.settings import settings_object, zone_of
+from ironbarrow.lab.sim.back import SimulatedBack
+from ironbarrow.lab.sim.clock import Life, SimulatedClock
+from ironbarrow.runtime.clock import MS, SECOND
+
+_WARM_UP = 500 * MS  # the dispatchers have run so long when the first job is due
+_LAST_ANSWER = 3200 * MS  # as ``ironbarrow.daemon`` has it
+_CLOSE_IDLE = 1500 * MS
+_SAMPLE_STEP = 250 * MS
+_LOOKS_ON = 20 * MS
+_STATES = {
+    "up": api.WorkerState.UP,
+    "draining": api.WorkerState.DRAINING,
+    "removed": api.WorkerState.GONE,
+}
+
+
+class Digest(Watcher):
+    """A running hash over what happened, in order: equal for equal runs."""
+
+    def __init__(self, clock: SimulatedClock, apart: frozenset[str]) -> None:
+        self._clock, self._apart = clock, apart  # apart: providers whose own events are left out
+        self._hash = blake2b(digest_size=16)
+        self._start = clock.now()
+
+    def note(self, *words: object) -> None:
+        self._hash.update(f"{self._clock.now() - self._start} {words}\n".encode())
+
+    def job_started(self, provider: str, job_id: str) -> None:
+        if provider not in self._apart:
+            self.note("start", provider, job_id)
+
+    def job_ended(self, provider: str, job_id: str, how: str) -> None:
+        if provider not in self._apart:
+            self.note(how, provider, job_id)
+
+    def fell(self, provider: str) -> None:
+        self.note("fell", provider)
+
+    def hex(self) -> str:
+        return self._hash.hexdigest()
+
+
+class _Watchers(Watcher):
+    """Tells several."""
+
+    def __init__(self, *watchers: Watcher) -> None:
+        self._all = watchers
+
+    def job_started(self, provider: str, job_id: str) -> None:
+        for watcher in self._all:
+            watcher.job_started(provider, job_id)
+
+    def job_ended(self, provider: str, job_id: str, how: str) -> None:
+        for watcher in self._all:
+            watcher.job_ended(provider, job_id, how)
+
+    def fell(self, provider: str) -> None:
+        for watcher in self._all:
+            watcher.fell(provider)
+
+
+@dataclass(slots=True, eq=False)
+class _Process:
+    """One life of a dispatcher."""
+
+    life: Life
+    host: Host
+    back: SimulatedBack
+    leave_directory: Any = None
+    stopping_at: int | None = None
+
+
+class _Dispatcher:
+    """A dispatcher's name and place, over all its lives."""
+
+    def __init__(self, run: "Simulation", number: int) -> None:
+        self._run, self.number = run, number
+        self.zone = zone_of(run.world, number)
+        self.settings = read_settings(settings_object(run.world, number))
+        self.process: _Process | None = None
+        self._known: News = run.fleet.directory.whole()
+        self._starts = 0
+
+    def start(self) -> None:
+        run = self._run
+        life = Life(run.clock)
+        self._starts += 1
+        seed = run.seed * 1_000_003 + self.number * 1009 + self._starts
+        host = Host(life, self.settings, seed)
+        back = SimulatedBack(life, host, run.fleet, run.audit, f"d{self.number}", self.zone, run.habits.needs)
+        host.invoker = back
+        process = self.process = _Process(life, host, back)
+        host.providers_listed(_list(self._known, api.ListKind.LAST_KNOWN))
+        process.leave_directory = run.fleet.directory.subscribe(
+            f"d{self.number}", lambda news: life.run(self._listed, (process, news))
+        )
+        run.front.ready(self.number)
+
+    def _listed(self, process: _Process, news: News) -> None:
+        for entry in news.entries:
+            self._run.audit.told(self.number, entry.name, up=entry.status == "up")
+        if news.whole:
+            self._known = news
+        else:
+            kept = {entry.name: entry for entry in self._known.entries}
+            for entry in news.entries:
+                kept[entry.name] = entry
+            self._known = News(news.version, True, tuple(e for e in kept.values() if e.status != "removed"))
+        kind = api.ListKind.FULL if news.whole else api.ListKind.CHANGES
+        process.host.providers_listed(_list(news, kind))
+
+    def reload(self) -> None:
+        """Moves to another address of the directory: the whole list comes once more."""
+        process = self.process
+        if process is not None:
+            process.leave_directory()
+            process.leave_directory = self._run.fleet.directory.subscribe(
+                f"d{self.number}", lambda news: process.life.run(self._listed, (process, news))
+            )
+
+    def end(self, down: int, *, killed: bool) -> None:
+        """Its process is gone; the next one starts after ``down`` ns."""
+        process = self.process
+        if process is None:
+            return
+        self.process = None
+        process.life.over = True
+        process.leave_directory()
+        process.back.close()
+        if killed or process.host.owed:
+            self._run.audit.dispatcher_died(self.number)
+        self._run.consumers_lost(self)
+        self._run.front.died(self.number)
+        self._run.clock.call_at(self._run.clock.now() + down, self.start)
+
+    def stop(self, down: int) -> None:
+        """SIGTERM: serves what still comes, finishes what it has, ends."""
+        process = self.process
+        if process is None or process.stopping_at is not None:
+            return
+        process.stopping_at = self._run.clock.now()
+        process.host.end_by = process.stopping_at + _LAST_ANSWER
+        self._run.clock.call_at(process.stopping_at + _CLOSE_IDLE, self._end_when_done, process, down)
+
+    def _end_when_done(self, process: _Process, down: int) -> None:
+        if self.process is not process:
+            return
+        if process.host.owed:
+            self._run.clock.call_at(self._run.clock.now() + 10 * MS, self._end_when_done, process, down)
+        else:
+            self.end(down, killed=False)
+
+
+def _list(news: News, kind: api.ListKind) -> api.WorkerList:
+    entries = tuple(
+        api.WorkerEntry(e.name, e.zone, None, e.kind, e.weight, e.since, _STATES[e.status])
+        for e in news.entries
+    )
+    return api.WorkerList(kind, entries, news.version)
+
+
+@dataclass(slots=True, eq=False)
+class _Consumer:
+    """One order's consumer, over its tries."""
+
+    order: Order
+    tries: int = 0
+    over: bool = False
+    dispatcher: _Dispatcher | None = None
+    job: HostJob | None = None
+    job_id: str = ""
+
+
+class Simulation:
+    """One world, one seed."""
+
+    def __init__(self, world: World, seed: int, *, apart: frozenset[str] = frozenset()) -> None:
+        self.world, self.seed = world, seed
+        self.clock = SimulatedClock()
+        self.streams = Streams(seed)
+        self.audit = Auditor(self.clock, world)
+        self.digest = Digest(self.clock, apart)
+        self.fleet = Fleet(self.clock, world, self.streams, _Watchers(self.audit, self.digest))
+        self.habits = Habits(self.clock, world, self.streams)
+        self.front = Front(
+            self.clock, [zone_of(world, n) for n in range(world.dispatchers.count)], world.consumers.notice
+        )
+        self.dispatchers = [_Dispatcher(self, n) for n in range(world.dispatchers.count)]
+        self.recorder = Recorder(world)
+        self.workload = Workload(self.clock, world, self.streams, self._ordered)
+        self.faults = Faults(self.clock, world, self.fleet, self.workload, self, self.streams)
+        self._waiting: dict[_Consumer, None] = {}  # with a job at a dispatcher
+        self._open = 0
+        self.samples = Sampler(_SAMPLE_STEP, [], [])
+
+    # Faults on dispatchers
+
+    def kill(self, number: int, down: int) -> None:
+        self.dispatchers[number].end(down, killed=True)
+
+    def restart(self, number: int, down: int) -> None:
+        self.dispatchers[number].stop(down)
+
+    def reload(self, number: int) -> None:
+        self.dispatchers[number].reload()
+
+    # The run
+
+    def run(self) -> Result:
+        """Plays it to the end: until every order is over and a little longer."""
+        begun = time.perf_counter()
+        frozen = gc.isenabled()
+        gc.disable()  # the model makes few cycles, and its own memory is bounded
+        try:
+            return self._run(begun)
+        finally:
+            if frozen:
+                gc.enable()
+
+    def _run(self, begun: float) -> Result:
+        for dispatcher in self.dispatchers:
+            dispatcher.start()
+        self.clock.run(self.clock.now() + _WARM_UP)
+        self.recorder.started_at = started_at = self.clock.now()
+        self.samples.names = list(self.fleet.providers)
+        self.faults.start()
+        self.workload.start()
+        self._sample()
+        longest = max(cls.deadline for cls in self.world.classes)
+        last = started_at + self.world.duration + longest + SECOND
+        while self.clock.now() < last and not (self.workload.ended and not self._open):
+            self.clock.run(min(last, self.clock.now() + SECOND))
+        self.clock.run(self.clock.now() + self.world.dispatchers.answer_slack + _LOOKS_ON)
+        return Result(
+            self.world,
+            self.seed,
+            "simulated",
+            self.recorder.columns(),
+            self.audit.finish(),
+            self.faults.played,
+            self.samples,
+            time.perf_counter() - begun,
+            (self.clock.now() - started_at) / SECOND,
+            self.digest.hex(),
+            self.clock.events,
+        )
+
+    def _sample(self) -> None:
+        held = [self.fleet.providers[name].held for name in self.fleet.providers]
+        self.samples.held.append(held)
+        self.samples.names = list(self.fleet.providers)
+        if not self.workload.ended:
+            self.clock.call_at(self.clock.now() + _SAMPLE_STEP, self._sample)
+
+    # Consumers
+
+    def _ordered(self, order: Order) -> None:
+        consumer = _Consumer(order)
+        self._open += 1
+        self.clock.call_at(order.due + order.patience, self._gives_up, consumer)
+        self._try(consumer)
+
+    def _try(self, consumer: _Consumer) -> None:
+        if consumer.over:
+            return
+        consumer.tries += 1
+        number = self.front.pick(consumer.order.zone)
+        delay = self.fleet.network.client_latency("consumers")
+        if number is None:
+            self.clock.call_at(self.clock.now() + 2 * delay, self._heard, consumer, "refused", 0)
+        else:
+            self.clock.call_at(self.clock.now() + delay, self._arrives, consumer, self.dispatchers[number])
+
+    def _arrives(self, consumer: _Consumer, dispatcher: _Dispatcher) -> None:
+        if consumer.over:
+            return
+        process = dispatcher.process
+        order = consumer.order
+        left = order.due + order.deadline - self.clock.now()
+        if process is None or left < MS:
+            self._later(self._heard, consumer, "refused", 0)
+            return
+        consumer.job_id = job_id = self.habits.new_try(order, consumer.tries)
+        cls = self.world.classes[order.cls]
+        self.audit.taken(job_id, order.number, dispatcher.number, left, unsafe=cls.effect == "unsafe")
+        consumer.dispatcher = dispatcher
+        self._waiting[consumer] = None
+        # whole milliseconds pass on a socket, rounded down: no answer may come after its time
+        left = left // MS * MS
+        consumer.job = process.host.take(
+            Payload(job_id, "POST", "/" + cls.name, b""),
+            lambda answer: self._answered(consumer, job_id, answer),
+            job_class=cls.name,
+            time_left=left,
+            key=order.session,
+            slots=float(order.slots),
+            repeat=consumer.tries > 1,
+        )
+
+    def _answered(self, consumer: _Consumer, job_id: str, answer: Answer) -> None:
+        self.audit.answered(job_id, answer.verdict.value)
+        self.digest.note(answer.verdict.value, job_id)
+        self._waiting.pop(consumer, None)
+        consumer.job = None
+        retry_after = answer.retry_after if answer.verdict is Verdict.REJECTED else 0
+        self._later(self._heard, consumer, answer.verdict.value, retry_after)
+
+    def _later(self, call: Any, *args: object) -> None:
+        self.clock.call_at(self.clock.now() + self.fleet.network.client_latency("answers"), call, *args)
+
+    def _heard(self, consumer: _Consumer, how: str, retry_after: int) -> None:
+        if consumer.over:
+            return
+        step = self.habits.next_step(consumer.order, how, consumer.tries, retry_after)
+        if isinstance(step, Ended):
+            self._ends(consumer, step.outcome)
+        else:
+            self.clock.call_at(self.clock.now() + step.pause, self._try, consumer)
+
+    def _gives_up(self, consumer: _Consumer) -> None:
+        if not consumer.over:
+            self._ends(consumer, self.habits.gives_up(consumer.order))
+
+    def _ends(self, consumer: _Consumer, outcome: str) -> None:
+        consumer.over = True
+        self._open -= 1
+        self.recorder.add(consumer.order, outcome, self.clock.now(), consumer.tries)
+        if consumer.job is not None and outcome == "no answer":
+            # it has no use for an answer now, and still looks whether one comes by the end of the slack
+            late = self.world.dispatchers.answer_slack + _LOOKS_ON
+            self.clock.call_at(self.clock.now() + late, self._hangs_up, consumer)
+        else:
+            self._hangs_up(consumer)
+        self.habits.forget(consumer.order, consumer.tries)
+
+    def _hangs_up(self, consumer: _Consumer) -> None:
+        job, process = consumer.job, consumer.dispatcher.process if consumer.dispatcher else None
+        if job is not None:
+            self._waiting.pop(consumer, None)
+            consumer.job = None
+            self.audit.left(consumer.job_id)
+            if process is not None:
+                process.host.withdraw(job)
+
+    def consumers_lost(self, dispatcher: _Dispatcher) -> None:
+        """Its connections are reset: whoever waited there hears so."""
+        for consumer in [c for c in self._waiting if c.dispatcher is dispatcher]:
+            self._waiting.pop(consumer, None)
+            consumer.job = None
+            self._later(self._heard, consumer, "failed", 0)
--- /dev/null
+++ b/ironbarrow/lab/validate.py
@@ -0,0 +1,141 @@
+"""Holds the provider's model against closed forms: one provider, one class, no dispatcher between."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Literal
+
+from ironbarrow.lab import theory
+from ironbarrow.lab.model.provider import Need, Provider, Report, Watcher
+from ironbarrow.lab.model.randomness import Streams
+from ironbarrow.lab.model.spec import Cold, Draw, Duration, Group, Reports, ms
+from ironbarrow.lab.model.store import Store, draw
+from ironbarrow.lab.sim.clock import SimulatedClock
+from ironbarrow.runtime.clock import SECOND
+
+_SERVICE = ms(100)
+_WARM_UP = 0.1  # part of the jobs that is left out at the start
+
+
+@dataclass(frozen=True, slots=True)
+class Case:
+    """A queue with a known mean wait."""
+
+    name: str
+    servers: int
+    load: float
+    service: Literal["exp", "fixed"] = "exp"
+
+    def expected(self) -> float:
+        """The mean wait, s."""
+        rate = self.load * self.servers / _SERVICE.seconds
+        if self.service == "fixed":
+            return theory.md1_wait(rate, _SERVICE.seconds)
+        return theory.mmc_wait(rate, _SERVICE.seconds, self.servers)
+
+
+_KINDS: list[tuple[str, int, Literal["exp", "fixed"]]] = [
+    ("M/M/1", 1, "exp"),
+    ("M/M/4", 4, "exp"),
+    ("M/D/1", 1, "fixed"),
+]
+CASES = [
+    Case(f"{name} at {load}", servers, load, service)
+    for name, servers, service in _KINDS
+    for load in (0.5, 0.8, 0.9)
+]
+
+
+@dataclass(frozen=True, slots=True)
+class Found:
+    """What a case came to. Waits in s; Little's law: mean number waiting, counted and by rate times wait."""
+
+    case: Case
+    jobs: int
+    wait: float
+    half_width: float
+    number_waiting: float
+    rate_times_wait: float
+
+    @property
+    def error(self) -> float:
+        """The measured wait over the expected one, less 1."""
+        return self.wait / self.case.expected() - 1
+
+
+class _Starts(Watcher):
+    def __init__(self, clock: SimulatedClock) -> None:
+        self._clock = clock
+        self.at: dict[str, int] = {}
+
+    def job_started(self, provider: str, job_id: str) -> None:
+        self.at[job_id] = self._clock.now()
+
+
+def run_case(case: Case, jobs: int, seed: int = 1) -> Found:
+    """Feeds so many jobs to one provider and takes the mean of their waits."""
+    clock = SimulatedClock()
+    streams = Streams(seed)
+    watcher = _Starts(clock)
+    group = Group(
+        name="p", count=1, cores=case.servers, slots=case.servers, queue=10**9, overfull_at=1e9, overfull=0
+    )
+    store = Store(clock, Draw(mean=ms(1)), 1, streams["store"])
+    reports = Reports(period=Duration(3600 * SECOND))
+    provider = Provider(clock, "p", group, Cold(), reports, store, streams["p"], watcher)
+    service = Draw(mean=_SERVICE, kind=case.service)
+    gap = SECOND * _SERVICE.seconds / (case.load * case.servers)
+    waits: list[float] = []
+    area = 0.0  # of the number waiting over time, ns
+    last_at, number = clock.now(), 0
+    first, arrivals = int(jobs * _WARM_UP), iter(_times(streams, gap, jobs, clock.now()))
+    begun = 0
+
+    def count(change: int) -> None:
+        nonlocal area, last_at, number
+        area += number * (clock.now() - last_at)
+        last_at, number = clock.now(), number + change
+
+    def arrive(index: int) -> None:
+        nonlocal area, begun
+        if index == first:
+            count(0)
+            area, begun = 0.0, clock.now()
+        arrived = clock.now()
+        count(1)
+
+        def tell(state: str, report: Report | None) -> None:
+            if state == "started":
+                count(-1)
+                if index >= first:
+                    waits.append((clock.now() - arrived) / SECOND)
+
+        provider.arrive(str(index), Need(draw(service, streams["work"]), 1.0, None, _SERVICE), tell)
+        plan(index + 1)
+
+    def plan(index: int) -> None:
+        due = next(arrivals, None)
+        if due is not None:
+            clock.call_at(due, arrive, index)
+
+    plan(0)
+    while len(waits) < jobs - first:
+        clock.run(clock.now() + 1000 * SECOND)
+    count(0)
+    size = max(1, len(waits) // 30)
+    batches = [sum(waits[i : i + size]) / size for i in range(0, size * 30, size)]
+    mean = sum(waits) / len(waits)
+    return Found(
+        case,
+        jobs,
+        mean,
+        theory.half_width(batches),
+        area / (last_at - begun),
+        len(waits) / ((last_at - begun) / SECOND) * mean,
+    )
+
+
+def _times(streams: Streams, gap: float, jobs: int, start: int) -> Iterator[int]:
+    at = float(start)
+    for _ in range(jobs):
+        at += streams["arrivals"].exponential(gap)
+        yield int(at)
