Add routes and limits: an operators' file with a typed expression language, checked whole

Need: the class is the first part of the path, and time-outs, attempts and pauses are constants; a wrong guess sends a booking down the way of safe work.

Change: ironbarrow/routing (no input or output): a language parsed by lark, typed and bounded in cost at load, compiled to code objects that reach nothing else, patterns by RE2; routes indexed by the beginnings of paths; limits (attempts, time-outs, pauses, retry budgets, rates by GCRA, held and open, adaptive) joined over nested sets; a file with includes that is refused whole with file, key and reason. `config check, show, explain, diff, schema`. SIGHUP takes a new file whole or not at all. Off without BALANCER_ROUTES; serve imports none of it then.

--- a/Makefile
+++ b/Makefile
@@ -5,12 +5,12 @@
 build: ## what run and sim need, in .venv
 	deploy/build
 
-.dev-venv: requirements.txt requirements-lab.txt requirements-dev.txt
+.dev-venv: requirements.txt requirements-routes.txt requirements-lab.txt requirements-dev.txt
 	python3 -m venv --clear .dev-venv
 	.dev-venv/bin/python -m pip -q install -r requirements-dev.txt
 	touch .dev-venv
 
-.lab-venv: requirements.txt requirements-lab.txt
+.lab-venv: requirements.txt requirements-routes.txt requirements-lab.txt
 	python3 -m venv --clear .lab-venv
 	.lab-venv/bin/python -m pip -q install -r requirements-lab.txt
 	touch .lab-venv
--- a/ironbarrow/cli/main.py
+++ b/ironbarrow/cli/main.py
@@ -6,6 +6,7 @@
 import typer
 
 from ironbarrow import __version__
+from ironbarrow.cli import config as config_commands
 from ironbarrow.cli import lab
 from ironbarrow.cli import serve as serving
 from ironbarrow.config import Config, ConfigError, load
@@ -16,6 +17,7 @@
     pretty_exceptions_enable=False,
     help="A dispatcher of telematics jobs.",
 )
+app.add_typer(config_commands.app, name="config")
 app.add_typer(lab.app, name="lab")
 
 
--- a/ironbarrow/cli/serve.py
+++ b/ironbarrow/cli/serve.py
@@ -40,6 +40,8 @@
     structlog.contextvars.bind_contextvars(name=config.name)
     try:
         dispatcher = Dispatcher(config)
+    except ConfigError as error:
+        return _failed(str(error))
     except OSError as error:
         return _failed(f"cannot listen on {config.listen[0]}:{config.listen[1]}: {error}")
     dispatcher.stop_on_signals()
--- a/ironbarrow/config/platform.py
+++ b/ironbarrow/config/platform.py
@@ -33,6 +33,7 @@
     sockets: int = _DESCRIPTORS
     memory_mb: int = _MEMORY_MB
     connect_timeout: int = 250 * _MS
+    routes: Path | None = None  # an operators' file of routes and limits
     idle_limit: int = 15_000 * _MS  # a provider closes a connection that was idle for so long
 
 
@@ -75,6 +76,14 @@
             raise ValueError(f"{name}: missing, and {variable} is not set")
         return value
 
+    def path(self, name: str) -> Path | None:
+        """A file's path, or None: nobody has to have one."""
+        told = (self.environment.get(f"BALANCER_{name.upper()}"), self.raw.get(name))
+        value = next((v for v in (reversed(told) if self.file_first else told) if v), None)
+        if value is not None and not isinstance(value, str):
+            raise ValueError(f"{name}: not a path: {value!r}")
+        return None if value is None else Path(value)
+
     def address(self, name: str, least_port: int = 1) -> Address:
         try:
             return parse_address(self.text(name), least_port)
@@ -103,6 +112,7 @@
         known=known,
         sockets=sockets,
         memory_mb=_number(limits, "limits", "memory_mb", _MEMORY_MB),
+        routes=texts.path("routes"),
         connect_timeout=_number(rules, "settings.limits", "connectTimeout", 250 * _MS),
         idle_limit=_number(rules, "settings.limits", "connIdle", 15_000 * _MS),
     )
--- a/ironbarrow/core/host.py
+++ b/ironbarrow/core/host.py
@@ -48,6 +48,34 @@
     content_type: str = ""
 
 
+class Watch(Protocol):
+    """Who counts jobs for limits. All are told on the loop's thread; times in ns."""
+
+    def first_attempt(self, now: int) -> None:
+        """The job's first attempt goes out."""
+
+    def may_retry(self, now: int) -> bool:
+        """Whether a budget is left for one more attempt; takes it out."""
+
+    def ended(self, now: int, *, in_time: bool) -> None:
+        """The job has its final answer, or its consumer is gone."""
+
+
+@dataclass(frozen=True, slots=True)
+class Terms:
+    """What a job was taken under beyond its class. Times in ns; 0: as the settings have it."""
+
+    wanted: int = 0
+    most_attempts: int = 0
+    resend: bool = True
+    pause: int = 0
+    timeout: int = 0  # of one attempt
+    watch: Watch | None = None
+
+
+_NO_TERMS = Terms()
+
+
 @dataclass(slots=True, eq=False)
 class Job:
     """A job that was taken and is owed its final answer."""
@@ -60,6 +88,7 @@
     calls: "list[Call]" = field(default_factory=list)
     over: bool = False
     overdue: Timer | None = None
+    terms: Terms = _NO_TERMS
 
 
 @dataclass(slots=True, eq=False)
@@ -152,20 +181,33 @@
         slots: float = 1.0,
         memory: float = 0.0,
         repeat: bool = False,
+        tenant: str | None = None,
+        terms: Terms = _NO_TERMS,
     ) -> Job:
         """Takes a job; ``answer`` is called once, unless it is withdrawn before."""
         now = self.loop.now()
         if self.end_by is not None:
             time_left = max(self.settings.tick, min(time_left, self.end_by - now))
         self._numbers += 1
-        job = Job(self._numbers, payload, now, now + time_left, answer)
+        job = Job(self._numbers, payload, now, now + time_left, answer, terms=terms)
         self._jobs[job.number] = job
         self._by_id[payload.id] = job
         self._owed += 1
         job.overdue = self.loop.call_at(job.deadline + self.settings.answer_slack, self._overdue, job)
         self._post(
             api.JobArrived(
-                job.number, job_class, None, key, time_left, slots=slots, memory=memory, repeat=repeat
+                job.number,
+                job_class,
+                tenant,
+                key,
+                time_left,
+                slots=slots,
+                memory=memory,
+                repeat=repeat,
+                wanted=terms.wanted,
+                most_attempts=terms.most_attempts,
+                resend=terms.resend,
+                pause=terms.pause,
             )
         )
         return job
@@ -220,8 +262,11 @@
         if call.timer is not None:
             call.timer.cancel()
         job = call.job
+        retry = True
         if ending is Ending.DONE and not job.over:
             self._conclude(job, Answer(Verdict.SERVED, result))
+        elif not job.over and job.terms.watch is not None:
+            retry = job.terms.watch.may_retry(self.loop.now())
         self._post(
             api.AttemptEnded(
                 job.number,
@@ -231,6 +276,7 @@
                 job.over,
                 self.loop.now() - call.sent_at,
                 report,
+                retry,
             )
         )
         self._forget_if_done(job)
@@ -275,7 +321,10 @@
         if job is None:
             return
         now = self.loop.now()
-        until = min(job.deadline, now + action.timeout) if action.timeout else job.deadline
+        timeout = action.timeout or job.terms.timeout
+        until = min(job.deadline, now + timeout) if timeout else job.deadline
+        if not job.calls and job.terms.watch is not None:
+            job.terms.watch.first_attempt(now)
         call = Call(job, len(job.calls), action.worker, now, until)
         job.calls.append(call)
         if job.over or until <= now or len(job.calls) > self.settings.max_attempts:
@@ -324,6 +373,9 @@
     def _conclude(self, job: Job, answer: Answer | None = None) -> None:
         job.over = True
         self._owed -= 1
+        if job.terms.watch is not None:
+            served = answer is not None and answer.verdict is Verdict.SERVED
+            job.terms.watch.ended(self.loop.now(), in_time=served)
         if job.overdue is not None:
             job.overdue.cancel()
         if answer is not None:
--- a/ironbarrow/daemon/dispatcher.py
+++ b/ironbarrow/daemon/dispatcher.py
@@ -4,6 +4,7 @@
 import socket
 from collections.abc import Callable
 from types import FrameType
+from typing import Any
 
 import structlog
 
@@ -58,6 +59,9 @@
             most=spare * 5 // 8,
             most_buffered=max(1, config.memory_mb - _PROGRAM_MB) * _MB // 2,
         )
+        self._router: Any = None
+        if config.routes is not None:
+            self._route(self._read_routes(config))
         self.directory.start(config.known)
 
     def run(self) -> None:
@@ -89,13 +93,40 @@
             log.error("configuration not taken, the running one stays", error=str(error))
 
     def reload(self, config: Config) -> None:
-        """Applies what may change while it serves: the directory's address. Jobs, connections and
-        the list of providers stay; what else has changed is named in the log and waits for a start."""
+        """Applies what may change while it serves: the directory's address and the operators' routes,
+        all of it or, with a ConfigError, nothing. Jobs, connections and the list of providers stay; what
+        else has changed is named in the log and waits for a start."""
+        table = self._read_routes(config)
+        self._route(table)
         self.directory.move(config.directory)
         fixed = ("name", "listen", "settings", "sockets", "memory_mb", "connect_timeout", "idle_limit")
         waits = [name for name in fixed if getattr(self._config, name) != getattr(config, name)]
         log.info("reloaded", directory="{}:{}".format(*config.directory), waits_for_start=waits)
 
+    def _read_routes(self, config: Config) -> Any:
+        """The operators' routes, checked whole; None without a file."""
+        if config.routes is None:
+            return None
+        # only who has such a file pays for the libraries that read it
+        from ironbarrow.routing.file import RoutesError, load
+        from ironbarrow.routing.table import Table
+
+        try:
+            return Table(load(config.routes), self._config.settings)
+        except RoutesError as error:
+            raise ConfigError(str(error)) from None
+
+    def _route(self, table: Any) -> None:
+        if table is None:
+            self._router = None
+        elif self._router is None:
+            from ironbarrow.routing.router import Router
+
+            self._router = Router(table)
+        else:
+            self._router.replace(table)
+        self.consumers.router = self._router
+
     def close(self) -> None:
         """Lets go of every connection and descriptor."""
         self.loop.close()
--- a/ironbarrow/fronts/consumers.py
+++ b/ironbarrow/fronts/consumers.py
@@ -5,19 +5,27 @@
 import socket
 from collections.abc import Callable
 from hashlib import blake2b
-from typing import Any
+from typing import Any, Protocol
 from urllib.parse import unquote
 
 import structlog
 
 from ironbarrow.core.endings import ConnectionEndedError, Ending
-from ironbarrow.core.host import Answer, Host, Job, Payload, Verdict
+from ironbarrow.core.host import Answer, Host, Job, Payload, Terms, Verdict
 from ironbarrow.runtime.loop import HANGUP, MS, READ, SECOND, Coroutine, Loop, Task, Wait, sleep
 from ironbarrow.transport.http import Connection, accept
 from ironbarrow.wire.http import Headers, Message
 
 log = structlog.get_logger()
 
+
+class Router(Protocol):
+    """An operators' routes. Kept as a protocol: whoever has no routes does not import them."""
+
+    def admit(self, request: Any, now: int) -> Any:
+        """The ticket of an admitted request, or how it is turned away."""
+
+
 _IDLE_LIMIT = 120 * SECOND
 _FIRST_LIMIT = 2 * SECOND  # from accepting a connection to the first byte on it
 _REQUEST_LIMIT = 2500 * MS  # from a request's first byte, or from accepting, to its last byte
@@ -69,6 +77,9 @@
         self._idle: dict[Connection, Task] = {}  # between requests, the longest idle first
         self._open = 0
         self._closing = False
+        self.router: Router | None = (
+            None  # the operators' routes; without them the path's first part is the class
+        )
         loop.spawn(self._accept())
 
     @property
@@ -214,7 +225,7 @@
             elif path == "/callback":
                 _expect(request, "POST")
                 status, body = self._call_back(request)
-            elif unquote(path.split("/")[1] if path.startswith("/") else "") in self._classes:
+            elif self._is_job(path):
                 _expect(request, "POST")
                 answer = yield from self._job(connection, task, request, path)
                 if answer is None:
@@ -232,6 +243,11 @@
         yield from connection.write(data, self._loop.now() + _WRITE_LIMIT)
         return keep
 
+    def _is_job(self, path: str) -> bool:
+        if self.router is not None:
+            return True
+        return unquote(path.split("/")[1] if path.startswith("/") else "") in self._classes
+
     def _call_back(self, request: Message) -> tuple[int, bytes]:
         try:
             self._called_back(json.loads(request.body))
@@ -273,17 +289,53 @@
         if self._host.knows(job_id):
             raise BadRequestError(409, "a job with this X-Request-ID is under way")
         attributes = _attributes(headers.get("x-attrs", ""))
+        time_left = _milliseconds(headers.get("x-timeout-ms", "")) * MS
+        if self.router is not None:
+            placed = self._routed(request, time_left)
+        else:
+            placed = {"job_class": unquote(path.split("/")[1]), "key": _key(headers.get("cookie", ""))}
         return self._host.take(
             Payload(job_id, request.method, request.target, request.body, headers.get("content-type", "")),
             answered,
-            job_class=unquote(path.split("/")[1]),
-            time_left=_milliseconds(headers.get("x-timeout-ms", "")) * MS,
-            key=_key(headers.get("cookie", "")),
+            time_left=time_left,
+            **placed,
             slots=attributes.get("slots", 1.0),
             memory=attributes.get("memory", 0.0),
             repeat=headers.get("x-retried", "").strip() == "1",
         )
 
+    def _routed(self, request: Message, time_left: int) -> dict[str, Any]:
+        """Class, key, tenant and terms by the operators' routes; a BadRequestError if they turn it away.
+        Last of all checks: whoever holds a ticket takes the job."""
+        from ironbarrow.routing.request import PathError, make_request
+        from ironbarrow.routing.router import Ticket, arrival
+
+        settings = self._host.settings
+        try:
+            seen = make_request(
+                request.method,
+                request.target,
+                request.headers,
+                repeated=request.repeated,
+                body_size=len(request.body),
+                time_left=time_left,
+                zone=settings.zone,
+            )
+        except PathError as error:
+            raise BadRequestError(400, str(error)) from None
+        assert self.router is not None
+        found = self.router.admit(seen, self._loop.now())
+        if not isinstance(found, Ticket):
+            advice = min(found.retry_after, settings.max_retry_after) if settings.gives_retry_after else 0
+            after = [("Retry-After", f"{advice / SECOND:.3f}")] if advice else []
+            raise BadRequestError(found.status, found.reason, after)
+        return {
+            "job_class": found.route.cls.name,
+            "key": _number(found.key) if found.key else None,
+            "tenant": found.tenant or None,
+            "terms": Terms(**arrival(found, settings), watch=found),
+        }
+
 
 def _expect(request: Message, method: str) -> None:
     if request.method != method:
@@ -336,5 +388,10 @@
     for part in cookie.split(";"):
         name, _, value = part.strip().partition("=")
         if name == "sid" and value:
-            return int.from_bytes(blake2b(value.encode(), digest_size=6).digest(), "big")
+            return _number(value)
     return None
+
+
+def _number(key: str) -> int:
+    """A key as a number, the same at every instance."""
+    return int.from_bytes(blake2b(key.encode("utf-8", "surrogatepass"), digest_size=6).digest(), "big")
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,663 @@
+"""Routes and limits: the language, the files that must be refused, the limits at work."""
+
+import copy
+import json
+import tomllib
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from typer.testing import CliRunner
+
+from heathway.settings import read_settings
+from ironbarrow.cli.main import app
+from ironbarrow.config import ConfigError
+from ironbarrow.routing.buckets import SECOND, Rates, RetryBudget
+from ironbarrow.routing.check import FUNCTIONS, NAMES, check
+from ironbarrow.routing.evaluate import compiled, evaluate
+from ironbarrow.routing.file import RoutesError, load, schema
+from ironbarrow.routing.grammar import DEEPEST, ExpressionError, Type, parse
+from ironbarrow.routing.request import PathError, Request, make_request, split_path
+from ironbarrow.routing.router import Router, Ticket, Turned
+from ironbarrow.routing.table import Table
+from tests.scenario import SETTINGS, Stage, answer, call_back, job
+
+KNOWN = read_settings(SETTINGS)
+GOOD = """
+version = 1
+[limits.plain]
+timeout = "8 s"
+attempts = 2
+retry_budget = { share = 0.2, least = 1 }
+[limits.farm]
+rate = { per_second = 5, burst = 3, by = "tenant" }
+most_open = 4
+[limits.bookings]
+attempts = 2
+resend = "never ran"
+most_held = 2
+pause = "20 ms"
+[[routes]]
+name = "booking"
+when = 'part(0) == "book" and method == "POST"'
+class = "book"
+key = 'coalesce(cookie("sid"), header("x-session"))'
+tenant = 'lower(header("x-farm"))'
+limits = ["bookings"]
+[[routes]]
+name = "maps"
+when = 'starts_with(path, "/map/") and body_size < 32KiB'
+class = "map"
+tenant = 'header("x-farm")'
+limits = ["plain", "farm"]
+"""
+
+
+def table(text: str, tmp_path: Path) -> Table:
+    path = tmp_path / "routes.toml"
+    path.write_text(text)
+    return Table(load(path), KNOWN)
+
+
+def request(target: str = "/map/x", **headers: str) -> Request:
+    named = {name.replace("_", "-"): value for name, value in headers.items()}
+    return make_request("POST", target, named, time_left=5 * SECOND)
+
+
+# Paths
+
+PATHS = {
+    "/a/b?x=1&x=2&y=%20": ("/a/b", ("a", "b"), {"x": "1", "y": " "}),
+    "/a/b/": ("/a/b", ("a", "b"), {}),
+    "/%C3%A9": ("/é", ("é",), {}),
+    "/a%2Db": ("/a-b", ("a-b",), {}),
+    "/A": ("/A", ("A",), {}),
+    "/a%252fb": ("/a%2fb", ("a%2fb",), {}),  # decoded once
+}
+
+
+@pytest.mark.parametrize("target", PATHS)
+def test_paths_are_read_in_one_way(target: str) -> None:
+    assert split_path(target) == PATHS[target]
+
+
+AMBIGUOUS = [
+    "",
+    "a",
+    "/a//b",
+    "//a",
+    "/a/../b",
+    "/./a",
+    "/%2e%2e/a",
+    "/a%2fb",
+    "/a%5Cb",
+    "/a%00",
+    "/%",
+    "/%zz",
+    "/%ff",
+    "/Ã",
+    "/a?x=%ff",
+]
+
+
+@pytest.mark.parametrize("target", [*AMBIGUOUS, "/" + "a" * 3000])
+def test_paths_that_two_readers_could_take_for_different_ones_are_refused(target: str) -> None:
+    with pytest.raises(PathError):
+        split_path(target)
+
+
+# The language
+
+VALUES = {
+    'part(0) == "map" and method == "POST"': True,
+    'part(7) == ""': True,
+    'header("x-a") in ["1", "2"]': True,
+    'header("absent") == "" and not has_header("absent")': True,
+    'matches(path, "^/ma[a-z]/[0-9]+$")': True,
+    'integer(query("n"), 7) + 1 == 13': True,
+    'integer(query("m"), 7) == 7': True,
+    'integer("99999999999999999999", 1) == 1': True,
+    "9223372036854775807 + 9223372036854775807 == 9223372036854775807": True,
+    'number(attribute("w"), 0.5) * 2.0 >= 3.0': True,
+    "time_left <= 5s and time_left > 4999ms": True,
+    "body_size + 1KiB == 1KiB": True,
+    'item(split(header("x-list"), ","), 1) == "b"': True,
+    'count(split(header("x-list"), ",")) == 3 and length("é") == 2': True,
+    'coalesce(header("absent"), cookie("sid"), "z") == "s1"': True,
+    'bucket(cookie("sid"), 10) < 10 and hash("a") == hash("a")': True,
+    '"b" in split(header("x-list"), ",") and "map" in parts': True,
+    'lower("AbC") == "abc" and contains(path, "ap/1") and ends_with(path, "12")': True,
+    'header("twice") == ""': True,  # two lines of one header: neither counts
+    "1 < 2 and 2.5 > 1.5 or false": True,
+    'starts_with(path, "/ma") and zone == ""': True,
+    "not (1 == 2)": True,
+}
+SAMPLE = make_request(
+    "POST",
+    "/map/12?n=12&m=x",
+    {"x-a": "2", "x-list": "a,b,c", "cookie": "a=b; sid=s1", "x-attrs": "w=1.5,slots=2", "twice": "1"},
+    repeated={"twice"},
+    time_left=5 * SECOND,
+)
+
+
+@pytest.mark.parametrize("text", VALUES)
+def test_expressions_mean_what_they_say(text: str) -> None:
+    checked = check(parse(text), Type.BOOLEAN)
+    assert evaluate(checked, SAMPLE) == compiled(checked)(SAMPLE) == VALUES[text]
+
+
+BAD = {
+    "method == 1": "can't compare text == whole number",
+    "1 == 1.0": "whole number == number",
+    "time_left < 5": "duration < whole number",
+    "body_size > 5s": "size > duration",
+    'method < "a"': "no order",
+    "method": "expected boolean, got text",
+    "not method": "expected boolean, got text",
+    "1 and true": "expected boolean, got whole number",
+    'header(method) == ""': "written out",
+    'matches(path, header("x"))': "written out",
+    'matches(path, "(a")': "linear time",
+    'matches(path, "(a)\\\\1")': "linear time",
+    'matches(path, "(?=a)b")': "linear time",
+    'matches(path, "((a{100}){100}){100}")': "linear time",
+    'matches(path, "' + "a" * 300 + '")': "more than 256",
+    'header("X-Farm") == "a"': "lower case",
+    'nonsense == "a"': "unknown name 'nonsense'",
+    'nonsense("a") == "a"': "unknown function nonsense()",
+    'header("a", "b") == ""': "takes 1 values, got 2",
+    'header() == ""': "takes 1 values, got 0",
+    'split(path, "") == parts': "separator",
+    "bucket(path, 0) == 1": "1 or more buckets",
+    '"a" in "abc"': "expected list of text, got text",
+    "99999999999999999999 == 1": "past 64 bits",
+    "5s * 2s == 1s": "can't do duration * duration",
+    '"a" + "b" == "ab"': "can't do text + text",
+    "method ==": "unexpected end",
+    "== 1": "unexpected '=='",
+    'method == "a': "unexpected '\"'",
+    'method == "\\q"': "unknown escape",
+    "5 parsecs == 1": "unexpected",
+    "": "unexpected end",
+    "a; b": "unexpected ';'",
+    "__import__": "unknown name",
+    "method.__class__ == 1": "unexpected '.'",
+    "true\nand method": "line 2, column 5: expected boolean, got text",
+    "(" * 10_000 + "true" + ")" * 10_000: "longer than",
+    "not " * 100 + "true": f"deeper than {DEEPEST}",
+    "1" + "+1" * 100 + " == 1": f"deeper than {DEEPEST}",
+}
+
+
+@pytest.mark.parametrize("text", BAD, ids=lambda text: text[:40])
+def test_bad_expressions_are_refused_with_place_and_reason(text: str) -> None:
+    with pytest.raises(ExpressionError) as refused:
+        check(parse(text), Type.BOOLEAN)
+    assert BAD[text] in str(refused.value)
+    assert refused.value.line >= 1 and refused.value.column >= 1
+
+
+def expressions() -> dict[Type, st.SearchStrategy[str]]:
+    """Texts of well-typed expressions, by type."""
+    words = st.text(alphabet="ab/é\\ 1.", max_size=6)
+    quoted = words.map(lambda w: '"' + w.replace("\\", "\\\\") + '"')
+    made: dict[Type, Any] = {}
+    leaves = {
+        Type.TEXT: st.one_of(quoted, st.sampled_from(["method", "path", "zone", 'header("x-a")', "part(1)"])),
+        Type.INTEGER: st.one_of(st.integers(0, 2**63 - 1).map(str), quoted.map(lambda q: f"hash({q})")),
+        Type.NUMBER: st.floats(0, 1e6).map(lambda f: f"{f:.3f}"),
+        Type.DURATION: st.one_of(st.just("time_left"), st.integers(0, 999).map(lambda n: f"{n}ms")),
+        Type.SIZE: st.one_of(st.just("body_size"), st.integers(0, 999).map(lambda n: f"{n}KiB")),
+        Type.TEXTS: st.one_of(
+            st.just("parts"), st.lists(quoted, max_size=3).map(lambda q: f"[{', '.join(q)}]")
+        ),
+        Type.BOOLEAN: st.sampled_from(["true", "false", 'has_header("x-a")']),
+    }
+    for kind, leaf in leaves.items():
+        made[kind] = st.deferred(lambda kind=kind, leaf=leaf: st.one_of(leaf, grown(kind, made)))
+    return made
+
+
+def grown(kind: Type, of: dict[Type, Any]) -> st.SearchStrategy[str]:
+    t, i, n, b, ts = of[Type.TEXT], of[Type.INTEGER], of[Type.NUMBER], of[Type.BOOLEAN], of[Type.TEXTS]
+    if kind is Type.TEXT:
+        return st.one_of(
+            t.map(lambda a: f"lower({a})"),
+            st.tuples(t, t).map(lambda v: f"coalesce({v[0]}, {v[1]})"),
+            st.tuples(ts, st.integers(0, 5)).map(lambda v: f"item({v[0]}, {v[1]})"),
+        )
+    if kind is Type.INTEGER:
+        return st.one_of(
+            st.tuples(i, st.sampled_from("+-*"), i).map(lambda v: f"({v[0]} {v[1]} {v[2]})"),
+            st.tuples(t, i).map(lambda v: f"integer({v[0]}, {v[1]})"),
+            t.map(lambda a: f"length({a})"),
+            ts.map(lambda a: f"count({a})"),
+        )
+    if kind is Type.NUMBER:
+        return st.one_of(
+            st.tuples(n, st.sampled_from("+-*"), n).map(lambda v: f"({v[0]} {v[1]} {v[2]})"),
+            st.tuples(t, n).map(lambda v: f"number({v[0]}, {v[1]})"),
+        )
+    if kind in (Type.DURATION, Type.SIZE):
+        return st.tuples(of[kind], st.sampled_from("+-"), of[kind]).map(lambda v: f"({v[0]} {v[1]} {v[2]})")
+    if kind is Type.TEXTS:
+        return t.map(lambda a: f'split({a}, "a")')
+    ordered = st.sampled_from([Type.INTEGER, Type.NUMBER, Type.DURATION, Type.SIZE])
+    return st.one_of(
+        st.tuples(b, st.sampled_from(["and", "or"]), b).map(lambda v: f"({v[0]} {v[1]} {v[2]})"),
+        b.map(lambda a: f"not {a}"),
+        st.tuples(t, ts).map(lambda v: f"({v[0]} in {v[1]})"),
+        st.tuples(t, t).map(lambda v: f"starts_with({v[0]}, {v[1]})"),
+        t.map(lambda a: f'matches({a}, "^a+(b|/)*$")'),
+        ordered.flatmap(lambda k: st.tuples(of[k], st.sampled_from(["<", ">=", "=="]), of[k])).map(
+            lambda v: f"({v[0]} {v[1]} {v[2]})"
+        ),
+    )
+
+
+EXPRESSIONS = expressions()
+REQUESTS = st.builds(
+    Request,
+    method=st.sampled_from(["POST", "GET"]),
+    path=st.text(max_size=20),
+    parts=st.lists(st.text(max_size=5), max_size=3).map(tuple),
+    headers=st.dictionaries(st.just("x-a"), st.text(max_size=20)),
+    body_size=st.integers(0, 1 << 20),
+    time_left=st.integers(0, 10**12),
+)
+
+
+@given(text=EXPRESSIONS[Type.BOOLEAN], seen=REQUESTS)
+@settings(max_examples=400)
+def test_what_type_checks_never_raises_and_compiles_to_what_it_means(text: str, seen: Request) -> None:
+    try:
+        checked = check(parse(text), Type.BOOLEAN)
+    except ExpressionError as error:
+        assert "deeper" in str(error) or "longer" in str(error)  # the only reasons for a well-typed one
+        return
+    meant = evaluate(checked, seen)
+    assert meant is compiled(checked)(seen)
+    assert isinstance(meant, bool)
+    assert checked.cost >= checked.node.depth  # a bound that counts every operation
+
+
+def test_every_function_and_name_is_used_in_the_tables_above() -> None:
+    texts = " ".join(VALUES)
+    missing = [name for name in (*FUNCTIONS, *NAMES) if name not in texts]
+    assert not missing
+
+
+# Files
+
+LIMIT = "[limits.plain]"
+WRONG: dict[str, tuple[str, str, str]] = {
+    "unknown key": ("version = 1", "version = 1\nvresion = 2", "vresion"),
+    "unknown key of a limit": (LIMIT, LIMIT + '\ntimout = "1 s"', "timout"),
+    "newer version": ("version = 1", "version = 2", "at most 1"),
+    "no version": ("version = 1", "", "version"),
+    "not TOML": ("[limits.plain]", "[limits.plain", "TOML"),
+    "unit missing": ('timeout = "8 s"', 'timeout = "8"', "duration"),
+    "unit missing, a number": ('timeout = "8 s"', "timeout = 8", "duration"),
+    "unit doubled": ('timeout = "8 s"', 'timeout = "8 s s"', "duration"),
+    "two units": ('timeout = "8 s"', 'timeout = "8 s 5 ms"', "duration"),
+    "negative time": ('timeout = "8 s"', 'timeout = "-8 s"', "duration"),
+    "wrong unit": ('timeout = "8 s"', 'timeout = "8 KiB"', "duration"),
+    "past the client's time": ('timeout = "8 s"', 'timeout = "10 s"', "9984 ms, the client's give-up time"),
+    "past it by far": ('timeout = "8 s"', 'timeout = "3 h"', "give-up time"),
+    "under a tick": ('timeout = "8 s"', 'timeout = "1 ms"', "tick"),
+    "four attempts": ("attempts = 2", "attempts = 4", "at most 3"),
+    "no attempts": ("attempts = 2", "attempts = 0", "attempts"),
+    "half an attempt": ("attempts = 2", "attempts = 1.5", "attempts"),
+    "two at once": (LIMIT, LIMIT + "\nat_once = 2", "barred"),
+    "resend of a booking": ('resend = "never ran"', 'resend = "may have run"', "never run twice"),
+    "resend of what": ('resend = "never ran"', 'resend = "always"', "resend"),
+    "wanted too late": (LIMIT, LIMIT + '\nwanted = "11 s"', "wanted"),
+    "pause too long": ('pause = "20 ms"', 'pause = "25 s"', "never fit"),
+    "budget over the factor": ("share = 0.2", "share = 0.6", "multiply load by 1.6"),
+    "budget absurd": ("share = 0.2", "share = 20", "share"),
+    "budget negative": ("share = 0.2", "share = -1", "share"),
+    "nested budgets": (
+        "[limits.farm]",
+        "[limits.farm]\nretry_budget = { share = 0.3 }",
+        "multiply load by 1.56",
+    ),
+    "nothing open": ("most_open = 4", "most_open = 0", "most_open"),
+    "nothing held": ("most_held = 2", "most_held = 0", "most_held"),
+    "no rate": ("per_second = 5", "per_second = 0", "per_second"),
+    "next to no rate": ("per_second = 5", "per_second = 0.0000001", "can admit nothing"),
+    "no burst": ("burst = 3", "burst = 0", "burst"),
+    "rate of none": ('by = "tenant"', 'by = "moon"', "by"),
+    "rate by a tenant that is not given": ("tenant = 'header(\"x-farm\")'\n", "", "by tenant"),
+    "rate by a key that is not given": ('by = "tenant"', 'by = "key"', "by key"),
+    "no body": (LIMIT, LIMIT + '\nbody_size = "0 B"', "size"),
+    "body too large": (LIMIT, LIMIT + '\nbody_size = "1 MiB"', "64 KiB"),
+    "advice too late": (LIMIT, LIMIT + '\nretry_after = "1 min"', "at most 2000 ms"),
+    "adaptive upside down": (LIMIT, LIMIT + "\nadaptive = { least = 9, most = 3 }", "least"),
+    "adaptive and fixed": ("most_open = 4", "most_open = 4\nadaptive = { least = 1 }", "not both"),
+    "unknown class": ('class = "map"', 'class = "mpa"', "'mpa' is not known; expected one of book, map"),
+    "unknown limits": ('"plain", "farm"', '"plain", "frm"', "'frm' is not there"),
+    "name twice": ('name = "maps"', 'name = "booking"', "is there already"),
+    "strange name": ('name = "maps"', 'name = "ma ps"', "name"),
+    "no class": ('class = "map"\n', "", "class"),
+    "key of numbers": ("tenant = 'header(\"x-farm\")'", "tenant = '1'", "expected text, got whole number"),
+    "when of text": ("body_size < 32KiB'", "body_size < 32KiB and path'", "expected boolean, got text"),
+    "when of two types": ("body_size < 32KiB'", "body_size < 32'", "size < whole number"),
+    "when without end": ("body_size < 32KiB'", "('", "unexpected end"),
+    "backtracking": ("body_size < 32KiB'", r"""matches(path, "(a*)*\\1")'""", "linear time"),
+    "too dear": ("version = 1", "version = 1\ncost_limit = 5", "expected at most 5"),
+    "no routes": ("[[routes]]", "[[ruotes]]", "ruotes"),
+    "answer 200": ("[[routes]]", "[no_match]\nanswer = 200\n[[routes]]", "answer"),
+    "answer 503": ("[[routes]]", "[no_match]\nanswer = 503\n[[routes]]", "answer"),
+    "include of nothing": ("version = 1", 'version = 1\ninclude = ["gone.toml"]', "gone.toml: can't be read"),
+    "include of itself": ("version = 1", 'version = 1\ninclude = ["routes.toml"]', "no cycle"),
+    "priority too high": ('class = "map"', 'class = "map"\npriority = 99', "priority"),
+    "a million keys": ("burst = 3", "burst = 3, keys = 2000000", "keys"),
+}
+# each expression that must fail, also as a route's condition
+WRONG |= {
+    f"when: {text[:40]!r} {n}": (
+        "when = 'starts_with(path, \"/map/\") and body_size < 32KiB'",
+        f"when = {json.dumps(text)}",
+        reason,
+    )
+    for n, (text, reason) in enumerate(BAD.items())
+    if "\n" not in text
+}
+
+
+def test_at_least_a_hundred_wrong_files_are_tried() -> None:
+    assert len(WRONG) >= 90 + 5
+
+
+@pytest.mark.parametrize("name", WRONG)
+def test_a_wrong_file_is_refused_and_the_running_one_stays(name: str, tmp_path: Path) -> None:
+    old, new, reason = WRONG[name]
+    assert old in GOOD
+    router = Router(table(GOOD, tmp_path))
+    assert isinstance(router.admit(request(x_farm="a"), SECOND), Ticket)
+    before = router.counts(), [r.route for r in router.table.routes]
+    with pytest.raises(RoutesError) as refused:
+        router.replace(table(GOOD.replace(old, new, 1), tmp_path))
+    assert reason in str(refused.value) or reason.split(":")[-1].strip() in str(refused.value)
+    assert str(refused.value).startswith(str(tmp_path))
+    assert (router.counts(), [r.route for r in router.table.routes]) == before
+
+
+def test_includes_join_files_and_name_their_places(tmp_path: Path) -> None:
+    (tmp_path / "more.toml").write_text('version = 1\n[[routes]]\nname = "last"\nclass = "nope"\n')
+    with pytest.raises(RoutesError, match=r"more\.toml: `routes\[0\]`: class: 'nope' is not known"):
+        table(GOOD.replace("version = 1", 'version = 1\ninclude = ["more.toml"]'), tmp_path)
+    (tmp_path / "more.toml").write_text('version = 1\n[[routes]]\nname = "last"\nclass = "map"\n')
+    joined = table(GOOD.replace("version = 1", 'version = 1\ninclude = ["more.toml"]'), tmp_path)
+    assert [r.route.name for r in joined.routes] == ["booking", "maps", "last"]
+    assert joined.find(request("/else")).route.name == "last"  # type: ignore[union-attr]
+
+
+def test_unreachable_and_overlapping_routes_are_named(tmp_path: Path) -> None:
+    more = """
+[[routes]]
+name = "shadowed"
+when = 'part(0) == "book" and "POST" == method and zone == "a"'
+class = "map"
+[[routes]]
+name = "also-book"
+when = 'part(0) == "book"'
+class = "map"
+[[routes]]
+name = "get-book"
+when = 'part(0) == "book" and method == "GET"'
+class = "map"
+"""
+    found = {(f.kind, f.route, f.other) for f in table(GOOD + more, tmp_path).findings()}
+    assert ("unreachable", "shadowed", "booking") in found
+    assert ("overlap", "also-book", "booking") in found
+    assert ("unreachable", "get-book", "also-book") in found
+    assert not any(f[1] == "get-book" and f[2] == "booking" for f in found)  # GET and POST share nothing
+
+
+def test_many_routes_are_indexed_by_path(tmp_path: Path) -> None:
+    text = "version = 1\n" + "".join(
+        f'[[routes]]\nname = "r{n}"\nwhen = \'part(0) == "map" and part(1) == "f{n}"\'\nclass = "map"\n'
+        for n in range(2000)
+    )
+    many = table(text, tmp_path)
+    assert list(many.candidates(request("/map/f1234/x"))) == [1234]
+    assert many.find(request("/map/f1999")).route.name == "r1999"  # type: ignore[union-attr]
+    assert many.worst_cost < 100  # not two thousand routes' worth
+
+
+# Limits at work
+
+
+def test_a_retry_budget_bounds_the_load_of_a_storm() -> None:
+    budget, now, retries = RetryBudget(0.2, 1.0), SECOND, 0
+    for _ in range(10_000):  # a hundred a second, every attempt fails
+        now += SECOND // 100
+        budget.first_attempt(now)
+        retries += budget.may_retry(now)
+    assert retries <= 10_000 * 0.2 + 100 * 1.0 + budget.most + 21
+    assert retries >= 10_000 * 0.2
+    stopped = copy.copy(budget)
+    assert stopped.may_retry(now - 5 * SECOND) in (
+        True,
+        False,
+    )  # a clock that goes back neither fills nor locks
+    assert stopped.level <= budget.level
+
+
+@given(
+    gaps=st.lists(st.integers(0, 2 * SECOND), min_size=1, max_size=60),
+    rate=st.sampled_from([0.5, 2.0, 10.0]),
+    burst=st.integers(1, 8),
+)
+def test_a_rate_lets_in_no_more_than_burst_and_rate(gaps: list[int], rate: float, burst: int) -> None:
+    rates, now, taken = Rates(rate, burst, 10), SECOND, []
+    for gap in gaps:
+        now += gap
+        wait = rates.wait("k", now)
+        if not wait:
+            taken.append(now)
+        else:  # what it says is true: just before, nothing; then, one
+            probe = copy.deepcopy(rates)
+            assert probe.wait("k", now + wait - 2) or wait <= 2
+            assert not copy.deepcopy(rates).wait("k", now + wait + 1)
+    for first in range(len(taken)):
+        for last in range(first, len(taken)):
+            assert last - first + 1 <= burst + rate * (taken[last] - taken[first]) / SECOND + 1e-6
+
+
+def test_rates_of_a_million_keys_stay_bounded() -> None:
+    rates = Rates(1.0, 5, 1000)
+    for n in range(100_000):
+        rates.wait(str(n), SECOND + n * 10_000)
+    assert len(rates) == 1000
+    assert rates.forgotten == 99_000  # each of them might now have its burst again: the stated error
+
+
+def test_limits_turn_away_count_and_go_on_over_a_reload(tmp_path: Path) -> None:
+    router, now = Router(table(GOOD, tmp_path)), 10 * SECOND
+    tickets = [router.admit(request(x_farm="a"), now) for _ in range(5)]
+    assert [type(t) for t in tickets[:3]] == [Ticket] * 3
+    over = tickets[3]
+    assert isinstance(over, Turned) and (over.status, over.reason) == (429, "over its rate")
+    assert 0 < over.retry_after <= SECOND // 5 + 1
+    assert isinstance(router.admit(request(x_farm="b"), now), Ticket)  # another tenant, the fourth open
+    full = router.admit(request(x_farm="c"), now)
+    assert isinstance(full, Turned) and full.reason == "too many open"
+    assert router.counts()["farm"]["open"] == 4
+    router.replace(table(GOOD.replace("most_open = 4", "most_open = 5"), tmp_path))
+    assert router.counts()["farm"]["open"] == 4  # neither reset to full
+    again = router.admit(request(x_farm="a"), now)
+    assert isinstance(again, Turned) and again.reason == "over its rate"
+    assert isinstance(router.admit(request(x_farm="d"), now), Ticket)
+    for ticket in tickets[:3]:
+        assert isinstance(ticket, Ticket)
+        ticket.ended(now, in_time=True)
+        ticket.ended(now, in_time=True)  # only the first one counts
+    assert router.counts()["farm"]["open"] == 2  # nor locked: tickets of before leave through the same gate
+    held = [router.admit(request("/book/1"), now) for _ in range(3)]
+    assert isinstance(held[2], Turned) and held[2].reason == "too many held"
+    assert isinstance(held[0], Ticket)
+    held[0].first_attempt(now)
+    assert isinstance(router.admit(request("/book/1"), now), Ticket)
+    assert isinstance(router.admit(request("/nothing"), now), Turned)
+
+
+# The command line
+
+
+@pytest.fixture
+def settings_file(tmp_path: Path) -> Path:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps({"settings": SETTINGS}))
+    return path
+
+
+def test_the_command_line_checks_shows_explains_and_compares(tmp_path: Path, settings_file: Path) -> None:
+    path, other = tmp_path / "routes.toml", tmp_path / "other.toml"
+    path.write_text(GOOD)
+    other.write_text(GOOD.replace("most_open = 4", "most_open = 9"))
+    known = ["--settings", str(settings_file)]
+
+    def run(*words: str, code: int = 0) -> str:
+        done = CliRunner().invoke(app, ["config", *words])
+        assert done.exit_code == code, done.output
+        return done.output
+
+    assert "good: 2 routes, 3 limits" in run("check", str(path), *known)
+    assert json.loads(run("check", str(path), *known, "--json"))["findings"] == []
+    assert "timeout = 8000000000   #" in run("show", str(path), *known)
+    told = json.loads(run("explain", str(path), "/map/7", *known, "-H", "X-Farm: Hof", "--json"))
+    assert (told["route"], told["tenant"], told["limits"]["attempts"]["value"]) == ("maps", "Hof", 2)
+    assert [line["result"] for line in told["looked_at"]] == [
+        "not looked at: the path does not begin with /book",
+        "matches",
+    ]
+    assert "answered with 400" in run("explain", str(path), "/map/../book", *known)
+    assert "answered with 404" in run("explain", str(path), "/else", *known)
+    assert run("diff", str(path), str(path), *known) == ""
+    assert "most_open" in run("diff", str(path), str(other), *known, code=1)
+    path.write_text(GOOD.replace("attempts = 2", "attempts = 9"))
+    refused = run("check", str(path), *known, code=2)
+    assert len(refused.strip().splitlines()) == 1 and "attempts" in refused
+
+
+def test_the_schema_knows_every_key_of_a_good_file() -> None:
+    text = json.dumps(schema())
+    for key in (*tomllib.loads(GOOD), "timeout", "retry_budget", "no_match", "cost_limit"):
+        assert f'"{key}"' in text
+
+
+# On sockets
+
+SERVED = """
+version = 1
+[limits.once]
+attempts = 1
+[limits.short]
+timeout = "150 ms"
+attempts = 2
+[limits.few]
+rate = { per_second = 0.5, burst = 1, by = "all" }
+[[routes]]
+name = "few"
+when = 'part(0) == "few"'
+class = "map"
+limits = ["few"]
+[[routes]]
+name = "once"
+when = 'part(0) == "uploads" and header("x-kind") == "once"'
+class = "map"
+limits = ["once"]
+[[routes]]
+name = "uploads"
+when = 'part(0) == "uploads"'
+class = "map"
+key = 'cookie("sid")'
+[[routes]]
+name = "short"
+when = 'part(0) == "short"'
+class = "book"
+limits = ["short"]
+"""
+FULL = answer(503, "X-Not-Processed: 1\\r\\n")
+COOKIE = "Cookie: sid=1\\r\\n"
+ONCE = "X-Kind: once\\r\\n"
+PLAYS = {
+    "a route gives a path its class": f"""
+        c1 send {job(path="uploads/7", more=COOKIE)}
+        p1 expect POST /uploads/7 HTTP/1.1
+        p1 send {answer(202)}
+        c2 send {call_back("done", result="out")}
+        c1 expect HTTP/1.1 200 .*out$
+        """,
+    "what no route matches is answered as the file says": f"""
+        c1 send {job(path="map/x")}
+        c1 expect HTTP/1.1 404 .*no route
+        """,
+    "an ambiguous path reaches no route": f"""
+        c1 send {job(path="uploads/../few")}
+        c1 expect HTTP/1.1 400 .*path
+        """,
+    "one attempt alone": f"""
+        c1 send {job(path="uploads/7", more=ONCE)}
+        p1 expect POST /uploads/7
+        p1 send {FULL}
+        c1 expect HTTP/1.1 503
+        p2 silent 60
+        """,
+    "two attempts where the route does not say otherwise": f"""
+        c1 send {job(path="uploads/7")}
+        p1 expect POST /uploads/7
+        p1 send {FULL}
+        p2 expect POST /uploads/7
+        """,
+    "over a rate: 429 with advice, and the id is free again": f"""
+        c1 send {job(path="few/1")}
+        p1 expect POST /few/1
+        c2 send {job("j2", path="few/1")}
+        c2 expect HTTP/1.1 429 .*Retry-After: (1.9|2.0)
+        c2 send {job("j2", path="uploads/1")}
+        p2 expect X-Request-ID: j2
+        """,
+    "an attempt's time-out is the route's; a booking is not sent again": f"""
+        c1 send {job(path="short/1", ms=20000)}
+        p1 expect POST /short/1 .*X-Timeout-Ms: 1[0-9][0-9]\\r
+        p1 send {answer(202)}
+        c1 expect HTTP/1.1 500
+        p2 silent 60
+        """,
+}
+
+
+@pytest.mark.parametrize("name", PLAYS)
+def test_routes_on_sockets(name: str, tmp_path: Path) -> None:
+    path = tmp_path / "routes.toml"
+    path.write_text(SERVED)
+    Stage(routes=path).play(PLAYS[name])
+
+
+def test_a_reload_takes_a_new_file_whole_or_not_at_all(tmp_path: Path) -> None:
+    path = tmp_path / "routes.toml"
+    path.write_text(SERVED)
+    stage = Stage(routes=path)
+    try:
+        running = stage.dispatcher.consumers.router
+        assert isinstance(running, Router)
+        before = running.table
+        for wrong in (SERVED.replace("attempts = 1", "attempts = 9"), 'include = ["gone.toml"]\n' + SERVED):
+            path.write_text(wrong)
+            with pytest.raises(ConfigError, match=r"routes\.toml|gone\.toml"):
+                stage.dispatcher.reload(replace(stage.config, directory=("127.0.0.1", 1)))
+            assert stage.dispatcher.consumers.router.table is before  # type: ignore[union-attr]
+            assert stage.dispatcher.directory._source.address == stage.config.directory
+        path.write_text(SERVED.replace('name = "few"', 'name = "fewer"'))
+        stage.dispatcher.reload(stage.config)
+        assert stage.dispatcher.consumers.router is running
+        assert running.table.routes[0].route.name == "fewer"
+    finally:
+        stage.close()
