--- a/ironbarrow/lab/live/processes.py
+++ b/ironbarrow/lab/live/processes.py
@@ -78,7 +78,13 @@
 
     def _config(self) -> dict[str, Any]:
         rules = self._world.dispatchers
+        routes = {}
+        if rules.routes:
+            path = self._folder / "routes.toml"
+            path.write_text(rules.routes)
+            routes["routes"] = str(path)
         return {
+            **routes,
             "name": f"d{self.number}",
             "listen": "{}:{}".format(*self.address),
             "discovery": "{}:{}".format(*self._agent.address),
--- a/ironbarrow/routing/buckets.py
+++ b/ironbarrow/routing/buckets.py
@@ -65,6 +65,7 @@
         self._gap = SECOND / rate
         self._tolerance = self._gap * (burst - 1)
         self._due: OrderedDict[str, float] = OrderedDict()  # theoretical arrival times
+        self._at = 0  # the latest time seen
         self.forgotten = 0  # keys that went before their own time had passed
 
     def __len__(self) -> int:
@@ -72,6 +73,7 @@
 
     def wait(self, key: str, now: int) -> int:
         """Counts one and gives 0; or counts nothing and gives the ns until one may come."""
+        now = self._at = max(now, self._at)
         due = max(self._due.pop(key, 0.0), float(now))
         if due - now > self._tolerance:
             self._due[key] = due
@@ -84,7 +86,7 @@
 
     def take_over(self, old: "Rates") -> None:
         """Goes on from older counts of this name, whose debts stay as long as they were in jobs."""
-        now_gap, old_gap = self._gap, old._gap
+        now_gap, old_gap, self._at = self._gap, old._gap, old._at
         base = min(old._due.values(), default=0.0)
         for key, due in list(old._due.items())[-self.keys :]:
             self._due[key] = base + (due - base) * now_gap / old_gap if now_gap != old_gap else due
@@ -97,8 +99,9 @@
     most: int = 0
     inside: int = 0
 
-    def enter(self) -> bool:
-        if self.most and self.inside >= self.most:
+    def enter(self, share: float = 1.0) -> bool:
+        """Takes a place, if there is one in this share of them (at least one place)."""
+        if self.most and self.inside >= max(1, int(self.most * share)):
             return False
         self.inside += 1
         return True
--- a/ironbarrow/routing/file.py
+++ b/ironbarrow/routing/file.py
@@ -76,7 +76,7 @@
     when: str = "true"
     key: str | None = None  # an expression of text
     tenant: str | None = None  # an expression of text
-    priority: Annotated[int, Meta(ge=-8, le=8)] = 0
+    priority: Annotated[int, Meta(ge=0, le=8)] = 8  # of each gate it may fill (priority + 1) / 9
     limits: list[Name] = msgspec.field(default_factory=list)  # all of them hold, the first the outermost
 
 
--- a/ironbarrow/routing/router.py
+++ b/ironbarrow/routing/router.py
@@ -155,13 +155,14 @@
         limits, sets = self._limits(route.limits)
         if limits.body_size is not None and request.body_size > limits.body_size:
             return Turned(413, f"over {limits.body_size} bytes", name)
+        share = (route.route.priority + 1) / 9
         for place, each in enumerate(sets):
             advice = each.limits.retry_after or _ADVICE
-            if not each.open.enter():
+            if not each.open.enter(share):
                 self._undo(sets[:place])
                 each.turned += 1
                 return Turned(429, "too many open", name, advice)
-            if not each.held.enter():
+            if not each.held.enter(share):
                 each.open.leave()
                 self._undo(sets[:place])
                 each.turned += 1
