--- a/ironbarrow/lab/sim/run.py
+++ b/ironbarrow/lab/sim/run.py
@@ -35,6 +35,7 @@
 _CLOSE_IDLE = 1500 * MS
 _SAMPLE_STEP = 250 * MS
 _LOOKS_ON = 20 * MS
+_COLLECT_AFTER = 100_000  # new objects
 _STATES = {
     "up": api.WorkerState.UP,
     "draining": api.WorkerState.DRAINING,
@@ -250,13 +251,14 @@
     def run(self) -> Result:
         """Plays it to the end: until every order is over and a little longer."""
         begun = time.perf_counter()
-        frozen = gc.isenabled()
-        gc.disable()  # the model makes few cycles, and its own memory is bounded
+        # a job and its calls hold each other: without collections memory grows with all jobs that ever came,
+        # and with the usual threshold a quarter of the time goes into looking at what lives on
+        threshold = gc.get_threshold()
+        gc.set_threshold(_COLLECT_AFTER, 50, 1000)
         try:
             return self._run(begun)
         finally:
-            if frozen:
-                gc.enable()
+            gc.set_threshold(*threshold)
 
     def _run(self, begun: float) -> Result:
         for dispatcher in self.dispatchers:
--- a/ironbarrow/routing/grammar.py
+++ b/ironbarrow/routing/grammar.py
@@ -159,7 +159,7 @@
             given = tuple(child for child in found[1:] if child is not None)
             return self._node(found[0], "call", str(found[0]), given)
 
-    return lark.Lark(GRAMMAR, parser="lalr", transformer=Build(), maybe_placeholders=True)
+    return lark.Lark(GRAMMAR, parser="lalr", lexer="basic", transformer=Build(), maybe_placeholders=True)
 
 
 def _with_unit(token: Any, units: dict[str, int]) -> int:
--- a/ironbarrow/routing/table.py
+++ b/ironbarrow/routing/table.py
@@ -140,7 +140,7 @@
         for name in route.limits:
             if name not in self.file.limits:
                 raise self._refuse(key, f"limits: {name!r} is not there")
-        when = self._expression(key, "when", route.when, Type.BOOLEAN)
+        when, holds = self._expression(key, "when", route.when, Type.BOOLEAN)
         outputs = [
             None if text is None else self._expression(key, what, text, Type.TEXT)
             for what, text in (("key", route.key), ("tenant", route.tenant))
@@ -150,19 +150,19 @@
             number,
             route,
             cls,
-            compiled(when),
-            None if outputs[0] is None else compiled(outputs[0]),
-            None if outputs[1] is None else compiled(outputs[1]),
+            holds,
+            None if outputs[0] is None else outputs[0][1],
+            None if outputs[1] is None else outputs[1][1],
             tuple(route.limits),
             when.cost,
-            sum(output.cost for output in outputs if output is not None),
+            sum(output[0].cost for output in outputs if output is not None),
             _prefix(atoms),
             frozenset(_normal(atom.node) for atom in atoms),
         )
 
-    def _expression(self, key: str, what: str, text: str, wanted: Type) -> Checked:
+    def _expression(self, key: str, what: str, text: str, wanted: Type) -> tuple[Checked, Evaluate]:
         try:
-            return _checked(text, wanted)
+            return _ready(text, wanted)
         except ExpressionError as error:
             raise self._refuse(key, f"{what}: {error}") from None
 
@@ -240,9 +240,10 @@
 
 
 @lru_cache(maxsize=1024)
-def _checked(text: str, wanted: Type) -> Checked:
-    """Parsed and checked; routes often share their keys and tenants to the letter."""
-    return check(parse(text), wanted)
+def _ready(text: str, wanted: Type) -> tuple[Checked, Evaluate]:
+    """Parsed, checked and compiled; routes often share their keys and tenants to the letter."""
+    checked = check(parse(text), wanted)
+    return checked, compiled(checked)
 
 
 def _conjuncts(checked: Checked) -> Iterator[Checked]:
