--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -304,7 +304,7 @@
                 killed.append(pid)
             time.sleep(0.005)
 
-    first = play(sweep, 2, kill_one)
+    first = play(sweep, 8, kill_one)
     assert killed
     assert (first.outcome.finished, first.outcome.kept, first.outcome.failed) == (8, 0, {})
     again = play(sweep)
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -259,6 +259,10 @@
     )
 
 
+def nodes(checked: Any) -> int:
+    return 1 + sum(nodes(part) for part in checked.parts)
+
+
 EXPRESSIONS = expressions()
 REQUESTS = st.builds(
     Request,
@@ -282,7 +286,7 @@
     meant = evaluate(checked, seen)
     assert meant is compiled(checked)(seen)
     assert isinstance(meant, bool)
-    assert checked.cost >= checked.node.depth  # a bound that counts every operation
+    assert checked.cost >= nodes(checked)  # each is visited at most once, and counts for one or more
 
 
 def test_every_function_and_name_is_used_in_the_tables_above() -> None:
@@ -355,6 +359,17 @@
     "include of nothing": ("version = 1", 'version = 1\ninclude = ["gone.toml"]', "gone.toml: can't be read"),
     "include of itself": ("version = 1", 'version = 1\ninclude = ["routes.toml"]', "no cycle"),
     "priority too high": ('class = "map"', 'class = "map"\npriority = 9', "priority"),
+    "timeout of nothing": ('timeout = "8 s"', 'timeout = ""', "duration"),
+    "timeout in words": ('timeout = "8 s"', 'timeout = "soon"', "duration"),
+    "a list for a time": ('timeout = "8 s"', "timeout = [8]", "duration"),
+    "text for a number": ("attempts = 2", 'attempts = "2"', "attempts"),
+    "limits that are no list": ('limits = ["bookings"]', 'limits = "bookings"', "limits"),
+    "limits as a list": ("[limits.plain]", "[[limits.plain]]", "limits"),
+    "load factor under one": ("version = 1", "version = 1\nload_factor = 0.5", "load_factor"),
+    "cost limit of nothing": ("version = 1", "version = 1\ncost_limit = 0", "cost_limit"),
+    "adaptive that never falls": (LIMIT, LIMIT + "\nadaptive = { backoff = 1.0 }", "backoff"),
+    "retry_after without unit": (LIMIT, LIMIT + '\nretry_after = "2"', "duration"),
+    "include that is no list": ("version = 1", 'version = 1\ninclude = "x.toml"', "include"),
     "a million keys": ("burst = 3", "burst = 3, keys = 2000000", "keys"),
 }
 # each expression that must fail, also as a route's condition
@@ -370,7 +385,7 @@
 
 
 def test_at_least_a_hundred_wrong_files_are_tried() -> None:
-    assert len(WRONG) >= 90 + 5
+    assert len(WRONG) >= 100
 
 
 @pytest.mark.parametrize("name", WRONG)
