Refuse a world whose routes are wrong in one line

Change: RoutesError is a ValueError, which the worker already tells as the cell's error; lab sim names file, key and reason and exits with 2.

Measured: routes = "version = 9" in a world: one line, exit 2; tests of routing and of wrong worlds pass.

--- a/ironbarrow/cli/lab.py
+++ b/ironbarrow/cli/lab.py
@@ -55,8 +55,13 @@
     loaded = _world(world)
     _quiet()
     from ironbarrow.lab.sim.run import Simulation
+    from ironbarrow.routing.file import RoutesError
 
-    _show(Simulation(loaded, seed).run(), as_json)
+    try:
+        result = Simulation(loaded, seed).run()
+    except RoutesError as error:
+        _fail(f"{world}: `dispatchers.routes`: {error}")
+    _show(result, as_json)
 
 
 @app.command()
--- a/ironbarrow/routing/file.py
+++ b/ironbarrow/routing/file.py
@@ -18,7 +18,7 @@
 Name = Annotated[str, Meta(pattern=r"^[A-Za-z0-9_.-]{1,64}$")]
 
 
-class RoutesError(Exception):
+class RoutesError(ValueError):
     """A file that is refused; the text names the file, the key and what was expected."""
 
 
