Call off and reject safe jobs that wait at a worker past any start in time

Dispatcher._check_start asked only whether another worker had room, and no more at all once the attempts were used up.

Change: a safe job that has not started and would be late even as one of twice its class's mean is called off and rejected at once. Its limit comes from the class's aim and stretch; with late worth it stays.

--- a/heathway/logic.py
+++ b/heathway/logic.py
@@ -132,10 +132,6 @@
         harmless as long as a job that meets a full worker shows it by not starting."""
         return self._running_slots + self._ring.spare(self._now, REPORT_BELIEVED, self._usual)
 
-    def _free(self, worker: Worker) -> float | None:
-        """A worker's believed free slots; None: nothing is known of any worker's size."""
-        return worker.free(self._now, REPORT_BELIEVED, self._usual)
-
     def _note_usual(self) -> None:
         told_after = self._now - REPORT_BELIEVED
         self._usual = self._ring.usual(self._running_slots, self._set.dispatchers, told_after)
@@ -243,7 +239,7 @@
         return self._ring.group("cell", entry.cell) if job.cls.group is Group.CELL else -1
 
     def _fits(self, worker: Worker, job: Job, reserve: float) -> bool:
-        free = self._free(worker)
+        free = worker.free(self._now, REPORT_BELIEVED, self._usual)
         if worker.trial:
             slots = True
         elif free is None:  # room for one job, as far as the list does not say otherwise
@@ -484,10 +480,13 @@
             worker.waiting += 1
             worker.seen_full(self._now, worker.slots_out - job.slots)
             self._update(worker)
-        if job.over or not self._set.may_cancel or not self._may_send_again(job):
+        if job.over or not self._set.may_cancel or job.cls.effect is not Effect.SAFE:
             return
-        if job.cls.effect is Effect.SAFE and self._place(job, self._reserves[:2]) is not None:
+        late = job.too_late(self._now, self._service[job.cls.name].mean)
+        if late or (self._may_send_again(job) and self._place(job, self._reserves[:2]) is not None):
             self._out.append(api.CancelAttempt(job.id, attempt.number))
+            if late:  # danger: what waits beyond that takes the slots of jobs that could be in time
+                self._settle(job)
         else:
             self._agenda.at(self._now + START_WITHIN, self._check_start, attempt)
 
--- a/heathway/state.py
+++ b/heathway/state.py
@@ -147,6 +147,11 @@
     resend: bool = True  # also if it may have run, where its class allows that
     pause: int = 0  # before another attempt
 
+    def too_late(self, now: int, mean: float) -> bool:
+        """Whether it is worth nothing any more if it starts now, even as a long job of its class: one of
+        twice the mean, which is wanted later by its stretch."""
+        return not self.cls.late_worth and now > self.aim_at + int((self.cls.stretch - 2) * mean)
+
     def out(self) -> bool:
         return any(attempt.out for attempt in self.attempts)
 
--- a/tests/test_ordinary_path.py
+++ b/tests/test_ordinary_path.py
@@ -141,12 +141,12 @@
     module._now = world.now
     worker.size, worker.told_at = 6.0, world.now
     worker.others = 2.0  # a report of now: six slots, four of them free
-    assert module._free(worker) == pytest.approx(4)
+    assert world.believed_free("w000") == pytest.approx(4)
     module._usual = (6.0, 1.0)
     world.now = module._now = world.now + logic.REPORT_BELIEVED // 2
-    assert module._free(worker) == pytest.approx(4.5)
+    assert world.believed_free("w000") == pytest.approx(4.5)
     module._now += logic.REPORT_BELIEVED
-    assert module._free(worker) == pytest.approx(5)
+    assert world.believed_free("w000") == pytest.approx(5)
 
 
 def test_an_admitted_session_goes_on_and_a_new_one_is_refused():
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -11,7 +11,7 @@
 from heathway.api import ListKind, Outcome, WorkerState
 from heathway.logic import Dispatcher
 from heathway.pacing import CallPace
-from tests.world import MS, S, World, entries, make_settings
+from tests.world import MS, SAFE, UNSAFE, S, World, entries, make_settings
 
 
 def settle_in(world: World, seconds: float = 3.0, workers_hang: tuple[str, ...] = ()) -> None:
@@ -85,7 +85,39 @@
     assert world.attempts(world.arrive("safe"))[0].worker != full
     world.batch(api.AttemptNote(booking, 0, full, api.NoteKind.STARTED))
     assert not world.dispatcher._workers[full].waiting
-    assert world.dispatcher._free(world.dispatcher._workers[full]) == pytest.approx(0)
+    assert world.believed_free(full) == pytest.approx(0)
+
+
+@pytest.mark.parametrize(
+    ("cls", "starts", "late_worth", "given_up"),
+    [
+        ("safe", False, 0.0, True),
+        ("safe", True, 0.0, False),
+        ("safe", False, 0.5, False),
+        ("unsafe", False, 0.0, False),
+    ],
+)
+def test_a_safe_job_that_waits_past_any_start_in_time_is_called_off_and_rejected(
+    cls, starts, late_worth, given_up
+):
+    # danger: in overload, jobs that nobody wants any more take the slots of those that could be in time
+    classes = (replace(SAFE, late_worth=late_worth), UNSAFE)
+    world = World(make_settings(tells_start=True, classes=classes), entries(1))
+    job = world.arrive(cls)
+    if starts:
+        world.batch(api.AttemptNote(job, 0, world.attempts(job)[0].worker, api.NoteKind.STARTED))
+    in_time = SAFE.aim + int(SAFE.stretch * SAFE.aim)  # of a job of twice the mean, when it starts by then
+    world.advance(in_time // 2)
+    world.batch(api.ProbeEnded(world.attempts(job)[0].worker, Outcome.OK, MS))  # it is not silent
+    world.advance(in_time - in_time // 2)
+    assert world.answers(job) == []
+    world.advance(2 * logic.START_WITHIN)
+    called_off = [a for a in world.actions if isinstance(a, api.CancelAttempt)]
+    assert [type(a) for a in world.answers(job)] == [api.Refuse] * given_up
+    assert called_off == [api.CancelAttempt(job, 0)] * given_up
+    if given_up:
+        world.end(job, 0, Outcome.CANCELLED)  # what is heard of it afterwards changes nothing
+        assert len(world.attempts(job)) == len(world.answers(job)) == 1
 
 
 def test_a_job_that_starts_stays_where_it_is():
--- a/tests/world.py
+++ b/tests/world.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field, replace
 
-from heathway import api
+from heathway import api, logic
 from heathway.api import Effect, Group, Outcome, WorkerState
 from heathway.logic import Dispatcher
 
@@ -116,6 +116,10 @@
         elapsed = self.now - attempt.at
         return self.batch(api.AttemptEnded(job, number, attempt.worker, outcome, owed.over, elapsed, report))
 
+    def believed_free(self, name: str) -> float | None:
+        module = self.dispatcher
+        return module._workers[name].free(module._now, logic.REPORT_BELIEVED, module._usual)
+
     def withdraw(self, job: int) -> None:
         self.jobs[job].over = True
         self.batch(api.JobWithdrawn(job))
