Count worth by work where the settings say so, and shed no class above the mean

Cause: the settings say valueBy "work" and the module did not read it.

Change: Worths counts worth for a job or a unit of work as the settings have it; a class above the mean of all jobs is not shed (twice the mean before, a figure for the wrong unit).

--- a/heathway/api.py
+++ b/heathway/api.py
@@ -104,6 +104,7 @@
     zones: tuple[str, ...]
     classes: tuple[JobClass, ...]
     tenants: tuple[Tenant, ...] = ()
+    worth_by_work: bool = False  # worth counts for each unit of work, not for each job
     over_share_worth: float = 1.0
     tick: int = 1_000_000  # the shortest time between two calls of handle
     live_weights: bool = False  # an entry's weight is its size over 1 + jobs held for each core, a while ago
--- a/heathway/logic.py
+++ b/heathway/logic.py
@@ -26,13 +26,13 @@
     Sessions,
     Share,
     Worker,
+    Worths,
 )
 
 MS = 1_000_000
 PERIOD = 200 * MS  # one service period k
 LOOKBACK = 20  # lambda: periods in the average; short, since a long one lags after a shrink
 TAU = 1.25  # admit up to this load; held jobs count in it, so 1 is where queueing starts
-DEAR = 2.0  # a class with so many times the usual worth for its work is not shed
 SESSION_IDLE = 2_000 * MS  # a session without jobs for so long is closed
 REPORT_AGE = 800 * MS  # reports are taken to be this old: own sends since then are debited
 LIST_AGE = 1_000 * MS  # likewise the live weights of a list
@@ -72,7 +72,7 @@
         self._running_slots = 0.0
         self._sessions = Sessions()
         self._shares = {t.name: Share(t.allowance_per_s / settings.dispatchers) for t in settings.tenants}
-        self._worth = self._work = 0.0  # of all jobs so far
+        self._worths = Worths(settings.worth_by_work)
         self._rates: deque[float] = deque(maxlen=LOOKBACK)  # l / |C| of past periods
         self._workers: dict[str, Worker] = {}
         self._ring = Ring()
@@ -139,8 +139,8 @@
     def _admits(self, cls: api.JobClass) -> bool:
         if not self._sessions or not self._rates:  # no session, or no past period: by free room
             return self._ring.open != 0 or self._held.slots <= self._running_slots
-        if cls.worth / self._service[cls.name].mean > DEAR * self._worth / self._work:
-            return True  # danger: shed with the rest, the smallest jobs take the most worth with them
+        if self._worths.dear(cls, self._service[cls.name].mean):
+            return True  # danger: shed with the rest, it takes more worth with it than it frees room
         rate = sum(self._rates) / len(self._rates)
         return rate * (len(self._sessions) + 1) < TAU
 
@@ -157,8 +157,7 @@
         job.most = min(event.most_attempts or self._set.max_attempts, self._set.max_attempts)
         job.resend, job.pause, self._jobs[job.id] = event.resend, event.pause, job
         self._probes.job_arrived()
-        self._worth += cls.worth
-        self._work += self._service[cls.name].mean
+        self._worths.job_arrived(cls, self._service[cls.name].mean)
         # danger: one tenant floods; beyond its share each of its jobs has to enter anew
         share = self._shares.get(event.tenant or "")
         within = share is None or share.take(self._now)
--- a/heathway/settings.py
+++ b/heathway/settings.py
@@ -109,6 +109,7 @@
                 api.Tenant(t["name"], float(t.get("share", 0)), float(t.get("allowancePerS", 0)))
                 for t in tenants
             ),
+            worth_by_work=conf.get("valueBy") == "work",
             over_share_worth=float(conf.get("overShareWorth", 1.0)),
             tick=int(conf.get("round", 1_000_000)),
             live_weights=conf.get("weightSource") == "live",
--- a/heathway/state.py
+++ b/heathway/state.py
@@ -241,6 +241,27 @@
         return int(max(2 * self.mean, self.mean + deviations * self.deviation))
 
 
+class Worths:
+    """What all jobs so far were worth for their work; ``by_work``: a class's worth is that of a unit of
+    work, as the settings may have it, and not that of a job."""
+
+    def __init__(self, by_work: bool) -> None:
+        self._by_work = by_work
+        self._worth = self._work = 0.0
+
+    def _of(self, cls: api.JobClass, mean: float) -> float:
+        return cls.worth * mean if self._by_work else cls.worth
+
+    def job_arrived(self, cls: api.JobClass, mean: float) -> None:
+        """Counts a job of a class with that mean service time, ns."""
+        self._worth += self._of(cls, mean)
+        self._work += mean
+
+    def dear(self, cls: api.JobClass, mean: float) -> bool:
+        """Whether a class is worth more for its work than the mean of all jobs."""
+        return self._of(cls, mean) * self._work > self._worth * mean
+
+
 class HeldJobs:
     """Jobs that wait, in one queue for each kind of worker they need, by latest start."""
 
--- a/tests/test_ordinary_path.py
+++ b/tests/test_ordinary_path.py
@@ -1,5 +1,6 @@
 """Admission, order of release and placement, against values worked out by hand."""
 
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -43,7 +44,7 @@
     # tau 1.25: 0.124 * 10 = 1.24 enters, 0.125 * 10 = 1.25 does not, 0.3 * 4 = 1.2 enters
     module = World(make_settings(), entries(2)).dispatcher
     module._rates.extend([rate] * 5)
-    module._worth, module._work = 1.0, SAFE.aim
+    module._worths.job_arrived(SAFE, SAFE.aim)
     for name in range(sessions):
         module._sessions.job_arrived(name, 0)
     assert module._admits(SAFE) is enters
@@ -65,6 +66,27 @@
     assert free == pytest.approx(40 * (8 - others), rel=0.1)  # not 199 times the own jobs less
 
 
+@pytest.mark.parametrize(
+    ("by_work", "dear"),
+    [(True, {"map": False, "decode": False, "booking": True}), (False, {"map": False, "decode": True})],
+)
+def test_what_a_class_is_worth_for_its_work_is_counted_as_the_settings_say(by_work, dear):
+    # worth 1, 5 and 8; 0.8, 0.4 and 5 s of work: by work bookings have nine tenths of all worth, by job half
+    classes = tuple(
+        replace(SAFE, name=n, worth=w) for n, w in (("map", 1.0), ("decode", 5.0), ("booking", 8.0))
+    )
+    world = World(make_settings(classes=classes, worth_by_work=by_work), entries(4))
+    module = world.dispatcher
+    means = {"map": 0.8 * S, "decode": 0.4 * S, "booking": 5.0 * S}
+    for cls, jobs in zip(classes, (48, 29, 23), strict=True):
+        module._service[cls.name].mean = means[cls.name]
+        for _ in range(jobs):
+            module._worths.job_arrived(cls, means[cls.name])
+    module._sessions.job_arrived("admitted", 0)
+    module._rates.extend([5.0] * logic.LOOKBACK)
+    assert {name: module._admits(next(c for c in classes if c.name == name)) for name in dear} == dear
+
+
 def test_sessions_that_gather_at_the_start_are_not_refused():
     world = World(make_settings(), entries(40))
     jobs = []
