Follow one job's id through the logs of a whole fleet: ironbarrow lab follow

Need: on the full fleet a wrongly ended job was traced by hand through up to 200 logs, and the traces named jobs by each dispatcher's own numbers.

Change: lab follow FOLDER ID [--json] shows arrival, each send with the state, weight and last report that its dispatcher had been told of the provider and their age, call-backs and the answer; torn last lines are passed over and named; an unknown id, a folder that is none and logs that are no traces end with one line and status 2.

--- a/ironbarrow/cli/lab.py
+++ b/ironbarrow/cli/lab.py
@@ -128,6 +128,31 @@
     typer.echo(f"{found.dispatchers} dispatchers, {len(found.providers)} providers")
 
 
+@app.command()
+def follow(
+    logs: Annotated[Path, typer.Argument(help="A folder of traces, one *.log a dispatcher.")],
+    job: Annotated[str, typer.Argument(help="The job's X-Request-ID.")],
+    as_json: Json = False,
+) -> None:
+    """Follow one job through all dispatchers' logs, with what was known of each provider it was sent to."""
+    from ironbarrow.lab.follow import follow as steps_of
+    from ironbarrow.lab.tally import LogsError
+
+    try:
+        steps, torn = steps_of(logs, job)
+    except LogsError as error:
+        _fail(str(error))
+    if as_json:
+        rows = [{"at": s.at, "dispatcher": s.dispatcher, "what": s.what, **s.fields} for s in steps]
+        typer.echo(json.dumps({"steps": rows, "torn": [str(path) for path in torn]}))
+        return
+    for step in steps:
+        told = "  ".join(f"{name}={value}" for name, value in step.fields.items())
+        typer.echo(f"{step.at:9.3f} s  {step.dispatcher}  {step.what}  {told}".rstrip())
+    for path in torn:
+        typer.echo(f"{path}: its last line is torn and was passed over")
+
+
 def _play_live(world: Any, seed: int, folder: Path | None) -> Any:
     from rich.console import Console
     from rich.progress import BarColumn, Progress, TextColumn, TimeElapsedColumn
--- /dev/null
+++ b/ironbarrow/lab/follow.py
@@ -0,0 +1,96 @@
+"""The way of one job through the traces of a whole fleet: arrival, sends, call-backs, final answer.
+
+Each send says what its dispatcher had been told of the provider: its state and weight on the last list, what
+the last report said, and how old both were. Times are seconds from the first line of all logs.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from ironbarrow.lab.tally import SECOND, LogsError, read_lines, trace_files
+
+_SHOWN = ("attempt", "worker", "outcome", "kind", "elapsed", "verdict", "retry_after", "job_class", "slots")
+_MS = 1_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """One line of a trace that tells of the job."""
+
+    at: float  # s
+    dispatcher: str
+    what: str
+    fields: dict[str, Any]
+
+
+@dataclass(slots=True)
+class _Told:
+    """What one dispatcher had been told of a provider. Times in ns."""
+
+    state: str = "not listed"
+    weight: float = 0.0
+    listed_at: int = 0
+    report: dict[str, float] = field(default_factory=dict)
+    reported_at: int = 0
+
+    def as_fields(self, now: int) -> dict[str, Any]:
+        found: dict[str, Any] = {"state": self.state}
+        if self.listed_at:
+            found |= {"weight": self.weight, "list_age_ms": (now - self.listed_at) // _MS}
+        if self.reported_at:
+            found |= {"report": self.report, "report_age_ms": (now - self.reported_at) // _MS}
+        return found
+
+
+def _learn(told: dict[str, _Told], line: dict[str, Any]) -> None:
+    if line.get("what") == "WorkerList":
+        if line["kind"] not in ("changes", "lost"):  # a whole list: who is not in it is gone
+            for known in told.values():
+                known.state = "gone"
+        for name, state, weight, _ in line["lines"]:
+            known = told.setdefault(name, _Told())
+            known.state, known.weight, known.listed_at = state, weight, line["at"]
+    elif line.get("report") and line.get("worker"):
+        known = told.setdefault(line["worker"], _Told())
+        known.report, known.reported_at = line["report"], line["at"]
+
+
+def _steps(dispatcher: str, lines: list[dict[str, Any]], job_id: str, start: int) -> Iterator[Step]:
+    told: dict[str, _Told] = {}
+    number: int | None = None
+    for line in lines:
+        if line.get("event") == "settings":  # a new process: its numbers begin anew, and it knows nothing
+            told, number = {}, None
+        _learn(told, line)
+        if line.get("event") == "taken" and line["id"] == job_id:
+            number = line["job"]
+        if number is None or line.get("job") != number:
+            continue
+        fields = {name: line[name] for name in _SHOWN if line.get(name) is not None}
+        if "elapsed" in fields:
+            fields["elapsed_ms"] = fields.pop("elapsed") // _MS
+        if line.get("what") == "Send":
+            fields |= told.get(line["worker"], _Told()).as_fields(line["at"])
+        what = line.get("what") or line["event"]
+        yield Step((line["at"] - start) / SECOND, dispatcher, what, fields)
+
+
+def follow(folder: Path, job_id: str) -> tuple[list[Step], list[Path]]:
+    """All lines of a folder's traces that tell of a job, by time, and the logs whose torn last line was
+    passed over; a LogsError says what is wrong with the logs, or that none has the id."""
+    found: dict[Path, list[dict[str, Any]]] = {}
+    torn: list[Path] = []
+    for path in trace_files(folder):
+        found[path] = list(read_lines(path, torn))
+    start = min((line["at"] for lines in found.values() for line in lines), default=0)
+    steps: list[Step] = []
+    for path, lines in found.items():
+        try:
+            steps.extend(_steps(path.stem, lines, job_id, start))
+        except (KeyError, TypeError, ValueError) as error:
+            raise LogsError(f"{path}: a line lacks what a trace has: {error!r}") from None
+    if not steps:
+        raise LogsError(f"{folder}: no job with the id {job_id} in {len(found)} logs")
+    return sorted(steps, key=lambda step: step.at), torn
--- a/ironbarrow/lab/tally.py
+++ b/ironbarrow/lab/tally.py
@@ -64,7 +64,18 @@
         }
 
 
-def _lines(path: Path) -> Iterator[dict[str, Any]]:
+def trace_files(folder: Path) -> list[Path]:
+    """The logs of a folder, by name; a LogsError if it is none or has none."""
+    if not folder.is_dir():
+        raise LogsError(f"{folder}: not a folder of logs")
+    paths = sorted(folder.glob("*.log"))
+    if not paths:
+        raise LogsError(f"{folder}: no file *.log in it")
+    return paths
+
+
+def read_lines(path: Path, torn: list[Path] | None = None) -> Iterator[dict[str, Any]]:
+    """The lines of a trace in one log; the log is added to ``torn`` if its last line was cut short."""
     try:
         text = path.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
@@ -77,6 +88,8 @@
             found = json.loads(line[start:])
         except ValueError as error:
             if number == text.count("\n") + 1:
+                if torn is not None:
+                    torn.append(path)
                 continue  # the last line of a process that was killed
             raise LogsError(f"{path}:{number}: not a line of a log: {error}") from None
         if isinstance(found, dict) and isinstance(found.get("at"), int):
@@ -138,13 +151,9 @@
 
     ``cold_s``: how long a provider counts as cold after its start, s.
     """
-    if not folder.is_dir():
-        raise LogsError(f"{folder}: not a folder of logs")
-    paths = sorted(folder.glob("*.log"))
-    if not paths:
-        raise LogsError(f"{folder}: no file *.log in it")
+    paths = trace_files(folder)
     fleet = _Fleet(int(cold_s * SECOND))
-    found = {path: list(_lines(path)) for path in paths}
+    found = {path: list(read_lines(path)) for path in paths}
     for lines in found.values():
         for line in lines:
             fleet.begin(line["at"])
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -488,6 +488,42 @@
     assert found.providers["w2"]["never_ran"] == 2
 
 
+def test_a_job_is_followed_through_all_logs_with_what_was_known_of_its_providers(tmp_path: Path) -> None:
+    listed = {"what": "WorkerList", "kind": "full", "lines": [["w1", "up", 2.5, 0], ["w2", "up", 5.0, 0]]}
+    report = {"what": "ProbeEnded", "worker": "w1", "outcome": "ok", "report": {"free_slots": 3.0}}
+    taken = {"event": "taken", "job": 1, "id": "abc"}
+    send = {"what": "Send", "job": 1, "worker": "w1", "timeout": 0}
+    other = {"what": "Send", "job": 2, "worker": "w2", "timeout": 0}
+    end = {
+        "what": "AttemptEnded",
+        "job": 1,
+        "attempt": 0,
+        "worker": "w1",
+        "outcome": "reset",
+        "elapsed": 7_000_000,
+    }
+    answer = {"event": "answered", "job": 1, "id": "abc", "verdict": "failed", "elapsed": 8_000_000}
+    for name, lines in {
+        "n1": (listed, report, taken, other, send, end, answer),
+        # the same number, at another dispatcher and after its restart, is another job
+        "n2": ({**taken, "id": "other"}, send, {"event": "settings"}, send),
+    }.items():
+        trace(tmp_path, name, *({"at": at * 1_000_000, **line} for at, line in enumerate(lines, 1)))
+    with (tmp_path / "n1.log").open("a") as log:
+        log.write('{"at": 99')
+    ran = CliRunner().invoke(app, ["lab", "follow", str(tmp_path), "abc", "--json"])
+    found = json.loads(ran.stdout)
+    assert [row["what"] for row in found["steps"]] == ["taken", "Send", "AttemptEnded", "answered"]
+    assert {row["dispatcher"] for row in found["steps"]} == {"n1"}
+    sent = found["steps"][1]
+    assert (sent["state"], sent["weight"], sent["list_age_ms"]) == ("up", 2.5, 4)
+    assert (sent["report"], sent["report_age_ms"]) == ({"free_slots": 3.0}, 3)
+    assert found["torn"] == [str(tmp_path / "n1.log")]
+    ran = CliRunner().invoke(app, ["lab", "follow", str(tmp_path), "unknown"])
+    assert (ran.exit_code, ran.stderr.count("\n")) == (2, 1)
+    assert "no job with the id unknown" in ran.stderr
+
+
 @pytest.mark.parametrize(
     ("text", "says"),
     [
