--- a/heathway/state.py
+++ b/heathway/state.py
@@ -149,7 +149,7 @@
 
     def too_late(self, now: int, mean: float) -> bool:
         """Whether it is worth nothing any more if it starts now, even as a long job of its class: one of
-        twice the mean, which is wanted later by its stretch."""
+        twice the mean, which is wanted later by its stretch. ``now``, ``mean``: ns."""
         return not self.cls.late_worth and now > self.aim_at + int((self.cls.stretch - 2) * mean)
 
     def out(self) -> bool:
@@ -258,7 +258,8 @@
         self._work += mean
 
     def dear(self, cls: api.JobClass, mean: float) -> bool:
-        """Whether a class is worth more for its work than the mean of all jobs."""
+        """Whether a class of that mean service time, ns, is worth more for its work than the mean of all
+        jobs; with no job counted yet, none is."""
         return self._of(cls, mean) * self._work > self._worth * mean
 
 
@@ -397,7 +398,8 @@
 
         Danger: guessed from the own jobs, a fleet of 188 looks three times as full to a dispatcher that
         sees three times the mean, which then turns a third of its jobs away. Of a few dispatchers the own
-        jobs are a large sample, and newer than what was told."""
+        jobs are a large sample, and newer than what was told. ``told_after``: ns, on the clock of
+        ``Worker.told_at``."""
         ready = self.members(self.ready)
         sizes = [worker.size for worker in ready if worker.size]
         told = [worker.others for worker in ready if worker.told_at > max(0, told_after)]
--- a/ironbarrow/core/trace.py
+++ b/ironbarrow/core/trace.py
@@ -51,7 +51,7 @@
 
 
 def begun(now: int, settings: api.Settings) -> None:
-    """Notes the settings, once, at the start."""
+    """Notes the settings, once, at the start. ``now``, here and below: ns, on the program's clock."""
     log.info("settings", at=now, **{name: _plain(getattr(settings, name)) for name in _SETTINGS})
 
 
--- a/ironbarrow/lab/tally.py
+++ b/ironbarrow/lab/tally.py
@@ -75,7 +75,8 @@
 
 
 def read_lines(path: Path, torn: list[Path] | None = None) -> Iterator[dict[str, Any]]:
-    """The lines of a trace in one log; the log is added to ``torn`` if its last line was cut short."""
+    """The lines of a trace in one log; the log is added to ``torn`` if its last line was cut short. A
+    LogsError names a file that can't be read, or a line that is none of a log."""
     try:
         text = path.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
