Tell why each job is given up, and tally each class's ends by reason

Change: Refuse and Fail carry a Reason (session test, held to its latest start and what stood open then, waited at a worker, may have run, no attempts); lab tally counts each class by verdict, sent or unsent, and reason. The laboratory's worlds can say worth by work, no cancel, no starts, no reports. No decision changes.

Measured: tests of decisions, rules and laboratory pass; the reason does not count when actions are compared.

--- a/heathway/api.py
+++ b/heathway/api.py
@@ -4,7 +4,7 @@
 The decisions are in ``logic.py``.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum, IntEnum
 
 
@@ -311,12 +311,27 @@
     timeout: int = 0
 
 
+class Reason(Enum):
+    """Why a job was given up. For traces: a host does the same whatever the reason."""
+
+    UNKNOWN_CLASS = "unknown class"
+    NOT_ADMITTED = "not admitted"  # the session test
+    NO_WORKER = "held, no worker takes jobs"  # till its latest start, as are the next ones
+    TRIED_ALL = "held, all that take jobs were tried or must not be"
+    COLD_ONLY = "held, only cold workers take jobs"
+    NO_ROOM = "held, no worker has room"
+    QUEUED = "waited at a worker past any start in time"
+    MAY_HAVE_RUN = "it may have run"
+    NO_ATTEMPTS = "no attempt or time is left"
+
+
 @dataclass(frozen=True, slots=True)
 class Refuse:
     """Final answer: no, and trying again is harmless. ``retry_after`` 0: no advice."""
 
     job: int
     retry_after: int = 0
+    reason: Reason | None = field(default=None, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -324,6 +339,7 @@
     """Final answer: failed; it promises nothing about the effect."""
 
     job: int
+    reason: Reason | None = field(default=None, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/heathway/logic.py
+++ b/heathway/logic.py
@@ -12,22 +12,10 @@
 from heapq import heappop
 from typing import Any
 
-from heathway import api, probing, warming
-from heathway.api import Effect, Group, ListKind, Outcome, WorkerState
+from heathway import api, probing, state, warming
+from heathway.api import Effect, Group, ListKind, Outcome, Reason, WorkerState
 from heathway.pacing import CallPace
-from heathway.state import (
-    Agenda,
-    Attempt,
-    HeldJobs,
-    Job,
-    KeyShares,
-    Ring,
-    ServiceTime,
-    Sessions,
-    Share,
-    Worker,
-    Worths,
-)
+from heathway.state import Attempt, Job, Worker
 
 MS = 1_000_000
 PERIOD = 200 * MS  # one service period k
@@ -62,25 +50,27 @@
         self._set = settings
         self._random = random.Random(seed)
         self._classes = {cls.name: cls for cls in settings.classes}
-        self._service = {cls.name: ServiceTime(cls.aim, cls.aim / 4) for cls in settings.classes}
+        self._service = {cls.name: state.ServiceTime(cls.aim, cls.aim / 4) for cls in settings.classes}
         # danger: sent to a worker that may be full, a job must show at once that it waits there
         self._reserves = (1.0, 0.0, -1.0) if settings.tells_start else (1.0, 0.0)
         self._now = 0
         self._out: list[api.Action] = []
         self._jobs: dict[int, Job] = {}
-        self._held = HeldJobs()
+        self._held = state.HeldJobs()
         self._running_slots = 0.0
-        self._sessions = Sessions()
-        self._shares = {t.name: Share(t.allowance_per_s / settings.dispatchers) for t in settings.tenants}
-        self._worths = Worths(settings.worth_by_work)
+        self._sessions = state.Sessions()
+        self._shares = {
+            t.name: state.Share(t.allowance_per_s / settings.dispatchers) for t in settings.tenants
+        }
+        self._worths = state.Worths(settings.worth_by_work)
         self._rates: deque[float] = deque(maxlen=LOOKBACK)  # l / |C| of past periods
         self._workers: dict[str, Worker] = {}
-        self._ring = Ring()
-        self._keys = KeyShares()
+        self._ring = state.Ring()
+        self._keys = state.KeyShares()
         self._probes = probing.ProbeBudget(settings.probe_price)
         self._calls = CallPace(settings.dispatchers, settings.ask_within, self._random)
         self._aside = 0
-        self._agenda = Agenda()
+        self._agenda = state.Agenda()
         self._usual = (0.0, 0.0)  # of a worker: its size, the slots that others use
         self._next_period = self._gathered_at = self._timer_at = 0
         self._take: dict[type, Callable[[Any], None]] = {
@@ -147,7 +137,7 @@
     def _arrived(self, event: api.JobArrived) -> None:
         cls = self._classes.get(event.job_class)
         if cls is None:  # danger: nothing is known of its effects
-            self._out.append(api.Refuse(event.job))
+            self._out.append(api.Refuse(event.job, 0, Reason.UNKNOWN_CLASS))
             return
         name = (event.tenant, event.key) if event.tenant or event.key is not None else event.job
         work = self._service[cls.name].mean if event.work_hint is None else event.work_hint
@@ -162,7 +152,7 @@
         share = self._shares.get(event.tenant or "")
         within = share is None or share.take(self._now)
         if not (within and name in self._sessions) and not self._admits(cls):
-            self._settle(job)
+            self._settle(job, Reason.NOT_ADMITTED)
             return
         self._sessions.job_arrived(name, self._now)
         self._hold(job)
@@ -189,7 +179,8 @@
         while queue:
             start_by, _, job = queue[0]
             if job.held and start_by <= self._now:
-                self._settle(job)  # danger: a job that can't be in time takes the room of one that can
+                # danger: a job that can't be in time takes the room of one that can
+                self._settle(job, self._ring.why_held(job))
             if job.held:
                 worker = self._place(job, self._reserves)
                 if worker is not None:
@@ -232,10 +223,7 @@
             return -1
         if self._now + self._set.tick >= risky.sent_at + job.cls.window:
             return 0
-        entry = risky.worker.entry
-        if job.cls.group is Group.ZONE:
-            return self._ring.group("zone", entry.zone)
-        return self._ring.group("cell", entry.cell) if job.cls.group is Group.CELL else -1
+        return self._ring.drops_repeats(risky.worker, job.cls.group)
 
     def _fits(self, worker: Worker, job: Job, reserve: float) -> bool:
         free = worker.free(self._now, REPORT_BELIEVED, self._usual)
@@ -320,7 +308,10 @@
         elif not job.held and not job.out():
             in_time = event.outcome is not Outcome.MOOT and self._now < job.deadline - 2 * self._set.tick
             again = in_time and event.retry and self._may_send_again(job)
-            self._again(job) if again else self._settle(job)
+            ran = event.outcome not in api.NEVER_RAN and not self._may_send_again(job)
+            self._again(job) if again else self._settle(
+                job, Reason.MAY_HAVE_RUN if ran else Reason.NO_ATTEMPTS
+            )
 
     def _again(self, job: Job) -> None:
         if job.pause and self._now + job.pause < job.deadline - 2 * self._set.tick:
@@ -353,13 +344,13 @@
                 self._out.extend(api.CancelAttempt(job.id, a.number) for a in job.attempts if a.out)
             self._close(job)
 
-    def _settle(self, job: Job) -> None:
+    def _settle(self, job: Job, why: Reason) -> None:
         """Gives the final answer: a refusal where that is legal, else a failure."""
         if self._may_refuse(job):
             pause = min(PERIOD, self._set.max_retry_after) if self._set.gives_retry_after else 0
-            self._out.append(api.Refuse(job.id, pause))
+            self._out.append(api.Refuse(job.id, pause, why))
         else:
-            self._out.append(api.Fail(job.id))
+            self._out.append(api.Fail(job.id, why))
         self._close(job)
 
     def _close(self, job: Job) -> None:
@@ -485,7 +476,7 @@
         if late or (self._may_send_again(job) and self._place(job, self._reserves[:2]) is not None):
             self._out.append(api.CancelAttempt(job.id, attempt.number))
             if late:  # danger: what waits beyond that takes the slots of jobs that could be in time
-                self._settle(job)
+                self._settle(job, Reason.QUEUED)
         else:
             self._agenda.at(self._now + START_WITHIN, self._check_start, attempt)
 
--- a/heathway/state.py
+++ b/heathway/state.py
@@ -385,6 +385,23 @@
     def group(self, what: str, value: object) -> int:
         return self._groups.get((what, value), 0)
 
+    def why_held(self, job: Job) -> api.Reason:
+        """Why a job that was held to the last found no place, as far as the sets of workers tell."""
+        if not self.open:
+            return api.Reason.NO_WORKER
+        kind = job.cls.worker_kind
+        some = self.open & ~job.tried() & (-1 if kind is None else self.group("kind", kind))
+        if not some:
+            return api.Reason.TRIED_ALL
+        return api.Reason.NO_ROOM if some & ~self.cold else api.Reason.COLD_ONLY
+
+    def drops_repeats(self, worker: Worker, group: api.Group) -> int:
+        """The workers that drop repeats of a keyed job together with that one; all of them: -1."""
+        if group is api.Group.ALL:
+            return -1
+        entry = worker.entry
+        return self.group("zone", entry.zone) if group is api.Group.ZONE else self.group("cell", entry.cell)
+
     def members(self, some: int) -> list[Worker]:
         """The workers of a set, in order: for whole sets, several times as fast as ``walk``."""
         return [
--- a/ironbarrow/cli/lab.py
+++ b/ironbarrow/cli/lab.py
@@ -104,7 +104,8 @@
     cold: Annotated[float, typer.Option(help="How long a provider counts as cold, s.", min=0)] = 20.0,
     as_json: Json = False,
 ) -> None:
-    """Count what a fleet did, by second and by provider, from logs written with BALANCER_TRACE=1."""
+    """Count what a fleet did, by second, by provider and how each class's jobs ended and why, from logs
+    written with BALANCER_TRACE=1."""
     from ironbarrow.lab.tally import COLUMNS, LogsError
     from ironbarrow.lab.tally import tally as count
 
@@ -125,6 +126,11 @@
     table.add_row("in all", *(str(found.total[name]) for name in COLUMNS))
     table.add_row("a job", *(f"{found.per_job(name):.2f}" for name in COLUMNS))
     Console(width=200).print(table)
+    for name, ends in sorted(found.classes.items()):
+        typer.echo(f"{name}: {ends['asked']} asked")
+        for end, number in ends.most_common():
+            if end != "asked":
+                typer.echo(f"  {number:7d}  {number / ends['asked']:5.1%}  {end}")
     typer.echo(f"{found.dispatchers} dispatchers, {len(found.providers)} providers")
 
 
--- a/ironbarrow/lab/model/spec.py
+++ b/ironbarrow/lab/model/spec.py
@@ -62,6 +62,10 @@
     drain_grace: Duration = ms(1000)
     stop_time: Duration = ms(3700)  # from the order to stop until the process is ended
     probes: bool = True
+    cancel: bool = True
+    tells_start: bool = True
+    reports: bool = True
+    worth_by: Literal["job", "work"] = "job"  # a class's worth is that of a job, or of a unit of its work
     routes: str = ""  # an operators' file of routes and limits, as text; "": none
     memory_mb: Count = 96
     sockets: Annotated[int, Meta(ge=64)] = 512
--- a/ironbarrow/lab/settings.py
+++ b/ironbarrow/lab/settings.py
@@ -23,6 +23,7 @@
         "zone": zone_of(world, number),
         "zones": list(world.network.zones),
         "round": int(rules.tick),
+        "valueBy": "work" if rules.worth_by == "work" else "request",
         "weightSource": "live" if world.directory.weights == "live" else "nominal",
         "requestClasses": [
             {
@@ -35,10 +36,10 @@
             }
             for cls in world.classes
         ],
-        "familyInfo": {"reportX0": "free slots", "tellsStart": True},
-        "report": {"how": "answers", "fields": ["eps", "queue", "x0"]},
+        "familyInfo": {"reportX0": "free slots", "tellsStart": rules.tells_start},
+        "report": {"how": "answers" if rules.reports else "off", "fields": ["eps", "queue", "x0"]},
         "limits": {
-            "cancel": True,
+            "cancel": rules.cancel,
             "probes": rules.probes,
             "retryAfter": rules.max_retry_after > 0,
             "mostTries": rules.max_attempts,
--- a/ironbarrow/lab/tally.py
+++ b/ironbarrow/lab/tally.py
@@ -48,6 +48,7 @@
     total: Counter[str] = field(default_factory=Counter)
     seconds: dict[int, Counter[str]] = field(default_factory=dict)
     providers: dict[str, Counter[str]] = field(default_factory=dict)
+    classes: dict[str, Counter[str]] = field(default_factory=dict)  # by end, see ``_end_of``
 
     def per_job(self, column: str) -> float:
         """So many of ``column`` for each job; 0 without any job."""
@@ -61,9 +62,27 @@
             "per_job": {name: round(self.per_job(name), 4) for name in COLUMNS if name != "jobs"},
             "seconds": {str(at): dict(row) for at, row in sorted(self.seconds.items())},
             "providers": {name: dict(row) for name, row in sorted(self.providers.items())},
+            "classes": {name: dict(row) for name, row in sorted(self.classes.items())},
         }
 
 
+@dataclass(slots=True)
+class _Job:
+    """A job of one process, as far as its trace has told."""
+
+    job_class: str
+    sends: int = 0
+    reason: str = ""
+    verdict: str = ""
+
+    def end(self) -> str:
+        """How it ended: the verdict, with the reason it was given up for and whether it was ever sent."""
+        if self.verdict in ("", "served", "gone"):
+            return self.verdict or "no answer"
+        sent = "after sends" if self.sends else "unsent"
+        return f"{self.verdict} {sent}: {self.reason or 'the host gave it up'}"
+
+
 def trace_files(folder: Path) -> list[Path]:
     """The logs of a folder, by name; a LogsError if it is none or has none."""
     if not folder.is_dir():
@@ -104,6 +123,29 @@
         self.tally = Tally()
         self._cold_time = cold_time
         self._start: int | None = None
+        self._jobs: dict[int, _Job] = {}
+
+    def end_process(self) -> None:
+        """A log, or a process in it, has ended: its jobs are counted, and its numbers begin anew."""
+        for job in self._jobs.values():
+            row = self.tally.classes.setdefault(job.job_class, Counter())
+            row["asked"] += 1
+            row[job.end()] += 1
+        self._jobs = {}
+
+    def _note_job(self, line: dict[str, Any]) -> None:
+        what = line.get("what") or line.get("event")
+        if what == "settings":
+            self.end_process()
+        elif what == "JobArrived":
+            self._jobs[line["job"]] = _Job(line["job_class"])
+        elif (job := self._jobs.get(line.get("job", 0))) is not None:
+            if what == "Send":
+                job.sends += 1
+            elif what in ("Refuse", "Fail"):
+                job.reason = line.get("reason") or "no reason in the trace"
+            elif what == "answered":
+                job.verdict = line["verdict"]
 
     def begin(self, at: int) -> None:
         self._start = at if self._start is None else min(self._start, at)
@@ -111,6 +153,7 @@
     def count(self, line: dict[str, Any], told: dict[str, tuple[str, int]]) -> None:
         """One line of a dispatcher; ``told``: the state and the start of each provider, as it knows them."""
         assert self._start is not None
+        self._note_job(line)
         names = list(self._names(line, told))
         second = (line["at"] - self._start) // SECOND
         provider = line.get("worker") or line.get("provider")
@@ -167,5 +210,6 @@
                 fleet.count(line, told)
             except (KeyError, TypeError, ValueError) as error:
                 raise LogsError(f"{path}: a line lacks what a trace has: {error!r}") from None
+        fleet.end_process()
     fleet.tally.dispatchers = len(paths)
     return fleet.tally
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -467,7 +467,10 @@
             tmp_path,
             name,
             {"event": "told", "at": start, "what": "WorkerList", "kind": "full", "lines": listed},
-            {"event": "told", "at": start, "what": "JobArrived", "job": 1},
+            {"event": "told", "at": start, "what": "JobArrived", "job": 1, "job_class": "map"},
+            {"event": "told", "at": start, "what": "JobArrived", "job": 2, "job_class": "decode"},
+            {"event": "done", "at": start, "what": "Refuse", "job": 2, "reason": "not_admitted"},
+            {"event": "answered", "at": start, "job": 2, "verdict": "rejected"},
             {"event": "done", "at": start + 1, "what": "Send", "job": 1, "worker": "w1"},
             {"event": "connect", "at": start + 2, "provider": "w1", "purpose": "call"},
             {"event": "done", "at": start + 3 * 10**9, "what": "Send", "job": 1, "worker": "w2"},
@@ -481,9 +484,11 @@
         )
     found = tally(tmp_path, cold_s=2.0)
     assert found.dispatchers == 2
-    expected = {"jobs": 2, "sends": 4, "cold": 2, "not_up": 2, "connects": 2, "never_ran": 2, "lines": 4}
+    assert found.classes["map"] == {"asked": 2, "no answer": 2}
+    assert found.classes["decode"] == {"asked": 2, "rejected unsent: not_admitted": 2}
+    expected = {"jobs": 4, "sends": 4, "cold": 2, "not_up": 2, "connects": 2, "never_ran": 2, "lines": 4}
     assert {name: found.total[name] for name in expected} == expected
-    assert found.per_job("sends") == 2.0
+    assert found.per_job("sends") == 1.0
     assert found.seconds[3]["sends"] == 2
     assert found.providers["w2"]["never_ran"] == 2
 
