Use cold workers' budget by sums and kinds, and spend attempts slowly while guesses fail

Meanwhile cold workers (71 of 118) told 5.5 to 3.5 free slots, warm ones 0.85; 1,354 of 1,376 safe jobs sent to cold ones started at once. Lines at fault: warming.part_taken (twice the mean a job, half of the budget, one size for kinds of weight 4, 5 and 10.5), Dispatcher._cold_allows (time on a cold worker from the surest capacity, 0.34 where 0.6 was measured), Dispatcher._ended and _check_start (all attempts spent within 13 to 100 ms).

Change: the budget holds the mean of the jobs allowed and three deviations of their sum, for a size by the kind's idle weight; the time a job takes is reckoned from the mean capacity over all cold times up to the told one. While more than half of the sends to warm workers do not start at once, safe jobs try cold workers first, jobs that wait move only to cold ones, and attempts are spread over the time a job can wait.

--- a/heathway/logic.py
+++ b/heathway/logic.py
@@ -15,7 +15,7 @@
 from heathway import api, probing, state, warming
 from heathway.api import Effect, Group, ListKind, Outcome, Reason, WorkerState
 from heathway.pacing import CallPace
-from heathway.state import Attempt, Job, Worker
+from heathway.state import Attempt, Job, Share, Worker
 
 MS = 1_000_000
 PERIOD = 200 * MS  # one service period k
@@ -35,9 +35,6 @@
 LEARNING = 0.05  # weight of a new service time in the averages
 CUT_AFTER = 3  # so many failed connections to a zone, none answered between: it is cut off
 START_WITHIN = 40 * MS
-PROBE_EVERY = 700 * MS
-PROBE_WITHIN = 1_100 * MS  # a probe that was not answered by then shows a worker that hangs
-CHECKED = 4  # times the limit: probes may be answered beside the queue, and a job is not left on them alone
 FAULT_PRICE = 2  # so many good answers make up for one fault
 FAULTS_MOST = 4  # and for all that are remembered
 ERRORS_MOST = 0.3  # errors a second in a report that count as a fault
@@ -59,18 +56,17 @@
         self._held = state.HeldJobs()
         self._running_slots = 0.0
         self._sessions = state.Sessions()
-        self._shares = {
-            t.name: state.Share(t.allowance_per_s / settings.dispatchers) for t in settings.tenants
-        }
+        self._shares = {t.name: Share(t.allowance_per_s / settings.dispatchers) for t in settings.tenants}
         self._worths = state.Worths(settings.worth_by_work)
         self._rates: deque[float] = deque(maxlen=LOOKBACK)  # l / |C| of past periods
         self._workers: dict[str, Worker] = {}
         self._ring = state.Ring()
-        self._keys = state.KeyShares()
+        self._keys = state.KeyShares(settings.me % settings.dispatchers / settings.dispatchers)
         self._probes = probing.ProbeBudget(settings.probe_price)
         self._calls = CallPace(settings.dispatchers, settings.ask_within, self._random)
         self._aside = 0
         self._agenda = state.Agenda()
+        self._guesses = state.Guesses()
         self._usual = (0.0, 0.0)  # of a worker: its size, the slots that others use
         self._next_period = self._gathered_at = self._timer_at = 0
         self._take: dict[type, Callable[[Any], None]] = {
@@ -123,8 +119,8 @@
         return self._running_slots + self._ring.spare(self._now, REPORT_BELIEVED, self._usual)
 
     def _note_usual(self) -> None:
-        told_after = self._now - REPORT_BELIEVED
-        self._usual = self._ring.usual(self._running_slots, self._set.dispatchers, told_after)
+        after = self._now - REPORT_BELIEVED
+        self._usual = self._ring.usual(self._running_slots, self._set.dispatchers, after)
 
     def _admits(self, cls: api.JobClass) -> bool:
         if not self._sessions or not self._rates:  # no session, or no past period: by free room
@@ -143,7 +139,9 @@
         work = self._service[cls.name].mean if event.work_hint is None else event.work_hint
         deadline = self._now + event.time_left
         aim_at = min(self._now + (event.wanted or cls.aim + int(cls.stretch * work)), deadline)
-        job = Job(event.job, cls, name, event.slots, event.memory, aim_at, deadline, self._point(event.key))
+        job = Job(
+            event.job, cls, name, event.slots, event.memory, aim_at, deadline, self._keys.point(event.key)
+        )
         job.most = min(event.most_attempts or self._set.max_attempts, self._set.max_attempts)
         job.resend, job.pause, self._jobs[job.id] = event.resend, event.pause, job
         self._probes.job_arrived()
@@ -157,12 +155,6 @@
         self._sessions.job_arrived(name, self._now)
         self._hold(job)
 
-    def _point(self, key: int | None) -> float:
-        """Where on the ring first fit starts. Danger: from one common start all dispatchers pile onto
-        the same worker; and what a key needs is kept by few workers if all its jobs start together."""
-        own = self._set.me % self._set.dispatchers / self._set.dispatchers
-        return own if key is None else self._keys.point(key, own)
-
     # Holding and release
 
     def _hold(self, job: Job) -> None:
@@ -210,7 +202,8 @@
         own = ring.group("zone", rules.zone)
         parts = [(part, reserve) for reserve in reserves for part in (warm & own, warm & ~own)]
         # danger: left to the last, cold workers idle beside full ones; but one long booking pushes them over
-        parts.insert(2 if job.cls.effect is Effect.SAFE else len(parts), (some & ring.cold, 0.0))
+        at = 0 if self._guesses.mostly_wrong() else 2
+        parts.insert(at if job.cls.effect is Effect.SAFE else len(parts), (some & ring.cold, 0.0))
         for part, reserve in parts:
             for worker in ring.walk(part, start):
                 if self._fits(worker, job, reserve):
@@ -237,12 +230,13 @@
         return slots and memory and (worker.cold_until <= self._now or self._cold_allows(worker, job))
 
     def _cold_part(self, worker: Worker, job: Job) -> float:
-        long, size = self._service[job.cls.name].longest(1.0), worker.size or self._usual[0] or 1.0
-        return warming.part_taken(self._set, worker.entry, self._now, size, long, job.slots)
+        size = self._usual[0] * self._ring.strength(worker.entry) if self._set.live_weights else worker.size
+        mean, size = self._service[job.cls.name].mean, size or worker.size or self._usual[0] or 1.0
+        return warming.part_taken(self._set, worker.entry, self._now, size, mean, job.slots)
 
     def _cold_allows(self, worker: Worker, job: Job) -> bool:
         """Danger: all dispatchers together push a cold worker over. Each keeps to its part of the budget."""
-        capacity = warming.capacity(self._set, worker.entry.started_at, self._now)
+        capacity = warming.likely_capacity(self._set, worker.entry.started_at, self._now)
         mean = self._service[job.cls.name].mean
         if self._now + mean / capacity > job.aim_at and self._ring.open & ~self._ring.cold:
             return False
@@ -253,6 +247,7 @@
         attempt = Attempt(job, len(job.attempts), worker, self._now)
         job.attempts.append(attempt)
         self._out.append(api.Send(job.id, worker.id))
+        attempt.guessed = not worker.trial and worker.cold_until <= self._now
         worker.trial = False
         if worker.cold_until > self._now:
             worker.sends.append((self._now, min(1.0, self._cold_part(worker, job))))
@@ -281,13 +276,15 @@
         worker = attempt.worker
         attempt.out = False
         attempt.never_ran = event.outcome in api.NEVER_RAN
-        self._not_waiting(attempt)
+        attempt.waits_no_more()
         self._book(worker, job, -1)
         if event.outcome is Outcome.OK:
+            self._guesses.note(attempt, True)
             worker.faults = max(0, worker.faults - 1)
         if event.outcome in api.SIGNS_OF_LIFE:
             self._alive(worker)
         if event.outcome is Outcome.FULL:
+            self._guesses.note(attempt, False)
             self._pause(worker)
         elif event.report is not None:
             self._reported(worker, event.report)
@@ -314,11 +311,24 @@
             )
 
     def _again(self, job: Job) -> None:
-        if job.pause and self._now + job.pause < job.deadline - 2 * self._set.tick:
-            self._agenda.at(self._now + job.pause, self._hold, job)
+        pause = job.pause
+        if self._guesses.mostly_wrong() and not self._place_now(job):
+            # danger: full workers take all attempts of a job within milliseconds while it has seconds to wait
+            time_left = job.aim_at - int(self._service[job.cls.name].mean) - self._now
+            pause = max(pause, time_left // (job.most - len(job.attempts) + 1))
+        if pause and self._now + pause < job.deadline - 2 * self._set.tick:
+            self._agenda.at(self._now + pause, self._hold, job)
         else:
             self._hold(job)
 
+    def _place_now(self, job: Job) -> Worker | None:
+        """Where a further attempt is worth its price now. Danger: while most workers that seem to have room
+        are full, moves and retries use up the attempts of the classes that may move; cold ones, of which
+        each has its part, can be believed."""
+        worker = self._place(job, self._reserves[:2])
+        wrong = self._guesses.mostly_wrong() and worker is not None and worker.cold_until <= self._now
+        return None if wrong else worker
+
     def _may_send_again(self, job: Job) -> bool:
         """Danger: a job that must not run twice may have run."""
         risky, effect = job.risky(), job.cls.effect
@@ -369,7 +379,7 @@
             return
         up = (w for w in self._ring.workers if w.entry.state is WorkerState.UP)
         for worker in sorted(up, key=lambda worker: worker.heard_of):
-            if worker.heard_of + PROBE_EVERY > self._now or not self._probes.take(probing.FOR_CHECKS):
+            if worker.heard_of + probing.EVERY > self._now or not self._probes.take(probing.FOR_CHECKS):
                 break
             self._probe(worker)
 
@@ -429,13 +439,15 @@
         due = max(worker.heard_at, attempt.sent_at) + limit
         if not worker.aside and self._aside >= ASIDE_MOST * len(self._ring.workers):
             due = max(due, self._now + limit)  # danger: all silent is a shared slowdown or a cut
-        check = worker.heard_at >= attempt.checked_at and self._now < attempt.sent_at + CHECKED * limit
+        check = (
+            worker.heard_at >= attempt.checked_at and self._now < attempt.sent_at + probing.CHECKED * limit
+        )
         check = check and self._set.may_probe and not worker.aside
         if due <= self._now and check and self._probes.take():
             # danger: in a large fleet each hears of a worker by its own long job alone, and calls it back
             attempt.checked_at = self._now
             self._probe(worker)
-            due = self._now + PROBE_WITHIN
+            due = self._now + probing.WITHIN
         if due > self._now:
             self._agenda.at(due, self._check_silence, attempt)
             return
@@ -452,13 +464,9 @@
         self._alive(worker)
         if attempt.out and not attempt.started_at:
             attempt.started_at = self._now
-            self._not_waiting(attempt)
-
-    def _not_waiting(self, attempt: Attempt) -> None:
-        if attempt.waits:
-            attempt.waits = False
-            attempt.worker.waiting -= 1
-            self._update(attempt.worker)
+            self._guesses.note(attempt, True)
+            attempt.waits_no_more()
+            self._update(worker)
 
     def _check_start(self, attempt: Attempt) -> None:
         """Danger: a job that has not started soon waits behind others, whatever reports say."""
@@ -466,6 +474,7 @@
         if not attempt.out or attempt.started_at:
             return
         if not attempt.waits:
+            self._guesses.note(attempt, False)
             attempt.waits = True
             worker.waiting += 1
             worker.seen_full(self._now, worker.slots_out - job.slots)
@@ -473,7 +482,7 @@
         if job.over or not self._set.may_cancel or job.cls.effect is not Effect.SAFE:
             return
         late = job.too_late(self._now, self._service[job.cls.name].mean)
-        if late or (self._may_send_again(job) and self._place(job, self._reserves[:2]) is not None):
+        if late or (self._may_send_again(job) and self._place_now(job) is not None):
             self._out.append(api.CancelAttempt(job.id, attempt.number))
             if late:  # danger: what waits beyond that takes the slots of jobs that could be in time
                 self._settle(job, Reason.QUEUED)
--- a/heathway/probing.py
+++ b/heathway/probing.py
@@ -5,6 +5,11 @@
 A budget in the own jobs makes the fleet's probes a job the same at any size.
 """
 
+EVERY = 700_000_000  # ns: a worker of which nothing was heard for so long may be probed
+WITHIN = 1_100_000_000  # ns: a probe that was not answered by then shows a worker that hangs
+CHECKED = (
+    4  # times the limit on silence: probes may be answered beside the queue, and no job is left on them alone
+)
 PER_JOB = 2.0  # probes that one own job pays for, where probes have no price
 WORTH_GIVEN = 0.01  # at a price: as many as take this part of a job's worth
 MOST_SAVED = 8.0  # probes that can be saved up over a quiet time
--- a/heathway/state.py
+++ b/heathway/state.py
@@ -125,8 +125,14 @@
     never_ran: bool = False
     started_at: int = 0  # when the worker told that it runs
     waits: bool = False  # it has not started for too long
+    guessed: bool = False  # sent to a warm worker that was believed to have room
     checked_at: int = 0  # when its worker was probed, since nothing was heard for too long
 
+    def waits_no_more(self) -> None:
+        if self.waits:
+            self.waits = False
+            self.worker.waiting -= 1
+
 
 @dataclass(slots=True, eq=False)
 class Job:
@@ -263,6 +269,24 @@
         return self._of(cls, mean) * self._work > self._worth * mean
 
 
+class Guesses:
+    """How often a warm worker that was believed to have room had it, the last sends counting most."""
+
+    WEIGHT = 0.1  # of one send
+
+    def __init__(self) -> None:
+        self.right = 1.0  # part of the sends that started at once
+
+    def note(self, attempt: Attempt, right: bool) -> None:
+        """Counts an attempt once, at the first sign of whether its worker had room."""
+        if attempt.guessed:
+            attempt.guessed = False
+            self.right += self.WEIGHT * (right - self.right)
+
+    def mostly_wrong(self) -> bool:
+        return self.right < 0.5
+
+
 class HeldJobs:
     """Jobs that wait, in one queue for each kind of worker they need, by latest start."""
 
@@ -294,15 +318,21 @@
 class KeyShares:
     """Which part of the jobs each key has, the recent ones counting more."""
 
-    def __init__(self, most: int = 20_000) -> None:
+    def __init__(self, own: float, most: int = 20_000) -> None:
+        """``own``: the dispatcher's place on the ring, from 0 to below 1."""
+        self._own = own
         self._jobs: dict[int, int] = {}
         self._all = 0
         self._most = most
 
-    def point(self, key: int, own: float) -> float:
-        """Counts a job; where on the ring its key's jobs start, ``own`` being the dispatcher's place."""
+    def point(self, key: int | None) -> float:
+        """Counts a job; where on the ring first fit starts for its key. Danger: from one common start all
+        dispatchers pile onto the same worker; and what a key needs is kept by few workers if all its jobs
+        start together."""
+        if key is None:
+            return self._own
         arc = self.count(key)  # a busy key has more than one worker's part of the ring
-        return (zlib.crc32(str(key).encode()) / (1 << 32) + arc * own) % 1.0
+        return (zlib.crc32(str(key).encode()) / (1 << 32) + arc * self._own) % 1.0
 
     def count(self, key: int) -> float:
         """Counts a job and tells the key's share."""
@@ -347,16 +377,28 @@
         self.unreached: Counter[str] = Counter()  # failed connections to a zone since it last answered
         self._groups: dict[tuple[str, object], int] = {}
         self._full: dict[str, float] = {}  # the largest weight ever listed, for each kind
+        self._mean_full = 0.0  # the mean of that over the workers that are up
 
     def full_weight(self, entry: api.WorkerEntry) -> float:
         """The weight of an idle worker of the entry's kind, as far as one was ever listed."""
         self._full[entry.kind] = full = max(entry.weight, self._full.get(entry.kind, 0.0))
         return full
 
+    def strength(self, entry: api.WorkerEntry) -> float:
+        """What an idle worker of the entry's kind weighs, as a part of the mean of all that are ready; 1
+        where nothing is known. Danger: of kinds that differ fourfold, one size for all is too much for the
+        weak and leaves the strong idle."""
+        full = self._full.get(entry.kind, 0.0)
+        return full / self._mean_full if full and self._mean_full else 1.0
+
     def sort(self, workers: dict[str, Worker]) -> None:
         self.workers = [workers[name] for name in sorted(workers)]
         self.open = self.cold = self.trials = self.reported = self.ready = 0
         self._groups = {}
+        fulls = [
+            self._full.get(w.entry.kind, 0.0) for w in self.workers if w.entry.state is api.WorkerState.UP
+        ]
+        self._mean_full = sum(fulls) / len(fulls) if fulls else 0.0
         for place, worker in enumerate(self.workers):
             worker.place = place
             worker.best_weight = max(worker.best_weight, worker.entry.weight)
--- a/heathway/warming.py
+++ b/heathway/warming.py
@@ -11,7 +11,7 @@
 
 from heathway import api
 
-SAFETY = 0.5  # part of the budget that is used, counting each job as a long one; the rest is for chance
+DEVIATIONS = 3.0  # the budget holds the mean of the jobs that are allowed and so many deviations of their sum
 
 
 def capacity(rules: api.Settings, started_at: int, now: int) -> float:
@@ -20,17 +20,38 @@
     return min(1.0, rules.start_capacity + (1 - rules.start_capacity) * age / max(1, rules.cold_time))
 
 
+def likely_capacity(rules: api.Settings, started_at: int, now: int) -> float:
+    """The part of its capacity that a worker has by now on the average, if it rises evenly over a time of
+    which only the longest is told, all up to that being as likely. For how long a job will take, not for
+    what may be sent: by the surest figure, jobs that would be in time are kept from cold workers."""
+    part = min(1.0, max(0, now - started_at) / max(1, rules.cold_time))
+    start = rules.start_capacity
+    return part + start * (1 - part) + (1 - start) * part * math.log(1 / part) if part else start
+
+
+def jobs_within(budget: float, mean: float) -> int:
+    """How many jobs of a class fit a budget, both in the same unit, with their chance: a job's deviation is
+    taken to be its mean, as of exponential times, and that of a sum grows with the root of their number.
+
+    Danger: each counted as a long one, many short jobs leave most of the budget unused, and cold workers
+    idle beside full ones; counted as mean ones, a few long jobs pass it. One job needs four times its mean.
+    """
+    if budget <= 0 or mean <= 0:
+        return 0
+    root = (math.sqrt(DEVIATIONS**2 + 4 * budget / mean) - DEVIATIONS) / 2
+    return int(root * root + 1e-9)
+
+
 def part_taken(
-    rules: api.Settings, entry: api.WorkerEntry, now: int, size: float, long: float, slots: float
+    rules: api.Settings, entry: api.WorkerEntry, now: int, size: float, mean: float, slots: float
 ) -> float:
     """The part of this dispatcher's budget for a cold worker that one job takes; infinite where it has none.
 
-    ``entry``: its line of the list; ``size``: its slots; ``long``: of a long job, ns; ``slots``: what it
-    takes. The parts sent within ``rules.fall_window`` may not pass 1. Danger: counted as jobs, a long one
-    would weigh as much as a short one, and a mixture would pass the budget of each class.
+    ``entry``: its line of the list; ``size``: its slots, of mean speed; ``mean``: of a job's service time,
+    ns; ``slots``: what it takes. The parts sent within ``rules.fall_window`` may not pass 1.
     """
-    budget = SAFETY * rules.fall_multiple * capacity(rules, entry.started_at, now) * rules.fall_window * size
-    jobs = int(budget / (long * max(1.0, slots)))
+    budget = rules.fall_multiple * capacity(rules, entry.started_at, now) * rules.fall_window * size
+    jobs = jobs_within(budget, mean * max(1.0, slots))
     turn = rules.me - zlib.crc32(f"{entry.worker} {entry.started_at}".encode())
     allowed = jobs // rules.dispatchers + (turn % rules.dispatchers < jobs % rules.dispatchers)
     return 1 / allowed if allowed else math.inf
--- a/tests/test_ordinary_path.py
+++ b/tests/test_ordinary_path.py
@@ -143,8 +143,8 @@
     def start(me: int, rare: bool) -> float:
         module = World(make_settings(me=me, dispatchers=10), entries(4)).dispatcher
         for other in range(1000):
-            module._point(other if rare else 5)
-        return module._point(5)
+            module._keys.point(other if rare else 5)
+        return module._keys.point(5)
 
     assert abs(start(9, rare=True) - start(0, rare=True)) < 0.01
     apart = (start(9, rare=False) - start(0, rare=False)) % 1.0
@@ -235,7 +235,7 @@
 
 def test_a_key_starts_at_one_point_whatever_the_dispatcher():
     first = {
-        World(make_settings(me=me, dispatchers=50), entries(4), seed=me).dispatcher._point(77)
+        World(make_settings(me=me, dispatchers=50), entries(4), seed=me).dispatcher._keys.point(77)
         for me in (0, 0)
     }
     assert len(first) == 1
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -158,7 +158,7 @@
 
 def test_a_worker_that_nothing_was_heard_of_is_probed():
     world = slots(4.0)
-    world.advance(logic.PROBE_EVERY + 2 * logic.PERIOD)
+    world.advance(probing.EVERY + 2 * logic.PERIOD)
     probed = [a.worker for a in world.actions if isinstance(a, api.Probe)]
     assert set(probed) == set(world.entries)
     world.batch(api.ProbeEnded("w000", Outcome.CONNECT_FAILED, MS))
@@ -406,7 +406,7 @@
         world.batch(api.AttemptNote(job, 0, worker, api.NoteKind.STARTED))
         limit = world.dispatcher._service["safe"].longest(logic.SILENCE_DEVIATIONS)
         probes = 0
-        while world.now < 7 * S + limit + logic.PROBE_WITHIN + 3 * logic.PERIOD:
+        while world.now < 7 * S + limit + probing.WITHIN + 3 * logic.PERIOD:
             sent = [a.worker for a in world.actions if isinstance(a, api.Probe)]
             for name in sent[probes:]:
                 outcome = Outcome.OK if answers or name != worker else Outcome.TIMEOUT
@@ -445,3 +445,43 @@
     for _ in range(3):
         world.arrive()
     assert {name for _, _, name in world.sends} == {"w000"}
+
+
+def full_fleet(**changes: object) -> World:
+    """Workers that seem to have room and send back all that comes, as ten sends have told."""
+    world = World(make_settings(max_attempts=3, **changes), entries(12))
+    while len(world.sends) < 10:
+        world.arrive("unsafe", key=len(world.sends))
+        for job, number in world.out():
+            world.end(job, number, Outcome.FULL)
+        world.advance(200 * MS)
+    for job, number in world.out():
+        world.end(job, number, Outcome.FULL)
+    return world
+
+
+@pytest.mark.parametrize("room_after", [300 * MS, 600 * MS])
+def test_full_workers_do_not_take_all_attempts_of_a_job_that_can_still_wait(room_after):
+    # danger: three answers "full" within 13 ms, and a class that may wait for 1.2 s is turned away
+    world = full_fleet()
+    job, begun = world.arrive("safe", key=99), world.now
+    while not world.jobs[job].over and world.now < begun + 1 * S:
+        for owed, number in world.out():
+            if owed == job:
+                has_room = world.now >= begun + room_after
+                world.end(job, number, Outcome.OK if has_room else Outcome.FULL, free=None)
+        world.advance(5 * MS)
+    assert world.jobs[job].over and not world.answers(job)
+    assert 2 <= len(world.attempts(job)) <= 3
+
+
+@pytest.mark.parametrize(("cold", "moves"), [(False, False), (True, True)])
+def test_a_job_that_waits_moves_to_where_room_is_sure_while_guesses_fail(cold, moves):
+    # danger: each move is an attempt; into another queue it is lost, to a cold worker's own part it is not
+    world = full_fleet(tells_start=True)
+    world.advance(200 * MS)  # the pauses after the answers "full" are over
+    job = world.arrive("safe", key=99)
+    if cold:
+        world.listed(api.ListKind.CHANGES, entries(16, started_at=world.now - 10 * S)[12:])
+    world.advance(2 * logic.START_WITHIN)
+    assert any(isinstance(a, api.CancelAttempt) and a.job == job for a in world.actions) is moves
