Open a door for operators, and hand jobs over when the process is replaced

Unchanged, the new one exits with 2 since the address is taken, and jobs are lost.

Bans are joined with the directory's word before the host hears it, so that each limit on draining workers holds; rejected: a check at each send. Replacing: both share the address, and on SIGTERM the old process passes each job with its consumer's descriptor through a Unix socket in TMPDIR; rejected: to finish in the old one, since SIGKILL comes after 3.7 s and bookings take 8. A job that a provider has is kept, not decided on; call-backs that reach the wrong process are passed on once.

Without admin none of it is imported.

--- a/heathway/logic.py
+++ b/heathway/logic.py
@@ -60,7 +60,7 @@
         self._worths = state.Worths(settings.worth_by_work)
         self._rates: deque[float] = deque(maxlen=LOOKBACK)  # l / |C| of past periods
         self._workers: dict[str, Worker] = {}
-        self._ring = state.Ring()
+        self.ring = state.Ring()
         self._keys = state.KeyShares(settings.me % settings.dispatchers / settings.dispatchers)
         self._probes = probing.ProbeBudget(settings.probe_price)
         self._calls = CallPace(settings.dispatchers, settings.ask_within, self._random)
@@ -116,15 +116,15 @@
     def _capacity(self) -> float:
         """Res_max: own running slots and the fleet's free ones. All count them as their own, which is
         harmless as long as a job that meets a full worker shows it by not starting."""
-        return self._running_slots + self._ring.spare(self._now, REPORT_BELIEVED, self._usual)
+        return self._running_slots + self.ring.spare(self._now, REPORT_BELIEVED, self._usual)
 
     def _note_usual(self) -> None:
         after = self._now - REPORT_BELIEVED
-        self._usual = self._ring.usual(self._running_slots, self._set.dispatchers, after)
+        self._usual = self.ring.usual(self._running_slots, self._set.dispatchers, after)
 
     def _admits(self, cls: api.JobClass) -> bool:
         if not self._sessions or not self._rates:  # no session, or no past period: by free room
-            return self._ring.open != 0 or self._held.slots <= self._running_slots
+            return self.ring.open != 0 or self._held.slots <= self._running_slots
         if self._worths.dear(cls, self._service[cls.name].mean):
             return True  # danger: shed with the rest, it takes more worth with it than it frees room
         rate = sum(self._rates) / len(self._rates)
@@ -172,12 +172,12 @@
             start_by, _, job = queue[0]
             if job.held and start_by <= self._now:
                 # danger: a job that can't be in time takes the room of one that can
-                self._settle(job, self._ring.why_held(job))
+                self._settle(job, self.ring.why_held(job))
             if job.held:
                 worker = self._place(job, self._reserves)
                 if worker is not None:
                     self._send(job, worker)
-                elif self._ring.open and len(skipped) < PASSED_OVER:
+                elif self.ring.open and len(skipped) < PASSED_OVER:
                     skipped.append(queue[0])  # danger: bound or large, it would block all the others
                 else:
                     break
@@ -186,7 +186,7 @@
 
     def _place(self, job: Job, reserves: tuple[float, ...]) -> Worker | None:
         """First fit from the job's point of the ring, warm workers before cold ones."""
-        ring, rules = self._ring, self._set
+        ring, rules = self.ring, self._set
         kind = job.cls.worker_kind
         some = ring.open if kind is None else ring.open & ring.group("kind", kind)
         some &= self._repeat_group(job, job.risky())
@@ -216,7 +216,7 @@
             return -1
         if self._now + self._set.tick >= risky.sent_at + job.cls.window:
             return 0
-        return self._ring.drops_repeats(risky.worker, job.cls.group)
+        return self.ring.drops_repeats(risky.worker, job.cls.group)
 
     def _fits(self, worker: Worker, job: Job, reserve: float) -> bool:
         free = worker.free(self._now, REPORT_BELIEVED, self._usual)
@@ -230,7 +230,7 @@
         return slots and memory and (worker.cold_until <= self._now or self._cold_allows(worker, job))
 
     def _cold_part(self, worker: Worker, job: Job) -> float:
-        size = self._usual[0] * self._ring.strength(worker.entry) if self._set.live_weights else worker.size
+        size = self._usual[0] * self.ring.strength(worker.entry) if self._set.live_weights else worker.size
         mean, size = self._service[job.cls.name].mean, size or worker.size or self._usual[0] or 1.0
         return warming.part_taken(self._set, worker.entry, self._now, size, mean, job.slots)
 
@@ -238,7 +238,7 @@
         """Danger: all dispatchers together push a cold worker over. Each keeps to its part of the budget."""
         capacity = warming.likely_capacity(self._set, worker.entry.started_at, self._now)
         mean = self._service[job.cls.name].mean
-        if self._now + mean / capacity > job.aim_at and self._ring.open & ~self._ring.cold:
+        if self._now + mean / capacity > job.aim_at and self.ring.open & ~self.ring.cold:
             return False
         return worker.spent_since(self._now - self._set.fall_window) + self._cold_part(worker, job) <= 1
 
@@ -294,7 +294,7 @@
             self._fault(worker)
         if event.outcome is Outcome.CONNECT_FAILED:
             self._set_aside(worker)
-            self._ring.unreached[worker.entry.zone] += 1
+            self.ring.unreached[worker.entry.zone] += 1
         elif event.outcome is Outcome.OK:
             worker.fulls = 0
             ran = self._now - attempt.started_at if attempt.started_at else event.elapsed
@@ -377,7 +377,7 @@
         """Danger: of a worker that gets no jobs nothing is heard, and of one whose jobs are long, little."""
         if not self._set.may_probe or not self._set.report_fields:
             return
-        up = (w for w in self._ring.workers if w.entry.state is WorkerState.UP)
+        up = (w for w in self.ring.workers if w.entry.state is WorkerState.UP)
         for worker in sorted(up, key=lambda worker: worker.heard_of):
             if worker.heard_of + probing.EVERY > self._now or not self._probes.take(probing.FOR_CHECKS):
                 break
@@ -419,7 +419,7 @@
         if worker is None:
             return
         worker.heard_at = self._now
-        self._ring.unreached[worker.entry.zone] = 0
+        self.ring.unreached[worker.entry.zone] = 0
         if worker.aside and worker.faults:  # danger: of one that fails quickly, some answers are good
             worker.trial = True
             self._update(worker)
@@ -437,7 +437,7 @@
             return
         limit = self._service[job.cls.name].longest(SILENCE_DEVIATIONS)
         due = max(worker.heard_at, attempt.sent_at) + limit
-        if not worker.aside and self._aside >= ASIDE_MOST * len(self._ring.workers):
+        if not worker.aside and self._aside >= ASIDE_MOST * len(self.ring.workers):
             due = max(due, self._now + limit)  # danger: all silent is a shared slowdown or a cut
         check = (
             worker.heard_at >= attempt.checked_at and self._now < attempt.sent_at + probing.CHECKED * limit
@@ -492,7 +492,7 @@
     def _fault(self, worker: Worker) -> None:
         """Danger: a worker that fails quickly is always free and gets all that comes."""
         worker.faults = min(worker.faults + FAULT_PRICE, FAULTS_MOST)
-        if worker.aside or self._aside < ASIDE_MOST * len(self._ring.workers):
+        if worker.aside or self._aside < ASIDE_MOST * len(self.ring.workers):
             self._set_aside(worker)
 
     def _set_aside(self, worker: Worker) -> None:
@@ -516,7 +516,7 @@
         takes = not worker.aside or worker.trial
         if worker.entry.state is not WorkerState.UP or worker.paused or worker.waiting:
             takes = False  # danger: nothing new goes to a worker that drains or is gone
-        self._ring.mark(worker, takes, cold=worker.cold_until > self._now)
+        self.ring.mark(worker, takes, cold=worker.cold_until > self._now)
 
     # The worker list
 
@@ -535,9 +535,9 @@
                     worker.entry = replace(worker.entry, state=WorkerState.GONE)
         for entry in event.entries:
             self._take_entry(entry)
-        self._ring.sort(self._workers)
+        self.ring.sort(self._workers)
         self._note_usual()
-        for worker in self._ring.workers:
+        for worker in self.ring.workers:
             self._update(worker)
 
     def _take_entry(self, entry: api.WorkerEntry) -> None:
@@ -546,7 +546,7 @@
             worker.forget()
             self._alive(worker)
         if self._set.live_weights:
-            full = self._ring.full_weight(entry)
+            full = self.ring.full_weight(entry)
             newer = self._now - max(LIST_AGE, TOLD_BEFORE // self._set.dispatchers)
             worker.take_weight(self._now - LIST_AGE, newer, full, self._usual[0])
         if worker.cold_until > self._now:
--- a/heathway/state.py
+++ b/heathway/state.py
@@ -444,6 +444,10 @@
         entry = worker.entry
         return self.group("zone", entry.zone) if group is api.Group.ZONE else self.group("cell", entry.cell)
 
+    def aside(self) -> frozenset[str]:
+        """The ids of the workers that are set aside, on trial or not."""
+        return frozenset(worker.id for worker in self.workers if worker.aside)
+
     def members(self, some: int) -> list[Worker]:
         """The workers of a set, in order: for whole sets, several times as fast as ``walk``."""
         return [
--- /dev/null
+++ b/ironbarrow/admin/keep.py
@@ -0,0 +1,99 @@
+"""Keeps the bans of one dispatcher in a file, so that they outlast its process.
+
+The file is shared by an old process and the one that replaces it: each writes it whole, by rename, under a
+lock, and looks whether the other one has. A file that is torn, foreign or of a later version is passed over
+with a line in the log and replaced by the next change.
+"""
+
+import fcntl
+import json
+import os
+from collections.abc import Callable
+from pathlib import Path
+from zlib import crc32
+
+import structlog
+
+log = structlog.get_logger()
+
+VERSION = 1
+_SIZE_LIMIT = 8 << 20
+
+
+class BanFile:
+    """The bans of the dispatcher ``name`` in ``folder``; without one they last as long as the process."""
+
+    def __init__(self, folder: Path | None, name: str) -> None:
+        self._path = None if folder is None else folder / f"ironbarrow-bans-{crc32(name.encode()):08x}.json"
+        self._seen: tuple[int, int, int] | None = None  # of the file as it was read last
+        self._known: frozenset[str] = frozenset()
+        if folder is None:
+            log.warning("bans do not outlast this process: TMPDIR is not set")
+
+    def changed(self) -> bool:
+        """Whether the file is another one than when it was read last."""
+        return self._path is not None and self._mark() != self._seen
+
+    def _mark(self) -> tuple[int, int, int] | None:
+        assert self._path is not None
+        try:
+            found = os.stat(self._path)
+        except OSError:
+            return None
+        return found.st_ino, found.st_size, found.st_mtime_ns
+
+    def read(self) -> frozenset[str]:
+        """The bans; the last ones known where the file can't be read."""
+        if self._path is None:
+            return self._known
+        self._seen = self._mark()
+        if self._seen is None:
+            return self._known
+        try:
+            self._known = _parsed(self._path)
+        except (OSError, ValueError) as error:
+            log.error("file of bans passed over", file=str(self._path), error=str(error))
+        return self._known
+
+    def change(self, to: Callable[[frozenset[str]], frozenset[str]]) -> frozenset[str]:
+        """Applies a change to what the file holds now, and writes it; the bans after it. If it can't be
+        written, the change holds in this process and the log says so."""
+        if self._path is None:
+            self._known = to(self._known)
+            return self._known
+        try:
+            with open(self._path.with_suffix(".lock"), "w") as lock:
+                fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+                self._known = to(self.read())
+                self._write(self._known)
+        except OSError as error:
+            self._known = to(self._known)
+            log.error("bans do not outlast this process", file=str(self._path), error=str(error))
+        return self._known
+
+    def _write(self, banned: frozenset[str]) -> None:
+        assert self._path is not None
+        names = sorted(banned)
+        text = json.dumps({"version": VERSION, "banned": names, "crc": _sum(names)})
+        draft = self._path.with_suffix(f".{os.getpid()}")
+        draft.write_text(text, encoding="utf-8")
+        os.replace(draft, self._path)
+        self._seen = self._mark()
+
+
+def _sum(names: list[str]) -> int:
+    return crc32("\n".join(names).encode("utf-8", "surrogatepass"))
+
+
+def _parsed(path: Path) -> frozenset[str]:
+    with open(path, encoding="utf-8") as file:
+        text = file.read(_SIZE_LIMIT + 1)
+    found = json.loads(text) if len(text) <= _SIZE_LIMIT else None
+    if not isinstance(found, dict) or found.get("version") != VERSION:
+        raise ValueError(f"expected an object of version {VERSION}")
+    names = found.get("banned")
+    if not isinstance(names, list) or not all(isinstance(name, str) for name in names):
+        raise ValueError("expected names in `banned`")
+    if found.get("crc") != _sum(names):
+        raise ValueError("`crc` does not fit the names")
+    return frozenset(names)
--- a/ironbarrow/backs/invoker.py
+++ b/ironbarrow/backs/invoker.py
@@ -89,6 +89,10 @@
         else:
             self._loop.spawn(self._delete(call, exchange, ending))
 
+    def let_go(self, call: Call) -> None:
+        """Another process has the call now; nothing is told to the provider."""
+        self._exchanges.pop(call, None)
+
     def probe(self, provider: str) -> None:
         self._loop.spawn(self._probe(provider))
 
@@ -108,8 +112,9 @@
 
     # Call-backs
 
-    def called_back(self, raw: Any) -> None:
-        """A provider's word on a call; a ValueError if it is malformed."""
+    def called_back(self, raw: Any) -> bool:
+        """A provider's word on a call, and whether any call is out that it is about; a ValueError if it is
+        malformed."""
         if not isinstance(raw, dict):
             raise ValueError("not an object")
         job_id, provider, state = raw.get("id"), raw.get("from"), raw.get("state")
@@ -126,15 +131,16 @@
         report = self._report(raw.get("load"))
         call = self._host.call_out(job_id, provider)
         if call is None:
-            return  # late, sent again, or for a call that was never made: it has been counted
+            return False  # late, sent again, for a call that was never made, or for another process
         # danger: the call-back may come before the 202, even before the own write is seen to be whole
-        call.written = True
+        self._host.call_written(call)
         if state == "started":
             self._host.call_started(call)
         elif state == "running":
             self._host.call_progressed(call, float(share))
         else:
             self._end(call, _STATES[state], report, result.encode())
+        return True
 
     def _report(self, load: Any) -> api.LoadReport | None:
         if load is None:
@@ -165,7 +171,7 @@
                 self._end(call, Ending.DRAINED)
                 return
             yield from connection.write(self._request(connection, call, exchange.address), call.until)
-            call.written = True
+            self._host.call_written(call)
             answer = yield from connection.read_message(call.until)
             exchange.answered = True
             self._put_back(exchange.address, connection, answer)
@@ -181,6 +187,7 @@
 
     def _answered(self, call: Call, answer: Message) -> None:
         if answer.status == 202:
+            call.accepted = True
             return
         proven = answer.status in (503, 504) and answer.headers.get("x-not-processed", "").strip() == "1"
         # danger: without the proof, a 503 may come after the job has run
--- a/ironbarrow/config/platform.py
+++ b/ironbarrow/config/platform.py
@@ -35,6 +35,8 @@
     connect_timeout: int = 250 * _MS
     routes: Path | None = None  # an operators' file of routes and limits
     idle_limit: int = 15_000 * _MS  # a provider closes a connection that was idle for so long
+    admin: Address | None = None  # the operators' own address
+    folder: Path | None = None  # for what is to outlast this process: TMPDIR
     traced: bool = False  # each event and action of the decisions is logged
 
 
@@ -77,6 +79,9 @@
             raise ValueError(f"{name}: missing, and {variable} is not set")
         return value
 
+    def has(self, name: str) -> bool:
+        return bool(self.environment.get(f"BALANCER_{name.upper()}") or self.raw.get(name))
+
     def path(self, name: str) -> Path | None:
         """A file's path, or None: nobody has to have one."""
         told = (self.environment.get(f"BALANCER_{name.upper()}"), self.raw.get(name))
@@ -120,6 +125,8 @@
         sockets=sockets,
         memory_mb=_number(limits, "limits", "memory_mb", _MEMORY_MB),
         routes=texts.path("routes"),
+        admin=texts.address("admin", least_port=0) if texts.has("admin") else None,
+        folder=Path(folder) if (folder := texts.environment.get("TMPDIR")) else None,
         traced=texts.switch("BALANCER_TRACE"),
         connect_timeout=_number(rules, "settings.limits", "connectTimeout", 250 * _MS),
         idle_limit=_number(rules, "settings.limits", "connIdle", 15_000 * _MS),
--- a/ironbarrow/core/host.py
+++ b/ironbarrow/core/host.py
@@ -16,6 +16,7 @@
 from heathway.logic import Dispatcher
 from ironbarrow.core import trace
 from ironbarrow.core.endings import Ending, outcome_of
+from ironbarrow.core.figures import Figures
 from ironbarrow.runtime.clock import Clock, Timer
 
 log = structlog.get_logger()
@@ -29,6 +30,9 @@
     FAILED = "failed"
 
 
+_COUNTED_AS = {Verdict.SERVED: "served", Verdict.REJECTED: "refused", Verdict.FAILED: "failed"}
+
+
 @dataclass(frozen=True, slots=True)
 class Answer:
     """A job's one final answer."""
@@ -83,6 +87,7 @@
 
     number: int
     payload: Payload
+    arrival: api.JobArrived
     arrived_at: int
     deadline: int
     answer: Callable[[Answer], None]
@@ -104,6 +109,8 @@
     ended: bool = False
     given_up: bool = False
     written: bool = False  # the request's last byte is written
+    accepted: bool = False  # the provider has told that it has taken it
+    never_ran: bool = False  # it ended, and that is proven
     timer: Timer | None = None
 
 
@@ -134,6 +141,7 @@
         # begins to follow the directory, or stops; where the decisions say when
         self.follow: Callable[[bool], None] | None = None
         self._dispatcher = Dispatcher(settings, seed)
+        self.figures = Figures(tuple(cls.name for cls in settings.classes))
         self._jobs: dict[int, Job] = {}
         self._by_id: dict[str, Job] = {}
         self._numbers = 0
@@ -169,6 +177,11 @@
         """Jobs that are not forgotten yet: owed their answer, or with a call that is still out."""
         return len(self._jobs)
 
+    @property
+    def avoided(self) -> frozenset[str]:
+        """The providers that the decisions have set aside: they get a trial job now and then, at the most."""
+        return self._dispatcher.ring.aside()
+
     @property
     def listed(self) -> bool:
         """Whether any list of providers has come in."""
@@ -196,29 +209,28 @@
         if self.end_by is not None:
             time_left = max(self.settings.tick, min(time_left, self.end_by - now))
         self._numbers += 1
-        job = Job(self._numbers, payload, now, now + time_left, answer, terms=terms)
+        arrival = api.JobArrived(
+            self._numbers,
+            job_class,
+            tenant,
+            key,
+            time_left,
+            slots=slots,
+            memory=memory,
+            repeat=repeat,
+            wanted=terms.wanted,
+            most_attempts=terms.most_attempts,
+            resend=terms.resend,
+            pause=terms.pause,
+        )
+        job = Job(self._numbers, payload, arrival, now, now + time_left, answer, terms=terms)
         self._jobs[job.number] = job
         self._by_id[payload.id] = job
         self._owed += 1
         if self.traced:
             trace.taken(now, job.number, payload.id)
         job.overdue = self.loop.call_at(job.deadline + self.settings.answer_slack, self._overdue, job)
-        self._post(
-            api.JobArrived(
-                job.number,
-                job_class,
-                tenant,
-                key,
-                time_left,
-                slots=slots,
-                memory=memory,
-                repeat=repeat,
-                wanted=terms.wanted,
-                most_attempts=terms.most_attempts,
-                resend=terms.resend,
-                pause=terms.pause,
-            )
-        )
+        self._post(arrival)
         return job
 
     def withdraw(self, job: Job) -> None:
@@ -228,6 +240,15 @@
             self._post(api.JobWithdrawn(job.number))
             self._forget_if_done(job)
 
+    def let_go(self, job: Job) -> None:
+        """Another process has the job now, with its consumer and with the call that is out: this one owes
+        nothing more and calls nothing off."""
+        for call in job.calls:
+            call.ended = True
+            if call.timer is not None:
+                call.timer.cancel()
+        self.withdraw(job)
+
     def providers_listed(self, news: api.WorkerList) -> None:
         """Danger: sends that wait behind this must not go out before the module knows of a drain."""
         for entry in news.entries:
@@ -251,6 +272,12 @@
             return None
         return next((c for c in job.calls if c.provider == provider and not c.ended), None)
 
+    def call_written(self, call: Call) -> None:
+        """The request's last byte is written, or must have been: it counts as an attempt, once."""
+        if not call.written:
+            call.written = True
+            self.figures.attempt_written(call.job.arrival.job_class)
+
     def call_started(self, call: Call) -> None:
         if not call.ended:
             self._post(api.AttemptNote(call.job.number, call.number, call.provider, api.NoteKind.STARTED))
@@ -270,6 +297,7 @@
         call.ended = True
         if call.timer is not None:
             call.timer.cancel()
+        call.never_ran = outcome_of(ending, call.written) in api.NEVER_RAN
         job = call.job
         retry = True
         if ending is Ending.DONE and not job.over:
@@ -396,6 +424,8 @@
         if self.traced:
             now, verdict = self.loop.now(), answer.verdict.value if answer is not None else "gone"
             trace.answered(now, job.number, job.payload.id, verdict, now - job.arrived_at)
+        if answer is not None:
+            self.count_answer(job.arrival.job_class, answer.verdict)
         if job.terms.watch is not None:
             served = answer is not None and answer.verdict is Verdict.SERVED
             job.terms.watch.ended(self.loop.now(), in_time=served)
@@ -404,6 +434,10 @@
         if answer is not None:
             job.answer(answer)
 
+    def count_answer(self, job_class: str, verdict: Verdict) -> None:
+        """Counts a final answer in the figures; for jobs that end beside the host, too."""
+        self.figures.job_ended(job_class, _COUNTED_AS[verdict])
+
     def _forget_if_done(self, job: Job) -> None:
         """Danger: memory is bounded; nothing of a finished job stays."""
         if job.over and all(call.ended for call in job.calls):
--- a/ironbarrow/daemon/dispatcher.py
+++ b/ironbarrow/daemon/dispatcher.py
@@ -8,6 +8,7 @@
 
 import structlog
 
+from heathway import api
 from ironbarrow.backs.invoker import HttpInvoker
 from ironbarrow.config.platform import Config, ConfigError
 from ironbarrow.core.host import Host
@@ -23,9 +24,11 @@
 _STILL_COMING = 1500 * MS
 # danger: SIGKILL may come 3.7 s after SIGTERM, and what came later than 0.7 s must have its answer by then
 _LAST_ANSWER = 3200 * MS
+_HANDING_OVER = 300 * MS  # consumers and providers that are just connecting still find this one
 _DONE_CHECKED = 10 * MS
 _MB = 1 << 20
 _PROGRAM_MB = 28  # the program itself, as measured on a calm day
+_DOOR = 32  # descriptors for the operators' listener, its connections and the file of bans
 _RESERVED = 32  # descriptors for the program itself, the listener, epoll and the directory
 
 
@@ -36,15 +39,22 @@
         self.loop = Loop(_task_failed)
         self._stopping = False
         self._config = config
-        self.listener = listener or listen(config.listen)
+        self.listener = listener or listen(config.listen, shared=config.admin is not None)
         self.host = Host(self.loop, config.settings, config.seed, traced=config.traced)
+        self._operations: Any = None
+        self.admin: socket.socket | None = None
+        if config.admin is not None:
+            # only who has such an address pays for what is behind it
+            from ironbarrow.admin.operations import Operations
+
+            self._operations = Operations(self.loop, self.host, config.folder, config.name)
         asks = config.settings.asks_for_list
         self.directory = Directory(
-            self.loop, config.directory, self.host.providers_listed, on_request=asks, seed=config.seed
+            self.loop, config.directory, self._listed, on_request=asks, seed=config.seed
         )
         if asks:
             self.host.follow = self.directory.ask
-        spare = config.sockets - _RESERVED
+        spare = config.sockets - _RESERVED - (_DOOR if config.admin is not None else 0)
         self.invoker = HttpInvoker(
             self.loop,
             self.host,
@@ -59,7 +69,7 @@
             self.loop,
             self.host,
             self.listener,
-            self.invoker.called_back,
+            self._called_back,
             self.invoker.free_descriptors,
             most=spare * 5 // 8,
             most_buffered=max(1, config.memory_mb - _PROGRAM_MB) * _MB // 2,
@@ -68,6 +78,37 @@
         if config.routes is not None:
             self._route(self._read_routes(config))
         self.directory.start(config.known)
+        self._upgrade: Any = None
+        if config.admin is not None:
+            from ironbarrow.admin.door import Door
+
+            self._open_channel(config)
+
+            self.admin = listen(config.admin)
+            Door(self.loop, self.admin, self._operations)
+
+    def _open_channel(self, config: Config) -> None:
+        """Where the process that replaces this one finds it."""
+        if config.folder is None:
+            log.warning("no hand-over to a next process: TMPDIR is not set")
+            return
+        from ironbarrow.handover.upgrade import Upgrade
+
+        try:
+            self._upgrade = Upgrade(
+                self.loop, self.host, self.consumers, self.invoker, config.folder, config.name
+            )
+        except OSError as error:
+            log.warning("no hand-over to a next process", folder=str(config.folder), error=str(error))
+            return
+        self._operations.kept = lambda: self._upgrade.owed
+
+    def _called_back(self, raw: Any) -> None:
+        if not self.invoker.called_back(raw) and self._upgrade is not None:
+            self._upgrade.stray(raw)
+
+    def _listed(self, news: api.WorkerList) -> None:
+        self.host.providers_listed(news if self._operations is None else self._operations.listed(news))
 
     def run(self) -> None:
         """Serves until ``stop``, and then until all that was taken has its answer."""
@@ -104,7 +145,16 @@
         table = self._read_routes(config)
         self._route(table)
         self.directory.move(config.directory)
-        fixed = ("name", "listen", "settings", "sockets", "memory_mb", "connect_timeout", "idle_limit")
+        fixed = (
+            "name",
+            "listen",
+            "admin",
+            "settings",
+            "sockets",
+            "memory_mb",
+            "connect_timeout",
+            "idle_limit",
+        )
         waits = [name for name in fixed if getattr(self._config, name) != getattr(config, name)]
         log.info("reloaded", directory="{}:{}".format(*config.directory), waits_for_start=waits)
 
@@ -136,6 +186,10 @@
         """Lets go of every connection and descriptor."""
         self.loop.close()
         self.listener.close()
+        if self._upgrade is not None:
+            self._upgrade.close()
+        if self.admin is not None:
+            self.admin.close()
 
     def _signalled(self, number: int, frame: FrameType | None) -> None:
         self.loop.soon(self.stop)
@@ -144,7 +198,13 @@
         """Takes what still comes for a short while, finishes what was taken, then ends ``run``."""
         if not self._stopping:
             self._stopping = True
+            if self._operations is not None:
+                self._operations.stopping = True
             log.info("stopping", owed=self.host.owed)
+            if self._upgrade is not None and self._upgrade.hand_over():
+                # the next process serves already, and takes what still comes here
+                self.loop.call_at(self.loop.now() + _HANDING_OVER, self._close_idle)
+                return
             self.host.end_by = self.loop.now() + _LAST_ANSWER
             self.loop.call_at(self.loop.now() + _STILL_COMING, self._close_idle)
 
@@ -154,7 +214,8 @@
 
     def _stop_when_done(self) -> None:
         # danger: the listener stays to the end, since call-backs come in through it
-        if self.host.owed or self.consumers.busy:
+        kept = self._upgrade.owed if self._upgrade is not None else 0
+        if self.host.owed or kept or self.consumers.busy:
             self.loop.call_at(self.loop.now() + _DONE_CHECKED, self._stop_when_done)
         else:
             self.loop.stop()
--- a/ironbarrow/fronts/consumers.py
+++ b/ironbarrow/fronts/consumers.py
@@ -13,7 +13,7 @@
 from ironbarrow.core.endings import ConnectionEndedError, Ending
 from ironbarrow.core.host import Answer, Host, Job, Payload, Terms, Verdict
 from ironbarrow.runtime.loop import HANGUP, MS, READ, SECOND, Coroutine, Loop, Task, Wait, sleep
-from ironbarrow.transport.http import Connection, accept
+from ironbarrow.transport.http import Connection, accept, adopt
 from ironbarrow.wire.http import Headers, Message
 
 log = structlog.get_logger()
@@ -58,7 +58,7 @@
         loop: Loop,
         host: Host,
         listener: socket.socket,
-        called_back: Callable[[Any], None],
+        called_back: Callable[[Any], object],
         free_descriptors: Callable[[], None],
         *,
         most: int,
@@ -77,6 +77,7 @@
         self._idle: dict[Connection, Task] = {}  # between requests, the longest idle first
         self._open = 0
         self._closing = False
+        self.asking: dict[Job, tuple[Connection, Task]] = {}  # who waits for a job's answer
         self.router: Router | None = (
             None  # the operators' routes; without them the path's first part is the class
         )
@@ -266,6 +267,7 @@
             task.wake()
 
         job = self._take(request, path, answered)
+        self.asking[job] = connection, task
         try:
             while not answers:
                 until = job.deadline + 3600 * SECOND  # the host answers every job long before
@@ -274,8 +276,48 @@
                     return None
             return answers[0]
         finally:
+            self.asking.pop(job, None)
             self._host.withdraw(job)
 
+    def adopt(
+        self, sock: socket.socket, begin: Callable[[Callable[[Answer], None]], Callable[[], None]]
+    ) -> None:
+        """Answers a consumer whose request another process has read. ``begin`` is given where the one final
+        answer goes, and gives back what is called when the consumer leaves before it."""
+        self._loop.spawn(self._serve_adopted(adopt(sock), begin))
+
+    def _serve_adopted(
+        self, connection: Connection, begin: Callable[[Callable[[Answer], None]], Callable[[], None]]
+    ) -> Coroutine[None]:
+        answers: list[Answer] = []
+        task = self._loop.current
+        assert task is not None
+        self._open += 1
+        left: Callable[[], None] | None = None
+
+        def answered(answer: Answer) -> None:
+            answers.append(answer)
+            task.wake()
+
+        try:
+            left = begin(answered)
+            while not answers:
+                yield Wait(connection.sock.fileno(), HANGUP, self._loop.now() + 3600 * SECOND)
+                if not answers and connection.is_gone():
+                    return
+            headers: list[tuple[str, str]] = [("Connection", "close")]
+            status, body = _final(answers[0], headers)
+            data = connection.response_bytes(status, headers, body)
+            yield from connection.write(data, self._loop.now() + _WRITE_LIMIT)
+            yield from connection.linger(self._loop.now() + _LINGER_LIMIT)
+        except ConnectionEndedError:
+            return
+        finally:
+            if left is not None and not answers:
+                left()
+            self._open -= 1
+            connection.close()
+
     def _take(self, request: Message, path: str, answered: Callable[[Answer], None]) -> Job:
         headers = request.headers
         if request.repeated & _ONCE:
--- /dev/null
+++ b/ironbarrow/handover/keeper.py
@@ -0,0 +1,95 @@
+"""Jobs of the old process that a provider has: each waits here for its call-back. No input or output.
+
+No decision is taken on them beyond the rules: what has ended without any doubt that it never ran may be
+taken anew, as may a safe job, and all else ends here with the one answer that is lawful.
+"""
+
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum, auto
+from typing import Any
+
+from ironbarrow.core.host import Answer, Verdict
+from ironbarrow.handover.records import Record
+
+_EARLY_MOST = 1024  # call-backs that are remembered for a job still on its way here
+_EARLY_FOR = 2_000_000_000  # ns
+
+
+class End(Enum):
+    """How an attempt that was kept has ended."""
+
+    DONE = auto()
+    NEVER_RAN = auto()
+    MAY_HAVE_RUN = auto()
+    TIME_OVER = auto()
+
+
+_ENDS = {"done": End.DONE, "returned": End.NEVER_RAN, "failed": End.MAY_HAVE_RUN, "lost": End.MAY_HAVE_RUN}
+
+
+@dataclass(slots=True)
+class Kept:
+    """A job that is kept, what answers its consumer, and what takes it anew."""
+
+    record: Record
+    safe: bool  # its class may run any number of times
+    until: int  # ns, on the clock of this process
+    answer: Callable[[Answer], None]
+    again: Callable[[Record], None]
+
+
+class Keeper:
+    """All of them. ``most_attempts``: of one job, those of the old process included."""
+
+    def __init__(self, most_attempts: int, retry_after: int) -> None:
+        self._most_attempts = most_attempts
+        self._retry_after = retry_after  # ns; 0: consumers are not told
+        self.jobs: dict[str, Kept] = {}
+        self._early: OrderedDict[tuple[str, str], tuple[int, str, bytes]] = OrderedDict()
+
+    def keep(self, kept: Kept, now: int) -> None:
+        """Keeps a job until its call-back or its time; a call-back that came before it counts."""
+        self.jobs[kept.record.id] = kept
+        early = self._early.pop((kept.record.id, kept.record.provider), None)
+        if early is not None and early[0] + _EARLY_FOR >= now:
+            self.called_back(kept.record.id, kept.record.provider, early[1], early[2], now)
+
+    def called_back(self, job_id: str, provider: str, state: str, result: bytes, now: int) -> bool:
+        """A provider's word; False if no job here waits for it, and then it is remembered for a while, since
+        the job may be on its way from the other process."""
+        kept = self.jobs.get(job_id)
+        if kept is None or kept.record.provider != provider:
+            if state in _ENDS:
+                self._early[job_id, provider] = (now, state, result)
+                while len(self._early) > _EARLY_MOST:
+                    self._early.popitem(last=False)
+            return False
+        if state in _ENDS:
+            self._end(kept, _ENDS[state], result, now)
+        return True
+
+    def run_out(self, now: int) -> None:
+        """Ends the jobs whose time is over."""
+        for kept in [kept for kept in self.jobs.values() if kept.until <= now]:
+            self._end(kept, End.TIME_OVER, b"", now)
+
+    def gone(self, job_id: str) -> None:
+        """Its consumer has left: nothing more is owed."""
+        self.jobs.pop(job_id, None)
+
+    def _end(self, kept: Kept, end: End, result: bytes, now: int) -> None:
+        del self.jobs[kept.record.id]
+        if end is End.DONE:
+            kept.answer(Answer(Verdict.SERVED, result))
+            return
+        never_ran = end is End.NEVER_RAN and not kept.record.may_have_run
+        if not kept.safe and not never_ran:
+            kept.answer(Answer(Verdict.FAILED))  # danger: a rejection invites a repeat
+        elif end is End.TIME_OVER or kept.record.attempts >= self._most_attempts:
+            kept.answer(Answer(Verdict.REJECTED, retry_after=self._retry_after))
+        else:
+            fields: dict[str, Any] = {n: getattr(kept.record, n) for n in Record.__slots__}
+            fields |= {"provider": "", "may_have_run": not never_ran, "time_left": kept.until - now}
+            kept.again(Record(**fields))
--- /dev/null
+++ b/ironbarrow/handover/records.py
@@ -0,0 +1,73 @@
+"""What an old process tells the one that replaces it. No input or output.
+
+A job that waits is taken by the new process as if it had just come, with the attempts and the time that are
+left. One that a provider has is only kept: its call-back ends it, and it is never sent beside that attempt.
+"""
+
+import json
+from base64 import b64decode, b64encode
+from dataclasses import asdict, dataclass
+from typing import Any
+
+VERSION = 1
+
+
+class RecordError(ValueError):
+    """A message that is none of this version's; the text says what is wrong."""
+
+
+@dataclass(frozen=True, slots=True)
+class Record:
+    """One job. Times in ns, as lengths: the two processes' clocks need not agree."""
+
+    id: str
+    job_class: str
+    method: str
+    target: str
+    body: bytes
+    content_type: str
+    time_left: int
+    attempts: int  # written so far
+    provider: str = ""  # who has it; "": nobody
+    may_have_run: bool = False  # at an attempt before the one that is out
+    key: int | None = None
+    tenant: str | None = None
+    slots: float = 1.0
+    memory: float = 0.0
+
+
+def message(kind: str, **fields: Any) -> bytes:
+    """One message as bytes."""
+    return json.dumps({"version": VERSION, "kind": kind, **fields}).encode()
+
+
+def job_message(record: Record) -> bytes:
+    """A job as bytes; its consumer's connection goes beside them."""
+    fields = asdict(record)
+    fields["body"] = b64encode(record.body).decode()
+    return message("job", job=fields)
+
+
+def parse(data: bytes) -> dict[str, Any]:
+    """A message's fields, ``job`` as a Record; a RecordError for what is none."""
+    try:
+        found = json.loads(data)
+    except (ValueError, RecursionError) as error:
+        raise RecordError(f"not JSON: {error}") from None
+    if not isinstance(found, dict) or found.get("version") != VERSION:
+        raise RecordError(f"expected an object of version {VERSION}")
+    if found.get("kind") not in ("ready", "job", "call-back"):
+        raise RecordError(f"kind: expected ready, job or call-back, got {found.get('kind')!r}")
+    if found["kind"] == "job":
+        found["job"] = _record(found.get("job"))
+    return found
+
+
+def _record(fields: Any) -> Record:
+    try:
+        record = Record(**{**fields, "body": b64decode(fields["body"], validate=True)})
+    except (KeyError, TypeError, ValueError) as error:
+        raise RecordError(f"job: {error}") from None
+    if not record.id or record.time_left <= 0 or record.attempts < 0:
+        raise RecordError("job: expected an id, time left and a number of attempts")
+    return record
--- /dev/null
+++ b/ironbarrow/handover/upgrade.py
@@ -0,0 +1,206 @@
+"""One process of a dispatcher and the one beside it: who succeeds whom, what passes between them."""
+
+import os
+import socket
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, Protocol
+
+import structlog
+
+from heathway import api
+from ironbarrow.core.host import Answer, Call, Host, Job, Payload, Terms
+from ironbarrow.handover import records
+from ironbarrow.handover.channel import Channel
+from ironbarrow.handover.keeper import Keeper, Kept
+from ironbarrow.handover.records import Record
+from ironbarrow.runtime.loop import MS, Loop, Task
+from ironbarrow.transport.http import Connection
+
+log = structlog.get_logger()
+
+_STEP = 20 * MS  # between two looks at what can be handed over, or at what has run out
+_LEAST_LEFT = 50 * MS  # a job with less time left is not worth moving
+
+_Begin = Callable[[Callable[[Answer], None]], Callable[[], None]]
+
+
+class Front(Protocol):
+    """What has the consumers' connections."""
+
+    asking: dict[Job, tuple[Connection, Task]]
+
+    def adopt(self, sock: socket.socket, begin: _Begin) -> None:
+        """Answers a consumer whose request another process has read."""
+
+
+class Back(Protocol):
+    """What has the calls."""
+
+    def let_go(self, call: Call) -> None:
+        """Another process has the call now."""
+
+    def called_back(self, raw: Any) -> bool:
+        """A provider's word on a call, and whether any is out that it is about; a ValueError if malformed."""
+
+
+class Upgrade:
+    """The channel, the kept jobs, and the handing over. An OSError if the folder can't hold a socket."""
+
+    def __init__(self, loop: Loop, host: Host, front: Front, back: Back, folder: Path, name: str) -> None:
+        self._loop, self._host, self._front, self._back = loop, host, front, back
+        rules = host.settings
+        self._safe = {cls.name: cls.effect is api.Effect.SAFE for cls in rules.classes}
+        self._classes = {cls.name: cls for cls in rules.classes}
+        advice = min(200 * MS, rules.max_retry_after) if rules.gives_retry_after else 0
+        self.keeper = Keeper(rules.max_attempts, advice)
+        self.successor: str | None = None
+        self._handing = False
+        self._told_ready = False
+        self._channel = Channel(loop, folder, name, self._received)
+        loop.call_at(loop.now() + _STEP, self._step)
+
+    @property
+    def owed(self) -> int:
+        """Jobs of the other process that wait here for their answer."""
+        return len(self.keeper.jobs)
+
+    def hand_over(self) -> bool:
+        """From now on all that can be passes to the successor; False if there is none."""
+        self._handing = self.successor is not None
+        return self._handing
+
+    def close(self) -> None:
+        self._channel.close()
+
+    def stray(self, raw: dict[str, Any]) -> None:
+        """A call-back for no call of this process: for a job kept here, or for the process beside it."""
+        if not self._kept_called_back(raw):
+            data = records.message("call-back", call_back=raw)
+            for other in self._channel.others():
+                self._channel.send(other, data)
+
+    def _kept_called_back(self, raw: dict[str, Any]) -> bool:
+        result = raw.get("result", "")
+        data = result.encode() if isinstance(result, str) else b""
+        return self.keeper.called_back(raw["id"], raw["from"], raw["state"], data, self._loop.now())
+
+    def _step(self) -> None:
+        self.keeper.run_out(self._loop.now())
+        if not self._told_ready and self._host.listed:
+            self._told_ready = True
+            for other in self._channel.others():
+                self._channel.send(other, records.message("ready", process=os.getpid()))
+        if self._handing:
+            self._pass_on()
+        self._loop.call_at(self._loop.now() + _STEP, self._step)
+
+    # The old process
+
+    def _pass_on(self) -> None:
+        for job, (connection, task) in list(self._front.asking.items()):
+            record = self._record(job) if not connection.has_unread else None
+            if record is None or not self._give(record, connection):
+                continue
+            for call in job.calls:
+                self._back.let_go(call)
+            self._host.let_go(job)
+            task.cancel()
+
+    def _give(self, record: Record, connection: Connection) -> bool:
+        assert self.successor is not None
+        return self._channel.send(self.successor, records.job_message(record), connection.sock.fileno())
+
+    def _record(self, job: Job) -> Record | None:
+        """What the successor has to know of a job; None while it can't be moved: an attempt is on its way to
+        a provider or being called off, or its repeats are bound to where it may have run."""
+        left = job.deadline - self._loop.now()
+        out = [call for call in job.calls if not call.ended]
+        if job.over or left < _LEAST_LEFT or any(not c.accepted or c.given_up for c in out):
+            return None
+        risky = any(call.ended and not call.never_ran for call in job.calls)
+        if risky and not self._safe.get(job.arrival.job_class, False):
+            return None
+        payload, arrival = job.payload, job.arrival
+        return Record(
+            id=payload.id,
+            job_class=arrival.job_class,
+            method=payload.method,
+            target=payload.target,
+            body=payload.body,
+            content_type=payload.content_type,
+            time_left=left,
+            attempts=len(job.calls),
+            provider=out[0].provider if out else "",
+            may_have_run=risky,
+            key=arrival.key,
+            tenant=arrival.tenant,
+            slots=arrival.slots,
+            memory=arrival.memory,
+        )
+
+    # The new process
+
+    def _received(self, sender: str, data: bytes, fds: list[int]) -> None:
+        socks = [socket.socket(fileno=fd) for fd in fds]
+        try:
+            found = records.parse(data)
+        except records.RecordError as error:
+            log.error("message of the other process passed over", error=str(error))
+            found = {"kind": ""}
+        if found["kind"] == "ready":
+            self.successor = sender
+        elif found["kind"] == "call-back":
+            self._forwarded(found.get("call_back"))
+        elif found["kind"] == "job" and socks:
+            self._adopt(found["job"], socks.pop())
+        for sock in socks:
+            sock.close()
+
+    def _forwarded(self, raw: Any) -> None:
+        """Danger: a call-back that neither process knows would go to and fro for ever."""
+        try:
+            if not self._back.called_back(raw):
+                self._kept_called_back(raw)
+        except ValueError as error:
+            log.error("forwarded call-back passed over", error=str(error))
+
+    def _adopt(self, record: Record, sock: socket.socket) -> None:
+        until = self._loop.now() + record.time_left
+        if record.job_class not in self._classes or self._host.knows(record.id):
+            log.error("job of the other process passed over", id=record.id)
+            sock.close()
+            return
+        if record.provider:
+            self._front.adopt(sock, lambda answer: self._keep(record, until, answer))
+        else:
+            self._front.adopt(sock, lambda answer: self._take(record, until, answer))
+
+    def _keep(self, record: Record, until: int, answer: Callable[[Answer], None]) -> Callable[[], None]:
+        left: list[Callable[[], None]] = [lambda: self.keeper.gone(record.id)]
+
+        def counted(final: Answer) -> None:
+            self._host.count_answer(record.job_class, final.verdict)
+            answer(final)
+
+        def again(later: Record) -> None:
+            left[0] = self._take(later, until, answer)
+
+        safe = self._safe[record.job_class]
+        self.keeper.keep(Kept(record, safe, until, counted, again), self._loop.now())
+        return lambda: left[0]()
+
+    def _take(self, record: Record, until: int, answer: Callable[[Answer], None]) -> Callable[[], None]:
+        """Takes a job as if it had come now, with the attempts that are left."""
+        job = self._host.take(
+            Payload(record.id, record.method, record.target, record.body, record.content_type),
+            answer,
+            job_class=record.job_class,
+            time_left=max(1, until - self._loop.now()),
+            key=record.key,
+            tenant=record.tenant,
+            slots=record.slots,
+            memory=record.memory,
+            terms=Terms(most_attempts=max(1, self._host.settings.max_attempts - record.attempts)),
+        )
+        return lambda: self._host.withdraw(job)
--- a/ironbarrow/lab/sim/back.py
+++ b/ironbarrow/lab/sim/back.py
@@ -102,7 +102,7 @@
             self._put_back(way)
             self._end(call, Ending.DRAINED)
             return
-        call.written = True
+        self._host.call_written(call)
         self._audit.sent(call.job.payload.id, call.provider)
         self._fleet.network.send(self._zone, way.provider.zone, way.provider.name, self._arrive, call, way)
 
--- a/ironbarrow/runtime/sockets.py
+++ b/ironbarrow/runtime/sockets.py
@@ -29,10 +29,12 @@
     return sock
 
 
-def listen(address: Address) -> socket.socket:
-    """A listening socket."""
+def listen(address: Address, *, shared: bool = False) -> socket.socket:
+    """A listening socket; ``shared``: others may listen at the same address. An OSError if it can't be."""
     sock = stream_socket(address)
     try:
+        if shared:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind(address)
         sock.listen(_BACKLOG)
--- a/ironbarrow/transport/http.py
+++ b/ironbarrow/transport/http.py
@@ -136,6 +136,17 @@
         message.keep = self._codec.peer_done
         return message
 
+    def take_as_read(self) -> None:
+        """Stands as if a request without a body had been read that asks for no other after it."""
+        self._codec.receive(b"POST / HTTP/1.1\r\nHost: -\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+        while not isinstance(self._codec.next_event(), h11.EndOfMessage):
+            pass
+
+    @property
+    def has_unread(self) -> bool:
+        """Whether bytes of a further message have been read already."""
+        return self._codec.has_unread
+
     def next_cycle(self) -> bool:
         """Whether the connection can carry another exchange; makes it ready for that."""
         if not self._codec.next_cycle():
@@ -191,6 +202,14 @@
             return
 
 
+def adopt(sock: socket.socket) -> Connection:
+    """A connection whose request another process has read: it can carry that one answer, and then ends."""
+    sock.setblocking(False)
+    connection = Connection(sock, server=True)
+    connection.take_as_read()
+    return connection
+
+
 def connect(address: Address, until: int) -> Coroutine[Connection]:
     """A new connection in the client's role."""
     try:
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -1,9 +1,9 @@
 """A small language for network tests: scripted peers that send, expect, close and wait.
 
 A scenario is text, one step a line. A line names its peer: ``c1 send ...`` and so on. ``c*`` are
-consumers and call-backs, which connect to the dispatcher; ``p*`` are providers, ``d`` is the
-directory and ``d2`` another one, which the dispatcher connects to. In what is sent, ``\\r`` and
-``\\n`` are written out.
+consumers and call-backs, which connect to the dispatcher, ``o*`` are operators at its own address
+for them; ``p*`` are providers, ``d`` is the directory and ``d2`` another one, which the dispatcher
+connects to. In what is sent, ``\\r`` and ``\\n`` are written out.
 
     c1 send TEXT      write it, after connecting if need be
     c1 expect REGEX   read until it matches all that has come; fails after LIMIT
@@ -157,7 +157,8 @@
             for known, address in self.names.items():
                 text = text.replace(known, address)
             if name not in self.peers:
-                self.peers[name] = Peer(self.address)
+                door = self.dispatcher.admin.getsockname() if self.dispatcher.admin is not None else None
+                self.peers[name] = Peer(door if name.startswith("o") else self.address)
             self._act(line, self.peers[name], verb, text)
 
     def _act(self, line: str, peer: Peer, verb: str, text: str) -> None:
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,225 @@
+"""Replacing the process: two dispatchers at one address in one thread, and what passes between them."""
+
+import itertools
+import json
+import socket
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from ironbarrow.core.host import Answer, Verdict
+from ironbarrow.daemon.dispatcher import Dispatcher
+from ironbarrow.handover import records
+from ironbarrow.handover.keeper import Keeper, Kept
+from ironbarrow.handover.records import Record
+from ironbarrow.runtime.sockets import listen
+from tests.scenario import Stage, answer, call_back, job
+
+ACCEPTED = answer(202)
+
+
+class Pair(Stage):
+    """An old process and, once it is started, the one that replaces it.
+
+    ``new`` starts it; ``c*`` then still talk to the old one and ``n*`` to the new one.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        super().__init__(admin=("127.0.0.1", 0), folder=folder)
+        self.new: Dispatcher | None = None
+
+    def step(self, line: str) -> None:
+        if line == "new":
+            # of its own address here, so that the scenario says who hears what
+            self.new = Dispatcher(self.config, listen(("127.0.0.1", 0)))
+            self.until("ready", lambda: self.dispatcher._upgrade.successor is not None)
+        elif line == "new dies":
+            assert self.new is not None
+            self.new.close()
+            self.new = None
+        else:
+            if line.startswith("n") and line.split()[0] not in self.peers:
+                assert self.new is not None
+                old, self.address = self.address, self.new.listener.getsockname()
+                super().step(line)
+                self.address = old
+            else:
+                super().step(line)
+
+    def pass_time(self, seconds: float) -> None:
+        for part in itertools.repeat(seconds / 4, 4):
+            super().pass_time(part)
+            if self.new is not None:
+                for _ in range(4):
+                    self.new.loop.call_at(self.new.loop.now(), lambda: None)
+                    self.new.loop.turn()
+                for peer in self.peers.values():
+                    peer.look()
+
+    def close(self) -> None:
+        super().close()
+        if self.new is not None:
+            self.new.close()
+
+
+PLAYS = {
+    "a call-back that reaches the new process ends the old one's job": f"""
+        c1 send {job("j1", "book/x")}
+        p1 expect X-Request-ID: j1
+        p1 send {ACCEPTED}
+        new
+        n1 send {call_back("done", result="out")}
+        n1 expect HTTP/1.1 204
+        c1 expect HTTP/1.1 200 .*out$
+        """,
+    "a booking that is out outlives the old process": f"""
+        c1 send {job("j1", "book/x")}
+        p1 expect X-Request-ID: j1
+        p1 send {ACCEPTED}
+        wait 50
+        new
+        stop
+        exits
+        n1 send {call_back("done", result="out")}
+        n1 expect HTTP/1.1 204
+        c1 expect HTTP/1.1 200 .*Connection: close.*out$
+        """,
+    "a booking that may have run is not run again": f"""
+        c1 send {job("j1", "book/x")}
+        p1 expect X-Request-ID: j1
+        p1 send {ACCEPTED}
+        wait 50
+        new
+        stop
+        exits
+        n1 send {call_back("lost")}
+        n1 expect HTTP/1.1 204
+        c1 expect HTTP/1.1 500
+        """,
+    "a booking that never ran is taken anew by the new process": f"""
+        c1 send {job("j1", "book/x")}
+        p1 expect X-Request-ID: j1
+        p1 send {ACCEPTED}
+        wait 50
+        new
+        stop
+        exits
+        p1 close
+        n1 send {call_back("returned")}
+        n1 expect HTTP/1.1 204
+        p1 expect X-Request-ID: j1
+        """,
+    "what still comes to the old process is served": f"""
+        new
+        stop
+        c1 send {job("j1")}
+        p1 expect X-Request-ID: j1
+        p1 send {ACCEPTED}
+        n1 send {call_back("done", result="out")}
+        c1 expect HTTP/1.1 200 .*out$
+        exits
+        """,
+    "the new process dies: the old one goes on": f"""
+        c1 send {job("j1", "book/x")}
+        p1 expect X-Request-ID: j1
+        p1 send {ACCEPTED}
+        new
+        new dies
+        stop
+        c2 send {call_back("done", result="out")}
+        c1 expect HTTP/1.1 200 .*out$
+        exits
+        """,
+}
+
+
+@pytest.mark.parametrize("name", PLAYS)
+def test_an_old_process_and_its_successor(tmp_path: Path, name: str) -> None:
+    Pair(tmp_path).play(PLAYS[name])
+    assert not list(tmp_path.glob("ironbarrow-*.[0-9]*"))
+
+
+def test_without_a_folder_it_serves_and_says_what_will_not_last(tmp_path: Path) -> None:
+    for folder in (None, tmp_path / "missing"):
+        played = Stage(admin=("127.0.0.1", 0), folder=folder)
+        assert played.dispatcher._upgrade is None
+        played.play(f"c1 send {job()}\np1 expect X-Request-ID: j1")
+
+
+RECORD = Record("j1", "map", "POST", "/map", b"\x00in", "text/x", 1_000, 1, "p1")
+
+
+def test_a_job_comes_out_of_its_message_as_it_went_in() -> None:
+    assert records.parse(records.job_message(RECORD))["job"] == RECORD
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"version": 2},
+        {"kind": "other"},
+        {"job": None},
+        {"job": {"id": "x"}},
+        {"job": {"body": "?"}},
+        {"job": {"time_left": 0}},
+        {"job": {"more": 1}},
+    ],
+)
+def test_what_is_no_message_of_this_version_is_refused(change: dict[str, Any]) -> None:
+    found = json.loads(records.job_message(RECORD))
+    inner = change.get("job")
+    found |= change if not isinstance(inner, dict) or "id" in inner else {"job": found["job"] | inner}
+    with pytest.raises(records.RecordError):
+        records.parse(json.dumps(found).encode())
+
+
+@pytest.mark.parametrize("safe", [True, False])
+@pytest.mark.parametrize("attempts", [1, 3])
+@pytest.mark.parametrize("may_have_run", [True, False])
+@pytest.mark.parametrize("state", ["done", "returned", "failed", "lost", None])
+def test_a_kept_job_ends_once_and_as_the_rules_allow(
+    safe: bool, attempts: int, may_have_run: bool, state: str | None
+) -> None:
+    ends: list[Answer | Record] = []
+    fields = {name: getattr(RECORD, name) for name in Record.__slots__}
+    record = Record(**fields | {"attempts": attempts, "may_have_run": may_have_run})
+    keeper = Keeper(3, 200)
+    keeper.keep(Kept(record, safe, 1_000, ends.append, ends.append), 0)
+    assert not keeper.called_back("j1", "p2", "done", b"", 1)
+    assert keeper.called_back("j1", "p1", "started", b"", 1)
+    for _ in range(2):
+        if state is not None:
+            keeper.called_back("j1", "p1", state, b"out", 2)
+        keeper.run_out(1_000)
+    (end,) = ends
+    if state == "done":
+        assert end == Answer(Verdict.SERVED, b"out")
+    elif isinstance(end, Record):
+        assert attempts < 3 and state is not None and (safe or (state == "returned" and not may_have_run))
+    elif end.verdict is Verdict.REJECTED:
+        assert safe or (state == "returned" and not may_have_run)
+    else:
+        assert not safe
+
+
+def test_a_call_back_that_comes_before_its_job_counts() -> None:
+    ends: list[Any] = []
+    keeper = Keeper(3, 0)
+    assert not keeper.called_back("j1", "p1", "done", b"out", 0)
+    keeper.keep(Kept(RECORD, False, 1_000, ends.append, ends.append), 1)
+    assert ends == [Answer(Verdict.SERVED, b"out")]
+
+
+def test_descriptors_of_a_foreign_message_are_closed(tmp_path: Path) -> None:
+    played = Stage(admin=("127.0.0.1", 0), folder=tmp_path)
+    here, there = socket.socketpair()
+    sender = socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM)
+    sender.connect(played.dispatcher._upgrade._channel.path)
+    socket.send_fds(sender, [b"{"], [there.fileno()])
+    there.close()
+    played.pass_time(0.05)
+    assert here.recv(1) == b""
+    here.close()
+    sender.close()
+    played.close()
