Tell the old process of its successor before the successor's readiness says yes

The successor told of itself in its first step 20 ms after it began to answer readiness, and the order to stop came in between (Upgrade._step). Ruled out: the door (0 requests ended at it), bans (20 calls, 0 late, wrong or unanswered).

Change: readiness says yes only once the other process has been told, and an order to stop takes in what has come on the channel first.

--- a/ironbarrow/admin/operations.py
+++ b/ironbarrow/admin/operations.py
@@ -27,6 +27,7 @@
         self._file = BanFile(folder, name)
         self._bans.set(self._file.read())
         self.stopping = False
+        self.announced: Callable[[], bool] = lambda: True  # to the process that this one replaces
         self.kept: Callable[[], int] = lambda: 0  # jobs of a process that this one replaces
         loop.call_at(loop.now() + _LOOK_EVERY, self._look)
 
@@ -35,7 +36,7 @@
         return self._bans.take_list(news)
 
     def is_ready(self) -> bool:
-        return self._host.listed and not self.stopping
+        return self._host.listed and self.announced() and not self.stopping
 
     def stats(self) -> str:
         listed = self._bans.listed
--- a/ironbarrow/daemon/dispatcher.py
+++ b/ironbarrow/daemon/dispatcher.py
@@ -101,6 +101,7 @@
         except OSError as error:
             log.warning("no hand-over to a next process", folder=str(config.folder), error=str(error))
             return
+        self._operations.announced = self._upgrade.announce
         self._operations.kept = lambda: self._upgrade.owed
 
     def _called_back(self, raw: Any) -> None:
--- a/ironbarrow/handover/channel.py
+++ b/ironbarrow/handover/channel.py
@@ -21,6 +21,7 @@
 _SIZE_MOST = 160 * 1024  # bytes of a message: a body of 64 KiB in base64 and its fields
 _WAITING_MOST = 256  # messages that a full queue did not take
 _AGAIN = 5 * MS
+_READS_AT_ONCE = 32
 
 
 class Channel:
@@ -97,12 +98,16 @@
     def _read(self) -> Coroutine[None]:
         while True:
             yield Wait(self._sock.fileno(), READ, self._loop.now() + 3600 * SECOND)
-            for _ in range(32):
-                try:
-                    data, fds, _, sender = socket.recv_fds(self._sock, _SIZE_MOST, 4)
-                except (BlockingIOError, InterruptedError):
-                    break
-                self._received(str(sender), data, list(fds))
+            self.take_in()
+
+    def take_in(self) -> None:
+        """Takes in what has come, some of it if it is much."""
+        for _ in range(_READS_AT_ONCE):
+            try:
+                data, fds, _, sender = socket.recv_fds(self._sock, _SIZE_MOST, 4)
+            except (BlockingIOError, InterruptedError):
+                return
+            self._received(str(sender), data, list(fds))
 
     def close(self) -> None:
         self._sock.close()
--- a/ironbarrow/handover/upgrade.py
+++ b/ironbarrow/handover/upgrade.py
@@ -65,8 +65,20 @@
         """Jobs of the other process that wait here for their answer."""
         return len(self.keeper.jobs)
 
+    def announce(self) -> bool:
+        """Tells the process beside this one, once, that this one can serve; whether it has been told.
+        Danger: told only after whoever waits for the readiness has seen it, the old one may be ordered to
+        stop while it knows of no successor."""
+        if not self._told_ready and self._host.listed:
+            self._told_ready = True
+            for other in self._channel.others():
+                self._channel.send(other, records.message("ready", process=os.getpid()))
+        return self._told_ready
+
     def hand_over(self) -> bool:
         """From now on all that can be passes to the successor; False if there is none."""
+        # danger: the order to stop may overtake the word that the successor is ready
+        self._channel.take_in()
         self._handing = self.successor is not None
         return self._handing
 
@@ -87,10 +99,7 @@
 
     def _step(self) -> None:
         self.keeper.run_out(self._loop.now())
-        if not self._told_ready and self._host.listed:
-            self._told_ready = True
-            for other in self._channel.others():
-                self._channel.send(other, records.message("ready", process=os.getpid()))
+        self.announce()
         if self._handing:
             self._pass_on()
         self._loop.call_at(self._loop.now() + _STEP, self._step)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -33,7 +33,7 @@
         if line == "new":
             # of its own address here, so that the scenario says who hears what
             self.new = Dispatcher(self.config, listen(("127.0.0.1", 0)))
-            self.until("ready", lambda: self.dispatcher._upgrade.successor is not None)
+            assert self.new._operations.is_ready()  # whoever has seen this may stop the old one at once
         elif line == "new dies":
             assert self.new is not None
             self.new.close()
