Let a class in of which fewer than half of an even part has entered, whatever its worth

Cause: Dispatcher._admits spares classes above the mean worth for their work from the session test. Under lasting overload the others alone pay, and no new session of a cheap class enters: strict priority.

Change: a class of whose recent jobs fewer have entered, by known sessions, by the test or spared, than half of what an even test would let in (tau over the load) enters all the same.

--- a/heathway/logic.py
+++ b/heathway/logic.py
@@ -114,8 +114,7 @@
         self._next_period = self._now + PERIOD
 
     def _capacity(self) -> float:
-        """Res_max: own running slots and the fleet's free ones. All count them as their own, which is
-        harmless as long as a job that meets a full worker shows it by not starting."""
+        """Res_max: own running slots and the fleet's free ones, which all count as their own."""
         return self._running_slots + self.ring.spare(self._now, REPORT_BELIEVED, self._usual)
 
     def _note_usual(self) -> None:
@@ -127,8 +126,8 @@
             return self.ring.open != 0 or self._held.slots <= self._running_slots
         if self._worths.dear(cls, self._service[cls.name].mean):
             return True  # danger: shed with the rest, it takes more worth with it than it frees room
-        rate = sum(self._rates) / len(self._rates)
-        return rate * (len(self._sessions) + 1) < TAU
+        load = sum(self._rates) / len(self._rates) * (len(self._sessions) + 1)
+        return load < TAU or self._worths.starves(cls, TAU / load)
 
     def _arrived(self, event: api.JobArrived) -> None:
         cls = self._classes.get(event.job_class)
@@ -152,6 +151,7 @@
         if not (within and name in self._sessions) and not self._admits(cls):
             self._settle(job, Reason.NOT_ADMITTED)
             return
+        self._worths.job_entered(cls)
         self._sessions.job_arrived(name, self._now)
         self._hold(job)
 
--- a/heathway/state.py
+++ b/heathway/state.py
@@ -251,8 +251,13 @@
     """What all jobs so far were worth for their work; ``by_work``: a class's worth is that of a unit of
     work, as the settings may have it, and not that of a job."""
 
+    FLOOR = 0.5  # a class has at least this part of what it would have if all were shed alike
+    RECENT = 64  # jobs of a class that count, roughly
+
     def __init__(self, by_work: bool) -> None:
         self._by_work = by_work
+        self._asked: Counter[str] = Counter()  # recent jobs of each class
+        self._entered: Counter[str] = Counter()  # of these, the ones that entered, by whatever way
         self._worth = self._work = 0.0
 
     def _of(self, cls: api.JobClass, mean: float) -> float:
@@ -260,9 +265,23 @@
 
     def job_arrived(self, cls: api.JobClass, mean: float) -> None:
         """Counts a job of a class with that mean service time, ns."""
+        if self._asked[cls.name] >= self.RECENT:
+            self._asked[cls.name] //= 2
+            self._entered[cls.name] //= 2
+        self._asked[cls.name] += 1
         self._worth += self._of(cls, mean)
         self._work += mean
 
+    def job_entered(self, cls: api.JobClass) -> None:
+        """Counts a job that was let in."""
+        self._entered[cls.name] += 1
+
+    def starves(self, cls: api.JobClass, part: float) -> bool:
+        """Whether fewer of a class's recent jobs have entered than it is owed, ``part`` being the part of all
+        that could enter. Danger: with dear classes spared, the others alone pay for the overload, for as
+        long as it lasts: a class of little worth would not be served at all."""
+        return self._entered[cls.name] + 1 <= self.FLOOR * part * self._asked[cls.name]
+
     def dear(self, cls: api.JobClass, mean: float) -> bool:
         """Whether a class of that mean service time, ns, is worth more for its work than the mean of all
         jobs; with no job counted yet, none is."""
--- a/tests/test_ordinary_path.py
+++ b/tests/test_ordinary_path.py
@@ -82,6 +82,7 @@
         module._service[cls.name].mean = means[cls.name]
         for _ in range(jobs):
             module._worths.job_arrived(cls, means[cls.name])
+            module._worths.job_entered(cls)
     module._sessions.job_arrived("admitted", 0)
     module._rates.extend([5.0] * logic.LOOKBACK)
     assert {name: module._admits(next(c for c in classes if c.name == name)) for name in dear} == dear
@@ -289,3 +290,24 @@
     assert len(lines) <= 500
     assert max(map(len, lines)) <= 110
     assert "heathway/api.py" in lines[0]
+
+
+@pytest.mark.parametrize("load", [1.3, 2.0, 3.0])
+@pytest.mark.parametrize("worths", [(1.0, 8.0), (1.0, 100.0), (0.0, 5.0), (2.0, 2.0)])
+@pytest.mark.parametrize("by_work", [True, False])
+def test_under_lasting_overload_each_class_keeps_half_of_an_even_part(load, worths, by_work):
+    # danger: with dear classes spared, a class of little worth was not let in at all, however long it lasted
+    classes = tuple(replace(SAFE, name=n, worth=w) for n, w in zip(("cheap", "dear"), worths, strict=True))
+    module = World(make_settings(classes=classes, worth_by_work=by_work), entries(4)).dispatcher
+    module._sessions.job_arrived("admitted", 0)
+    module._rates.extend([load / 2] * logic.LOOKBACK)  # of one session and the one that asks
+    entered = {cls.name: 0 for cls in classes}
+    for _ in range(400):
+        for cls in classes:
+            module._worths.job_arrived(cls, SAFE.aim)
+            if module._admits(cls):
+                module._worths.job_entered(cls)
+                entered[cls.name] += 1
+    even = min(1.0, logic.TAU / load) * 400
+    assert all(number >= 0.95 * even / 2 for number in entered.values())
+    assert sum(entered.values()) < 800 or load < logic.TAU
