--- a/heathway/api.py
+++ b/heathway/api.py
@@ -154,6 +154,7 @@
             _check(f"classes[{job_class.name}].deadline", job_class.deadline > 0)
             _check(f"classes[{job_class.name}].stretch", job_class.stretch >= 0)
             _check(f"classes[{job_class.name}].window", job_class.window >= 0)
+            _check(f"classes[{job_class.name}].worth", 0 <= job_class.worth < float("inf"))
 
 
 def _check(key: str, good: bool) -> None:
--- a/heathway/settings.py
+++ b/heathway/settings.py
@@ -5,6 +5,7 @@
 
 from heathway import api
 
+_MOST_DISPATCHERS = 1_000_000  # more can't be meant
 _EFFECTS = {"pure": api.Effect.SAFE, "token": api.Effect.KEYED, "side_effect": api.Effect.UNSAFE}
 _REPORT_MEANINGS = {"free slots": "free_slots", "free memory": "free_memory"}
 _REPORT_NAMES = {
@@ -62,6 +63,17 @@
     return value
 
 
+_MOST_TIME = 1 << 62  # ns, a hundred years and more: what is over it can't be meant
+
+
+def _whole(conf: dict[str, Any], name: str, least: int, most: int = _MOST_TIME, place: str = "") -> int:
+    """The whole number of that name; a ValueError says where, what it is and what was expected."""
+    value, path = _need(conf, name), place + name
+    if isinstance(value, bool) or not isinstance(value, int | float) or not least <= value <= most:
+        raise ValueError(f"settings: {path}: expected a number from {least} to {most}, got {value!r}")
+    return int(value)
+
+
 def _at(values: Any, index: int, default: Any) -> Any:
     return values[index] if isinstance(values, list) and index < len(values) else default
 
@@ -76,8 +88,8 @@
     return api.JobClass(
         name=_need(entry, "name"),
         effect=_EFFECTS[effect],
-        aim=int(_need(entry, "promise")),
-        deadline=int(_need(entry, "giveUp")),
+        aim=_whole(entry, "promise", 1, place=f"requestClasses[{index}]."),
+        deadline=_whole(entry, "giveUp", 1, place=f"requestClasses[{index}]."),
         stretch=float(_at(info.get("classStretch"), index, None) or entry.get("aimStretch") or 0.0),
         group=api.Group(entry.get("group") or "all"),
         window=int(entry.get("window") or 0),
@@ -100,8 +112,8 @@
     tenants = conf.get("realms") or []
     try:
         return api.Settings(
-            me=int(_need(conf, "me")),
-            dispatchers=int(_need(conf, "replicasOfMe")),
+            me=_whole(conf, "me", 0, _MOST_DISPATCHERS),
+            dispatchers=_whole(conf, "replicasOfMe", 1, _MOST_DISPATCHERS),
             zone=str(conf.get("zone") or ""),
             zones=tuple(conf.get("zones") or ()),
             classes=tuple(_job_class(entry, i, conf) for i, entry in enumerate(classes)),
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -57,7 +57,7 @@
     "sockets that are no number": ({**GOOD, "limits": {"sockets": "x"}}, "limits.sockets: not a number"),
     "memory that is no number": ({**GOOD, "limits": {"memory_mb": -1}}, "limits.memory_mb: not a number"),
     "nested without end": ("[" * 100_000, "not JSON"),
-    "a round without end": ('{"settings": {"requestClasses": [], "me": 1e999}}', "infinity"),
+    "a round without end": ('{"settings": {"requestClasses": [], "me": 1e999}}', "expected a number"),
     "a seed that is no number": ({**GOOD, "seed": "xyz"}, "seed: neither"),
     "a known list of a wrong form": ({**GOOD, "known": [1]}, "known: not an object"),
     "a known list without entries": ({**GOOD, "known": {"index": 4}}, "known: no object with endpoints"),
--- a/tests/test_simhost.py
+++ b/tests/test_simhost.py
@@ -178,7 +178,17 @@
 @pytest.mark.parametrize(
     ("change", "key"),
     [
-        ({"replicasOfMe": 0}, "dispatchers"),
+        *[({"replicasOfMe": wrong}, "replicasOfMe") for wrong in (0, -1, "many", True, 1 << 40, None)],
+        *[
+            ({"requestClasses": [CONF["requestClasses"][0] | wrong]}, f"{next(iter(wrong))}")
+            for wrong in (
+                {"promise": 0},
+                {"promise": -1},
+                {"promise": "x"},
+                {"worth": -1},
+                {"worth": float("nan")},
+            )
+        ],
         ({"requestClasses": []}, "classes"),
         ({"requestClasses": [{"name": "x"}]}, "effect"),
         ({"requestClasses": [{"name": "x", "effect": "odd"}]}, "effect"),
