Pass adopted jobs on in a second upgrade, with the attempts of all processes

Need: a job that the first successor kept, or had taken anew, was not passed on when that one was replaced in its turn: its consumer lost it with SIGKILL.

Change: the process remembers each consumer it has adopted; kept jobs go on with the time that is left, those taken anew with the attempts of the earlier processes added, so that three stay three.

--- a/ironbarrow/fronts/consumers.py
+++ b/ironbarrow/fronts/consumers.py
@@ -281,10 +281,10 @@
 
     def adopt(
         self, sock: socket.socket, begin: Callable[[Callable[[Answer], None]], Callable[[], None]]
-    ) -> None:
+    ) -> Task:
         """Answers a consumer whose request another process has read. ``begin`` is given where the one final
         answer goes, and gives back what is called when the consumer leaves before it."""
-        self._loop.spawn(self._serve_adopted(adopt(sock), begin))
+        return self._loop.spawn(self._serve_adopted(adopt(sock), begin))
 
     def _serve_adopted(
         self, connection: Connection, begin: Callable[[Callable[[Answer], None]], Callable[[], None]]
--- a/ironbarrow/handover/upgrade.py
+++ b/ironbarrow/handover/upgrade.py
@@ -3,6 +3,7 @@
 import os
 import socket
 from collections.abc import Callable
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any, Protocol
 
@@ -30,8 +31,8 @@
 
     asking: dict[Job, tuple[Connection, Task]]
 
-    def adopt(self, sock: socket.socket, begin: _Begin) -> None:
-        """Answers a consumer whose request another process has read."""
+    def adopt(self, sock: socket.socket, begin: _Begin) -> Task:
+        """Answers a consumer whose request another process has read; ended early, the task lets go of it."""
 
 
 class Back(Protocol):
@@ -44,6 +45,16 @@
         """A provider's word on a call, and whether any is out that it is about; a ValueError if malformed."""
 
 
+@dataclass(slots=True)
+class _Adopted:
+    """A job of the old process: its consumer, what was told of it, the host's job once taken anew."""
+
+    sock: socket.socket
+    task: Task
+    record: Record
+    job: Job | None = None
+
+
 class Upgrade:
     """The channel, the kept jobs, and the handing over. An OSError if the folder can't hold a socket."""
 
@@ -55,6 +66,7 @@
         advice = min(200 * MS, rules.max_retry_after) if rules.gives_retry_after else 0
         self.keeper = Keeper(rules.max_attempts, advice)
         self.successor: str | None = None
+        self._adopted: dict[str, _Adopted] = {}  # by id
         self._handing = False
         self._told_ready = False
         self._channel = Channel(loop, folder, name, self._received)
@@ -99,6 +111,9 @@
 
     def _step(self) -> None:
         self.keeper.run_out(self._loop.now())
+        self._adopted = {
+            job_id: adopted for job_id, adopted in self._adopted.items() if not adopted.task.done
+        }
         self.announce()
         if self._handing:
             self._pass_on()
@@ -109,20 +124,40 @@
     def _pass_on(self) -> None:
         for job, (connection, task) in list(self._front.asking.items()):
             record = self._record(job) if not connection.has_unread else None
-            if record is None or not self._give(record, connection):
+            if record is None or not self._give(record, connection.sock):
                 continue
-            for call in job.calls:
-                self._back.let_go(call)
-            self._host.let_go(job)
+            self._let_go(job)
             task.cancel()
+        self._pass_on_adopted()
+
+    def _pass_on_adopted(self) -> None:
+        for job_id, adopted in list(self._adopted.items()):
+            kept, taken = self.keeper.jobs.get(job_id), adopted.job
+            record: Record | None = None
+            if kept is not None:
+                record = replace(kept.record, time_left=max(1, kept.until - self._loop.now()))
+            elif taken is not None:
+                record = self._record(taken, adopted.record)
+            if record is None or not self._give(record, adopted.sock):
+                continue
+            del self._adopted[job_id]
+            if taken is not None:
+                self._let_go(taken)
+            adopted.task.cancel()
+
+    def _let_go(self, job: Job) -> None:
+        for call in job.calls:
+            self._back.let_go(call)
+        self._host.let_go(job)
 
-    def _give(self, record: Record, connection: Connection) -> bool:
+    def _give(self, record: Record, sock: socket.socket) -> bool:
         assert self.successor is not None
-        return self._channel.send(self.successor, records.job_message(record), connection.sock.fileno())
+        return self._channel.send(self.successor, records.job_message(record), sock.fileno())
 
-    def _record(self, job: Job) -> Record | None:
-        """What the successor has to know of a job; None while it can't be moved: an attempt is on its way to
-        a provider or being called off, or its repeats are bound to where it may have run."""
+    def _record(self, job: Job, earlier: Record | None = None) -> Record | None:
+        """What the successor has to know of a job, ``earlier`` being what this process was told of it; None
+        while it can't be moved: an attempt is on its way to a provider or being called off, or its repeats
+        are bound to where it may have run."""
         left = job.deadline - self._loop.now()
         out = [call for call in job.calls if not call.ended]
         if job.over or left < _LEAST_LEFT or any(not c.accepted or c.given_up for c in out):
@@ -139,9 +174,9 @@
             body=payload.body,
             content_type=payload.content_type,
             time_left=left,
-            attempts=len(job.calls),
+            attempts=len(job.calls) + (earlier.attempts if earlier is not None else 0),
             provider=out[0].provider if out else "",
-            may_have_run=risky,
+            may_have_run=risky or (earlier is not None and earlier.may_have_run),
             key=arrival.key,
             tenant=arrival.tenant,
             slots=arrival.slots,
@@ -180,10 +215,9 @@
             log.error("job of the other process passed over", id=record.id)
             sock.close()
             return
-        if record.provider:
-            self._front.adopt(sock, lambda answer: self._keep(record, until, answer))
-        else:
-            self._front.adopt(sock, lambda answer: self._take(record, until, answer))
+        begin = self._keep if record.provider else self._take
+        task = self._front.adopt(sock, lambda answer: begin(record, until, answer))
+        self._adopted[record.id] = _Adopted(sock, task, record)
 
     def _keep(self, record: Record, until: int, answer: Callable[[Answer], None]) -> Callable[[], None]:
         left: list[Callable[[], None]] = [lambda: self.keeper.gone(record.id)]
@@ -212,4 +246,6 @@
             memory=record.memory,
             terms=Terms(most_attempts=max(1, self._host.settings.max_attempts - record.attempts)),
         )
+        if (adopted := self._adopted.get(record.id)) is not None:
+            adopted.job, adopted.record = job, record
         return lambda: self._host.withdraw(job)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -34,6 +34,14 @@
             # of its own address here, so that the scenario says who hears what
             self.new = Dispatcher(self.config, listen(("127.0.0.1", 0)))
             assert self.new._operations.is_ready()  # whoever has seen this may stop the old one at once
+        elif line == "again":
+            # the new one is replaced in its turn; it is the old one from here on
+            self.until("old one gone", lambda: self.dispatcher.loop.stopped)
+            assert self.new is not None
+            self.dispatcher.close()
+            self.dispatcher, self.address = self.new, self.new.listener.getsockname()
+            self.new = None
+            self.peers = {name: peer for name, peer in self.peers.items() if name[0] != "n"}
         elif line == "new dies":
             assert self.new is not None
             self.new.close()
@@ -120,6 +128,46 @@
         c1 expect HTTP/1.1 200 .*out$
         exits
         """,
+    "two upgrades in a row: what is kept passes on with its attempts": f"""
+        c1 send {job("j1", "book/x")}
+        p1 expect X-Request-ID: j1
+        p1 send {ACCEPTED}
+        wait 50
+        new
+        stop
+        again
+        new
+        stop
+        exits
+        p1 close
+        n1 send {call_back("returned")}
+        n1 expect HTTP/1.1 204
+        p1 expect X-Request-ID: j1
+        p1 send {ACCEPTED}
+        n1 send {call_back("done", result="out")}
+        c1 expect HTTP/1.1 200 .*out$
+        """,
+    "what was taken anew passes on as well": f"""
+        c1 send {job("j1", "book/x")}
+        p1 expect X-Request-ID: j1
+        p1 send {ACCEPTED}
+        wait 50
+        new
+        stop
+        wait 100
+        p1 close
+        n1 send {call_back("returned")}
+        n1 expect HTTP/1.1 204
+        p1 expect X-Request-ID: j1
+        p1 send {ACCEPTED}
+        wait 50
+        again
+        new
+        stop
+        exits
+        n1 send {call_back("done", result="out")}
+        c1 expect HTTP/1.1 200 .*out$
+        """,
     "the new process dies: the old one goes on": f"""
         c1 send {job("j1", "book/x")}
         p1 expect X-Request-ID: j1
