--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -34,6 +34,14 @@
             # of its own address here, so that the scenario says who hears what
             self.new = Dispatcher(self.config, listen(("127.0.0.1", 0)))
             assert self.new._operations.is_ready()  # whoever has seen this may stop the old one at once
+        elif line == "again":
+            # the new one is replaced in its turn; it is the old one from here on
+            self.until("old one gone", lambda: self.dispatcher.loop.stopped)
+            assert self.new is not None
+            self.dispatcher.close()
+            self.dispatcher, self.address = self.new, self.new.listener.getsockname()
+            self.new = None
+            self.peers = {name: peer for name, peer in self.peers.items() if name[0] != "n"}
         elif line == "new dies":
             assert self.new is not None
             self.new.close()
@@ -63,21 +71,24 @@
             self.new.close()
 
 
-PLAYS = {
-    "a call-back that reaches the new process ends the old one's job": f"""
-        c1 send {job("j1", "book/x")}
+BOOKED = f"""c1 send {job("j1", "book/x")}
         p1 expect X-Request-ID: j1
         p1 send {ACCEPTED}
+        wait 50"""
+RETURNED = f"""p1 close
+        n1 send {call_back("returned")}
+        n1 expect HTTP/1.1 204
+        p1 expect X-Request-ID: j1"""
+PLAYS = {
+    "a call-back that reaches the new process ends the old one's job": f"""
+        {BOOKED}
         new
         n1 send {call_back("done", result="out")}
         n1 expect HTTP/1.1 204
         c1 expect HTTP/1.1 200 .*out$
         """,
     "a booking that is out outlives the old process": f"""
-        c1 send {job("j1", "book/x")}
-        p1 expect X-Request-ID: j1
-        p1 send {ACCEPTED}
-        wait 50
+        {BOOKED}
         new
         stop
         exits
@@ -86,10 +97,7 @@
         c1 expect HTTP/1.1 200 .*Connection: close.*out$
         """,
     "a booking that may have run is not run again": f"""
-        c1 send {job("j1", "book/x")}
-        p1 expect X-Request-ID: j1
-        p1 send {ACCEPTED}
-        wait 50
+        {BOOKED}
         new
         stop
         exits
@@ -98,17 +106,11 @@
         c1 expect HTTP/1.1 500
         """,
     "a booking that never ran is taken anew by the new process": f"""
-        c1 send {job("j1", "book/x")}
-        p1 expect X-Request-ID: j1
-        p1 send {ACCEPTED}
-        wait 50
+        {BOOKED}
         new
         stop
         exits
-        p1 close
-        n1 send {call_back("returned")}
-        n1 expect HTTP/1.1 204
-        p1 expect X-Request-ID: j1
+        {RETURNED}
         """,
     "what still comes to the old process is served": f"""
         new
@@ -120,10 +122,36 @@
         c1 expect HTTP/1.1 200 .*out$
         exits
         """,
-    "the new process dies: the old one goes on": f"""
-        c1 send {job("j1", "book/x")}
-        p1 expect X-Request-ID: j1
+    "two upgrades in a row: what is kept passes on with its attempts": f"""
+        {BOOKED}
+        new
+        stop
+        again
+        new
+        stop
+        exits
+        {RETURNED}
+        p1 send {ACCEPTED}
+        n1 send {call_back("done", result="out")}
+        c1 expect HTTP/1.1 200 .*out$
+        """,
+    "what was taken anew passes on as well": f"""
+        {BOOKED}
+        new
+        stop
+        wait 100
+        {RETURNED}
         p1 send {ACCEPTED}
+        wait 50
+        again
+        new
+        stop
+        exits
+        n1 send {call_back("done", result="out")}
+        c1 expect HTTP/1.1 200 .*out$
+        """,
+    "the new process dies: the old one goes on": f"""
+        {BOOKED}
         new
         new dies
         stop
