Spare a walk over the ring where no cold worker is open and guesses mostly fail

Cause: while guesses fail, a job that waits at a worker is looked at each 40 ms, and each look walked the ring only to turn a warm worker down.

Change: without an open cold worker the walk is left out; the answer is the same.

--- a/heathway/logic.py
+++ b/heathway/logic.py
@@ -323,11 +323,11 @@
 
     def _place_now(self, job: Job) -> Worker | None:
         """Where a further attempt is worth its price now. Danger: while most workers that seem to have room
-        are full, moves and retries use up the attempts of the classes that may move; cold ones, of which
-        each has its part, can be believed."""
-        worker = self._place(job, self._reserves[:2])
-        wrong = self._guesses.mostly_wrong() and worker is not None and worker.cold_until <= self._now
-        return None if wrong else worker
+        are full, moves and retries use up all attempts; cold ones, each with its part, can be believed."""
+        wrong = self._guesses.mostly_wrong()
+        nowhere = wrong and not self.ring.open & self.ring.cold  # spares a walk over the whole ring
+        worker = None if nowhere else self._place(job, self._reserves[:2])
+        return None if wrong and worker and worker.cold_until <= self._now else worker
 
     def _may_send_again(self, job: Job) -> bool:
         """Danger: a job that must not run twice may have run."""
