Settle what the parts of a fleet are to each other: lives, messages, ledgers, their network

Need: dispatchers that share what they owe need members, ledgers, take-over, rollouts and verdicts, which are built beside each other and must meet.

Change: the package ironbarrow/fleet with the interface between its parts (api), messages as frames (codec), the fleet file, what a ledger says of a job (records), invariants, and the machines of one member (node); the laboratory's network in virtual time (lab/fleet/net) with loss, delay, doubling, one-way cuts, pauses and crashes; docs/fleet.md with the ledgers' protocol and the ways weighed. serve imports none of it.

--- /dev/null
+++ b/ironbarrow/fleet/api.py
@@ -0,0 +1,259 @@
+"""What the parts of a fleet are to each other: lives, messages, machines, ledgers. Plain data, no input or
+output.
+
+Every part is a machine: it is told the time, messages and orders, and answers with actions, as the decisions
+in ``heathway`` do. Whoever runs it (``node`` on the loop, the laboratory's network in simulated time) carries
+these out. Times are whole nanoseconds on one clock that only goes forward; those that cross the network are
+lengths.
+"""
+
+import enum
+from collections.abc import Sequence
+from dataclasses import dataclass
+from hashlib import blake2b
+from typing import Any, ClassVar, Protocol
+
+from msgspec import Struct
+
+NEVER = 1 << 62  # ns: a time that never comes
+
+
+class Life(Struct, frozen=True, array_like=True, order=True):
+    """One life of a member: its name and when that process started, Unix ns.
+
+    A member that starts again is another life: it has forgotten all that it kept, and may not vote as the
+    one it was. ``start`` 0 in a ``Send``: whichever life answers to the name.
+    """
+
+    name: str
+    start: int = 0
+
+    def __str__(self) -> str:
+        return f"{self.name}/{self.start}"
+
+
+class Message(Struct, frozen=True, array_like=True):
+    """What goes from member to member. ``KIND`` is its number on the wire: 1 to 19 members, 20 to 39 ledgers,
+    40 to 59 take-over, 60 to 79 rollouts, 80 to 99 starvation. New fields go last and have a default, so
+    that two versions of the program understand each other."""
+
+    KIND: ClassVar[int] = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """An action: the message goes to a member; it may be lost, late, doubled or overtaken."""
+
+    to: Life
+    message: Message
+
+
+@dataclass(frozen=True, slots=True)
+class News:
+    """An action: what a machine tells the process that it is part of. Each kind is a class of its own."""
+
+
+Action = Send | News
+
+
+class Machine(Protocol):
+    """A part that lives on messages and time."""
+
+    handles: tuple[type[Message], ...]  # the messages it wants
+
+    def received(self, now: int, sender: Life, message: Any) -> list[Action]:
+        """Takes in a message of one of those types."""
+
+    def ticked(self, now: int) -> list[Action]:
+        """Does what is due; harmless when called too often."""
+
+    def next_at(self) -> int:
+        """When ``ticked`` is due next, ns; NEVER if nothing is planned."""
+
+
+# Members
+
+
+class Health(enum.Enum):
+    """What a member is held for."""
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"  # it did not answer; it may still say that it lives
+    DEAD = "dead"
+    LEFT = "left"  # it said that it goes: nothing of it is lost
+
+
+class LedgerAt(Struct, frozen=True, array_like=True):
+    """Where a ledger is: its present segment and who keeps that."""
+
+    ledger: str
+    segment: int
+    keepers: tuple[Life, ...]
+
+
+class Card(Struct, frozen=True, array_like=True):
+    """What a member says of itself. ``version`` rises with each change of it and with each suspicion
+    refuted; of two cards of one life the higher one counts. ``front``: where consumers and providers reach
+    it, ``host:port``."""
+
+    life: Life
+    address: str
+    site: str
+    front: str = ""
+    version: int = 0
+    ledgers: tuple[LedgerAt, ...] = ()  # those that it writes
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """A member as this one sees it."""
+
+    card: Card
+    health: Health
+    since: int  # ns, when that health was first seen
+
+
+@dataclass(frozen=True, slots=True)
+class MemberChanged(News):
+    """A member is new, or its health has changed. A new life of a name makes the earlier one DEAD first."""
+
+    member: Member
+
+
+class Members(Protocol):
+    """Who there is, as the other parts ask it. This member itself is among them, always ALIVE."""
+
+    me: Card
+
+    def alive(self) -> Sequence[Member]:
+        """The members that are ALIVE or SUSPECT, in order of name."""
+
+    def health(self, life: Life) -> Health | None:
+        """What a life is held for; None if nothing is known of it, or no longer."""
+
+    def card(self, name: str) -> Card | None:
+        """The newest card of a name, dead or alive; kept for a while after a death."""
+
+    def writes(self, ledgers: tuple[LedgerAt, ...]) -> list[Action]:
+        """This member tells all others where the ledgers are that it writes."""
+
+
+# Ledgers
+
+
+class Change(Struct, frozen=True, array_like=True):
+    """One change of a ledger's content, which is a table of keys: a value put under a key, or (None) the key
+    dropped. A ledger is cut by dropping what is owed no more."""
+
+    key: str
+    value: bytes | None = None
+
+
+class Ballot(Struct, frozen=True, array_like=True, order=True):
+    """Who may write a segment: higher ones fence lower ones off. Round 0 is the writer that opened it."""
+
+    round: int
+    by: Life
+
+
+class Fate(enum.IntEnum):
+    """How a segment ends: decided once, by a majority of its keepers, and never changed."""
+
+    MOVED = 1  # the ledger goes on in the next segment, written by ``by`` at ``keepers``
+    CLAIMED = 2  # what it holds is ``by``'s to do now; nothing is appended any more
+
+
+class Decision(Struct, frozen=True, array_like=True):
+    """The fate of a segment."""
+
+    fate: Fate
+    by: Life
+    keepers: tuple[Life, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Kept(News):
+    """A majority of the keepers has all changes of a ledger up to and with ``seq``."""
+
+    ledger: str
+    seq: int
+
+
+@dataclass(frozen=True, slots=True)
+class Moved(News):
+    """The writer's ledger has new keepers, or the writer has become the writer of a ledger (``content``:
+    what it held, by key). All that was appended before still counts."""
+
+    at: LedgerAt
+    content: dict[str, bytes] | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Fenced(News):
+    """Another has sealed the ledger: this member writes it no more, and nothing appended since the last
+    ``Kept`` can be relied on."""
+
+    ledger: str
+    by: Life | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class NoMajority(News):
+    """No majority of the keepers has answered for the stated time; ``back`` True: it does again."""
+
+    ledger: str
+    back: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Claimed(News):
+    """This member has the ledger's content to itself: nobody else ever gets it, and its writer can append
+    nothing."""
+
+    ledger: str
+    content: dict[str, bytes]
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimLost(News):
+    """The ledger can't be had. ``by``: who has it; None: no majority of its keepers remembers it
+    (``partial``: what those that answered held, of which nothing proves that it is all, or that its writer
+    has stopped)."""
+
+    ledger: str
+    by: Life | None
+    partial: dict[str, bytes]
+
+
+class Ledgers(Protocol):
+    """The ledgers of this member, as the other parts use them. Every call returns the actions to carry out;
+    what comes of it is told by ``Kept``, ``Moved``, ``Fenced``, ``NoMajority``, ``Claimed`` and
+    ``ClaimLost``."""
+
+    def create(self, now: int, ledger: str) -> list[Action]:
+        """Opens a new ledger that this member writes; appends may follow at once."""
+
+    def append(self, now: int, ledger: str, changes: Sequence[Change]) -> tuple[int, list[Action]]:
+        """Appends; the number whose ``Kept`` covers it. 0, and nothing, where this member does not write
+        it."""
+
+    def claim(self, now: int, at: LedgerAt) -> list[Action]:
+        """Seals a ledger wherever it has gone from there, and takes what it holds for good."""
+
+    def lead(self, now: int, at: LedgerAt) -> list[Action]:
+        """Seals a ledger and goes on writing it, in the next segment: ``Moved`` with its content, or
+        ``ClaimLost``. The segment's number is the epoch of what is then done by it."""
+
+    def close(self, now: int, ledger: str) -> list[Action]:
+        """This member's ledger is owed nothing more: its keepers may forget it."""
+
+
+def job_ledger(life: Life) -> str:
+    """The ledger of what one life of a dispatcher owes."""
+    return f"jobs/{life}"
+
+
+def rank(what: str, name: str) -> int:
+    """Rendezvous hashing: the higher, the nearer is a name to ``what``. The same at every member, and each
+    name that comes or goes moves its own part alone."""
+    return int.from_bytes(blake2b(f"{what}\0{name}".encode(), digest_size=8).digest(), "big")
--- /dev/null
+++ b/ironbarrow/fleet/records.py
@@ -0,0 +1,77 @@
+"""What a dispatcher's ledger says of a job, and what is passed on with it. No input or output.
+
+A job is under the key ``j/ID``. It is written when it is taken (nobody has it), again before each attempt
+(who is about to have it), again with a rejection before its consumer hears that, and dropped when it has
+ended.
+"""
+
+import enum
+
+import msgspec
+from msgspec import Struct
+
+from ironbarrow.fleet.api import Change
+
+JOB = "j/"  # a job that is owed
+CLAIM = "c/"  # a ledger of another that is about to be claimed: msgpack of its LedgerAt
+VERDICT = "v/"  # a verdict on a tenant that has begun
+
+
+class Stage(enum.IntEnum):
+    """How far a job has come."""
+
+    TAKEN = 1  # no attempt of it is out, and none may have run unless ``may_have_run``
+    INTENT = 2  # the attempt to ``provider`` may go out at any time, or has
+    REJECTED = 3  # its consumer may have been told that a repeat is harmless: it is never sent again
+
+
+class JobRecord(Struct, frozen=True, array_like=True, kw_only=True):
+    """A job as its ledger has it. Times in ns; ``taken_at`` and ``until`` are Unix times of the dispatcher
+    that took it first: whoever takes it over keeps to the shorter of ``until`` and the time left by ``age``
+    rules of its own.
+    """
+
+    id: str
+    job_class: str
+    method: str
+    target: str
+    body: bytes
+    content_type: str
+    taken_at: int
+    until: int
+    stage: Stage
+    attempts: int = 0  # over all holders, that of the intent included
+    provider: str = ""  # INTENT: who is about to have it
+    may_have_run: bool = False  # at an attempt before the one of the intent
+    key: int | None = None
+    tenant: str | None = None
+    slots: float = 1.0
+    memory: float = 0.0
+    digest: bytes = b""  # of method, target and body: another request under the same id is not the same job
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(JobRecord)
+
+
+def put(record: JobRecord) -> Change:
+    """The change that writes a job down."""
+    return Change(JOB + record.id, _ENCODER.encode(record))
+
+
+def drop(job_id: str) -> Change:
+    """The change that says that nothing is owed of it."""
+    return Change(JOB + job_id)
+
+
+def jobs(content: dict[str, bytes]) -> list[JobRecord]:
+    """The jobs in a ledger's content, in order of id; what can't be read is left out, for the caller to
+    count."""
+    found: list[JobRecord] = []
+    for key in sorted(content):
+        if key.startswith(JOB):
+            try:
+                found.append(_DECODER.decode(content[key]))
+            except (msgspec.MsgspecError, UnicodeDecodeError):
+                continue
+    return found
--- /dev/null
+++ b/tests/test_fleet_base.py
@@ -0,0 +1,142 @@
+"""What all parts of a fleet stand on: the codec, the fleet file, the simulated network."""
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ironbarrow.fleet.api import Life, Message, Send
+from ironbarrow.fleet.codec import FRAME_MOST, Codec, FrameError, Splitter
+from ironbarrow.fleet.file import FleetError, parse
+from ironbarrow.lab.fleet.net import SimulatedNet, Way
+from ironbarrow.lab.sim.clock import SimulatedClock
+from ironbarrow.runtime.clock import MS
+
+
+class Note(Message, frozen=True, array_like=True):
+    KIND = 120
+    text: str
+
+
+class NoteLater(Message, frozen=True, array_like=True):
+    """The same message in a later version of the program."""
+
+    KIND = 120
+    text: str
+    more: int = 0
+
+
+class Unknown(Message, frozen=True, array_like=True):
+    KIND = 121
+
+
+ME = Life("a", 7)
+
+
+@given(st.lists(st.text(max_size=50), max_size=8), st.integers(1, 40))
+def test_frames_survive_any_cut_of_the_stream(texts: list[str], step: int) -> None:
+    codec, splitter = Codec([Note]), Splitter()
+    stream = b"".join(codec.encode(ME, 0, Note(text)) for text in texts)
+    frames = [f for i in range(0, len(stream), step) for f in splitter.feed(stream[i : i + step])]
+    assert [codec.decode(frame) for frame in frames] == [(ME, 0, Note(text)) for text in texts]
+
+
+@given(st.binary(max_size=80))
+def test_foreign_bytes_are_counted_and_dropped(data: bytes) -> None:
+    codec = Codec([Note])
+    assert codec.decode(data) is not None or codec.dropped.total() == 1
+
+
+def test_two_versions_side_by_side() -> None:
+    old, new = Codec([Note]), Codec([NoteLater, Unknown])
+    assert old.decode(new.encode(ME, 3, NoteLater("x", 5))[4:]) == (ME, 3, Note("x"))
+    assert new.decode(old.encode(ME, 3, Note("x"))[4:]) == (ME, 3, NoteLater("x", 0))
+    assert old.decode(new.encode(ME, 0, Unknown())[4:]) is None
+    newer = msgspec.msgpack.encode([2, 120, ME, 0, ["x"]])
+    assert old.decode(newer) is None
+    assert old.dropped == {"kind": 1, "version": 1}
+    for length in (0, FRAME_MOST + 1):
+        with pytest.raises(FrameError):
+            Splitter().feed(length.to_bytes(4, "big"))
+
+
+@pytest.mark.parametrize(
+    ("text", "expected"),
+    [
+        ("", "listen"),
+        ('listen = "x"', "listen: expected host:port, got 'x'"),
+        ('listen = "h:1"\nkeepers = 3', "unknown field `keepers`"),
+        ('listen = "h:1"\n[ledgers]\nkeepers = 4', "ledgers.keepers"),
+        ('listen = "h:1"\nseeds = ["b"]', "seeds: expected name=host:port, got 'b'"),
+        ('listen = "h:1"\nseeds = ["b=h:2", "b=h:3"]', "'b' twice"),
+        ('listen = "h:1"\nseeds = ["me=h:2"]', "expected other members"),
+        ('listen = "h:1"\n[members]\nperiod = "1"', "expected a duration"),
+        ('listen = "h:1"\n[members]\nmost = 100', "members.most"),
+        ('listen = "h:1"\n[members]\nperiod = "100 ms"', "members.timeout"),
+    ],
+)
+def test_a_wrong_fleet_file_is_named(text: str, expected: str) -> None:
+    with pytest.raises(FleetError, match=r"^fleet\.toml: ") as error:
+        parse(text.encode(), "fleet.toml", "me")
+    assert expected in str(error.value)
+
+
+class Echo:
+    """Sends a count to the other one and back, every 10 ms."""
+
+    handles = (Note,)
+
+    def __init__(self, other: str) -> None:
+        self.other, self.due, self.heard = other, 0, []
+
+    def received(self, now: int, sender: Life, message: Note) -> list[Send]:
+        self.heard.append(message.text)
+        return []
+
+    def ticked(self, now: int) -> list[Send]:
+        self.due = now + 10 * MS
+        return [Send(Life(self.other), Note(str(now)))]
+
+    def next_at(self) -> int:
+        return self.due
+
+
+def test_the_simulated_network_loses_cuts_pauses_and_crashes() -> None:
+    runs = []
+    for _ in range(2):
+        net = SimulatedNet(SimulatedClock(), Codec([Note]), seed=3)
+        seen: dict[str, list[int]] = {"a": [], "b": []}
+        echoes: dict[str, Echo] = {}
+
+        def build(seat, node, echoes=echoes):
+            echoes[seat.name] = Echo("b" if seat.name == "a" else "a")
+            node.add([echoes[seat.name]])
+
+        for name in "ab":
+            net.add(name, "x", build)
+            net.start(name)
+
+        def heard(step, net=net, echoes=echoes, seen=seen):
+            before = {name: len(echoes[name].heard) for name in "ab"}
+            step()
+            net.run(1000 * MS)
+            for name in "ab":
+                seen[name].append(len(echoes[name].heard) - before[name])
+
+        heard(lambda: None)
+        heard(lambda net=net: net.cut("a", "b", both=False))
+        heard(lambda net=net: (net.mend(), net.pause("b")))
+        heard(lambda net=net: net.resume("b"))
+        heard(lambda net=net: net.crash("a"))
+        net.ways["b", "a"] = Way(lost=0.5, doubled=0.5)
+        net.start("a")
+        net.run(1000 * MS)
+        runs.append((seen, len(echoes["a"].heard), net.lost))
+        wanted = {
+            "a": (100, 100, 0, 100, 0),
+            "b": (100, 0, 0, 200, 0),
+        }  # b: all that came while it was stopped
+        for name in "ab":
+            assert all(abs(n - want) <= 2 for n, want in zip(seen[name], wanted[name], strict=True)), seen
+        assert 50 < len(echoes["a"].heard) < 105
+    assert runs[0] == runs[1]
