Keep a change of bans that finds the file locked, and write it when it can be

Cause: BanFile.change applied a change under a lock held by the other process to this process's memory alone; the next read of the other one's file replaced it (keep.py, the except branch of change). Seen in reading the code.

--- a/ironbarrow/admin/keep.py
+++ b/ironbarrow/admin/keep.py
@@ -1,14 +1,14 @@
 """Keeps the bans of one dispatcher in a file, so that they outlast its process.
 
 The file is shared by an old process and the one that replaces it: each writes it whole, by rename, under a
-lock, and looks whether the other one has. A file that is torn, foreign or of a later version is passed over
+lock, and looks whether the other one has. A change that can't be written is kept and joined with all that is
+read until it can be. A file that is torn, foreign or of a later version is passed over
 with a line in the log and replaced by the next change.
 """
 
 import fcntl
 import json
 import os
-from collections.abc import Callable
 from pathlib import Path
 from zlib import crc32
 
@@ -27,6 +27,7 @@
         self._path = None if folder is None else folder / f"ironbarrow-bans-{crc32(name.encode()):08x}.json"
         self._seen: tuple[int, int, int] | None = None  # of the file as it was read last
         self._known: frozenset[str] = frozenset()
+        self._unwritten: dict[str, bool] = {}  # workers and whether they are banned: not in the file yet
         if folder is None:
             log.warning("bans do not outlast this process: TMPDIR is not set")
 
@@ -50,26 +51,44 @@
         if self._seen is None:
             return self._known
         try:
-            self._known = _parsed(self._path)
+            self._known = self._joined(_parsed(self._path))
         except (OSError, ValueError) as error:
             log.error("file of bans passed over", file=str(self._path), error=str(error))
         return self._known
 
-    def change(self, to: Callable[[frozenset[str]], frozenset[str]]) -> frozenset[str]:
-        """Applies a change to what the file holds now, and writes it; the bans after it. If it can't be
-        written, the change holds in this process and the log says so."""
+    def change(self, worker: str, banned: bool) -> frozenset[str]:
+        """Bans a worker or takes that back, on top of what the file holds now, and writes it; the bans after
+        it. What can't be written holds in this process, and ``settle`` tries again."""
+        self._unwritten[worker] = banned
+        self._known = self._joined(self._known)
+        if not self.settle():
+            log.error("bans do not outlast this process yet", file=str(self._path))
+        return self._known
+
+    def settle(self) -> bool:
+        """Writes what is not written yet; whether nothing is left of it.
+
+        Danger: with the file locked by the other process, a change that is only known here would be lost as
+        soon as that one's is read.
+        """
         if self._path is None:
-            self._known = to(self._known)
-            return self._known
+            self._unwritten.clear()
+        if not self._unwritten:
+            return True
+        assert self._path is not None
         try:
             with open(self._path.with_suffix(".lock"), "w") as lock:
                 fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-                self._known = to(self.read())
-                self._write(self._known)
-        except OSError as error:
-            self._known = to(self._known)
-            log.error("bans do not outlast this process", file=str(self._path), error=str(error))
-        return self._known
+                self._write(self.read())
+        except OSError:
+            return False
+        self._unwritten.clear()
+        return True
+
+    def _joined(self, banned: frozenset[str]) -> frozenset[str]:
+        """Bans with the changes that are not written yet."""
+        added = {worker for worker, is_banned in self._unwritten.items() if is_banned}
+        return (banned - self._unwritten.keys()) | added
 
     def _write(self, banned: frozenset[str]) -> None:
         assert self._path is not None
--- a/ironbarrow/admin/operations.py
+++ b/ironbarrow/admin/operations.py
@@ -48,18 +48,19 @@
     def worker_down(self, worker: str) -> bool:
         if not self._bans.knows(worker):
             return False
-        self._apply(self._file.change(lambda banned: banned | {worker}))
+        self._apply(self._file.change(worker, True))
         log.info("worker taken out of use", worker=worker)
         return True
 
     def worker_up(self, worker: str) -> bool:
         if not self._bans.knows(worker):
             return False
-        self._apply(self._file.change(lambda banned: banned - {worker}))
+        self._apply(self._file.change(worker, False))
         log.info("worker back in use", worker=worker)
         return True
 
     def _look(self) -> None:
+        self._file.settle()
         if self._file.changed():
             self._apply(self._file.read())
         self._loop.call_at(self._loop.now() + _LOOK_EVERY, self._look)
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -1,5 +1,6 @@
 """The operators' door: calls, figures, bans, callers that stall, and what outlasts the process."""
 
+import fcntl
 import json
 from pathlib import Path
 from typing import Any
@@ -153,33 +154,48 @@
 
 def test_bans_outlast_the_process_and_are_shared_with_the_next_one(tmp_path: Path) -> None:
     old = BanFile(tmp_path, "n1")
-    assert old.change(lambda b: b | {"p1"}) == {"p1"}
+    assert old.change("p1", True) == {"p1"}
     new = BanFile(tmp_path, "n1")
     assert new.read() == {"p1"}
     assert BanFile(tmp_path, "n2").read() == frozenset()
-    new.change(lambda b: b | {"p2"})
+    new.change("p2", True)
     assert old.changed()
     assert old.read() == {"p1", "p2"}
     assert not old.changed()
 
 
+def test_a_change_made_while_the_file_is_locked_is_written_later(tmp_path: Path) -> None:
+    old, new = BanFile(tmp_path, "n1"), BanFile(tmp_path, "n1")
+    old.change("p0", True)
+    with open(next(tmp_path.glob("*.json")).with_suffix(".lock"), "w") as lock:
+        fcntl.flock(lock, fcntl.LOCK_EX)
+        assert old.change("p1", True) == {"p0", "p1"}
+        assert old.change("p0", False) == {"p1"}
+        assert not old.settle()
+        assert new.read() == {"p0"}
+    new.change("p2", True)
+    assert old.read() == {"p1", "p2"}  # both what is written and what is not
+    assert old.settle()
+    assert new.read() == BanFile(tmp_path, "n1").read() == {"p1", "p2"}
+
+
 @pytest.mark.parametrize(
     "text", ["", "{", "[]", '{"version": 2}', '{"version": 1, "banned": ["p1"], "crc": 1}', '{"version":1}']
 )
 def test_a_torn_or_foreign_file_is_passed_over_and_replaced_by_the_next_change(
     tmp_path: Path, text: str
 ) -> None:
-    BanFile(tmp_path, "n1").change(lambda b: b | {"p0"})
+    BanFile(tmp_path, "n1").change("p0", True)
     (path,) = tmp_path.glob("*.json")
     path.write_text(text)
     kept = BanFile(tmp_path, "n1")
     assert kept.read() == frozenset()
-    kept.change(lambda b: b | {"p1"})
+    kept.change("p1", True)
     assert json.loads(path.read_text())["banned"] == ["p1"]
 
 
 def test_where_nothing_can_be_written_bans_hold_in_the_process(tmp_path: Path) -> None:
     for folder in (None, tmp_path / "missing"):
         kept = BanFile(folder, "n1")
-        assert kept.change(lambda b: b | {"p1"}) == {"p1"}
-        assert kept.change(lambda b: b | {"p2"}) == {"p1", "p2"}
+        assert kept.change("p1", True) == {"p1"}
+        assert kept.change("p2", True) == {"p1", "p2"}
