Write jobs down before they are done, and take over what a dead dispatcher left: the machine

What a dispatcher owes ends with it today. The machine keeps each job in the own ledger, holds an attempt back until a majority knows its intent, claims the ledgers of the dead in rendezvous order, joins consumers that come again and passes call-backs on. Seams in host, invoker, front and keeper; nothing uses them yet.

--- a/ironbarrow/backs/invoker.py
+++ b/ironbarrow/backs/invoker.py
@@ -1,7 +1,7 @@
 """Invoker calls to providers over HTTP: connection pools, calls, DELETE, probes."""
 
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -90,8 +90,20 @@
             self._loop.spawn(self._delete(call, exchange, ending))
 
     def let_go(self, call: Call) -> None:
-        """Another process has the call now; nothing is told to the provider."""
-        self._exchanges.pop(call, None)
+        """Another process has the call now; nothing is told to the provider, and what is not written yet
+        never is."""
+        exchange = self._exchanges.pop(call, None)
+        if exchange is not None and exchange.task is not None and not exchange.answered:
+            exchange.task.cancel()
+
+    def call_off(self, job_id: str, provider: str, until: int, done: Callable[[], None]) -> None:
+        """Calls a job off that another process had sent; ``done`` once the provider knows, or can't be
+        told."""
+        address = self._directory.address_of(provider)
+        if address is None:
+            done()
+        else:
+            self._loop.spawn(self._call_off(address, job_id, provider, until, done))
 
     def probe(self, provider: str) -> None:
         self._loop.spawn(self._probe(provider))
@@ -201,23 +213,37 @@
         self._host.call_ended(call, ending, report, result)
 
     def _delete(self, call: Call, exchange: _Exchange, ending: Ending) -> Coroutine[None]:
-        """Tells the provider to stop. Danger: until it knows, a repeat would be a second copy."""
+        until = call.until if exchange.answered else None
+        yield from self._tell_to_stop(exchange.address, call.job.payload.id, call.provider, until)
+        self._end(call, ending)
+
+    def _call_off(
+        self, address: Address, job_id: str, provider: str, until: int, done: Callable[[], None]
+    ) -> Coroutine[None]:
+        yield from self._tell_to_stop(address, job_id, provider, until)
+        done()
+
+    def _tell_to_stop(
+        self, address: Address, job_id: str, provider: str, until: int | None
+    ) -> Coroutine[None]:
+        """Tells a provider to stop. ``until``: it has the job, and that is when nobody waits for it any more;
+        None: it has not said that. Danger: until it knows, a repeat would be a second copy."""
         tries = 0
-        while tries < _DELETE_TRIES or (exchange.answered and self._loop.now() < call.until):
+        while tries < _DELETE_TRIES or (until is not None and self._loop.now() < until):
             tries += 1
             connection: Connection | None = None
             try:
-                connection = yield from self._connection(exchange.address, call.provider, "delete")
-                until = self._loop.now() + _DELETE_LIMIT
-                headers = [("Host", "{}:{}".format(*exchange.address))]
-                target = f"/jobs/{call.job.payload.id}"
-                yield from connection.write(connection.request_bytes("DELETE", target, headers), until)
-                answer = yield from connection.read_message(until)
-                self._put_back(exchange.address, connection, answer)
+                connection = yield from self._connection(address, provider, "delete")
+                limit = self._loop.now() + _DELETE_LIMIT
+                headers = [("Host", "{}:{}".format(*address))]
+                target = f"/jobs/{job_id}"
+                yield from connection.write(connection.request_bytes("DELETE", target, headers), limit)
+                answer = yield from connection.read_message(limit)
+                self._put_back(address, connection, answer)
                 connection = None
                 break
             except ConnectionEndedError as error:
-                if error.ending in (Ending.CONNECT_REFUSED, Ending.STALLED) or not exchange.answered:
+                if error.ending in (Ending.CONNECT_REFUSED, Ending.STALLED) or until is None:
                     # the process is gone, or has it but is silent, or has no 202 to give any more:
                     # its call's connection is closed. Danger: a job to be moved would wait for nothing
                     break
@@ -225,7 +251,6 @@
                 if connection is not None:
                     connection.close()
             yield from sleep(self._loop.now() + _DELETE_PAUSE)
-        self._end(call, ending)
 
     def _probe(self, provider: str) -> Coroutine[None]:
         started_at = self._loop.now()
--- a/ironbarrow/core/host.py
+++ b/ironbarrow/core/host.py
@@ -140,6 +140,8 @@
         self.invoker: Invoker
         # begins to follow the directory, or stops; where the decisions say when
         self.follow: Callable[[bool], None] | None = None
+        # told of each call that has ended; where others may have to go on with its job
+        self.call_over: Callable[[Call], None] | None = None
         self._dispatcher = Dispatcher(settings, seed)
         self.figures = Figures(tuple(cls.name for cls in settings.classes))
         self._jobs: dict[int, Job] = {}
@@ -298,6 +300,8 @@
         if call.timer is not None:
             call.timer.cancel()
         call.never_ran = outcome_of(ending, call.written) in api.NEVER_RAN
+        if self.call_over is not None:
+            self.call_over(call)
         job = call.job
         retry = True
         if ending is Ending.DONE and not job.over:
--- a/ironbarrow/fleet/file.py
+++ b/ironbarrow/fleet/file.py
@@ -51,6 +51,8 @@
 
     keep_for: Duration = ms(60_000)
     most: Count = 4096
+    # of jobs that may not run twice: which are asked for at all members before they are taken
+    ask: Literal["marked", "all"] = "marked"  # those that say X-Retried: 1, or all
 
 
 class StarvationRules(_Table, frozen=True):
--- a/ironbarrow/fleet/records.py
+++ b/ironbarrow/fleet/records.py
@@ -6,15 +6,18 @@
 """
 
 import enum
+from typing import TypeVar
 
 import msgspec
 from msgspec import Struct
 
-from ironbarrow.fleet.api import Change
+from ironbarrow.fleet.api import Change, LedgerAt
 
+_T = TypeVar("_T")
 JOB = "j/"  # a job that is owed
 CLAIM = "c/"  # a ledger of another that is about to be claimed: msgpack of its LedgerAt
 VERDICT = "v/"  # a verdict on a tenant that has begun
+ANSWER = "a/"  # the answer of a job that must not run twice, for a while after its end
 
 
 class Stage(enum.IntEnum):
@@ -50,8 +53,19 @@
     digest: bytes = b""  # of method, target and body: another request under the same id is not the same job
 
 
+class AnswerRecord(Struct, frozen=True, array_like=True, kw_only=True):
+    """The answer of a job that has ended, in place of the job: its consumer may come again for it."""
+
+    id: str
+    digest: bytes
+    verdict: str
+    result: bytes = b""
+
+
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(JobRecord)
+_ANSWERS = msgspec.msgpack.Decoder(AnswerRecord)
+_LEDGER_AT = msgspec.msgpack.Decoder(LedgerAt)
 
 
 def put(record: JobRecord) -> Change:
@@ -67,11 +81,40 @@
 def jobs(content: dict[str, bytes]) -> list[JobRecord]:
     """The jobs in a ledger's content, in order of id; what can't be read is left out, for the caller to
     count."""
-    found: list[JobRecord] = []
+    return _read(content, JOB, _DECODER)
+
+
+def put_answer(answer: AnswerRecord) -> Change:
+    """The change that writes an answer down."""
+    return Change(ANSWER + answer.id, _ENCODER.encode(answer))
+
+
+def drop_answer(job_id: str) -> Change:
+    """The change that forgets an answer."""
+    return Change(ANSWER + job_id)
+
+
+def answers(content: dict[str, bytes]) -> list[AnswerRecord]:
+    """The answers in a ledger's content, as ``jobs`` gives the jobs."""
+    return _read(content, ANSWER, _ANSWERS)
+
+
+def drop_claim(ledger: str) -> Change:
+    """The change that says that a claim is over: what was claimed is in this ledger itself."""
+    return Change(CLAIM + ledger)
+
+
+def claims(content: dict[str, bytes]) -> list[LedgerAt]:
+    """The ledgers that a ledger's writer was about to claim, as ``jobs`` gives the jobs."""
+    return _read(content, CLAIM, _LEDGER_AT)
+
+
+def _read(content: dict[str, bytes], prefix: str, decoder: "msgspec.msgpack.Decoder[_T]") -> list[_T]:
+    found: list[_T] = []
     for key in sorted(content):
-        if key.startswith(JOB):
+        if key.startswith(prefix):
             try:
-                found.append(_DECODER.decode(content[key]))
+                found.append(decoder.decode(content[key]))
             except (msgspec.MsgspecError, UnicodeDecodeError):
                 continue
     return found
--- /dev/null
+++ b/ironbarrow/fleet/takeover/machine.py
@@ -0,0 +1,908 @@
+"""Jobs written down before they are done, and what others have left taken over. No input or output.
+
+The process tells it what comes (``arrive``, ``intent``, ``call_over``, ``ended``, ``left``, ``stray``) and
+carries out what it answers (``orders``). Changes of one turn are gathered; ``flush`` appends them together.
+"""
+
+from collections import Counter, OrderedDict, deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from ironbarrow.core.host import Answer, Verdict
+from ironbarrow.fleet.api import (
+    NEVER,
+    Action,
+    Change,
+    Claimed,
+    ClaimLost,
+    Fenced,
+    Health,
+    Kept,
+    LedgerAt,
+    Ledgers,
+    Life,
+    MemberChanged,
+    Members,
+    Message,
+    Moved,
+    News,
+    NoMajority,
+    Send,
+    job_ledger,
+)
+from ironbarrow.fleet.invariants import check
+from ironbarrow.fleet.records import (
+    CLAIM,
+    AnswerRecord,
+    JobRecord,
+    Stage,
+    answers,
+    claims,
+    drop,
+    drop_answer,
+    drop_claim,
+    jobs,
+    put,
+    put_answer,
+)
+from ironbarrow.fleet.takeover import claims as rules_of_claims
+from ironbarrow.fleet.takeover.claims import STAND, What, turn
+from ironbarrow.fleet.takeover.messages import KINDS, Ask, CallBack, Said, TakenOver, Told, Word
+from ironbarrow.fleet.takeover.orders import (
+    Adopted,
+    CallOff,
+    Forget,
+    Go,
+    Heard,
+    Keep,
+    Reply,
+    Superseded,
+    Take,
+    Withdraw,
+)
+from ironbarrow.fleet.takeover.repeats import POLL, Answers, Asking, Promises
+from ironbarrow.runtime.clock import MS, SECOND
+
+LINGER = 10 * SECOND  # the answer of a job that must not run twice stays in the ledger so long after its end
+_LINGERING = 1024  # such answers at the most
+_RESULT_WRITTEN = 4096  # bytes; a longer result is not written down, and a repeat elsewhere hears "failed"
+_SAFE_WAITS = (
+    3 * SECOND
+)  # at most, and half of its time: then a safe job is taken though somebody may have it
+_SETTLED = 1 * SECOND  # so long after its start a member does not yet know all others
+_REMOTE = 64  # others that are told a job's answer unasked
+_TELL_AGAIN = (200 * MS, 1 * SECOND, 3 * SECOND)  # after a ledger is taken over, since messages are lost
+_RETRY = 1 * SECOND  # a claim that has no end yet is looked at again
+_TRIES = 3  # of a claim, while a majority of the keepers seems to be there
+_REMEMBERED = 1024  # lives taken over
+
+_VERDICTS = {verdict.value: verdict for verdict in Verdict}
+_FAILED = Answer(Verdict.FAILED)
+
+
+@dataclass(frozen=True, slots=True)
+class Rules:
+    """What the machine goes by. Times in ns."""
+
+    safe: dict[str, bool]  # by class
+    turn_away: frozenset[str]  # classes that are not served without a majority
+    most_attempts: int
+    wait: int
+    keep_for: int
+    most_answers: int
+    retry_after: int = 0
+    ask_all: bool = False  # also those that do not say that they come again
+    passed: Callable[[str], None] | None = None  # tests end the process at named points
+
+
+@dataclass(slots=True, eq=False)
+class Held:
+    """A job that this member owes its answer."""
+
+    record: JobRecord
+    safe: bool
+    waiters: list[object]
+    remote: dict[Life, None] = field(default_factory=dict)
+    adopted: bool = False
+    intent: "_Wait | None" = None  # the present attempt's
+    unprotected: bool = False  # it goes out though no majority knows
+    unproven: bool = False  # an attempt may have run
+    answering: bool = False  # its rejection is being written
+    over: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class _Wait:
+    """What waits for a majority. ``call``: the call that an intent is about."""
+
+    until: int
+    kept: Callable[[int], list[Action]]
+    failed: Callable[[int], list[Action]]
+    call: object = None
+    off: bool = False
+    seq: int = NEVER  # the append's that has to be kept
+
+
+@dataclass(slots=True, eq=False)
+class _Open:
+    """A ledger that somebody has to take over."""
+
+    life: Life
+    at: LedgerAt
+    since: int
+    due: int
+    by: Life | None = None  # who has claimed it; it has ended too
+    claiming: bool = False
+    heir_of: Life | None = None  # the claim was found in that one's ledger, which is this member's now
+    adopting: bool = False
+    tries: int = 0
+
+
+class Takeover:
+    """One life's machine; ``succeed`` moves on what outlives a life."""
+
+    handles: tuple[type[Message], ...] = KINDS
+
+    def __init__(self, now: int, me: Life, members: Members, ledgers: Ledgers, rules: Rules) -> None:
+        self.me, self.members, self.ledgers, self.rules = me, members, ledgers, rules
+        self.ledger = job_ledger(me)
+        self.begun = now
+        self.fenced = False
+        self.alone = False  # no majority answers
+        self.kept = 0  # the number up to which a majority has this ledger
+        self.leaving = False
+        self.held: dict[str, Held] = {}
+        self.asking: dict[str, Asking] = {}
+        self.answers = Answers(rules.keep_for, rules.most_answers)
+        self.promises = Promises(rules.keep_for)
+        self.open: dict[Life, _Open] = {}
+        self.taken_over: OrderedDict[Life, bool] = OrderedDict()  # whether whole
+        self.counts: Counter[str] = Counter()
+        self._changes: dict[str, Change] = {}
+        self._gathered: list[_Wait] = []
+        self._waits: deque[tuple[int, list[_Wait]]] = deque()
+        self._calls: dict[object, _Wait] = {}
+        self._linger: deque[tuple[int, str]] = deque()
+        self._tell: list[tuple[int, Life, bool]] = []
+        self._lost: dict[Life, int] = {}  # until when a repeat may be about a job of it
+
+    # What the process tells
+
+    def begin(self, now: int) -> list[Action]:
+        """Opens this life's ledger."""
+        return self.ledgers.create(now, self.ledger)
+
+    def succeed(self, now: int, earlier: "Takeover") -> list[Action]:
+        """Takes on the consumers, answers and promises of an earlier life, which others have taken over.
+        Their jobs are asked for, and never taken anew here."""
+        self.answers, self.promises, self.counts = earlier.answers, earlier.promises, earlier.counts
+        self._lost, self.taken_over = earlier._lost, earlier.taken_over
+        actions: list[Action] = []
+        for asking in earlier.asking.values():
+            asking.holder = None
+            asking.remote.clear()
+            self.asking[asking.record.id] = asking
+            actions += self._ask(now, asking)
+        earlier.asking = {}
+        return actions
+
+    def arrive(self, now: int, record: JobRecord, marked: bool, waiter: object) -> list[Action]:
+        """A consumer's request. ``marked``: it says that it comes again."""
+        if (known := self._join(now, record, waiter)) is not None:
+            return known
+        safe = self.rules.safe.get(record.job_class, False)
+        if marked or self.promises.given(record.id, now) or (not safe and self._asks_unmarked(now)):
+            asking = Asking(record, safe, [waiter], now)
+            self.asking[record.id] = asking
+            return self._ask(now, asking)
+        if (self.alone or self.fenced) and record.job_class in self.rules.turn_away:
+            # nothing of it was written, nobody can do it: a repeat is harmless
+            self.counts["turned away"] += 1
+            return [Reply(waiter, Answer(Verdict.REJECTED, retry_after=self.rules.retry_after))]
+        return self._take(now, Held(record, safe, [waiter]))
+
+    def intent(self, now: int, call: object, job_id: str, provider: str) -> list[Action]:
+        """An attempt is about to go out; ``Go`` follows, at once or once a majority knows."""
+        held = self.held.get(job_id)
+        if held is None or self.fenced or self.leaving:
+            return [Go(call, False)]
+        old = held.record
+        held.record = msgspec.structs.replace(
+            old,
+            stage=Stage.INTENT,
+            attempts=old.attempts + 1,
+            provider=provider,
+            may_have_run=old.may_have_run or held.unproven,
+        )
+        if held.record.attempts > self.rules.most_attempts:
+            held.record = old
+            return [Go(call, False)]
+        wait = _Wait(
+            now + self.rules.wait,
+            lambda at: self._go(at, held, call, kept=True),
+            lambda at: self._unkept(at, held, call),
+            call,
+        )
+        held.intent, held.unprotected = wait, False
+        self._write(put(held.record), wait)
+        if self.alone:
+            return self._fail(now, wait)
+        self._calls[call] = wait
+        return []
+
+    def given_up(self, call: object) -> bool:
+        """A call is called off; whether it had no leave to go yet, and now never gets it."""
+        wait = self._calls.pop(call, None)
+        if wait is None:
+            return False
+        wait.off = True
+        return True
+
+    def call_over(self, job_id: str, *, never_ran: bool) -> None:
+        """An attempt has ended, its job may have not."""
+        held = self.held.get(job_id)
+        if held is None or held.record.stage is not Stage.INTENT or held.answering:
+            return
+        if never_ran:
+            held.unproven = held.record.may_have_run
+        if never_ran or held.safe:
+            held.record = msgspec.structs.replace(
+                held.record, stage=Stage.TAKEN, provider="", may_have_run=held.unproven
+            )
+            self._write(put(held.record))
+
+    def ended(self, now: int, job_id: str, answer: Answer) -> list[Action]:
+        """The host, or the keeper, has a job's final answer."""
+        held = self.held.get(job_id)
+        if held is None or held.answering:
+            return []
+        if answer.verdict is not Verdict.REJECTED or held.safe:
+            return self._finish(now, held, answer)
+        if self.fenced or self.alone:
+            return self._finish(now, held, _FAILED)
+        self._passed("before-rejection")
+        held.answering = True
+        held.record = msgspec.structs.replace(held.record, stage=Stage.REJECTED)
+        wait = _Wait(
+            now + self.rules.wait,
+            lambda at: self._rejected(at, held, answer),
+            lambda at: self._finish(at, held, _FAILED),
+        )
+        self._write(put(held.record), wait)
+        return []
+
+    def left(self, now: int, job_id: str, waiter: object) -> list[Action]:
+        """A consumer has gone before its answer."""
+        asking = self.asking.get(job_id)
+        if asking is not None and waiter in asking.waiters:
+            asking.waiters.remove(waiter)
+            if not asking.waiters and not asking.remote:
+                del self.asking[job_id]
+            return []
+        held = self.held.get(job_id)
+        if held is None or waiter not in held.waiters:
+            return []
+        held.waiters.remove(waiter)
+        if held.waiters or held.remote or held.adopted or held.answering:
+            return []
+        if not held.safe and held.record.stage is not Stage.TAKEN:
+            return []  # it may have run: it goes on, for the consumer that comes again
+        del self.held[job_id]
+        self._write(drop(job_id))
+        return [Withdraw(job_id)]
+
+    def stray(self, job_id: str, provider: str, state: str, result: bytes) -> list[Action]:
+        """A provider's word on a job that is not here: all others hear it."""
+        self.counts["call-backs passed on"] += 1
+        return self._to_all(CallBack(job_id, provider, state, result))
+
+    def called_off(self, now: int, job_id: str) -> list[Action]:
+        """A job that was taken over is called off at the provider that had it."""
+        held = self.held.get(job_id)
+        if held is None or held.answering:
+            return []
+        return self._again(now, held)
+
+    def again(self, now: int, job_id: str, *, may_have_run: bool) -> list[Action]:
+        """A kept job's attempt has ended and it may be taken anew."""
+        held = self.held.get(job_id)
+        if held is None:
+            return []
+        held.unproven = may_have_run
+        return self._again(now, held)
+
+    def leave(self, now: int) -> list[Action]:
+        """From now on nothing is sent; what is owed stays in the ledger, for the others."""
+        self.leaving = True
+        actions: list[Action] = []
+        for wait in list(self._calls.values()):
+            if not wait.off:
+                wait.off = True
+                actions.append(Go(wait.call, False))
+        self._calls.clear()
+        return actions + self.flush(now)
+
+    @property
+    def unflushed(self) -> bool:
+        return bool(self._changes)
+
+    @property
+    def settled(self) -> bool:
+        """Whether all that was appended is at a majority."""
+        return not self._changes and not self._waits
+
+    def flush(self, now: int) -> list[Action]:
+        """Appends all that was gathered."""
+        if not self._changes:
+            return []
+        changes, self._changes = list(self._changes.values()), {}
+        gathered, self._gathered = self._gathered, []
+        if self.fenced:
+            return self._fail_all(now, gathered)
+        seq, actions = self.ledgers.append(now, self.ledger, changes)
+        # 0: not its writer any more, as will be told; until then it is as if nobody answered
+        for wait in gathered:
+            wait.seq = seq or NEVER
+        self._waits.append((seq or NEVER, gathered))
+        return actions
+
+    # Machine
+
+    def ticked(self, now: int) -> list[Action]:
+        actions: list[Action] = []
+        late = [w for _, waits in self._waits for w in waits if w.until <= now and not w.off]
+        if late:
+            self.alone = True
+            self.counts["waits without a majority"] += len(late)
+            actions += self._fail_all(now, late)
+        while self._linger and (self._linger[0][0] <= now or len(self._linger) > _LINGERING):
+            self._write(drop_answer(self._linger.popleft()[1]))
+        for asking in [a for a in self.asking.values() if min(a.next_at, self._gives_up_at(a)) <= now]:
+            if self.asking.get(asking.record.id) is asking:
+                actions += self._ask(now, asking)
+        for due, life, whole in [told for told in self._tell if told[0] <= now]:
+            self._tell.remove((due, life, whole))
+            actions += self._to_all(TakenOver(life, whole))
+        for opened in [o for o in self.open.values() if o.due <= now]:
+            actions += self._claim(now, opened)
+        return actions + self.flush(now)
+
+    def next_at(self) -> int:
+        times = [w.until for _, waits in self._waits for w in waits if not w.off]
+        times += [min(a.next_at, self._gives_up_at(a)) for a in self.asking.values()]
+        times += [o.due for o in self.open.values()]
+        times += [due for due, _, _ in self._tell]
+        if self._linger:
+            times.append(self._linger[0][0])
+        return min(times, default=NEVER)
+
+    def received(self, now: int, sender: Life, message: Message) -> list[Action]:
+        actions: list[Action] = []
+        if isinstance(message, Ask):
+            actions = self._asked(now, sender, message)
+        elif isinstance(message, Said):
+            actions = self._said(now, sender, message)
+        elif isinstance(message, Told):
+            actions = self._told(now, message.id, message.verdict, message.result, message.retry_after)
+        elif isinstance(message, CallBack):
+            actions = [Heard(message.id, message.provider, message.state, message.result)]
+        elif isinstance(message, TakenOver) and message.life != self.me:
+            self._note_taken_over(now, message.life, message.whole)
+        return actions + self.flush(now)
+
+    def told(self, now: int, news: News) -> list[Action]:
+        """News of the other machines."""
+        actions: list[Action] = []
+        if isinstance(news, Kept):
+            if news.ledger == self.ledger:
+                actions = self._kept(now, news.seq)
+        elif isinstance(news, MemberChanged):
+            self._member(now, news)
+        elif isinstance(news, Claimed):
+            actions = self._claimed(now, news.ledger, news.content, whole=True)
+        elif isinstance(news, ClaimLost):
+            actions = self._claim_lost(now, news)
+        elif isinstance(news, NoMajority):
+            if news.ledger == self.ledger:
+                self.alone = not news.back
+                if self.alone:
+                    waits = [w for _, group in self._waits for w in group if w.until < NEVER and not w.off]
+                    actions = self._fail_all(now, waits)
+        elif isinstance(news, Moved):
+            if news.at.ledger == self.ledger:
+                self.alone = False
+        elif isinstance(news, Fenced) and news.ledger == self.ledger and not self.fenced:
+            actions = self._fence(now)
+        return actions + self.flush(now)
+
+    # Own jobs
+
+    def _passed(self, point: str) -> None:
+        if self.rules.passed is not None:
+            self.rules.passed(point)
+
+    def _write(self, change: Change, wait: _Wait | None = None) -> None:
+        # danger: a later change of the same key takes the place of the earlier one, at the end of the line
+        self._changes.pop(change.key, None)
+        self._changes[change.key] = change
+        if wait is not None:
+            self._gathered.append(wait)
+
+    def _take(self, now: int, held: Held) -> list[Action]:
+        held.record = msgspec.structs.replace(held.record, stage=Stage.TAKEN, provider="")
+        self.held[held.record.id] = held
+        self._write(put(held.record))
+        self._passed("after-taken")
+        return [Take(held.record)]
+
+    def _again(self, now: int, held: Held) -> list[Action]:
+        """Takes a job anew that another had, or answers it where it has no time or attempts left."""
+        held.record = msgspec.structs.replace(
+            held.record,
+            stage=Stage.TAKEN,
+            provider="",
+            may_have_run=held.record.may_have_run or held.unproven,
+        )
+        left = rules_of_claims.what(
+            held.record, safe=held.safe, whole=True, most_attempts=self.rules.most_attempts, now=now
+        )
+        if left is What.AGAIN:
+            return self._take(now, held)
+        answer = _FAILED if left is What.FAILED else self._rejection()
+        return self.ended(now, held.record.id, answer)
+
+    def _rejection(self) -> Answer:
+        return Answer(Verdict.REJECTED, retry_after=self.rules.retry_after)
+
+    def _go(self, now: int, held: Held, call: object, *, kept: bool) -> list[Action]:
+        self._calls.pop(call, None)
+        if held.over or self.fenced or self.leaving:
+            return [Go(call, False)]
+        if kept:
+            self._passed("after-intent")
+        else:
+            self.counts["unprotected"] += 1
+        held.unprotected = not kept
+        check("unsafe never sent twice", held.safe or not held.unproven, id=held.record.id)
+        check("at most three attempts", held.record.attempts <= self.rules.most_attempts, id=held.record.id)
+        held.unproven = True
+        return [Go(call, True)]
+
+    def may_send(self, job_id: str) -> bool:
+        """Whether an attempt's intent is at a majority, or its class is served without one: looked at by who
+        writes the first byte."""
+        held = self.held.get(job_id)
+        if held is None or held.intent is None:
+            return False
+        away = held.record.job_class in self.rules.turn_away
+        return held.intent.seq <= self.kept or (held.unprotected and not away)
+
+    def _unkept(self, now: int, held: Held, call: object) -> list[Action]:
+        """No majority has answered in time."""
+        if held.over:
+            return [Go(call, False)]
+        if not self.fenced and held.record.job_class not in self.rules.turn_away:
+            return self._go(now, held, call, kept=False)
+        self._calls.pop(call, None)
+        if self.fenced:
+            return [Go(call, False)]
+        self.counts["turned away"] += 1
+        answer = self._rejection() if held.safe else _FAILED
+        return [Go(call, False), Withdraw(held.record.id), *self._finish(now, held, answer)]
+
+    def _rejected(self, now: int, held: Held, answer: Answer) -> list[Action]:
+        self._passed("after-rejection")
+        return self._finish(now, held, answer)
+
+    def _finish(self, now: int, held: Held, answer: Answer) -> list[Action]:
+        if held.over:
+            return []
+        record = held.record
+        check("one answer", self.held.get(record.id) is held, id=record.id)
+        held.over = True
+        self.held.pop(record.id, None)
+        rejected = answer.verdict is Verdict.REJECTED
+        self.answers.keep(record.id, record.digest, answer, now, rejected=rejected)
+        self._write(drop(record.id))
+        if not held.safe and not rejected:
+            self._write_answer(now, record.id, record.digest, answer)
+        return self._tell_all(record.id, held.waiters, held.remote, answer)
+
+    def _write_answer(self, now: int, job_id: str, digest: bytes, answer: Answer) -> None:
+        """Danger: dropped alone, a booking whose answer was lost on the way would be unknown to whoever takes
+        over, and its repeat would run."""
+        verdict, result = answer.verdict, answer.result
+        if len(result) > _RESULT_WRITTEN:
+            verdict, result = Verdict.FAILED, b""
+        self._write(put_answer(AnswerRecord(id=job_id, digest=digest, verdict=verdict.value, result=result)))
+        self._linger.append((now + LINGER, job_id))
+
+    def _tell_all(
+        self, job_id: str, waiters: Iterable[object], remote: Iterable[Life], answer: Answer
+    ) -> list[Action]:
+        told = Told(job_id, answer.verdict.value, answer.result, answer.retry_after)
+        return [*(Reply(waiter, answer) for waiter in waiters), *(Send(life, told) for life in remote)]
+
+    def _kept(self, now: int, seq: int) -> list[Action]:
+        self.alone = False
+        self.kept = max(self.kept, seq)
+        actions: list[Action] = []
+        while self._waits and self._waits[0][0] <= seq:
+            for wait in self._waits.popleft()[1]:
+                if not wait.off:
+                    wait.off = True
+                    actions += wait.kept(now)
+        return actions
+
+    def _fail(self, now: int, wait: _Wait) -> list[Action]:
+        if wait.off:
+            return []
+        wait.off = True
+        return wait.failed(now)
+
+    def _fail_all(self, now: int, waits: Iterable[_Wait]) -> list[Action]:
+        return [action for wait in waits for action in self._fail(now, wait)]
+
+    def _fence(self, now: int) -> list[Action]:
+        """Danger: from here on another may do whatever this life owes."""
+        self.fenced = True
+        self.counts["fenced"] += 1
+        waits = [w for _, group in self._waits for w in group] + self._gathered
+        self._waits.clear()
+        self._gathered, self._changes = [], {}
+        actions = self._fail_all(now, waits)
+        self._changes.clear()
+        for job_id, held in list(self.held.items()):
+            held.over = True
+            actions.append(Forget(job_id))
+            if held.waiters:
+                # its consumers still wait: they get the answer from whoever has it now
+                self.asking[job_id] = Asking(held.record, held.safe, held.waiters, now, may_take=False)
+        self.held.clear()
+        self.open.clear()
+        return [*actions, Superseded()]
+
+    # Repeats
+
+    def _asks_unmarked(self, now: int) -> bool:
+        """Danger: a process that was stopped may read requests that came before it was taken over, and
+        another has them by now; at first it asks for all that must not run twice."""
+        return self.rules.ask_all or (
+            self.me.start > 0 and self.counts["fenced"] > 0 and now < self.begun + LINGER
+        )
+
+    def _join(self, now: int, record: JobRecord, waiter: object) -> list[Action] | None:
+        """Joins a consumer to what is known of its id here; None if nothing is."""
+        ended = self.answers.find(record.id, now)
+        if ended is not None:
+            self.counts["answered again"] += 1
+            return [Reply(waiter, ended.answer if ended.digest == record.digest else None)]
+        known = self.held.get(record.id) or self.asking.get(record.id)
+        if known is None:
+            return None
+        if known.record.digest != record.digest:
+            return [Reply(waiter, None)]
+        self.counts["joined"] += 1
+        known.waiters.append(waiter)
+        return []
+
+    def _gives_up_at(self, asking: Asking) -> int:
+        if not asking.safe or not asking.may_take or asking.holder is not None:
+            return asking.record.until
+        return min(asking.begun + _SAFE_WAITS, (asking.begun + asking.record.until) // 2)
+
+    def _ask(self, now: int, asking: Asking) -> list[Action]:
+        """Begins a round; ends the asking where time is over, or the job has come here meanwhile."""
+        record = asking.record
+        if (held := self.held.get(record.id)) is not None:
+            del self.asking[record.id]
+            held.waiters += asking.waiters
+            held.remote |= asking.remote
+            return []
+        if (ended := self.answers.find(record.id, now)) is not None:
+            del self.asking[record.id]
+            return self._tell_all(record.id, asking.waiters, asking.remote, ended.answer)
+        if now >= self._gives_up_at(asking):
+            if asking.safe and asking.may_take and now < record.until:
+                self.counts["taken without all answers"] += 1
+                return self._take_asked(now, asking)
+            # danger: a repeat of a job that somebody may have run
+            answer = self._rejection() if asking.safe else _FAILED
+            return self._end_asking(now, asking, answer)
+        asking.new_round(now)
+        if asking.holder is not None:
+            return [Send(asking.holder, Ask(record.id, record.digest, asking.round))]
+        actions = self._to_all(Ask(record.id, record.digest, asking.round))
+        return actions + self._decide(now, asking)
+
+    def _end_asking(self, now: int, asking: Asking, answer: Answer) -> list[Action]:
+        self.asking.pop(asking.record.id, None)
+        return self._tell_all(asking.record.id, asking.waiters, asking.remote, answer)
+
+    def _take_asked(self, now: int, asking: Asking) -> list[Action]:
+        del self.asking[asking.record.id]
+        held = Held(asking.record, asking.safe, asking.waiters, asking.remote)
+        if (self.alone or self.fenced) and asking.record.job_class in self.rules.turn_away:
+            return self._tell_all(asking.record.id, asking.waiters, asking.remote, _FAILED)
+        return self._take(now, held)
+
+    def _decide(self, now: int, asking: Asking) -> list[Action]:
+        """Takes the job once all that live have said, in one round, that they have it not."""
+        if asking.holder is not None or not asking.clean or self.open or now < self.begun + _SETTLED:
+            return []
+        if any(m.card.life not in asking.heard for m in self.members.alive() if m.card.life != self.me):
+            return []
+        lost = asking.lost or self._has_lost(now)
+        if (lost and not asking.safe) or not asking.may_take:
+            # nobody has it: it has ended and is forgotten, or was with a life of which nobody knows all
+            self.counts["not found"] += 1
+            return self._end_asking(now, asking, self._rejection() if asking.safe else _FAILED)
+        self.counts["repeats taken"] += 1
+        return self._take_asked(now, asking)
+
+    def _has_lost(self, now: int) -> bool:
+        self._lost = {life: until for life, until in self._lost.items() if until > now}
+        return bool(self._lost)
+
+    def _asked(self, now: int, sender: Life, ask: Ask) -> list[Action]:
+        word, answer = Word.NONE, None
+        ended = self.answers.find(ask.id, now)
+        held, asking = self.held.get(ask.id), self.asking.get(ask.id)
+        known = held or asking
+        actions: list[Action] = []
+        if ended is not None:
+            word, answer = (Word.ENDED, ended.answer) if ended.digest == ask.digest else (Word.OTHER, None)
+        elif known is not None and known.record.digest != ask.digest:
+            word = Word.OTHER
+        elif held is not None or (asking is not None and asking.holder is None and self.me < sender):
+            # of two that ask for the same id, the one whose name is first goes on
+            word = Word.HAVE
+            assert known is not None
+            if len(known.remote) < _REMOTE:
+                known.remote[sender] = None
+        else:
+            self.promises.give(ask.id, now)
+            if asking is not None:
+                asking.new_round(now)  # danger: what it was told before it gave way does not count any more
+                asking.next_at = now
+        said = Said(
+            ask.id,
+            ask.round,
+            word,
+            answer.verdict.value if answer is not None else "",
+            answer.result if answer is not None else b"",
+            answer.retry_after if answer is not None else 0,
+            tuple(self.open),
+            tuple(self._lost) if self._has_lost(now) else (),
+        )
+        return [*actions, Send(sender, said)]
+
+    def _said(self, now: int, sender: Life, said: Said) -> list[Action]:
+        asking = self.asking.get(said.id)
+        if asking is None:
+            return []
+        if said.word is Word.ENDED:
+            return self._told(now, said.id, said.verdict, said.result, said.retry_after)
+        if said.word is Word.OTHER:
+            self._drop_asking(asking)
+            return [Reply(waiter, None) for waiter in asking.waiters]
+        if said.word is Word.HAVE:
+            if asking.holder != sender:
+                asking.holder, asking.next_at = sender, now + POLL
+            return []
+        if asking.holder == sender:
+            # it had it and has forgotten: all are asked again
+            asking.holder, asking.next_at = None, now
+            return []
+        if said.round != asking.round:
+            return []
+        asking.heard.add(sender)
+        asking.clean = asking.clean and not said.open
+        asking.lost = asking.lost or bool(said.lost)
+        return self._decide(now, asking)
+
+    def _drop_asking(self, asking: Asking) -> None:
+        self.asking.pop(asking.record.id, None)
+
+    def _told(self, now: int, job_id: str, verdict: str, result: bytes, retry_after: int) -> list[Action]:
+        asking = self.asking.get(job_id)
+        if asking is None or verdict not in _VERDICTS:
+            return []
+        answer = Answer(_VERDICTS[verdict], result, retry_after)
+        rejected = answer.verdict is Verdict.REJECTED
+        self.answers.keep(job_id, asking.record.digest, answer, now, rejected=rejected)
+        return self._end_asking(now, asking, answer)
+
+    def _to_all(self, message: Message) -> list[Action]:
+        return [Send(m.card.life, message) for m in self.members.alive() if m.card.life != self.me]
+
+    # Taking over
+
+    def _member(self, now: int, news: MemberChanged) -> None:
+        card, life = news.member.card, news.member.card.life
+        if life == self.me:
+            return
+        if news.member.health not in (Health.DEAD, Health.LEFT):
+            opened = self.open.get(life)
+            if opened is not None and not opened.claiming and opened.heir_of is None:
+                del self.open[life]
+            return
+        for asking in self.asking.values():
+            asking.remote.pop(life, None)
+            if asking.holder == life:
+                asking.holder, asking.next_at = None, now
+        for held in self.held.values():
+            held.remote.pop(life, None)
+        if life in self.open or life in self.taken_over or self.leaving or self.fenced:
+            return
+        ledger = job_ledger(life)
+        at = next((at for at in card.ledgers if at.ledger == ledger), None)
+        if at is not None:
+            self._open(now, life, at, None)
+
+    def _open(self, now: int, life: Life, at: LedgerAt, heir_of: Life | None) -> None:
+        names = [m.card.life.name for m in self.members.alive()]
+        before = 0 if heir_of is not None else turn(at.ledger, self.me.name, names)
+        self.open[life] = _Open(life, at, now, now + before * STAND, heir_of=heir_of)
+
+    def _claim(self, now: int, opened: _Open) -> list[Action]:
+        """This member's turn has come: the claim is written down, then the ledger sealed."""
+        opened.due = now + _RETRY
+        if opened.by is not None and opened.by not in self.open:
+            opened.by = None  # whoever had it has been taken over: with it, this
+            if opened.heir_of is None:
+                del self.open[opened.life]
+                return []
+        if opened.claiming or opened.adopting or opened.by is not None or self.leaving:
+            return []
+        opened.claiming = True
+        opened.tries += 1
+        self.counts["claims"] += 1
+        self._passed("before-claim")
+        return self.ledgers.claim(now, opened.at)
+
+    def _find_open(self, ledger: str) -> _Open | None:
+        return next((o for o in self.open.values() if o.at.ledger == ledger), None)
+
+    def _claim_lost(self, now: int, news: ClaimLost) -> list[Action]:
+        opened = self._find_open(news.ledger)
+        if opened is None:
+            return []
+        if news.by is None:
+            keepers = opened.at.keepers
+            there = sum(self.members.health(k) in (Health.ALIVE, Health.SUSPECT) for k in keepers)
+            if 2 * there > len(keepers) and opened.tries < _TRIES:
+                opened.claiming, opened.due = False, now + _RETRY
+                return []
+            self.counts["ledgers lost"] += 1
+            return self._claimed(now, news.ledger, news.partial, whole=False)
+        if news.by == self.me or news.by == opened.heir_of:
+            return self._claimed(now, news.ledger, news.partial, whole=True)
+        opened.claiming = False
+        if self.members.health(news.by) in (Health.ALIVE, Health.SUSPECT):
+            # it tells itself that the ledger is open until all of it is its own
+            del self.open[opened.life]
+            self._remember(now, opened.life, True)
+        else:
+            opened.by = news.by
+        return []
+
+    def _claimed(self, now: int, ledger: str, content: dict[str, bytes], *, whole: bool) -> list[Action]:
+        """All goes into the own ledger, in one append, before anything of it is done."""
+        opened = self._find_open(ledger)
+        if opened is None or opened.adopting:
+            return []
+        self._passed("after-seal")
+        opened.adopting = True
+        check("one holder", not whole or not self.taken_over.get(opened.life), ledger=ledger)
+        records = jobs(content)
+        kept_answers = answers(content)
+        further = [at for at in claims(content) if at.ledger != self.ledger]
+        self.counts["unreadable"] += len(content) - len(records) - len(kept_answers) - len(further)
+        for record in records:
+            if record.id not in self.held:
+                self._write(put(record))
+        for answer in kept_answers:
+            self._write(put_answer(answer))
+        for at in further:
+            self._write(Change(CLAIM + at.ledger, content[CLAIM + at.ledger]))
+        # last: whoever reads a part of this append finds the claim still
+        self._write(
+            drop_claim(ledger),
+            _Wait(
+                NEVER,
+                lambda at: self._act(at, opened, records, kept_answers, further, whole=whole),
+                lambda at: [],
+            ),
+        )
+        return self.flush(now)
+
+    def _act(
+        self,
+        now: int,
+        opened: _Open,
+        records: list[JobRecord],
+        kept_answers: list[AnswerRecord],
+        further: list[LedgerAt],
+        *,
+        whole: bool,
+    ) -> list[Action]:
+        self._passed("after-adoption")
+        life = opened.life
+        actions: list[Action] = []
+        for answer in kept_answers:
+            verdict = _VERDICTS.get(answer.verdict, Verdict.FAILED)
+            found = Answer(verdict, answer.result)
+            self.answers.keep(answer.id, answer.digest, found, now, rejected=False)
+            self._linger.append((now + LINGER, answer.id))
+        for record in records:
+            actions += self._adopt(now, record, whole=whole)
+        del self.open[life]
+        for at in further:
+            other = _life_of(at.ledger)
+            if other is not None and other not in self.taken_over and other != self.me:
+                self._open(now, other, at, life)
+        self._note_taken_over(now, life, whole)
+        self._tell += [(now + later, life, whole) for later in _TELL_AGAIN]
+        self.counts["ledgers taken over"] += 1
+        self.counts["jobs taken over"] += len(records)
+        # what waits here for an answer may be among these
+        for asking in list(self.asking.values()):
+            actions += self._ask(now, asking)
+        return [
+            *self._to_all(TakenOver(life, whole)),
+            Adopted(life, len(records), whole, now - opened.since),
+            *actions,
+        ]
+
+    def _adopt(self, now: int, record: JobRecord, *, whole: bool) -> list[Action]:
+        if record.id in self.held:
+            self.counts["already here"] += 1
+            return []
+        safe = self.rules.safe.get(record.job_class, False)
+        held = Held(record, safe, [], adopted=True, unproven=record.may_have_run)
+        what = rules_of_claims.what(
+            record, safe=safe, whole=whole, most_attempts=self.rules.most_attempts, now=now
+        )
+        if record.job_class not in self.rules.safe:
+            what = What.FAILED
+        self.counts[f"taken over: {what.value}"] += 1
+        self.held[record.id] = held
+        if what is What.AGAIN:
+            return self._take(now, held)
+        if what is What.CALL_OFF:
+            held.unproven = True
+            return [CallOff(record)]
+        if what is What.KEEP:
+            held.unproven = True
+            return [Keep(record, safe)]
+        if what is What.REJECTED:
+            return self._finish(now, held, self._rejection())
+        return self._finish(now, held, _FAILED)
+
+    def _note_taken_over(self, now: int, life: Life, whole: bool) -> None:
+        self._remember(now, life, whole)
+        opened = self.open.get(life)
+        # danger: what another could still read in part is no end of a claim that may bring all of it
+        if opened is not None and not opened.adopting and (whole or not opened.claiming):
+            del self.open[life]
+        for other in list(self.open.values()):
+            if other.by == life and other.heir_of is None and not other.adopting:
+                del self.open[other.life]
+
+    def _remember(self, now: int, life: Life, whole: bool) -> None:
+        self.taken_over[life] = whole
+        if not whole:
+            self._lost[life] = now + self.rules.keep_for
+        while len(self.taken_over) > _REMEMBERED:
+            self.taken_over.popitem(last=False)
+
+
+def _life_of(ledger: str) -> Life | None:
+    """Whose jobs are in a ledger of that name; None for another kind of ledger."""
+    name, _, start = ledger.removeprefix("jobs/").rpartition("/")
+    if not ledger.startswith("jobs/") or not name or not start.isdigit():
+        return None
+    return Life(name, int(start))
--- /dev/null
+++ b/ironbarrow/fleet/takeover/messages.py
@@ -0,0 +1,69 @@
+"""What members tell each other of jobs. Kinds 40 to 49. No input or output."""
+
+import enum
+
+from ironbarrow.fleet.api import Life, Message
+
+
+class Word(enum.IntEnum):
+    """What a member knows of an id."""
+
+    NONE = 0  # nothing, and from now on it does not take it either without asking
+    HAVE = 1  # the job is its own; the answer follows as ``Told``
+    ENDED = 2  # the answer is in the message
+    OTHER = 3  # another request is under that id
+
+
+class Ask(Message, frozen=True, array_like=True):
+    """Who has the job of that id? Answered by ``Said`` of the same round."""
+
+    KIND = 40
+    id: str
+    digest: bytes
+    round: int
+
+
+class Said(Message, frozen=True, array_like=True):
+    """``open``: lives that have ended and whose ledgers nobody is known to have taken over yet; ``lost``:
+    lives of which no majority remembers the ledger, so that nobody knows all that they had."""
+
+    KIND = 41
+    id: str
+    round: int
+    word: Word
+    verdict: str = ""
+    result: bytes = b""
+    retry_after: int = 0
+    open: tuple[Life, ...] = ()
+    lost: tuple[Life, ...] = ()
+
+
+class Told(Message, frozen=True, array_like=True):
+    """The answer of a job that the other has asked for."""
+
+    KIND = 42
+    id: str
+    verdict: str
+    result: bytes = b""
+    retry_after: int = 0
+
+
+class CallBack(Message, frozen=True, array_like=True):
+    """A provider's word on a job that the sender does not have. It is passed on once, never further."""
+
+    KIND = 43
+    id: str
+    provider: str
+    state: str
+    result: bytes = b""
+
+
+class TakenOver(Message, frozen=True, array_like=True):
+    """The sender has what a life owed. ``whole``: all of it; else what could still be read."""
+
+    KIND = 44
+    life: Life
+    whole: bool = True
+
+
+KINDS: tuple[type[Message], ...] = (Ask, Said, Told, CallBack, TakenOver)
--- /dev/null
+++ b/ironbarrow/fleet/takeover/orders.py
@@ -0,0 +1,85 @@
+"""What the machine of taking over tells the process that it is part of. No input or output."""
+
+from dataclasses import dataclass
+
+from ironbarrow.core.host import Answer
+from ironbarrow.fleet.api import Life, News
+from ironbarrow.fleet.records import JobRecord
+
+
+@dataclass(frozen=True, slots=True)
+class Take(News):
+    """The job is this process's: the host takes it, with the attempts that are left."""
+
+    record: JobRecord
+
+
+@dataclass(frozen=True, slots=True)
+class Keep(News):
+    """A provider may have the job: it waits for its call-back and is never sent beside it."""
+
+    record: JobRecord
+    safe: bool
+
+
+@dataclass(frozen=True, slots=True)
+class CallOff(News):
+    """The job's provider is told to stop; ``Takeover.called_off`` follows."""
+
+    record: JobRecord
+
+
+@dataclass(frozen=True, slots=True)
+class Reply(News):
+    """A consumer's one answer; None: another request is under that id."""
+
+    waiter: object
+    answer: Answer | None
+
+
+@dataclass(frozen=True, slots=True)
+class Go(News):
+    """A call's first byte may be written, or (``may`` False) never is."""
+
+    call: object
+    may: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Withdraw(News):
+    """Nothing more is owed of the job here: what is out is called off."""
+
+    id: str
+
+
+@dataclass(frozen=True, slots=True)
+class Forget(News):
+    """Another has the job now: nothing of it is sent, called off or answered here."""
+
+    id: str
+
+
+@dataclass(frozen=True, slots=True)
+class Heard(News):
+    """A provider's word that came to another member."""
+
+    id: str
+    provider: str
+    state: str
+    result: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Adopted(News):
+    """All that a life owed is in this member's ledger, and what is to be done with it has begun. ``whole``
+    False: what could still be read of it."""
+
+    life: Life
+    jobs: int
+    whole: bool
+    after: int  # ns since this member held that life for ended
+
+
+@dataclass(frozen=True, slots=True)
+class Superseded(News):
+    """Another has sealed this member's ledger: it goes on as a new life or not at all."""
--- a/ironbarrow/fronts/consumers.py
+++ b/ironbarrow/fronts/consumers.py
@@ -4,6 +4,7 @@
 import select
 import socket
 from collections.abc import Callable
+from functools import partial
 from hashlib import blake2b
 from typing import Any, Protocol
 from urllib.parse import unquote
@@ -26,6 +27,19 @@
         """The ticket of an admitted request, or how it is turned away."""
 
 
+class Shared(Protocol):
+    """Where jobs go where several processes answer for each other's."""
+
+    def take(
+        self, payload: Payload, answered: "Callable[[Answer | None], None]", **placed: Any
+    ) -> Callable[[], None]:
+        """As ``Host.take``; ``answered`` may be told None: another request is under that id. Gives back what
+        is called when the consumer leaves, or has its answer."""
+
+    def readiness(self) -> str:
+        """One line of text: who answers for whom at present."""
+
+
 _IDLE_LIMIT = 120 * SECOND
 _FIRST_LIMIT = 2 * SECOND  # from accepting a connection to the first byte on it
 _REQUEST_LIMIT = 2500 * MS  # from a request's first byte, or from accepting, to its last byte
@@ -81,6 +95,7 @@
         self.router: Router | None = (
             None  # the operators' routes; without them the path's first part is the class
         )
+        self.shared: Shared | None = None  # without it every job is the host's
         loop.spawn(self._accept())
 
     @property
@@ -223,6 +238,8 @@
             if path == "/-/ready":
                 _expect(request, "GET")
                 status, body = (200, b"ready") if self._host.listed else (503, b"no list of providers yet")
+                if self.shared is not None:
+                    headers.append(("X-Fleet", self.shared.readiness()))
             elif path == "/callback":
                 _expect(request, "POST")
                 status, body = self._call_back(request)
@@ -260,24 +277,28 @@
         self, connection: Connection, task: Task, request: Message, path: str
     ) -> Coroutine[Answer | None]:
         """Hands in a job and waits for its final answer; None if the consumer left first."""
-        answers: list[Answer] = []
+        answers: list[Answer | None] = []
 
-        def answered(answer: Answer) -> None:
+        def answered(answer: Answer | None) -> None:
             answers.append(answer)
             task.wake()
 
-        job = self._take(request, path, answered)
-        self.asking[job] = connection, task
+        left = self._take(connection, task, request, path, answered)
         try:
             while not answers:
-                until = job.deadline + 3600 * SECOND  # the host answers every job long before
-                yield Wait(connection.sock.fileno(), HANGUP, until)
+                # it is answered long before
+                yield Wait(connection.sock.fileno(), HANGUP, self._loop.now() + 3600 * SECOND)
                 if not answers and connection.is_gone():
                     return None
-            return answers[0]
         finally:
-            self.asking.pop(job, None)
-            self._host.withdraw(job)
+            left()
+        if answers[0] is None:
+            raise BadRequestError(409, "another request is under this X-Request-ID")
+        return answers[0]
+
+    def _withdraw(self, job: Job) -> None:
+        self.asking.pop(job, None)
+        self._host.withdraw(job)
 
     def adopt(
         self, sock: socket.socket, begin: Callable[[Callable[[Answer], None]], Callable[[], None]]
@@ -318,7 +339,15 @@
             self._open -= 1
             connection.close()
 
-    def _take(self, request: Message, path: str, answered: Callable[[Answer], None]) -> Job:
+    def _take(
+        self,
+        connection: Connection,
+        task: Task,
+        request: Message,
+        path: str,
+        answered: Callable[[Answer | None], None],
+    ) -> Callable[[], None]:
+        """Hands in a job; gives back what is called at the end, or when the consumer leaves before it."""
         headers = request.headers
         if request.repeated & _ONCE:
             raise BadRequestError(400, f"repeated: {', '.join(sorted(request.repeated & _ONCE))}")
@@ -328,7 +357,7 @@
             raise BadRequestError(400, "X-Request-ID is missing or malformed")
         if not job_id.isascii():
             raise BadRequestError(400, "X-Request-ID is not ASCII")
-        if self._host.knows(job_id):
+        if self.shared is None and self._host.knows(job_id):
             raise BadRequestError(409, "a job with this X-Request-ID is under way")
         attributes = _attributes(headers.get("x-attrs", ""))
         time_left = _milliseconds(headers.get("x-timeout-ms", "")) * MS
@@ -336,15 +365,19 @@
             placed = self._routed(request, time_left)
         else:
             placed = {"job_class": unquote(path.split("/")[1]), "key": _key(headers.get("cookie", ""))}
-        return self._host.take(
-            Payload(job_id, request.method, request.target, request.body, headers.get("content-type", "")),
-            answered,
-            time_left=time_left,
-            **placed,
-            slots=attributes.get("slots", 1.0),
-            memory=attributes.get("memory", 0.0),
-            repeat=headers.get("x-retried", "").strip() == "1",
-        )
+        content_type = headers.get("content-type", "")
+        job = Payload(job_id, request.method, request.target, request.body, content_type)
+        placed |= {
+            "time_left": time_left,
+            "slots": attributes.get("slots", 1.0),
+            "memory": attributes.get("memory", 0.0),
+            "repeat": headers.get("x-retried", "").strip() == "1",
+        }
+        if self.shared is not None:
+            return self.shared.take(job, answered, **placed)
+        taken = self._host.take(job, answered, **placed)
+        self.asking[taken] = connection, task
+        return partial(self._withdraw, taken)
 
     def _routed(self, request: Message, time_left: int) -> dict[str, Any]:
         """Class, key, tenant and terms by the operators' routes; a BadRequestError if they turn it away.
--- a/ironbarrow/handover/keeper.py
+++ b/ironbarrow/handover/keeper.py
@@ -15,6 +15,7 @@
 
 _EARLY_MOST = 1024  # call-backs that are remembered for a job still on its way here
 _EARLY_FOR = 2_000_000_000  # ns
+_EARLY_BYTES = 4 << 20  # of their results
 
 
 class End(Enum):
@@ -41,10 +42,20 @@
 
 
 class Keeper:
-    """All of them. ``most_attempts``: of one job, those of the old process included."""
-
-    def __init__(self, most_attempts: int, retry_after: int) -> None:
+    """All of them. ``most_attempts``: of one job, those of the old process included. ``early_for`` (ns),
+    ``early_most``: how long, and how many, call-backs are remembered for jobs that are not here yet."""
+
+    def __init__(
+        self,
+        most_attempts: int,
+        retry_after: int,
+        *,
+        early_for: int = _EARLY_FOR,
+        early_most: int = _EARLY_MOST,
+    ) -> None:
         self._most_attempts = most_attempts
+        self._early_for, self._early_most = early_for, early_most
+        self._early_bytes = 0
         self._retry_after = retry_after  # ns; 0: consumers are not told
         self.jobs: dict[str, Kept] = {}
         self._early: OrderedDict[tuple[str, str], tuple[int, str, bytes]] = OrderedDict()
@@ -52,9 +63,20 @@
     def keep(self, kept: Kept, now: int) -> None:
         """Keeps a job until its call-back or its time; a call-back that came before it counts."""
         self.jobs[kept.record.id] = kept
-        early = self._early.pop((kept.record.id, kept.record.provider), None)
-        if early is not None and early[0] + _EARLY_FOR >= now:
-            self.called_back(kept.record.id, kept.record.provider, early[1], early[2], now)
+        early = self.early(kept.record.id, kept.record.provider, now)
+        if early is not None:
+            self.called_back(kept.record.id, kept.record.provider, *early, now)
+
+    def early(self, job_id: str, provider: str, now: int) -> tuple[str, bytes] | None:
+        """Takes out what a provider has said of a job before it was here: state and result."""
+        found = self._forget_early((job_id, provider))
+        return found[1:] if found is not None and found[0] + self._early_for >= now else None
+
+    def _forget_early(self, key: tuple[str, str]) -> tuple[int, str, bytes] | None:
+        found = self._early.pop(key, None)
+        if found is not None:
+            self._early_bytes -= len(found[2])
+        return found
 
     def called_back(self, job_id: str, provider: str, state: str, result: bytes, now: int) -> bool:
         """A provider's word; False if no job here waits for it, and then it is remembered for a while, since
@@ -62,9 +84,11 @@
         kept = self.jobs.get(job_id)
         if kept is None or kept.record.provider != provider:
             if state in _ENDS:
+                self._forget_early((job_id, provider))
                 self._early[job_id, provider] = (now, state, result)
-                while len(self._early) > _EARLY_MOST:
-                    self._early.popitem(last=False)
+                self._early_bytes += len(result)
+                while len(self._early) > self._early_most or self._early_bytes > _EARLY_BYTES:
+                    self._forget_early(next(iter(self._early)))
             return False
         if state in _ENDS:
             self._end(kept, _ENDS[state], result, now)
