--- /dev/null
+++ b/ironbarrow/fleet/members/messages.py
@@ -0,0 +1,84 @@
+"""What members say to each other. Times that cross the network are lengths, ms."""
+
+from typing import ClassVar
+
+from msgspec import Struct
+
+from ironbarrow.fleet.api import Card, Health, Life, Message
+
+RANKS = (Health.ALIVE, Health.SUSPECT, Health.DEAD, Health.LEFT)  # by their number on the wire
+RANK = {health: number for number, health in enumerate(RANKS)}
+VERSION_MOST = 1 << 53  # danger: a version without bound in a broken message could never be outdone
+
+
+class Rumour(Struct, frozen=True, array_like=True):
+    """What is said of a life: of two, the higher (version, health) counts, and LEFT over all."""
+
+    life: Life
+    version: int
+    health: int
+    by: str = ""  # who could not reach it itself
+    age_ms: int = 0  # since its death
+    card: Card | None = None
+
+
+class Ping(Message, frozen=True, array_like=True):
+    """Are you there? ``version``: of the sender's card; ``seen``, ``seen_health``: what it holds of the one
+    that is asked (-1: nothing), so that that one can object at once."""
+
+    KIND: ClassVar[int] = 1
+    number: int
+    version: int
+    seen: int = -1
+    seen_health: int = 0
+    news: tuple[Rumour, ...] = ()
+
+
+class Ack(Message, frozen=True, array_like=True):
+    """Here, or (with ``about``) what came of an ``Ask``."""
+
+    KIND: ClassVar[int] = 2
+    number: int
+    version: int
+    seen: int = -1
+    seen_health: int = 0
+    news: tuple[Rumour, ...] = ()
+    about: Life | None = None
+    reached: bool = True
+
+
+class Ask(Message, frozen=True, array_like=True):
+    """Ask that one for me."""
+
+    KIND: ClassVar[int] = 3
+    number: int
+    target: Life
+    seen: int = -1
+    seen_health: int = 0
+    news: tuple[Rumour, ...] = ()
+
+
+class Sync(Message, frozen=True, array_like=True):
+    """All that the sender knows of one of ``parts`` parts of the names, without cards, and its own card. The
+    answer is ``Cards`` and ``Want``."""
+
+    KIND: ClassVar[int] = 4
+    card: Card
+    parts: int = 1
+    part: int = 0
+    known: tuple[Rumour, ...] = ()
+
+
+class Cards(Message, frozen=True, array_like=True):
+    """Rumours, most of them with cards. ``synced``: they are one member's view, not news."""
+
+    KIND: ClassVar[int] = 5
+    items: tuple[Rumour, ...]
+    synced: bool = False
+
+
+class Want(Message, frozen=True, array_like=True):
+    """The cards of these, please."""
+
+    KIND: ClassVar[int] = 6
+    names: tuple[str, ...]
