--- a/ironbarrow/fleet/codec.py
+++ b/ironbarrow/fleet/codec.py
@@ -35,13 +35,21 @@
 
     def __init__(self, kinds: Iterable[type[Message]]) -> None:
         self._decoders: dict[int, msgspec.msgpack.Decoder[Message]] = {}
+        self.learn(kinds)
+        self._encoder = msgspec.msgpack.Encoder()
+        self._frame = msgspec.msgpack.Decoder(_Frame)
+        self.dropped: Counter[str] = Counter()  # by cause: "version", "kind", "malformed"
+
+    def learn(self, kinds: Iterable[type[Message]]) -> None:
+        """Adds the messages of another part; a ValueError as above."""
         for kind in kinds:
             if kind.KIND in self._decoders or not 1 <= kind.KIND < 128:
                 raise ValueError(f"{kind.__name__}: its number is taken or out of range: {kind.KIND}")
             self._decoders[kind.KIND] = msgspec.msgpack.Decoder(kind)
-        self._encoder = msgspec.msgpack.Encoder()
-        self._frame = msgspec.msgpack.Decoder(_Frame)
-        self.dropped: Counter[str] = Counter()  # by cause: "version", "kind", "malformed"
+
+    def forget(self) -> None:
+        """Knows no messages any more; what was counted stays."""
+        self._decoders.clear()
 
     def encode(self, sender: Life, to_start: int, message: Message) -> bytes:
         """One frame; a ValueError if it is over ``FRAME_MOST``."""
@@ -74,6 +82,11 @@
     def __init__(self) -> None:
         self._data = bytearray()
 
+    @property
+    def waiting(self) -> int:
+        """Bytes of a frame that is not whole yet."""
+        return len(self._data)
+
     def feed(self, data: bytes) -> list[bytes]:
         """The frames that are whole now, without their lengths; a FrameError for a length out of range."""
         self._data += data
--- a/ironbarrow/fleet/file.py
+++ b/ironbarrow/fleet/file.py
@@ -36,6 +36,17 @@
     most: Annotated[int, Meta(ge=1024)] = 4096  # members that are kept in the list
 
 
+class LinkRules(_Table, frozen=True):
+    """Bounds of what carries messages: connections, and what waits to be sent."""
+
+    outgoing: Annotated[int, Meta(ge=16)] = 256  # connections that this member opens
+    incoming: Annotated[int, Meta(ge=16)] = 512  # and those that others open to it
+    idle: Duration = ms(20_000)  # an unused one is closed
+    queue: Annotated[int, Meta(ge=64)] = 2048  # messages that wait for one peer
+    queue_kb: Annotated[int, Meta(ge=1025)] = 2048  # and their size: one frame of 1 MiB at least
+    memory_mb: Annotated[int, Meta(ge=2)] = 32  # of all that waits to be sent; as much for frames half read
+
+
 class LedgerRules(_Table, frozen=True):
     """How many keep what a dispatcher owes, and how long is waited for them."""
 
@@ -75,6 +86,7 @@
     seeds: list[str] = msgspec.field(default_factory=list)  # "name=host:port"
     site: str = ""  # "": the zone of the settings
     members: MemberRules = MemberRules()
+    links: LinkRules = LinkRules()
     ledgers: LedgerRules = LedgerRules()
     answers: AnswerRules = AnswerRules()
     starvation: StarvationRules | None = None  # None: waits are not compared
@@ -130,8 +142,16 @@
     for other, address in fleet.routes.items():
         _address(f"routes.{other}", address)
     rules = fleet.members
-    if rules.timeout >= rules.period:
-        raise ValueError(f"members.timeout: expected less than members.period, got {rules.timeout / 1e6} ms")
+    if not 0 < rules.timeout < rules.period:
+        text = "expected more than 0 and less than members.period"
+        raise ValueError(f"members.timeout: {text}, got {rules.timeout / 1e6} ms")
+    for key, value, least in (
+        ("members.suspect_for", rules.suspect_for, rules.period),
+        ("members.keep_dead", rules.keep_dead, 10 * rules.suspect_for),
+        ("links.idle", fleet.links.idle, 1_000_000_000),
+    ):
+        if value < least:
+            raise ValueError(f"{key}: expected at least {least / 1e6:g} ms, got {value / 1e6:g} ms")
 
 
 def _address(key: str, text: str, least_port: int = 1) -> None:
--- a/ironbarrow/fleet/members/machine.py
+++ b/ironbarrow/fleet/members/machine.py
@@ -100,11 +100,19 @@
 
 
 class MemberMachine:
-    """The list of one member. ``seeds``: names that it knows from its file, none of them its own."""
+    """The list of one member. ``seeds``: names that it knows from its file, none of them its own; ``known``:
+    cards of others that an earlier life of it held alive."""
 
     handles: tuple[type[Message], ...] = (Ping, Ack, Ask, Sync, Cards, Want)
 
-    def __init__(self, me: Card, rules: MemberRules, seeds: Iterable[str] = (), now: int = 0) -> None:
+    def __init__(
+        self,
+        me: Card,
+        rules: MemberRules,
+        seeds: Iterable[str] = (),
+        now: int = 0,
+        known: Iterable[Card] = (),
+    ) -> None:
         self.me = me
         self.rules = rules
         self.seeds = tuple(sorted(seeds))
@@ -133,6 +141,8 @@
         self._gossip_at = now
         self._sync_at = now + self._random.randrange(_SYNC_EVERY)
         self._try_at = now
+        for card in known:
+            self._hear(now, Rumour(card.life, card.version, RANK[Health.ALIVE], card=card))
 
     # What the others ask
 
