--- /dev/null
+++ b/ironbarrow/fleet/ledgers/keeper.py
@@ -0,0 +1,273 @@
+"""A keeper of others' segments: what it has, what it has promised, what it has accepted. No input or output.
+
+A segment here is *open* (appends of its writer are applied, strictly in order), *sealed* (a ballot is
+promised: no append ever again), *decided* (its fate is known), *released* (its table is gone, the fate is
+remembered for a while) or *forgotten*. What is forgotten is never made anew: the highest number forgotten of
+each ledger is remembered, so that a message that comes very late opens nothing.
+
+Memory is bounded by ``memory_mb``: over three quarters of it no new segment is opened, over all of it no
+change that grows a table is taken; both are answered with FULL, and the writer goes elsewhere. What is kept
+is never dropped for it.
+"""
+
+from collections import Counter, OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from ironbarrow.fleet.api import NEVER, Ballot, Change, Decision, Life, Message
+from ironbarrow.fleet.file import LedgerRules
+from ironbarrow.fleet.invariants import check
+from ironbarrow.fleet.ledgers.messages import (
+    PAGE,
+    Accepted,
+    Answer,
+    Append,
+    Appended,
+    Close,
+    Decide,
+    Learn,
+    Learned,
+    Page,
+    Promise,
+    Read,
+    Seal,
+    size_of,
+    within,
+)
+
+S = 1_000_000_000
+TOMBSTONE = 120 * S  # so long a released segment's fate is remembered
+ABANDONED = 600 * S  # so long a segment is kept that nobody has touched, and whose owner does not live
+SWEEP = 10 * S
+SEGMENT_SIZE = 1_000  # bytes of a segment without its table
+FLOORS_MOST = 4096  # ledgers of which the highest forgotten segment is remembered
+
+
+@dataclass(slots=True)
+class Segment:
+    """One segment as this keeper has it."""
+
+    writer: Life
+    base: int  # changes of its opening table; -1: the opening was never seen
+    promised: Ballot
+    touched: int  # ns
+    n: int = 0
+    table: dict[str, bytes] = field(default_factory=dict)
+    size: int = 0  # bytes, of the table
+    accepted: Ballot | None = None
+    decision: Decision | None = None
+    decided: bool = False
+    released: bool = False
+
+
+class Keeper:
+    """All segments that this member keeps. ``lives``: whether a life is held for alive."""
+
+    def __init__(self, me: Life, lives: Callable[[Life], bool], rules: LedgerRules) -> None:
+        self.me = me
+        self._lives = lives
+        self._memory = rules.memory_mb << 20
+        self.segments: dict[tuple[str, int], Segment] = {}
+        self.floors: OrderedDict[str, int] = OrderedDict()  # the highest forgotten segment of a ledger
+        self.size = 0  # bytes
+        self.counts: Counter[str] = Counter()
+        self._sweep_at = NEVER
+
+    def received(self, now: int, sender: Life, message: Message) -> Message | None:
+        """The answer to a message, for its sender."""
+        match message:
+            case Append():
+                return self.append(now, sender, message)
+            case Seal():
+                return self.seal(now, sender, message)
+            case Decide():
+                return self.decide(now, sender, message)
+            case Read():
+                return self.read(now, message)
+            case Learn():
+                return self.learn(now, message)
+            case Close():
+                return self.close(now, sender, message)
+        return None
+
+    def append(self, now: int, sender: Life, message: Append) -> Appended | None:
+        """Applies what is next in order, all of it or nothing."""
+        ledger, number = message.ledger, message.segment
+        segment = self.segments.get((ledger, number))
+        if segment is None:
+            if self._forgotten(ledger, number):
+                return Appended(ledger, number, 0, Answer.UNKNOWN)
+            if self.size >= self._memory // 4 * 3:
+                self.counts["opening refused"] += 1
+                return Appended(ledger, number, 0, Answer.FULL)
+            segment = self._create(now, ledger, number, sender, message.base)
+        if sender != segment.writer:
+            # danger: a second writer's changes would be mixed with the first one's
+            self.counts["another writer"] += 1
+            return Appended(ledger, number, 0, Answer.SEALED, segment.promised)
+        segment.touched = now
+        if self._sealed(segment):
+            decision = segment.decision if segment.decided else None
+            return Appended(ledger, number, segment.n, Answer.SEALED, segment.promised, decision)
+        if message.first > segment.n + 1:
+            return Appended(ledger, number, segment.n, Answer.GAP)
+        fresh = message.changes[segment.n + 1 - message.first :]
+        if fresh:
+            grown = sum(size_of(c.key, c.value) for c in fresh if c.value is not None)
+            if grown and self.size + grown > self._memory:
+                self.counts["append refused"] += 1
+                return Appended(ledger, number, segment.n, Answer.FULL)
+            self._apply(segment, sender, fresh)
+        return Appended(ledger, number, segment.n)
+
+    def seal(self, now: int, sender: Life, message: Seal) -> Promise | None:
+        """Promises, unless a higher ballot has the promise already."""
+        ledger, number, ballot = message.ledger, message.segment, message.ballot
+        if ballot.by != sender or ballot.round < 1:
+            self.counts["foreign ballot"] += 1
+            return None
+        segment = self.segments.get((ledger, number))
+        if segment is None:
+            # danger: made sealed and empty only where a decided fate says that it exists and it never was
+            # here; one that was forgotten held what this could not know
+            if message.writer is None or self._forgotten(ledger, number) or self.size >= self._memory:
+                return Promise(ledger, number, ballot, Answer.UNKNOWN)
+            segment = self._create(now, ledger, number, message.writer, -1)
+        segment.touched = now
+        if ballot < segment.promised:
+            return Promise(ledger, number, ballot, Answer.SEALED, segment.promised)
+        segment.promised = ballot
+        whole = segment.size <= PAGE
+        return Promise(
+            ledger,
+            number,
+            ballot,
+            Answer.DONE,
+            segment.promised,
+            segment.writer,
+            segment.n,
+            segment.base,
+            segment.accepted,
+            segment.decision,
+            segment.decided,
+            segment.released,
+            tuple(Change(key, segment.table[key]) for key in sorted(segment.table)) if whole else None,
+        )
+
+    def decide(self, now: int, sender: Life, message: Decide) -> Accepted | None:
+        """Accepts a fate, unless a higher ballot has the promise."""
+        ledger, number, ballot = message.ledger, message.segment, message.ballot
+        segment = self.segments.get((ledger, number))
+        if ballot.by != sender or ballot.round < 1:
+            self.counts["foreign ballot"] += 1
+            return None
+        if segment is None:
+            return Accepted(ledger, number, ballot, Answer.UNKNOWN)
+        segment.touched = now
+        if ballot < segment.promised:
+            return Accepted(ledger, number, ballot, Answer.SEALED, segment.promised)
+        if segment.decided and segment.decision != message.decision:
+            check(
+                "one fate a segment",
+                segment.accepted is not None and ballot < segment.accepted,
+                ledger=ledger,
+                segment=number,
+                decided=segment.decision,
+                asked=message.decision,
+            )
+            return Accepted(ledger, number, ballot, Answer.SEALED, segment.promised)
+        segment.promised = segment.accepted = ballot
+        segment.decision = message.decision
+        return Accepted(ledger, number, ballot, Answer.DONE, ballot)
+
+    def read(self, now: int, message: Read) -> Page | None:
+        """A page of a sealed table."""
+        segment = self.segments.get((message.ledger, message.segment))
+        if segment is None or segment.released or not self._sealed(segment):
+            return None
+        segment.touched = now
+        left = [Change(key, segment.table[key]) for key in sorted(segment.table) if key > message.after]
+        page = within(left, 0)
+        return Page(message.ledger, message.segment, message.after, page, len(page) == len(left))
+
+    def learn(self, now: int, message: Learn) -> Learned:
+        """Notes a decided fate; drops the table where it is had elsewhere."""
+        segment = self.segments.get((message.ledger, message.segment))
+        if segment is not None:
+            check(
+                "one fate a segment",
+                not segment.decided or segment.decision == message.decision,
+                ledger=message.ledger,
+                segment=message.segment,
+                decided=segment.decision,
+                learned=message.decision,
+            )
+            segment.touched = now
+            segment.promised = max(segment.promised, message.ballot)
+            if not segment.decided:
+                segment.decided, segment.decision = True, message.decision
+                segment.accepted = message.ballot
+            if message.release and not segment.released:
+                segment.released = True
+                self.size -= segment.size
+                segment.table, segment.size = {}, 0
+        return Learned(message.ledger, message.segment, message.release)
+
+    def close(self, now: int, sender: Life, message: Close) -> Learned:
+        """Forgets a segment whose writer is owed nothing by it; not one that was sealed by another."""
+        segment = self.segments.get((message.ledger, message.segment))
+        if segment is not None and segment.writer == sender and not self._sealed(segment):
+            self._forget(message.ledger, message.segment)
+        return Learned(message.ledger, message.segment, True)
+
+    def ticked(self, now: int) -> None:
+        """Forgets what has lain long enough."""
+        if now < self._sweep_at:
+            return
+        for (ledger, number), segment in list(self.segments.items()):
+            idle = now - segment.touched
+            owner = segment.decision.by if segment.decided and segment.decision else segment.writer
+            if segment.released and idle >= TOMBSTONE:
+                self._forget(ledger, number)
+            elif idle >= ABANDONED and not self._lives(owner):
+                self.counts["abandoned"] += 1
+                self._forget(ledger, number)
+        self._sweep_at = now + SWEEP if self.segments else NEVER
+
+    def next_at(self) -> int:
+        return self._sweep_at
+
+    def _sealed(self, segment: Segment) -> bool:
+        return segment.promised.round > 0
+
+    def _apply(self, segment: Segment, sender: Life, changes: tuple[Change, ...]) -> None:
+        check("one writer a segment", sender == segment.writer, sender=sender, writer=segment.writer)
+        check("no append under a seal", segment.promised.round == 0, promised=segment.promised)
+        table, before = segment.table, segment.size
+        for change in changes:
+            old = table.pop(change.key, None)
+            if old is not None:
+                segment.size -= size_of(change.key, old)
+            if change.value is not None:
+                table[change.key] = change.value
+                segment.size += size_of(change.key, change.value)
+        segment.n += len(changes)
+        self.size += segment.size - before
+
+    def _create(self, now: int, ledger: str, number: int, writer: Life, base: int) -> Segment:
+        segment = self.segments[ledger, number] = Segment(writer, base, Ballot(0, writer), now)
+        self.size += SEGMENT_SIZE
+        if self._sweep_at == NEVER:
+            self._sweep_at = now + SWEEP
+        return segment
+
+    def _forgotten(self, ledger: str, number: int) -> bool:
+        return number <= self.floors.get(ledger, -1)
+
+    def _forget(self, ledger: str, number: int) -> None:
+        segment = self.segments.pop((ledger, number))
+        self.size -= segment.size + SEGMENT_SIZE
+        self.floors[ledger] = max(number, self.floors.get(ledger, -1))
+        self.floors.move_to_end(ledger)
+        while len(self.floors) > FLOORS_MOST:
+            self.floors.popitem(last=False)
--- /dev/null
+++ b/ironbarrow/fleet/ledgers/machine.py
@@ -0,0 +1,263 @@
+"""The ledgers of one member: what it writes, what it keeps for others, what it claims. No input or output."""
+
+from collections import Counter
+from collections.abc import Sequence
+from typing import Any
+
+import msgspec
+
+from ironbarrow.fleet import api
+from ironbarrow.fleet.api import (
+    Action,
+    Change,
+    Claimed,
+    Decision,
+    Fenced,
+    Health,
+    Kept,
+    LedgerAt,
+    Life,
+)
+from ironbarrow.fleet.file import LedgerRules
+from ironbarrow.fleet.ledgers.claimant import Claim, Claimant, ClaimKey
+from ironbarrow.fleet.ledgers.keeper import Keeper
+from ironbarrow.fleet.ledgers.messages import (
+    TO_KEEPER,
+    TO_WRITER,
+    Accepted,
+    Appended,
+    Close,
+    Learn,
+    Learned,
+    Page,
+    Promise,
+)
+from ironbarrow.fleet.ledgers.writer import Writer
+from ironbarrow.fleet.records import CLAIM
+
+TELLS = (
+    100  # times, ``resend`` apart and then ever longer: so often a fate is told to one that does not answer
+)
+TELLS_MOST = 4096  # notices under way: beyond, the oldest is given up
+_KEY = msgspec.msgpack.Decoder(ClaimKey)
+
+
+class LedgerMachine:
+    """Implements ``api.Ledgers`` and ``api.Machine``. What this member keeps of its own ledger goes the same
+    way as for others, without the network."""
+
+    handles = (*TO_KEEPER, *TO_WRITER)
+
+    def __init__(self, me: Life, members: api.Members, rules: LedgerRules) -> None:
+        self.me, self._members, self._rules = me, members, rules
+        self.keeper = Keeper(me, self._lives, rules)
+        self.writers: dict[str, Writer] = {}
+        self.claimant = Claimant(me, members, rules, self)
+        self.counts: Counter[str] = Counter()
+        self._heirs: dict[str, frozenset[Life]] = {}  # by ledger: whose claims of it are this member's
+        self._drops: list[tuple[str, int, str]] = []  # own ledger, number, ledger whose key that drops
+        self._tells: dict[tuple[Life, str, int, bool], list[Any]] = {}  # message, due, times
+        self._told: tuple[LedgerAt, ...] = ()
+
+    # api.Ledgers
+
+    def create(self, now: int, ledger: str) -> list[Action]:
+        if ledger in self.writers:
+            return []
+        writer = Writer(self.me, LedgerAt(ledger, 0, self.choose(ledger)), self._members, self._rules, self)
+        self.writers[ledger] = writer
+        return self._settle(now, writer.open(now))
+
+    def append(self, now: int, ledger: str, changes: Sequence[Change]) -> tuple[int, list[Action]]:
+        seq, actions = self._append(now, ledger, changes)
+        return seq, self._settle(now, actions)
+
+    def claim(self, now: int, at: LedgerAt) -> list[Action]:
+        heirs = self._heirs.get(at.ledger, frozenset())
+        return self._settle(now, self.claimant.start(now, at, False, heirs))
+
+    def lead(self, now: int, at: LedgerAt) -> list[Action]:
+        writer = self.writers.get(at.ledger)
+        if writer is not None:
+            return [api.Moved(writer.at, dict(writer.table))] if writer.opened else []
+        return self._settle(now, self.claimant.start(now, at, True, frozenset()))
+
+    def close(self, now: int, ledger: str) -> list[Action]:
+        writer = self.writers.pop(ledger, None)
+        return self._settle(now, writer.close(now)) if writer is not None else []
+
+    # api.Machine
+
+    def received(self, now: int, sender: Life, message: Any) -> list[Action]:
+        return self._settle(now, self._take(now, sender, message))
+
+    def ticked(self, now: int) -> list[Action]:
+        self.keeper.ticked(now)
+        actions: list[Action] = []
+        for writer in list(self.writers.values()):
+            if writer.next_at() <= now:
+                actions += writer.ticked(now)
+        actions += self.claimant.ticked(now)
+        actions += self._tell_again(now)
+        return self._settle(now, actions)
+
+    def next_at(self) -> int:
+        due = min(self.keeper.next_at(), self.claimant.next_at())
+        for writer in self.writers.values():
+            due = min(due, writer.next_at())
+        for tell in self._tells.values():
+            due = min(due, tell[1])
+        return due
+
+    # What the parts ask of it
+
+    def own(self, now: int, changes: Sequence[Change]) -> tuple[str, int, list[Action]]:
+        """Appends to this member's job ledger: its name, the number, 0 if there is none."""
+        name = api.job_ledger(self.me)
+        for ledger in reversed(self.writers):
+            if ledger == name or ledger.startswith(name + "+"):
+                seq, actions = self._append(now, ledger, changes)
+                return ledger, seq, actions
+        return "", 0, []
+
+    def choose(self, ledger: str, avoid: frozenset[Life] = frozenset()) -> tuple[Life, ...]:
+        """Keepers for a ledger: by rank, spread over sites, this member last; empty if there are fewer lives
+        than two, or than a majority of those wanted."""
+        wanted = self._rules.keepers
+        others = [m for m in self._members.alive() if m.card.life != self.me and m.card.life not in avoid]
+        others.sort(
+            key=lambda m: (m.health is not Health.ALIVE, -api.rank(ledger, m.card.life.name), m.card.life)
+        )
+        chosen: list[Life] = []
+        sites: Counter[str] = Counter()
+        while others and len(chosen) < wanted:
+            least = min(others, key=lambda m: sites[m.card.site])  # the first of them, so the nearest
+            others.remove(least)
+            sites[least.card.site] += 1
+            chosen.append(least.card.life)
+        if len(chosen) < wanted:
+            chosen.append(self.me)
+        return tuple(chosen) if len(chosen) >= max(2, wanted // 2 + 1) else ()
+
+    def tell(self, now: int, lives: Sequence[Life], learn: Learn | Close) -> list[Action]:
+        """Tells lives of a fate until they have heard it."""
+        actions: list[Action] = []
+        release = learn.release if isinstance(learn, Learn) else True
+        for life in lives:
+            actions.append(api.Send(life, learn))
+            self._tells[life, learn.ledger, learn.segment, release] = [learn, now + self._rules.resend, 1]
+        while len(self._tells) > TELLS_MOST:
+            del self._tells[next(iter(self._tells))]
+            self.counts["notice given up"] += 1
+        return actions
+
+    def lead_on(self, now: int, claim: Claim, decision: Decision) -> list[Action]:
+        """This member writes the claim's ledger from here on."""
+        at = LedgerAt(claim.proposal.at.ledger, claim.proposal.at.segment + 1, decision.keepers)
+        writer = Writer(self.me, at, self._members, self._rules, self, claim.content or {})
+        self.writers[at.ledger] = writer
+        return writer.led(now, claim.passed)
+
+    # Inside
+
+    def _lives(self, life: Life) -> bool:
+        return life == self.me or self._members.health(life) in (Health.ALIVE, Health.SUSPECT)
+
+    def _append(self, now: int, ledger: str, changes: Sequence[Change]) -> tuple[int, list[Action]]:
+        writer = self.writers.get(ledger)
+        if writer is None:
+            return 0, []
+        seq, actions = writer.append(now, changes)
+        for change in changes:
+            if change.value is None and change.key.startswith(CLAIM):
+                self._drops.append((ledger, seq, change.key[len(CLAIM) :]))
+        return seq, actions
+
+    def _take(self, now: int, sender: Life, message: Any) -> list[Action]:
+        """Hands a message to whoever wants it."""
+        if isinstance(message, Learned):
+            self._tells.pop((sender, message.ledger, message.segment, message.release), None)
+            return []
+        writer = self.writers.get(message.ledger)
+        if isinstance(message, Appended):
+            return writer.appended(now, sender, message) if writer is not None else []
+        if isinstance(message, Promise | Accepted | Page):
+            if writer is not None:
+                return writer.proposed(now, sender, message)
+            return self.claimant.received(now, sender, message)
+        answer = self.keeper.received(now, sender, message)
+        actions: list[Action] = [] if answer is None else [api.Send(sender, answer)]
+        if isinstance(message, Learn) and writer is not None:
+            actions += writer.learned(now, message)
+        return actions
+
+    def _settle(self, now: int, actions: list[Action]) -> list[Action]:
+        """Delivers what goes to this member itself, and acts on the news of its own parts."""
+        out: list[Action] = []
+        queue, i = list(actions), 0
+        while i < len(queue):
+            action = queue[i]
+            i += 1
+            if isinstance(action, api.Send):
+                if action.to == self.me:
+                    queue += self._take(now, self.me, action.message)
+                else:
+                    out.append(action)
+                continue
+            out.append(action)
+            if isinstance(action, Kept):
+                queue += self._kept(now, action)
+            elif isinstance(action, Fenced):
+                self.writers.pop(action.ledger, None)
+            elif isinstance(action, Claimed):
+                self._inherit(action)
+        return out + self._card()
+
+    def _kept(self, now: int, news: Kept) -> list[Action]:
+        """What waited for this to be kept."""
+        actions = self.claimant.kept(now, news.ledger, news.seq)
+        left: list[tuple[str, int, str]] = []
+        for drop in self._drops:
+            own, seq, ledger = drop
+            if own != news.ledger or seq > news.seq:
+                left.append(drop)
+                continue
+            self._heirs.pop(ledger, None)
+            for proposal in self.claimant.dropped(ledger):
+                actions += self.tell(now, proposal.at.keepers, proposal.learn(True))
+        self._drops = left
+        return actions
+
+    def _inherit(self, news: Claimed) -> None:
+        """Claims of the dead are this member's to go on with."""
+        for key, value in news.content.items():
+            if key.startswith(CLAIM):
+                try:
+                    found = _KEY.decode(value)
+                except (msgspec.MsgspecError, UnicodeDecodeError):
+                    self.counts["claim not readable"] += 1
+                    continue
+                before = self._heirs.get(found.ledger, frozenset())
+                self._heirs[found.ledger] = before.union(found.of)
+
+    def _tell_again(self, now: int) -> list[Action]:
+        actions: list[Action] = []
+        for key, tell in list(self._tells.items()):
+            message, due, times = tell
+            if due > now:
+                continue
+            dead = key[0] != self.me and self._members.health(key[0]) in (Health.DEAD, Health.LEFT, None)
+            if dead or times >= TELLS:
+                del self._tells[key]
+                continue
+            tell[1:] = now + (self._rules.resend << min(times, 6)), times + 1
+            actions.append(api.Send(key[0], message))
+        return actions
+
+    def _card(self) -> list[Action]:
+        """Tells all members where its ledgers are, when that has changed."""
+        at = tuple(w.at for w in self.writers.values() if w.opened)
+        if at == self._told:
+            return []
+        self._told = at
+        return list(self._members.writes(at))
--- /dev/null
+++ b/ironbarrow/fleet/ledgers/messages.py
@@ -0,0 +1,165 @@
+"""What writers, keepers and claimants of ledgers tell each other: kinds 20 to 39."""
+
+import enum
+from typing import ClassVar
+
+from ironbarrow.fleet.api import Ballot, Change, Decision, Life, Message
+
+
+class Answer(enum.IntEnum):
+    """What a keeper makes of a question."""
+
+    DONE = 0
+    GAP = 1  # changes before these are missing: they are to be sent again from ``n`` + 1
+    SEALED = 2  # a higher ballot is promised
+    FULL = 3  # there is no room for it
+    UNKNOWN = 4  # the segment is not here, or no longer
+
+
+class Append(Message, frozen=True, array_like=True):
+    """The writer's changes ``first``, ``first`` + 1 ... of a segment. The first ``base`` ones of a segment
+    are its opening table; a keeper that has not heard of the segment opens it."""
+
+    KIND: ClassVar[int] = 20
+    ledger: str
+    segment: int
+    base: int
+    first: int
+    changes: tuple[Change, ...] = ()
+
+
+class Appended(Message, frozen=True, array_like=True):
+    """The keeper has all changes up to and with ``n``, and no more."""
+
+    KIND: ClassVar[int] = 21
+    ledger: str
+    segment: int
+    n: int
+    answer: Answer = Answer.DONE
+    promised: Ballot | None = None  # SEALED: to whom
+    decision: Decision | None = None  # SEALED: the fate, where the keeper knows it
+
+
+class Seal(Message, frozen=True, array_like=True):
+    """Asks for the promise to take nothing under a lower ballot. ``writer``: who opens the segment, where a
+    decided MOVED says that it exists; then a keeper that has never heard of it creates it sealed and empty.
+    """
+
+    KIND: ClassVar[int] = 22
+    ledger: str
+    segment: int
+    ballot: Ballot
+    writer: Life | None = None
+
+
+class Promise(Message, frozen=True, array_like=True):
+    """A keeper's answer to ``Seal``. ``base`` -1: it never had the opening. ``table``: the whole of it, or
+    None if it is too large for this message and is to be read by pages."""
+
+    KIND: ClassVar[int] = 23
+    ledger: str
+    segment: int
+    ballot: Ballot  # that was asked
+    answer: Answer  # DONE, SEALED (``promised`` is higher), UNKNOWN
+    promised: Ballot | None = None
+    writer: Life | None = None
+    n: int = 0
+    base: int = -1
+    accepted: Ballot | None = None
+    decision: Decision | None = None  # accepted under that ballot
+    decided: bool = False  # ... and known to be so by a majority
+    released: bool = False  # the table is gone, since others have all of it
+    table: tuple[Change, ...] | None = None
+
+
+class Decide(Message, frozen=True, array_like=True):
+    """Asks to accept a fate."""
+
+    KIND: ClassVar[int] = 24
+    ledger: str
+    segment: int
+    ballot: Ballot
+    decision: Decision
+
+
+class Accepted(Message, frozen=True, array_like=True):
+    """A keeper's answer to ``Decide``."""
+
+    KIND: ClassVar[int] = 25
+    ledger: str
+    segment: int
+    ballot: Ballot
+    answer: Answer  # DONE, SEALED, UNKNOWN
+    promised: Ballot | None = None
+
+
+class Read(Message, frozen=True, array_like=True):
+    """Asks for a page of a sealed table: the keys after that one."""
+
+    KIND: ClassVar[int] = 26
+    ledger: str
+    segment: int
+    after: str = ""
+
+
+class Page(Message, frozen=True, array_like=True):
+    """The next keys of a table in order. ``last``: none are left."""
+
+    KIND: ClassVar[int] = 27
+    ledger: str
+    segment: int
+    after: str
+    changes: tuple[Change, ...]
+    last: bool
+
+
+class Learn(Message, frozen=True, array_like=True):
+    """A segment's fate is decided. ``release``: others have all of its table, which may go."""
+
+    KIND: ClassVar[int] = 28
+    ledger: str
+    segment: int
+    ballot: Ballot  # under which it is known to be decided
+    decision: Decision
+    release: bool = False
+
+
+class Learned(Message, frozen=True, array_like=True):
+    """``Learn`` or ``Close`` has come: ``release`` as there; True for ``Close``."""
+
+    KIND: ClassVar[int] = 29
+    ledger: str
+    segment: int
+    release: bool
+
+
+class Close(Message, frozen=True, array_like=True):
+    """The writer is owed nothing more by this ledger."""
+
+    KIND: ClassVar[int] = 30
+    ledger: str
+    segment: int
+
+
+TO_KEEPER = (Append, Seal, Decide, Read, Learn, Close)
+TO_WRITER = (Appended, Promise, Accepted, Page, Learned)
+
+PAGE = 256 << 10  # bytes of changes in one message, at most, unless a single one is larger
+CHANGE_MOST = 768 << 10  # bytes of one change
+
+
+def size_of(key: str, value: bytes) -> int:
+    """What a key costs where it is kept, bytes: its text, its value and the table's own share."""
+    return len(key) + len(value) + 120
+
+
+def within(changes: "list[Change]", start: int, most: int = PAGE) -> tuple[Change, ...]:
+    """As many changes from ``start`` on as go into one message; at least one if there is any."""
+    size, end = 0, start
+    while end < len(changes):
+        change = changes[end]
+        size += size_of(change.key, change.value or b"")
+        if size > most and end > start:
+            break
+        end += 1
+    return tuple(changes[start:end])
--- /dev/null
+++ b/ironbarrow/fleet/ledgers/writer.py
@@ -0,0 +1,425 @@
+"""The writer of one ledger: appends, counts what a majority has, changes keepers. No input or output.
+
+States: *unplaced* (too few lives), *opening* (its table goes to new keepers), *open*, *moving* (its own seal
+and ``MOVED`` are under way; appends wait), *fenced* and *closed* (it ends). Other lives than its keepers are
+never counted: a keeper that starts again is another life.
+"""
+
+from collections import Counter, deque
+from collections.abc import Sequence
+from typing import Protocol
+
+from ironbarrow.fleet.api import (
+    NEVER,
+    Action,
+    Change,
+    Decision,
+    Fate,
+    Fenced,
+    Health,
+    Kept,
+    LedgerAt,
+    Life,
+    Members,
+    Moved,
+    NoMajority,
+    Send,
+    rank,
+)
+from ironbarrow.fleet.file import LedgerRules
+from ironbarrow.fleet.ledgers.messages import (
+    CHANGE_MOST,
+    Accepted,
+    Answer,
+    Append,
+    Appended,
+    Close,
+    Learn,
+    Page,
+    Promise,
+    size_of,
+    within,
+)
+from ironbarrow.fleet.ledgers.proposal import Proposal, Step, majority
+
+TAIL_MOST = 4 << 20  # bytes of changes kept for keepers that lag: beyond, the slowest gets no more
+AVOID_FOR = 8  # times ``replace_after``: so long a keeper that was silent is not chosen again
+IMPROVE_AFTER = 10  # times ``replace_after``: so soon better keepers are moved to, though none is lost
+
+
+class Home(Protocol):
+    """What a writer needs of the member that it is part of."""
+
+    def choose(self, ledger: str, avoid: frozenset[Life] = frozenset()) -> tuple[Life, ...]:
+        """Keepers for a ledger; empty if there are too few lives."""
+
+    def tell(self, now: int, lives: Sequence[Life], learn: Learn | Close) -> list[Action]:
+        """Tells lives of a fate until they have heard it."""
+
+
+class Keeping:
+    """A keeper as the writer sees it."""
+
+    __slots__ = ("acked", "gap_at", "out", "sent", "sent_at", "waits_since")
+
+    def __init__(self) -> None:
+        self.acked = -1  # -1: it has not answered at all
+        self.sent = 0
+        self.sent_at = 0  # ns
+        self.waits_since = NEVER  # ns: it owes an answer since then
+        self.gap_at = -1
+        self.out = False  # it refused, or lags too far: it gets nothing more of this segment
+
+
+class Writer:
+    """``table``, ``offset``: what the ledger holds already, as its change with that number left it."""
+
+    def __init__(
+        self,
+        me: Life,
+        at: LedgerAt,
+        members: Members,
+        rules: LedgerRules,
+        home: Home,
+        table: dict[str, bytes] | None = None,
+    ) -> None:
+        self.me, self.at, self._members, self._rules, self._home = me, at, members, rules, home
+        self.table: dict[str, bytes] = dict(table or {})
+        self.seq = 0  # of the last change appended
+        self.kept_seq = 0
+        self.opened = False  # a majority has the opening of this segment
+        self.ended = False
+        self.counts: Counter[str] = Counter()
+        self._lead = dict(table) if table is not None else None  # told when it is opened
+        self._announce = table is not None  # ``Moved`` is due when it is opened
+        self._olds: list[Proposal] = []  # segments before, whose tables go when this one is opened
+        self._proposal: Proposal | None = None  # moving
+        self._avoid: dict[Life, int] = {}  # until when, ns
+        self._down = False  # ``NoMajority`` has been told
+        self._sealed_at = NEVER  # another has sealed it
+        self._improve_at = NEVER
+        self._due = NEVER
+
+    # Orders
+
+    def open(self, now: int) -> list[Action]:
+        """Opens the segment at its keepers with the table as it is."""
+        self.opened = False
+        self._proposal, self._sealed_at = None, NEVER
+        self.keeping = {keeper: Keeping() for keeper in self.at.keepers}
+        self._tail = [Change(key, value) for key, value in self.table.items()]
+        self._tail_size = sum(size_of(c.key, c.value or b"") for c in self._tail)
+        self._tail_most = TAIL_MOST + self._tail_size
+        self._tail_from = 1  # number of the tail's first change
+        self.base = self.n = len(self._tail)
+        self._offset = self.seq - self.base  # from numbers of this segment to those of the ledger
+        self._waiting: deque[tuple[int, int]] = deque([(self.base, now)])  # number, since when: not yet kept
+        self._improve_at = now + IMPROVE_AFTER * self._rules.replace_after
+        self._check_at = now + self._rules.replace_after
+        actions = self._flush(now, force=True)
+        self._due = self._next(now)
+        return actions
+
+    def append(self, now: int, changes: Sequence[Change]) -> tuple[int, list[Action]]:
+        """Takes changes in; they go out at once if nothing is under way, or with the next ``ticked``. A
+        ValueError for one that is over ``CHANGE_MOST``."""
+        for change in changes:
+            if len(change.key) + len(change.value or b"") > CHANGE_MOST:
+                raise ValueError(f"{change.key[:80]!r}: over {CHANGE_MOST} bytes")
+        quiet = not self._waiting
+        for change in changes:
+            if change.value is None:
+                self.table.pop(change.key, None)
+            else:
+                self.table[change.key] = change.value
+            if self._proposal is None and self.at.keepers:
+                self._tail.append(change)
+                self._tail_size += size_of(change.key, change.value or b"")
+        self.n += len(changes)
+        self.seq += len(changes)
+        if changes:
+            self._waiting.append((self.n, now))
+        if self._proposal is not None or not self.at.keepers:
+            return self.seq, []  # the whole table goes to the next keepers
+        if self._tail_size > self._tail_most:
+            self._cut(now)
+        if quiet:
+            actions = self._flush(now)
+            self._due = min(self._due, self._next(now))
+            return self.seq, actions
+        self._due = now
+        return self.seq, []
+
+    def close(self, now: int) -> list[Action]:
+        """Ends it: its keepers may forget."""
+        self.ended = True
+        actions = self._home.tell(now, self.at.keepers, Close(self.at.ledger, self.at.segment))
+        return actions + self._release(now)
+
+    # Messages
+
+    def appended(self, now: int, sender: Life, message: Appended) -> list[Action]:
+        keeping = self.keeping.get(sender)
+        if keeping is None or message.segment != self.at.segment:
+            return []
+        if message.answer is Answer.SEALED:
+            if message.decision is not None:
+                return self._fate(now, message.decision)
+            if message.promised is not None and message.promised.by != self.me and self._sealed_at == NEVER:
+                self._sealed_at = now
+            self._heard(now, keeping, max(keeping.acked, message.n))
+            self._due = min(self._due, self._next(now))
+            return self._count(now)
+        if message.answer in (Answer.FULL, Answer.UNKNOWN):
+            keeping.out = True
+            self._due = now
+            return []
+        before = keeping.acked
+        self._heard(now, keeping, max(keeping.acked, message.n))
+        actions: list[Action] = []
+        if message.answer is Answer.GAP and keeping.gap_at != message.n:
+            # danger: without this memory every change that overtook another would bring the rest again
+            keeping.gap_at, keeping.sent = message.n, max(keeping.acked, 0)
+            keeping.waits_since = now
+        if keeping.acked > before:
+            actions += self._count(now)
+            self._cut(now)
+        if not self.ended:
+            actions += self._flush(now)
+            self._due = min(self._due, self._next(now))
+        return actions
+
+    def proposed(self, now: int, sender: Life, message: Promise | Accepted | Page) -> list[Action]:
+        """An answer to its own seal."""
+        proposal = self._proposal
+        if proposal is None or message.segment != self.at.segment:
+            return []
+        if isinstance(message, Promise):
+            actions = proposal.promised(now, sender, message)
+        elif isinstance(message, Accepted):
+            actions = proposal.accepted(now, sender, message)
+        else:
+            return []
+        return actions + self._advance(now)
+
+    def learned(self, now: int, message: Learn) -> list[Action]:
+        """Another tells a fate."""
+        return self._fate(now, message.decision) if message.segment == self.at.segment else []
+
+    # Time
+
+    def ticked(self, now: int) -> list[Action]:
+        actions: list[Action] = []
+        if now >= self._due:
+            if not self.at.keepers:
+                keepers = self._home.choose(self.at.ledger)
+                if keepers:
+                    self.at = LedgerAt(self.at.ledger, self.at.segment, keepers)
+                    since = self._waiting[0][1]
+                    actions += self.open(now)
+                    self._waiting[0] = (self.base, since)
+            elif self._proposal is not None:
+                if self._proposal.next_at() <= now:
+                    actions += self._proposal.ticked(now)
+                actions += self._advance(now)
+            else:
+                actions += self._flush(now, resend=True)
+                actions += self._replace(now)
+            if not self.ended:
+                actions += self._majority(now)
+                self._due = self._next(now)
+        return actions
+
+    def next_at(self) -> int:
+        return self._due
+
+    # Inside
+
+    def _heard(self, now: int, keeping: Keeping, n: int) -> None:
+        keeping.acked = n
+        keeping.sent = max(keeping.sent, n)
+        keeping.waits_since = now if keeping.sent > n else NEVER
+
+    def _flush(self, now: int, *, resend: bool = False, force: bool = False) -> list[Action]:
+        """Sends each keeper what it has not been sent, or (``resend``) not acknowledged in time."""
+        actions: list[Action] = []
+        made: dict[int, Append] = {}
+        rules = self._rules
+        for keeper, keeping in self.keeping.items():
+            if keeping.out:
+                continue
+            late = resend and keeping.waits_since != NEVER and now - keeping.sent_at >= rules.resend
+            if late:
+                keeping.sent = max(keeping.acked, 0)
+            opening = force or (late and keeping.acked < 0)
+            while keeping.sent < self.n or opening:
+                opening = False
+                first = keeping.sent + 1
+                message = made.get(first)
+                if message is None:
+                    changes = within(self._tail, first - self._tail_from)
+                    message = Append(self.at.ledger, self.at.segment, self.base, first, changes)
+                    made[first] = message
+                actions.append(Send(keeper, message))
+                keeping.sent += len(message.changes)
+                keeping.sent_at = now
+                if keeping.waits_since == NEVER:
+                    keeping.waits_since = now
+                if late:
+                    break  # one message at a time to one that does not answer
+        return actions
+
+    def _count(self, now: int) -> list[Action]:
+        """Tells what a majority has now."""
+        acked = sorted((k.acked for k in self.keeping.values()), reverse=True)
+        n = acked[majority(self.at.keepers) - 1]
+        actions: list[Action] = []
+        if n < self.base:
+            return actions
+        while self._waiting and self._waiting[0][0] <= n:
+            self._waiting.popleft()
+        if not self.opened:
+            self.opened = True
+            actions += self._release(now)
+            if self._announce:
+                actions.append(Moved(self.at, self._lead))
+                self._announce, self._lead = False, None
+        if n + self._offset > self.kept_seq:
+            self.kept_seq = n + self._offset
+            actions.append(Kept(self.at.ledger, self.kept_seq))
+        return actions + self._majority(now)
+
+    def _majority(self, now: int) -> list[Action]:
+        """Tells when no majority answers in time, and when one does again."""
+        late = bool(self._waiting) and now - self._waiting[0][1] >= self._rules.wait
+        if late == self._down:
+            return []
+        self._down = late
+        return [NoMajority(self.at.ledger, back=not late)]
+
+    def _cut(self, now: int) -> None:
+        """Forgets the tail that every keeper has; a keeper that lags too far is given up."""
+        while True:
+            using = [k for k in self.keeping.values() if not k.out]
+            least = min((max(k.acked, 0) for k in using), default=self.n)
+            done = least + 1 - self._tail_from
+            if done > 0:
+                gone = self._tail[:done]
+                self._tail_size -= sum(size_of(c.key, c.value or b"") for c in gone)
+                del self._tail[:done]
+                self._tail_from += done
+            if self._tail_size <= self._tail_most or not using:
+                return
+            min(using, key=lambda k: k.acked).out = True
+            self.counts["lagged"] += 1
+            self._due = now
+
+    def _lost(self, now: int) -> tuple[set[Life], set[Life]]:
+        """Keepers that are to be replaced, and those that can't be asked for a promise."""
+        silent = self._rules.replace_after
+        lost, gone = set(), set()
+        for keeper, keeping in self.keeping.items():
+            dead = keeper != self.me and self._members.health(keeper) in (Health.DEAD, Health.LEFT)
+            mute = keeping.waits_since != NEVER and now - keeping.waits_since >= silent
+            if dead or mute or keeping.out:
+                lost.add(keeper)
+                self._avoid[keeper] = now + AVOID_FOR * silent
+            if dead or (mute and not keeping.out):
+                gone.add(keeper)
+        return lost, gone
+
+    def _avoided(self, now: int) -> frozenset[Life]:
+        self._avoid = {life: until for life, until in self._avoid.items() if until > now}
+        return frozenset(self._avoid)
+
+    def _replace(self, now: int) -> list[Action]:
+        """Seals its own segment where keepers are lost and others can be had, or another's seal has come to
+        nothing."""
+        self._check_at = now + self._rules.replace_after
+        stuck = self._sealed_at != NEVER and now >= self._sealed_at + self._patience()
+        lost, gone = self._lost(now)
+        if not stuck:
+            if len(self.keeping) - len(gone) < majority(self.at.keepers):
+                return []  # danger: a seal that can't be decided would stop those that still answer
+            chosen = set(self._home.choose(self.at.ledger, self._avoided(now)))
+            kept = set(self.at.keepers)
+            if lost and not chosen - kept:
+                return []
+            if not lost:
+                better = len(chosen) > len(kept) or (self.me in kept - chosen and len(chosen) == len(kept))
+                if not better or now < self._improve_at:
+                    return []
+        self._proposal = Proposal(self.me, self.at, self._rules, reads=False)
+        self._tail, self._tail_size, self._tail_from = [], 0, self.n + 1
+        return self._proposal.start(now)
+
+    def _patience(self) -> int:
+        """Another that seals has so long to decide before the writer seals itself."""
+        least = self._rules.replace_after
+        return least + rank(f"{self.at.ledger}/{self.at.segment}", str(self.me)) % (least // 2)
+
+    def _advance(self, now: int) -> list[Action]:
+        """Goes on with its own seal."""
+        proposal = self._proposal
+        actions: list[Action] = []
+        if proposal is None:
+            return actions
+        if proposal.step is Step.SEALED:
+            decision = proposal.fate()
+            if decision is None:
+                keepers = self._home.choose(self.at.ledger, self._avoided(now))
+                decision = Decision(Fate.MOVED, self.me, keepers or self.at.keepers)
+            actions += proposal.decide(now, decision)
+        if proposal.step is Step.DECIDED and proposal.decision is not None:
+            actions += self._fate(now, proposal.decision)
+        self._due = min(self._due, self._next(now))
+        return actions
+
+    def _fate(self, now: int, decision: Decision) -> list[Action]:
+        """The segment's fate is decided."""
+        proposal = self._proposal
+        if decision.fate is Fate.CLAIMED or decision.by != self.me:
+            self.ended = True
+            return [Fenced(self.at.ledger, decision.by)]
+        if proposal is None or proposal.step is not Step.DECIDED:
+            return []  # an earlier try of its own: its proposal will find it
+        self._olds.append(proposal)
+        self.at = LedgerAt(self.at.ledger, self.at.segment + 1, decision.keepers)
+        self._announce = True
+        self.counts["moved"] += 1
+        waited = self._waiting[0][1] if self._waiting else now
+        actions = self.open(now)
+        self._waiting[0] = (self.base, waited)
+        return actions
+
+    def led(self, now: int, passed: list[Proposal]) -> list[Action]:
+        """Opens a ledger that this member leads from here on."""
+        self._olds = passed
+        return self.open(now)
+
+    def _release(self, now: int) -> list[Action]:
+        """The segments before have nothing that this one has not: their tables may go."""
+        olds, self._olds = self._olds, []
+        return [a for old in olds for a in self._home.tell(now, old.at.keepers, old.learn(True))]
+
+    def _next(self, now: int) -> int:
+        """When something is due."""
+        if not self.at.keepers:
+            return now + self._rules.resend
+        due = NEVER
+        if self._proposal is not None:
+            due = self._proposal.next_at()
+        else:
+            for keeping in self.keeping.values():
+                if keeping.out:
+                    continue
+                if keeping.waits_since != NEVER:
+                    due = min(due, max(keeping.sent_at + self._rules.resend, now + 1))
+                elif keeping.sent < self.n:
+                    due = now
+            due = min(due, max(self._check_at, now + 1))
+        if self._waiting and not self._down:
+            due = min(due, max(self._waiting[0][1] + self._rules.wait, now + 1))
+        if self._sealed_at != NEVER and self._proposal is None:
+            due = min(due, max(self._sealed_at + self._patience(), now + 1))
+        return due
