Put stand-ins between dispatchers of a live world, and judge an id over all of them

Need: what a fleet promises under failures has to be shown on real processes with faults between them.

--- a/ironbarrow/cli/lab.py
+++ b/ironbarrow/cli/lab.py
@@ -54,6 +54,7 @@
     """Play a world in simulated time, with the real host and decisions."""
     loaded = _world(world)
     _quiet()
+    from ironbarrow.lab.model.spec import WorldError
     from ironbarrow.lab.sim.run import Simulation
     from ironbarrow.routing.file import RoutesError
 
@@ -61,6 +62,8 @@
         result = Simulation(loaded, seed).run()
     except RoutesError as error:
         _fail(f"{world}: `dispatchers.routes`: {error}")
+    except WorldError as error:
+        _fail(f"{world}: {error}")
     _show(result, as_json)
 
 
@@ -72,9 +75,16 @@
     folder: Annotated[
         Path | None, typer.Option(help="Where the dispatchers' files and logs go.", show_default="a new one")
     ] = None,
+    fleet: Annotated[
+        bool, typer.Option("--fleet", help="The dispatchers share a fleet, by its defaults.")
+    ] = False,
 ) -> None:
     """Play a world on loopback sockets, in real time, round processes of `ironbarrow serve`."""
     loaded = _world(world)
+    if fleet:
+        from ironbarrow.lab.model.spec import with_fleet
+
+        loaded = with_fleet(loaded)
     _quiet()
     _show(_play_live(loaded, seed, folder), as_json)
 
@@ -203,7 +213,8 @@
         typer.echo(json.dumps(found))
     else:
         _print_tables(result, summary)
-    if not result.verdicts.kept or result.notes.get("crashes") or result.notes.get("wrong_results"):
+    broken = (result.notes.get("fleet") or {}).get("broken_invariants")
+    if not result.verdicts.kept or broken or result.notes.get("crashes") or result.notes.get("wrong_results"):
         raise typer.Exit(1)
 
 
--- a/ironbarrow/lab/audit.py
+++ b/ironbarrow/lab/audit.py
@@ -3,6 +3,10 @@
 The rules, each with a name of its own in ``Breach``: one final answer for each job taken, in time; no
 second copy; at most so many attempts; nothing new past the drain grace; no cold provider pushed over; a
 booking run at most once; a rejection only where a repeat is harmless; nothing served that nobody made.
+
+Where dispatchers share a fleet, one id may be asked for at several of them, one after another, and outlives
+the one that took it: the rules then hold for the id over all of them. Each asking may hear an answer, but all
+must hear the same.
 """
 
 from collections import Counter, deque
@@ -46,7 +50,10 @@
     ran: bool = False
     done: bool = False
     answered: bool = False
-    excused: bool = False  # its dispatcher died, or its consumer left
+    excused: bool = False  # its dispatcher died or was stopped, or its consumer left
+    heard: str = ""  # the first answer that a consumer heard
+    askings: int = 1
+    answers: int = 0
 
 
 @dataclass(slots=True)
@@ -73,6 +80,8 @@
         self._grace = rules.drain_grace + sockets_slack
         self._tries: dict[str, _Try] = {}
         self._over: deque[tuple[int, str]] = deque()
+        self._shared = world.dispatchers.fleet is not None
+        self._stopped: set[int] = set()  # dispatchers that are stopped where they are
         self._starts: dict[int, int] = {}  # of an unsafe root
         self._told: dict[tuple[int, str], int] = {}  # when it was told that one drains or is gone
         self._found: Counter[str] = Counter()
@@ -92,17 +101,28 @@
         """A dispatcher has the whole request."""
         self._looked["jobs taken"] += 1
         self.taken_by_second[self._clock.now() // SECOND] += 1
-        self._tries[job_id] = _Try(root, unsafe, dispatcher, self._clock.now() + time_left + self._slack)
+        due = self._clock.now() + time_left + self._slack
+        job = self._tries.get(job_id) if self._shared else None
+        if job is None:
+            job = self._tries[job_id] = _Try(root, unsafe, dispatcher, due)
+        else:
+            self._looked["asked for again"] += 1
+            job.dispatcher, job.due = dispatcher, due
+            job.askings += 1
+            job.answered = False
+        job.excused = dispatcher in self._stopped
 
     def answered(self, job_id: str, verdict: str) -> None:
         """A final answer left a dispatcher: served, rejected or failed."""
         job = self._tries.get(job_id)
-        if job is None or job.excused:
+        if job is None or (job.excused and not self._shared):
             return
         self._looked["answers"] += 1
-        if job.answered:
-            self._breach(Breach.TWO_ANSWERS, job_id)
-        if self._clock.now() > job.due:
+        job.answers += 1
+        if job.answered or job.answers > job.askings or job.heard not in ("", verdict):
+            self._breach(Breach.TWO_ANSWERS, f"{job_id} {verdict} after {job.heard or 'nothing'}")
+        job.heard = job.heard or verdict
+        if self._clock.now() > job.due and not job.excused:
             self._breach(Breach.NO_ANSWER, f"{job_id} late by {(self._clock.now() - job.due) / MS:.1f} ms")
         if verdict == "served" and not job.done:
             self._breach(Breach.INVENTED, job_id)
@@ -121,13 +141,27 @@
             self._finish(job_id, job)
 
     def dispatcher_died(self, dispatcher: int) -> None:
-        """What it had taken is lost with it, and its calls with their connections."""
+        """What it had taken is lost with it, and its calls with their connections; but where others may
+        take it over, its attempts are still out."""
+        self._stopped.discard(dispatcher)
         for job_id, job in self._tries.items():
             if job.dispatcher == dispatcher and not job.answered:
                 job.excused = True
-                job.out.clear()
+                if not self._shared:
+                    job.out.clear()
                 self._finish(job_id, job)
 
+    def dispatcher_stopped(self, dispatcher: int) -> None:
+        """It stands still, and no answer of its own can be in time."""
+        self._stopped.add(dispatcher)
+        for job in self._tries.values():
+            if job.dispatcher == dispatcher and not job.answered:
+                job.excused = True
+
+    def dispatcher_goes_on(self, dispatcher: int) -> None:
+        """It runs again."""
+        self._stopped.discard(dispatcher)
+
     def told(self, dispatcher: int, provider: str, *, up: bool) -> None:
         """A dispatcher was told of a provider's state."""
         if up:
@@ -137,8 +171,11 @@
 
     # Attempts
 
-    def sent(self, job_id: str, provider: str, first_byte: int | None = None) -> None:
-        """A dispatcher began to write an attempt (``first_byte``: when; now if it is not told)."""
+    def sent(
+        self, job_id: str, provider: str, first_byte: int | None = None, dispatcher: int | None = None
+    ) -> None:
+        """A dispatcher began to write an attempt (``first_byte``: when, if not now; ``dispatcher``:
+        which, if not the one that was asked last)."""
         job = self._tries.get(job_id)
         if job is None:
             return
@@ -152,7 +189,8 @@
             self._breach(Breach.SECOND_COPY, f"{job_id} at {provider} while at {', '.join(job.out)}")
         if job.unsafe and job.may_have_run:
             self._breach(Breach.FALSE_PROOF, f"{job_id} at {provider}")
-        since = self._told.get((job.dispatcher, provider))
+        sender = job.dispatcher if dispatcher is None else dispatcher
+        since = self._told.get((sender, provider))
         if since is not None and at > since + self._grace:
             self._breach(Breach.PAST_DRAIN, f"{job_id} to {provider} after {(at - since) / MS:.0f} ms")
         job.out[provider] = at
@@ -172,6 +210,8 @@
         self._looked["starts"] += 1
         job.ran = True
         if job.unsafe:
+            if job.heard == "rejected":
+                self._breach(Breach.UNLAWFUL, f"{job_id} started at {provider} after its rejection")
             starts = self._starts[job.root] = self._starts.get(job.root, 0) + 1
             if starts > 1:
                 self._breach(Breach.RAN_TWICE, f"{job_id} (order {job.root}) at {provider}")
--- /dev/null
+++ b/ironbarrow/lab/fleet/files.py
@@ -0,0 +1,22 @@
+"""Fleet files as a laboratory writes them: a world's rules, and addresses of its own."""
+
+import json
+from typing import Any
+
+from ironbarrow.lab.model.spec import Fleet, plain
+
+
+def fleet_file(rules: Fleet, listen: str, site: str, others: dict[str, str]) -> str:
+    """The TOML text of one member's fleet file. ``others``: where it finds each other member, by name; all
+    are its seeds."""
+    top: dict[str, Any] = {
+        "listen": listen,
+        "site": site,
+        "seeds": [f"{name}={address}" for name, address in sorted(others.items())],
+    }
+    tables = {name: table for name, table in plain(rules).items() if table is not None}
+    tables["routes"] = dict(others)
+    lines = [f"{key} = {json.dumps(value)}" for key, value in top.items()]
+    for name, table in tables.items():
+        lines += ["", f"[{name}]", *(f"{json.dumps(k)} = {json.dumps(v)}" for k, v in table.items())]
+    return "\n".join(lines) + "\n"
--- a/ironbarrow/lab/live/consumers.py
+++ b/ironbarrow/lab/live/consumers.py
@@ -1,6 +1,7 @@
 """Consumers on sockets: an open loop over HTTP/1.1. Latency counts from when an order was due, not from when
 it could be sent, so a generator or a dispatcher that falls behind can't hide it (coordinated omission)."""
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -18,12 +19,14 @@
 
 _BODY = b"x" * 200
 _LOOKS_ON = 100 * MS
+_NOBODY_THERE = ("refused", "broken")
 
 
 @dataclass(slots=True, eq=False)
 class _Consumer:
     order: Order
-    tries: int = 0
+    tries: int = 0  # jobs that it asked for, each under an id of its own
+    askings: int = 0  # of the present one
     late_by: int = 0
 
 
@@ -46,6 +49,8 @@
         self.open = 0
         self.wrong_results = 0
         self.refused_connections = 0
+        self.came_again = 0  # under the same id
+        self.without_dispatcher: Counter[int] = Counter()  # by class: no answer for want of one
         self.heard: Callable[[Order, str], None] | None = None  # told of each end
 
     def take(self, order: Order) -> None:
@@ -70,15 +75,32 @@
         until = order.due + order.patience
         while True:
             consumer.tries += 1
-            how, retry_after = yield from self._try(consumer, until)
+            consumer.askings = 0
+            how, retry_after = yield from self._ask(consumer, until)
             if how in ("no answer", "left"):
                 return how
-            step = self._habits.next_step(order, how, consumer.tries, retry_after)
+            lost = how in _NOBODY_THERE
+            step = self._habits.next_step(
+                order, "failed" if how == "broken" else how, consumer.tries, retry_after
+            )
             if isinstance(step, Ended):
+                self.without_dispatcher[order.cls] += lost
                 return step.outcome
             yield from sleep(self._loop.now() + step.pause)
 
+    def _ask(self, consumer: _Consumer, until: int) -> Coroutine[tuple[str, int]]:
+        """One job, asked for until there is an answer, where consumers come again under the same id."""
+        while True:
+            consumer.askings += 1
+            how, retry_after = yield from self._try(consumer, until)
+            again = self._habits.comes_again(consumer.order, how) if how in _NOBODY_THERE else None
+            if again is None:
+                return how, retry_after
+            self.came_again += 1
+            yield from sleep(self._loop.now() + again.pause)
+
     def _try(self, consumer: _Consumer, until: int) -> Coroutine[tuple[str, int]]:
+        """How it went; ``refused``: no connection, ``broken``: it ended before an answer."""
         order = consumer.order
         number = self._front.pick(order.zone)
         yield from sleep(self._loop.now() + self._network.client_latency("consumers"))
@@ -90,11 +112,13 @@
         if left < 1:
             return "no answer", 0
         headers = [("X-Request-ID", job_id), ("X-Timeout-Ms", str(left))]
+        if consumer.askings > 1:
+            headers.append(("X-Retried", "1"))
         if order.session is not None:
             headers.append(("Cookie", f"sid={order.session}"))
         if order.slots > 1:
             headers.append(("X-Attrs", f"slots={order.slots}"))
-        if consumer.tries == 1:
+        if consumer.tries == 1 and consumer.askings == 1:
             due = order.due + self._world.network.client
             consumer.late_by = max(0, self._loop.now() - due)
 
@@ -114,7 +138,7 @@
             if error.ending in (Ending.CONNECT_REFUSED, Ending.CONNECT_TIMED_OUT):
                 self.refused_connections += 1
                 return "refused", 0
-            return "failed", 0
+            return "broken", 0
         read = self._read(job_id, answer)
         return read if self._loop.now() <= order.due + order.deadline else ("no answer", 0)
 
--- a/ironbarrow/lab/live/processes.py
+++ b/ironbarrow/lab/live/processes.py
@@ -55,14 +55,19 @@
         folder: Path,
         program: Program,
         seed: int,
+        fleet_file: str | None = None,
     ) -> None:
+        """``fleet_file``: the text of its fleet file, if it shares a fleet."""
         self._loop, self._world, self.number, self.address = loop, world, number, address
         self._agent, self._folder, self._program, self._seed = agent, folder, program, seed
+        self._fleet_file = fleet_file
         self._process: subprocess.Popen[bytes] | None = None
+        self.fault = ""  # a point at which its next life ends by itself, "POINT:N"
         self._starts = 0
         self._expected = False  # its end is wanted
         self._client = Client(loop, address)
         self.ready_after: list[int] = []  # from start to ready, ns, one for each start
+        self.ended_at: list[int] = []  # ns, one for each end
         self.peak_kb = 0
         self.crashes = 0
         self.on_ready: Callable[[int], None] = lambda number: None
@@ -111,6 +116,13 @@
             "BALANCER_DISCOVERY": "{}:{}".format(*self._agent.address),
             "BALANCER_CONFIG": str(self.config_path),
         }
+        if self._fleet_file is not None:
+            path = self._folder / f"d{self.number}.fleet.toml"
+            path.write_text(self._fleet_file)
+            environment["BALANCER_FLEET"] = str(path)
+        if self.fault:
+            environment["BALANCER_FAULT"], self.fault = self.fault, ""
+            self._expected = True
         with self.log_path.open("ab") as log:
             self._process = subprocess.Popen(
                 self._program.command,
@@ -152,6 +164,7 @@
         if not self._expected:
             self.crashes += 1
         self._client.close()
+        self.ended_at.append(self._loop.now())
         self.on_end(self.number)
 
     def _note_memory(self, pid: int) -> None:
@@ -170,6 +183,26 @@
         self._expected = True
         self._signal(signal.SIGKILL)
 
+    def pause(self) -> None:
+        """SIGSTOP: it stands still where it is."""
+        self._signal(signal.SIGSTOP)
+
+    def go_on(self) -> None:
+        self._signal(signal.SIGCONT)
+
+    @property
+    def cpu_s(self) -> float:
+        """User and system time of the process that runs now, s."""
+        fields = Path(f"/proc/{self.pid}/stat").read_text().rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+    @property
+    def pid(self) -> int | None:
+        """Of the process that runs now."""
+        if self._process is None or self._process.poll() is not None:
+            return None
+        return self._process.pid
+
     def stop(self) -> None:
         """SIGTERM; SIGKILL if it has not ended when its stop time is over."""
         self._expected = True
--- a/ironbarrow/lab/live/provider_server.py
+++ b/ironbarrow/lab/live/provider_server.py
@@ -2,7 +2,7 @@
 
 import json
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
 from ironbarrow.core.endings import ConnectionEndedError
@@ -48,14 +48,20 @@
         needs: Mapping[str, Need],
         audit: Auditor,
         network: Network,
+        number: int = 0,
+        elsewhere: Callable[[], Client | None] | None = None,
     ) -> None:
+        """``elsewhere``: who hears of a call-back that its own dispatcher does not take; where dispatchers
+        share a fleet, another one through the consumers' front."""
         self._loop, self._provider, self._zone = loop, provider, zone
+        self._number, self._elsewhere = number, elsewhere
         self._call_back, self._needs, self._audit, self._network = call_back, needs, audit, network
         self._taken: dict[str, _Taken] = {}
         listener = listen(address)
         self.address: Address = listener.getsockname()[:2]
         self._server = Server(loop, listener, self._serve)
         self.gave_up_calls = 0  # call-backs that no dispatcher took
+        self.gave_up_ends = 0  # of these, those of work that had ended
 
     def close(self) -> None:
         self._server.close()
@@ -118,7 +124,7 @@
         if need is None:
             return (404 if not job_id else 400), [], b""
         name = self._provider.name
-        self._audit.sent(job_id, name, first)
+        self._audit.sent(job_id, name, first, self._number)
         taken = self._taken[job_id] = _Taken(job_id)
 
         def tell(state: str, report: Report | None) -> None:
@@ -172,16 +178,23 @@
                 message["load"] = report.fields()
             body = json.dumps(message).encode()
             headers = [("Content-Type", "application/json")]
-            for _ in range(_CALL_BACK_TRIES):
+            client: Client | None = self._call_back
+            for turn in range(_CALL_BACK_TRIES):
                 yield from self._way()
+                if turn and self._elsewhere is not None:
+                    client = self._elsewhere() if turn % 2 else self._call_back
                 try:
-                    until = self._loop.now() + _CALL_BACK_LIMIT
-                    yield from self._call_back.exchange("POST", "/callback", headers, body, until)
-                    break
+                    if client is not None:
+                        until = self._loop.now() + _CALL_BACK_LIMIT
+                        answer = yield from client.exchange("POST", "/callback", headers, body, until)
+                        if self._elsewhere is None or answer.status < 500:
+                            break
                 except ConnectionEndedError:
-                    yield from sleep(self._loop.now() + _CALL_BACK_PAUSE)
+                    pass
+                yield from sleep(self._loop.now() + _CALL_BACK_PAUSE)
             else:
                 self.gave_up_calls += 1
+                self.gave_up_ends += state != "started"
             if state != "started":
                 self._taken.pop(taken.job_id, None)
         taken.telling = False
--- a/ironbarrow/lab/live/run.py
+++ b/ironbarrow/lab/live/run.py
@@ -5,11 +5,15 @@
 import time
 from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
 import numpy as np
 import structlog
 
 from ironbarrow.lab.audit import Auditor
+from ironbarrow.lab.fleet.files import fleet_file
+from ironbarrow.lab.fleet.links import CALM, LinkStandIns, Trouble
+from ironbarrow.lab.fleet.logs import read_logs
 from ironbarrow.lab.live.consumers import Consumers
 from ironbarrow.lab.live.directory_server import Agent
 from ironbarrow.lab.live.processes import Instance, Program
@@ -20,13 +24,14 @@
 from ironbarrow.lab.model.front import Front
 from ironbarrow.lab.model.provider import Provider, State
 from ironbarrow.lab.model.randomness import Streams
-from ironbarrow.lab.model.spec import Group, World
+from ironbarrow.lab.model.spec import Fault, Group, World
 from ironbarrow.lab.model.workload import Workload
 from ironbarrow.lab.record import Recorder, Sampler
 from ironbarrow.lab.result import Result
 from ironbarrow.lab.settings import zone_of
 from ironbarrow.runtime.clock import MS, SECOND
 from ironbarrow.runtime.loop import Loop
+from ironbarrow.runtime.sockets import Address
 
 log = structlog.get_logger()
 
@@ -34,6 +39,7 @@
 LATE = 20 * MS  # a generator whose 99th percentile of lateness is over this marks its result
 _SAMPLE_STEP = 250 * MS
 _PORT = 9000
+_FLEET_PORT = 9100
 
 
 class LiveError(Exception):
@@ -67,7 +73,10 @@
         folder: Path | None = None,
         program: Program | None = None,
         progress: Callable[[float, int, int], None] | None = None,
+        *,
+        stand_ins: bool = True,
     ) -> None:
+        """``stand_ins``: the links of a fleet pass through relays; without, no fault can touch them."""
         self.world, self.seed = world, seed
         self._folder = folder or Path(tempfile.mkdtemp(prefix="ironbarrow-lab-"))
         self._folder.mkdir(parents=True, exist_ok=True)
@@ -88,11 +97,11 @@
         self._call_backs = [Client(loop, address) for address in self._listen]
         self._addresses: list[dict[str, str]] = [{} for _ in range(count)]
         self._directory_told: list[set[str]] = [set() for _ in range(count)]
+        self.front = Front(loop, [zone_of(world, n) for n in range(count)], world.consumers.notice)
         for provider in self.fleet.providers.values():
             self._open(provider)
         self.fleet.opened = self._open
         self.fleet.ended = self._shut
-        self.front = Front(loop, [zone_of(world, n) for n in range(count)], world.consumers.notice)
         self.recorder = Recorder(world)
         self.samples = Sampler(_SAMPLE_STEP, [], [])
         clients = [Client(loop, address) for address in self._listen]
@@ -110,6 +119,17 @@
         self.faults = Faults(loop, world, self.fleet, self.workload, self, self.streams)
         self._agents: list[Agent] = []
         self.instances: list[Instance] = []
+        self.links = LinkStandIns(loop, seed)
+        self._stand_ins = stand_ins
+        if world.dispatchers.fleet is not None and stand_ins:
+            self._routes = {
+                (n, other): self.links.add(
+                    f"d{n}", f"d{other}", (f"{self._host}.{1 + n}", 0), self._fleet_address(other)
+                )
+                for n in range(count)
+                for other in range(count)
+                if n != other
+            }
         for number in range(count):
             self._add_instance(number)
         self._down: dict[int, int] = {}
@@ -119,6 +139,22 @@
         self.errors += 1
         log.error("a party of the laboratory failed", exc_info=error)
 
+    def _fleet_address(self, number: int) -> Address:
+        return self._listen[number][0], _FLEET_PORT
+
+    def _fleet_file(self, number: int) -> str | None:
+        """Of one dispatcher: it finds each other one at the stand-in of that way."""
+        rules = self.world.dispatchers.fleet
+        if rules is None:
+            return None
+        others = {}
+        for other in range(len(self._listen)):
+            if other != number:
+                address = self._routes[number, other] if self._stand_ins else self._fleet_address(other)
+                others[f"d{other}"] = "{}:{}".format(*address)
+        listen = "{}:{}".format(*self._fleet_address(number))
+        return fleet_file(rules, listen, zone_of(self.world, number), others)
+
     def _add_instance(self, number: int) -> None:
         def told(name: str, up: bool) -> None:
             self.audit.told(number, name, up=up)
@@ -140,6 +176,7 @@
             self._folder,
             self._program,
             self.seed * 100 + number,
+            self._fleet_file(number),
         )
         instance.on_ready = self._is_ready
         instance.on_end = self._has_ended
@@ -149,15 +186,23 @@
     def _open(self, provider: Provider) -> None:
         doors = []
         for number, client in enumerate(self._call_backs):
+            zone = zone_of(self.world, number)
+
+            def elsewhere(zone: str = zone) -> Client | None:
+                picked = self.front.pick(zone)
+                return None if picked is None else self._call_backs[picked]
+
             door = Door(
                 self.loop,
                 provider,
                 (f"{self._host}.{101 + number}", 0),
-                zone=zone_of(self.world, number),
+                zone=zone,
                 call_back=client,
                 needs=self._habits.needs,
                 audit=self.audit,
                 network=self.fleet.network,
+                number=number,
+                elsewhere=elsewhere if self.world.dispatchers.fleet is not None else None,
             )
             self._addresses[number][provider.name] = "{}:{}".format(*door.address)
             doors.append(door)
@@ -192,6 +237,42 @@
     def reload(self, number: int) -> None:
         self.instances[number].reload()
 
+    def pause(self, number: int, lasts: int) -> None:
+        """Its connections stay, and say nothing; the front notices as it notices a dead one."""
+        self.instances[number].pause()
+        self.audit.dispatcher_stopped(number)
+        self.front.died(number)
+        self.loop.call_at(self.loop.now() + lasts, self._goes_on, number, self.instances[number].pid)
+
+    def _goes_on(self, number: int, pid: int | None) -> None:
+        if pid is not None and self.instances[number].pid == pid:
+            self.instances[number].go_on()
+            self.audit.dispatcher_goes_on(number)
+            self.front.ready(number)
+
+    def trouble_links(self, fault: Fault) -> None:
+        pairs = self.pairs_of(fault)
+        cut = fault.kind == "links cut"
+        self.links.set(pairs, Trouble(fault.delay, fault.jitter, fault.lost, fault.doubled, cut))
+        self.loop.call_at(self.loop.now() + fault.lasts, self.links.set, pairs, CALM)
+
+    def pairs_of(self, fault: Fault) -> list[tuple[str, str]]:
+        """The ordered pairs of dispatchers whose links a fault touches."""
+        numbers = range(len(self._listen))
+        zones = [zone_of(self.world, n) for n in numbers]
+        found = set()
+        for a in numbers:
+            for b in numbers:
+                if fault.pair:
+                    touched = [a, b] == fault.pair
+                elif len(fault.zones) > 1:
+                    touched = zones[a] == fault.zones[0] and zones[b] in fault.zones[1:]
+                else:
+                    touched = a != b
+                if touched:
+                    found.add((f"d{a}", f"d{b}"))
+        return sorted(found if fault.one_way else found | {(b, a) for a, b in found})
+
     # The run
 
     def run(self) -> Result:
@@ -210,6 +291,7 @@
                     door.close()
             for agent in self._agents:
                 agent.close()
+            self.links.close()
             self.loop.close()
         result.wall_s = time.perf_counter() - begun
         return result
@@ -264,11 +346,25 @@
                 "wrong_results": self.consumers.wrong_results,
                 "errors": self.errors,
                 "unheard_call_backs": sum(d.gave_up_calls for doors in self._doors.values() for d in doors),
+                "unheard_ends": sum(d.gave_up_ends for doors in self._doors.values() for d in doors),
+                "came_again": self.consumers.came_again,
+                "without_dispatcher": {
+                    cls.name: self.consumers.without_dispatcher[n] for n, cls in enumerate(self.world.classes)
+                },
+                "fleet": self._fleet_notes(),
                 "folder": str(self._folder),
                 **self.audit.loads(started_at),
             },
         )
 
+    def _fleet_notes(self) -> dict[str, Any]:
+        """What the dispatchers' logs and the links tell of the fleet; empty without one."""
+        if self.world.dispatchers.fleet is None:
+            return {}
+        ends = {f"d{n}": instance.ended_at for n, instance in enumerate(self.instances)}
+        told = read_logs({f"d{n}": instance.log_path for n, instance in enumerate(self.instances)}, ends)
+        return {**told, "frames": dict(self.links.frames), "bytes": sum(self.links.bytes.values())}
+
     def _sample(self) -> None:
         self.samples.held.append([provider.held for provider in self.fleet.providers.values()])
         self.samples.names = list(self.fleet.providers)
--- a/ironbarrow/lab/model/consumer.py
+++ b/ironbarrow/lab/model/consumer.py
@@ -37,6 +37,8 @@
     def new_try(self, order: Order, number: int) -> str:
         """The id of an order's next try; what it needs is known from now on."""
         job_id = f"{order.number:x}-{number}"
+        if job_id in self.needs:  # it comes again under the same id
+            return job_id
         cls = self._world.classes[order.cls]
         work = self._noise.lognormal(order.work, cls.attempt_noise) if cls.attempt_noise else order.work
         self.needs[job_id] = Need(work, order.slots, order.key, cls.work.mean)
@@ -67,6 +69,16 @@
             pause = max(pause, retry_after)
         return ended if self._clock.now() + pause >= order.due + order.patience else Again(pause)
 
+    def comes_again(self, order: Order, how: str) -> Again | None:
+        """What a consumer does whose connection was refused or broke before any answer, where the job may
+        have been taken over: it asks for the same job again, at once or, refused, after a pause. None if
+        its time is over, or if it does not do so."""
+        people = self._world.consumers
+        if not people.same_id or self._world.dispatchers.fleet is None:
+            return None
+        pause = int(people.pause * self._people.uniform(0.5, 1.5)) if how == "refused" else 0
+        return None if self._clock.now() + pause >= order.due + order.patience else Again(pause)
+
     @staticmethod
     def gives_up(order: Order) -> str:
         """The outcome of an order whose consumer has waited long enough."""
--- a/ironbarrow/lab/model/fleet.py
+++ b/ironbarrow/lab/model/fleet.py
@@ -106,6 +106,12 @@
     def reload(self, number: int) -> None:
         """Gives one a replaced configuration."""
 
+    def pause(self, number: int, lasts: int) -> None:
+        """Stops one where it is, as by SIGSTOP, for so many ns."""
+
+    def trouble_links(self, fault: Fault) -> None:
+        """Does to the links between dispatchers what a fault of theirs says, as long as it lasts."""
+
 
 @dataclass(frozen=True, slots=True)
 class Played:
@@ -172,6 +178,10 @@
             self._instances.kill(fault.dispatcher, fault.down)
         elif fault.kind == "dispatcher restarted":
             self._instances.restart(fault.dispatcher, fault.down)
+        elif fault.kind == "dispatcher stopped":
+            self._instances.pause(fault.dispatcher, fault.lasts)
+        elif fault.kind in ("links", "links cut"):
+            self._instances.trouble_links(fault)
         elif fault.kind == "reload":
             self._instances.reload(fault.dispatcher)
         for provider in struck:
--- a/ironbarrow/lab/model/spec.py
+++ b/ironbarrow/lab/model/spec.py
@@ -10,6 +10,7 @@
 from msgspec import Meta, Struct
 
 from ironbarrow.config.units import Duration, ms
+from ironbarrow.fleet.file import AnswerRules, LedgerRules, MemberRules, StarvationRules
 
 Share = Annotated[float, Meta(ge=0, le=1)]
 Count = Annotated[int, Meta(ge=1)]
@@ -51,6 +52,19 @@
     noise: Share = 0.03
 
 
+class Fleet(Part, frozen=True):
+    """What the dispatchers share (see ``ironbarrow.fleet.file``); addresses, seeds and sites are the
+    laboratory's own. Played live alone."""
+
+    members: MemberRules = MemberRules()
+    ledgers: LedgerRules = LedgerRules()
+    answers: AnswerRules = AnswerRules()
+    starvation: StarvationRules | None = None
+    without_majority: dict[str, Literal["turn away", "serve unprotected"]] = msgspec.field(
+        default_factory=dict
+    )
+
+
 class Dispatchers(Part, frozen=True):
     """How many there are and what their settings say (see the fields of ``heathway.api.Settings``)."""
 
@@ -69,6 +83,7 @@
     routes: str = ""  # an operators' file of routes and limits, as text; "": none
     memory_mb: Count = 96
     sockets: Annotated[int, Meta(ge=64)] = 512
+    fleet: Fleet | None = None  # None: they share nothing
 
 
 class Group(Part, frozen=True):
@@ -163,6 +178,7 @@
     honour: Share = 0.9  # share that keeps to Retry-After
     impatient: Share = 0.0  # share that leaves before its time
     notice: Duration = ms(3000)  # until the front notices a dead dispatcher
+    same_id: bool = False  # where the dispatchers share a fleet: a broken connection, come again under one id
 
 
 class Fault(Part, frozen=True):
@@ -182,6 +198,9 @@
         "directory outage",
         "dispatcher killed",
         "dispatcher restarted",
+        "dispatcher stopped",
+        "links",
+        "links cut",
         "reload",
         "flood",
     ]
@@ -195,7 +214,15 @@
     down: Duration = ms(1000)  # dispatcher killed or restarted: until it starts again
     dispatcher: Annotated[int, Meta(ge=0)] = 0
     farm: Annotated[int, Meta(ge=0)] | None = None  # flood: all that comes beyond the usual is this one's
-    zones: list[str] = msgspec.field(default_factory=list)  # cut: between the first and the others
+    zones: list[str] = msgspec.field(default_factory=list)  # cuts: between the first and the others
+    pair: list[int] = msgspec.field(
+        default_factory=list
+    )  # links: these two dispatchers; else zones, else all
+    one_way: bool = False  # links: only what goes from the first to the others
+    lost: Share = 0.0  # links: chance of a message to be lost
+    doubled: Share = 0.0  # links: chance to arrive twice
+    delay: Duration = ms(0)  # links: on top of the usual
+    jitter: Duration = ms(0)  # links: uniform, on top of the delay; messages overtake each other
 
 
 class World(Part, frozen=True):
@@ -236,7 +263,17 @@
             place = f"faults[{number}]"
             if fault.dispatcher >= self.dispatchers.count:
                 raise ValueError(f"{place}.dispatcher: expected less than {self.dispatchers.count}")
-            if fault.kind == "cut" and not set(fault.zones) <= set(self.network.zones):
+            if fault.pair and (
+                len(set(fault.pair)) != 2 or not all(0 <= n < self.dispatchers.count for n in fault.pair)
+            ):
+                raise ValueError(f"{place}.pair: expected two dispatchers that differ, got {fault.pair}")
+            if fault.kind in _ON_LINKS and self.dispatchers.fleet is None:
+                raise ValueError(f"{place}.kind: {fault.kind!r} expects [dispatchers.fleet]")
+            if fault.kind in _LASTING and not fault.lasts:
+                raise ValueError(f"{place}.lasts: expected more than 0 for {fault.kind!r}")
+            if fault.kind == "links cut" and not fault.pair and len(fault.zones) < 2:
+                raise ValueError(f"{place}: expected a pair or two zones or more for 'links cut'")
+            if not set(fault.zones) <= set(self.network.zones):
                 raise ValueError(f"{place}.zones: expected some of {self.network.zones}, got {fault.zones}")
             if fault.kind == "cut" and len(fault.zones) < 2:
                 raise ValueError(f"{place}.zones: expected two zones or more, got {fault.zones}")
@@ -266,6 +303,10 @@
         return self.arrivals.load * self.capacity() / self.mean_work()
 
 
+_ON_LINKS = frozenset(("links", "links cut"))
+_LASTING = frozenset(("links", "links cut", "dispatcher stopped"))
+
+
 def _mean_slots(cls: Class) -> float:
     return sum(n * share for n, share in enumerate(cls.slots, 1)) / sum(cls.slots)
 
@@ -312,6 +353,15 @@
     return convert(read_toml(path), World, str(path))
 
 
+def with_fleet(world: World) -> World:
+    """The world with a fleet shared by its dispatchers: as it says, or by the defaults."""
+    if world.dispatchers.fleet is not None:
+        return world
+    return msgspec.structs.replace(
+        world, dispatchers=msgspec.structs.replace(world.dispatchers, fleet=Fleet())
+    )
+
+
 def plain(world: Any) -> Any:
     """The object as plain data, durations as text: what is hashed and stored."""
     return msgspec.to_builtins(world, enc_hook=_encode)
--- a/ironbarrow/lab/sim/run.py
+++ b/ironbarrow/lab/sim/run.py
@@ -17,7 +17,7 @@
 from ironbarrow.lab.model.front import Front
 from ironbarrow.lab.model.provider import Watcher
 from ironbarrow.lab.model.randomness import Streams
-from ironbarrow.lab.model.spec import World
+from ironbarrow.lab.model.spec import Fault, World, WorldError
 from ironbarrow.lab.model.workload import Order, Workload
 from ironbarrow.lab.record import Recorder, Sampler
 from ironbarrow.lab.result import Result
@@ -215,6 +215,11 @@
     """One world, one seed."""
 
     def __init__(self, world: World, seed: int, *, apart: frozenset[str] = frozenset()) -> None:
+        if world.dispatchers.fleet is not None or any(f.kind == "dispatcher stopped" for f in world.faults):
+            raise WorldError(
+                "`dispatchers.fleet` and 'dispatcher stopped' are played live alone; "
+                "a fleet in simulated time is lab/fleet/net.py"
+            )
         self.world, self.seed = world, seed
         self.clock = SimulatedClock()
         self.streams = Streams(seed)
@@ -246,6 +251,12 @@
     def reload(self, number: int) -> None:
         self.dispatchers[number].reload()
 
+    def pause(self, number: int, lasts: int) -> None:
+        raise WorldError("a dispatcher is stopped in live mode alone")
+
+    def trouble_links(self, fault: Fault) -> None:
+        raise WorldError("links between dispatchers are there in live mode alone")
+
     # The run
 
     def run(self) -> Result:
--- /dev/null
+++ b/tests/test_fleet_rig.py
@@ -0,0 +1,284 @@
+"""Several dispatchers with faults between them: stand-ins of links, what judges them, whole runs."""
+
+import socket
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+
+from ironbarrow.config.units import ms
+from ironbarrow.fleet.codec import Splitter
+from ironbarrow.fleet.file import parse
+from ironbarrow.lab.audit import Auditor, Breach
+from ironbarrow.lab.fleet.files import fleet_file
+from ironbarrow.lab.fleet.links import CALM, CUT, LinkStandIns, Trouble
+from ironbarrow.lab.live.run import LiveRun
+from ironbarrow.lab.model.spec import Fault, Fleet, World, WorldError, convert, load_world, plain, with_fleet
+from ironbarrow.lab.sim.clock import SimulatedClock
+from ironbarrow.lab.sim.run import Simulation
+from ironbarrow.runtime.loop import MS, Loop
+from ironbarrow.runtime.sockets import listen
+
+EXPERIMENTS = Path(__file__).parents[1] / "experiments"
+
+
+def world(*faults: Fault, **changes: Any) -> World:
+    small = with_fleet(load_world(EXPERIMENTS / "small.toml"))
+    return msgspec.structs.replace(small, faults=list(faults), **changes)
+
+
+# The stand-ins of links
+
+
+class Ends:
+    """Both ends of the way from a to b, with the stand-in between them."""
+
+    def __init__(self) -> None:
+        self.loop = Loop(self.failed)
+        self.links = LinkStandIns(self.loop, seed=3)
+        self.b_listens = listen(("127.0.0.1", 0))
+        address = self.links.add("a", "b", ("127.0.0.1", 0), self.b_listens.getsockname()[:2])
+        self.a = socket.create_connection(address)
+        self.a.setblocking(False)
+        self.turn(20)
+        self.b, _ = self.b_listens.accept()
+        self.b.setblocking(False)
+        self.splitters = {self.a: Splitter(), self.b: Splitter()}
+
+    def failed(self, error: Exception) -> None:
+        raise error
+
+    def turn(self, length_ms: int) -> None:
+        until = self.loop.now() + length_ms * MS
+        while self.loop.now() < until:
+            self.loop.call_at(self.loop.now() + MS, lambda: None)
+            self.loop.turn()
+
+    def say(self, end: socket.socket, numbers: range) -> None:
+        end.sendall(b"".join(len(b"%d" % n).to_bytes(4, "big") + b"%d" % n for n in numbers))
+
+    def heard(self, end: socket.socket) -> list[int] | None:
+        """What has come in since the last look; None at the end of the connection."""
+        found: list[int] = []
+        while True:
+            try:
+                data = end.recv(65536)
+            except BlockingIOError:
+                return found
+            if not data:
+                return None
+            found += [int(frame) for frame in self.splitters[end].feed(data)]
+
+    def close(self) -> None:
+        self.links.close()
+        self.loop.close()
+        for sock in (self.a, self.b, self.b_listens):
+            sock.close()
+
+
+@pytest.fixture
+def ends() -> Iterator[Ends]:
+    made = Ends()
+    yield made
+    made.close()
+
+
+ALL = list(range(400))
+TROUBLES = {
+    "calm": (CALM, lambda got: got == ALL),
+    "late": (Trouble(delay=30 * MS), lambda got: got == ALL),
+    "lost": (Trouble(lost=0.5), lambda got: 150 < len(got) < 250 and got == sorted(set(got))),
+    "doubled": (Trouble(doubled=1.0), lambda got: got == sorted(ALL * 2)),
+    "overtaken": (Trouble(jitter=50 * MS), lambda got: got != ALL and sorted(got) == ALL),
+    "cut": (CUT, lambda got: got == []),
+}
+
+
+@pytest.mark.parametrize(("trouble", "as_wanted"), TROUBLES.values(), ids=TROUBLES)
+def test_a_stand_in_does_what_it_is_told_one_way_alone(ends: Ends, trouble: Trouble, as_wanted: Any) -> None:
+    ends.links.set([("a", "b")], trouble)
+    ends.say(ends.a, range(400))
+    ends.say(ends.b, range(7))
+    ends.turn(120)
+    assert as_wanted(ends.heard(ends.b))
+    assert ends.heard(ends.a) == list(range(7))
+    ends.links.mend()
+    ends.say(ends.a, range(5))
+    ends.turn(20)
+    assert ends.heard(ends.b) == list(range(5))  # the same connection serves again
+
+
+def test_a_cut_way_hides_the_end_of_a_connection_until_it_is_mended(ends: Ends) -> None:
+    ends.links.set([("b", "a")], CUT)
+    ends.b.close()
+    ends.turn(60)
+    assert ends.heard(ends.a) == []
+    ends.links.mend()
+    ends.turn(60)
+    assert ends.heard(ends.a) is None
+
+
+def test_a_reader_that_stands_still_holds_its_writer_up_and_loses_nothing(ends: Ends) -> None:
+    number, frame = 0, b"x" * 60_000
+    data = (len(frame).to_bytes(4, "big") + frame) * 20
+    left = b""
+    for _ in range(60):
+        ends.turn(2)
+        left = left or data
+        try:
+            sent = ends.a.send(left)
+        except BlockingIOError:
+            continue
+        number += not left[sent:]
+        left = left[sent:]
+    assert number < 60  # the writer was held up
+    found = 0
+    for _ in range(400):
+        ends.turn(2)
+        if left:
+            try:
+                left = left[ends.a.send(left) :]
+                number += not left
+            except BlockingIOError:
+                pass
+        try:
+            while got := ends.b.recv(1 << 20):
+                found += len(ends.splitters[ends.b].feed(got))
+        except BlockingIOError:
+            pass
+        if not left and found == number * 20:
+            break
+    assert found == number * 20 > 0
+
+
+# Worlds
+
+
+@pytest.mark.parametrize(
+    ("fault", "named"),
+    [
+        ({"kind": "links cut", "at": "1 s", "lasts": "1 s"}, "a pair or two zones"),
+        ({"kind": "links cut", "at": "1 s", "pair": [0, 1]}, "faults[0].lasts"),
+        ({"kind": "links", "at": "1 s", "lasts": "1 s", "pair": [0, 9]}, "faults[0].pair"),
+        ({"kind": "links", "at": "1 s", "lasts": "1 s", "pair": [1, 1]}, "faults[0].pair"),
+        ({"kind": "links", "at": "1 s", "lasts": "1 s", "lost": 2.0}, "lost"),
+        ({"kind": "links cut", "at": "1 s", "lasts": "1 s", "zones": ["north", "x"]}, "zones"),
+        ({"kind": "dispatcher stopped", "at": "1 s"}, "faults[0].lasts"),
+    ],
+)
+def test_a_wrong_fault_of_a_fleet_is_named(fault: dict[str, Any], named: str) -> None:
+    raw = {**plain(world()), "faults": [fault]}
+    with pytest.raises(WorldError) as error:
+        convert(raw, World, "w.toml")
+    assert named in str(error.value)
+
+
+def test_links_without_a_fleet_and_a_fleet_in_simulated_time_are_refused() -> None:
+    alone = load_world(EXPERIMENTS / "small.toml")
+    fault = {"kind": "links", "at": "1 s", "lasts": "1 s"}
+    with pytest.raises(WorldError, match=r"expects \[dispatchers.fleet\]"):
+        convert({**plain(alone), "faults": [fault]}, World, "w.toml")
+    with pytest.raises(WorldError, match="live alone"):
+        Simulation(world(), 1)
+
+
+def test_the_fleet_file_of_a_world_is_one_that_is_taken() -> None:
+    rules = convert(
+        {"ledgers": {"keepers": 5}, "members": {"period": "200 ms"}, "without_majority": {"a": "turn away"}},
+        Fleet,
+        "w.toml",
+    )
+    text = fleet_file(rules, "127.0.0.1:9100", "north", {"d1": "127.0.0.1:1", "d2": "127.0.0.1:2"})
+    read = parse(text.encode(), "fleet.toml", "d0")
+    assert (read.ledgers.keepers, read.members.period, read.site) == (5, ms(200), "north")
+    assert read.seed_addresses() == {"d1": ("127.0.0.1", 1), "d2": ("127.0.0.1", 2)}
+    assert read.routes == {"d1": "127.0.0.1:1", "d2": "127.0.0.1:2"}
+    assert read.without_majority == {"a": "turn away"}
+
+
+PAIRS = [
+    (Fault(kind="links cut", at=ms(0), pair=[0, 2], one_way=True), [("d0", "d2")]),
+    (Fault(kind="links cut", at=ms(0), pair=[2, 0]), [("d0", "d2"), ("d2", "d0")]),
+    (Fault(kind="links cut", at=ms(0), zones=["north", "south"], one_way=True), [("d0", "d2")]),
+    (
+        Fault(kind="links cut", at=ms(0), zones=["middle", "north", "south"]),
+        [("d0", "d1"), ("d1", "d0"), ("d1", "d2"), ("d2", "d1")],
+    ),
+    (Fault(kind="links", at=ms(0)), [(f"d{a}", f"d{b}") for a in range(3) for b in range(3) if a != b]),
+]
+
+
+def test_faults_touch_the_links_they_name(tmp_path: Path) -> None:
+    run = LiveRun(load_world(EXPERIMENTS / "kill-day.toml"), 1, tmp_path)
+    for fault, pairs in PAIRS:
+        assert run.pairs_of(fault) == pairs
+    run.loop.close()
+
+
+# What judges them: one id at several dispatchers
+
+TAKEN, AGAIN = ("taken", "j", 7, 0, 10**10), ("taken", "j", 7, 1, 10**10)
+SERVED = ("answered", "served")
+DIED, GONE = ("dispatcher_died", 0), ("left", "j")
+DONE = [("job_ended", "p", "j", "done"), ("attempt_over", "j", "p")]
+PLAYS: dict[str, tuple[list[Any], Breach | None]] = {
+    "taken over once": (
+        [
+            TAKEN,
+            ("sent", "j", "p"),
+            DIED,
+            GONE,
+            AGAIN,
+            ("job_started", "p", "j"),
+            *DONE,
+            ("answered", "served"),
+        ],
+        None,
+    ),
+    "called off, then sent again": (
+        [TAKEN, ("sent", "j", "p"), DIED, GONE, AGAIN, ("attempt_over", "j", "p"), ("sent", "j", "q")],
+        Breach.FALSE_PROOF,  # of a booking; lawful of a safe job
+    ),
+    "sent again beside the first": (
+        [TAKEN, ("sent", "j", "p"), DIED, AGAIN, ("sent", "j", "q")],
+        Breach.SECOND_COPY,
+    ),
+    "a booking started by both": (
+        [TAKEN, ("job_started", "p", "j"), DIED, AGAIN, ("job_started", "q", "j")],
+        Breach.RAN_TWICE,
+    ),
+    "four attempts over two holders": (
+        [TAKEN, *[("sent", "j", "p"), ("never", "j", "p")] * 2, DIED, AGAIN]
+        + [("sent", "j", "p"), ("never", "j", "p")] * 2,
+        Breach.TOO_MANY,
+    ),
+    "the same answer twice": (
+        [TAKEN, ("sent", "j", "p"), ("job_started", "p", "j"), *DONE, SERVED, AGAIN, SERVED],
+        None,
+    ),
+    "two answers that differ": (
+        [TAKEN, ("answered", "rejected"), AGAIN, ("answered", "failed")],
+        Breach.TWO_ANSWERS,
+    ),
+    "run after its rejection": (
+        [TAKEN, ("answered", "rejected"), ("job_started", "p", "j")],
+        Breach.UNLAWFUL,
+    ),
+}
+
+
+@pytest.mark.parametrize(("steps", "breach"), PLAYS.values(), ids=PLAYS)
+def test_rules_hold_for_an_id_over_all_dispatchers(steps: list[Any], breach: Breach | None) -> None:
+    audit = Auditor(SimulatedClock(), world())
+    for what, *more in steps:
+        if what == "taken":
+            audit.taken(*more, unsafe=True)
+        elif what == "answered":
+            audit.answered("j", *more)
+        elif what in ("attempt_over", "never"):
+            audit.attempt_over(*more, never_ran=what == "never")
+        else:
+            getattr(audit, what)(*more)
+    assert dict(audit.finish().breaches) == ({breach.value: 1} if breach else {})
