See which tenant starves in which partition: tables of waits, tests, verdicts, remedy

Need: a tenant that waits ten times longer behind one dispatcher than behind the others is seen by no one. Change: fleet/starvation: windowed tables of waits by tenant, class and size with those that still wait or were given up as censored; sums that are the same in any order and however often a copy comes; a stratified log-rank test against a tenant's own waits elsewhere and against others in the same partition, both needed; verdicts that begin and end once; a remedy, off by default. The host tells of waits through one optional protocol. Result: log-rank and survival curves equal scipy's in fine buckets; merge laws, conservation and bounds as properties, with mutants that the invariants catch.

--- a/ironbarrow/core/host.py
+++ b/ironbarrow/core/host.py
@@ -66,6 +66,22 @@
         """The job has its final answer, or its consumer is gone."""
 
 
+class Waits(Protocol):
+    """Who follows how long each job waits, from taken to started. All are told on the loop's thread, and may
+    be told again what they know; times in ns."""
+
+    def waiting(
+        self, now: int, number: int, since: int, tenant: str | None, job_class: str, slots: float
+    ) -> None:
+        """The job waits, ``since`` when it was taken; also one that came back and has not run."""
+
+    def started(self, now: int, number: int) -> None:
+        """A provider runs it, or has it where providers don't tell that."""
+
+    def ended(self, now: int, number: int) -> None:
+        """Nothing more is owed of it."""
+
+
 @dataclass(frozen=True, slots=True)
 class Terms:
     """What a job was taken under beyond its class. Times in ns; 0: as the settings have it."""
@@ -140,6 +156,7 @@
         self.invoker: Invoker
         # begins to follow the directory, or stops; where the decisions say when
         self.follow: Callable[[bool], None] | None = None
+        self.waits: Waits | None = None
         self._dispatcher = Dispatcher(settings, seed)
         self.figures = Figures(tuple(cls.name for cls in settings.classes))
         self._jobs: dict[int, Job] = {}
@@ -230,6 +247,8 @@
         if self.traced:
             trace.taken(now, job.number, payload.id)
         job.overdue = self.loop.call_at(job.deadline + self.settings.answer_slack, self._overdue, job)
+        if self.waits is not None:
+            self.waits.waiting(now, job.number, now, tenant, job_class, slots)
         self._post(arrival)
         return job
 
@@ -280,6 +299,8 @@
 
     def call_started(self, call: Call) -> None:
         if not call.ended:
+            if self.waits is not None:
+                self.waits.started(self.loop.now(), call.job.number)
             self._post(api.AttemptNote(call.job.number, call.number, call.provider, api.NoteKind.STARTED))
 
     def call_progressed(self, call: Call, share: float) -> None:
@@ -299,6 +320,13 @@
             call.timer.cancel()
         call.never_ran = outcome_of(ending, call.written) in api.NEVER_RAN
         job = call.job
+        if self.waits is not None and not job.over:
+            now, made = self.loop.now(), job.arrival
+            if ending is Ending.DONE:
+                self.waits.started(now, job.number)
+            elif call.never_ran:
+                since, slots = job.arrived_at, made.slots
+                self.waits.waiting(now, job.number, since, made.tenant, made.job_class, slots)
         retry = True
         if ending is Ending.DONE and not job.over:
             self._conclude(job, Answer(Verdict.SERVED, result))
@@ -379,6 +407,8 @@
             self.call_ended(call, Ending.NOT_SENT)
             return
         call.timer = self.loop.call_at(until, self._timed_out, call)
+        if self.waits is not None and not self.settings.tells_start:
+            self.waits.started(now, job.number)
         self.invoker.start(call)
 
     def _timed_out(self, call: Call) -> None:
@@ -429,6 +459,8 @@
         if job.terms.watch is not None:
             served = answer is not None and answer.verdict is Verdict.SERVED
             job.terms.watch.ended(self.loop.now(), in_time=served)
+        if self.waits is not None:
+            self.waits.ended(self.loop.now(), job.number)
         if job.overdue is not None:
             job.overdue.cancel()
         if answer is not None:
--- a/ironbarrow/fleet/file.py
+++ b/ironbarrow/fleet/file.py
@@ -63,6 +63,7 @@
     false_alarms: Annotated[float, Meta(gt=0, lt=0.5)] = 0.01  # chance a look over all pairs
     least_jobs: Count = 20
     least_effect: Annotated[float, Meta(gt=1)] = 2.0  # times as long a wait
+    least_wait: Duration = ms(20)  # a shorter mean wait is nobody's trouble
     lasting: Count = 2  # windows in a row
     least_seen: Part = 0.5  # of the fleet's tables
     move: bool = False  # held jobs of a starved tenant go to where it waits least
--- /dev/null
+++ b/ironbarrow/fleet/starvation/waits.py
@@ -0,0 +1,170 @@
+"""What one partition sees: how long each job waits, from taken to started. No input or output.
+
+A job that ends without a start (given up, rejected, moved, taken over, its consumer gone) is censored: it has
+waited at least that long. One that still waits at the end of a window is carried on into the next.
+"""
+
+from collections import deque
+from dataclasses import dataclass
+
+import msgspec
+
+from ironbarrow.fleet.file import StarvationRules
+from ironbarrow.fleet.invariants import check
+from ironbarrow.fleet.starvation.tables import (
+    REST,
+    Key,
+    Row,
+    Tally,
+    add_up,
+    bucket_of,
+    row_of,
+    size_of,
+)
+
+_CANDIDATES = 4  # times as many tenants as a table has are weighed for the next one
+_ENCODER = msgspec.msgpack.Encoder()
+
+
+@dataclass(slots=True, eq=False)
+class _Job:
+    since: int
+    tenant: str
+    job_class: str
+    size: int
+    tally: Tally
+
+
+@dataclass(slots=True, eq=False)
+class Closed:
+    """A window that is over. Rows under the tenant ``REST`` are those of no tenant, or of one beyond the
+    bounds; they stay here and count in the comparison with others."""
+
+    number: int
+    began: int
+    ended: int
+    rows: dict[Key, Tally]
+    folded: int = 0  # tenants whose rows went to the rest, since the table would have been too large
+
+    @property
+    def taken(self) -> int:
+        return sum(tally.taken for tally in self.rows.values())
+
+
+class WaitBook:
+    """The waits of one partition, told by the host. Bounded by the jobs that wait and by the rules' tenants.
+
+    Tenants of a table: as long as there is room, each that comes; beyond that those with the most jobs in the
+    windows before, each window counting half of the next one.
+    """
+
+    def __init__(self, rules: StarvationRules, now: int) -> None:
+        self._rules = rules
+        self._jobs: dict[int, _Job] = {}
+        self._rows: dict[Key, Tally] = {}
+        self._weights: dict[str, float] = {}
+        self._tracked: set[str] = set()
+        self._began = now
+        self._number = 0
+        self._entered = self._left = 0  # in this window, counted beside the rows
+        self.closed: deque[Closed] = deque(maxlen=rules.windows)
+
+    # What the host tells
+
+    def waiting(
+        self, now: int, number: int, since: int, tenant: str | None, job_class: str, slots: float
+    ) -> None:
+        """A job waits, ``since`` when it was taken: now, or earlier if it comes back from a provider that has
+        not run it, or from another dispatcher."""
+        if number in self._jobs:
+            return
+        name = tenant or REST
+        since = min(since, now)
+        job = self._jobs[number] = _Job(since, name, job_class, size_of(slots), Tally())
+        if name != REST:
+            self._weigh(name)
+        self._enter(now, job, since == now)
+
+    def started(self, now: int, number: int) -> None:
+        """It has started; nothing if it does not wait."""
+        job = self._jobs.pop(number, None)
+        if job is not None:
+            job.tally.started[bucket_of(now - job.since)] += 1
+            self._left += 1
+
+    def ended(self, now: int, number: int) -> None:
+        """Nothing more is owed of it here; if it still waits, its wait is censored."""
+        job = self._jobs.pop(number, None)
+        if job is not None:
+            job.tally.censored[bucket_of(now - job.since)] += 1
+            self._left += 1
+
+    def _weigh(self, tenant: str) -> None:
+        if tenant in self._weights or len(self._weights) < _CANDIDATES * self._rules.tenants:
+            self._weights[tenant] = self._weights.get(tenant, 0.0) + 1
+            if len(self._tracked) < self._rules.tenants:
+                self._tracked.add(tenant)
+
+    def _enter(self, now: int, job: _Job, new: bool) -> None:
+        key = (job.tenant if job.tenant in self._tracked else REST, job.job_class, job.size)
+        job.tally = self._rows.setdefault(key, Tally())
+        self._entered += 1
+        if new:
+            job.tally.taken += 1
+        else:
+            job.tally.late[bucket_of(now - job.since)] += 1
+
+    # Windows
+
+    def close(self, now: int) -> Closed:
+        """Ends the window; those that still wait are carried on into the next."""
+        for job in self._jobs.values():
+            job.tally.waiting[bucket_of(now - job.since)] += 1
+        rows, folded = self._fit(self._rows)
+        window = Closed(self._number, self._began, now, rows, folded)
+        check(
+            "sums of tables conserved",
+            all(tally.entered == tally.left for tally in rows.values())
+            and sum(tally.entered for tally in rows.values()) == self._entered
+            and sum(tally.left for tally in rows.values()) == self._left + len(self._jobs),
+            window=self._number,
+            entered=self._entered,
+            left=self._left,
+            waiting=len(self._jobs),
+        )
+        self.closed.append(window)
+        self._number += 1
+        self._began, self._rows, self._entered, self._left = now, {}, 0, 0
+        heavy = sorted(self._weights, key=lambda t: (-self._weights[t], t not in self._tracked, t))
+        self._tracked = set(heavy[: self._rules.tenants])
+        self._weights = {t: weight / 2 for t, weight in self._weights.items() if weight >= 1}
+        self._tracked &= self._weights.keys()
+        for job in self._jobs.values():
+            self._enter(now, job, False)
+        return window
+
+    def _fit(self, rows: dict[Key, Tally]) -> tuple[dict[Key, Tally], int]:
+        """Rows within the bound in bytes: those of the lightest tenants go to the rest, where they are
+        counted."""
+        sizes: dict[str, int] = {}
+        jobs: dict[str, int] = {}
+        for key, tally in rows.items():
+            if key[0] != REST:
+                sizes[key[0]] = sizes.get(key[0], 0) + len(_ENCODER.encode(row_of(key, tally)))
+                jobs[key[0]] = jobs.get(key[0], 0) + tally.entered
+        left, over = sum(sizes.values()), set[str]()
+        for tenant in sorted(jobs, key=lambda t: (jobs[t], t)):
+            if left <= self._rules.table_bytes:
+                break
+            left -= sizes[tenant]
+            over.add(tenant)
+        if not over:
+            return rows, 0
+        kept = {key: tally for key, tally in rows.items() if key[0] not in over}
+        add_up((((REST, k[1], k[2]), t) for k, t in rows.items() if k[0] in over), kept)
+        return kept, len(over)
+
+
+def rows_to_send(window: Closed) -> list[Row]:
+    """The rows of tenants, as others are sent them."""
+    return [row_of(key, tally) for key, tally in sorted(window.rows.items()) if key[0] != REST]
--- /dev/null
+++ b/tests/test_fleet_starvation.py
@@ -0,0 +1,376 @@
+"""Starvation: tables of waits, the tests against scipy's, verdicts that begin and end once, the remedy."""
+
+import random
+from collections import Counter
+from itertools import pairwise, permutations
+
+import msgspec
+import numpy as np
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from scipy import stats
+
+from ironbarrow.fleet.api import Life
+from ironbarrow.fleet.file import StarvationRules
+from ironbarrow.fleet.invariants import INVARIANTS, InvariantError
+from ironbarrow.fleet.starvation import tables, verdict, waits
+from ironbarrow.fleet.starvation.machine import Shares
+from ironbarrow.fleet.starvation.remedy import MOST, Held, Mover
+from ironbarrow.fleet.starvation.tables import BUCKETS, Collected, Row, Tally, Waits, Window
+from ironbarrow.fleet.starvation.verdict import Evidence, Look, State, Verdicts
+from ironbarrow.runtime.clock import MS, SECOND
+
+RULES = StarvationRules()
+
+
+@pytest.fixture(autouse=True)
+def _fatal(monkeypatch):
+    monkeypatch.setattr(INVARIANTS, "fatal", True)
+
+
+# Oracles
+
+
+def _curve(times, started, bounds):
+    """A group's curve over buckets of those bounds."""
+    tally = Tally(len(times))
+    for time, event in zip(times, started, strict=True):
+        (tally.started if event else tally.censored)[int(np.searchsorted(bounds, time, "right")) - 1] += 1
+    return tally.at_risk()
+
+
+def _censored(times, started):
+    return stats.CensoredData(uncensored=times[started], right=times[~started])
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_log_rank_and_survival_are_scipys_in_fine_buckets(seed):
+    draw = np.random.default_rng(seed)
+    groups = []
+    for size in draw.integers(8, 120, 2):
+        times = draw.exponential(draw.uniform(0.5, 2), size)
+        limits = draw.exponential(2, size)
+        groups.append((np.minimum(times, limits), times <= limits))
+    bounds = np.concatenate([[0.0], np.sort(np.concatenate([g[0] for g in groups]))])  # one time a bucket
+    curves = [_curve(*group, bounds) for group in groups]
+    ours = verdict.logrank([(curves[0], curves[1])])
+    theirs = stats.logrank(_censored(*groups[0]), _censored(*groups[1]), alternative="less")
+    assert ours.z == pytest.approx(-theirs.statistic, rel=1e-9)  # the sign: longer waits are above 0
+    assert ours.p == pytest.approx(theirs.pvalue, rel=1e-9)
+    for group, curve in zip(groups, curves, strict=True):
+        found = verdict.survival(curve)
+        ecdf = stats.ecdf(_censored(*group)).sf
+        assert found == pytest.approx(list(ecdf.evaluate(bounds[: len(found)])), abs=1e-9)
+        steps = [0.0, *group[0]]  # the area, with starts at their time: ours has them half a bucket later
+        area = sum(ecdf.evaluate(a) * (b - a) for a, b in pairwise(sorted(steps)))
+        most = np.diff(bounds).max()
+        assert verdict.mean_wait(curve, len(found), list(bounds)) == pytest.approx(area, abs=most)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_the_buckets_in_use_lose_little_of_the_log_rank_test(seed):
+    draw = np.random.default_rng(100 + seed)
+    groups = []
+    for slower in (2.0, 1.0):
+        wanted, limits = draw.exponential(slower, 200), draw.exponential(3, 200)
+        groups.append((np.minimum(wanted, limits) * SECOND, wanted <= limits))
+    ours = verdict.logrank([tuple(_curve(*group, tables.BOUNDS) for group in groups)])
+    theirs = stats.logrank(_censored(*groups[0]), _censored(*groups[1]))
+    assert ours.z == pytest.approx(abs(theirs.statistic), rel=0.1)
+
+
+# Tables
+
+EVENTS = st.lists(
+    st.tuples(
+        st.sampled_from(["wait", "wait", "back", "start", "end", "close"]),
+        st.integers(0, 30),  # which job
+        st.integers(0, 8_000),  # ms since the event before
+        st.sampled_from(["a", "b", "c", "d", None]),
+        st.sampled_from(["map", "decode"]),
+        st.sampled_from([1.0, 3.0]),
+    ),
+    max_size=120,
+)
+
+
+def _played(events, rules=RULES):
+    """A book after those events, its windows, and what became of each job's stay: (entered at, ended as)."""
+    book, now, closed = waits.WaitBook(rules, 0), 0, []
+    waiting, ends = {}, Counter()
+    for what, number, later, tenant, job_class, slots in [*events, ("close", 0, 1, None, "map", 1.0)]:
+        now += later * MS
+        if what in ("wait", "back") and number not in waiting:
+            waiting[number] = since = now if what == "wait" else max(0, now - 700 * MS)
+            book.waiting(now, number, since, tenant, job_class, slots)
+            ends["entered"] += 1
+        elif what == "start" and number in waiting:
+            ends["started", tables.bucket_of(now - waiting.pop(number))] += 1
+            book.started(now, number)
+        elif what == "end" and number in waiting:
+            ends["censored", tables.bucket_of(now - waiting.pop(number))] += 1
+            book.ended(now, number)
+        elif what == "close":
+            closed.append(book.close(now))
+    for since in waiting.values():
+        ends["waiting", tables.bucket_of(now - since)] += 1
+    return book, closed, ends
+
+
+@given(EVENTS)
+def test_windows_put_together_are_the_waits_as_they_were(events):
+    """Carried on over windows, each stay is one job at risk, in whichever rows it was."""
+    _, closed, ends = _played(events, msgspec.structs.replace(RULES, windows=200, tenants=2))
+    whole = Tally()
+    for window in closed:
+        merged = Tally()
+        for tally in window.rows.values():
+            merged.add(tally)
+        whole.follow(merged)
+    for name in ("started", "censored", "waiting"):
+        assert getattr(whole, name) == Counter({b: n for (what, b), n in _pairs(ends) if what == name})
+    assert whole.entered == whole.left == ends["entered"]
+    assert sum(window.taken for window in closed) == whole.taken
+
+
+def _pairs(ends):
+    return [(key, n) for key, n in ends.items() if isinstance(key, tuple)]
+
+
+@pytest.mark.parametrize("bounds", [{"tenants": 3}, {"table_bytes": 200}])
+def test_a_table_is_bounded_and_what_is_beyond_is_counted(bounds):
+    rules = msgspec.structs.replace(RULES, **bounds)
+    book, draw, number = waits.WaitBook(rules, 0), random.Random(4), 0
+    for window in range(6):
+        for _ in range(400):
+            number += 1
+            at = window * 5 * SECOND + number * MS
+            heavy = draw.random() < 0.5
+            tenant = draw.choice("xyz") if heavy else f"t{draw.randrange(5000)}"
+            book.waiting(at, number, at, tenant, "map", 1.0)
+            book.started(at + 5 * MS, number)
+        closed = book.close((window + 1) * 5 * SECOND)
+        assert sum(t.entered for t in closed.rows.values()) == 400
+    tenants = {key[0] for key in closed.rows} - {""}
+    assert {"x", "y", "z"} <= tenants  # the heavy ones are kept
+    rows = waits.rows_to_send(closed)
+    assert sum(len(msgspec.msgpack.encode(row)) for row in rows) <= rules.table_bytes
+    assert len(tenants) <= rules.tenants
+    assert len(book._weights) <= 4 * rules.tenants
+
+
+def _messages(seed):
+    """Windows of three partitions, some in two versions."""
+    draw, found = random.Random(seed), []
+    for name in "pqr":
+        for number in range(draw.randrange(1, 5)):
+            for version in range(1, draw.randrange(2, 4)):
+                rows = []
+                for tenant in draw.sample(["a", "b", "c"], draw.randrange(3)):
+                    tally = Tally(0)
+                    for _ in range(draw.randrange(1, 6)):
+                        tally.taken += 1
+                        draw.choice([tally.started, tally.censored, tally.waiting])[
+                            draw.randrange(BUCKETS)
+                        ] += 1
+                    rows.append(tables.row_of((tenant, "map", 0), tally))
+                shards = tuple(range(tables.SHARDS))
+                window = Window(number, version, len(rows), tuple(rows))
+                found.append((Life(name, 1), Waits("s", 1, shards, (window,))))
+    return found
+
+
+def _state(collected):
+    return {
+        (shard, life): (
+            collected.kept(shard, life),
+            collected._kept[shard][life].taken,
+            _flat(shard, collected, life),
+        )
+        for shard in range(tables.SHARDS)
+        for life in collected.heard(shard)
+    }
+
+
+def _flat(shard, collected, life):
+    return sorted(tables.row_of(k, t) for k, t in collected.others(shard, life).items())
+
+
+def _collect(messages):
+    collected = Collected(3, 5 * SECOND)
+    for sender, message in messages:
+        collected.take(7, sender, message)
+    return collected
+
+
+@pytest.mark.parametrize("seed", range(25))
+def test_what_is_collected_is_the_same_in_any_order_and_however_often_it_comes(seed):
+    messages, draw = _messages(seed), random.Random(seed)
+    wanted = _state(_collect(messages))
+    for _ in range(4):
+        again = messages + draw.choices(messages, k=len(messages))
+        draw.shuffle(again)
+        assert _state(_collect(again)) == wanted
+    for few in permutations(messages[:4]):
+        assert _state(_collect(few)) == _state(_collect(messages[:4]))
+
+
+@given(st.binary(max_size=60), st.lists(st.integers(-3, 50), max_size=8), st.integers(-2, 5))
+def test_unsound_rows_are_dropped_and_change_nothing(tenant, hist, taken):
+    collected = _collect(_messages(1))
+    before = _state(collected)
+    row = Row(repr(tenant), "map", 0, taken, (), tuple(hist), (), ())
+    message = Waits("s", 1, tuple(range(tables.SHARDS)), (Window(0, 9, 1, (row,)),))
+    sound = tables.sound(row)
+    assert not sound or (taken == sum(hist[1::2]) and len(hist) % 2 == 0)
+    collected.take(7, Life("p", 1), message)
+    if not sound:
+        assert collected.dropped["unsound"] == 1
+        rest = {k: v for k, v in _state(collected).items() if k[1] != Life("p", 1)}
+        assert {k: v[:2] for k, v in rest.items()} == {
+            k: v[:2] for k, v in before.items() if k[1] != Life("p", 1)
+        }
+
+
+def test_a_dead_partitions_windows_run_out():
+    collected = _collect(_messages(3))
+    assert any(collected.heard(shard) for shard in range(tables.SHARDS))
+    collected.expire(7 + 4 * 5 * SECOND - 1)
+    assert any(collected.heard(shard) for shard in range(tables.SHARDS))
+    collected.expire(7 + 4 * 5 * SECOND)
+    assert not any(collected.heard(shard) for shard in range(tables.SHARDS))
+    assert all(not sums for sums in collected._sums.values())
+
+
+def test_sums_that_are_not_conserved_are_caught(monkeypatch):
+    """Mutants: a start that is not counted; a repeat that is."""
+    with monkeypatch.context() as broken:
+        broken.setattr(waits.WaitBook, "started", lambda self, now, number: self._jobs.pop(number, None))
+        with pytest.raises(InvariantError, match="sums of tables conserved"):
+            _played([("wait", 1, 1, "a", "map", 1.0), ("start", 1, 1, "a", "map", 1.0)])
+    add_up = tables.add_up
+    monkeypatch.setattr(tables, "add_up", lambda rows, into, sign=1: add_up(rows, into, 1))
+    with pytest.raises(InvariantError, match="sums of tables conserved"):
+        _collect(_messages(2))
+
+
+# Verdicts
+
+_EVIDENCE = Evidence("", 50, 50, 50, 9, 0, 9, 0, 5.0, 5.0, 900_000, 1, 1.0)
+_NEAR = msgspec.structs.replace(_EVIDENCE, times_others=1.8)
+_LOOKS = {
+    "starved": Look(State.STARVED, _EVIDENCE),
+    "near": Look(State.FINE, _NEAR),
+    "fine": Look(State.FINE, msgspec.structs.replace(_EVIDENCE, times_elsewhere=1.0)),
+    "few": Look(State.FEW),
+    "unseen": Look(State.UNSEEN),
+}
+
+
+@given(st.lists(st.sampled_from(sorted(_LOOKS)), max_size=60))
+def test_a_verdict_begins_and_ends_once(looks):
+    verdicts, open_at, ended_at = Verdicts("p", RULES), None, -99
+    for number, name in enumerate(looks):
+        for news in verdicts.looked(number + 1, {"a": _LOOKS[name]}):
+            counted = [n for n in looks[: number + 1] if n != "unseen"]
+            if isinstance(news, verdict.StarvationBegan):
+                assert open_at is None and number - ended_at > RULES.windows
+                assert counted[-RULES.lasting :] == ["starved"] * RULES.lasting
+                open_at = news.began_at
+            else:
+                assert news.began_at == open_at
+                assert not {"starved", "near"} & set(counted[-2 * RULES.lasting :])
+                open_at, ended_at = None, number
+        assert verdicts.open() == (["a"] if open_at else [])
+
+
+def test_a_verdict_that_begins_twice_is_caught(monkeypatch):
+    end = Verdicts._end
+
+    def forgetful(self, now, tenant, about, why):
+        about.ended -= 1
+        return end(self, now, tenant, about, why)
+
+    monkeypatch.setattr(Verdicts, "_end", forgetful)
+    verdicts = Verdicts("p", RULES)
+    with pytest.raises(InvariantError, match="begins and ends once"):
+        for number, name in enumerate(["starved"] * 3 + ["fine"] * 5):
+            verdicts.looked(number + 1, {"a": _LOOKS[name]})
+
+
+def test_holm_keeps_the_chance_of_a_false_alarm():
+    draw = np.random.default_rng(1)
+    alarms = sum(
+        bool(verdict.holm({str(i): p for i, p in enumerate(draw.random(40))}, 0.05, 40)) for _ in range(2000)
+    )
+    assert 60 < alarms < 140  # 0.05 of 2000 is 100
+    assert verdict.holm({"a": 0.001, "b": 0.02, "c": 0.5}, 0.05, 3) == {"a", "b"}
+
+
+def _rows(**waits_of):
+    """Rows of 60 jobs a tenant, by their wait in ms."""
+    found = {}
+    for tenant, wait in waits_of.items():
+        found[tenant, "map", 0] = tally = Tally(60)
+        for i in range(60):
+            tally.started[tables.bucket_of(int(wait * MS * (0.5 + i / 60)))] += 1
+    return found
+
+
+@pytest.mark.parametrize(
+    ("here", "away", "over", "seen", "state"),
+    [
+        ({"x": 900, "y": 100, "z": 100}, 100, (), 1.0, State.STARVED),
+        ({"x": 900, "y": 900, "z": 900}, 100, (), 1.0, State.FINE),  # slow for all
+        ({"x": 900, "y": 100, "z": 100}, 900, (), 1.0, State.FINE),  # it is like that everywhere
+        ({"x": 130, "y": 100, "z": 100}, 100, (), 1.0, State.FINE),  # under the least effect
+        ({"x": 9, "y": 1, "z": 1}, 1, (), 1.0, State.FINE),  # nobody's trouble
+        ({"x": 900, "y": 100, "z": 100}, 100, ("x",), 1.0, State.OVER),
+        ({"x": 900, "y": 9000}, 100, ("y",), 1.0, State.ALONE),
+        ({"x": 900, "y": 9000, "z": 100}, 100, ("y",), 1.0, State.STARVED),  # danger: one flood hides another
+        ({"x": 900, "y": 100, "z": 100}, 100, (), 0.4, State.UNSEEN),
+    ],
+)
+def test_what_starvation_is_and_what_it_is_not(here, away, over, seen, state):
+    rows = _rows(**here)
+    elsewhere = {"x": verdict.Elsewheres(_rows(x=away), 60, seen)}
+    found = verdict.look(RULES, [rows], rows, elsewhere, over, partitions=6)
+    assert found["x"].state is state
+
+
+def test_shares_are_as_the_settings_say_or_as_elsewhere():
+    rows = _rows(x=100, y=100, z=100)
+    elsewhere = {"x": verdict.Elsewheres(_rows(x=1), 600, 1.0)}
+    assert Shares({"x": 10.0}).beyond(rows, 10, {}) == set()
+    assert Shares({"x": 2.0}).beyond(rows, 10, {}) == {"x"}
+    assert Shares().beyond(rows, 10, elsewhere) == set()
+    rows["x", "map", 0].taken = 300
+    assert Shares().beyond(rows, 10, elsewhere) == {"x"}
+
+
+# The remedy
+
+SPOTS = [
+    tables.Spot("x", Life(n, 1), "s", 400, wait) for n, wait in (("q", 50_000), ("r", 80_000), ("t", 600_000))
+]
+
+
+def test_moves_keep_to_their_budget_and_no_job_is_moved_twice():
+    mover, moved, now, jobs = Mover(5 * SECOND, 6), [], 0, {}
+    for second in range(60):
+        now = second * SECOND
+        for i in range(20):
+            jobs[f"{second}.{i}"] = Held(f"{second}.{i}", 0, 9 * SECOND, sent=i == 0, moved=i == 1)
+        moves = mover.decide(now, "x", 1000 * MS, jobs.values(), SPOTS)
+        for move in moves:
+            job = jobs.pop(move.id)
+            assert not job.sent and not job.moved and move.to.name in "qr"  # t is not clearly shorter
+        moved += [move.id for move in moves]
+    assert len(set(moved)) == len(moved) <= MOST + 2 * 60
+    assert len(moved) > 60
+    left = Mover(5 * SECOND, 6).decide(0, "x", 1000 * MS, [Held("1", 0, SECOND), Held("2", 5, 0)], SPOTS)
+    assert [move.id for move in left] == ["1"]  # half stays; what can't be in time there stays, too
+    mover.came(now, "x")
+    assert not mover.decide(now + 29 * SECOND, "x", 1000 * MS, jobs.values(), SPOTS)  # no ping-pong
+    assert mover.decide(now + 31 * SECOND, "x", 1000 * MS, jobs.values(), SPOTS)
