--- a/ironbarrow/config/platform.py
+++ b/ironbarrow/config/platform.py
@@ -37,6 +37,7 @@
     idle_limit: int = 15_000 * _MS  # a provider closes a connection that was idle for so long
     admin: Address | None = None  # the operators' own address
     folder: Path | None = None  # for what is to outlast this process: TMPDIR
+    fleet: Path | None = None  # the fleet file; None: this dispatcher shares nothing with others
     traced: bool = False  # each event and action of the decisions is logged
 
 
@@ -125,6 +126,7 @@
         sockets=sockets,
         memory_mb=_number(limits, "limits", "memory_mb", _MEMORY_MB),
         routes=texts.path("routes"),
+        fleet=texts.path("fleet"),
         admin=texts.address("admin", least_port=0) if texts.has("admin") else None,
         folder=Path(folder) if (folder := texts.environment.get("TMPDIR")) else None,
         traced=texts.switch("BALANCER_TRACE"),
--- a/ironbarrow/daemon/dispatcher.py
+++ b/ironbarrow/daemon/dispatcher.py
@@ -3,6 +3,7 @@
 import signal
 import socket
 from collections.abc import Callable
+from pathlib import Path
 from types import FrameType
 from typing import Any
 
@@ -24,6 +25,8 @@
 _STILL_COMING = 1500 * MS
 # danger: SIGKILL may come 3.7 s after SIGTERM, and what came later than 0.7 s must have its answer by then
 _LAST_ANSWER = 3200 * MS
+_LEAVING = 2500 * MS  # from the order to stop until a fleet takes over what is still owed
+_LEAVE_LIMIT = 700 * MS  # for telling it so
 _HANDING_OVER = 300 * MS  # consumers and providers that are just connecting still find this one
 _DONE_CHECKED = 10 * MS
 _MB = 1 << 20
@@ -79,14 +82,36 @@
             self._route(self._read_routes(config))
         self.directory.start(config.known)
         self._upgrade: Any = None
+        self.fleet: Any = None
+        if config.fleet is not None:
+            self._join(config, config.fleet)
         if config.admin is not None:
             from ironbarrow.admin.door import Door
 
-            self._open_channel(config)
-
+            if self.fleet is None:
+                # with a fleet, what a process leaves is taken over by the others
+                self._open_channel(config)
             self.admin = listen(config.admin)
             Door(self.loop, self.admin, self._operations)
 
+    def _join(self, config: Config, path: Path) -> None:
+        """What this process takes and owes is known to its fleet from here on."""
+        try:
+            from ironbarrow.fleet.file import FleetError
+            from ironbarrow.fleet.takeover.process import Process
+        except ImportError as error:
+            raise ConfigError(f"fleet: {path}: needs msgspec: {error}") from None
+        front = self.listener.getsockname()[:2]
+        try:
+            self.fleet = Process(
+                self.loop, self.host, self.invoker, path, config.name, config.settings.zone, front
+            )
+        except (FleetError, ValueError) as error:
+            raise ConfigError(str(error)) from None
+        except OSError as error:
+            raise ConfigError(f"{path}: listen: can't listen there: {error}") from None
+        self.consumers.shared = self.fleet.work
+
     def _open_channel(self, config: Config) -> None:
         """Where the process that replaces this one finds it."""
         if config.folder is None:
@@ -105,7 +130,11 @@
         self._operations.kept = lambda: self._upgrade.owed
 
     def _called_back(self, raw: Any) -> None:
-        if not self.invoker.called_back(raw) and self._upgrade is not None:
+        if self.invoker.called_back(raw):
+            return
+        if self.fleet is not None:
+            self.fleet.called_back(raw)
+        elif self._upgrade is not None:
             self._upgrade.stray(raw)
 
     def _listed(self, news: api.WorkerList) -> None:
@@ -151,6 +180,7 @@
             "listen",
             "admin",
             "settings",
+            "fleet",
             "sockets",
             "memory_mb",
             "connect_timeout",
@@ -189,6 +219,8 @@
         self.listener.close()
         if self._upgrade is not None:
             self._upgrade.close()
+        if self.fleet is not None:
+            self.fleet.close()
         if self.admin is not None:
             self.admin.close()
 
@@ -206,9 +238,24 @@
                 # the next process serves already, and takes what still comes here
                 self.loop.call_at(self.loop.now() + _HANDING_OVER, self._close_idle)
                 return
-            self.host.end_by = self.loop.now() + _LAST_ANSWER
+            if self.fleet is not None:
+                self.loop.call_at(self.loop.now() + _LEAVING, self._leave)
+            else:
+                self.host.end_by = self.loop.now() + _LAST_ANSWER
             self.loop.call_at(self.loop.now() + _STILL_COMING, self._close_idle)
 
+    def _leave(self) -> None:
+        """What is still owed goes to the others; its consumers come again there. Danger: nothing of it may be
+        sent, answered or called off here from now on."""
+        self.fleet.leave(self.loop.now() + _LEAVE_LIMIT)
+        self._stop_when_left()
+
+    def _stop_when_left(self) -> None:
+        if self.fleet.left:
+            self.loop.stop()
+        else:
+            self.loop.call_at(self.loop.now() + _DONE_CHECKED, self._stop_when_left)
+
     def _close_idle(self) -> None:
         self.consumers.close_idle()
         self._stop_when_done()
@@ -216,10 +263,14 @@
     def _stop_when_done(self) -> None:
         # danger: the listener stays to the end, since call-backs come in through it
         kept = self._upgrade.owed if self._upgrade is not None else 0
+        kept += self.fleet.work.owed if self.fleet is not None else 0
         if self.host.owed or kept or self.consumers.busy:
             self.loop.call_at(self.loop.now() + _DONE_CHECKED, self._stop_when_done)
-        else:
+        elif self.fleet is None:
             self.loop.stop()
+        elif not self.fleet.left:
+            self.fleet.leave(self.loop.now() + _LEAVE_LIMIT)
+            self._stop_when_left()
 
 
 def _task_failed(error: Exception) -> None:
--- a/ironbarrow/fleet/takeover/machine.py
+++ b/ironbarrow/fleet/takeover/machine.py
@@ -545,6 +545,10 @@
     def _fail_all(self, now: int, waits: Iterable[_Wait]) -> list[Action]:
         return [action for wait in waits for action in self._fail(now, wait)]
 
+    def supersede(self, now: int) -> list[Action]:
+        """This life is over by a word from elsewhere: as if its ledger had been sealed."""
+        return [action for action in self._fence(now) if not isinstance(action, Superseded)]
+
     def _fence(self, now: int) -> list[Action]:
         """Danger: from here on another may do whatever this life owes."""
         self.fenced = True
--- /dev/null
+++ b/ironbarrow/fleet/takeover/process.py
@@ -0,0 +1,99 @@
+"""One dispatcher's part in its fleet, put together: the member on the loop, its ledgers, its work.
+
+Imported by the program only where a fleet file is given.
+"""
+
+import os
+from pathlib import Path
+from typing import Any
+
+import structlog
+
+from ironbarrow.core.host import Host
+from ironbarrow.fleet import file
+from ironbarrow.fleet.file import Fleet
+from ironbarrow.fleet.ledgers import LedgerMachine
+from ironbarrow.fleet.service import FleetService
+from ironbarrow.fleet.takeover import faults
+from ironbarrow.fleet.takeover.machine import Takeover
+from ironbarrow.fleet.takeover.work import Back, Work, rules_of
+from ironbarrow.runtime.loop import MS, Loop
+from ironbarrow.runtime.sockets import Address
+
+log = structlog.get_logger()
+
+_LEAVING = 20 * MS  # between two looks whether all is written down and said
+
+
+class Process:
+    """A dispatcher of a fleet. A FleetError or ValueError for a file or a fault that can't be used, an
+    OSError if it can't listen where the file says."""
+
+    def __init__(
+        self, loop: Loop, host: Host, back: Back, path: Path, name: str, site: str, front: Address
+    ) -> None:
+        self.fleet: Fleet = file.load(path, name)
+        passed = faults.from_environment(os.environ)
+        self._loop, self._stopping = loop, False
+        self._rules = rules_of(host.settings, self.fleet, passed)
+        self.service = FleetService(loop, self.fleet, name, site, "{}:{}".format(*front))
+        self.work = Work(loop, host, back, self.service.order)
+        self.work.superseded = lambda: loop.soon(self._superseded)
+        self._begin(self.service)
+        self.service.on_renewed(self._begin)
+        self.service.on_news(self.work.told)
+
+    def _begin(self, service: FleetService) -> None:
+        """Another life: its machines, and what consumers of the last one still wait for."""
+        now = self._loop.now()
+        earlier: Takeover | None = getattr(self.work, "machine", None)
+        self.ledgers = LedgerMachine(service.life, service.members, self.fleet.ledgers)
+        machine = Takeover(now, service.life, service.members, self.ledgers, self._rules)
+        service.add(self.ledgers, machine)
+        self.work.machine = machine
+        service.order(machine.begin(now))
+        if earlier is not None:
+            if not earlier.fenced:  # another process went by this name, or this one's clock was set back
+                service.order(earlier.supersede(now))
+            service.order(machine.succeed(now, earlier))
+
+    def _superseded(self) -> None:
+        if not self._stopping and self.work.machine.fenced:
+            self.service.renew()
+
+    def leave(self, until: int) -> None:
+        """Sends nothing more and tells the others that this member goes; what it owes is theirs. ``left``
+        says when. ``until``: it waits no longer for its ledger's keepers, ns."""
+        if self._stopping:
+            return
+        self._stopping = True
+        self.service.order(self.work.machine.leave(self._loop.now()))
+        self._leave(until)
+
+    left = False
+
+    def _leave(self, until: int) -> None:
+        now = self._loop.now()
+        machine = self.work.machine
+        if not machine.settled and now < until:
+            self._loop.call_at(now + _LEAVING, self._leave, until)
+            return
+        if not machine.held:
+            self.service.order(self.ledgers.close(now, machine.ledger))
+        log.info("leaving", owed=len(machine.held))
+        self.service.leave()
+        self._wait_sent(until)
+
+    def _wait_sent(self, until: int) -> None:
+        now = self._loop.now()
+        if self.service.sent or now >= until:
+            self.left = True
+        else:
+            self._loop.call_at(now + _LEAVING, self._wait_sent, until)
+
+    def called_back(self, raw: Any) -> None:
+        """A provider's word on a call that is not out here."""
+        self.work.stray(raw)
+
+    def close(self) -> None:
+        self.service.close()
