--- a/ironbarrow/core/host.py
+++ b/ironbarrow/core/host.py
@@ -156,6 +156,8 @@
         self.invoker: Invoker
         # begins to follow the directory, or stops; where the decisions say when
         self.follow: Callable[[bool], None] | None = None
+        # told of each call that has ended; where others may have to go on with its job
+        self.call_over: Callable[[Call], None] | None = None
         self.waits: Waits | None = None
         self._dispatcher = Dispatcher(settings, seed)
         self.figures = Figures(tuple(cls.name for cls in settings.classes))
@@ -319,6 +321,8 @@
         if call.timer is not None:
             call.timer.cancel()
         call.never_ran = outcome_of(ending, call.written) in api.NEVER_RAN
+        if self.call_over is not None:
+            self.call_over(call)
         job = call.job
         if self.waits is not None and not job.over:
             now, made = self.loop.now(), job.arrival
