--- a/ironbarrow/cli/lab.py
+++ b/ironbarrow/cli/lab.py
@@ -20,6 +20,7 @@
 
 WorldFile = Annotated[Path, typer.Argument(help="A world, in TOML.", show_default=False)]
 Seed = Annotated[int, typer.Option(help="Equal seeds give equal worlds.", min=0)]
+FleetOn = Annotated[bool, typer.Option("--fleet", help="The dispatchers share a fleet, by its defaults.")]
 Json = Annotated[bool, typer.Option("--json", help="Print one JSON object instead of tables.")]
 
 
@@ -75,9 +76,7 @@
     folder: Annotated[
         Path | None, typer.Option(help="Where the dispatchers' files and logs go.", show_default="a new one")
     ] = None,
-    fleet: Annotated[
-        bool, typer.Option("--fleet", help="The dispatchers share a fleet, by its defaults.")
-    ] = False,
+    fleet: FleetOn = False,
 ) -> None:
     """Play a world on loopback sockets, in real time, round processes of `ironbarrow serve`."""
     loaded = _world(world)
@@ -301,6 +300,7 @@
         Path | None, typer.Option(help="Folder for the cells.", show_default="results/NAME beside the file")
     ] = None,
     dry_run: Annotated[bool, typer.Option(help="Say what would run, and run nothing.")] = False,
+    fleet: FleetOn = False,
     as_json: Json = False,
 ) -> None:
     """Run the cells of an experiment that are not finished yet: axes x seeds x variants."""
@@ -315,7 +315,7 @@
 
     folder = out or default_folder(experiment)
     try:
-        plan = load_plan(experiment, folder / "variants")
+        plan = load_plan(experiment, folder / "variants", fleet=fleet)
     except WorldError as error:
         _fail(str(error))
     store = Store(folder)
--- a/ironbarrow/lab/experiment/spec.py
+++ b/ironbarrow/lab/experiment/spec.py
@@ -66,10 +66,11 @@
     packages: dict[str, Path]  # by variant: the folder that holds its heathway
 
 
-def load_plan(path: Path, scratch: Path) -> Plan:
+def load_plan(path: Path, scratch: Path, *, fleet: bool = False) -> Plan:
     """Reads and checks an experiment before anything runs; a WorldError names what is wrong.
 
-    ``scratch`` takes the packages of variants that are not this revision's.
+    ``scratch`` takes the packages of variants that are not this revision's. ``fleet``: the dispatchers share
+    one in every cell, by its defaults where the world does not say.
     """
     experiment = convert(read_toml(path), Experiment, str(path))
     names = [variant.name for variant in experiment.variants]
@@ -78,6 +79,10 @@
     world_path = path.parent / experiment.world
     base = read_toml(world_path)
     live = experiment.mode == "live"
+    if fleet and not live:
+        raise WorldError(f"{path}: `mode`: expected 'live' with --fleet, got {experiment.mode!r}")
+    if fleet:
+        _set(base, "dispatchers.fleet", base.get("dispatchers", {}).get("fleet", {}), str(path))
     scratch = scratch.resolve()
     packages = {v.name: _package(v, path, scratch, live=live) for v in experiment.variants}
     seeds = experiment.seeds if isinstance(experiment.seeds, list) else list(range(1, experiment.seeds + 1))
--- a/ironbarrow/lab/experiment/worker.py
+++ b/ironbarrow/lab/experiment/worker.py
@@ -15,7 +15,7 @@
 from ironbarrow.lab.experiment.store import Store
 from ironbarrow.lab.live.processes import Program
 from ironbarrow.lab.live.run import LiveError, LiveRun
-from ironbarrow.lab.model.spec import World, convert
+from ironbarrow.lab.model.spec import World, WorldError, convert
 from ironbarrow.lab.sim.run import Simulation
 
 
@@ -40,7 +40,7 @@
             run_cell(cell, store, package)
         except OSError as error:  # no room for it, or no right to write it
             answer.update(error=f"{error.filename or store.folder}: {error.strerror}", disk=True)
-        except (LiveError, ValueError, AttributeError, TypeError) as error:
+        except (LiveError, WorldError, ValueError, AttributeError, TypeError) as error:
             answer["error"] = f"{type(error).__name__}: {error}"
         print(json.dumps(answer), flush=True)
 
--- a/ironbarrow/lab/live/processes.py
+++ b/ironbarrow/lab/live/processes.py
@@ -193,9 +193,18 @@
     @property
     def cpu_s(self) -> float:
         """User and system time of the process that runs now, s."""
-        fields = Path(f"/proc/{self.pid}/stat").read_text().rpartition(")")[2].split()
+        fields = self._stat()
         return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
+    @property
+    def stands_still(self) -> bool:
+        """Whether the process that runs now is stopped, as by SIGSTOP."""
+        return self.pid is not None and self._stat()[0] == "T"
+
+    def _stat(self) -> list[str]:
+        """The fields of /proc/PID/stat behind the command."""
+        return Path(f"/proc/{self.pid}/stat").read_text().rpartition(")")[2].split()
+
     @property
     def pid(self) -> int | None:
         """Of the process that runs now."""
--- a/ironbarrow/lab/live/run.py
+++ b/ironbarrow/lab/live/run.py
@@ -30,7 +30,7 @@
 from ironbarrow.lab.result import Result
 from ironbarrow.lab.settings import zone_of
 from ironbarrow.runtime.clock import MS, SECOND
-from ironbarrow.runtime.loop import Loop
+from ironbarrow.runtime.loop import Coroutine, Loop, sleep
 from ironbarrow.runtime.sockets import Address
 
 log = structlog.get_logger()
@@ -40,6 +40,7 @@
 _SAMPLE_STEP = 250 * MS
 _PORT = 9000
 _FLEET_PORT = 9100
+_SEES_STOP = 20 * MS
 
 
 class LiveError(Exception):
@@ -117,8 +118,11 @@
         )
         self.workload = Workload(loop, world, self.streams, self.consumers.take)
         self.faults = Faults(loop, world, self.fleet, self.workload, self, self.streams)
+        self._down: dict[int, int] = {}
+        self._ready: set[int] = set()
         self._agents: list[Agent] = []
         self.instances: list[Instance] = []
+        self.stops = 0  # of dispatchers that stood still
         self.links = LinkStandIns(loop, seed)
         self._stand_ins = stand_ins
         if world.dispatchers.fleet is not None and stand_ins:
@@ -132,8 +136,6 @@
             }
         for number in range(count):
             self._add_instance(number)
-        self._down: dict[int, int] = {}
-        self._ready: set[int] = set()
 
     def _failed(self, error: Exception) -> None:
         self.errors += 1
@@ -239,6 +241,7 @@
 
     def pause(self, number: int, lasts: int) -> None:
         """Its connections stay, and say nothing; the front notices as it notices a dead one."""
+        self.stops += 1
         self.instances[number].pause()
         self.audit.dispatcher_stopped(number)
         self.front.died(number)
@@ -250,6 +253,23 @@
             self.audit.dispatcher_goes_on(number)
             self.front.ready(number)
 
+    def end_at(self, number: int, point: str, down: int) -> None:
+        """A dispatcher's first life ends by itself at a named point ("POINT:N"), and starts again so many ns
+        later. Before ``run``."""
+        self.instances[number].fault = point
+        self._down[number] = down
+
+    def stop_at(self, number: int, point: str, lasts: int) -> None:
+        """A dispatcher's first life stops by itself at a named point, and goes on so many ns later. Before
+        ``run``."""
+        self.instances[number].fault = f"{point}:stop"
+        self.loop.spawn(self._watch_for_stop(number, lasts))
+
+    def _watch_for_stop(self, number: int, lasts: int) -> Coroutine[None]:
+        while not self.instances[number].stands_still:
+            yield from sleep(self.loop.now() + _SEES_STOP)
+        self.pause(number, lasts)
+
     def trouble_links(self, fault: Fault) -> None:
         pairs = self.pairs_of(fault)
         cut = fault.kind == "links cut"
