--- a/ironbarrow/lab/live/consumers.py
+++ b/ironbarrow/lab/live/consumers.py
@@ -1,7 +1,6 @@
 """Consumers on sockets: an open loop over HTTP/1.1. Latency counts from when an order was due, not from when
 it could be sent, so a generator or a dispatcher that falls behind can't hide it (coordinated omission)."""
 
-from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -50,7 +49,7 @@
         self.wrong_results = 0
         self.refused_connections = 0
         self.came_again = 0  # under the same id
-        self.without_dispatcher: Counter[int] = Counter()  # by class: no answer for want of one
+        self.without_dispatcher: list[Order] = []  # no answer for want of one
         self.heard: Callable[[Order, str], None] | None = None  # told of each end
 
     def take(self, order: Order) -> None:
@@ -84,7 +83,8 @@
                 order, "failed" if how == "broken" else how, consumer.tries, retry_after
             )
             if isinstance(step, Ended):
-                self.without_dispatcher[order.cls] += lost
+                if lost:
+                    self.without_dispatcher.append(order)
                 return step.outcome
             yield from sleep(self._loop.now() + step.pause)
 
--- a/ironbarrow/lab/live/run.py
+++ b/ironbarrow/lab/live/run.py
@@ -369,7 +369,8 @@
                 "unheard_ends": sum(d.gave_up_ends for doors in self._doors.values() for d in doors),
                 "came_again": self.consumers.came_again,
                 "without_dispatcher": {
-                    cls.name: self.consumers.without_dispatcher[n] for n, cls in enumerate(self.world.classes)
+                    cls.name: sum(order.cls == n for order in self.consumers.without_dispatcher)
+                    for n, cls in enumerate(self.world.classes)
                 },
                 "fleet": self._fleet_notes(),
                 "folder": str(self._folder),
--- a/ironbarrow/lab/model/spec.py
+++ b/ironbarrow/lab/model/spec.py
@@ -10,7 +10,7 @@
 from msgspec import Meta, Struct
 
 from ironbarrow.config.units import Duration, ms
-from ironbarrow.fleet.file import AnswerRules, LedgerRules, MemberRules, StarvationRules
+from ironbarrow.fleet.file import AnswerRules, LedgerRules, LinkRules, MemberRules, StarvationRules
 
 Share = Annotated[float, Meta(ge=0, le=1)]
 Count = Annotated[int, Meta(ge=1)]
@@ -57,6 +57,7 @@
     laboratory's own. Played live alone."""
 
     members: MemberRules = MemberRules()
+    links: LinkRules = LinkRules()
     ledgers: LedgerRules = LedgerRules()
     answers: AnswerRules = AnswerRules()
     starvation: StarvationRules | None = None
