--- a/ironbarrow/fleet/ledgers/writer.py
+++ b/ironbarrow/fleet/ledgers/writer.py
@@ -243,6 +243,8 @@
     def _flush(self, now: int, *, resend: bool = False, force: bool = False) -> list[Action]:
         """Sends each keeper what it has not been sent, or (``resend``) not acknowledged in time."""
         actions: list[Action] = []
+        if self._proposal is not None:
+            return actions  # danger: the tail is gone by then, the whole table goes to the next keepers
         made: dict[int, Append] = {}
         rules = self._rules
         for keeper, keeping in self.keeping.items():
