--- a/ironbarrow/fleet/takeover/machine.py
+++ b/ironbarrow/fleet/takeover/machine.py
@@ -68,9 +68,7 @@
 LINGER = 10 * SECOND  # the answer of a job that must not run twice stays in the ledger so long after its end
 _LINGERING = 1024  # such answers at the most
 _RESULT_WRITTEN = 4096  # bytes; a longer result is not written down, and a repeat elsewhere hears "failed"
-_SAFE_WAITS = (
-    3 * SECOND
-)  # at most, and half of its time: then a safe job is taken though somebody may have it
+_SAFE_WAITS = 3 * SECOND  # at most, and half of its time: then a safe job that is asked for is rejected
 _SETTLED = 1 * SECOND  # so long after its start a member does not yet know all others
 _REMOTE = 64  # others that are told a job's answer unasked
 _TELL_AGAIN = (200 * MS, 1 * SECOND, 3 * SECOND)  # after a ledger is taken over, since messages are lost
@@ -122,6 +120,7 @@
     failed: Callable[[int], list[Action]]
     call: object = None
     off: bool = False
+    again: bool = False  # its time was given once more
     seq: int = NEVER  # the append's that has to be kept
 
 
@@ -164,6 +163,7 @@
         self._gathered: list[_Wait] = []
         self._waits: deque[tuple[int, list[_Wait]]] = deque()
         self._calls: dict[object, _Wait] = {}
+        self.closing: set[str] = set()  # ids whose consumers have left, being called off
         self._linger: deque[tuple[int, str]] = deque()
         self._tell: list[tuple[int, Life, bool]] = []
         self._lost: dict[Life, int] = {}  # until when a repeat may be about a job of it
@@ -176,13 +176,14 @@
 
     def succeed(self, now: int, earlier: "Takeover") -> list[Action]:
         """Takes on the consumers, answers and promises of an earlier life, which others have taken over.
-        Their jobs are asked for, and never taken anew here."""
+        Their jobs are asked for first, and those that may have gone out from here are not taken anew."""
         self.answers, self.promises, self.counts = earlier.answers, earlier.promises, earlier.counts
         self._lost, self.taken_over = earlier._lost, earlier.taken_over
         actions: list[Action] = []
         for asking in earlier.asking.values():
             asking.holder = None
             asking.remote.clear()
+            asking.begun = now
             self.asking[asking.record.id] = asking
             actions += self._ask(now, asking)
         earlier.asking = {}
@@ -193,11 +194,16 @@
         if (known := self._join(now, record, waiter)) is not None:
             return known
         safe = self.rules.safe.get(record.job_class, False)
-        if marked or self.promises.given(record.id, now) or (not safe and self._asks_unmarked(now)):
+        if self.fenced:
+            # the next life asks for it, as for all that came when this one was over
+            self.asking[record.id] = Asking(record, safe, [waiter], now, next_at=NEVER)
+            return []
+        seen = record.id in self.closing or self.promises.given(record.id, now)
+        if marked or seen or (not safe and self._asks_unmarked(now)):
             asking = Asking(record, safe, [waiter], now)
             self.asking[record.id] = asking
             return self._ask(now, asking)
-        if (self.alone or self.fenced) and record.job_class in self.rules.turn_away:
+        if self.alone and record.job_class in self.rules.turn_away:
             # nothing of it was written, nobody can do it: a repeat is harmless
             self.counts["turned away"] += 1
             return [Reply(waiter, Answer(Verdict.REJECTED, retry_after=self.rules.retry_after))]
@@ -242,6 +248,7 @@
 
     def call_over(self, job_id: str, *, never_ran: bool) -> None:
         """An attempt has ended, its job may have not."""
+        self.closing.discard(job_id)
         held = self.held.get(job_id)
         if held is None or held.record.stage is not Stage.INTENT or held.answering:
             return
@@ -290,6 +297,8 @@
         if not held.safe and held.record.stage is not Stage.TAKEN:
             return []  # it may have run: it goes on, for the consumer that comes again
         del self.held[job_id]
+        if held.record.stage is Stage.INTENT:
+            self.closing.add(job_id)
         self._write(drop(job_id))
         return [Withdraw(job_id)]
 
@@ -353,13 +362,19 @@
     def ticked(self, now: int) -> list[Action]:
         actions: list[Action] = []
         late = [w for _, waits in self._waits for w in waits if w.until <= now and not w.off]
+        if late and now - late[0].until > self.rules.wait:
+            # this process was stopped: nobody had the time to answer
+            for wait in [w for w in late if not w.again]:
+                wait.until, wait.again = now + self.rules.wait, True
+            late = [w for w in late if w.until <= now]
         if late:
             self.alone = True
             self.counts["waits without a majority"] += len(late)
             actions += self._fail_all(now, late)
         while self._linger and (self._linger[0][0] <= now or len(self._linger) > _LINGERING):
             self._write(drop_answer(self._linger.popleft()[1]))
-        for asking in [a for a in self.asking.values() if min(a.next_at, self._gives_up_at(a)) <= now]:
+        waiting = [] if self.fenced else list(self.asking.values())
+        for asking in [a for a in waiting if min(a.next_at, self._gives_up_at(a)) <= now]:
             if self.asking.get(asking.record.id) is asking:
                 actions += self._ask(now, asking)
         for due, life, whole in [told for told in self._tell if told[0] <= now]:
@@ -371,7 +386,7 @@
 
     def next_at(self) -> int:
         times = [w.until for _, waits in self._waits for w in waits if not w.off]
-        times += [min(a.next_at, self._gives_up_at(a)) for a in self.asking.values()]
+        times += [min(a.next_at, self._gives_up_at(a)) for a in self.asking.values() if not self.fenced]
         times += [o.due for o in self.open.values()]
         times += [due for due, _, _ in self._tell]
         if self._linger:
@@ -562,8 +577,11 @@
             held.over = True
             actions.append(Forget(job_id))
             if held.waiters:
-                # its consumers still wait: they get the answer from whoever has it now
-                self.asking[job_id] = Asking(held.record, held.safe, held.waiters, now, may_take=False)
+                # its consumers still wait: they get the answer from whoever has it now, or, where it
+                # never went out from here and nobody has it, it is taken anew
+                self.asking[job_id] = Asking(
+                    held.record, held.safe, held.waiters, now, may_take=not held.unproven
+                )
         self.held.clear()
         self.open.clear()
         return [*actions, Superseded()]
@@ -593,13 +611,16 @@
         return []
 
     def _gives_up_at(self, asking: Asking) -> int:
-        if not asking.safe or not asking.may_take or asking.holder is not None:
+        if not asking.safe or asking.holder is not None:
             return asking.record.until
         return min(asking.begun + _SAFE_WAITS, (asking.begun + asking.record.until) // 2)
 
     def _ask(self, now: int, asking: Asking) -> list[Action]:
         """Begins a round; ends the asking where time is over, or the job has come here meanwhile."""
         record = asking.record
+        if self.fenced:
+            asking.next_at = NEVER
+            return []
         if (held := self.held.get(record.id)) is not None:
             del self.asking[record.id]
             held.waiters += asking.waiters
@@ -609,10 +630,8 @@
             del self.asking[record.id]
             return self._tell_all(record.id, asking.waiters, asking.remote, ended.answer)
         if now >= self._gives_up_at(asking):
-            if asking.safe and asking.may_take and now < record.until:
-                self.counts["taken without all answers"] += 1
-                return self._take_asked(now, asking)
-            # danger: a repeat of a job that somebody may have run
+            # danger: a repeat of a job that somebody may have, or has run
+            self.counts["not all have answered"] += 1
             answer = self._rejection() if asking.safe else _FAILED
             return self._end_asking(now, asking, answer)
         asking.new_round(now)
@@ -628,13 +647,20 @@
     def _take_asked(self, now: int, asking: Asking) -> list[Action]:
         del self.asking[asking.record.id]
         held = Held(asking.record, asking.safe, asking.waiters, asking.remote)
-        if (self.alone or self.fenced) and asking.record.job_class in self.rules.turn_away:
+        if self.alone and asking.record.job_class in self.rules.turn_away:
             return self._tell_all(asking.record.id, asking.waiters, asking.remote, _FAILED)
         return self._take(now, held)
 
     def _decide(self, now: int, asking: Asking) -> list[Action]:
         """Takes the job once all that live have said, in one round, that they have it not."""
-        if asking.holder is not None or not asking.clean or self.open or now < self.begun + _SETTLED:
+        if (
+            self.fenced
+            or asking.holder is not None
+            or asking.record.id in self.closing
+            or not asking.clean
+            or self.open
+            or now < self.begun + _SETTLED
+        ):
             return []
         if any(m.card.life not in asking.heard for m in self.members.alive() if m.card.life != self.me):
             return []
@@ -678,7 +704,7 @@
             answer.verdict.value if answer is not None else "",
             answer.result if answer is not None else b"",
             answer.retry_after if answer is not None else 0,
-            tuple(self.open),
+            (*self.open, *((self.me,) if ask.id in self.closing else ())),
             tuple(self._lost) if self._has_lost(now) else (),
         )
         return [*actions, Send(sender, said)]
--- a/ironbarrow/fleet/takeover/work.py
+++ b/ironbarrow/fleet/takeover/work.py
@@ -353,9 +353,8 @@
             self._back.give_up(call, ending)
 
     def _call_over(self, call: Call) -> None:
-        if not call.job.over:
-            self.machine.call_over(call.job.payload.id, never_ran=call.never_ran)
-            self._do(())
+        self.machine.call_over(call.job.payload.id, never_ran=call.never_ran)
+        self._do(())
 
     def probe(self, provider: str) -> None:
         self._back.probe(provider)
--- a/ironbarrow/lab/fleet/work.py
+++ b/ironbarrow/lab/fleet/work.py
@@ -13,7 +13,7 @@
 from heathway import api
 from ironbarrow.core.endings import Ending
 from ironbarrow.core.host import Answer, Call, Host, Payload, Verdict
-from ironbarrow.fleet.api import Action, Card, Life
+from ironbarrow.fleet.api import Action, Card
 from ironbarrow.fleet.codec import Codec
 from ironbarrow.fleet.file import Fleet
 from ironbarrow.fleet.ledgers import LedgerMachine
@@ -318,8 +318,13 @@
             if not order.heard:
                 self.clock.call_at(self.clock.now() + self._pause(), self._try, order)
 
-    def start(self, name: str) -> Life:
-        return self.net.start(name)
+    def restart(self, name: str) -> None:
+        self.net.start(name)
+
+    def resume(self, name: str) -> None:
+        """Lets a process go on that was stopped, if it was not killed meanwhile."""
+        if self.net.seats[name].paused:
+            self.net.resume(name)
 
     def hears(self, raw: dict[str, Any]) -> bool:
         """A provider's call-back reaches whoever is up, the front says whom; False if nobody is."""
@@ -358,10 +363,15 @@
         order.at = name
         self._waiting[name].append(order)
 
+        number = order.tries
+
         def answered(answer: Answer | None) -> None:
-            order.heard.append(answer)
+            if number == order.tries:
+                order.heard.append(answer)
+            else:
+                self.counts["answered to nobody"] += 1
 
-        marked = order.tries > 1
+        marked = number > 1
         process = self.processes[name]
 
         def taken() -> None:
