Believe who was in sight: a healed cut kills nobody by what one side thought of the other

After a site had been cut off, its side's suspicions and deaths ran through the other side within a second and killed members that lived there: 429 deaths were told at 100 members. An accusation now counts only from one that has itself been in sight for a while; others make a member look for itself. Who hears nobody holds itself for the slow one, not who finds many dead. A sync that brings news is followed by another soon.

--- a/ironbarrow/fleet/members/machine.py
+++ b/ironbarrow/fleet/members/machine.py
@@ -52,11 +52,13 @@
 _PART = 64  # members whose state is compared in a sync
 _CARDS = 24  # cards in an answer to a sync
 _SYNC_EVERY = 5 * SECOND
+_SYNC_LEAST = SECOND // 2  # as long as a sync brings news
 _TRY_EVERY = SECOND  # one that is held dead, or a seed that is not known, is asked again
 _RELAYS = 256  # questions asked for others at a time
 _ILL_MOST = 4  # doublings of half a time-out while this member itself seems slow
 _CONFIRMATIONS = 3  # others that can't reach it either shorten the time of a suspicion
 _SHORTEST = 3  # to this part
+_CREDIBLE_AFTER = 3  # times the longest suspicion
 _TEXT_MOST = 300  # characters of an address
 _LEDGERS_MOST = 32
 
@@ -80,11 +82,13 @@
     by: set[str] = field(default_factory=set)  # who could not reach it
     until: int = NEVER  # end of the suspicion
     doubted: int = 0
+    back: int = -NEVER  # when it came in sight, or came back, after others had begun
 
 
 @dataclass(slots=True, eq=False)
 class _Probe:
     life: Life
+    since: int
     helpers_at: int
     end: int
     helpers: int = -1  # asked; -1: not yet
@@ -133,13 +137,15 @@
         self._urgent: dict[str, None] = {}  # who is asked before these
         self._last_urgent = False
         self._ill = 0
+        self._heard_at = now  # anybody
         self._replaced: Life | None = None
         self._alive: tuple[Member, ...] | None = None
         self._me_since = self._now = now
         self._out: list[Action] = []
         self._ping_at = now + self._random.randrange(rules.period)
         self._gossip_at = now
-        self._sync_at = now + self._random.randrange(_SYNC_EVERY)
+        self._sync_wait = _SYNC_LEAST
+        self._sync_at = now + self._random.randrange(_SYNC_LEAST)
         self._try_at = now
         for card in known:
             self._hear(now, Rumour(card.life, card.version, RANK[Health.ALIVE], card=card))
@@ -226,6 +232,7 @@
         if sender.name == self.me.life.name:
             self._of_me(sender, self.me.version, Health.ALIVE)
             return self._flush()
+        self._heard_at = now
         entry = self._entries.get(sender.name)
         if entry is not None and entry.card.life == sender:
             entry.heard = now
@@ -241,8 +248,12 @@
         elif isinstance(message, Sync):
             self._on_sync(now, sender, message)
         elif isinstance(message, Cards):
+            before = len(self._out)
             for rumour in message.items:
                 self._hear(now, rumour, message.synced)
+            if message.synced and len(self._out) > before and self._sync_wait > _SYNC_LEAST:
+                self._sync_wait = _SYNC_LEAST
+                self._sync_at = min(self._sync_at, now + _SYNC_LEAST)
         elif isinstance(message, Want):
             wanted = [self._rumour(name, full=True, now=now) for name in message.names[: 4 * _PART]]
             self._send_cards(sender, [rumour for rumour in wanted if rumour is not None], synced=True)
@@ -357,7 +368,8 @@
             self._gossip_at = now + self.rules.period // 2
             self._tell_some(_FANOUT)
         if self._sync_at <= now:
-            self._sync_at = now + _SYNC_EVERY
+            self._sync_at = now + self._sync_wait
+            self._sync_wait = min(2 * self._sync_wait, _SYNC_EVERY)
             alive = [e for e in self._entries.values() if e.health is Health.ALIVE]
             if alive:
                 self._sync(now, self._random.choice(alive).card.life)
@@ -428,7 +440,9 @@
             return
         self._number += 1
         timeout = self._slow(self.rules.timeout) if direct_only is None else direct_only
-        self._probes[self._number] = probe = _Probe(life, now + timeout, now + self._slow(self.rules.period))
+        self._probes[self._number] = probe = _Probe(
+            life, now, now + timeout, now + self._slow(self.rules.period)
+        )
         self._send(life, Ping(self._number, self.me.version, *self._seen(life), self._some([], life.name)))
         if timeout == 0:
             self._ask_helpers(now, self._number, probe)
@@ -464,8 +478,10 @@
         entry = self._entries.get(probe.life.name)
         if entry is None or entry.card.life != probe.life:
             return
-        if probe.helpers > 0 and probe.refused == 0:
-            self._ill = min(_ILL_MOST, self._ill + 1)  # not even those asked for help answered
+        if self._heard_at < probe.since:
+            self._ill = min(
+                _ILL_MOST, self._ill + 1
+            )  # nobody is heard: it may be this member that is cut off
         if entry.health is Health.ALIVE or entry.health is Health.SUSPECT:
             self._suspect(now, entry, entry.version, self.me.life.name)
 
@@ -534,23 +550,28 @@
                 self._set(now, entry, rumour.version, Health.ALIVE)
         elif (rumour.version, rumour.health) < (entry.version, RANK[entry.health]):
             return
-        elif health is Health.SUSPECT:
-            self._suspect(now, entry, rumour.version, rumour.by)
-        elif entry.health is Health.ALIVE:
+        elif entry.health in (Health.ALIVE, Health.SUSPECT) and (
+            synced or not self._credible(now, rumour.by)
+        ):
             # danger: who was cut off holds the others dead; taken at its word when it comes back, all that
             # live would die together
-            if synced:
-                self._urgent[life.name] = None
-            else:
-                self._suspect(now, entry, rumour.version, "")
-        elif entry.health is Health.SUSPECT:
+            self._urgent[life.name] = None
+        elif health is Health.DEAD and entry.health is Health.SUSPECT:
             if now - entry.since >= self.rules.suspect_for // _SHORTEST:
                 self._die(now, entry, rumour.version)
             else:
                 self._suspect(now, entry, rumour.version, rumour.by)
+        elif health is Health.SUSPECT or entry.health is Health.ALIVE:
+            self._suspect(now, entry, rumour.version, rumour.by)
         else:
             entry.version = max(entry.version, rumour.version)
 
+    def _credible(self, now: int, by: str) -> bool:
+        """Whether who says that it could not reach a third has itself been in sight for a while."""
+        entry = self._entries.get(by)
+        in_sight = entry is not None and entry.health in (Health.ALIVE, Health.SUSPECT)
+        return entry is not None and in_sight and now - entry.back >= _CREDIBLE_AFTER * self.rules.suspect_for
+
     def _meet(self, now: int, old: _Entry | None, card: Card, rumour: Rumour, health: Health) -> None:
         """A life that was not known. Danger: the end of the earlier one is told first."""
         name = card.life.name
@@ -558,8 +579,16 @@
             self._end(now, old)
         since = now - rumour.age_ms * MS if health is Health.DEAD else now
         entry = _Entry(
-            card, rumour.version, health, since, self._share(name), Member(card, health, since), heard=now
+            card,
+            rumour.version,
+            health,
+            since,
+            self._share(name),
+            Member(card, health, since),
+            heard=now,
         )
+        if old is None and now - self._me_since >= _CREDIBLE_AFTER * self.rules.suspect_for:
+            entry.back = now  # it may have been cut off for so long that it was forgotten
         self._entries[name] = entry
         self._order.insert(self._random.randrange(len(self._order) + 1), name)
         if health is Health.SUSPECT:
@@ -620,9 +649,12 @@
         entry.version = version
         if health is not Health.SUSPECT:
             self._suspects.pop(life.name, None)
-            entry.by.clear()
             entry.until = NEVER
+            if health is not Health.DEAD:
+                entry.by.clear()
         if health is not entry.health:
+            if entry.health is Health.DEAD:
+                entry.back = now
             entry.health, entry.since = health, now
             self._changed(now, entry)
         else:
@@ -639,7 +671,7 @@
         fresh = entry.health is not Health.SUSPECT
         if entry.health in (Health.DEAD, Health.LEFT) and version <= entry.version:
             return
-        if version > entry.version:
+        if version > entry.version or entry.health is Health.ALIVE:
             entry.by.clear()
             fresh = True
         if not fresh and (not by or by in entry.by or len(entry.by) > _CONFIRMATIONS):
