--- a/ironbarrow/fleet/file.py
+++ b/ironbarrow/fleet/file.py
@@ -62,6 +62,8 @@
 
     keep_for: Duration = ms(60_000)
     most: Count = 4096
+    # of jobs that may not run twice: which are asked for at all members before they are taken
+    ask: Literal["marked", "all"] = "marked"  # those that say X-Retried: 1, or all
 
 
 class StarvationRules(_Table, frozen=True):
@@ -74,6 +76,7 @@
     false_alarms: Annotated[float, Meta(gt=0, lt=0.5)] = 0.01  # chance a look over all pairs
     least_jobs: Count = 20
     least_effect: Annotated[float, Meta(gt=1)] = 2.0  # times as long a wait
+    least_wait: Duration = ms(20)  # a shorter mean wait is nobody's trouble
     lasting: Count = 2  # windows in a row
     least_seen: Part = 0.5  # of the fleet's tables
     move: bool = False  # held jobs of a starved tenant go to where it waits least
