Refuse what is out of range in members' talk, and hold the list to its bound

A value without bound in a broken message would be passed on by everybody and never outdone. Rumours are checked one by one, counted and dropped; the list holds as many as the file says (1,024 and 2,000 tried), no message passes 8 KB at 2,000 members, and a joiner learns 2,000 from one in messages under 16 KB. Three invariants hold over 200 seeds of random talk and each catches its mutant. Members of a wildcard listener say by address where they are reached.

--- a/ironbarrow/fleet/file.py
+++ b/ironbarrow/fleet/file.py
@@ -86,6 +86,7 @@
     """All of it. ``routes``: where a member is reached, if not at the address that it tells."""
 
     listen: str
+    address: str = ""  # how the others reach it; "": as it listens
     seeds: list[str] = msgspec.field(default_factory=list)  # "name=host:port"
     site: str = ""  # "": the zone of the settings
     members: MemberRules = MemberRules()
@@ -131,6 +132,10 @@
 def _check(fleet: Fleet, name: str) -> None:
     """What no single key shows."""
     _address("listen", fleet.listen, least_port=0)
+    if fleet.address:
+        _address("address", fleet.address)
+    elif parse_address(fleet.listen, 0)[0] in ("0.0.0.0", "::"):
+        raise ValueError(f"address: expected one that others can reach, since listen is {fleet.listen!r}")
     seen: set[str] = set()
     for seed in fleet.seeds:
         seed_name, equals, address = seed.partition("=")
--- a/ironbarrow/fleet/links/links.py
+++ b/ironbarrow/fleet/links/links.py
@@ -89,8 +89,9 @@
 
     @property
     def waiting(self) -> int:
-        """Messages that wait to be sent."""
-        return sum(peer.queue.count for peer in self._peers.values())
+        """Messages that wait to be sent, and peers to which some are being sent."""
+        peers = self._peers.values()
+        return sum(peer.queue.count + (peer.task is not None and not peer.asleep) for peer in peers)
 
     @property
     def open(self) -> int:
--- a/ironbarrow/fleet/members/machine.py
+++ b/ironbarrow/fleet/members/machine.py
@@ -59,8 +59,10 @@
 _CONFIRMATIONS = 3  # others that can't reach it either shorten the time of a suspicion
 _SHORTEST = 3  # to this part
 _CREDIBLE_AFTER = 3  # times the longest suspicion
-_TEXT_MOST = 300  # characters of an address
-_LEDGERS_MOST = 32
+_NAME_MOST = 64  # characters, as in the file
+_TEXT_MOST = 300  # of an address or a ledger's name
+_KEEPERS_MOST = 8
+_LEDGERS_MOST = 64
 
 
 @dataclass(frozen=True, slots=True)
@@ -156,7 +158,8 @@
         if self._alive is None:
             found = [e.member for e in self._entries.values() if e.health in (Health.ALIVE, Health.SUSPECT)]
             found.append(Member(self.me, Health.ALIVE, self._me_since))
-            check("self alive", found[-1].health is Health.ALIVE, me=self.me.life)
+            own = [m.card.life for m in found if m.card.life.name == self.me.life.name]
+            check("self alive", own == [self.me.life], me=self.me.life, found=own)
             self._alive = tuple(sorted(found, key=lambda member: member.card.life.name))
         return self._alive
 
@@ -279,8 +282,9 @@
             if ack.seen < self.me.version and not self.left:
                 mine = self._rumour(self.me.life.name, full=True, now=now)
                 self._send_cards(sender, [mine] if mine is not None else [])
-        relay = self._relays.pop(ack.number, None)
+        relay = self._relays.get(ack.number)
         if relay is not None and relay.target == sender:
+            del self._relays[ack.number]
             found = Ack(
                 relay.number, self.me.version, news=self._some([sender.name], relay.asker.name), about=sender
             )
@@ -340,7 +344,7 @@
                 give.append(mine)
         self._send_cards(sender, give, synced=True)
         if want:
-            self._send(sender, Want(tuple(want)))
+            self._send(sender, Want(tuple(want[: 4 * _PART])))
 
     # Time
 
@@ -815,14 +819,29 @@
 
 
 def _sound(rumour: Rumour) -> bool:
+    """Danger: a value out of range would be passed on from member to member and never outdone."""
     card = rumour.card
-    return 0 < len(rumour.life.name) <= 64 and (
-        card is None
-        or (
-            card.life == rumour.life
-            and 0 <= card.version < VERSION_MOST
-            and max(len(card.address), len(card.site), len(card.front)) <= _TEXT_MOST
-            and len(card.ledgers) <= _LEDGERS_MOST
-            and all(len(at.keepers) <= 8 for at in card.ledgers)
+    return (
+        0 <= rumour.age_ms < VERSION_MOST
+        and max(len(rumour.by), 1) <= _NAME_MOST
+        and _sound_life(rumour.life)
+        and (card is None or (card.life == rumour.life and _sound_card(card)))
+    )
+
+
+def _sound_life(life: Life) -> bool:
+    return 0 < len(life.name) <= _NAME_MOST and 0 < life.start < NEVER
+
+
+def _sound_card(card: Card) -> bool:
+    return (
+        0 <= card.version < VERSION_MOST
+        and max(len(card.address), len(card.site), len(card.front)) <= _TEXT_MOST
+        and len(card.ledgers) <= _LEDGERS_MOST
+        and all(
+            len(at.ledger) <= _TEXT_MOST
+            and len(at.keepers) <= _KEEPERS_MOST
+            and all(_sound_life(keeper) for keeper in at.keepers)
+            for at in card.ledgers
         )
     )
--- a/ironbarrow/fleet/service.py
+++ b/ironbarrow/fleet/service.py
@@ -47,7 +47,7 @@
         address = sockets.parse_address(fleet.listen, 0)
         listener = listener or sockets.listen(address)
         host = address[0]
-        self.address = f"{host}:{listener.getsockname()[1]}"
+        self.address = fleet.address or f"{host}:{listener.getsockname()[1]}"
         self._begin(time.time_ns(), ())
         self.links = Links(
             loop, listener, self.codec, self.life, fleet.links, self._address_of, self._received, self._broke
--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -134,6 +134,22 @@
     assert told.index((first, Health.DEAD)) < told.index((c.life, Health.ALIVE))
 
 
+def test_a_way_that_is_cut_in_one_direction_kills_nobody_where_a_third_sees_both(bench: Bench) -> None:
+    a, b = pair(bench)
+    c = bench.start("c", a)
+    bench.until(bench.met)
+    with contextlib.closing(listen(("127.0.0.1", 0))) as hole:  # takes connections and hears nothing
+        a.fleet.routes["b"] = f"127.0.0.1:{hole.getsockname()[1]}"
+        bench.run(3)
+        assert bench.met() or Health.SUSPECT in {m.health for m in c.members.alive()}
+        assert not any(
+            isinstance(news, MemberChanged) and news.member.health is Health.DEAD
+            for told in bench.told.values()
+            for news in told
+        )
+        assert b.links.figures["messages in"] > 0 and not a.links.shed["unreachable"]
+
+
 def test_a_renewed_member_is_another_life_and_the_old_one_is_dead(bench: Bench) -> None:
     a, b = pair(bench)
     before, sink = b.life, Sink()
--- a/tests/test_fleet_members.py
+++ b/tests/test_fleet_members.py
@@ -1,14 +1,20 @@
 """Members on the simulated network: who is held for what, and how soon."""
 
+import random
+import sys
 from collections.abc import Callable
+from pathlib import Path
+from types import ModuleType
 
 import pytest
 
-from ironbarrow.fleet.api import Card, Health, Life, MemberChanged
+from ironbarrow.fleet.api import NEVER, Card, Health, LedgerAt, Life, MemberChanged, Message, Send
 from ironbarrow.fleet.codec import Codec
 from ironbarrow.fleet.file import MemberRules
-from ironbarrow.fleet.invariants import INVARIANTS
+from ironbarrow.fleet.invariants import INVARIANTS, InvariantError
 from ironbarrow.fleet.members import MemberMachine
+from ironbarrow.fleet.members import machine as machine_module
+from ironbarrow.fleet.members.messages import RANK, VERSION_MOST, Ack, Cards, Ping, Rumour
 from ironbarrow.lab.fleet.net import SimulatedNet
 from ironbarrow.lab.sim.clock import SimulatedClock
 from ironbarrow.runtime.clock import MS, SECOND
@@ -198,3 +204,178 @@
     made.until(lambda: set(made.healths("m5").values()) == {Health.LEFT}, 2 * SECOND)
     made.net.run(3 * SECOND)
     assert made.deaths() == 0
+
+
+# Bad input, bounds, versions
+
+
+def alone(rules: MemberRules | None = None, machine: type[MemberMachine] = MemberMachine) -> MemberMachine:
+    return machine(Card(Life("me", 5), "h:1", "x", version=1), rules or MemberRules(), (), 0)
+
+
+def card(name: str, start: int = 1, version: int = 1, **more: object) -> Card:
+    return Card(Life(name, start), "h:2", "y", version=version, **more)  # type: ignore[arg-type]
+
+
+def said(what: Card, health: Health = Health.ALIVE, version: int | None = None, **more: object) -> Rumour:
+    at = what.version if version is None else version
+    return Rumour(what.life, at, RANK[health], card=what, **more)  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize(
+    "rumour",
+    [
+        said(card("")),
+        said(card("n" * 65)),
+        said(card("a", start=-1)),
+        said(card("a", start=NEVER)),
+        said(card("a"), version=VERSION_MOST),
+        said(card("a", version=-1), version=1),
+        said(card("a"), age_ms=-1),
+        said(card("a", ledgers=(LedgerAt("l", 1, (Life("k"),)),))),
+        said(card("a", ledgers=(LedgerAt("l" * 301, 1, ()),))),
+        said(card("a", front="f" * 301)),
+        Rumour(Life("b", 1), 1, 0, card=card("a")),
+        Rumour(Life("a", 1), 1, 4, card=card("a")),
+        Rumour(Life("me", 5), VERSION_MOST, 2),
+    ],
+)
+def test_what_is_out_of_range_is_counted_and_changes_nothing(rumour: Rumour) -> None:
+    machine = alone()
+    actions = machine.received(1, Life("x", 1), Cards((rumour,)))
+    assert not actions and machine.dropped == {"malformed": 1}
+    assert len(machine.alive()) == 1 and machine.me.version == 1
+
+
+@pytest.mark.parametrize("count", [1024, 2000])
+def test_the_list_holds_as_many_as_it_says_and_no_more(count: int) -> None:
+    machine = alone(MemberRules(most=count))
+    for start in range(0, count + 50, 50):
+        names = [f"m{i}" for i in range(start, start + 50)]
+        machine.received(1 + start, Life("m0", 1), Cards(tuple(said(card(name)) for name in names)))
+    assert len(machine.alive()) == count
+    assert machine.dropped["full"] == start + 50 - (count - 1)
+    late = 2 * SECOND
+    machine.received(late, Life("m0", 1), Cards((said(card("m7"), Health.LEFT),)))
+    machine.received(late, Life("m0", 1), Cards((said(card("new")),)))  # takes the place of one that is gone
+    assert machine.health(Life("new", 1)) is Health.ALIVE and machine.card("m7") is None
+    codec = Codec(MemberMachine.handles)
+    sizes: list[int] = []
+    now = late
+    for _ in range(400):  # whatever the number, no message is large
+        now = max(now, min(machine.next_at(), now + 100 * MS))
+        for action in machine.ticked(now):
+            if isinstance(action, Send):
+                sizes.append(len(codec.encode(machine.me.life, 0, action.message)))
+    assert len(sizes) > 100 and max(sizes) < 8_000
+
+
+def test_a_joiner_learns_two_thousand_members_from_one() -> None:
+    machine, joiner = (
+        alone(),
+        MemberMachine(Card(Life("j", 9), "h:3", "x", version=1), MemberRules(), ("me",), 0),
+    )
+    for start in range(0, 2000, 50):
+        names = [f"m{i}" for i in range(start, start + 50)]
+        machine.received(1, Life("m0", 1), Cards(tuple(said(card(name)) for name in names)))
+    asked = [a.message for a in joiner.ticked(1) if isinstance(a, Send)]
+    codec, largest = Codec(MemberMachine.handles), 0
+    for action in machine.received(2, Life("j", 9), asked[0]):
+        if isinstance(action, Send):
+            largest = max(largest, len(codec.encode(machine.me.life, 0, action.message)))
+            joiner.received(3, machine.me.life, action.message)
+    assert len(joiner.alive()) == len(machine.alive()) == 2002
+    assert largest < 16_000
+
+
+def test_a_later_version_of_the_program_is_understood_as_far_as_it_goes() -> None:
+    class LaterPing(Message, frozen=True, array_like=True):
+        KIND = 1
+        number: int
+        version: int
+        seen: int = -1
+        seen_health: int = 0
+        news: tuple[Rumour, ...] = ()
+        more: str = ""
+
+    frame = Codec([LaterPing]).encode(Life("new", 3), 0, LaterPing(7, 1, 1, 0, (said(card("a")),), "x"))
+    found = Codec(MemberMachine.handles).decode(frame[4:])
+    assert found is not None
+    machine = alone()
+    (answer,) = [a for a in machine.received(1, found[0], found[2]) if isinstance(a, Send)]
+    assert isinstance(answer.message, Ack) and answer.message.number == 7
+    assert machine.health(Life("a", 1)) is Health.ALIVE
+
+
+# What must hold, whatever is said
+
+
+def babble(machine: MemberMachine, seed: int) -> None:
+    """Says at random of a few lives what could be said of them, this member's own included."""
+    dice = random.Random(seed)
+    now, versions = 1, dict[str, int]()
+    for _ in range(150):
+        now += dice.randrange(400 * MS)
+        name, start = dice.choice(["me", "a", "b", "c"]), dice.choice([4, 5, 6])
+        found = Card(Life(name, start), "h:1", dice.choice("xy"), version=dice.randrange(6))
+        items = [
+            Rumour(
+                found.life,
+                dice.randrange(6),
+                dice.choice([0, 0, 1, 2, 2, 3]),
+                dice.choice(["", "a", "b", "c", "me"]),
+                dice.randrange(3000),
+                dice.choice([found, found, None]),
+            )
+        ]
+        sender = Life(dice.choice("abc"), start)
+        synced = dice.random() < 0.3
+        seen = dice.randrange(-1, 6), dice.randrange(4)
+        message = dice.choice(
+            [Cards(tuple(items), synced), Ping(1, 1, *seen, tuple(items)), Ack(dice.randrange(9), 2, *seen)]
+        )
+        machine.received(now, sender, message)
+        machine.ticked(max(now, min(machine.next_at(), now + SECOND)))
+        for member in machine.alive():
+            before = versions.get(str(member.card.life), -1)
+            assert member.card.version >= before
+            versions[str(member.card.life)] = member.card.version
+
+
+def test_whatever_is_said_the_list_keeps_its_rules() -> None:
+    for seed in range(200):
+        machine = alone()
+        babble(machine, seed)
+        assert machine.me.life == Life("me", 5)
+
+
+MUTANTS = {
+    "gone stays gone": (
+        "if entry.health is Health.LEFT:\n            return\n",
+        "if False:\n            return\n",
+    ),
+    "versions rise": ("max(entry.version, rumour.version), Health.LEFT", "rumour.version, Health.LEFT"),
+    "self alive": (
+        "self._of_me(life, rumour.version, health)\n            return\n",
+        "self._of_me(life, rumour.version, health)\n",
+    ),
+}
+
+
+def mutant(old: str, new: str) -> type[MemberMachine]:
+    """The machine with one place of its text changed."""
+    text = Path(machine_module.__file__).read_text()
+    assert old in text
+    made = ModuleType("ironbarrow.fleet.members.mutant")
+    sys.modules[made.__name__] = made  # dataclasses look for it
+    exec(compile(text.replace(old, new), made.__name__, "exec"), made.__dict__)
+    found: type[MemberMachine] = made.MemberMachine
+    return found
+
+
+@pytest.mark.parametrize("name", MUTANTS)
+def test_each_invariant_catches_its_mutant(name: str) -> None:
+    broken = mutant(*MUTANTS[name])
+    with pytest.raises(InvariantError, match=name):
+        for seed in range(50):
+            babble(alone(machine=broken), seed)
