--- a/ironbarrow/fleet/ledgers/machine.py
+++ b/ironbarrow/fleet/ledgers/machine.py
@@ -46,7 +46,7 @@
     """Implements ``api.Ledgers`` and ``api.Machine``. What this member keeps of its own ledger goes the same
     way as for others, without the network."""
 
-    handles = (*TO_KEEPER, *TO_WRITER)
+    handles: tuple[type[api.Message], ...] = (*TO_KEEPER, *TO_WRITER)
 
     def __init__(self, me: Life, members: api.Members, rules: LedgerRules) -> None:
         self.me, self._members, self._rules = me, members, rules
