Fill up the keepers of a ledger soon where its writer started with too few

Need: a dispatcher that starts knows one other first, and with two keepers (that one and itself) the loss of either stops it for good: in a live run of four with one killed, another turned all bookings away from then on, the dead one's ledger could be read in part only, and repeats of its jobs had no answer.

--- a/ironbarrow/fleet/ledgers/writer.py
+++ b/ironbarrow/fleet/ledgers/writer.py
@@ -45,6 +45,8 @@
 TAIL_MOST = 4 << 20  # bytes of changes kept for keepers that lag: beyond, the slowest gets no more
 AVOID_FOR = 8  # times ``replace_after``: so long a keeper that was silent is not chosen again
 IMPROVE_AFTER = 10  # times ``replace_after``: so soon better keepers are moved to, though none is lost
+# danger: of two keepers none may be lost, and who starts with the first one it hears of would stay with two
+FILL_AFTER = 2  # times ``resend``: so soon where there are fewer than are wanted
 
 
 class Home(Protocol):
@@ -116,6 +118,8 @@
         self._waiting: deque[tuple[int, int]] = deque([(self.base, now)])  # number, since when: not yet kept
         self._improve_at = now + IMPROVE_AFTER * self._rules.replace_after
         self._check_at = now + self._rules.replace_after
+        if len(self.at.keepers) < self._rules.keepers:
+            self._improve_at = self._check_at = now + FILL_AFTER * self._rules.resend
         actions = self._flush(now, force=True)
         self._due = self._next(now)
         return actions
@@ -335,7 +339,8 @@
     def _replace(self, now: int) -> list[Action]:
         """Seals its own segment where keepers are lost and others can be had, or another's seal has come to
         nothing."""
-        self._check_at = now + self._rules.replace_after
+        short = len(self.at.keepers) < self._rules.keepers
+        self._check_at = now + (FILL_AFTER * self._rules.resend if short else self._rules.replace_after)
         stuck = self._sealed_at != NEVER and now >= self._sealed_at + self._patience()
         lost, gone = self._lost(now)
         if not stuck:
--- a/ironbarrow/lab/fleet/logs.py
+++ b/ironbarrow/lab/fleet/logs.py
@@ -9,7 +9,7 @@
 
 import numpy as np
 
-_ADOPTED = "adopted"  # fields: of (a life, "name/start"), jobs, took_ms
+_ADOPTED = "ledger taken over"  # fields: of (a life, "name/start"), jobs, whole
 _BROKEN = "invariant broken"
 
 
@@ -39,7 +39,7 @@
     broken: Counter[str] = Counter()
     events: Counter[str] = Counter()
     after: list[float] = []
-    jobs = 0
+    jobs = partial = 0
     for path in logs.values():
         for line in lines_of(path):
             event = str(line.get("event"))
@@ -49,13 +49,20 @@
                 broken[str(line.get("invariant"))] += 1
             elif event == _ADOPTED:
                 jobs += int(line.get("jobs", 0))
+                partial += not line.get("whole", True)
                 events[event] += 1
                 at = unix_ns(line)
                 name = str(line.get("of", "")).partition("/")[0]
                 before = [end for end in ended_at.get(name, ()) if end <= at]
                 if before:
                     after.append((at - before[-1]) / 1e6)
-    said: dict[str, Any] = {"broken_invariants": dict(broken), "events": dict(events), "jobs_adopted": jobs}
+    said: dict[str, Any] = {
+        "broken_invariants": dict(broken),
+        "events": dict(events),
+        "adoptions": events[_ADOPTED],
+        "adopted_in_part": partial,
+        "jobs_adopted": jobs,
+    }
     if after:
         said["adopted_after_ms"] = {
             "number": len(after),
