Lead a rollout by a ledger: plan, pause rules by sequential tests, commands that may be repeated

Need: a new runtime reaches the sites in steps, one coordinator at a time, and a bad one stops itself.

Measured: a coordinator lost before and after each of its writes replaces every target once; 25 wrong plans are named; the test of two proportions passes in at most 1 of 100 of 300 runs without a difference, and finds one in ten within 60 s at 6 jobs/s on three machines.

--- /dev/null
+++ b/tests/test_fleet_rollout.py
@@ -0,0 +1,320 @@
+"""Rollouts: plans, the sequential tests against their stated rates, the coordinator lost at every write."""
+
+import math
+import random
+from typing import Any
+
+import numpy as np
+import pytest
+
+from ironbarrow.fleet.invariants import INVARIANTS, InvariantError
+from ironbarrow.fleet.rollout.commands import Agent, Command, Phase
+from ironbarrow.fleet.rollout.coordinator import Rollouts
+from ironbarrow.fleet.rollout.plan import PlanError, parse
+from ironbarrow.fleet.rollout.sequential import Block, Comparison, log_block
+from ironbarrow.lab.fleet.field import RolloutField, targets_of
+from ironbarrow.runtime.clock import MS, SECOND
+
+PLAN = """
+name = "r1"
+runtime = "2.0"
+last_good = "1.0"
+sites = ["a", "b", "c"]
+most_out = 2
+soak = "3 s"
+drain = "1 s"
+[[waves]]
+count = 1
+[[waves]]
+share = 1
+[[floors]]
+site = "a"
+slots = 8
+[[floors]]
+class = "decode"
+slots = 16
+[rules]
+sight = "60 s"
+members_lost = 0.9
+"""
+
+
+@pytest.fixture(autouse=True)
+def _fatal() -> Any:
+    INVARIANTS.fatal = True
+    yield
+    INVARIANTS.fatal = False
+
+
+# Plans
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "expected"),
+    [
+        ('name = "r1"', "", "missing required field `name`"),
+        ('name = "r1"', 'name = "r 1"', "name"),
+        ('runtime = "2.0"', 'runtime = "1.0"', "runtime: expected another than last_good, got '1.0'"),
+        ("most_out = 2", "most_out = 0", "most_out"),
+        ("most_out = 2", "most = 2", "unknown field `most`"),
+        ('"b", "c"]', '"b", "b"]', "sites: expected names that differ, got 'b' twice"),
+        ('"b", "c"]', '"b", "x"]', "sites: expected some of ['a', 'b', 'c'], got 'x'"),
+        ('sites = ["a", "b", "c"]', "sites = []", "sites"),
+        ("most_out = 2", "sites_at_once = 4", "sites_at_once: expected at most 3, got 4"),
+        ("count = 1", "count = 0", "waves[0].count"),
+        ("count = 1", "share = 0", "waves[0].share"),
+        ("count = 1", "", "waves[0]: expected exactly one of count and share"),
+        ("share = 1", "share = 0.5", "waves[1]: expected share = 1, got 0.5"),
+        ("count = 1", "share = 1", "waves[1]: expected more than 1 of the wave before, got 1"),
+        ("share = 1", "count = 3", "waves[1]: expected share = 1, got 3"),
+        ("slots = 8", "slots = 17", "floors[0].slots: expected at most the capacity of 16 (site a), got 17"),
+        ("slots = 16", "slots = 24", "floors[1].slots: expected at most 20, so that 'a1' can be taken out"),
+        ('class = "decode"', 'class = "x"', "floors.class: expected some of ['decode', 'map'], got 'x'"),
+        ('class = "decode"', 'site = "a"', "floors[1]: expected each floor once, got 'site a' twice"),
+        ("most_out = 2", 'quiet = ["22-6"]', "quiet: expected hours such as '22:00-06:00' (UTC), got '22-6'"),
+        ("most_out = 2", 'quiet = ["00:00-12:00", "12:00-00:00"]', "quiet: expected hours that leave some"),
+        ('soak = "3 s"', 'soak = "3"', "expected a duration"),
+        ("[rules]", "[rules]\nfalse_pauses = 0", "rules.false_pauses"),
+        ("[rules]", "[rules]\n" + "#" * 70_000, "expected at most 65536 bytes"),
+        ("[rules]", "[rules", "Expected ']'"),
+    ],
+)
+def test_a_wrong_plan_is_named_and_changes_nothing(old: str, new: str, expected: str) -> None:
+    field = RolloutField(targets_of(3, 4), seed=1, members=3)
+    machine = field.machines["m0"]
+    with pytest.raises(PlanError, match=r"^plan\.toml: ") as error:
+        machine.start(field.clock.now(), PLAN.replace(old, new, 1).encode(), "plan.toml")
+    assert expected in str(error.value)
+    assert machine.lead is None and not field.shared.ledgers
+
+
+def test_a_second_rollout_waits_for_the_first() -> None:
+    field = RolloutField(targets_of(3, 4), seed=1, members=3)
+    field.start("m0", PLAN)
+    field.run(1)
+    for name, member in (("r1", "m0"), ("r2", "m0"), ("r1", "m1"), ("r2", "m1")):
+        with pytest.raises(PlanError, match="expected"):
+            text = PLAN.replace("r1", name).encode()
+            field.machines[member].start(field.clock.now(), text)
+    assert list(field.shared.ledgers) == ["rollout/r1"]
+
+
+def test_hours_when_nothing_starts() -> None:
+    plan = parse(PLAN.replace("most_out", 'quiet = ["22:00-06:00", "12:00-12:30"]\nmost_out').encode(), "p")
+    hour = 3600 * SECOND
+    free = [h for h in range(24) if plan.may_start(19_000 * 24 * hour + h * hour)]
+    assert free == [h for h in range(6, 22) if h != 12]
+
+
+# Sequential tests
+
+
+def feed(
+    test: Comparison, draws: np.random.Generator, rates: list[tuple[float, float]], machines: int, jobs: float
+) -> int | None:
+    """Blocks with these failure rates (new, old); after how many the evidence passed 100, or None."""
+    for number, (new, old) in enumerate(rates, 1):
+        block = Block()
+        for machine in range(machines):
+            n = int(draws.poisson(jobs))
+            block.new[f"n{machine}"] = (n, int(draws.binomial(n, new)))
+        m = int(draws.poisson(6 * jobs))
+        block.old = (m, int(draws.binomial(m, old)))
+        test.add(block)
+        if test.log_all >= math.log(100):
+            return number
+    return None
+
+
+def test_the_test_of_two_proportions_keeps_its_rate() -> None:
+    # base rates that move from block to block, looked at after each: at most one in a hundred ever passes
+    passed, certain = 0, 0
+    for seed in range(300):
+        draws = np.random.default_rng(seed)
+        base = draws.choice([0.0, 0.01, 0.05, 0.3]) * draws.uniform(0, 2, 60)
+        test = Comparison(0.0)
+        passed += feed(test, draws, [(p, p) for p in base], machines=3, jobs=2.0) is not None
+        certain += test.log_e >= math.log(100)
+    assert passed / 300 <= 0.01 and certain <= passed
+
+
+@pytest.mark.parametrize("worse_by", [0.0, 0.01])
+def test_a_block_is_worth_no_more_than_one_on_the_average(worse_by: float) -> None:
+    # exactly, over all outcomes: for the guesses that matter and for any true rate
+    for p, q in ((0.05, 0.01), (0.5, 0.02), (0.92, 0.3)):
+        for rate in (0.001, 0.02, 0.2, 0.6, 0.9):
+            for n, m in ((1, 1), (3, 5), (6, 2)):
+                new, mean = min(1.0, rate + worse_by), 0.0
+                for a in range(n + 1):
+                    for b in range(m + 1):
+                        chance = math.comb(n, a) * new**a * (1 - new) ** (n - a)
+                        chance *= math.comb(m, b) * rate**b * (1 - rate) ** (m - b)
+                        mean += chance * math.exp(log_block(n, a, m, b, p, q, worse_by))
+                assert mean <= 1 + 1e-9, (p, q, rate, n, m)
+
+
+def test_pairs_keep_their_rate_and_find_twice_as_slow() -> None:
+    passed, found = 0, []
+    for seed in range(200):
+        draws = np.random.default_rng(seed)
+        for odds, results in ((0.57, None), (0.71, found))[: 2 if seed < 40 else 1]:
+            test = Comparison(0.57, pairs=True)
+            blocks = 0
+            for blocks in range(1, 101):  # noqa: B007
+                block = Block()
+                for machine in range(3):
+                    n = int(draws.poisson(2))
+                    block.new[f"n{machine}"] = (n, int(draws.binomial(n, odds)))
+                test.add(block)
+                if (test.log_all if results is None else test.log_e) >= math.log(100):
+                    break
+            else:
+                blocks = 1000
+            if results is None:
+                passed += blocks <= 100
+            else:
+                results.append(blocks)
+    assert passed / 200 <= 0.01
+    assert np.quantile(found, 0.9) <= 90  # of 2 s each
+
+
+def test_one_in_ten_failing_is_found_also_when_it_begins_late() -> None:
+    for late in (0, 15):
+        needed = []
+        for seed in range(60):
+            draws = np.random.default_rng(seed)
+            rates = [(0.01, 0.01)] * late + [(0.1, 0.01)] * 80
+            needed.append(feed(Comparison(0.003), draws, rates, machines=3, jobs=4.0) or 1000)
+        assert np.quantile(needed, 0.95) <= late + 30, needed
+
+
+def test_a_sick_machine_is_not_its_runtime() -> None:
+    test = Comparison(0.003)
+    for _ in range(30):
+        test.add(Block(new={"sick": (5, 4), "a": (5, 0), "b": (5, 0)}, old=(30, 0)))
+    assert test.log_all > 50 and test.log_e < 0.5
+    alone = Comparison(0.003)
+    alone.add(Block(new={"sick": (5, 5)}, old=(30, 0)))
+    assert alone.log_all > 5 and alone.log_e <= 0
+
+
+# Agents
+
+
+def test_an_agent_refuses_older_epochs_and_does_a_number_once() -> None:
+    agent, begun = Agent("a0", "1.0"), []
+    orders = [(2, 5), (2, 5), (1, 6), (2, 6), (3, 0), (2, 7), (3, 6), (3, 7)]
+    for epoch, number in orders:
+        begins, answer = agent.take(Command("r1", epoch, number, "a0", f"r{number}"))
+        if begins:
+            begun.append((epoch, number))
+        assert answer.refused == (epoch < agent.epoch)
+    assert begun == [(2, 5), (2, 6), (3, 7)] and agent.runtime == "r7" and agent.phase is Phase.DRAINING
+
+
+# The coordinator
+
+
+def judge(field: RolloutField, *, ends: str = "DONE") -> None:
+    """What must hold at the end of any run: each target replaced once, and the rollout ended."""
+    assert field.stage() == ends
+    assert set(field.replaced("2.0").values()) == {1}
+
+
+def count_writes() -> int:
+    field = RolloutField(targets_of(3, 2), seed=1, members=4)
+    field.start("m0", SMALL)
+    field.run(90)
+    judge(field)
+    return field.shared.writes
+
+
+SMALL = PLAN.replace("slots = 8", "slots = 4").replace("slots = 16", "slots = 4")
+
+
+@pytest.mark.parametrize("counts", [False, True], ids=["before", "after"])
+def test_a_coordinator_lost_at_any_write_skips_and_doubles_nothing(counts: bool) -> None:
+    # killed as it writes, or once the entry counts and it has not heard so
+    for at in range(2, count_writes() + 1):
+        field = RolloutField(targets_of(3, 2), seed=1, members=4)
+
+        def kill(writer: str, number: int, counted: bool, field: Any = field, at: int = at) -> None:
+            if number == at and counted == counts:
+                field.crash(writer, down=8 * SECOND)
+
+        field.shared.on_write = kill
+        field.start("m0", SMALL)
+        field.run(120)
+        judge(field)
+
+
+def random_load(seed: int, seconds: int = 150) -> RolloutField:
+    """Members crash and are paused, sites are cut, agents are started anew, messages are lost and doubled,
+    targets are lost and come back; what must never be ends the run."""
+    field = RolloutField(targets_of(3, 6), seed=seed)
+    draws = random.Random(seed)
+    field.net.usual.lost, field.net.usual.doubled, field.net.usual.jitter = 0.05, 0.1, 400 * MS
+    field.start("m0", PLAN)
+    for _ in range(seconds):
+        field.run(1)
+        what = draws.random()
+        names = [name for name in field.machines if field.net.seats[name].node is not None]
+        if what < 0.06 and len(names) > 3:
+            leader = field.leader()
+            field.crash(leader if leader and draws.random() < 0.6 else draws.choice(names), 5 * SECOND)
+        elif what < 0.09:
+            name = draws.choice([n for n in field.net.seats if n.startswith("agent:")])
+            field.net.start(name)
+        elif what < 0.13:
+            one, other = draws.sample(["a", "b", "c"], 2)
+            field.net.cut_sites(one, other)
+        elif what < 0.22:
+            field.net.mend()
+        elif what < 0.26:
+            box = draws.choice(list(field.boxes.values()))
+            box.lost = not box.lost
+            box.serving = box.serving and not box.lost
+            field.changed(box.target)
+        elif what < 0.28:
+            name = draws.choice(names)
+            field.net.pause(name)
+            field.clock.call_at(field.clock.now() + 4 * SECOND, field.net.resume, name)
+    return field
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_random_load(seed: int) -> None:
+    field = random_load(seed)
+    assert INVARIANTS.checked["floor kept"] and INVARIANTS.checked["a step once"]
+    for name, agent in field.agents.items():
+        assert len(set(agent.done)) == len(agent.done), name
+
+
+def test_each_invariant_catches_its_mutant(monkeypatch: pytest.MonkeyPatch) -> None:
+    with monkeypatch.context() as patch:  # no look at the floors: as many as may be out are taken
+        patch.setattr(Rollouts, "_above_floors", lambda *_: True)
+        field = RolloutField(targets_of(3, 4), seed=1)
+        field.start("m0", PLAN.replace("slots = 8", "slots = 12").replace("most_out = 2", "most_out = 4"))
+        with pytest.raises(InvariantError, match="floor kept"):
+            field.run(60)
+    with monkeypatch.context() as patch:  # what was done is ordered again
+        patch.setattr(Rollouts, "_is_back", staticmethod(lambda lead, target: True))
+        field = RolloutField(targets_of(3, 4), seed=1)
+        field.start("m0", PLAN)
+        with pytest.raises(InvariantError, match="a step once"):
+            field.run(60)
+    with monkeypatch.context() as patch:  # every site at once
+        patch.setattr(
+            Rollouts,
+            "_wave_targets",
+            lambda self, plan, sites, wave: [x.target for x in self.listed.values()],
+        )
+        field = RolloutField(targets_of(3, 4), seed=1)
+        field.start("m0", PLAN)
+        with pytest.raises(InvariantError, match="one site at a time"):
+            field.run(60)
+    agent = Agent("a0", "1.0")
+    agent.take(Command("r1", 1, 5, "a0", "2.0"))
+    agent.number = 0  # it has forgotten what it had done
+    with pytest.raises(InvariantError, match="a step once"):
+        agent.take(Command("r1", 1, 5, "a0", "2.0"))
