Spend a job's attempts at once again, so that it does not start too late in a queue

Lines at fault: Dispatcher._place_now (while most guesses fail, a waiting job moves to cold workers alone) and Dispatcher._again (a job sent back pauses for a part of its time). Ruled out as the cause of that loss: cold workers first and their budget, which stay.

Change: both rules are taken back. A job that waits moves wherever room is believed, and one that was sent back goes on at once.

--- a/heathway/logic.py
+++ b/heathway/logic.py
@@ -311,24 +311,11 @@
             )
 
     def _again(self, job: Job) -> None:
-        pause = job.pause
-        if self._guesses.mostly_wrong() and not self._place_now(job):
-            # danger: full workers take all attempts of a job within milliseconds while it has seconds to wait
-            time_left = job.aim_at - int(self._service[job.cls.name].mean) - self._now
-            pause = max(pause, time_left // (job.most - len(job.attempts) + 1))
-        if pause and self._now + pause < job.deadline - 2 * self._set.tick:
-            self._agenda.at(self._now + pause, self._hold, job)
+        if job.pause and self._now + job.pause < job.deadline - 2 * self._set.tick:
+            self._agenda.at(self._now + job.pause, self._hold, job)
         else:
             self._hold(job)
 
-    def _place_now(self, job: Job) -> Worker | None:
-        """Where a further attempt is worth its price now. Danger: while most workers that seem to have room
-        are full, moves and retries use up all attempts; cold ones, each with its part, can be believed."""
-        wrong = self._guesses.mostly_wrong()
-        nowhere = wrong and not self.ring.open & self.ring.cold  # spares a walk over the whole ring
-        worker = None if nowhere else self._place(job, self._reserves[:2])
-        return None if wrong and worker and worker.cold_until <= self._now else worker
-
     def _may_send_again(self, job: Job) -> bool:
         """Danger: a job that must not run twice may have run."""
         risky, effect = job.risky(), job.cls.effect
@@ -482,7 +469,7 @@
         if job.over or not self._set.may_cancel or job.cls.effect is not Effect.SAFE:
             return
         late = job.too_late(self._now, self._service[job.cls.name].mean)
-        if late or (self._may_send_again(job) and self._place_now(job) is not None):
+        if late or (self._may_send_again(job) and self._place(job, self._reserves[:2]) is not None):
             self._out.append(api.CancelAttempt(job.id, attempt.number))
             if late:  # danger: what waits beyond that takes the slots of jobs that could be in time
                 self._settle(job, Reason.QUEUED)
