--- a/ironbarrow/fleet/file.py
+++ b/ironbarrow/fleet/file.py
@@ -39,8 +39,8 @@
 class LinkRules(_Table, frozen=True):
     """Bounds of what carries messages: connections, and what waits to be sent."""
 
-    outgoing: Annotated[int, Meta(ge=16)] = 256  # connections that this member opens
-    incoming: Annotated[int, Meta(ge=16)] = 512  # and those that others open to it
+    outgoing: Annotated[int, Meta(ge=16)] = 96  # connections that this member opens
+    incoming: Annotated[int, Meta(ge=16)] = 160  # and those that others open to it
     idle: Duration = ms(20_000)  # an unused one is closed
     queue: Annotated[int, Meta(ge=64)] = 2048  # messages that wait for one peer
     queue_kb: Annotated[int, Meta(ge=1025)] = 2048  # and their size: one frame of 1 MiB at least
@@ -100,6 +100,11 @@
     )
     routes: dict[str, str] = msgspec.field(default_factory=dict)
 
+    @property
+    def descriptors(self) -> int:
+        """That a member needs at most for its links."""
+        return self.links.outgoing + self.links.incoming + 2
+
     def seed_addresses(self) -> dict[str, Address]:
         """Seeds by name."""
         return {name: parse_address(address) for name, _, address in (s.partition("=") for s in self.seeds)}
--- a/ironbarrow/fleet/service.py
+++ b/ironbarrow/fleet/service.py
@@ -14,10 +14,11 @@
 from ironbarrow.fleet.node import Node
 from ironbarrow.runtime import sockets
 from ironbarrow.runtime.clock import Timer
-from ironbarrow.runtime.loop import SECOND, Loop
+from ironbarrow.runtime.loop import MS, SECOND, Loop
 
 log = structlog.get_logger()
 _RENEW_WITHIN = 10 * SECOND
+_AFTER_FAILURE = 50 * MS
 
 
 class FleetService:
@@ -41,6 +42,7 @@
         self._on_renewed: list[Callable[[FleetService], None]] = []
         self._timer: Timer | None = None
         self._planned_at = NEVER
+        self._not_before = 0
         self._planning = False
         self._closed = False
         self.codec = Codec(())
@@ -154,7 +156,7 @@
         self._planning = False
         if self._closed:
             return
-        due = self.node.next_at()
+        due = max(self.node.next_at(), self._not_before)
         if due == self._planned_at:
             return
         if self._timer is not None:
@@ -166,7 +168,12 @@
 
     def _tick(self) -> None:
         self._timer, self._planned_at = None, NEVER
+        now = self._loop.now()
         try:
-            self.node.ticked(self._loop.now())
+            self.node.ticked(now)
+        except Exception:
+            # danger: what fails is due again at once, and the loop would spin
+            self._not_before = now + _AFTER_FAILURE
+            raise
         finally:
             self._plan_soon()
--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -9,7 +9,7 @@
 
 from ironbarrow.fleet.api import Health, Life, MemberChanged, Message, News, Send
 from ironbarrow.fleet.codec import FRAME_MOST, Codec
-from ironbarrow.fleet.file import Fleet, parse
+from ironbarrow.fleet.file import Fleet, FleetError, parse
 from ironbarrow.fleet.invariants import INVARIANTS
 from ironbarrow.fleet.links.queue import Budget, Queue, Sort, sort_of
 from ironbarrow.fleet.service import FleetService
@@ -164,6 +164,28 @@
     assert bench.sinks["b"].heard == []
 
 
+def test_a_machine_that_fails_does_not_spin_the_loop(bench: Bench) -> None:
+    class Failing(Sink):
+        handles = ()
+        tries = 0
+
+        def ticked(self, now: int) -> list[Send]:
+            self.tries += 1
+            raise KeyError("broken")
+
+        def next_at(self) -> int:
+            return 0
+
+    a, failing = bench.start("a"), Failing()
+    a.add(failing)
+    end = bench.loop.now() + SECOND // 2
+    while bench.loop.now() < end:
+        bench.loop.turn()
+    assert 2 <= failing.tries <= 12
+    assert {type(error) for error in bench.errors} == {KeyError}
+    bench.errors.clear()
+
+
 def test_a_clock_set_back_does_not_keep_a_member_out(bench: Bench, monkeypatch: pytest.MonkeyPatch) -> None:
     a, b = pair(bench)
     old = b.life
@@ -293,3 +315,25 @@
         Sort.MEMBERS, Sort.MEMBERS, Sort.LEDGER, Sort.LEDGER, Sort.ROLLOUT, Sort.ROLLOUT,
         Sort.STARVATION, Sort.STARVATION, Sort.LEDGER,
     ]  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    ("text", "expected"),
+    [
+        ('listen = "0.0.0.0:1"', "address: expected one that others can reach"),
+        ('listen = "h:1"\naddress = "x"', "address: expected host:port, got 'x'"),
+        ('listen = "h:1"\n[members]\ntimeout = "0 ms"', "members.timeout: expected more than 0"),
+        (
+            'listen = "h:1"\n[members]\nsuspect_for = "100 ms"',
+            "members.suspect_for: expected at least 300 ms",
+        ),
+        ('listen = "h:1"\n[members]\nkeep_dead = "1 s"', "members.keep_dead: expected at least 9000 ms"),
+        ('listen = "h:1"\n[links]\nidle = "10 ms"', "links.idle: expected at least 1000 ms, got 10 ms"),
+        ('listen = "h:1"\n[links]\nincoming = 4', "links.incoming"),
+        ('listen = "h:1"\n[links]\nqueue_kb = 1024', "links.queue_kb"),
+    ],
+)
+def test_wrong_rules_of_members_and_links_are_named(text: str, expected: str) -> None:
+    with pytest.raises(FleetError, match=r"^fleet\.toml: ") as error:
+        parse(text.encode(), "fleet.toml", "me")
+    assert expected in str(error.value)
