Move a ledger to no fewer keepers than it has; read a part of a lost one once alone

Need: on a busy machine a keeper that was slow for 600 ms was left out of the next set; a fleet of three then had ledgers of two keepers, which the next kill made unreadable. Two claimants that both could read a part alone both did its safe jobs: second copies, and four attempts. Change: present keepers stay where too few others can be had; whoever finds a ledger read in part by another leaves it.

--- a/ironbarrow/fleet/ledgers/writer.py
+++ b/ironbarrow/fleet/ledgers/writer.py
@@ -336,6 +336,13 @@
         self._avoid = {life: until for life, until in self._avoid.items() if until > now}
         return frozenset(self._avoid)
 
+    def _next_keepers(self, now: int) -> tuple[Life, ...]:
+        """Danger: of fewer keepers fewer may be lost. Where too few others can be had, present ones stay,
+        those that answer first."""
+        chosen = self._home.choose(self.at.ledger, self._avoided(now))
+        stay = sorted((k for k in self.at.keepers if k not in chosen), key=lambda k: k in self._avoid)
+        return (*chosen, *stay[: max(0, len(self.at.keepers) - len(chosen))])
+
     def _replace(self, now: int) -> list[Action]:
         """Seals its own segment where keepers are lost and others can be had, or another's seal has come to
         nothing."""
@@ -346,7 +353,7 @@
         if not stuck:
             if len(self.keeping) - len(gone) < majority(self.at.keepers):
                 return []  # danger: a seal that can't be decided would stop those that still answer
-            chosen = set(self._home.choose(self.at.ledger, self._avoided(now)))
+            chosen = set(self._next_keepers(now))
             kept = set(self.at.keepers)
             if lost and not chosen - kept:
                 return []
@@ -372,8 +379,7 @@
         if proposal.step is Step.SEALED:
             decision = proposal.fate()
             if decision is None:
-                keepers = self._home.choose(self.at.ledger, self._avoided(now))
-                decision = Decision(Fate.MOVED, self.me, keepers or self.at.keepers)
+                decision = Decision(Fate.MOVED, self.me, self._next_keepers(now))
             actions += proposal.decide(now, decision)
         if proposal.step is Step.DECIDED and proposal.decision is not None:
             actions += self._fate(now, proposal.decision)
--- a/ironbarrow/fleet/takeover/machine.py
+++ b/ironbarrow/fleet/takeover/machine.py
@@ -781,6 +781,10 @@
                 opened.claiming, opened.due = False, now + _RETRY
                 return []
             self.counts["ledgers lost"] += 1
+            if opened.life in self.taken_over:
+                # danger: nothing but its word keeps whoever read a part first from doing the same jobs
+                del self.open[opened.life]
+                return []
             return self._claimed(now, news.ledger, news.partial, whole=False)
         if news.by == self.me or news.by == opened.heir_of:
             return self._claimed(now, news.ledger, news.partial, whole=True)
