Have one process of several end at a named point; stop a writer that sends nothing from turning for ever

Need: which claimant comes first is not known before, so one fuse for all is needed to end it between seal and adoption.

--- a/ironbarrow/fleet/ledgers/writer.py
+++ b/ironbarrow/fleet/ledgers/writer.py
@@ -249,6 +249,8 @@
         actions: list[Action] = []
         made: dict[int, Append] = {}
         rules = self._rules
+        if self._proposal is not None:
+            return actions  # danger: what is appended from here on is in the next segment's opening alone
         for keeper, keeping in self.keeping.items():
             if keeping.out:
                 continue
@@ -350,6 +352,8 @@
         self._check_at = now + (FILL_AFTER * self._rules.resend if short else self._rules.replace_after)
         stuck = self._sealed_at != NEVER and now >= self._sealed_at + self._patience()
         lost, gone = self._lost(now)
+        if lost:  # another may come at any time, and until then the next loss is one too many
+            self._check_at = now + FILL_AFTER * self._rules.resend
         if not stuck:
             if len(self.keeping) - len(gone) < majority(self.at.keepers):
                 return []  # danger: a seal that can't be decided would stop those that still answer
--- a/ironbarrow/fleet/takeover/faults.py
+++ b/ironbarrow/fleet/takeover/faults.py
@@ -1,7 +1,8 @@
 """Named points at which a test ends or stops this process. Off, and a comparison with None, otherwise.
 
 ``BALANCER_FAULT`` is ``POINT:N`` (at the N-th passing the process ends, as by SIGKILL), ``POINT:N:stop`` (it
-stops, as by SIGSTOP, until somebody sends SIGCONT), or several of these with commas between them.
+stops, as by SIGSTOP, until somebody sends SIGCONT), or several of these with commas between them. Of all
+processes with the same ``BALANCER_FAULT_ONCE``, a file's path, only the first one that comes so far does so.
 """
 
 import os
@@ -45,18 +46,30 @@
         wanted: dict[str, tuple[int, bool]],
         end: Callable[[], object] = lambda: os._exit(ENDED),
         stop: Callable[[], object] = lambda: os.kill(os.getpid(), signal.SIGSTOP),
+        first: Callable[[], bool] = lambda: True,
     ) -> None:
-        self._wanted, self._end, self._stop = wanted, end, stop
+        self._wanted, self._end, self._stop, self._first = wanted, end, stop, first
         self.passed: Counter[str] = Counter()
 
     def __call__(self, point: str) -> None:
         self.passed[point] += 1
         at = self._wanted.get(point)
-        if at is not None and at[0] == self.passed[point]:
+        if at is not None and at[0] == self.passed[point] and self._first():
             (self._stop if at[1] else self._end)()
 
 
 def from_environment(environment: Mapping[str, str]) -> Faults | None:
     """None, as in service; else what to call at each point."""
-    text = environment.get("BALANCER_FAULT", "")
-    return Faults(parse(text)) if text else None
+    text, once = environment.get("BALANCER_FAULT", ""), environment.get("BALANCER_FAULT_ONCE", "")
+    if not text:
+        return None
+    return Faults(parse(text), first=lambda: _made(once)) if once else Faults(parse(text))
+
+
+def _made(path: str) -> bool:
+    """Whether this process made the file; False if it was there."""
+    try:
+        os.close(os.open(path, os.O_CREAT | os.O_EXCL | os.O_WRONLY))
+    except FileExistsError:
+        return False
+    return True
--- a/ironbarrow/lab/live/processes.py
+++ b/ironbarrow/lab/live/processes.py
@@ -63,6 +63,7 @@
         self._fleet_file = fleet_file
         self._process: subprocess.Popen[bytes] | None = None
         self.fault = ""  # a point at which its next life ends by itself, "POINT:N"
+        self.fault_once = False  # unless another has done so before
         self._starts = 0
         self._expected = False  # its end is wanted
         self._client = Client(loop, address)
@@ -122,6 +123,8 @@
             environment["BALANCER_FLEET"] = str(path)
         if self.fault:
             environment["BALANCER_FAULT"], self.fault = self.fault, ""
+            if self.fault_once:
+                environment["BALANCER_FAULT_ONCE"] = str(self._folder / "fault-once")
             self._expected = True
         with self.log_path.open("ab") as log:
             self._process = subprocess.Popen(
--- a/ironbarrow/lab/live/run.py
+++ b/ironbarrow/lab/live/run.py
@@ -253,6 +253,13 @@
             self.audit.dispatcher_goes_on(number)
             self.front.ready(number)
 
+    def end_first(self, point: str, down: int) -> None:
+        """Whichever dispatcher comes to a named point first ends there by itself, and starts again so many ns
+        later. Before ``run``."""
+        for number, instance in enumerate(self.instances):
+            self.end_at(number, point, down)
+            instance.fault_once = True
+
     def end_at(self, number: int, point: str, down: int) -> None:
         """A dispatcher's first life ends by itself at a named point ("POINT:N"), and starts again so many ns
         later. Before ``run``."""
