--- a/ironbarrow/fleet/starvation/machine.py
+++ b/ironbarrow/fleet/starvation/machine.py
@@ -311,7 +311,7 @@
                 elsewhere[tenant] = Elsewheres(rows, answer.taken, min(1.0, answer.heard / fleet))
         seconds = (closed[-1].ended - closed[0].began) / SECOND
         over = self._shares.beyond(whole, seconds, elsewhere)
-        self.looks = look(self._rules, [window.rows for window in closed], whole, elsewhere, over, fleet)
+        self.looks = look(self._rules, closed, whole, elsewhere, over, fleet)
         actions: list[Action] = []
         for news in self.verdicts.looked(now, self.looks):
             if isinstance(news, StarvationBegan):
--- a/ironbarrow/fleet/starvation/tables.py
+++ b/ironbarrow/fleet/starvation/tables.py
@@ -8,10 +8,10 @@
 """
 
 from bisect import bisect_right
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
-from itertools import pairwise
+from itertools import chain, pairwise
 
 from msgspec import Struct
 
@@ -27,6 +27,7 @@
 REST = ""  # the tenant of what has no tenant, or one beyond the bounds
 
 Key = tuple[str, str, int]  # tenant, class, size
+Curve = tuple[list[float], list[int]]  # by bucket: jobs at risk, starts
 
 
 def bucket_of(wait: int) -> int:
@@ -104,23 +105,27 @@
     spots: tuple[Spot, ...] = ()
 
 
+def _hist() -> defaultdict[int, int]:
+    return defaultdict(int)
+
+
 @dataclass(slots=True, eq=False)
 class Tally:
     """Counts by bucket, to be added up."""
 
     taken: int = 0
-    late: Counter[int] = field(default_factory=Counter)
-    started: Counter[int] = field(default_factory=Counter)
-    censored: Counter[int] = field(default_factory=Counter)
-    waiting: Counter[int] = field(default_factory=Counter)
+    late: dict[int, int] = field(default_factory=_hist)
+    started: dict[int, int] = field(default_factory=_hist)
+    censored: dict[int, int] = field(default_factory=_hist)
+    waiting: dict[int, int] = field(default_factory=_hist)
 
     @property
     def entered(self) -> int:
-        return self.taken + self.late.total()
+        return self.taken + sum(self.late.values())
 
     @property
     def left(self) -> int:
-        return self.started.total() + self.censored.total() + self.waiting.total()
+        return sum(sum(hist.values()) for hist in (self.started, self.censored, self.waiting))
 
     def add(self, other: "Tally", sign: int = 1) -> None:
         """Adds (1) or takes out (-1) what was seen of other jobs."""
@@ -139,25 +144,52 @@
     def follow(self, later: "Tally") -> None:
         """Adds the same partition's later window: who waited at the end of the one and came late in the other
         was under observation all the time, and is one job."""
-        on = self.waiting & later.late
         self.add(later)
-        self.waiting.subtract(on)
-        self.late.subtract(on)
-        self.waiting, self.late = +self.waiting, +self.late
-
-    def at_risk(self) -> tuple[list[float], list[int]]:
+        for bucket, late in later.late.items():
+            on = min(late, self.waiting.get(bucket, 0) - later.waiting.get(bucket, 0))
+            if on > 0:
+                for hist in (self.waiting, self.late):
+                    hist[bucket] -= on
+                    if not hist[bucket]:
+                        del hist[bucket]
+
+    def at_risk(self) -> Curve:
         """By bucket: jobs at risk, those that came or went unseen in it by half; and starts."""
-        last = max((*self.started, *self.censored, *self.waiting, *self.late, -1)) + 1
+        started, censored, waiting, late = self.started, self.censored, self.waiting, self.late
+        last = max(chain(started, censored, waiting, late), default=-1) + 1
         risk, starts = [0.0] * last, [0] * last
         beyond = 0  # jobs that left after this bucket, less those that came after it
         for b in range(last - 1, -1, -1):
-            started, unseen = self.started[b], self.censored[b] + self.waiting[b]
-            here = beyond + started + unseen
-            risk[b], starts[b] = here - (unseen + self.late[b]) / 2, started
-            beyond = here - self.late[b]
+            unseen = censored.get(b, 0) + waiting.get(b, 0)
+            here = beyond + started.get(b, 0) + unseen
+            came = late.get(b, 0)
+            risk[b], starts[b] = here - (unseen + came) / 2, started.get(b, 0)
+            beyond = here - came
         return risk, starts
 
 
+def sums_by_stratum(curves: Mapping[Key, Curve]) -> dict[tuple[str, int], Curve]:
+    """Curves of all tenants added up, by class and size."""
+    sums: dict[tuple[str, int], Curve] = {}
+    for key, curve in curves.items():
+        sums[key[1:]] = plus(sums.get(key[1:], ([], [])), curve)
+    return sums
+
+
+def plus(one: Curve, other: Curve, sign: int = 1) -> Curve:
+    """Two curves added up, or (-1) the second taken out of the first."""
+    (risk, starts), (more_risk, more_starts) = one, other
+    longer = len(more_risk) - len(risk)
+    if longer > 0:
+        risk, starts = risk + [0.0] * longer, starts + [0] * longer
+    else:
+        more_risk, more_starts = more_risk + [0.0] * -longer, more_starts + [0] * -longer
+    return (
+        [a + sign * b for a, b in zip(risk, more_risk, strict=True)],
+        [a + sign * b for a, b in zip(starts, more_starts, strict=True)],
+    )
+
+
 def row_of(key: Key, tally: Tally) -> Row:
     hists = (tally.late, tally.started, tally.censored, tally.waiting)
     return Row(*key, tally.taken, *(tuple(n for item in sorted(h.items()) for n in item) for h in hists))
@@ -165,7 +197,7 @@
 
 def tally_of(row: Row) -> Tally:
     hists = (row.late, row.started, row.censored, row.waiting)
-    return Tally(row.taken, *(Counter(dict(zip(h[::2], h[1::2], strict=True))) for h in hists))
+    return Tally(row.taken, *(defaultdict(int, zip(h[::2], h[1::2], strict=True)) for h in hists))
 
 
 def sound(row: Row) -> bool:
@@ -271,7 +303,7 @@
         check(
             "sums of tables conserved",
             sum(t.entered for t in sums.values()) == sum(t.left for t in sums.values())
-            and sum(t.started.total() for t in sums.values()) == self._starts[shard],
+            and sum(sum(t.started.values()) for t in sums.values()) == self._starts[shard],
             shard=shard,
             starts=self._starts[shard],
         )
--- a/ironbarrow/fleet/starvation/verdict.py
+++ b/ironbarrow/fleet/starvation/verdict.py
@@ -7,6 +7,7 @@
 """
 
 import enum
+from collections import Counter
 from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from math import erfc, inf, sqrt
@@ -16,9 +17,10 @@
 from ironbarrow.fleet.api import News
 from ironbarrow.fleet.file import StarvationRules
 from ironbarrow.fleet.invariants import check
-from ironbarrow.fleet.starvation.tables import BOUNDS, Key, Tally
+from ironbarrow.fleet.starvation.tables import BOUNDS, REST, Curve, Key, Tally, plus, sums_by_stratum
+from ironbarrow.fleet.starvation.waits import Closed
 
-Curve = tuple[list[float], list[int]]  # by bucket: at risk, starts
+Name = tuple[str, str]  # tenant, class
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,9 +97,9 @@
     return mine / other, mine / weights
 
 
-def holm(chances: Mapping[str, float], level: float, tests: int) -> set[str]:
+def holm(chances: Mapping[Name, float], level: float, tests: int) -> set[Name]:
     """The names whose hypothesis falls at a family-wise level, of so many tests."""
-    found: set[str] = set()
+    found: set[Name] = set()
     for rank, (name, chance) in enumerate(sorted(chances.items(), key=lambda item: (item[1], item[0]))):
         if chance * max(1, tests - rank) > level:
             break
@@ -155,30 +157,81 @@
 _NOBODY = Elsewheres({}, 0, 0.0)
 
 
-def _entered(rows: Mapping[Key, Tally], tenant: str, job_class: str) -> int:
-    return sum(t.entered for k, t in rows.items() if k[0] == tenant and job_class in ("", k[1]))
-
-
-def _minus(all_: Curve, part: Curve) -> Curve:
-    risk, starts = list(all_[0]), list(all_[1])
-    for b, (n, d) in enumerate(zip(*part, strict=True)):
-        risk[b] -= n
-        starts[b] -= d
-    return risk, starts
-
-
-def _by_stratum(rows: Mapping[Key, Tally], without: Collection[str]) -> dict[tuple[str, int], Curve]:
-    """The sums of all tenants but some, by class and size."""
-    sums: dict[tuple[str, int], Tally] = {}
-    for (tenant, job_class, size), tally in rows.items():
-        if tenant not in without:
-            sums.setdefault((job_class, size), Tally()).add(tally)
-    return {stratum: tally.at_risk() for stratum, tally in sums.items()}
+def ends_under(rules: StarvationRules) -> float:
+    """The effect under which a verdict ends: halfway to none."""
+    return 1 + (rules.least_effect - 1) / 2
+
+
+class _Here:
+    """One partition's windows, prepared for comparing each tenant with the others."""
+
+    def __init__(self, windows: Sequence[Closed], whole: Mapping[Key, Tally], over: Collection[str]) -> None:
+        self._windows, self._whole, self._over = windows, whole, set(over)
+        self._curves = {key: tally.at_risk() for key, tally in whole.items()}
+        self._jobs = {key: tally.entered for key, tally in whole.items()}
+        self._sums = self._without_over(sums_by_stratum(self._curves), self._curves)
+        self._sums_in_time = [self._without_over(w.sums, w.curves) for w in windows]
+        self._jobs_by_stratum = Counter[tuple[str, int]]()
+        for key, jobs in self._jobs.items():
+            if key[0] not in self._over:
+                self._jobs_by_stratum[key[1:]] += jobs
+
+    def _without_over(
+        self, sums: Mapping[tuple[str, int], Curve], curves: Mapping[Key, Curve]
+    ) -> dict[tuple[str, int], Curve]:
+        found = dict(sums)
+        for key, curve in curves.items():
+            if key[0] in self._over:
+                found[key[1:]] = plus(found[key[1:]], curve, -1)
+        return found
+
+    def _strata(self, tenant: str, job_class: str) -> list[tuple[str, int]]:
+        return [k[1:] for k in self._whole if k[0] == tenant and job_class in ("", k[1])]
+
+    def counts(self, tenant: str, job_class: str, known: Elsewheres) -> tuple[int, int, int]:
+        """A tenant's jobs here and elsewhere, and those of others here in the same strata."""
+        strata = self._strata(tenant, job_class)
+        mine = sum(self._jobs[tenant, *s] for s in strata)
+        outside = sum(t.entered for k, t in known.rows.items() if k[0] == tenant and k[1:] in strata)
+        return mine, outside, sum(self._jobs_by_stratum[s] for s in strata) - mine
+
+    def evidence(self, rules: StarvationRules, tenant: str, job_class: str, known: Elsewheres) -> Evidence:
+        """Both comparisons."""
+        strata = self._strata(tenant, job_class)
+        here = {s: self._curves[tenant, *s] for s in strata}
+        rest = {s: plus(self._sums[s], here[s], -1) for s in strata}
+        weight = {s: float(self._jobs[tenant, *s]) for s in strata}
+        times_others, wait = ratio((here[s], rest[s], weight[s]) for s in strata if any(rest[s][0]))
+        times_elsewhere, elsewhere, others = 1.0, Test(), Test()
+        # what is fine by its effect is not tested, to spare the time; it still counts among the tests
+        if times_others >= ends_under(rules) and wait >= rules.least_wait:
+            away = {s: known.rows[tenant, *s].at_risk() for s in strata if (tenant, *s) in known.rows}
+            times_elsewhere, _ = ratio((here[s], away[s], weight[s]) for s in away)
+            elsewhere = logrank((here[s], away[s]) for s in away)
+            others = logrank(
+                (window.curves[tenant, *s], plus(sums[s], window.curves[tenant, *s], -1))
+                for window, sums in zip(self._windows, self._sums_in_time, strict=True)
+                for s in strata
+                if (tenant, *s) in window.curves
+            )
+        return Evidence(
+            job_class,
+            *self.counts(tenant, job_class, known),
+            elsewhere.z,
+            elsewhere.p,
+            others.z,
+            others.p,
+            times_elsewhere,
+            times_others,
+            int(wait / 1000),
+            len(strata),
+            known.seen,
+        )
 
 
 def look(
     rules: StarvationRules,
-    windows: Sequence[Mapping[Key, Tally]],
+    windows: Sequence[Closed],
     whole: Mapping[Key, Tally],
     elsewhere: Mapping[str, Elsewheres],
     over: Collection[str],
@@ -186,69 +239,32 @@
 ) -> dict[str, Look]:
     """Looks at every tenant of a partition.
 
-    ``windows``: its rows by window; ``whole``: the same as one table; ``over``: tenants beyond their share,
-    which are neither judged nor compared with; ``partitions``: in the fleet, all of which look.
+    ``whole``: the rows of all its ``windows`` as one table; ``over``: tenants beyond their share, which are
+    neither judged nor compared with; ``partitions``: in the fleet, all of which look.
     """
-    over = set(over)
-    in_time = [_by_stratum(rows, over) for rows in windows]
-    at_all = _by_stratum(whole, over)
-    curves = {key: tally.at_risk() for key, tally in whole.items()}
-    curves_in_time = [{key: tally.at_risk() for key, tally in rows.items()} for rows in windows]
+    here = _Here(windows, whole, over)
     found: dict[str, Look] = {}
-    judged: dict[str, Evidence] = {}
+    judged: dict[tuple[str, str], Evidence] = {}
     tests = 0
-    for tenant in sorted({key[0] for key in whole} - {""}):
+    for tenant in sorted({key[0] for key in whole} - {REST}):
+        known = elsewhere.get(tenant, _NOBODY)
         if tenant in over:
             found[tenant] = Look(State.OVER)
             continue
-        known = elsewhere.get(tenant, _NOBODY)
         if known.seen < rules.least_seen:
             found[tenant] = Look(State.UNSEEN)
             continue
         classes = sorted({key[1] for key in whole if key[0] == tenant})
         states = set()
         for job_class in ["", *(classes if len(classes) > 1 else ())]:
-            strata = [k[1:] for k in whole if k[0] == tenant and job_class in ("", k[1])]
-            mine, outside = _entered(whole, tenant, job_class), _entered(known.rows, tenant, job_class)
-            others = sum(
-                t.entered for k, t in whole.items() if k[0] != tenant and k[0] not in over and k[1:] in strata
-            )
+            mine, outside, others = here.counts(tenant, job_class, known)
             if mine < rules.least_jobs:
                 states.add(State.FEW)
-                continue
-            if min(outside, others) < rules.least_jobs:
+            elif min(outside, others) < rules.least_jobs:
                 states.add(State.ALONE)
-                continue
-            tests += 1
-            here = {s: curves[(tenant, *s)] for s in strata}
-            away = {s: known.rows[(tenant, *s)].at_risk() for s in strata if (tenant, *s) in known.rows}
-            rest = {s: _minus(at_all[s], here[s]) for s in strata}
-            weight = {s: float(whole[(tenant, *s)].entered) for s in strata}
-            own_times, _ = ratio((here[s], away[s], weight[s]) for s in away)
-            others_times, wait = ratio((here[s], rest[s], weight[s]) for s in strata if any(rest[s][0]))
-            own_test = logrank((here[s], away[s]) for s in away)
-            others_test = logrank(
-                (now[(tenant, *s)], _minus(sums[s], now[(tenant, *s)]))
-                for now, sums in zip(curves_in_time, in_time, strict=True)
-                for s in strata
-                if (tenant, *s) in now
-            )
-            evidence = Evidence(
-                job_class,
-                mine,
-                outside,
-                others,
-                own_test.z,
-                own_test.p,
-                others_test.z,
-                others_test.p,
-                own_times,
-                others_times,
-                int(wait / 1000),
-                len(strata),
-                known.seen,
-            )
-            judged[f"{tenant}\0{job_class}"] = evidence
+            else:
+                tests += 1
+                judged[tenant, job_class] = here.evidence(rules, tenant, job_class, known)
         found[tenant] = Look(State.FEW if states == {State.FEW} else State.ALONE)
     fallen = holm(
         {name: max(e.p_elsewhere, e.p_others) for name, e in judged.items()},
@@ -256,7 +272,7 @@
         tests,
     )
     for name, evidence in judged.items():
-        tenant = name.partition("\0")[0]
+        tenant, _ = name
         effect = min(evidence.times_elsewhere, evidence.times_others) >= rules.least_effect
         long = evidence.wait * 1000 >= rules.least_wait
         state = State.STARVED if name in fallen and effect and long else State.FINE
@@ -349,8 +365,7 @@
         """Hysteresis: a tenant that starved does so until its waits are clearly nearer to the others'."""
         if seen.evidence is None:
             return False
-        ends_under = 1 + (self._rules.least_effect - 1) / 2
-        return min(seen.evidence.times_elsewhere, seen.evidence.times_others) >= ends_under
+        return min(seen.evidence.times_elsewhere, seen.evidence.times_others) >= ends_under(self._rules)
 
     def _begin(self, now: int, tenant: str, about: _Tenant, evidence: Evidence) -> StarvationBegan:
         about.begun += 1
--- a/ironbarrow/fleet/starvation/waits.py
+++ b/ironbarrow/fleet/starvation/waits.py
@@ -13,6 +13,7 @@
 from ironbarrow.fleet.invariants import check
 from ironbarrow.fleet.starvation.tables import (
     REST,
+    Curve,
     Key,
     Row,
     Tally,
@@ -20,6 +21,7 @@
     bucket_of,
     row_of,
     size_of,
+    sums_by_stratum,
 )
 
 _CANDIDATES = 4  # times as many tenants as a table has are weighed for the next one
@@ -44,6 +46,8 @@
     began: int
     ended: int
     rows: dict[Key, Tally]
+    curves: dict[Key, Curve]
+    sums: dict[tuple[str, int], Curve]  # of all tenants, by class and size
     folded: int = 0  # tenants whose rows went to the rest, since the table would have been too large
 
     @property
@@ -80,10 +84,11 @@
             return
         name = tenant or REST
         since = min(since, now)
-        job = self._jobs[number] = _Job(since, name, job_class, size_of(slots), Tally())
         if name != REST:
             self._weigh(name)
-        self._enter(now, job, since == now)
+        size = size_of(slots)
+        tally = self._enter(now, since, name, job_class, size, since == now)
+        self._jobs[number] = _Job(since, name, job_class, size, tally)
 
     def started(self, now: int, number: int) -> None:
         """It has started; nothing if it does not wait."""
@@ -105,14 +110,17 @@
             if len(self._tracked) < self._rules.tenants:
                 self._tracked.add(tenant)
 
-    def _enter(self, now: int, job: _Job, new: bool) -> None:
-        key = (job.tenant if job.tenant in self._tracked else REST, job.job_class, job.size)
-        job.tally = self._rows.setdefault(key, Tally())
+    def _enter(self, now: int, since: int, tenant: str, job_class: str, size: int, new: bool) -> Tally:
+        key = (tenant if tenant in self._tracked else REST, job_class, size)
+        tally = self._rows.get(key)
+        if tally is None:
+            tally = self._rows[key] = Tally()
         self._entered += 1
         if new:
-            job.tally.taken += 1
+            tally.taken += 1
         else:
-            job.tally.late[bucket_of(now - job.since)] += 1
+            tally.late[bucket_of(now - since)] += 1
+        return tally
 
     # Windows
 
@@ -121,7 +129,8 @@
         for job in self._jobs.values():
             job.tally.waiting[bucket_of(now - job.since)] += 1
         rows, folded = self._fit(self._rows)
-        window = Closed(self._number, self._began, now, rows, folded)
+        curves = {key: tally.at_risk() for key, tally in rows.items()}
+        window = Closed(self._number, self._began, now, rows, curves, sums_by_stratum(curves), folded)
         check(
             "sums of tables conserved",
             all(tally.entered == tally.left for tally in rows.values())
@@ -140,7 +149,7 @@
         self._weights = {t: weight / 2 for t, weight in self._weights.items() if weight >= 1}
         self._tracked &= self._weights.keys()
         for job in self._jobs.values():
-            self._enter(now, job, False)
+            job.tally = self._enter(now, job.since, job.tenant, job.job_class, job.size, False)
         return window
 
     def _fit(self, rows: dict[Key, Tally]) -> tuple[dict[Key, Tally], int]:
--- a/tests/test_fleet_starvation.py
+++ b/tests/test_fleet_starvation.py
@@ -302,10 +302,12 @@
 def test_holm_keeps_the_chance_of_a_false_alarm():
     draw = np.random.default_rng(1)
     alarms = sum(
-        bool(verdict.holm({str(i): p for i, p in enumerate(draw.random(40))}, 0.05, 40)) for _ in range(2000)
+        bool(verdict.holm({("t", str(i)): p for i, p in enumerate(draw.random(40))}, 0.05, 40))
+        for _ in range(2000)
     )
     assert 60 < alarms < 140  # 0.05 of 2000 is 100
-    assert verdict.holm({"a": 0.001, "b": 0.02, "c": 0.5}, 0.05, 3) == {"a", "b"}
+    chances = {("t", "a"): 0.001, ("t", "b"): 0.02, ("t", "c"): 0.5}
+    assert verdict.holm(chances, 0.05, 3) == {("t", "a"), ("t", "b")}
 
 
 def _rows(**waits_of):
@@ -335,7 +337,9 @@
 def test_what_starvation_is_and_what_it_is_not(here, away, over, seen, state):
     rows = _rows(**here)
     elsewhere = {"x": verdict.Elsewheres(_rows(x=away), 60, seen)}
-    found = verdict.look(RULES, [rows], rows, elsewhere, over, partitions=6)
+    curves = {key: tally.at_risk() for key, tally in rows.items()}
+    window = waits.Closed(0, 0, SECOND, rows, curves, tables.sums_by_stratum(curves))
+    found = verdict.look(RULES, [window], rows, elsewhere, over, partitions=6)
     assert found["x"].state is state
 
 
