--- a/experiments/starvation.py
+++ b/experiments/starvation.py
@@ -65,9 +65,8 @@
         mean = statistics.mean(row[name]["bytes"] for row in rows)
         most = max(row[name]["most"] for row in rows)
         messages = statistics.mean(row[name]["messages"] for row in rows)
-        print(
-            f"{float(name):.0%} lost: bytes/s a member {mean:.0f} (most {most:.0f}), messages/s {messages:.1f}"
-        )
+        traffic = f"{mean:.0f} bytes/s a member (most {most:.0f}), {messages:.1f} messages/s"
+        print(f"{float(name):.0%} lost: {traffic}")
 
 
 def sizes(counts: list[int]) -> None:
