--- a/ironbarrow/fleet/api.py
+++ b/ironbarrow/fleet/api.py
@@ -208,10 +208,13 @@
 @dataclass(frozen=True, slots=True)
 class Claimed(News):
     """This member has the ledger's content to itself: nobody else ever gets it, and its writer can append
-    nothing."""
+    nothing. ``into``: which of its own ledgers has the key ``c/LEDGER``. Danger: what replaces the key must
+    be appended there, in one, and not be acted on before it is kept; or two hold it once that ledger is
+    lost."""
 
     ledger: str
     content: dict[str, bytes]
+    into: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/ironbarrow/fleet/ledgers/claimant.py
+++ b/ironbarrow/fleet/ledgers/claimant.py
@@ -47,8 +47,9 @@
 class Home(Protocol):
     """What a claimant needs of the member that it is part of."""
 
-    def own(self, now: int, changes: Sequence[Change]) -> tuple[str, int, list[Action]]:
-        """Appends to this member's job ledger: its name, the number, 0 if there is none."""
+    def own(self, now: int, changes: Sequence[Change], into: str) -> tuple[str, int, list[Action]]:
+        """Appends to that ledger of this member ("": its newest job ledger): its name, the number, 0 if
+        there is none."""
 
     def choose(self, ledger: str) -> tuple[Life, ...]:
         """Keepers for a ledger; empty if there are too few lives."""
@@ -68,6 +69,7 @@
     began: int  # ns
     lead: bool
     heir_of: frozenset[Life]  # lives whose claims of it are this member's
+    into: str  # the ledger of this member by which it is their heir
     base: LedgerAt  # the last segment known to hold all that counted before it
     content: dict[str, bytes] | None = None  # None: not known
     passed: list[Proposal] = field(default_factory=list)  # decided, whose tables are not released
@@ -91,13 +93,15 @@
         self.keys: dict[str, Key] = {}  # by ledger claimed; until its claim is lost, or its key dropped
         self.held: dict[str, list[Proposal]] = {}  # claimed: what is to be released when its key is dropped
 
-    def start(self, now: int, at: LedgerAt, lead: bool, heir_of: frozenset[Life]) -> list[Action]:
+    def start(
+        self, now: int, at: LedgerAt, lead: bool, heir_of: frozenset[Life] = frozenset(), into: str = ""
+    ) -> list[Action]:
         """Begins; nothing if that ledger is being claimed, or held, already."""
         if at.ledger in self.claims or (at.ledger in self.held and not lead):
             return []
         if not at.keepers:
             return [ClaimLost(at.ledger, None, {})]
-        claim = Claim(Proposal(self.me, at, self._rules), now, lead, heir_of, at)
+        claim = Claim(Proposal(self.me, at, self._rules), now, lead, heir_of, into, at)
         self.claims[at.ledger] = claim
         return claim.proposal.start(now)
 
@@ -127,6 +131,18 @@
                     actions += self._advance(now, claim)
         return actions
 
+    def fenced(self, now: int, own: str, by: Life | None) -> list[Action]:
+        """One of this member's ledgers is another's: so is what is claimed by keys in it."""
+        actions: list[Action] = []
+        for ledger in [name for name, key in self.keys.items() if key.ledger == own]:
+            del self.keys[ledger]
+            self.held.pop(ledger, None)
+            if ledger in self.claims:
+                actions += self._lost(now, self.claims[ledger], by)
+        for claim in [c for c in self.claims.values() if c.into == own]:
+            actions += self._lost(now, claim, by)
+        return actions
+
     def dropped(self, ledger: str) -> list[Proposal]:
         """The key of a ledger claimed is dropped for good: the segments whose tables may go."""
         self.keys.pop(ledger, None)
@@ -214,7 +230,7 @@
         of = tuple(sorted({self.me, *claim.heir_of}))
         value = ClaimKey(ledger, claim.base.segment, claim.base.keepers, of)
         change = Change(CLAIM + ledger, msgspec.msgpack.encode(value))
-        own, seq, actions = self._home.own(now, [change])
+        own, seq, actions = self._home.own(now, [change], claim.into)
         if not seq:
             return False, actions + self._lost(now, claim, None)
         self.keys[ledger] = Key(own, seq)
@@ -239,8 +255,7 @@
             claim.proposal = Proposal(self.me, following, self._rules, decision.by)
             return actions + claim.proposal.start(now)
         if not self._mine(claim):
-            by = decision.by if claim.lead or decision.by not in {self.me, *claim.heir_of} else None
-            return actions + self._lost(now, claim, by)
+            return actions + self._lost(now, claim, decision.by)
         check(
             "one holder",
             at.ledger not in self.held and self.keys[at.ledger].kept and claim.content is not None,
@@ -250,14 +265,14 @@
         assert claim.content is not None
         del self.claims[at.ledger]
         self.held[at.ledger] = claim.passed
-        return [*actions, Claimed(at.ledger, claim.content)]
+        return [*actions, Claimed(at.ledger, claim.content, self.keys[at.ledger].ledger)]
 
     def _lost(self, now: int, claim: Claim, by: Life | None) -> list[Action]:
         """Ends a claim without its ledger, and takes its key back."""
         ledger = claim.proposal.at.ledger
         self.claims.pop(ledger, None)
         actions: list[Action] = []
-        if by is not None and self.keys.pop(ledger, None) is not None:
-            _, _, actions = self._home.own(now, [Change(CLAIM + ledger)])
+        if by is not None and ledger in self.keys:
+            _, _, actions = self._home.own(now, [Change(CLAIM + ledger)], self.keys.pop(ledger).ledger)
         partial = {} if by is not None else claim.content or claim.proposal.partial()
         return [*actions, ClaimLost(ledger, by, partial)]
--- a/ironbarrow/fleet/ledgers/machine.py
+++ b/ironbarrow/fleet/ledgers/machine.py
@@ -54,7 +54,9 @@
         self.writers: dict[str, Writer] = {}
         self.claimant = Claimant(me, members, rules, self)
         self.counts: Counter[str] = Counter()
-        self._heirs: dict[str, frozenset[Life]] = {}  # by ledger: whose claims of it are this member's
+        self._heirs: dict[
+            str, tuple[frozenset[Life], str]
+        ] = {}  # whose claims of a ledger are its own, by which
         self._drops: list[tuple[str, int, str]] = []  # own ledger, number, ledger whose key that drops
         self._tells: dict[tuple[Life, str, int, bool], list[Any]] = {}  # message, due, times
         self._told: tuple[LedgerAt, ...] = ()
@@ -73,14 +75,14 @@
         return seq, self._settle(now, actions)
 
     def claim(self, now: int, at: LedgerAt) -> list[Action]:
-        heirs = self._heirs.get(at.ledger, frozenset())
-        return self._settle(now, self.claimant.start(now, at, False, heirs))
+        heir_of, into = self._heirs.get(at.ledger, (frozenset(), ""))
+        return self._settle(now, self.claimant.start(now, at, False, heir_of, into))
 
     def lead(self, now: int, at: LedgerAt) -> list[Action]:
         writer = self.writers.get(at.ledger)
         if writer is not None:
             return [api.Moved(writer.at, dict(writer.table))] if writer.opened else []
-        return self._settle(now, self.claimant.start(now, at, True, frozenset()))
+        return self._settle(now, self.claimant.start(now, at, True))
 
     def close(self, now: int, ledger: str) -> list[Action]:
         writer = self.writers.pop(ledger, None)
@@ -111,11 +113,12 @@
 
     # What the parts ask of it
 
-    def own(self, now: int, changes: Sequence[Change]) -> tuple[str, int, list[Action]]:
-        """Appends to this member's job ledger: its name, the number, 0 if there is none."""
-        name = api.job_ledger(self.me)
+    def own(self, now: int, changes: Sequence[Change], into: str) -> tuple[str, int, list[Action]]:
+        """Appends to that ledger of this member ("": its newest job ledger): its name, the number, 0 if
+        there is none."""
+        name = into or api.job_ledger(self.me)
         for ledger in reversed(self.writers):
-            if ledger == name or ledger.startswith(name + "+"):
+            if ledger == name or (not into and ledger.startswith(name + "+")):
                 seq, actions = self._append(now, ledger, changes)
                 return ledger, seq, actions
         return "", 0, []
@@ -165,7 +168,7 @@
 
     def _append(self, now: int, ledger: str, changes: Sequence[Change]) -> tuple[int, list[Action]]:
         writer = self.writers.get(ledger)
-        if writer is None:
+        if writer is None or not writer.ready:
             return 0, []
         seq, actions = writer.append(now, changes)
         for change in changes:
@@ -209,6 +212,8 @@
                 queue += self._kept(now, action)
             elif isinstance(action, Fenced):
                 self.writers.pop(action.ledger, None)
+                self._heirs = {k: v for k, v in self._heirs.items() if v[1] != action.ledger}
+                queue += self.claimant.fenced(now, action.ledger, action.by)
             elif isinstance(action, Claimed):
                 self._inherit(action)
         return out + self._card()
@@ -222,6 +227,8 @@
             if own != news.ledger or seq > news.seq:
                 left.append(drop)
                 continue
+            if self.claimant.keys.get(ledger) is None or self.claimant.keys[ledger].ledger != own:
+                continue
             self._heirs.pop(ledger, None)
             for proposal in self.claimant.dropped(ledger):
                 actions += self.tell(now, proposal.at.keepers, proposal.learn(True))
@@ -237,8 +244,7 @@
                 except (msgspec.MsgspecError, UnicodeDecodeError):
                     self.counts["claim not readable"] += 1
                     continue
-                before = self._heirs.get(found.ledger, frozenset())
-                self._heirs[found.ledger] = before.union(found.of)
+                self._heirs[found.ledger] = frozenset(found.of), news.into
 
     def _tell_again(self, now: int) -> list[Action]:
         actions: list[Action] = []
--- a/ironbarrow/fleet/ledgers/proposal.py
+++ b/ironbarrow/fleet/ledgers/proposal.py
@@ -164,13 +164,13 @@
         at, sends = self.at, list[Action]()
         if self.step is Step.SEALING:
             message = Seal(at.ledger, at.segment, self.ballot, self.writer)
-            sends = [Send(k, message) for k in at.keepers if k not in self.promises]
+            sends = [Send(k, message) for k in at.keepers if k not in self.promises and k not in self.unknown]
         elif self.step is Step.DECIDING and self.decision is not None:
             decide = Decide(at.ledger, at.segment, self.ballot, self.decision)
             sends = [Send(k, decide) for k in at.keepers if k not in self._answers]
         elif self.step is Step.READING and self._best is not None:
             sends = [Send(self._best, Read(at.ledger, at.segment, self._after))]
-        self._resend_at = now + self._rules.resend if sends else NEVER
+        self._resend_at = now + self._rules.resend
         return sends
 
     def _sealed(self, now: int) -> list[Action]:
--- a/ironbarrow/fleet/ledgers/writer.py
+++ b/ironbarrow/fleet/ledgers/writer.py
@@ -100,6 +100,11 @@
         self._improve_at = NEVER
         self._due = NEVER
 
+    @property
+    def ready(self) -> bool:
+        """It may be appended to: not before a ledger that is led has been told of."""
+        return self._lead is None
+
     # Orders
 
     def open(self, now: int) -> list[Action]:
@@ -177,7 +182,7 @@
         before = keeping.acked
         self._heard(now, keeping, max(keeping.acked, message.n))
         actions: list[Action] = []
-        if message.answer is Answer.GAP and keeping.gap_at != message.n:
+        if message.answer is Answer.GAP and message.n == keeping.acked != keeping.gap_at:
             # danger: without this memory every change that overtook another would bring the rest again
             keeping.gap_at, keeping.sent = message.n, max(keeping.acked, 0)
             keeping.waits_since = now
@@ -245,6 +250,8 @@
         actions: list[Action] = []
         made: dict[int, Append] = {}
         rules = self._rules
+        if self._proposal is not None:
+            return actions  # danger: what is appended from here on is in the next segment's opening alone
         for keeper, keeping in self.keeping.items():
             if keeping.out:
                 continue
--- a/ironbarrow/lab/fleet/search.py
+++ b/ironbarrow/lab/fleet/search.py
@@ -76,7 +76,7 @@
 class _Searched(LedgerMachine):
     """The machine, with the claimant's own ledger taken as given: that its key is kept is a step."""
 
-    def own(self, now: int, changes: Sequence[Change]) -> tuple[str, int, list[Action]]:
+    def own(self, now: int, changes: Sequence[Change], into: str) -> tuple[str, int, list[Action]]:
         return "own", 1, []
 
 
--- a/ironbarrow/lab/fleet/still.py
+++ b/ironbarrow/lab/fleet/still.py
@@ -30,10 +30,7 @@
 
     def __init__(self, everyone: Everyone, life: Life) -> None:
         self._everyone, self._life = everyone, life
-
-    @property
-    def me(self) -> Card:
-        return self._everyone.members[self._life.name].card
+        self.me = everyone.members[life.name].card
 
     def alive(self) -> Sequence[Member]:
         members = self._everyone.members
@@ -53,5 +50,6 @@
         member = self._everyone.members[self._life.name]
         if member.card.life == self._life:
             card = Card(self._life, "", member.card.site, "", member.card.version + 1, ledgers)
+            self.me = card
             self._everyone.members[self._life.name] = Member(card, member.health, member.since)
         return []
