--- a/ironbarrow/fleet/starvation/machine.py
+++ b/ironbarrow/fleet/starvation/machine.py
@@ -208,6 +208,7 @@
             message = Waits(self._me.site, self._asked, shards, windows, asks)
             if life == self._me.life:
                 self.collected.take(now, life, message)
+                self._acknowledged[life] = (shards, frozenset(number for number, _, _ in tables))
             else:
                 actions.append(Send(life, message))
         return actions
--- a/ironbarrow/lab/fleet/starved.py
+++ b/ironbarrow/lab/fleet/starved.py
@@ -344,27 +344,22 @@
         self.net = SimulatedNet(self.clock, Codec((Waits, Elsewhere)), seed)
         self.machines: dict[str, StarvationMachine] = {}
         self.pages: dict[str, Pages] = {}
+        place = {name: number for number, name in enumerate(sites)}
         cards = [Card(Life(name, self.begins + 1), "", site) for name, site in sites.items()]
 
         def build(seat: Seat, node: Node) -> None:
             card = next(c for c in cards if c.life.name == seat.name)
             pages = self.pages[seat.name] = Pages()
             members = AllThere(card, cards)
-            machine = StarvationMachine(
-                card, members, pages, rules, Shares(shares.get(seat.name, {})), self.clock.now()
-            )
+            # their windows end at different times
+            began = self.begins - place[seat.name] * rules.window // len(sites)
+            machine = StarvationMachine(card, members, pages, rules, Shares(shares.get(seat.name, {})), began)
             self.machines[seat.name] = machine
             node.add([machine])
 
         for name, site in sites.items():
             self.net.add(name, site, build)
-        for place, name in enumerate(sites):
-            # their windows begin at different times
-            due = self.begins + place * rules.window // len(sites)
-            self.clock.call_at(due, self._start, name)
-
-    def _start(self, name: str) -> None:
-        self.net.start(name)
+            self.net.start(name)
 
     def tell(self, name: str, events: Iterable[Event]) -> None:
         """Has a partition's book told of events as their time comes; times count from the fleet's start."""
