--- a/ironbarrow/fleet/takeover/machine.py
+++ b/ironbarrow/fleet/takeover/machine.py
@@ -724,7 +724,7 @@
             return []
         if asking.holder == sender:
             # it had it and has forgotten: all are asked again
-            asking.holder, asking.next_at = None, now
+            asking.lost_holder(now)
             return []
         if said.round != asking.round:
             return []
@@ -762,7 +762,7 @@
         for asking in self.asking.values():
             asking.remote.pop(life, None)
             if asking.holder == life:
-                asking.holder, asking.next_at = None, now
+                asking.lost_holder(now)
         for held in self.held.values():
             held.remote.pop(life, None)
         if life in self.open or life in self.taken_over or self.leaving or self.fenced:
--- a/ironbarrow/fleet/takeover/repeats.py
+++ b/ironbarrow/fleet/takeover/repeats.py
@@ -81,7 +81,7 @@
     record: JobRecord
     safe: bool
     waiters: list[object]
-    begun: int
+    begun: int  # ns, when it was asked for first, or lost its holder
     may_take: bool = True  # False: it was sent from here in an earlier life
     remote: dict[Life, None] = field(default_factory=dict)
     round: int = 0
@@ -97,3 +97,8 @@
         self.heard.clear()
         self.clean, self.lost = True, False
         self.next_at = now + (ROUND if self.holder is None else POLL)
+
+    def lost_holder(self, now: int) -> None:
+        """Whoever had it is gone, or has forgotten it. Danger: measured from the first question, the time for
+        finding it may be over in the very instant in which its holder is lost."""
+        self.holder, self.next_at, self.begun = None, now, now
