Give up a ledger whose keepers are gone, and keep one where its writer's death does not lose it

With two members left the writer counted among its own two keepers, so that its death lost the ledger: in 15 plays with kills 35 claims of 69 found no majority.

--- a/ironbarrow/fleet/ledgers/machine.py
+++ b/ironbarrow/fleet/ledgers/machine.py
@@ -121,8 +121,9 @@
         return "", 0, []
 
     def choose(self, ledger: str, avoid: frozenset[Life] = frozenset()) -> tuple[Life, ...]:
-        """Keepers for a ledger: by rank, spread over sites, this member last; empty if there are fewer lives
-        than two, or than a majority of those wanted."""
+        """Keepers for a ledger: by rank, spread over sites; empty if there are fewer others than half of
+        those wanted. This member itself only where that makes the number odd: a ledger that needs its writer
+        for a majority is lost with it."""
         wanted = self._rules.keepers
         others = [m for m in self._members.alive() if m.card.life != self.me and m.card.life not in avoid]
         others.sort(
@@ -135,9 +136,11 @@
             others.remove(least)
             sites[least.card.site] += 1
             chosen.append(least.card.life)
-        if len(chosen) < wanted:
+        if len(chosen) < wanted // 2:
+            return ()
+        if len(chosen) < wanted and len(chosen) % 2 == 0:
             chosen.append(self.me)
-        return tuple(chosen) if len(chosen) >= max(2, wanted // 2 + 1) else ()
+        return tuple(chosen)
 
     def tell(self, now: int, lives: Sequence[Life], learn: Learn | Close) -> list[Action]:
         """Tells lives of a fate until they have heard it."""
--- a/ironbarrow/fleet/ledgers/writer.py
+++ b/ironbarrow/fleet/ledgers/writer.py
@@ -361,7 +361,8 @@
                 return []  # danger: a seal that can't be decided would stop those that still answer
             chosen = set(self._next_keepers(now))
             kept = set(self.at.keepers)
-            if lost and not chosen - kept:
+            outlives = len(kept - lost - {self.me}) >= majority(self.at.keepers)
+            if lost and not chosen - kept and (outlives or not chosen):
                 return []
             if not lost:
                 better = len(chosen) > len(kept) or (self.me in kept - chosen and len(chosen) == len(kept))
--- a/ironbarrow/fleet/takeover/machine.py
+++ b/ironbarrow/fleet/takeover/machine.py
@@ -74,6 +74,8 @@
 _TELL_AGAIN = (200 * MS, 1 * SECOND, 3 * SECOND)  # after a ledger is taken over, since messages are lost
 _RETRY = 1 * SECOND  # a claim that has no end yet is looked at again
 _TRIES = 3  # of a claim, while a majority of the keepers seems to be there
+_GONE_FOR = 2 * SECOND  # without a majority of keepers, until this life is given up for one that has them
+_GONE_AT_MOST = 15 * SECOND  # while a job that may not run twice is out
 _REMEMBERED = 1024  # lives taken over
 
 _VERDICTS = {verdict.value: verdict for verdict in Verdict}
@@ -164,6 +166,8 @@
         self._waits: deque[tuple[int, list[_Wait]]] = deque()
         self._calls: dict[object, _Wait] = {}
         self.closing: set[str] = set()  # ids whose consumers have left, being called off
+        self._look_at = now
+        self._gone_since = NEVER
         self._linger: deque[tuple[int, str]] = deque()
         self._tell: list[tuple[int, Life, bool]] = []
         self._lost: dict[Life, int] = {}  # until when a repeat may be about a job of it
@@ -373,6 +377,8 @@
             actions += self._fail_all(now, late)
         while self._linger and (self._linger[0][0] <= now or len(self._linger) > _LINGERING):
             self._write(drop_answer(self._linger.popleft()[1]))
+        if self.alone and not self.fenced:
+            actions += self._give_up_ledger(now)
         waiting = [] if self.fenced else list(self.asking.values())
         for asking in [a for a in waiting if min(a.next_at, self._gives_up_at(a)) <= now]:
             if self.asking.get(asking.record.id) is asking:
@@ -391,6 +397,8 @@
         times += [due for due, _, _ in self._tell]
         if self._linger:
             times.append(self._linger[0][0])
+        if self.alone and not self.fenced:
+            times.append(self._look_at)
         return min(times, default=NEVER)
 
     def received(self, now: int, sender: Life, message: Message) -> list[Action]:
@@ -564,6 +572,27 @@
         """This life is over by a word from elsewhere: as if its ledger had been sealed."""
         return [action for action in self._fence(now) if not isinstance(action, Superseded)]
 
+    def _give_up_ledger(self, now: int) -> list[Action]:
+        """Where a majority of its keepers is gone for good no ledger comes back: this life ends, as if
+        another had sealed it, and the next one has new keepers. Jobs that may not run twice and are out are
+        waited for, up to a bound."""
+        if now < self._look_at:
+            return []
+        self._look_at = now + _RETRY
+        at = next((at for at in self.members.me.ledgers if at.ledger == self.ledger), None)
+        if at is None or self.leaving:
+            return []
+        gone = sum(self.members.health(k) in (Health.DEAD, Health.LEFT) for k in at.keepers)
+        if 2 * (len(at.keepers) - gone) > len(at.keepers):
+            self._gone_since = NEVER
+            return []
+        self._gone_since = min(self._gone_since, now)
+        out = any(held.unproven and not held.safe for held in self.held.values())
+        if now < self._gone_since + (_GONE_AT_MOST if out else _GONE_FOR):
+            return []
+        self.counts["own ledger given up"] += 1
+        return self._fence(now)
+
     def _fence(self, now: int) -> list[Action]:
         """Danger: from here on another may do whatever this life owes."""
         self.fenced = True
