--- a/ironbarrow/fleet/ledgers/writer.py
+++ b/ironbarrow/fleet/ledgers/writer.py
@@ -181,7 +181,9 @@
         before = keeping.acked
         self._heard(now, keeping, max(keeping.acked, message.n))
         actions: list[Action] = []
-        if message.answer is Answer.GAP and keeping.gap_at != message.n:
+        # danger: a late one of a keeper that has all by now would have it owe an answer for ever
+        behind = keeping.acked < self.n
+        if message.answer is Answer.GAP and behind and keeping.gap_at != message.n:
             # danger: without this memory every change that overtook another would bring the rest again
             keeping.gap_at, keeping.sent = message.n, max(keeping.acked, 0)
             keeping.waits_since = now
@@ -264,6 +266,10 @@
                     changes = within(self._tail, first - self._tail_from)
                     message = Append(self.at.ledger, self.at.segment, self.base, first, changes)
                     made[first] = message
+                if not message.changes and keeping.sent < self.n:
+                    # danger: what it lacks is no longer here; asked for again and again this never ends
+                    keeping.out, self._due = True, now
+                    break
                 actions.append(Send(keeper, message))
                 keeping.sent += len(message.changes)
                 keeping.sent_at = now
--- a/ironbarrow/fleet/rollout/commands.py
+++ b/ironbarrow/fleet/rollout/commands.py
@@ -110,7 +110,7 @@
 
     def take(self, command: Command) -> tuple[bool, Answer]:
         """Whether the command is to be carried out now, and the answer to it."""
-        if command.rollout != self.rollout and command.epoch > 0:
+        if command.rollout != self.rollout:
             # epochs and numbers belong to one rollout's ledger; only one rollout is under way at a time
             if self.phase in (Phase.DRAINING, Phase.STARTING):
                 return False, self.answer(refused=True)
