Do not take an order between two turns for a stop of the process

News queued by an order, which does not say the time, was due at the last turn; with a period over twice the time-out that looked like a process that had been stopped, and made its time-outs longer.

--- a/ironbarrow/fleet/members/machine.py
+++ b/ironbarrow/fleet/members/machine.py
@@ -383,9 +383,11 @@
         return self._flush()
 
     def next_at(self) -> int:
+        return min(self._due(), self._gossip_at) if self._queue else self._due()
+
+    def _due(self) -> int:
+        """When something but gossip is due: that is put off and taken up without the time being known."""
         due = min(self._ping_at, self._sync_at, self._try_at)
-        if self._queue:
-            due = min(due, self._gossip_at)
         for probe in self._probes.values():
             due = min(due, probe.end if probe.helpers >= 0 else min(probe.end, probe.helpers_at))
         for relay in self._relays.values():
@@ -397,7 +399,7 @@
     def _awake(self, now: int) -> None:
         """Danger: a process that was stopped finds all its time-outs past, before it has read what came
         meanwhile. It was away, not the others: their times begin where it came back."""
-        late = now - self.next_at()
+        late = now - self._due()
         self._now = now
         if late < self.rules.timeout:
             return
--- a/tests/test_fleet_members.py
+++ b/tests/test_fleet_members.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from ironbarrow.config.units import ms
 from ironbarrow.fleet.api import NEVER, Card, Health, LedgerAt, Life, MemberChanged, Message, Send
 from ironbarrow.fleet.codec import Codec
 from ironbarrow.fleet.file import MemberRules
@@ -138,6 +139,21 @@
     assert made.all_alive()
 
 
+def test_an_order_between_two_turns_is_not_taken_for_a_stop() -> None:
+    made = Crowd(3, rules=MemberRules(period=ms(1500), suspect_for=ms(3000)))
+    made.until(made.all_alive, 20 * SECOND)
+    machine = made.machines["m0"]
+    for segment in range(20):
+        made.net.run((137 + 10 * segment) * MS)
+        at = (LedgerAt("l", segment, ()),)
+        made.net.order("m0", lambda node, now, at=at: node.carry_out(machine.writes(at)))
+        assert machine._ill == 0, segment
+    made.net.pause("m0")
+    made.net.run(3 * SECOND)
+    made.net.resume("m0")
+    assert machine._ill > 0
+
+
 def test_one_that_flaps_comes_back_each_time() -> None:
     made = crowd(10)
     for _ in range(10):
