--- a/tests/test_fleet_members.py
+++ b/tests/test_fleet_members.py
@@ -144,9 +144,10 @@
     made.until(made.all_alive, 20 * SECOND)
     machine = made.machines["m0"]
     for segment in range(20):
-        made.net.run((137 + 10 * segment) * MS)
+        made.net.run((6130 + 97 * segment) * MS)
         at = (LedgerAt("l", segment, ()),)
         made.net.order("m0", lambda node, now, at=at: node.carry_out(machine.writes(at)))
+        made.net.run(MS)
         assert machine._ill == 0, segment
     made.net.pause("m0")
     made.net.run(3 * SECOND)
