--- a/ironbarrow/fleet/starvation/machine.py
+++ b/ironbarrow/fleet/starvation/machine.py
@@ -208,6 +208,7 @@
             message = Waits(self._me.site, self._asked, shards, windows, asks)
             if life == self._me.life:
                 self.collected.take(now, life, message)
+                self._acknowledged[life] = (shards, frozenset(number for number, _, _ in tables))
             else:
                 actions.append(Send(life, message))
         return actions
@@ -311,7 +312,7 @@
                 elsewhere[tenant] = Elsewheres(rows, answer.taken, min(1.0, answer.heard / fleet))
         seconds = (closed[-1].ended - closed[0].began) / SECOND
         over = self._shares.beyond(whole, seconds, elsewhere)
-        self.looks = look(self._rules, [window.rows for window in closed], whole, elsewhere, over, fleet)
+        self.looks = look(self._rules, closed, whole, elsewhere, over, fleet)
         actions: list[Action] = []
         for news in self.verdicts.looked(now, self.looks):
             if isinstance(news, StarvationBegan):
