Play a dozen failures between real dispatchers; go on where most keepers have started again

Need: after two kills at once a dispatcher whose majority of keepers had gone wrote nothing more, turned bookings away for good and could take nothing over, though all had started again. Change: a writer goes on in the next segment without a seal where it is proven that nobody can seal the present one: other lives have its keepers' names, or they have left. In the laboratory a DELETE no longer overtakes its job where the provider's process is late (a false second copy on a busy machine). tests/test_fleet_rig.py: cases of one table, three at a time.

--- a/ironbarrow/fleet/ledgers/writer.py
+++ b/ironbarrow/fleet/ledgers/writer.py
@@ -358,7 +358,8 @@
             self._check_at = now + FILL_AFTER * self._rules.resend
         if not stuck:
             if len(self.keeping) - len(gone) < majority(self.at.keepers):
-                return []  # danger: a seal that can't be decided would stop those that still answer
+                # danger: a seal that can't be decided would stop those that still answer
+                return self._leave_behind(now)
             chosen = set(self._next_keepers(now))
             kept = set(self.at.keepers)
             if lost and not chosen - kept:
@@ -371,6 +372,32 @@
         self._tail, self._tail_size, self._tail_from = [], 0, self.n + 1
         return self._proposal.start(now)
 
+    def _leave_behind(self, now: int) -> list[Action]:
+        """Goes on in the next segment without a seal, where it is proven that nobody can ever seal this one:
+        fewer keepers than a majority can still be the lives that they were. Without this a writer whose
+        keepers start again all at once would write nothing more.
+
+        Danger: that a keeper is held for dead proves nothing; that another life has its name, or that it has
+        left, does."""
+        over = {k for k in self.at.keepers if k != self.me and self._is_over(k)}
+        if len(self.at.keepers) - len(over) >= majority(self.at.keepers):
+            return []
+        chosen = self._home.choose(self.at.ledger, frozenset(self._avoided(now) | over))
+        if not chosen:
+            return []
+        self.at = LedgerAt(self.at.ledger, self.at.segment + 1, chosen)
+        self._announce = True
+        self.counts["left behind"] += 1
+        waited = self._waiting[0][1] if self._waiting else now
+        actions = self.open(now)
+        self._waiting[0] = (self.base, waited)
+        return actions
+
+    def _is_over(self, life: Life) -> bool:
+        card = self._members.card(life.name)
+        left = self._members.health(life) is Health.LEFT
+        return left or (card is not None and card.life.start > life.start)
+
     def _patience(self) -> int:
         """Another that seals has so long to decide before the writer seals itself."""
         least = self._rules.replace_after
--- a/ironbarrow/lab/live/provider_server.py
+++ b/ironbarrow/lab/live/provider_server.py
@@ -87,11 +87,19 @@
     def _serve(self, connection: Connection) -> Coroutine[None]:
         while True:
             first, request = yield from next_message(self._loop, connection, _IDLE, _WHOLE)
-            yield from self._way()
+            path = request.target.partition("?")[0]
+            arrives = request.headers.get("x-request-id", "") if request.method == "POST" else ""
+            self._provider.arriving.add(arrives)
+            try:
+                yield from self._way()
+            finally:
+                self._provider.arriving.discard(arrives)
             if self._provider.state is State.DOWN:
                 return
-            path = request.target.partition("?")[0]
             if request.method == "DELETE" and path.startswith("/jobs/"):
+                # danger: where this process is late, a DELETE would overtake the job that it is about
+                while path.removeprefix("/jobs/") in self._provider.arriving:
+                    yield from sleep(self._loop.now() + MS)
                 status, headers, body = self._delete(path.removeprefix("/jobs/"))
             elif request.method == "GET" and path in ("/-/healthy", "/-/load"):
                 text = _header(self._provider.report()).encode() if path == "/-/load" else b""
--- a/ironbarrow/lab/model/provider.py
+++ b/ironbarrow/lab/model/provider.py
@@ -129,6 +129,7 @@
         self.state = State.UP
         self.trouble = Trouble()
         self.connections = 0
+        self.arriving: set[str] = set()  # live: jobs whose requests are in, and that are not looked at yet
         self._clock, self._cold, self._reports = clock, cold, reports
         self._store, self._stream, self._watcher = store, stream, watcher
         self.speed = stream.lognormal(group.speed, group.speed_cv)
--- a/tests/test_fleet_rig.py
+++ b/tests/test_fleet_rig.py
@@ -1,7 +1,10 @@
 """Several dispatchers with faults between them: stand-ins of links, what judges them, whole runs."""
 
+import multiprocessing
 import socket
 from collections.abc import Iterator
+from concurrent.futures import Future, ProcessPoolExecutor
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
@@ -9,6 +12,7 @@
 import pytest
 
 from ironbarrow.config.units import ms
+from ironbarrow.fleet.api import Claimed, Kept, Moved, NoMajority
 from ironbarrow.fleet.codec import Splitter
 from ironbarrow.fleet.file import parse
 from ironbarrow.lab.audit import Auditor, Breach
@@ -20,6 +24,7 @@
 from ironbarrow.lab.sim.run import Simulation
 from ironbarrow.runtime.loop import MS, Loop
 from ironbarrow.runtime.sockets import listen
+from tests.test_fleet_ledgers import job_ledger, opened, put
 
 EXPERIMENTS = Path(__file__).parents[1] / "experiments"
 
@@ -282,3 +287,203 @@
         else:
             getattr(audit, what)(*more)
     assert dict(audit.finish().breaches) == ({breach.value: 1} if breach else {})
+
+
+# Ledgers as kills on the rig left them
+
+
+def test_a_writer_whose_keepers_have_all_started_again_goes_on_and_no_sooner() -> None:
+    fleet = opened(6)
+    ledger, at = job_ledger(fleet, "m0"), fleet.at("m0")
+    fleet.do("m0", "append", ledger, put(20))
+    fleet.run(5)
+    for keeper in at.keepers[:2]:
+        fleet.kill(keeper.name)
+    fleet.do("m0", "append", ledger, put(3, 50))
+    fleet.run(3000)
+    assert fleet.at("m0") == at and fleet.news("m0", NoMajority)[-1].back is False  # dead may be cut off
+    for keeper in at.keepers[:2]:
+        fleet.net.start(keeper.name)
+    fleet.run(1000)
+    moved = fleet.news("m0", Moved)[-1].at
+    assert (moved.segment, len(moved.keepers)) == (1, 3) and not set(moved.keepers) & set(at.keepers[:2])
+    assert fleet.news("m0", NoMajority)[-1].back and fleet.news("m0", Kept)[-1].seq == 23
+    fleet.kill("m0")
+    by = next(n for n in fleet.names[1:] if fleet.net.seats[n].node)
+    fleet.do(by, "claim", moved)
+    fleet.run(200)
+    assert len(fleet.news(by, Claimed)[0].content) == 23
+
+
+def test_a_writer_that_started_with_too_few_keepers_has_more_soon_and_keeps_as_many() -> None:
+    fleet = opened(3)
+    fleet.kill("m2")
+    fleet.net.start("m1")
+    fleet.do("m1", "create", job_ledger(fleet, "m1"))
+    fleet.run(50)
+    assert len(fleet.at("m1").keepers) == 2
+    fleet.net.start("m2")
+    fleet.run(300)
+    assert len(fleet.at("m1").keepers) == 3
+    fleet.net.pause("m2")  # slow, not dead
+    fleet.do("m1", "append", job_ledger(fleet, "m1"), put(1))
+    fleet.run(3000)
+    assert len(fleet.at("m1").keepers) == 3
+
+
+# Whole runs: several dispatchers' processes with faults between them; the providers' counts decide
+
+TRIED = """
+name = "tried"
+duration = "4 s"
+arrivals = { rate = 30.0, shape = "even" }
+network = { zones = ["north", "middle", "south"] }
+consumers = { retries = 0, notice = "500 ms", same_id = true }
+[dispatchers]
+count = 5
+[dispatchers.fleet.ledgers]
+wait = "2 s"
+[dispatchers.fleet.without_majority]
+map = "turn away"
+booking = "turn away"
+[[classes]]
+name = "map"
+share = 0.65
+work = { mean = "400 ms", kind = "fixed" }
+wanted = "4 s"
+deadline = "6 s"
+[[classes]]
+name = "booking"
+share = 0.35
+work = { mean = "1200 ms", kind = "fixed" }
+wanted = "4 s"
+deadline = "6 s"
+effect = "unsafe"
+[[providers]]
+name = "p"
+count = 6
+cores = 10
+slots = 10
+"""
+NEVER = (
+    Breach.TWO_ANSWERS,
+    Breach.SECOND_COPY,
+    Breach.TOO_MANY,
+    Breach.RAN_TWICE,
+    Breach.FALSE_PROOF,
+    Breach.UNLAWFUL,
+    Breach.INVENTED,
+)
+
+
+@dataclass(frozen=True)
+class Case:
+    """What goes wrong, and the least that must have come of it. Jobs may be ``lost`` for want of a dispatcher
+    only where what the dispatchers share is lost with them."""
+
+    faults: tuple[Fault, ...] = ()
+    ends_at: tuple[tuple[int, str], ...] = ()  # dispatchers' first lives end at these points
+    ends_first: str = ""  # or the first one that comes to this one
+    stops_at: tuple[tuple[int, str, int], ...] = ()  # or stop there, for so many ms
+    ends: int = 0
+    stops: int = 0
+    adopted: int = 0
+    frames: tuple[str, ...] = ()
+    lost: int = 0
+
+
+def killed(number: int, at: float, down: float = 500) -> Fault:
+    return Fault(kind="dispatcher killed", at=ms(at), dispatcher=number, down=ms(down))
+
+
+def links(at: float, lasts: float, **how: Any) -> Fault:
+    return Fault(kind="links cut" if not how.get("lost") else "links", at=ms(at), lasts=ms(lasts), **how)
+
+
+BAD_LINKS = links(300, 3500, lost=0.15, doubled=0.15, delay=ms(5), jitter=ms(40))
+CASES = {
+    "bad links": Case((BAD_LINKS,), frames=("lost", "doubled")),
+    "bad links and one killed": Case((BAD_LINKS, killed(1, 1200)), ends=1, adopted=1, frames=("lost",)),
+    "one killed": Case((killed(0, 1500),), ends=1, adopted=1),
+    "two killed at once, and with them most keepers of some": Case(
+        (killed(0, 1500), killed(1, 1500)), ends=2
+    ),
+    "one killed while another hears nothing of a third": Case(
+        (links(500, 3000, pair=[1, 3], one_way=True), killed(0, 1500)),
+        ends=1,
+        adopted=1,
+        frames=("cut off",),
+    ),
+    "a site cut off": Case((links(1000, 2000, zones=["south", "north", "middle"]),), frames=("cut off",)),
+    "one stopped": Case(
+        (Fault(kind="dispatcher stopped", at=ms(1200), lasts=ms(3000), dispatcher=2),), stops=1, adopted=1
+    ),
+    "one stopped for a moment": Case(
+        (Fault(kind="dispatcher stopped", at=ms(1200), lasts=ms(600), dispatcher=2),), stops=1
+    ),
+    "one restarted": Case(
+        (Fault(kind="dispatcher restarted", at=ms(1200), dispatcher=1, down=ms(100)),), ends=1
+    ),
+    "ends between intent and first byte": Case(ends_at=((0, "after-intent:8"),), ends=1, adopted=1),
+    "stops between intent and first byte": Case(stops_at=((0, "after-intent:8", 3000),), stops=1, adopted=1),
+    "the claimant ends between seal and adoption": Case(
+        (killed(0, 1500),), ends_first="after-seal:1", ends=2, adopted=1
+    ),
+    "the claimant ends when it has adopted, and has done nothing": Case(
+        (killed(0, 1500),), ends_first="after-adoption:1", ends=2, adopted=1
+    ),
+}
+
+
+def play(name: str, folder: Path) -> dict[str, Any]:
+    """Plays a case, in a process of its own."""
+    case = CASES[name]
+    raw = {**msgspec.toml.decode(TRIED), "faults": plain(list(case.faults))}
+    run = LiveRun(convert(raw, World, name), 1, folder)
+    if case.ends_first:
+        run.end_first(case.ends_first, 500 * MS)
+    for number, point in case.ends_at:
+        run.end_at(number, point, 500 * MS)
+    for number, point, lasts in case.stops_at:
+        run.stop_at(number, point, lasts * MS)
+    result = run.run()
+    notes = result.notes
+    return {
+        "breaches": {b.name: n for b in NEVER if (n := result.verdicts.breaches[b.value])},
+        "examples": result.verdicts.examples,
+        "broken": notes["fleet"]["broken_invariants"],
+        "failed": {e: n for e, n in notes["fleet"]["events"].items() if "failed" in e},
+        "crashes": notes["crashes"],
+        "wrong_results": notes["wrong_results"],
+        "lost": sum(notes["without_dispatcher"].values()),
+        "unheard": notes["unheard_ends"],
+        "ends": sum(len(instance.ended_at) for instance in run.instances),
+        "stops": run.stops,
+        "adopted": notes["fleet"]["adoptions"],
+        "frames": notes["fleet"]["frames"],
+        "asked": result.summary()["all"]["asked"],
+        "served": result.summary()["all"]["served"],
+        "notes": {k: v for k, v in notes.items() if "per_s" not in k},
+        "summary": result.summary(),
+    }
+
+
+@pytest.fixture(scope="module")
+def played(tmp_path_factory: pytest.TempPathFactory) -> Iterator[dict[str, Future[dict[str, Any]]]]:
+    """All cases, some at a time."""
+    context = multiprocessing.get_context("spawn")
+    with ProcessPoolExecutor(3, mp_context=context) as pool:
+        yield {name: pool.submit(play, name, tmp_path_factory.mktemp("rig")) for name in CASES}
+
+
+@pytest.mark.parametrize("name", CASES)
+def test_nothing_runs_twice_or_is_answered_twice_whatever_goes_wrong(name: str, played: Any) -> None:
+    case, found = CASES[name], played[name].result(60)
+    assert not found["breaches"], found["examples"]
+    assert (found["broken"], found["failed"]) == ({}, {})
+    assert (found["crashes"], found["wrong_results"]) == (0, 0)
+    assert found["ends"] >= case.ends and found["stops"] >= case.stops
+    assert found["adopted"] >= case.adopted
+    assert all(found["frames"].get(what, 0) > 0 for what in case.frames)
+    assert found["lost"] <= case.lost and found["unheard"] <= case.lost
+    assert found["asked"] > 100 and found["served"] > 20
