--- a/ironbarrow/fleet/ledgers/writer.py
+++ b/ironbarrow/fleet/ledgers/writer.py
@@ -102,6 +102,11 @@
         self._improve_at = NEVER
         self._due = NEVER
 
+    @property
+    def ready(self) -> bool:
+        """It may be appended to: not before a ledger that is led has been told of."""
+        return self._lead is None
+
     # Orders
 
     def open(self, now: int) -> list[Action]:
@@ -181,7 +186,7 @@
         before = keeping.acked
         self._heard(now, keeping, max(keeping.acked, message.n))
         actions: list[Action] = []
-        if message.answer is Answer.GAP and keeping.gap_at != message.n:
+        if message.answer is Answer.GAP and message.n == keeping.acked != keeping.gap_at:
             # danger: without this memory every change that overtook another would bring the rest again
             keeping.gap_at, keeping.sent = message.n, max(keeping.acked, 0)
             keeping.waits_since = now
@@ -362,7 +367,8 @@
                 return self._leave_behind(now)
             chosen = set(self._next_keepers(now))
             kept = set(self.at.keepers)
-            if lost and not chosen - kept:
+            outlives = len(kept - lost - {self.me}) >= majority(self.at.keepers)
+            if lost and not chosen - kept and (outlives or not chosen):
                 return []
             if not lost:
                 better = len(chosen) > len(kept) or (self.me in kept - chosen and len(chosen) == len(kept))
