--- a/ironbarrow/fleet/links/links.py
+++ b/ironbarrow/fleet/links/links.py
@@ -26,6 +26,7 @@
 _FRAME_LIMIT = 5 * SECOND  # between two reads of a frame that is not whole, and to the first one
 _BACKOFF_LEAST = 50 * MS
 _BACKOFF_MOST = 500 * MS
+_LASTED = 2 * SECOND  # the end of a connection that stood so long is a first failure
 _WRITE_SIZE = 64 * 1024
 _READ_SIZE = 256 * 1024
 _ACCEPTS_AT_ONCE = 16
@@ -42,6 +43,7 @@
     sock: socket.socket | None = None
     task: Task | None = None
     asleep: bool = False
+    opened_at: int = 0
     used_at: int = 0
     failed: int = 0  # in a row
     retry_at: int = 0
@@ -195,15 +197,18 @@
             self._close(peer)
 
     def _failed(self, peer: _Peer, error: Exception) -> None:
-        peer.failed += 1
+        now = self._loop.now()
+        # danger: what takes connections for a peer that is gone would be called on without a pause
+        peer.failed = 1 if now - peer.opened_at > _LASTED else peer.failed + 1
         backoff = min(_BACKOFF_MOST, _BACKOFF_LEAST << min(peer.failed - 1, 8))
-        peer.retry_at = self._loop.now() + backoff
+        peer.retry_at = now + backoff
         peer.queue.clear("unreachable")
         self.figures["broken"] += 1
         log.debug("link broken", peer=peer.name, address=peer.address, reason=str(error))
         self._loop.soon(self._broke, peer.name)
 
     def _connect(self, peer: _Peer) -> Coroutine[None]:
+        peer.opened_at = self._loop.now()
         address = sockets.parse_address(peer.address)
         sock = peer.sock = sockets.stream_socket(address)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -230,7 +235,6 @@
                     continue
                 data = data[sent:]
                 self.figures["bytes out"] += sent
-        peer.failed = 0
 
     # Incoming
 
--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -14,7 +14,7 @@
 from ironbarrow.fleet.links.queue import Budget, Queue, Sort, sort_of
 from ironbarrow.fleet.service import FleetService
 from ironbarrow.runtime.loop import MS, SECOND, Loop
-from ironbarrow.runtime.sockets import listen
+from ironbarrow.runtime.sockets import accept, listen
 
 
 @pytest.fixture(autouse=True)
@@ -274,6 +274,21 @@
     bench.until(bench.met)
 
 
+def test_a_peer_that_takes_connections_and_ends_them_is_called_on_with_pauses(bench: Bench) -> None:
+    a = bench.start("a")
+    with contextlib.closing(listen(("127.0.0.1", 0))) as shut:
+        a.fleet.routes["shut"] = f"127.0.0.1:{shut.getsockname()[1]}"
+        end, taken = bench.loop.now() + SECOND, 0
+        while bench.loop.now() < end:
+            a.order([Send(Life("shut"), Bulk(b"x"))])
+            bench.run(0.005)
+            while (sock := accept(shut)) is not None:
+                taken += 1
+                sock.close()
+    assert 2 <= taken <= 7
+    assert a.links.shed["unreachable"] > 20
+
+
 def test_half_frames_are_bounded_together(bench: Bench) -> None:
     a, _ = pair(bench, "[links]\nmemory_mb = 2")
     with contextlib.ExitStack() as stack:
