--- a/ironbarrow/cli/lab.py
+++ b/ironbarrow/cli/lab.py
@@ -20,6 +20,7 @@
 
 WorldFile = Annotated[Path, typer.Argument(help="A world, in TOML.", show_default=False)]
 Seed = Annotated[int, typer.Option(help="Equal seeds give equal worlds.", min=0)]
+FleetOn = Annotated[bool, typer.Option("--fleet", help="The dispatchers share a fleet, by its defaults.")]
 Json = Annotated[bool, typer.Option("--json", help="Print one JSON object instead of tables.")]
 
 
@@ -54,6 +55,7 @@
     """Play a world in simulated time, with the real host and decisions."""
     loaded = _world(world)
     _quiet()
+    from ironbarrow.lab.model.spec import WorldError
     from ironbarrow.lab.sim.run import Simulation
     from ironbarrow.routing.file import RoutesError
 
@@ -61,6 +63,8 @@
         result = Simulation(loaded, seed).run()
     except RoutesError as error:
         _fail(f"{world}: `dispatchers.routes`: {error}")
+    except WorldError as error:
+        _fail(f"{world}: {error}")
     _show(result, as_json)
 
 
@@ -72,9 +76,14 @@
     folder: Annotated[
         Path | None, typer.Option(help="Where the dispatchers' files and logs go.", show_default="a new one")
     ] = None,
+    fleet: FleetOn = False,
 ) -> None:
     """Play a world on loopback sockets, in real time, round processes of `ironbarrow serve`."""
     loaded = _world(world)
+    if fleet:
+        from ironbarrow.lab.model.spec import with_fleet
+
+        loaded = with_fleet(loaded)
     _quiet()
     _show(_play_live(loaded, seed, folder), as_json)
 
@@ -203,7 +212,8 @@
         typer.echo(json.dumps(found))
     else:
         _print_tables(result, summary)
-    if not result.verdicts.kept or result.notes.get("crashes") or result.notes.get("wrong_results"):
+    broken = (result.notes.get("fleet") or {}).get("broken_invariants")
+    if not result.verdicts.kept or broken or result.notes.get("crashes") or result.notes.get("wrong_results"):
         raise typer.Exit(1)
 
 
@@ -290,6 +300,7 @@
         Path | None, typer.Option(help="Folder for the cells.", show_default="results/NAME beside the file")
     ] = None,
     dry_run: Annotated[bool, typer.Option(help="Say what would run, and run nothing.")] = False,
+    fleet: FleetOn = False,
     as_json: Json = False,
 ) -> None:
     """Run the cells of an experiment that are not finished yet: axes x seeds x variants."""
@@ -304,7 +315,7 @@
 
     folder = out or default_folder(experiment)
     try:
-        plan = load_plan(experiment, folder / "variants")
+        plan = load_plan(experiment, folder / "variants", fleet=fleet)
     except WorldError as error:
         _fail(str(error))
     store = Store(folder)
--- a/ironbarrow/fleet/ledgers/writer.py
+++ b/ironbarrow/fleet/ledgers/writer.py
@@ -45,6 +45,8 @@
 TAIL_MOST = 4 << 20  # bytes of changes kept for keepers that lag: beyond, the slowest gets no more
 AVOID_FOR = 8  # times ``replace_after``: so long a keeper that was silent is not chosen again
 IMPROVE_AFTER = 10  # times ``replace_after``: so soon better keepers are moved to, though none is lost
+# danger: of two keepers none may be lost, and who starts with the first one it hears of would stay with two
+FILL_AFTER = 2  # times ``resend``: so soon where there are fewer than are wanted
 
 
 class Home(Protocol):
@@ -122,6 +124,8 @@
         self._waiting: deque[tuple[int, int]] = deque([(self.base, now)])  # number, since when: not yet kept
         self._improve_at = now + IMPROVE_AFTER * self._rules.replace_after
         self._check_at = now + self._rules.replace_after
+        if len(self.at.keepers) < self._rules.keepers:
+            self._improve_at = self._check_at = now + FILL_AFTER * self._rules.resend
         actions = self._flush(now, force=True)
         self._due = self._next(now)
         return actions
@@ -183,7 +187,9 @@
         before = keeping.acked
         self._heard(now, keeping, max(keeping.acked, message.n))
         actions: list[Action] = []
-        if message.answer is Answer.GAP and message.n == keeping.acked != keeping.gap_at:
+        # danger: a late one of a keeper that has all by now would have it owe an answer for ever
+        behind = keeping.acked < self.n
+        if message.answer is Answer.GAP and behind and message.n == keeping.acked != keeping.gap_at:
             # danger: without this memory every change that overtook another would bring the rest again
             keeping.gap_at, keeping.sent = message.n, max(keeping.acked, 0)
             keeping.waits_since = now
@@ -249,6 +255,8 @@
     def _flush(self, now: int, *, resend: bool = False, force: bool = False) -> list[Action]:
         """Sends each keeper what it has not been sent, or (``resend``) not acknowledged in time."""
         actions: list[Action] = []
+        if self._proposal is not None:
+            return actions  # danger: the tail is gone by then, the whole table goes to the next keepers
         made: dict[int, Append] = {}
         rules = self._rules
         if self._proposal is not None:
@@ -268,6 +276,10 @@
                     changes = within(self._tail, first - self._tail_from)
                     message = Append(self.at.ledger, self.at.segment, self.base, first, changes)
                     made[first] = message
+                if not message.changes and keeping.sent < self.n:
+                    # danger: what it lacks is no longer here; asked for again and again this never ends
+                    keeping.out, self._due = True, now
+                    break
                 actions.append(Send(keeper, message))
                 keeping.sent += len(message.changes)
                 keeping.sent_at = now
@@ -340,18 +352,30 @@
         self._avoid = {life: until for life, until in self._avoid.items() if until > now}
         return frozenset(self._avoid)
 
+    def _next_keepers(self, now: int) -> tuple[Life, ...]:
+        """Danger: of fewer keepers fewer may be lost. Where too few others can be had, present ones stay,
+        those that answer first."""
+        chosen = self._home.choose(self.at.ledger, self._avoided(now))
+        stay = sorted((k for k in self.at.keepers if k not in chosen), key=lambda k: k in self._avoid)
+        return (*chosen, *stay[: max(0, len(self.at.keepers) - len(chosen))])
+
     def _replace(self, now: int) -> list[Action]:
         """Seals its own segment where keepers are lost and others can be had, or another's seal has come to
         nothing."""
-        self._check_at = now + self._rules.replace_after
+        short = len(self.at.keepers) < self._rules.keepers
+        self._check_at = now + (FILL_AFTER * self._rules.resend if short else self._rules.replace_after)
         stuck = self._sealed_at != NEVER and now >= self._sealed_at + self._patience()
         lost, gone = self._lost(now)
+        if lost:  # another may come at any time, and until then the next loss is one too many
+            self._check_at = now + FILL_AFTER * self._rules.resend
         if not stuck:
             if len(self.keeping) - len(gone) < majority(self.at.keepers):
-                return []  # danger: a seal that can't be decided would stop those that still answer
-            chosen = set(self._home.choose(self.at.ledger, self._avoided(now)))
+                # danger: a seal that can't be decided would stop those that still answer
+                return self._leave_behind(now)
+            chosen = set(self._next_keepers(now))
             kept = set(self.at.keepers)
-            if lost and not chosen - kept:
+            outlives = len(kept - lost - {self.me}) >= majority(self.at.keepers)
+            if lost and not chosen - kept and (outlives or not chosen):
                 return []
             if not lost:
                 better = len(chosen) > len(kept) or (self.me in kept - chosen and len(chosen) == len(kept))
@@ -361,6 +385,32 @@
         self._tail, self._tail_size, self._tail_from = [], 0, self.n + 1
         return self._proposal.start(now)
 
+    def _leave_behind(self, now: int) -> list[Action]:
+        """Goes on in the next segment without a seal, where it is proven that nobody can ever seal this one:
+        fewer keepers than a majority can still be the lives that they were. Without this a writer whose
+        keepers start again all at once would write nothing more.
+
+        Danger: that a keeper is held for dead proves nothing; that another life has its name, or that it has
+        left, does."""
+        over = {k for k in self.at.keepers if k != self.me and self._is_over(k)}
+        if len(self.at.keepers) - len(over) >= majority(self.at.keepers):
+            return []
+        chosen = self._home.choose(self.at.ledger, frozenset(self._avoided(now) | over))
+        if not chosen:
+            return []
+        self.at = LedgerAt(self.at.ledger, self.at.segment + 1, chosen)
+        self._announce = True
+        self.counts["left behind"] += 1
+        waited = self._waiting[0][1] if self._waiting else now
+        actions = self.open(now)
+        self._waiting[0] = (self.base, waited)
+        return actions
+
+    def _is_over(self, life: Life) -> bool:
+        card = self._members.card(life.name)
+        left = self._members.health(life) is Health.LEFT
+        return left or (card is not None and card.life.start > life.start)
+
     def _patience(self) -> int:
         """Another that seals has so long to decide before the writer seals itself."""
         least = self._rules.replace_after
@@ -375,8 +425,7 @@
         if proposal.step is Step.SEALED:
             decision = proposal.fate()
             if decision is None:
-                keepers = self._home.choose(self.at.ledger, self._avoided(now))
-                decision = Decision(Fate.MOVED, self.me, keepers or self.at.keepers)
+                decision = Decision(Fate.MOVED, self.me, self._next_keepers(now))
             actions += proposal.decide(now, decision)
         if proposal.step is Step.DECIDED and proposal.decision is not None:
             actions += self._fate(now, proposal.decision)
--- /dev/null
+++ b/tests/test_fleet_members.py
@@ -0,0 +1,475 @@
+"""Members on the simulated network: who is held for what, and how soon."""
+
+import os
+import random
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from types import ModuleType
+
+import pytest
+
+from ironbarrow.config.units import ms
+from ironbarrow.fleet.api import NEVER, Card, Health, LedgerAt, Life, MemberChanged, Message, Send
+from ironbarrow.fleet.codec import Codec
+from ironbarrow.fleet.file import MemberRules
+from ironbarrow.fleet.invariants import INVARIANTS, InvariantError
+from ironbarrow.fleet.members import MemberMachine
+from ironbarrow.fleet.members import machine as machine_module
+from ironbarrow.fleet.members.messages import RANK, VERSION_MOST, Ack, Cards, Ping, Rumour
+from ironbarrow.lab.fleet.net import SimulatedNet
+from ironbarrow.lab.sim.clock import SimulatedClock
+from ironbarrow.runtime.clock import MS, SECOND
+
+SITES = ("x", "y", "z")
+
+
+@pytest.fixture(autouse=True)
+def fatal(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(INVARIANTS, "fatal", True)
+
+
+class Crowd:
+    """So many members, named m0, m1, ..., over three sites in turn."""
+
+    def __init__(self, count: int, seed: int = 1, rules: MemberRules | None = None) -> None:
+        self.rules = rules or MemberRules()
+        self.net = SimulatedNet(SimulatedClock(), Codec(MemberMachine.handles), seed)
+        self.machines: dict[str, MemberMachine] = {}
+        self.names = [f"m{i}" for i in range(count)]
+        for i, name in enumerate(self.names):
+            self.net.add(name, SITES[i % 3], self._build)
+            self.net.start(name)
+
+    def _build(self, seat, node) -> None:
+        card = Card(node.life, f"{seat.name}:1", seat.site, version=1)
+        seeds = [name for name in self.names[:3] if name != seat.name]
+        machine = MemberMachine(card, self.rules, seeds, self.net.clock.now())
+        self.machines[seat.name] = machine
+        node.add([machine])
+
+    def running(self) -> list[str]:
+        return [name for name in self.names if self.net.seats[name].node is not None]
+
+    def healths(self, of: str) -> dict[str, Health | None]:
+        """What the others that run hold the present life of a member for."""
+        life = self.machines[of].me.life
+        return {name: self.machines[name].health(life) for name in self.running() if name != of}
+
+    def all_alive(self) -> bool:
+        return all(set(self.healths(name).values()) == {Health.ALIVE} for name in self.running())
+
+    def until(self, holds: Callable[[], bool], limit: int) -> int:
+        """ns until something holds; an AssertionError after the limit."""
+        start = self.net.clock.now()
+        while not holds():
+            assert self.net.clock.now() - start < limit, "not in time"
+            self.net.run(20 * MS)
+        return self.net.clock.now() - start
+
+    def deaths(self) -> int:
+        """Deaths that members that run have been told of."""
+        return sum(
+            isinstance(news, MemberChanged) and news.member.health is Health.DEAD
+            for seat in self.net.seats.values()
+            for news in seat.told
+        )
+
+
+def crowd(count: int, seed: int = 1) -> Crowd:
+    """A crowd in which everybody knows everybody."""
+    made = Crowd(count, seed)
+    made.until(made.all_alive, 20 * SECOND)
+    made.net.run(2 * SECOND)
+    assert made.deaths() == 0
+    return made
+
+
+@pytest.mark.parametrize(("count", "bound_s"), [(3, 2.5), (10, 3.0), (30, 3.5)])
+def test_a_death_is_known_to_all_in_time(count: int, bound_s: float) -> None:
+    for seed in (1, 2, 3):
+        made = crowd(count, seed)
+        made.net.crash("m1")
+        took = made.until(
+            lambda made=made: set(made.healths("m1").values()) == {Health.DEAD}, int(bound_s * SECOND)
+        )
+        assert took > made.rules.suspect_for // 3
+        made.net.run(5 * SECOND)
+        assert made.deaths() == count - 1  # its own, once at each
+
+
+@pytest.mark.parametrize("both", [False, True])
+def test_a_cut_between_two_kills_nobody_where_a_third_sees_both(both: bool) -> None:
+    made = crowd(3)
+    made.net.cut("m0", "m1", both=both)
+    made.net.run(60 * SECOND)
+    assert made.deaths() == 0
+    made.net.mend()
+    made.net.run(2 * SECOND)
+    assert made.all_alive()
+
+
+def test_a_cut_between_two_sites_kills_nobody_and_a_lost_site_is_told_from_the_rest() -> None:
+    made = crowd(9)
+    made.net.cut_sites("x", "y")
+    made.net.run(20 * SECOND)
+    assert made.deaths() == 0
+    made.net.cut_sites("x", "z")
+    made.net.run(5 * SECOND)
+    assert {name: m.sites_out_of_sight() for name, m in made.machines.items()} == {
+        name: ["y", "z"] if made.net.seats[name].site == "x" else ["x"] for name in made.names
+    }
+    made.net.mend()
+    made.until(made.all_alive, 10 * SECOND)
+
+
+@pytest.mark.parametrize(("pause_s", "dies"), [(0.5, False), (10, True)])
+def test_a_pause_is_not_a_death_unless_it_is_long(pause_s: float, dies: bool) -> None:
+    made = crowd(10)
+    made.net.pause("m4")
+    made.net.run(int(pause_s * SECOND))
+    assert (made.deaths() == 9) == dies
+    assert dies or made.deaths() == 0
+    made.net.resume("m4")
+    made.until(lambda: set(made.healths("m4").values()) == {Health.ALIVE}, 3 * SECOND)
+    assert (made.machines["m4"].refuted > 0) or not dies
+    assert not any(isinstance(n, MemberChanged) and n.member.health is Health.DEAD
+                   for n in made.net.seats["m4"].told)  # fmt: skip
+    made.net.run(3 * SECOND)
+    assert made.all_alive()
+
+
+def test_an_order_between_two_turns_is_not_taken_for_a_stop() -> None:
+    made = Crowd(3, rules=MemberRules(period=ms(1500), suspect_for=ms(3000)))
+    made.until(made.all_alive, 20 * SECOND)
+    machine = made.machines["m0"]
+    for segment in range(20):
+        made.net.run((6130 + 97 * segment) * MS)
+        at = (LedgerAt("l", segment, ()),)
+        made.net.order("m0", lambda node, now, at=at: node.carry_out(machine.writes(at)))
+        made.net.run(MS)
+        assert machine._ill == 0, segment
+    made.net.pause("m0")
+    made.net.run(3 * SECOND)
+    made.net.resume("m0")
+    assert machine._ill > 0
+
+
+def test_one_that_flaps_comes_back_each_time() -> None:
+    made = crowd(10)
+    for _ in range(10):
+        made.net.pause("m2")
+        made.net.run(1500 * MS)
+        made.net.resume("m2")
+        made.net.run(1500 * MS)
+    made.until(made.all_alive, 3 * SECOND)
+    assert all(
+        news.member.card.life.name == "m2"
+        for seat in made.net.seats.values()
+        for news in seat.told
+        if isinstance(news, MemberChanged) and news.member.health is Health.DEAD
+    )
+
+
+@pytest.mark.parametrize("count", [6, 30])
+def test_sites_cut_off_from_each_other_come_together_again(count: int) -> None:
+    made = crowd(count)
+    for other in "yz":
+        made.net.cut_sites("x", other)
+    made.net.run(5 * SECOND)
+    third, deaths = count // 3, made.deaths()
+    assert deaths >= 0.9 * (2 * third * 2 * third)
+    made.net.mend()
+    made.until(made.all_alive, 10 * SECOND)
+    made.net.run(5 * SECOND)
+    assert made.deaths() == deaths  # none died of what the others had thought
+    assert made.all_alive()
+
+
+def test_nobody_dies_of_five_in_a_hundred_messages_lost() -> None:
+    for seed in (1, 2, 3):
+        made = crowd(10, seed)
+        made.net.usual.lost = 0.05
+        made.net.run(60 * SECOND)
+        assert made.deaths() == 0
+
+
+def test_a_restart_is_another_life_and_the_earlier_one_ends_first() -> None:
+    made = crowd(6)
+    before = made.machines["m3"].me.life
+    made.net.crash("m3")
+    made.net.run(100 * MS)
+    after = made.net.start("m3")
+    made.until(lambda: set(made.healths("m3").values()) == {Health.ALIVE}, 3 * SECOND)
+    for name in made.running():
+        if name != "m3":
+            assert made.machines[name].health(before) is Health.DEAD
+            told = [
+                (n.member.card.life, n.member.health)
+                for n in made.net.seats[name].told
+                if isinstance(n, MemberChanged) and n.member.card.life.name == "m3"
+            ]
+            assert told.index((before, Health.DEAD)) == told.index((after, Health.ALIVE)) - 1
+    assert before == Life("m3", before.start)
+    assert made.all_alive()
+
+
+def test_one_that_leaves_is_not_dead() -> None:
+    made = crowd(10)
+    made.net.order("m5", lambda node, now: node.carry_out(made.machines["m5"].leave(now)))
+    made.net.run(500 * MS)
+    made.net.crash("m5")
+    made.until(lambda: set(made.healths("m5").values()) == {Health.LEFT}, 2 * SECOND)
+    made.net.run(3 * SECOND)
+    assert made.deaths() == 0
+
+
+def trouble(seed: int, count: int = 7, steps: int = 25) -> None:
+    """Members that end, begin, stop, go on, leave and are cut off at random; then all is mended."""
+    dice = random.Random(seed)
+    made = Crowd(count, seed)
+    net = made.net
+    net.run(3 * SECOND)
+    for _ in range(steps):
+        name, other = dice.sample(made.names, 2)
+        seat = net.seats[name]
+        what = dice.choice(["kill", "stop", "leave", "cut", "half", "site", "mend", "loss", "write"])
+        if seat.node is None:
+            net.start(name)
+        elif seat.paused:
+            net.resume(name)
+        elif what == "kill":
+            net.crash(name)
+        elif what == "stop":
+            net.pause(name)
+        elif what == "leave":
+            net.order(name, lambda node, now, name=name: node.carry_out(made.machines[name].leave(now)))
+            net.run(dice.randrange(200 * MS))
+            net.crash(name)
+        elif what in ("cut", "half"):
+            net.cut(name, other, both=what == "cut")
+        elif what == "site":
+            net.cut_sites(*dice.sample(SITES, 2))
+        elif what == "mend":
+            net.mend()
+        elif what == "loss":
+            net.usual.lost, net.usual.doubled = dice.choice([(0.0, 0.0), (0.2, 0.1)])
+            net.usual.jitter = dice.choice([MS // 10, 100 * MS])
+        else:
+            at = (LedgerAt("l", dice.randrange(9), ()),)
+            net.order(name, lambda node, now, m=made.machines[name], at=at: node.carry_out(m.writes(at)))
+        net.run(dice.randrange(3 * SECOND))
+    net.mend()
+    net.usual.lost = net.usual.doubled = 0.0
+    net.usual.jitter = MS // 10
+    for name in made.names:
+        seat = net.seats[name]
+        if seat.node is None:
+            net.start(name)
+        elif seat.paused:
+            net.resume(name)
+
+    def agreed() -> bool:
+        cards = {name: machine.me for name, machine in made.machines.items()}
+        return made.all_alive() and all(
+            machine.card(name) == of for machine in made.machines.values() for name, of in cards.items()
+        )
+
+    made.until(agreed, 15 * SECOND)
+    for seat in net.seats.values():
+        last: dict[str, Life] = {}
+        ended: dict[Life, Health] = {}
+        for news in seat.told:
+            assert isinstance(news, MemberChanged)
+            life, health = news.member.card.life, news.member.health
+            before = last.get(life.name, life)
+            assert life.start >= before.start
+            assert life == before or ended.get(before) in (Health.DEAD, Health.LEFT)
+            assert ended.get(life) is not Health.LEFT
+            last[life.name], ended[life] = life, health
+
+
+# FLEET_SEEDS="FROM TO" plays others: a failing one is in its test's name
+SEEDS = (
+    range(*map(int, os.environ["FLEET_SEEDS"].split())) if "FLEET_SEEDS" in os.environ else [*range(10), 124]
+)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_after_any_trouble_all_agree_again(seed: int) -> None:
+    trouble(seed)
+
+
+# Bad input, bounds, versions
+
+
+def alone(rules: MemberRules | None = None, machine: type[MemberMachine] = MemberMachine) -> MemberMachine:
+    return machine(Card(Life("me", 5), "h:1", "x", version=1), rules or MemberRules(), (), 0)
+
+
+def card(name: str, start: int = 1, version: int = 1, **more: object) -> Card:
+    return Card(Life(name, start), "h:2", "y", version=version, **more)  # type: ignore[arg-type]
+
+
+def said(what: Card, health: Health = Health.ALIVE, version: int | None = None, **more: object) -> Rumour:
+    at = what.version if version is None else version
+    return Rumour(what.life, at, RANK[health], card=what, **more)  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize(
+    "rumour",
+    [
+        said(card("")),
+        said(card("n" * 65)),
+        said(card("a", start=-1)),
+        said(card("a", start=NEVER)),
+        said(card("a"), version=VERSION_MOST),
+        said(card("a", version=-1), version=1),
+        said(card("a"), age_ms=-1),
+        said(card("a", ledgers=(LedgerAt("l", 1, (Life("k"),)),))),
+        said(card("a", ledgers=(LedgerAt("l" * 301, 1, ()),))),
+        said(card("a", front="f" * 301)),
+        Rumour(Life("b", 1), 1, 0, card=card("a")),
+        Rumour(Life("a", 1), 1, 4, card=card("a")),
+        Rumour(Life("me", 5), VERSION_MOST, 2),
+    ],
+)
+def test_what_is_out_of_range_is_counted_and_changes_nothing(rumour: Rumour) -> None:
+    machine = alone()
+    actions = machine.received(1, Life("x", 1), Cards((rumour,)))
+    assert not actions and machine.dropped == {"malformed": 1}
+    assert len(machine.alive()) == 1 and machine.me.version == 1
+
+
+@pytest.mark.parametrize("count", [1024, 2000])
+def test_the_list_holds_as_many_as_it_says_and_no_more(count: int) -> None:
+    machine = alone(MemberRules(most=count))
+    for start in range(0, count + 50, 50):
+        names = [f"m{i}" for i in range(start, start + 50)]
+        machine.received(1 + start, Life("m0", 1), Cards(tuple(said(card(name)) for name in names)))
+    assert len(machine.alive()) == count
+    assert machine.dropped["full"] == start + 50 - (count - 1)
+    late = 2 * SECOND
+    machine.received(late, Life("m0", 1), Cards((said(card("m7"), Health.LEFT),)))
+    machine.received(late, Life("m0", 1), Cards((said(card("new")),)))  # takes the place of one that is gone
+    assert machine.health(Life("new", 1)) is Health.ALIVE and machine.card("m7") is None
+    codec = Codec(MemberMachine.handles)
+    sizes: list[int] = []
+    now = late
+    for _ in range(400):  # whatever the number, no message is large
+        now = max(now, min(machine.next_at(), now + 100 * MS))
+        for action in machine.ticked(now):
+            if isinstance(action, Send):
+                sizes.append(len(codec.encode(machine.me.life, 0, action.message)))
+    assert len(sizes) > 100 and max(sizes) < 8_000
+
+
+def test_a_joiner_learns_two_thousand_members_from_one() -> None:
+    machine, joiner = (
+        alone(),
+        MemberMachine(Card(Life("j", 9), "h:3", "x", version=1), MemberRules(), ("me",), 0),
+    )
+    for start in range(0, 2000, 50):
+        names = [f"m{i}" for i in range(start, start + 50)]
+        machine.received(1, Life("m0", 1), Cards(tuple(said(card(name)) for name in names)))
+    asked = [a.message for a in joiner.ticked(1) if isinstance(a, Send)]
+    codec, largest = Codec(MemberMachine.handles), 0
+    for action in machine.received(2, Life("j", 9), asked[0]):
+        if isinstance(action, Send):
+            largest = max(largest, len(codec.encode(machine.me.life, 0, action.message)))
+            joiner.received(3, machine.me.life, action.message)
+    assert len(joiner.alive()) == len(machine.alive()) == 2002
+    assert largest < 16_000
+
+
+def test_a_later_version_of_the_program_is_understood_as_far_as_it_goes() -> None:
+    class LaterPing(Message, frozen=True, array_like=True):
+        KIND = 1
+        number: int
+        version: int
+        seen: int = -1
+        seen_health: int = 0
+        news: tuple[Rumour, ...] = ()
+        more: str = ""
+
+    frame = Codec([LaterPing]).encode(Life("new", 3), 0, LaterPing(7, 1, 1, 0, (said(card("a")),), "x"))
+    found = Codec(MemberMachine.handles).decode(frame[4:])
+    assert found is not None
+    machine = alone()
+    (answer,) = [a for a in machine.received(1, found[0], found[2]) if isinstance(a, Send)]
+    assert isinstance(answer.message, Ack) and answer.message.number == 7
+    assert machine.health(Life("a", 1)) is Health.ALIVE
+
+
+# What must hold, whatever is said
+
+
+def babble(machine: MemberMachine, seed: int) -> None:
+    """Says at random of a few lives what could be said of them, this member's own included."""
+    dice = random.Random(seed)
+    now, versions = 1, dict[str, int]()
+    for _ in range(150):
+        now += dice.randrange(400 * MS)
+        name, start = dice.choice(["me", "a", "b", "c"]), dice.choice([4, 5, 6])
+        found = Card(Life(name, start), "h:1", dice.choice("xy"), version=dice.randrange(6))
+        items = [
+            Rumour(
+                found.life,
+                dice.randrange(6),
+                dice.choice([0, 0, 1, 2, 2, 3]),
+                dice.choice(["", "a", "b", "c", "me"]),
+                dice.randrange(3000),
+                dice.choice([found, found, None]),
+            )
+        ]
+        sender = Life(dice.choice("abc"), start)
+        synced = dice.random() < 0.3
+        seen = dice.randrange(-1, 6), dice.randrange(4)
+        message = dice.choice(
+            [Cards(tuple(items), synced), Ping(1, 1, *seen, tuple(items)), Ack(dice.randrange(9), 2, *seen)]
+        )
+        machine.received(now, sender, message)
+        machine.ticked(max(now, min(machine.next_at(), now + SECOND)))
+        for member in machine.alive():
+            before = versions.get(str(member.card.life), -1)
+            assert member.card.version >= before
+            versions[str(member.card.life)] = member.card.version
+
+
+def test_whatever_is_said_the_list_keeps_its_rules() -> None:
+    for seed in range(200):
+        machine = alone()
+        babble(machine, seed)
+        assert machine.me.life == Life("me", 5)
+
+
+MUTANTS = {
+    "gone stays gone": (
+        "if entry.health is Health.LEFT:\n            return\n",
+        "if False:\n            return\n",
+    ),
+    "versions rise": ("max(entry.version, rumour.version), Health.LEFT", "rumour.version, Health.LEFT"),
+    "self alive": (
+        "self._of_me(life, rumour.version, health)\n            return\n",
+        "self._of_me(life, rumour.version, health)\n",
+    ),
+}
+
+
+def mutant(old: str, new: str) -> type[MemberMachine]:
+    """The machine with one place of its text changed."""
+    text = Path(machine_module.__file__).read_text()
+    assert old in text
+    made = ModuleType("ironbarrow.fleet.members.mutant")
+    sys.modules[made.__name__] = made  # dataclasses look for it
+    exec(compile(text.replace(old, new), made.__name__, "exec"), made.__dict__)
+    found: type[MemberMachine] = made.MemberMachine
+    return found
+
+
+@pytest.mark.parametrize("name", MUTANTS)
+def test_each_invariant_catches_its_mutant(name: str) -> None:
+    broken = mutant(*MUTANTS[name])
+    with pytest.raises(InvariantError, match=name):
+        for seed in range(50):
+            babble(alone(machine=broken), seed)
