--- a/ironbarrow/fleet/takeover/machine.py
+++ b/ironbarrow/fleet/takeover/machine.py
@@ -159,6 +159,7 @@
         self.answers = Answers(rules.keep_for, rules.most_answers)
         self.promises = Promises(rules.keep_for)
         self.open: dict[Life, _Open] = {}
+        self.left_open: list[_Open] = []  # by a life that is over
         self.taken_over: OrderedDict[Life, bool] = OrderedDict()  # whether whole
         self.counts: Counter[str] = Counter()
         self._changes: dict[str, Change] = {}
@@ -191,6 +192,9 @@
             self.asking[asking.record.id] = asking
             actions += self._ask(now, asking)
         earlier.asking = {}
+        for opened in earlier.left_open:
+            if opened.life not in self.open and opened.life not in self.taken_over:
+                self._open(now, opened.life, opened.at, None)
         return actions
 
     def arrive(self, now: int, record: JobRecord, marked: bool, waiter: object) -> list[Action]:
@@ -587,8 +591,11 @@
             self._gone_since = NEVER
             return []
         self._gone_since = min(self._gone_since, now)
-        out = any(held.unproven and not held.safe for held in self.held.values())
-        if now < self._gone_since + (_GONE_AT_MOST if out else _GONE_FOR):
+        # danger: what was saved of others is nowhere else
+        out = any(held.adopted or (held.unproven and not held.safe) for held in self.held.values())
+        # danger: of two that keep for each other alone, each that begins anew ends the other one's ledger
+        patience = _GONE_FOR << min(self.counts["own ledger given up"], 5)
+        if now < self._gone_since + max(patience, _GONE_AT_MOST if out else 0):
             return []
         self.counts["own ledger given up"] += 1
         return self._fence(now)
@@ -612,7 +619,7 @@
                     held.record, held.safe, held.waiters, now, may_take=not held.unproven
                 )
         self.held.clear()
-        self.open.clear()
+        self.left_open, self.open = list(self.open.values()), {}
         return [*actions, Superseded()]
 
     # Repeats
@@ -871,16 +878,17 @@
             self._write(put_answer(answer))
         for at in further:
             self._write(Change(CLAIM + at.ledger, content[CLAIM + at.ledger]))
+
+        def act(at: int) -> list[Action]:
+            return self._act(at, opened, records, kept_answers, further, whole=whole)
+
         # last: whoever reads a part of this append finds the claim still
-        self._write(
-            drop_claim(ledger),
-            _Wait(
-                NEVER,
-                lambda at: self._act(at, opened, records, kept_answers, further, whole=whole),
-                lambda at: [],
-            ),
-        )
-        return self.flush(now)
+        if whole:
+            self._write(drop_claim(ledger), _Wait(NEVER, act, lambda at: []))
+            return self.flush(now)
+        # nothing proves that nobody else has these, so that to wait for a majority would prove nothing either
+        self._write(drop_claim(ledger))
+        return self.flush(now) + act(now)
 
     def _act(
         self,
@@ -925,7 +933,8 @@
             self.counts["already here"] += 1
             return []
         safe = self.rules.safe.get(record.job_class, False)
-        held = Held(record, safe, [], adopted=True, unproven=record.may_have_run)
+        out = record.may_have_run or record.stage is Stage.INTENT
+        held = Held(record, safe, [], adopted=True, unproven=out)
         what = rules_of_claims.what(
             record, safe=safe, whole=whole, most_attempts=self.rules.most_attempts, now=now
         )
@@ -936,10 +945,8 @@
         if what is What.AGAIN:
             return self._take(now, held)
         if what is What.CALL_OFF:
-            held.unproven = True
             return [CallOff(record)]
         if what is What.KEEP:
-            held.unproven = True
             return [Keep(record, safe)]
         if what is What.REJECTED:
             return self._finish(now, held, self._rejection())
--- a/ironbarrow/lab/fleet/random_ledgers.py
+++ b/ironbarrow/lab/fleet/random_ledgers.py
@@ -37,7 +37,7 @@
 )
 from ironbarrow.fleet.codec import Codec
 from ironbarrow.fleet.file import LedgerRules
-from ironbarrow.fleet.invariants import INVARIANTS, InvariantError, check
+from ironbarrow.fleet.invariants import INVARIANTS, check
 from ironbarrow.fleet.ledgers import LedgerMachine
 from ironbarrow.fleet.node import Node
 from ironbarrow.fleet.records import CLAIM, JOB
--- a/ironbarrow/lab/fleet/work.py
+++ b/ironbarrow/lab/fleet/work.py
@@ -78,6 +78,7 @@
         self.all = {f"p{i}": Provider(f"p{i}") for i in range(n)}
         self.starts: Counter[str] = Counter()  # by id
         self.done: set[str] = set()  # ids that ran to their end, somewhere
+        self.returned: Counter[str] = Counter()  # by id: taken and given back, without a run
         self.copies: Counter[str] = Counter()  # ids of which a second copy was out
         self.unheard = 0
 
@@ -101,7 +102,12 @@
         if provider.running.get(job_id) != number:
             return
         del provider.running[job_id]
-        state = "done" if self._world.random.random() >= self._world.fails else "failed"
+        world = self._world
+        state = "done" if world.random.random() >= world.fails else "failed"
+        if world.random.random() < world.returns:
+            state = "returned"
+            self.starts[job_id] -= 1
+            self.returned[job_id] += 1
         if state == "done":
             self.done.add(job_id)
         self._call_back({"id": job_id, "from": provider.name, "state": state, "result": f"done {job_id}"}, 0)
@@ -234,7 +240,8 @@
         self.net = SimulatedNet(self.clock, Codec(kinds), seed)
         self.settings, self.seed = settings, seed
         self.fleet = fleet or Fleet(listen="127.0.0.1:0")
-        self.refuses = self.fails = 0.0
+        self.refuses = self.fails = self.returns = 0.0
+        self.call_backs_to: str | None = None  # None: to any dispatcher
         self.lasts = (100 * MS, 600 * MS)
         self.written: Counter[str] = Counter()  # by id
         self.providers = Providers(self, providers)
@@ -331,7 +338,7 @@
         up = [name for name, seat in self.net.seats.items() if seat.node is not None and not seat.paused]
         if not up:
             return False
-        process = self.processes[self.random.choice(up)]
+        process = self.processes[self.call_backs_to or self.random.choice(up)]
         if not process.back.called_back(raw):
             process.work.stray(raw)
         return True
@@ -414,10 +421,11 @@
         for order in self.orders.values():
             booked = order.job_class in wrong
             runs = self.providers.starts[order.id]
+            attempts = runs + self.providers.returned[order.id]
             if booked and runs > 1:
                 found.append(f"{order.id}: a booking was run {runs} times")
-            if runs > self.settings.max_attempts:
-                found.append(f"{order.id}: {runs} attempts")
+            if attempts > self.settings.max_attempts:
+                found.append(f"{order.id}: {attempts} attempts")
             if len(order.heard) > 1:
                 found.append(f"{order.id}: {len(order.heard)} answers")
             for answer in order.heard:
