--- a/ironbarrow/fleet/links/links.py
+++ b/ironbarrow/fleet/links/links.py
@@ -30,6 +30,7 @@
 _READ_SIZE = 256 * 1024
 _ACCEPTS_AT_ONCE = 16
 _PAUSE = 50 * MS
+_TOLD_EVERY = 1000 * MS  # at most one line in the log for each peer
 
 
 @dataclass(slots=True, eq=False)
@@ -45,6 +46,7 @@
     used_at: int = 0
     failed: int = 0  # in a row
     retry_at: int = 0
+    told_at: int = 0  # when the log said last that it can't be reached
 
 
 @dataclass(slots=True, eq=False)
@@ -200,7 +202,10 @@
         peer.retry_at = self._loop.now() + backoff
         peer.queue.clear("unreachable")
         self.figures["broken"] += 1
-        log.debug("link broken", peer=peer.name, address=peer.address, reason=str(error))
+        if self._loop.now() >= peer.told_at + _TOLD_EVERY:
+            # danger: of a dead peer that something still listens for, each try would be a line
+            peer.told_at = self._loop.now()
+            log.debug("link broken", peer=peer.name, address=peer.address, reason=str(error))
         self._loop.soon(self._broke, peer.name)
 
     def _connect(self, peer: _Peer) -> Coroutine[None]:
