Take over what a dead claimant had won and not yet made its own, also where that claim was lost

Need: of two claimants of a dead dispatcher's ledger the second takes it for taken over once the first has won. Change: a claim found in a ledger that is taken over is always followed.

--- a/ironbarrow/fleet/takeover/machine.py
+++ b/ironbarrow/fleet/takeover/machine.py
@@ -905,8 +905,16 @@
         del self.open[life]
         for at in further:
             other = _life_of(at.ledger)
-            if other is not None and other not in self.taken_over and other != self.me:
+            if other is None or other == self.me:
+                continue
+            # danger: it counts as taken over since the one that is taken over here won it, but that one has
+            # not made it its own: the key would be gone
+            self.taken_over.pop(other, None)
+            known = self.open.get(other)
+            if known is None:
                 self._open(now, other, at, life)
+            elif not known.adopting:
+                known.heir_of, known.by, known.due = life, None, now
         self._note_taken_over(now, life, whole)
         self._tell += [(now + later, life, whole) for later in _TELL_AGAIN]
         self.counts["ledgers taken over"] += 1
