Give safe jobs up, held or queued, once a short one of their class could not start in time

The wanted time grows with a job's own running time, which is not known. Dispatcher._hold took a mean job's and Job.too_late one of twice the mean, so that shorter ones started when they could no longer be in time.

Change: Job.latest_start, one limit for held and queued jobs: for a class that may be tried again, whose wanted time grows at least as fast as its running time, a start from which even the shortest job is in time. Jobs of known work or wanted time, of worth after it, and of other effects keep the limit by a mean job.

--- a/heathway/logic.py
+++ b/heathway/logic.py
@@ -143,6 +143,7 @@
         )
         job.most = min(event.most_attempts or self._set.max_attempts, self._set.max_attempts)
         job.resend, job.pause, self._jobs[job.id] = event.resend, event.pause, job
+        job.foretold = event.work_hint is not None or event.wanted > 0
         self._probes.job_arrived()
         self._worths.job_arrived(cls, self._service[cls.name].mean)
         # danger: one tenant floods; beyond its share each of its jobs has to enter anew
@@ -162,7 +163,7 @@
         if job.over:
             return
         last = job.deadline - 2 * self._set.tick  # danger: an answer past the deadline breaks a rule
-        start_by = min(job.aim_at - int(self._service[job.cls.name].mean), last)
+        start_by = min(job.latest_start(self._service[job.cls.name].mean), last)
         # danger: after a slowdown nothing looks possible; a free slot is tried at least once
         self._held.add(job, max(start_by, self._now + 1))
 
--- a/heathway/state.py
+++ b/heathway/state.py
@@ -152,11 +152,22 @@
     most: int = 3  # attempts
     resend: bool = True  # also if it may have run, where its class allows that
     pause: int = 0  # before another attempt
+    foretold: bool = False  # its own work or wanted time was told
+
+    def latest_start(self, mean: float) -> int:
+        """The latest start that still makes an answer in time, ns, for a job of a class of that mean service
+        time, ns.
+
+        Danger: where longer jobs are wanted later, short ones that start that late are late all the same;
+        under overload most are, and fill the slots of the next ones for nothing. A job that may be tried
+        again starts while it is in time however short it is; if its own time is known, that holds anyhow."""
+        cls = self.cls
+        sure = cls.effect is api.Effect.SAFE and not cls.late_worth and not self.foretold
+        return self.aim_at - int(mean * (max(1.0, cls.stretch) if sure else 1.0))
 
     def too_late(self, now: int, mean: float) -> bool:
-        """Whether it is worth nothing any more if it starts now, even as a long job of its class: one of
-        twice the mean, which is wanted later by its stretch. ``now``, ``mean``: ns."""
-        return not self.cls.late_worth and now > self.aim_at + int((self.cls.stretch - 2) * mean)
+        """Whether it is worth nothing any more if it starts after ``now``, ns."""
+        return not self.cls.late_worth and now > self.latest_start(mean)
 
     def out(self) -> bool:
         return any(attempt.out for attempt in self.attempts)
