--- a/ironbarrow/lab/live/run.py
+++ b/ironbarrow/lab/live/run.py
@@ -190,9 +190,12 @@
         for number, client in enumerate(self._call_backs):
             zone = zone_of(self.world, number)
 
-            def elsewhere(zone: str = zone) -> Client | None:
-                picked = self.front.pick(zone)
-                return None if picked is None else self._call_backs[picked]
+            def elsewhere(own: int = number, zone: str = zone) -> Client | None:
+                """Another dispatcher, through the front of some zone, its own first."""
+                zones = [zone, *(z for z in self.world.network.zones if z != zone)]
+                picked = (self.front.pick(z) for z in zones)
+                other = next((n for n in picked if n is not None and n != own), None)
+                return None if other is None else self._call_backs[other]
 
             door = Door(
                 self.loop,
--- a/tests/test_fleet_rig.py
+++ b/tests/test_fleet_rig.py
@@ -341,6 +341,8 @@
 consumers = { retries = 0, notice = "500 ms", same_id = true }
 [dispatchers]
 count = 5
+tells_start = false
+probes = false
 [dispatchers.fleet.ledgers]
 wait = "2 s"
 [dispatchers.fleet.without_majority]
