Take back the way on without a seal: a claim may have been decided before the keepers ended

Change: a writer without a majority for good gives its life up and nothing else. Keepers that are slow stay in the next set, dead ones do not, and the writer itself only where that makes the number odd.

--- a/ironbarrow/fleet/ledgers/writer.py
+++ b/ironbarrow/fleet/ledgers/writer.py
@@ -353,11 +353,17 @@
         return frozenset(self._avoid)
 
     def _next_keepers(self, now: int) -> tuple[Life, ...]:
-        """Danger: of fewer keepers fewer may be lost. Where too few others can be had, present ones stay,
-        those that answer first."""
-        chosen = self._home.choose(self.at.ledger, self._avoided(now))
-        stay = sorted((k for k in self.at.keepers if k not in chosen), key=lambda k: k in self._avoid)
-        return (*chosen, *stay[: max(0, len(self.at.keepers) - len(chosen))])
+        """Danger: of fewer keepers fewer may be lost. Where too few others can be had, present ones that are
+        slow, and not held for dead, stay; this member again only where that makes the number odd."""
+        chosen = [k for k in self._home.choose(self.at.ledger, self._avoided(now)) if k != self.me]
+        for keeper in self.at.keepers:
+            health = self._members.health(keeper)
+            slow = keeper not in (self.me, *chosen) and health in (Health.ALIVE, Health.SUSPECT)
+            if slow and len(chosen) < self._rules.keepers:
+                chosen.append(keeper)
+        if chosen and len(chosen) < self._rules.keepers and len(chosen) % 2 == 0:
+            chosen.append(self.me)
+        return tuple(chosen) or self.at.keepers
 
     def _replace(self, now: int) -> list[Action]:
         """Seals its own segment where keepers are lost and others can be had, or another's seal has come to
@@ -370,8 +376,7 @@
             self._check_at = now + FILL_AFTER * self._rules.resend
         if not stuck:
             if len(self.keeping) - len(gone) < majority(self.at.keepers):
-                # danger: a seal that can't be decided would stop those that still answer
-                return self._leave_behind(now)
+                return []  # danger: a seal that can't be decided would stop those that still answer
             chosen = set(self._next_keepers(now))
             kept = set(self.at.keepers)
             outlives = len(kept - lost - {self.me}) >= majority(self.at.keepers)
@@ -385,32 +390,6 @@
         self._tail, self._tail_size, self._tail_from = [], 0, self.n + 1
         return self._proposal.start(now)
 
-    def _leave_behind(self, now: int) -> list[Action]:
-        """Goes on in the next segment without a seal, where it is proven that nobody can ever seal this one:
-        fewer keepers than a majority can still be the lives that they were. Without this a writer whose
-        keepers start again all at once would write nothing more.
-
-        Danger: that a keeper is held for dead proves nothing; that another life has its name, or that it has
-        left, does."""
-        over = {k for k in self.at.keepers if k != self.me and self._is_over(k)}
-        if len(self.at.keepers) - len(over) >= majority(self.at.keepers):
-            return []
-        chosen = self._home.choose(self.at.ledger, frozenset(self._avoided(now) | over))
-        if not chosen:
-            return []
-        self.at = LedgerAt(self.at.ledger, self.at.segment + 1, chosen)
-        self._announce = True
-        self.counts["left behind"] += 1
-        waited = self._waiting[0][1] if self._waiting else now
-        actions = self.open(now)
-        self._waiting[0] = (self.base, waited)
-        return actions
-
-    def _is_over(self, life: Life) -> bool:
-        card = self._members.card(life.name)
-        left = self._members.health(life) is Health.LEFT
-        return left or (card is not None and card.life.start > life.start)
-
     def _patience(self) -> int:
         """Another that seals has so long to decide before the writer seals itself."""
         least = self._rules.replace_after
