--- a/benchmarks/members.py
+++ b/benchmarks/members.py
@@ -97,7 +97,7 @@
     crowd = Crowd(count, seed)
     net = crowd.net
     joined = crowd.until(lambda: crowd.see(crowd.names, Health.ALIVE), 120)
-    net.run(20 * SECOND)
+    net.run(60 * SECOND)  # until the news of all these starts has been told
 
     def traffic(seconds: int) -> dict[str, float]:
         net.messages.clear()
@@ -148,6 +148,8 @@
     crowd.deaths.clear()
     healed = crowd.until(lambda: crowd.see(crowd.names, Health.ALIVE), 120)
     after = len(crowd.deaths)
+    side = {name: net.seats[name].site == SITES[0] for name in crowd.names}
+    own = sum(side[told] == side[of] for told, of, _ in crowd.deaths)  # of those that were in sight all along
     net.run(20 * SECOND)
 
     net.usual.lost = 0.05
@@ -167,6 +169,7 @@
         "mass_last_s": mass,
         "healed_s": healed,
         "deaths_after_heal": after,
+        "deaths_after_heal_own_side": own,
         "loss_minutes": loss_minutes,
         "lossy_bytes_s": lossy["bytes_s"],
         "lossy_messages_s": lossy["messages_s"],
--- a/ironbarrow/fleet/members/machine.py
+++ b/ironbarrow/fleet/members/machine.py
@@ -48,6 +48,7 @@
 
 _ITEMS = 10  # rumours in a message
 _BYTES = 1400  # of rumours in a message, but for the first
+_SYNCED_TELLS = 3  # of what a sync brought
 _FANOUT = 2  # members that are told in half a period, while there is something to tell
 _PART = 64  # members whose state is compared in a sync
 _CARDS = 24  # cards in an answer to a sync
@@ -540,7 +541,7 @@
             elif entry is None and not self._room():
                 self.dropped["full"] += 1
             else:
-                self._meet(now, entry, card, rumour, health)
+                self._meet(now, entry, card, rumour, health, synced)
             return
         if life.start < entry.card.life.start:
             self.dropped["earlier life"] += 1
@@ -575,10 +576,13 @@
     def _credible(self, now: int, by: str) -> bool:
         """Whether who says that it could not reach a third has itself been in sight for a while."""
         entry = self._entries.get(by)
-        in_sight = entry is not None and entry.health in (Health.ALIVE, Health.SUSPECT)
-        return entry is not None and in_sight and now - entry.back >= _CREDIBLE_AFTER * self.rules.suspect_for
+        if entry is None or entry.health is not Health.ALIVE:
+            return False
+        return now - entry.back >= _CREDIBLE_AFTER * self.rules.suspect_for
 
-    def _meet(self, now: int, old: _Entry | None, card: Card, rumour: Rumour, health: Health) -> None:
+    def _meet(
+        self, now: int, old: _Entry | None, card: Card, rumour: Rumour, health: Health, synced: bool
+    ) -> None:
         """A life that was not known. Danger: the end of the earlier one is told first."""
         name = card.life.name
         if old is not None:
@@ -600,7 +604,7 @@
         if health is Health.SUSPECT:
             entry.health = Health.ALIVE
             self._suspect(now, entry, rumour.version, rumour.by, met=True)
-        self._changed(now, entry)
+        self._changed(now, entry, synced)
 
     def _end(self, now: int, entry: _Entry) -> None:
         """Another life has come after that one: it never comes back."""
@@ -659,17 +663,17 @@
             if health is not Health.DEAD:
                 entry.by.clear()
         if health is not entry.health:
-            if entry.health is Health.DEAD:
+            if health is Health.ALIVE:
                 entry.back = now
             entry.health, entry.since = health, now
             self._changed(now, entry)
         else:
             self._queue_up(life.name)
 
-    def _changed(self, now: int, entry: _Entry) -> None:
+    def _changed(self, now: int, entry: _Entry, synced: bool = False) -> None:
         entry.member = Member(entry.card, entry.health, entry.since)
         self._alive = None
-        self._queue_up(entry.card.life.name)
+        self._queue_up(entry.card.life.name, synced)
         self._out.append(MemberChanged(entry.member))
 
     def _suspect(self, now: int, entry: _Entry, version: int, by: str, met: bool = False) -> None:
@@ -714,12 +718,17 @@
         entry = self._entries.get(name)
         return entry.share if entry is not None else rank("sync", name)
 
-    def _queue_up(self, name: str) -> None:
+    def _queue_up(self, name: str, synced: bool = False) -> None:
         if not self._queue:
             self._gossip_at = max(self._gossip_at, self._now)
-        self._queue[name] = 0
+        # what one member's view brought is no news to most
+        self._queue[name] = max(0, self._tells() - _SYNCED_TELLS) if synced else 0
         self._sizes.pop(name, None)
 
+    def _tells(self) -> int:
+        """How many times a rumour is told."""
+        return 3 * math.ceil(math.log(len(self._entries) + 2))
+
     def _rumour(self, name: str, full: bool = False, now: int = 0) -> Rumour | None:
         if name == self.me.life.name:
             health = RANK[Health.LEFT] if self.left else 0
@@ -738,7 +747,7 @@
 
     def _some(self, first: Sequence[str], to: str) -> tuple[Rumour, ...]:
         """What travels with a message: those named, then what was told least."""
-        most = 3 * math.ceil(math.log(len(self._entries) + 2))
+        most = self._tells()
         names = list(first)
         for _, name in nsmallest(_ITEMS, ((sent, n) for n, sent in self._queue.items() if n != to)):
             if name not in names:
