--- a/ironbarrow/fleet/rollout/coordinator.py
+++ b/ironbarrow/fleet/rollout/coordinator.py
@@ -192,8 +192,12 @@
 
     def providers(self, now: int, listed: Iterable[Listed]) -> None:
         """The whole list of targets, as the directory or the list of members has it."""
-        self.listed = {one.target.name: one for one in listed}
+        before, self.listed = self.listed, {one.target.name: one for one in listed}
         if self.lead is not None:
+            for name, one in self.listed.items():
+                old = self.lead.steps.get(name) is None and name in before
+                if old and before[name].up and not one.up:
+                    self.lead.judge.crashed(now, one.target)  # an old one went, and no step had it go
             for one in self.listed.values():
                 self._know(self.lead, one)
 
@@ -298,6 +302,7 @@
             else:
                 lead.ways[step.target] = _Way(step, kept=True)
         judge.wave_began(now, self._alive())
+        judge.first_at = min([self._unix(now), *(step.at for step in steps.values())])
         self.last = RolloutChanged(plan.name, state.stage, state.wave, state.rule, state.figures)
 
     def _know(self, lead: _Lead, one: Listed) -> None:
--- a/ironbarrow/fleet/rollout/rules.py
+++ b/ironbarrow/fleet/rollout/rules.py
@@ -95,6 +95,7 @@
         self._sent: dict[str, deque[tuple[int, int]]] = defaultdict(lambda: deque(maxlen=1024))
         self._block_at = 0
         self._wave_at = 0
+        self.first_at = 0  # when the first wave began, Unix ns
         self._members_then = self._members_now = 0
         self._starved: StarvationSeen | None = None
         self._held: dict[str, float] = {}
@@ -125,8 +126,8 @@
         self.machine(target).crashes.append(now)
 
     def starved(self, seen: StarvationSeen) -> None:
-        """A verdict; one that began before the wave says nothing of it."""
-        if self._wave_at and seen.began_at >= self._unix(self._wave_at):
+        """A verdict; one that began before the first wave says nothing of the runtime."""
+        if seen.began_at >= self.first_at:
             self._starved = seen
 
     def observed(self, now: int, life: Life, seen: Observed) -> None:
@@ -163,7 +164,7 @@
                     block.old = (block.old[0] + ended, block.old[1] + bad)
             if counts.sent_work:
                 self._sent[target].append((now, counts.sent_work))
-            warm = self._unix(now) - counts.started_at > 2 * self._cold_time
+            warm = self._unix(now) - counts.started_at > self._cold_time + self._cold_time // 2
             for time in counts.times:
                 self._work = (self._work[0] + 1, self._work[1] + time)
                 if warm or not counts.started_at:
@@ -264,15 +265,25 @@
         return found
 
     def _close_blocks(self) -> None:
-        for (site, job_class, new), times in self._times.items():
+        for (site, job_class, new), times in list(self._times.items()):
             if new:
                 old = self._times.get((site, job_class, False), [])
+                old = old or [
+                    t for at in self._plan.sites for t in self._times.get((at, job_class, False), [])
+                ]
                 block = self._block("waits", site, job_class)
                 for (target, mine), (_, other) in zip(times, old, strict=False):
                     n, longer = block.new.get(target, (0, 0))
                     block.new[target] = (n + 1, longer + (mine > other))
         self._times.clear()
+        elsewhere: dict[tuple[str, str], tuple[int, int]] = {}
+        for (signal, _, job_class), block in self._open.items():
+            m, b = elsewhere.get((signal, job_class), (0, 0))
+            elsewhere[signal, job_class] = (m + block.old[0], b + block.old[1])
         for key, block in self._open.items():
+            if block.new and not block.old[0]:
+                # nothing of the old runtime is left in the site: that of the other sites, at the same time
+                block.old = elsewhere[key[0], key[2]]
             test = self._tests.get(key)
             if test is None:
                 pairs = key[0] == "waits"
@@ -323,26 +334,29 @@
         return found
 
     def _look_at_leaks(self, now: int) -> list[Finding]:
-        old = sorted(m.missing for m in self.machines.values() if not m.new)
-        usual = old[len(old) // 2] if old else 0.0
-        leaking: list[Machine] = []
+        old = [m for m in self.machines.values() if not m.new]
         new = [m for m in self.machines.values() if m.new]
-        for machine in new:
-            if machine.missing - usual < self._rules.leaked_slots:
-                machine.missing_since = None
-                continue
-            if machine.missing_since is None:
-                machine.missing_since = now
-            if now - machine.missing_since >= self._rules.leak_for:
-                leaking.append(machine)
+        usual = sorted(m.missing for m in old)[len(old) // 2] if old else 0.0
+        leaking = [m for m in new if self._leaks(now, m, usual)]
+        others = [m for m in old if self._leaks(now, m, usual)]
         if not leaking:
             return []
-        certain = len(leaking) > max(1, math.ceil(len(new) / 3))
+        # of machines that run the old runtime not a third of that part may leak too
+        certain = len(leaking) > 1 and len(leaking) * len(old) > 3 * len(others) * len(new)
         worst = max(leaking, key=lambda m: m.missing)
         text = f"{worst.missing:.1f} slots missing on {worst.target.name}, {usual:.1f} on old ones"
-        text += f"; on {len(leaking)} of {len(new)} new ones"
+        text += f"; on {len(leaking)} of {len(new)} new and {len(others)} of {len(old)} old ones"
         return [Finding("leak", Blame.RUNTIME if certain else Blame.DOUBT, text)]
 
+    def _leaks(self, now: int, machine: Machine, usual: float) -> bool:
+        """Whether slots have been missing on a machine for long enough."""
+        if machine.missing - usual < self._rules.leaked_slots:
+            machine.missing_since = None
+            return False
+        if machine.missing_since is None:
+            machine.missing_since = now
+        return now - machine.missing_since >= self._rules.leak_for
+
     # Over time
 
     def weigh(self, now: int, findings: list[Finding]) -> Finding | None:
--- a/ironbarrow/lab/model/fleet.py
+++ b/ironbarrow/lab/model/fleet.py
@@ -16,6 +16,8 @@
 class Fleet:
     """All providers, the store they share, the network and the directory that lists them."""
 
+    make: type[Provider] = Provider  # what the next ones are
+
     def __init__(self, clock: Clock, world: World, streams: Streams, watcher: Watcher) -> None:
         self._clock, self._world, self._streams, self._watcher = clock, world, streams, watcher
         self.network = Network(clock, world.network, streams)
@@ -35,7 +37,7 @@
 
     def add(self, group: Group, name: str, zone: str, started_at: int = 0) -> Provider:
         """Starts a provider's process."""
-        made = Provider(
+        made = self.make(
             self._clock,
             name,
             group,
--- a/ironbarrow/lab/sim/run.py
+++ b/ironbarrow/lab/sim/run.py
@@ -117,7 +117,7 @@
         self._starts += 1
         seed = run.seed * 1_000_003 + self.number * 1009 + self._starts
         host = Host(life, self.settings, seed)
-        back = SimulatedBack(life, host, run.fleet, run.audit, f"d{self.number}", self.zone, run.habits.needs)
+        back = run.make_back(self.number, life, host)
         host.invoker = back
         process = self.process = _Process(life, host, back)
         if run.world.dispatchers.routes:
@@ -129,6 +129,10 @@
         )
         run.front.ready(self.number)
 
+    def known(self) -> News:
+        """The list of providers as it knows it."""
+        return self._known
+
     def _listed(self, process: _Process, news: News) -> None:
         for entry in news.entries:
             self._run.audit.told(self.number, entry.name, up=entry.status == "up")
@@ -240,6 +244,11 @@
         self.turned_away = 0  # by limits, before the decisions
         self.samples = Sampler(_SAMPLE_STEP, [], [])
 
+    def make_back(self, number: int, life: Life, host: Host) -> SimulatedBack:
+        """The back of a dispatcher's new process."""
+        zone = zone_of(self.world, number)
+        return SimulatedBack(life, host, self.fleet, self.audit, f"d{number}", zone, self.habits.needs)
+
     # Faults on dispatchers
 
     def kill(self, number: int, down: int) -> None:
