Compare waits where the fleet file says so, and write verdicts into the partition's own ledger

Change: a dispatcher with a [starvation] table in its fleet file gives its host's waits to the machine, whose verdicts go into its ledger, to all news' listeners and into the log. A renewed life keeps the jobs that wait. Without the table, or without a file, nothing of it is imported.

--- a/ironbarrow/fleet/starvation/machine.py
+++ b/ironbarrow/fleet/starvation/machine.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 import msgspec
+import structlog
 from msgspec import Struct
 
 from ironbarrow.fleet import records
@@ -25,6 +26,7 @@
     Life,
     Members,
     Message,
+    News,
     Send,
     job_ledger,
     rank,
@@ -51,6 +53,7 @@
     Evidence,
     Look,
     StarvationBegan,
+    StarvationEnded,
     Verdicts,
     horizon,
     look,
@@ -59,6 +62,8 @@
 from ironbarrow.fleet.starvation.waits import WaitBook, rows_to_send
 from ironbarrow.runtime.clock import SECOND
 
+log = structlog.get_logger()
+
 COPIES = 2  # members that collect a shard
 OVER = 1.25  # times its share: so much more is within what chance brings
 _SPOTS = 4  # partitions named to a tenant that starves
@@ -127,10 +132,12 @@
         shares: Shares,
         now: int,
         transfer: Transfer | None = None,
+        book: WaitBook | None = None,
     ) -> None:
+        """``book``: that of an earlier life of the same process, whose jobs still wait."""
         self._me, self._members, self._ledgers = me, members, ledgers
         self._rules, self._shares, self._transfer = rules, shares, transfer
-        self.book = WaitBook(rules, now)
+        self.book = book or WaitBook(rules, now)
         self.collected = Collected(rules.windows, rules.window)
         self.verdicts = Verdicts(me.life.name, rules)
         self.mover = Mover(rules.window, rules.windows)
@@ -162,6 +169,16 @@
         """A job of that tenant was moved here from where it starves."""
         self.mover.came(now, tenant)
 
+    @staticmethod
+    def log(news: News) -> None:
+        """Writes a verdict's news into the program's log, for people at night."""
+        if isinstance(news, StarvationBegan):
+            figures = msgspec.to_builtins(msgspec.structs.asdict(news.evidence))
+            log.warning("a tenant starves here", tenant=news.tenant, **figures)
+        elif isinstance(news, StarvationEnded):
+            lasted = (news.ended_at - news.began_at) // SECOND
+            log.warning("a tenant starves no more", tenant=news.tenant, lasted_s=lasted, why=news.why)
+
     # Tables
 
     def _close(self, now: int) -> list[Action]:
--- a/ironbarrow/fleet/takeover/process.py
+++ b/ironbarrow/fleet/takeover/process.py
@@ -5,13 +5,14 @@
 
 import os
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import structlog
 
 from ironbarrow.core.host import Host
 from ironbarrow.fleet import file
-from ironbarrow.fleet.file import Fleet
+from ironbarrow.fleet.api import News
+from ironbarrow.fleet.file import Fleet, StarvationRules
 from ironbarrow.fleet.ledgers import LedgerMachine
 from ironbarrow.fleet.service import FleetService
 from ironbarrow.fleet.takeover import faults
@@ -20,6 +21,9 @@
 from ironbarrow.runtime.loop import MS, Loop
 from ironbarrow.runtime.sockets import Address
 
+if TYPE_CHECKING:
+    from ironbarrow.fleet.starvation.machine import StarvationMachine
+
 log = structlog.get_logger()
 
 _LEAVING = 20 * MS  # between two looks whether all is written down and said
@@ -34,7 +38,8 @@
     ) -> None:
         self.fleet: Fleet = file.load(path, name)
         passed = faults.from_environment(os.environ)
-        self._loop, self._stopping = loop, False
+        self._loop, self._host, self._stopping = loop, host, False
+        self.waits: StarvationMachine | None = None
         self._rules = rules_of(host.settings, self.fleet, passed)
         self.service = FleetService(loop, self.fleet, name, site, "{}:{}".format(*front))
         self.work = Work(loop, host, back, self.service.order)
@@ -42,6 +47,7 @@
         self._begin(self.service)
         self.service.on_renewed(self._begin)
         self.service.on_news(self.work.told)
+        self.service.on_news(self._told)
 
     def _begin(self, service: FleetService) -> None:
         """Another life: its machines, and what consumers of the last one still wait for."""
@@ -50,6 +56,8 @@
         self.ledgers = LedgerMachine(service.life, service.members, self.fleet.ledgers)
         machine = Takeover(now, service.life, service.members, self.ledgers, self._rules)
         service.add(self.ledgers, machine)
+        if self.fleet.starvation is not None:
+            self._compare_waits(service, self.fleet.starvation, now)
         self.work.machine = machine
         service.order(machine.begin(now))
         if earlier is not None:
@@ -57,6 +65,25 @@
                 service.order(earlier.supersede(now))
             service.order(machine.succeed(now, earlier))
 
+    def _compare_waits(self, service: FleetService, rules: StarvationRules, now: int) -> None:
+        """This dispatcher's waits are compared with those at the others."""
+        from ironbarrow.fleet.starvation.machine import Shares, StarvationMachine
+
+        settings = self._host.settings
+        shares = Shares({t.name: t.allowance_per_s / settings.dispatchers for t in settings.tenants})
+        if rules.move and self.waits is None:
+            log.warning("starvation.move: jobs are not moved yet, verdicts alone are given")
+        book = self.waits.book if self.waits is not None else None
+        self.waits = StarvationMachine(
+            service.members.me, service.members, self.ledgers, rules, shares, now, book=book
+        )
+        self._host.waits = self.waits.book
+        service.add(self.waits)
+
+    def _told(self, news: News) -> None:
+        if self.waits is not None:
+            self.waits.log(news)
+
     def _superseded(self) -> None:
         if not self._stopping and self.work.machine.fenced:
             self.service.renew()
