Take a fleet's links off the descriptors that consumers and providers may use

Need: a member needs up to 258 descriptors for its links by default; consumers and pools were given all but 32 of the limit, so that none were sure to be left for those who keep what this process owes.

Change: the daemon takes Fleet.descriptors off, and refuses a file that leaves fewer than 32.

Without a fleet file nothing changes.

--- a/ironbarrow/daemon/dispatcher.py
+++ b/ironbarrow/daemon/dispatcher.py
@@ -32,6 +32,7 @@
 _MB = 1 << 20
 _PROGRAM_MB = 28  # the program itself, as measured on a calm day
 _DOOR = 32  # descriptors for the operators' listener, its connections and the file of bans
+_LEAST_SPARE = 32  # that consumers and providers need beside a fleet's links
 _RESERVED = 32  # descriptors for the program itself, the listener, epoll and the directory
 
 
@@ -58,6 +59,8 @@
         if asks:
             self.host.follow = self.directory.ask
         spare = config.sockets - _RESERVED - (_DOOR if config.admin is not None else 0)
+        if config.fleet is not None:
+            spare = _without_links(config, config.fleet, spare)
         self.invoker = HttpInvoker(
             self.loop,
             self.host,
@@ -273,5 +276,27 @@
             self._stop_when_left()
 
 
+def _without_links(config: Config, path: Path, spare: int) -> int:
+    """What is left of the descriptors beside the links of a fleet. A ConfigError for a file that can't be
+    used, or where too few are left.
+
+    Danger: taken by consumers, none would be left for those who keep what this process owes.
+    """
+    try:
+        from ironbarrow.fleet.file import FleetError, load
+    except ImportError as error:
+        raise ConfigError(f"fleet: {path}: needs msgspec: {error}") from None
+    try:
+        links = load(path, config.name).descriptors
+    except FleetError as error:
+        raise ConfigError(str(error)) from None
+    if spare - links < _LEAST_SPARE:
+        raise ConfigError(
+            f"{path}: links: {links} descriptors leave {spare - links} of limits.sockets = {config.sockets}"
+            f" to consumers and providers, expected {_LEAST_SPARE} or more"
+        )
+    return spare - links
+
+
 def _task_failed(error: Exception) -> None:
     log.error("task failed", exc_info=error)
--- a/tests/test_fleet_takeover.py
+++ b/tests/test_fleet_takeover.py
@@ -427,6 +427,11 @@
     path.write_text('listen = "127.0.0.1:0"\nkeepers = 3\n')
     with pytest.raises(ConfigError, match=r"fleet\.toml: .*keepers"):
         Stage(fleet=path)
+    path.write_text('listen = "127.0.0.1:0"\n')
+    with pytest.raises(
+        ConfigError, match=r"fleet\.toml: links: 258 descriptors leave -90 of limits\.sockets = 200"
+    ):
+        Stage(fleet=path, sockets=200)
 
 
 def test_without_a_fleet_file_nothing_of_it_is_imported() -> None:
