--- a/ironbarrow/fleet/ledgers/claimant.py
+++ b/ironbarrow/fleet/ledgers/claimant.py
@@ -104,7 +104,7 @@
         if at.ledger in self.claims or (at.ledger in self.held and not lead):
             return []
         # danger: whoever took the ledger with the key finds "claimed by this life" and goes on with it
-        if at.ledger in self.settled and not lead:
+        if at.ledger in self.settled and not lead and not heir_of:
             return [ClaimLost(at.ledger, self.settled[at.ledger], {})]
         if not at.keepers:
             return [ClaimLost(at.ledger, None, {})]
--- a/ironbarrow/fleet/ledgers/writer.py
+++ b/ironbarrow/fleet/ledgers/writer.py
@@ -24,6 +24,7 @@
     Moved,
     NoMajority,
     Send,
+    job_ledger,
     rank,
 )
 from ironbarrow.fleet.file import LedgerRules
@@ -392,6 +393,10 @@
 
         Danger: that a keeper is held for dead proves nothing; that another life has its name, or that it has
         left, does."""
+        if self.table or not self.at.ledger.startswith(job_ledger(self.me)):
+            # danger: the fate may have been decided before the keepers went, and the writer not have heard
+            # of it: what the segment held may be another's by now, and a led ledger another's to write
+            return []
         over = {k for k in self.at.keepers if k != self.me and self._is_over(k)}
         if len(self.at.keepers) - len(over) >= majority(self.at.keepers):
             return []
