--- a/ironbarrow/fleet/takeover/machine.py
+++ b/ironbarrow/fleet/takeover/machine.py
@@ -159,6 +159,7 @@
         self.answers = Answers(rules.keep_for, rules.most_answers)
         self.promises = Promises(rules.keep_for)
         self.open: dict[Life, _Open] = {}
+        self.left_open: list[_Open] = []  # by a life that is over
         self.taken_over: OrderedDict[Life, bool] = OrderedDict()  # whether whole
         self.counts: Counter[str] = Counter()
         self._changes: dict[str, Change] = {}
@@ -191,6 +192,9 @@
             self.asking[asking.record.id] = asking
             actions += self._ask(now, asking)
         earlier.asking = {}
+        for opened in earlier.left_open:
+            if opened.life not in self.open and opened.life not in self.taken_over:
+                self._open(now, opened.life, opened.at, None)
         return actions
 
     def arrive(self, now: int, record: JobRecord, marked: bool, waiter: object) -> list[Action]:
@@ -527,7 +531,7 @@
         held.over = True
         self.held.pop(record.id, None)
         rejected = answer.verdict is Verdict.REJECTED
-        self.answers.keep(record.id, record.digest, answer, now, rejected=rejected)
+        self.answers.keep(record.id, record.digest, answer, now, short=rejected and held.safe)
         self._write(drop(record.id))
         if not held.safe and not rejected:
             self._write_answer(now, record.id, record.digest, answer)
@@ -587,8 +591,11 @@
             self._gone_since = NEVER
             return []
         self._gone_since = min(self._gone_since, now)
-        out = any(held.unproven and not held.safe for held in self.held.values())
-        if now < self._gone_since + (_GONE_AT_MOST if out else _GONE_FOR):
+        # danger: what was saved of others is nowhere else
+        out = any(held.adopted or (held.unproven and not held.safe) for held in self.held.values())
+        # danger: of two that keep for each other alone, each that begins anew ends the other one's ledger
+        patience = _GONE_FOR << min(self.counts["own ledger given up"], 5)
+        if now < self._gone_since + max(patience, _GONE_AT_MOST if out else 0):
             return []
         self.counts["own ledger given up"] += 1
         return self._fence(now)
@@ -612,7 +619,7 @@
                     held.record, held.safe, held.waiters, now, may_take=not held.unproven
                 )
         self.held.clear()
-        self.open.clear()
+        self.left_open, self.open = list(self.open.values()), {}
         return [*actions, Superseded()]
 
     # Repeats
@@ -770,8 +777,8 @@
         if asking is None or verdict not in _VERDICTS:
             return []
         answer = Answer(_VERDICTS[verdict], result, retry_after)
-        rejected = answer.verdict is Verdict.REJECTED
-        self.answers.keep(job_id, asking.record.digest, answer, now, rejected=rejected)
+        short = answer.verdict is Verdict.REJECTED and asking.safe
+        self.answers.keep(job_id, asking.record.digest, answer, now, short=short)
         return self._end_asking(now, asking, answer)
 
     def _to_all(self, message: Message) -> list[Action]:
@@ -871,16 +878,17 @@
             self._write(put_answer(answer))
         for at in further:
             self._write(Change(CLAIM + at.ledger, content[CLAIM + at.ledger]))
+
+        def act(at: int) -> list[Action]:
+            return self._act(at, opened, records, kept_answers, further, whole=whole)
+
         # last: whoever reads a part of this append finds the claim still
-        self._write(
-            drop_claim(ledger),
-            _Wait(
-                NEVER,
-                lambda at: self._act(at, opened, records, kept_answers, further, whole=whole),
-                lambda at: [],
-            ),
-        )
-        return self.flush(now)
+        if whole:
+            self._write(drop_claim(ledger), _Wait(NEVER, act, lambda at: []))
+            return self.flush(now)
+        # nothing proves that nobody else has these, so that to wait for a majority would prove nothing either
+        self._write(drop_claim(ledger))
+        return self.flush(now) + act(now)
 
     def _act(
         self,
@@ -898,15 +906,23 @@
         for answer in kept_answers:
             verdict = _VERDICTS.get(answer.verdict, Verdict.FAILED)
             found = Answer(verdict, answer.result)
-            self.answers.keep(answer.id, answer.digest, found, now, rejected=False)
+            self.answers.keep(answer.id, answer.digest, found, now, short=False)
             self._linger.append((now + LINGER, answer.id))
         for record in records:
             actions += self._adopt(now, record, whole=whole)
         del self.open[life]
         for at in further:
             other = _life_of(at.ledger)
-            if other is not None and other not in self.taken_over and other != self.me:
+            if other is None or other == self.me:
+                continue
+            # danger: it counts as taken over since the one that is taken over here won it, but that one has
+            # not made it its own: the key would be gone
+            self.taken_over.pop(other, None)
+            known = self.open.get(other)
+            if known is None:
                 self._open(now, other, at, life)
+            elif not known.adopting:
+                known.heir_of, known.by, known.due = life, None, now
         self._note_taken_over(now, life, whole)
         self._tell += [(now + later, life, whole) for later in _TELL_AGAIN]
         self.counts["ledgers taken over"] += 1
@@ -925,7 +941,8 @@
             self.counts["already here"] += 1
             return []
         safe = self.rules.safe.get(record.job_class, False)
-        held = Held(record, safe, [], adopted=True, unproven=record.may_have_run)
+        out = record.may_have_run or record.stage is Stage.INTENT
+        held = Held(record, safe, [], adopted=True, unproven=out)
         what = rules_of_claims.what(
             record, safe=safe, whole=whole, most_attempts=self.rules.most_attempts, now=now
         )
@@ -936,10 +953,8 @@
         if what is What.AGAIN:
             return self._take(now, held)
         if what is What.CALL_OFF:
-            held.unproven = True
             return [CallOff(record)]
         if what is What.KEEP:
-            held.unproven = True
             return [Keep(record, safe)]
         if what is What.REJECTED:
             return self._finish(now, held, self._rejection())
