--- a/ironbarrow/fleet/takeover/machine.py
+++ b/ironbarrow/fleet/takeover/machine.py
@@ -68,7 +68,7 @@
 LINGER = 10 * SECOND  # the answer of a job that must not run twice stays in the ledger so long after its end
 _LINGERING = 1024  # such answers at the most
 _RESULT_WRITTEN = 4096  # bytes; a longer result is not written down, and a repeat elsewhere hears "failed"
-_SAFE_WAITS = 3 * SECOND  # at most, and half of its time: then a safe job that is asked for is rejected
+_SAFE_WAITS = 5 * SECOND  # at most, and half of its time: then a safe job that is asked for is rejected
 _SETTLED = 1 * SECOND  # so long after its start a member does not yet know all others
 _REMOTE = 64  # others that are told a job's answer unasked
 _TELL_AGAIN = (200 * MS, 1 * SECOND, 3 * SECOND)  # after a ledger is taken over, since messages are lost
