--- a/ironbarrow/fleet/rollout/rules.py
+++ b/ironbarrow/fleet/rollout/rules.py
@@ -4,7 +4,8 @@
 
 * ``RUNTIME``: the new runtime is to blame. The rollout stops: a person lets it go on, or it goes back.
 * ``DOUBT``: it looks so, but on one machine alone, which may be sick itself. Nothing spreads: the rollout is
-  held, goes on by itself once the doubt has been gone for ``clear_for``, and stops after ``hold_most``.
+  held, goes on by itself once nothing has added to the doubt for ``clear_for``, and stops after
+  ``hold_most``.
 * ``SURROUNDINGS``: not the runtime, but no time to take anything out: held, and goes on by itself.
 
 Evidence is kept in memory by the coordinator; one that takes over starts its tests anew, so the stated rate
@@ -98,6 +99,7 @@
         self.first_at = 0  # when the first wave began, Unix ns
         self._members_then = self._members_now = 0
         self._starved: StarvationSeen | None = None
+        self._doubt, self._doubt_at = 0.0, 0  # the most evidence so far, sick machines in it, and since when
         self._held: dict[str, float] = {}
         self._work: tuple[int, float] = (0, 0.0)  # jobs done, their time
         self.holds: dict[str, Hold] = {}
@@ -237,7 +239,7 @@
         if now >= self._block_at + STRETCH:
             self._close_blocks()
             self._block_at = now
-        found = [*self._look_at_tests(), *self._look_at_starts(now), *self._look_at_leaks(now)]
+        found = [*self._look_at_tests(now), *self._look_at_starts(now), *self._look_at_leaks(now)]
         if self._starved is not None:
             found.append(
                 Finding(
@@ -292,7 +294,7 @@
             test.add(block)
         self._open = {}
 
-    def _look_at_tests(self) -> list[Finding]:
+    def _look_at_tests(self, now: int) -> list[Finding]:
         if not self._tests:
             return []
         # danger: the stake is divided over all that may come, not over those that have been seen so far
@@ -302,6 +304,13 @@
         for certain in (True, False):
             logs = {key: test.log_e if certain else test.log_all for key, test in self._tests.items()}
             total = log_mixture([*logs.values()]) - math.log(count)
+            if not certain:
+                if total > self._doubt:
+                    self._doubt, self._doubt_at = total, now
+                elif now - self._doubt_at >= self._rules.clear_for:
+                    # danger: a machine that was sick for a while leaves its evidence behind; a runtime that
+                    # is bad goes on adding to it
+                    continue
             if total >= threshold:
                 signal, site, job_class = key = max(logs, key=lambda k: (logs[k], k))
                 n, a, m, b = self._tests[key].figures()
@@ -385,6 +394,7 @@
         self.holds.clear()
         self._tests.clear()
         self._open.clear()
+        self._doubt = 0.0
         self._starved = None
         for machine in self.machines.values():
             machine.failed_starts, machine.missing, machine.missing_since = 0, 0.0, None
