--- a/ironbarrow/fleet/rollout/rules.py
+++ b/ironbarrow/fleet/rollout/rules.py
@@ -4,7 +4,8 @@
 
 * ``RUNTIME``: the new runtime is to blame. The rollout stops: a person lets it go on, or it goes back.
 * ``DOUBT``: it looks so, but on one machine alone, which may be sick itself. Nothing spreads: the rollout is
-  held, goes on by itself once the doubt has been gone for ``clear_for``, and stops after ``hold_most``.
+  held, goes on by itself once nothing has added to the doubt for ``clear_for``, and stops after
+  ``hold_most``.
 * ``SURROUNDINGS``: not the runtime, but no time to take anything out: held, and goes on by itself.
 
 Evidence is kept in memory by the coordinator; one that takes over starts its tests anew, so the stated rate
@@ -95,8 +96,10 @@
         self._sent: dict[str, deque[tuple[int, int]]] = defaultdict(lambda: deque(maxlen=1024))
         self._block_at = 0
         self._wave_at = 0
+        self.first_at = 0  # when the first wave began, Unix ns
         self._members_then = self._members_now = 0
         self._starved: StarvationSeen | None = None
+        self._doubt, self._doubt_at = 0.0, 0  # the most evidence so far, sick machines in it, and since when
         self._held: dict[str, float] = {}
         self._work: tuple[int, float] = (0, 0.0)  # jobs done, their time
         self.holds: dict[str, Hold] = {}
@@ -125,8 +128,8 @@
         self.machine(target).crashes.append(now)
 
     def starved(self, seen: StarvationSeen) -> None:
-        """A verdict; one that began before the wave says nothing of it."""
-        if self._wave_at and seen.began_at >= self._unix(self._wave_at):
+        """A verdict; one that began before the first wave says nothing of the runtime."""
+        if seen.began_at >= self.first_at:
             self._starved = seen
 
     def observed(self, now: int, life: Life, seen: Observed) -> None:
@@ -163,7 +166,7 @@
                     block.old = (block.old[0] + ended, block.old[1] + bad)
             if counts.sent_work:
                 self._sent[target].append((now, counts.sent_work))
-            warm = self._unix(now) - counts.started_at > 2 * self._cold_time
+            warm = self._unix(now) - counts.started_at > self._cold_time + self._cold_time // 2
             for time in counts.times:
                 self._work = (self._work[0] + 1, self._work[1] + time)
                 if warm or not counts.started_at:
@@ -236,7 +239,7 @@
         if now >= self._block_at + STRETCH:
             self._close_blocks()
             self._block_at = now
-        found = [*self._look_at_tests(), *self._look_at_starts(now), *self._look_at_leaks(now)]
+        found = [*self._look_at_tests(now), *self._look_at_starts(now), *self._look_at_leaks(now)]
         if self._starved is not None:
             found.append(
                 Finding(
@@ -264,15 +267,25 @@
         return found
 
     def _close_blocks(self) -> None:
-        for (site, job_class, new), times in self._times.items():
+        for (site, job_class, new), times in list(self._times.items()):
             if new:
                 old = self._times.get((site, job_class, False), [])
+                old = old or [
+                    t for at in self._plan.sites for t in self._times.get((at, job_class, False), [])
+                ]
                 block = self._block("waits", site, job_class)
                 for (target, mine), (_, other) in zip(times, old, strict=False):
                     n, longer = block.new.get(target, (0, 0))
                     block.new[target] = (n + 1, longer + (mine > other))
         self._times.clear()
+        elsewhere: dict[tuple[str, str], tuple[int, int]] = {}
+        for (signal, _, job_class), block in self._open.items():
+            m, b = elsewhere.get((signal, job_class), (0, 0))
+            elsewhere[signal, job_class] = (m + block.old[0], b + block.old[1])
         for key, block in self._open.items():
+            if block.new and not block.old[0]:
+                # nothing of the old runtime is left in the site: that of the other sites, at the same time
+                block.old = elsewhere[key[0], key[2]]
             test = self._tests.get(key)
             if test is None:
                 pairs = key[0] == "waits"
@@ -281,7 +294,7 @@
             test.add(block)
         self._open = {}
 
-    def _look_at_tests(self) -> list[Finding]:
+    def _look_at_tests(self, now: int) -> list[Finding]:
         if not self._tests:
             return []
         # danger: the stake is divided over all that may come, not over those that have been seen so far
@@ -291,6 +304,13 @@
         for certain in (True, False):
             logs = {key: test.log_e if certain else test.log_all for key, test in self._tests.items()}
             total = log_mixture([*logs.values()]) - math.log(count)
+            if not certain:
+                if total > self._doubt:
+                    self._doubt, self._doubt_at = total, now
+                elif now - self._doubt_at >= self._rules.clear_for:
+                    # danger: a machine that was sick for a while leaves its evidence behind; a runtime that
+                    # is bad goes on adding to it
+                    continue
             if total >= threshold:
                 signal, site, job_class = key = max(logs, key=lambda k: (logs[k], k))
                 n, a, m, b = self._tests[key].figures()
@@ -323,26 +343,29 @@
         return found
 
     def _look_at_leaks(self, now: int) -> list[Finding]:
-        old = sorted(m.missing for m in self.machines.values() if not m.new)
-        usual = old[len(old) // 2] if old else 0.0
-        leaking: list[Machine] = []
+        old = [m for m in self.machines.values() if not m.new]
         new = [m for m in self.machines.values() if m.new]
-        for machine in new:
-            if machine.missing - usual < self._rules.leaked_slots:
-                machine.missing_since = None
-                continue
-            if machine.missing_since is None:
-                machine.missing_since = now
-            if now - machine.missing_since >= self._rules.leak_for:
-                leaking.append(machine)
+        usual = sorted(m.missing for m in old)[len(old) // 2] if old else 0.0
+        leaking = [m for m in new if self._leaks(now, m, usual)]
+        others = [m for m in old if self._leaks(now, m, usual)]
         if not leaking:
             return []
-        certain = len(leaking) > max(1, math.ceil(len(new) / 3))
+        # of machines that run the old runtime not a third of that part may leak too
+        certain = len(leaking) > 1 and len(leaking) * len(old) > 3 * len(others) * len(new)
         worst = max(leaking, key=lambda m: m.missing)
         text = f"{worst.missing:.1f} slots missing on {worst.target.name}, {usual:.1f} on old ones"
-        text += f"; on {len(leaking)} of {len(new)} new ones"
+        text += f"; on {len(leaking)} of {len(new)} new and {len(others)} of {len(old)} old ones"
         return [Finding("leak", Blame.RUNTIME if certain else Blame.DOUBT, text)]
 
+    def _leaks(self, now: int, machine: Machine, usual: float) -> bool:
+        """Whether slots have been missing on a machine for long enough."""
+        if machine.missing - usual < self._rules.leaked_slots:
+            machine.missing_since = None
+            return False
+        if machine.missing_since is None:
+            machine.missing_since = now
+        return now - machine.missing_since >= self._rules.leak_for
+
     # Over time
 
     def weigh(self, now: int, findings: list[Finding]) -> Finding | None:
@@ -371,6 +394,7 @@
         self.holds.clear()
         self._tests.clear()
         self._open.clear()
+        self._doubt = 0.0
         self._starved = None
         for machine in self.machines.values():
             machine.failed_starts, machine.missing, machine.missing_since = 0, 0.0, None
--- a/ironbarrow/fleet/takeover/machine.py
+++ b/ironbarrow/fleet/takeover/machine.py
@@ -68,7 +68,7 @@
 LINGER = 10 * SECOND  # the answer of a job that must not run twice stays in the ledger so long after its end
 _LINGERING = 1024  # such answers at the most
 _RESULT_WRITTEN = 4096  # bytes; a longer result is not written down, and a repeat elsewhere hears "failed"
-_SAFE_WAITS = 3 * SECOND  # at most, and half of its time: then a safe job that is asked for is rejected
+_SAFE_WAITS = 5 * SECOND  # at most, and half of its time: then a safe job that is asked for is rejected
 _SETTLED = 1 * SECOND  # so long after its start a member does not yet know all others
 _REMOTE = 64  # others that are told a job's answer unasked
 _TELL_AGAIN = (200 * MS, 1 * SECOND, 3 * SECOND)  # after a ledger is taken over, since messages are lost
@@ -531,7 +531,7 @@
         held.over = True
         self.held.pop(record.id, None)
         rejected = answer.verdict is Verdict.REJECTED
-        self.answers.keep(record.id, record.digest, answer, now, rejected=rejected)
+        self.answers.keep(record.id, record.digest, answer, now, short=rejected and held.safe)
         self._write(drop(record.id))
         if not held.safe and not rejected:
             self._write_answer(now, record.id, record.digest, answer)
@@ -777,8 +777,8 @@
         if asking is None or verdict not in _VERDICTS:
             return []
         answer = Answer(_VERDICTS[verdict], result, retry_after)
-        rejected = answer.verdict is Verdict.REJECTED
-        self.answers.keep(job_id, asking.record.digest, answer, now, rejected=rejected)
+        short = answer.verdict is Verdict.REJECTED and asking.safe
+        self.answers.keep(job_id, asking.record.digest, answer, now, short=short)
         return self._end_asking(now, asking, answer)
 
     def _to_all(self, message: Message) -> list[Action]:
@@ -906,7 +906,7 @@
         for answer in kept_answers:
             verdict = _VERDICTS.get(answer.verdict, Verdict.FAILED)
             found = Answer(verdict, answer.result)
-            self.answers.keep(answer.id, answer.digest, found, now, rejected=False)
+            self.answers.keep(answer.id, answer.digest, found, now, short=False)
             self._linger.append((now + LINGER, answer.id))
         for record in records:
             actions += self._adopt(now, record, whole=whole)
