--- a/ironbarrow/fleet/ledgers/writer.py
+++ b/ironbarrow/fleet/ledgers/writer.py
@@ -354,11 +354,17 @@
         return frozenset(self._avoid)
 
     def _next_keepers(self, now: int) -> tuple[Life, ...]:
-        """Danger: of fewer keepers fewer may be lost. Where too few others can be had, present ones stay,
-        those that answer first."""
-        chosen = self._home.choose(self.at.ledger, self._avoided(now))
-        stay = sorted((k for k in self.at.keepers if k not in chosen), key=lambda k: k in self._avoid)
-        return (*chosen, *stay[: max(0, len(self.at.keepers) - len(chosen))])
+        """Danger: of fewer keepers fewer may be lost. Where too few others can be had, present ones that are
+        slow, and not held for dead, stay; this member again only where that makes the number odd."""
+        chosen = [k for k in self._home.choose(self.at.ledger, self._avoided(now)) if k != self.me]
+        for keeper in self.at.keepers:
+            health = self._members.health(keeper)
+            slow = keeper not in (self.me, *chosen) and health in (Health.ALIVE, Health.SUSPECT)
+            if slow and len(chosen) < self._rules.keepers:
+                chosen.append(keeper)
+        if chosen and len(chosen) < self._rules.keepers and len(chosen) % 2 == 0:
+            chosen.append(self.me)
+        return tuple(chosen) or self.at.keepers
 
     def _replace(self, now: int) -> list[Action]:
         """Seals its own segment where keepers are lost and others can be had, or another's seal has come to
