Let serve take part in rollouts and verdicts where the fleet file says so

The machines of rollouts and starvation ran in virtual time alone. ironbarrow/fleet/parts.py puts them into a dispatcher's fleet service over its lives, fed by the host's list of workers and attempts; without their tables nothing of them is imported and host.waits and host.attempts stay None.

--- a/ironbarrow/core/host.py
+++ b/ironbarrow/core/host.py
@@ -82,6 +82,19 @@
         """Nothing more is owed of it."""
 
 
+class Attempts(Protocol):
+    """Who follows each attempt and how it ended; told on the loop's thread."""
+
+    def sent(self, call: "Call") -> None:
+        """It goes out now."""
+
+    def started(self, call: "Call") -> None:
+        """Its provider runs it; not told by all."""
+
+    def ended(self, call: "Call", ending: Ending, report: api.LoadReport | None) -> None:
+        """It is over, once."""
+
+
 @dataclass(frozen=True, slots=True)
 class Terms:
     """What a job was taken under beyond its class. Times in ns; 0: as the settings have it."""
@@ -159,6 +172,8 @@
         # told of each call that has ended; where others may have to go on with its job
         self.call_over: Callable[[Call], None] | None = None
         self.waits: Waits | None = None
+        self.attempts: Attempts | None = None
+        self.on_listed: Callable[[], None] | None = None  # ``workers`` has news
         self._dispatcher = Dispatcher(settings, seed)
         self.figures = Figures(tuple(cls.name for cls in settings.classes))
         self._jobs: dict[int, Job] = {}
@@ -201,6 +216,17 @@
         """The providers that the decisions have set aside: they get a trial job now and then, at the most."""
         return self._dispatcher.ring.aside()
 
+    @property
+    def workers(self) -> list[api.WorkerEntry]:
+        """The providers as they are listed now."""
+        return [worker.entry for worker in self._dispatcher.ring.workers]
+
+    @property
+    def slots_waiting(self) -> float:
+        """Slots of the jobs that wait here with no call out."""
+        jobs = self._jobs.values()
+        return sum(j.arrival.slots for j in jobs if not j.over and all(call.ended for call in j.calls))
+
     @property
     def listed(self) -> bool:
         """Whether any list of providers has come in."""
@@ -282,6 +308,8 @@
         self._states = {n: s for n, s in self._states.items() if s is not api.WorkerState.GONE}
         self._events.append(news)
         self._run()
+        if self.on_listed is not None:
+            self.on_listed()
 
     def may_send_to(self, provider: str) -> bool:
         return self._states.get(provider) is api.WorkerState.UP
@@ -303,6 +331,8 @@
         if not call.ended:
             if self.waits is not None:
                 self.waits.started(self.loop.now(), call.job.number)
+            if self.attempts is not None:
+                self.attempts.started(call)
             self._post(api.AttemptNote(call.job.number, call.number, call.provider, api.NoteKind.STARTED))
 
     def call_progressed(self, call: Call, share: float) -> None:
@@ -323,6 +353,8 @@
         call.never_ran = outcome_of(ending, call.written) in api.NEVER_RAN
         if self.call_over is not None:
             self.call_over(call)
+        if self.attempts is not None:
+            self.attempts.ended(call, ending, report)
         job = call.job
         if self.waits is not None and not job.over:
             now, made = self.loop.now(), job.arrival
@@ -413,6 +445,8 @@
         call.timer = self.loop.call_at(until, self._timed_out, call)
         if self.waits is not None and not self.settings.tells_start:
             self.waits.started(now, job.number)
+        if self.attempts is not None:
+            self.attempts.sent(call)
         self.invoker.start(call)
 
     def _timed_out(self, call: Call) -> None:
--- a/ironbarrow/fleet/file.py
+++ b/ironbarrow/fleet/file.py
@@ -82,6 +82,14 @@
     move: bool = False  # held jobs of a starved tenant go to where it waits least
 
 
+class RolloutRules(_Table, frozen=True):
+    """A part in rollouts of the workers' runtime."""
+
+    plan: str = ""  # the path of one to start here; "": this member only takes part
+    meet: Duration = ms(3_000)  # after the start of the process and before that of the rollout
+    absent_for: Duration = ms(120_000)  # a worker that is no longer listed counts as down, then as gone
+
+
 class Fleet(_Table, frozen=True):
     """All of it. ``routes``: where a member is reached, if not at the address that it tells."""
 
@@ -94,6 +102,7 @@
     ledgers: LedgerRules = LedgerRules()
     answers: AnswerRules = AnswerRules()
     starvation: StarvationRules | None = None  # None: waits are not compared
+    rollout: RolloutRules | None = None  # None: it neither leads nor watches rollouts
     # a dispatcher without a majority of keepers, by class: what becomes of jobs that may not run twice
     without_majority: dict[str, Literal["turn away", "serve unprotected"]] = msgspec.field(
         default_factory=dict
--- a/ironbarrow/fleet/rollout/coordinator.py
+++ b/ironbarrow/fleet/rollout/coordinator.py
@@ -148,6 +148,11 @@
         self._tell_at = self._tick_at = 0
         self._had_members: set[str] = set()  # sites that have had members
 
+    @property
+    def known(self) -> str:
+        """The ledger of the rollout that this member knows of; "": none."""
+        return self._place.ledger if self._place is not None else ""
+
     # Orders
 
     def start(self, now: int, text: bytes, where: str = "plan") -> list[Action]:
--- a/ironbarrow/fleet/takeover/process.py
+++ b/ironbarrow/fleet/takeover/process.py
@@ -42,6 +42,10 @@
         self._begin(self.service)
         self.service.on_renewed(self._begin)
         self.service.on_news(self.work.told)
+        if self.fleet.starvation is not None or self.fleet.rollout is not None:
+            from ironbarrow.fleet.parts import Parts
+
+            self.parts = Parts(loop, host, self.service, lambda: self.ledgers)
 
     def _begin(self, service: FleetService) -> None:
         """Another life: its machines, and what consumers of the last one still wait for."""
--- a/ironbarrow/lab/live/processes.py
+++ b/ironbarrow/lab/live/processes.py
@@ -215,6 +215,11 @@
             return None
         return self._process.pid
 
+    @property
+    def status(self) -> int | None:
+        """The exit status of the last process; None while it runs."""
+        return None if self._process is None else self._process.poll()
+
     def stop(self) -> None:
         """SIGTERM; SIGKILL if it has not ended when its stop time is over."""
         self._expected = True
--- a/ironbarrow/lab/model/workload.py
+++ b/ironbarrow/lab/model/workload.py
@@ -61,6 +61,10 @@
         self._turn_at = self._started_at
         self._plan(self._started_at)
 
+    def end(self) -> None:
+        """No more jobs come, though the world's time is not over."""
+        self._until = min(self._until, self._clock.now())
+
     # Times
 
     def _plan(self, after: int) -> None:
