--- a/ironbarrow/fleet/rolling.py
+++ b/ironbarrow/fleet/rolling.py
@@ -1,6 +1,8 @@
 """A dispatcher's part in rollouts: its list of workers and its attempts for the rollouts' machine."""
 
+from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
 import structlog
 
@@ -40,7 +42,15 @@
 
     machine: Rollouts
 
-    def __init__(self, loop: Loop, host: Host, service: FleetService, rules: RolloutRules) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        host: Host,
+        service: FleetService,
+        rules: RolloutRules,
+        ledgers: Callable[[], Ledgers],
+    ) -> None:
+        """``ledgers``: those of the life that the service is in."""
         self._loop, self._host, self._service, self._rules = loop, host, service, rules
         self._targets: dict[str, Listed] = {}
         self._absent: dict[str, int] = {}  # targets that are no longer listed: since when, ns
@@ -53,13 +63,22 @@
             self._plan = self._read(Path(rules.plan))
             loop.call_at(loop.now() + rules.meet, self._start)
         host.attempts, host.on_listed = self, self._news
+        self._ledgers = ledgers
+        self._verdict: type[News] | None = None
+        if service.fleet.starvation is not None:
+            from ironbarrow.fleet.starvation.verdict import StarvationBegan
 
-    def begin(self, ledgers: Ledgers) -> None:
+            self._verdict = StarvationBegan
+        self._begin(service)
+        service.on_renewed(self._begin)
+        service.on_news(self._told)
+
+    def _begin(self, service: FleetService) -> None:
         """Another life of the member."""
-        self.machine = Rollouts(self._service.members, ledgers, _unix, self._host.settings)
+        self.machine = Rollouts(service.members, self._ledgers(), _unix, self._host.settings)
         self.machine.held = lambda: self._host.slots_waiting
         self.machine.providers(self._loop.now(), self._targets.values())
-        self._service.add(self.machine)
+        service.add(self.machine)
 
     # The plan
 
@@ -84,36 +103,38 @@
             return
         (text, plan), self._plan = self._plan, None
         if self.machine.known == LEDGER + plan.name:
-            log.info("rollout goes on already", name=plan.name)
+            log.info("rollout goes on already", plan=plan.name)
             return
         try:
             self._service.order(self.machine.start(self._loop.now(), text, self._rules.plan))
-            log.info("rollout begins", name=plan.name, runtime=plan.runtime)
+            log.info("rollout begins", plan=plan.name, runtime=plan.runtime)
         except PlanError as error:
             log.error("rollout not started", error=str(error))
 
     # News
 
-    def told(self, news: News) -> None:
+    def _told(self, news: News) -> None:
         """News of this member's machines."""
         if isinstance(news, RolloutChanged):
             say = log.warning if news.stage in _WRONG else log.info
             say(
                 "rollout",
-                name=news.name,
+                plan=news.name,
                 stage=news.stage.name.lower(),
                 wave=news.wave,
                 rule=news.rule,
                 figures=news.figures,
             )
+        elif self._verdict is not None and isinstance(news, self._verdict):
+            self._starved(news)
         else:
             self._service.order(self.machine.told(self._loop.now(), news))
             if isinstance(news, MemberChanged):
                 self._drop_absent()
 
-    def starved(self, tenant: str, partition: str, began_at: int) -> None:
+    def _starved(self, news: Any) -> None:
         """A verdict of this member."""
-        seen = StarvationSeen(tenant, partition, began_at)
+        seen = StarvationSeen(news.tenant, news.partition, news.began_at)
         self._service.order(self.machine.starvation(self._loop.now(), seen))
 
     # The list
