Keep plans of rollouts in a folder of their own, apart from worlds and experiments

Cause: the test that loads every world and experiment took experiments/rollout-plan.toml, which is a plan, for a world. Change: experiments/plans/rollout.toml. Measured: that test passes again.

--- a/experiments/rollouts.py
+++ b/experiments/rollouts.py
@@ -23,7 +23,7 @@
 from ironbarrow.lab.model.spec import Fault, World, load_world
 
 HERE = Path(__file__).parent
-PLAN = (HERE / "rollout-plan.toml").read_text()
+PLAN = (HERE / "plans" / "rollout.toml").read_text()
 THIN_PLAN = (
     PLAN.replace('"14 s"', '"8 s"')
     .replace("[[waves]]\nshare = 0.5\n", "")
