--- a/ironbarrow/fleet/takeover/process.py
+++ b/ironbarrow/fleet/takeover/process.py
@@ -48,6 +48,10 @@
         self.service.on_renewed(self._begin)
         self.service.on_news(self.work.told)
         self.service.on_news(self._told)
+        if self.fleet.rollout is not None:
+            from ironbarrow.fleet.rolling import Rolling
+
+            Rolling(loop, host, self.service, self.fleet.rollout, lambda: self.ledgers)
 
     def _begin(self, service: FleetService) -> None:
         """Another life: its machines, and what consumers of the last one still wait for."""
