Keep the loop going whatever fails on a descriptor, and no event for the next one

An event whose descriptor was closed earlier in the same batch woke the next socket with that number (in connect an unconnected socket stood for a connected one); a watcher that raised, a register on a closed number, or a log without a reader ended the loop; a task's forget took away the watch of whoever had its number by then; a timer that set the next one for the past kept descriptors waiting; accept on a listener that is closed or shut down was tried for ever, without waiting and without end.

Change: watches begun in a turn are not called in it, calls of watchers are guarded as timers are, a task that can't be watched ends with its last lines, due timers are taken out before the first of them runs, and accept passes on what is not known to be one broken connection.

--- a/ironbarrow/runtime/loop.py
+++ b/ironbarrow/runtime/loop.py
@@ -10,6 +10,7 @@
 import time
 from collections import deque
 from collections.abc import Callable, Generator
+from contextlib import suppress
 from dataclasses import dataclass
 from heapq import heappop, heappush
 from typing import Any, TypeVar
@@ -59,16 +60,22 @@
         """Ends the coroutine where it waits; its ``finally`` blocks run now."""
         if not self.done and not self.coroutine.gi_running:  # type: ignore[attr-defined]
             self._leave()
-            self.done = True
-            self._loop.ended(self)
+            self._end()
+
+    def _end(self, error: Exception | None = None) -> None:
+        self.done = True
+        self._loop.ended(self, error)
+        try:
             self.coroutine.close()
+        except Exception as last:  # noqa: BLE001 - last lines that fail must not keep others from theirs
+            self._loop.ended(self, last)
 
     def _leave(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
         if self._wait is not None:
-            self._loop.forget(self._wait.fd)
+            self._loop.forget(self._wait.fd, self._resume, self.turn)
             self._wait = None
 
     def _resume(self, turn: int, ready: bool) -> None:
@@ -89,12 +96,26 @@
             return
         finally:
             self._loop.current = None
-        self._wait = wait
         if wait.fd >= 0:
-            self._loop.watch(wait.fd, wait.mask, self._resume, self.turn)
+            try:
+                self._loop.watch(wait.fd, wait.mask, self._resume, self.turn)
+            except OSError as error:
+                # danger: nothing would ever resume it, and what it holds would stay taken
+                self._end(error)
+                return
+        self._wait = wait
         self._timer = self._loop.call_at(wait.until, self._resume, self.turn, False)
 
 
+@dataclass(frozen=True, slots=True)
+class _Watch:
+    """Who is called when a descriptor is ready."""
+
+    call: Callable[[int, bool], None]
+    turn: int  # the task's
+    since: int  # the loop's turn in which it began
+
+
 class Loop:
     """Runs tasks and timers until stopped."""
 
@@ -102,12 +123,14 @@
         # danger: list entries carry Unix times, and the module's clock may not go back when Unix time does
         self._offset = time.time_ns() - time.monotonic_ns()
         self._epoll = select.epoll()
-        self._watched: dict[int, tuple[Callable[[int, bool], None], int]] = {}
+        self._watched: dict[int, _Watch] = {}
+        self._turns = 0
         self._timers: list[tuple[int, int, Timer]] = []
         self._count = itertools.count()
         self._soon: deque[tuple[Callable[..., None], tuple[Any, ...]]] = deque()
         self._on_error = on_error
         self.stopped = False
+        self._closed = False
         self._tasks: set[Task] = set()
         self.current: Task | None = None  # the task that runs now
         self._sweep_at = _SWEEP_AT
@@ -146,17 +169,23 @@
         return timer
 
     def watch(self, fd: int, mask: int, call: Callable[[int, bool], None], turn: int) -> None:
-        self._watched[fd] = (call, turn)
+        """Calls when the descriptor is ready, from the next turn on; an OSError if it can't be watched."""
         self._epoll.register(fd, mask)
+        self._watched[fd] = _Watch(call, turn, self._turns)
 
-    def forget(self, fd: int) -> None:
-        if self._watched.pop(fd, None) is not None:
+    def forget(self, fd: int, call: Callable[[int, bool], None], turn: int) -> None:
+        """Danger: after a close, the number may be another one's, which stays watched for it."""
+        found = self._watched.get(fd)
+        if found is None or found.call != call or found.turn != turn:
+            return
+        del self._watched[fd]
+        with suppress(OSError):  # closed while it was watched: epoll has let go of it by itself
             self._epoll.unregister(fd)
 
     def ended(self, task: Task, error: Exception | None = None) -> None:
         self._tasks.discard(task)
         if error is not None:
-            self._on_error(error)
+            self._tell(error)
 
     def stop(self) -> None:
         self.stopped = True
@@ -168,16 +197,24 @@
 
     def turn(self) -> None:
         """Waits for what comes next and runs all that is due."""
+        self._turns += 1
         for fd, _ in self._epoll.poll(self._poll_time()):
             if fd == self._wake_read:
-                os.read(fd, 4096)
+                with suppress(BlockingIOError):
+                    os.read(fd, 4096)
                 continue
             found = self._watched.get(fd)
-            if found is not None:
-                found[0](found[1], True)
+            # danger: a call may close a descriptor whose event is still to come in this turn, and the next
+            # socket gets its number: a connection on its way would be taken for one that is up
+            if found is not None and found.since != self._turns:
+                self._guarded(found.call, (found.turn, True))
         now = self.now()
+        due: list[Timer] = []
         while self._timers and self._timers[0][0] <= now:
-            timer = heappop(self._timers)[2]
+            due.append(heappop(self._timers)[2])
+        # danger: what these set for a time that is past waits for the next turn; else it would keep
+        # descriptors waiting, for ever where each sets the next
+        for timer in due:
             if timer.call is not None:
                 self._guarded(timer.call, timer.args)
         for _ in range(len(self._soon)):
@@ -192,6 +229,11 @@
         try:
             call(*args)
         except Exception as error:  # noqa: BLE001 - whatever fails is logged, and the loop goes on
+            self._tell(error)
+
+    def _tell(self, error: Exception) -> None:
+        """Danger: a log that can't be written, with its reader gone, must not end the program either."""
+        with suppress(Exception):
             self._on_error(error)
 
     def _poll_time(self) -> float:
@@ -204,7 +246,10 @@
         return min(_LONGEST_POLL_S, max(0.0, (self._timers[0][0] - self.now()) / SECOND))
 
     def close(self) -> None:
-        """Ends every task and lets go of the descriptors."""
+        """Ends every task and lets go of the descriptors, once."""
+        if self._closed:  # danger: the numbers may be another one's by now
+            return
+        self._closed = True
         for task in list(self._tasks):
             task.cancel()
         self._epoll.close()
--- a/ironbarrow/runtime/sockets.py
+++ b/ironbarrow/runtime/sockets.py
@@ -4,8 +4,25 @@
 import socket
 
 Address = tuple[str, int]
-_NO_DESCRIPTORS = (errno.EMFILE, errno.ENFILE)
 _BACKLOG = 1024
+# that one connection broke before it was accepted, with what accept(2) passes on from the network
+_BROKEN = frozenset(
+    (
+        errno.ECONNABORTED,
+        errno.ECONNRESET,
+        errno.EINTR,
+        errno.ENETDOWN,
+        errno.EPROTO,
+        errno.ENOPROTOOPT,
+        errno.EHOSTDOWN,
+        errno.ENONET,
+        errno.EHOSTUNREACH,
+        errno.ENETUNREACH,
+        errno.ETIMEDOUT,
+        errno.EPERM,  # a firewall's rule
+    )
+)
+_MOST_BROKEN = 16  # in a row: the listener is ready again if there are more
 
 
 def parse_address(text: str, least_port: int = 1) -> Address:
@@ -45,16 +62,26 @@
 
 
 def accept(listener: socket.socket) -> socket.socket | None:
-    """The next connection that came in, or None; an OSError for want of descriptors passes on."""
-    while True:
+    """The next connection that came in, or None; an OSError for want of descriptors, or for a listener that
+    can't accept any more, passes on.
+
+    Danger: tried again at once for whatever goes wrong, a listener that is closed would never let the loop
+    go on.
+    """
+    for _ in range(_MOST_BROKEN):
         try:
-            sock, _ = listener.accept()
+            sock, _address = listener.accept()
         except BlockingIOError:
             return None
         except OSError as error:
-            if error.errno in _NO_DESCRIPTORS or error.errno in (errno.ENOBUFS, errno.ENOMEM):
+            if error.errno not in _BROKEN:
                 raise
-            continue  # that connection broke before it was accepted
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            continue
+        try:
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        except OSError:
+            sock.close()
+            continue
         return sock
+    return None
