Hold signals from the first line to the last, and pace the end by the longest deadline

Need: SIGTERM or SIGINT during the start ended the program by Python's default, with connections in the listener's queue; after the loop had closed, a signal was written to the wake-up descriptor's old number, and once Python had taken its handlers away a second SIGTERM ended it with -15 and not 0. A log without a reader, a hand-over or a closing that failed left the order to stop half carried out, and a second order changes nothing. The times of the end were constants made for deadlines of 3 s and more, while SIGKILL comes 0.7 s after the longest deadline where that is shorter: with 0.5 s, at 1.2 s, before the last answers at 3.2 s.

Change: serve blocks the three signals until there are handlers, and again after the last of its work; the wake-up descriptor is unset before the loop closes; the end's timers are set first, and its next look is planned before what may fail; the listener closes right after the last look and not at the end of the turn; Pace works the times out from the settings, those of before for 3 s and more; the log writes to the descriptor and lets go of what cannot be written; the system's limit on descriptors counts where it is lower than the configured one.

--- a/ironbarrow/cli/serve.py
+++ b/ironbarrow/cli/serve.py
@@ -4,10 +4,32 @@
 import signal
 import sys
 from functools import partial
+from typing import TextIO, cast
+
+_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+
+
+class _Log:
+    """Standard error, for the lines of the log. Danger: its reader may be gone, in the last instants above
+    all, and that must neither end the program nor show in its exit status."""
+
+    def write(self, text: str) -> None:
+        data = text.encode("utf-8", "backslashreplace")
+        try:
+            while data:
+                data = data[os.write(2, data) :]
+        except OSError:
+            return
+
+    def flush(self) -> None:
+        return
 
 
 def serve() -> int:
     """Serves as the environment says, until SIGTERM; the exit status."""
+    # danger: an order to stop or to reload during the start must neither end the program, with connections
+    # that the listener has taken in, nor be forgotten
+    signal.pthread_sigmask(signal.SIG_BLOCK, _SIGNALS)
     absent = "rich" not in sys.modules
     if absent:
         # danger: structlog takes in rich for its coloured console wherever that is installed, 8 MB that JSON
@@ -25,14 +47,12 @@
             structlog.processors.format_exc_info,
             structlog.processors.JSONRenderer(),
         ],
-        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(file=cast(TextIO, _Log())),
         cache_logger_on_first_use=True,
     )
     from ironbarrow.config import ConfigError, load
     from ironbarrow.daemon import Dispatcher
 
-    # danger: a reload asked for during the start must neither end the program nor be forgotten
-    signal.pthread_sigmask(signal.SIG_BLOCK, [signal.SIGHUP])
     try:
         config = load(os.environ)
     except ConfigError as error:
@@ -47,6 +67,9 @@
     dispatcher.stop_on_signals()
     dispatcher.reload_on_signal(partial(load, os.environ, replaced=True))
     dispatcher.run()
+    # danger: Python takes its handlers away before it is done, and a second order to stop would end it with
+    # another status than 0
+    signal.pthread_sigmask(signal.SIG_BLOCK, _SIGNALS)
     return 0
 
 
--- a/ironbarrow/daemon/dispatcher.py
+++ b/ironbarrow/daemon/dispatcher.py
@@ -1,8 +1,11 @@
 """The whole program as an object: for the command line and for whoever embeds it."""
 
+import resource
 import signal
 import socket
 from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass
 from pathlib import Path
 from types import FrameType
 from typing import Any
@@ -15,33 +18,60 @@
 from ironbarrow.core.host import Host
 from ironbarrow.directory.client import Directory
 from ironbarrow.fronts.consumers import Consumers
-from ironbarrow.runtime.loop import MS, Loop
+from ironbarrow.runtime.loop import MS, SECOND, Loop
 from ironbarrow.runtime.sockets import listen
 
 log = structlog.get_logger()
 
-# danger: closed at once, connections bring nothing more, but while another dispatcher is starting again
-# their consumers have nowhere to go
-_STILL_COMING = 1500 * MS
-# danger: SIGKILL may come 3.7 s after SIGTERM, and what came later than 0.7 s must have its answer by then
-_LAST_ANSWER = 3200 * MS
-_LEAVING = 2500 * MS  # from the order to stop until a fleet takes over what is still owed
-_LEAVE_LIMIT = 700 * MS  # for telling it so
+_LONGEST_COUNTED = 3 * SECOND
+_KILLED_AFTER = 700 * MS
 _HANDING_OVER = 300 * MS  # consumers and providers that are just connecting still find this one
 _DONE_CHECKED = 10 * MS
 _MB = 1 << 20
 _PROGRAM_MB = 28  # the program itself, as measured on a calm day
 _DOOR = 32  # descriptors for the operators' listener, its connections and the file of bans
+_LEAST = 8  # so that no part of what is spare comes to nothing
 _LEAST_SPARE = 32  # that consumers and providers need beside a fleet's links
 _RESERVED = 32  # descriptors for the program itself, the listener, epoll and the directory
 
 
+@dataclass(frozen=True, slots=True)
+class Pace:
+    """The times of an orderly end, ns from the order to stop."""
+
+    still_coming: int  # idle connections are kept for so long
+    last_answer: int  # what has come since has its answer by then
+    leaving: int  # a fleet takes over what is still owed from then on
+    leave_limit: int  # for telling it so, after that
+
+    @staticmethod
+    def of(settings: api.Settings) -> "Pace":
+        """SIGKILL may come 0.7 s after the longest deadline, 3 s counting for a longer one, and whoever came
+        more than 0.7 s after SIGTERM must have its answer by then; 0.2 to 0.4 s long new ones are still sent.
+
+        Danger: closed at once, connections bring nothing more, but while another dispatcher is starting again
+        their consumers have nowhere to go. Kept for as long where deadlines are short, they would bring what
+        finds its end in SIGKILL.
+        """
+        longest = min(_LONGEST_COUNTED, max(cls.deadline for cls in settings.classes))
+        last_answer = longest + _KILLED_AFTER - max(150 * MS, min(500 * MS, longest // 2))
+        leave_limit = min(700 * MS, last_answer // 2)
+        return Pace(
+            still_coming=max(500 * MS, min(1500 * MS, last_answer // 2)),
+            last_answer=last_answer,
+            leaving=last_answer - leave_limit,
+            leave_limit=leave_limit,
+        )
+
+
 class Dispatcher:
     """Listens, serves and stops."""
 
     def __init__(self, config: Config, listener: socket.socket | None = None) -> None:
         self.loop = Loop(_task_failed)
         self._stopping = False
+        self._signals = False  # they write to the loop
+        self.pace = Pace.of(config.settings)
         self._config = config
         self.listener = listener or listen(config.listen, shared=config.admin is not None)
         self.host = Host(self.loop, config.settings, config.seed, traced=config.traced)
@@ -58,7 +88,7 @@
         )
         if asks:
             self.host.follow = self.directory.ask
-        spare = config.sockets - _RESERVED - (_DOOR if config.admin is not None else 0)
+        spare = _descriptors(config.sockets) - _RESERVED - (_DOOR if config.admin is not None else 0)
         if config.fleet is not None:
             spare = _without_links(config, config.fleet, spare)
         self.invoker = HttpInvoker(
@@ -152,19 +182,26 @@
 
     def stop_on_signals(self) -> None:
         """SIGTERM and SIGINT mean ``stop``. For programs that are nothing else; main thread only."""
-        signal.set_wakeup_fd(self.loop.wake_fd, warn_on_full_buffer=False)
+        self._wake_on_signals()
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, self._signalled)
+        # one may wait from before. Danger: the kernel takes connections in from the moment the address is
+        # bound, and a signal that ends the program during the start would reset them
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, [signal.SIGTERM, signal.SIGINT])
 
     def reload_on_signal(self, read: Callable[[], Config]) -> None:
         """SIGHUP means ``reload`` with what ``read`` brings; a ConfigError leaves all as it is.
 
         Danger: unhandled, the signal ends the program and all it has taken.
         """
-        signal.set_wakeup_fd(self.loop.wake_fd, warn_on_full_buffer=False)
+        self._wake_on_signals()
         signal.signal(signal.SIGHUP, lambda number, frame: self.loop.soon(self._reload, read))
         signal.pthread_sigmask(signal.SIG_UNBLOCK, [signal.SIGHUP])  # one may wait from before
 
+    def _wake_on_signals(self) -> None:
+        signal.set_wakeup_fd(self.loop.wake_fd, warn_on_full_buffer=False)
+        self._signals = True
+
     def _reload(self, read: Callable[[], Config]) -> None:
         try:
             self.reload(read())
@@ -218,6 +255,11 @@
 
     def close(self) -> None:
         """Lets go of every connection and descriptor."""
+        if self._signals:
+            # danger: one that still comes would be written to whoever has the descriptor's number by then
+            self._signals = False
+            with suppress(ValueError):  # not on the main thread
+                signal.set_wakeup_fd(-1)
         self.loop.close()
         self.listener.close()
         if self._upgrade is not None:
@@ -232,25 +274,35 @@
 
     def stop(self) -> None:
         """Takes what still comes for a short while, finishes what was taken, then ends ``run``."""
-        if not self._stopping:
-            self._stopping = True
-            if self._operations is not None:
-                self._operations.stopping = True
-            log.info("stopping", owed=self.host.owed)
-            if self._upgrade is not None and self._upgrade.hand_over():
-                # the next process serves already, and takes what still comes here
-                self.loop.call_at(self.loop.now() + _HANDING_OVER, self._close_idle)
-                return
+        if self._stopping:
+            return
+        self._stopping = True
+        now = self.loop.now()
+        if self._hands_over():
+            # the next process serves already, and takes what still comes here
+            self.loop.call_at(now + _HANDING_OVER, self._close_idle)
+        else:
             if self.fleet is not None:
-                self.loop.call_at(self.loop.now() + _LEAVING, self._leave)
+                self.loop.call_at(now + self.pace.leaving, self._leave)
             else:
-                self.host.end_by = self.loop.now() + _LAST_ANSWER
-            self.loop.call_at(self.loop.now() + _STILL_COMING, self._close_idle)
+                self.host.end_by = now + self.pace.last_answer
+            self.loop.call_at(now + self.pace.still_coming, self._close_idle)
+        if self._operations is not None:
+            self._operations.stopping = True
+        log.info("stopping", owed=self.host.owed)
+
+    def _hands_over(self) -> bool:
+        """Danger: a channel that fails must not keep the program from its end: a second order is none."""
+        try:
+            return self._upgrade is not None and self._upgrade.hand_over()
+        except OSError as error:
+            log.warning("no hand-over to a next process", error=str(error))
+            return False
 
     def _leave(self) -> None:
         """What is still owed goes to the others; its consumers come again there. Danger: nothing of it may be
         sent, answered or called off here from now on."""
-        self.fleet.leave(self.loop.now() + _LEAVE_LIMIT)
+        self.fleet.leave(self.loop.now() + self.pace.leave_limit)
         self._stop_when_left()
 
     def _stop_when_left(self) -> None:
@@ -260,8 +312,8 @@
             self.loop.call_at(self.loop.now() + _DONE_CHECKED, self._stop_when_left)
 
     def _close_idle(self) -> None:
+        self.loop.soon(self._stop_when_done)  # danger: whatever fails here, the end has to come
         self.consumers.close_idle()
-        self._stop_when_done()
 
     def _stop_when_done(self) -> None:
         # danger: the listener stays to the end, since call-backs come in through it
@@ -270,12 +322,25 @@
         if self.host.owed or kept or self.consumers.busy:
             self.loop.call_at(self.loop.now() + _DONE_CHECKED, self._stop_when_done)
         elif self.fleet is None:
+            # danger: who connects from here on is refused and goes elsewhere; left to the end of this turn,
+            # the listener would take it in and drop it with no answer
+            self.listener.close()
             self.loop.stop()
         elif not self.fleet.left:
-            self.fleet.leave(self.loop.now() + _LEAVE_LIMIT)
+            self.fleet.leave(self.loop.now() + self.pace.leave_limit)
             self._stop_when_left()
 
 
+def _descriptors(configured: int) -> int:
+    """How many there are. Danger: counted on beyond what the system gives, the last ones are never there, and
+    the directory and providers would get none while consumers take all."""
+    given = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    if given == resource.RLIM_INFINITY or given >= configured:
+        return configured
+    log.warning("the system gives fewer descriptors than limits.sockets says", given=given, limit=configured)
+    return max(_RESERVED + _DOOR + _LEAST, given)
+
+
 def _without_links(config: Config, path: Path, spare: int) -> int:
     """What is left of the descriptors beside the links of a fleet. A ConfigError for a file that can't be
     used, or where too few are left.
