Count descriptors by the lower of the two limits, and try that service comes back

Need: the shares of consumers and of idle connections to providers were worked out from limits.sockets alone; where the system gives fewer, consumers could take all of them and leave the directory none.

Change: the soft RLIMIT_NOFILE counts where it is lower, with a line in the log. A fleet's end closes the listener as the other one does.

--- a/ironbarrow/daemon/dispatcher.py
+++ b/ironbarrow/daemon/dispatcher.py
@@ -307,10 +307,16 @@
 
     def _stop_when_left(self) -> None:
         if self.fleet.left:
-            self.loop.stop()
+            self._end()
         else:
             self.loop.call_at(self.loop.now() + _DONE_CHECKED, self._stop_when_left)
 
+    def _end(self) -> None:
+        # danger: who connects from here on is refused and goes elsewhere; left to the end of this turn, the
+        # listener would take it in and drop it with no answer
+        self.listener.close()
+        self.loop.stop()
+
     def _close_idle(self) -> None:
         self.loop.soon(self._stop_when_done)  # danger: whatever fails here, the end has to come
         self.consumers.close_idle()
@@ -322,10 +328,7 @@
         if self.host.owed or kept or self.consumers.busy:
             self.loop.call_at(self.loop.now() + _DONE_CHECKED, self._stop_when_done)
         elif self.fleet is None:
-            # danger: who connects from here on is refused and goes elsewhere; left to the end of this turn,
-            # the listener would take it in and drop it with no answer
-            self.listener.close()
-            self.loop.stop()
+            self._end()
         elif not self.fleet.left:
             self.fleet.leave(self.loop.now() + self.pace.leave_limit)
             self._stop_when_left()
@@ -334,7 +337,10 @@
 def _descriptors(configured: int) -> int:
     """How many there are. Danger: counted on beyond what the system gives, the last ones are never there, and
     the directory and providers would get none while consumers take all."""
-    given = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    try:
+        given = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    except (OSError, ValueError):
+        return configured
     if given == resource.RLIM_INFINITY or given >= configured:
         return configured
     log.warning("the system gives fewer descriptors than limits.sockets says", given=given, limit=configured)
--- a/ironbarrow/runtime/loop.py
+++ b/ironbarrow/runtime/loop.py
@@ -13,7 +13,7 @@
 from contextlib import suppress
 from dataclasses import dataclass
 from heapq import heappop, heappush
-from typing import Any, TypeVar
+from typing import Any, NamedTuple, TypeVar
 
 from ironbarrow.runtime.clock import MS, SECOND, Timer
 
@@ -107,8 +107,7 @@
         self._timer = self._loop.call_at(wait.until, self._resume, self.turn, False)
 
 
-@dataclass(frozen=True, slots=True)
-class _Watch:
+class _Watch(NamedTuple):
     """Who is called when a descriptor is ready."""
 
     call: Callable[[int, bool], None]
@@ -179,8 +178,10 @@
         if found is None or found.call != call or found.turn != turn:
             return
         del self._watched[fd]
-        with suppress(OSError):  # closed while it was watched: epoll has let go of it by itself
+        try:
             self._epoll.unregister(fd)
+        except OSError:
+            return  # closed while it was watched: epoll has let go of it by itself
 
     def ended(self, task: Task, error: Exception | None = None) -> None:
         self._tasks.discard(task)
