Let scenarios half-close, reset, fill the buffers and hold new connections back

Orders on consumers' connections (a consumer that leaves in each of these ways, a provider whose connection does not come up) could not be forced. Four steps: half-close, reset, fill and full.

--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -10,7 +10,11 @@
     c1 silent MS      nothing comes and the connection stays open for so long
     c1 ended          the other side has closed the connection
     c1 close          close the connection
+    c1 half-close     end the own side alone, and go on reading
+    c1 reset          close the connection with a reset
+    c1 fill TEXT      write it over and over until the buffers on the way take no more
     p1 refuse         take no more connections
+    p1 full           let new connections wait: none comes up any more
     wait MS           let time pass
     reload d2         give the dispatcher a configuration that names another directory
     stop              order the dispatcher to stop
@@ -23,14 +27,16 @@
 import re
 import select
 import socket
+import struct
 import time
+from contextlib import suppress
 from dataclasses import replace
 from typing import Any
 
 from heathway.settings import ReportReader, read_settings
 from ironbarrow.config.platform import Config
 from ironbarrow.daemon.dispatcher import Dispatcher
-from ironbarrow.runtime.sockets import listen, parse_address
+from ironbarrow.runtime.sockets import listen, parse_address, stream_socket
 
 LIMIT = 20.0  # seconds; only a failing step ever waits so long
 SETTINGS: dict[str, Any] = {
@@ -59,6 +65,7 @@
         self.sock: socket.socket | None = None
         self.seen = b""
         self.over = False
+        self.waiting: list[socket.socket] = []  # hold the places of a listener that takes no more
 
     def connect(self) -> None:
         if self.sock is None and self.address:
@@ -184,6 +191,25 @@
             self.until(line, lambda: peer.over)
         elif verb == "close":
             peer.close()
+        elif verb == "half-close":
+            assert peer.sock is not None
+            peer.sock.shutdown(socket.SHUT_WR)
+        elif verb == "reset":
+            assert peer.sock is not None
+            peer.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            peer.close()
+        elif verb == "fill":
+            assert peer.sock is not None
+            data = text.replace("\\r", "\r").replace("\\n", "\n").encode("latin-1")
+            with suppress(BlockingIOError):
+                while peer.sock.send(data) == len(data):
+                    pass
+        elif verb == "full":
+            assert peer.listener is not None
+            peer.listener.listen(0)
+            for _ in range(4):  # one has a place, the others wait as the dispatcher's will
+                peer.waiting.append(sock := stream_socket(("127.0.0.1", 0)))
+                sock.connect_ex(peer.listener.getsockname())
         elif verb == "refuse":
             assert peer.listener is not None
             peer.listener.close()
@@ -194,8 +220,8 @@
     def close(self) -> None:
         for peer in self.peers.values():
             peer.close()
-            if peer.listener is not None:
-                peer.listener.close()
+            for sock in [*peer.waiting, *([peer.listener] if peer.listener is not None else [])]:
+                sock.close()
         self.dispatcher.close()
 
 
