End consumers' connections by shutdown, read-out and close; notice all who leave

Cause, from reading and shown by tests: idle, new, resting and displaced connections were closed at once, over a request that crossed the close (a reset); a request in the turn of the idle limit was lost; a consumer that left behind more bytes than the buffers take was not noticed and its job went on; answers were cut off after 5 s however long the job had; with jobs in all places no call-back came in; later requests that stopped half-way held places and memory without limit; requests sent at once (pipelined) were answered in one turn of the loop; one sent along with the last before the end was dropped; HTTP/1.0 jobs and bodies longer than their length went on to providers.

Change: fronts/consumers.py is split; requests.py reads a job out of a request, places.py says who has a place and how it is given up: the own side is shut, what crosses is read away and never served, then it is closed, without a place meanwhile. While a job is out, what comes beyond its request is read ahead up to a limit. Jobs leave one place in eight to call-backs and are turned away with 503 above that. An answer may be written up to the job's time and 0.5 s more.

--- a/ironbarrow/fronts/consumers.py
+++ b/ironbarrow/fronts/consumers.py
@@ -5,17 +5,29 @@
 import socket
 from collections.abc import Callable
 from functools import partial
-from hashlib import blake2b
 from typing import Any, Protocol
-from urllib.parse import unquote
 
 import structlog
 
 from ironbarrow.core.endings import ConnectionEndedError, Ending
-from ironbarrow.core.host import Answer, Host, Job, Payload, Terms, Verdict
+from ironbarrow.core.host import Answer, Host, Job, Payload, Terms
+from ironbarrow.fronts.places import FRESH, LINGER_LIMIT, Places
+from ironbarrow.fronts.requests import (
+    JSON,
+    BadRequestError,
+    class_in,
+    cookie_key,
+    error_body,
+    expect_method,
+    final_answer,
+    key_number,
+    may_follow,
+    read_job,
+    retry_after,
+)
 from ironbarrow.runtime.loop import HANGUP, MS, READ, SECOND, Coroutine, Loop, Task, Wait, sleep
 from ironbarrow.transport.http import Connection, accept, adopt
-from ironbarrow.wire.http import Headers, Message
+from ironbarrow.wire.http import Message
 
 log = structlog.get_logger()
 
@@ -44,24 +56,12 @@
 _FIRST_LIMIT = 2 * SECOND  # from accepting a connection to the first byte on it
 _REQUEST_LIMIT = 2500 * MS  # from a request's first byte, or from accepting, to its last byte
 _WRITE_LIMIT = 5 * SECOND
-_LINGER_LIMIT = 1 * SECOND
+_AFTER_DEADLINE = 500 * MS  # an answer is due so long after the time of its request
+_UNREAD_LIMIT = 120 * SECOND  # and no longer than this: one that reads nothing holds a place
 _PAUSE = 20 * MS  # before accepting again when no descriptor is left
+_FLOOD_PAUSE = 1 * MS  # between two reads from one that sends without end while its job is out
 _ACCEPTS_AT_ONCE = 16  # danger: a burst of connections would keep call-backs and the directory waiting
-_FRESH = 200 * MS  # a new connection is left so long for its first request to come
-# danger: of two that differ, another reader may take the other one
-_ONCE = frozenset(("x-request-id", "x-timeout-ms", "x-attrs", "x-retried", "cookie", "content-type"))
-_LONGEST_MS = 24 * 3600 * 1000
-_ID_MOST = 200
-_JSON = ("Content-Type", "application/json")
-
-
-class BadRequestError(Exception):
-    """A request that is answered with an error of its sender's."""
-
-    def __init__(self, status: int, text: str, headers: Headers = ()) -> None:
-        super().__init__(text)
-        self.status = status
-        self.headers = headers
+_FULL_ADVICE = 200 * MS  # for one that is turned away because all places have jobs
 
 
 class Consumers:
@@ -83,14 +83,9 @@
         self._listener = listener
         self._called_back = called_back
         self._free_descriptors = free_descriptors
-        self._most = most
         self._classes = {cls.name for cls in host.settings.classes}
-        self._most_buffered = most_buffered
-        self._buffered = 0  # bytes of requests that are not whole yet
-        self._new: dict[Connection, Task] = {}  # no whole request yet, the oldest first
-        self._idle: dict[Connection, Task] = {}  # between requests, the longest idle first
-        self._open = 0
-        self._closing = False
+        self._places = Places(loop, most, most_buffered)
+        self._closing_at: int | None = None  # from when on no connection is kept
         self.asking: dict[Job, tuple[Connection, Task]] = {}  # who waits for a job's answer
         self.router: Router | None = (
             None  # the operators' routes; without them the path's first part is the class
@@ -101,20 +96,19 @@
     @property
     def busy(self) -> bool:
         """Whether any connection is open or waits to be accepted."""
-        return self._open > 0 or bool(select.select([self._listener], [], [], 0)[0])
+        return self._places.taken > 0 or bool(select.select([self._listener], [], [], 0)[0])
 
     def close_idle(self) -> None:
-        """From now on no connection is kept: the idle ones close at once, the others after their answer."""
-        self._closing = True
-        for connection in [c for c in self._new if not c.size] + list(self._idle):
-            self._drop(connection)
-
-    def _drop(self, connection: Connection) -> bool:
-        # danger: a request that has just come in was taken; closing now would lose it
-        if not connection.is_silent():
-            return False
-        (self._new.pop(connection, None) or self._idle.pop(connection)).cancel()
-        return True
+        """From now on no connection is kept: the idle ones end at once, the others after their answer, and
+        new ones that bring no request soon."""
+        if self._closing_at is None:
+            self._closing_at = self._loop.now()
+            self._loop.call_at(self._closing_at + FRESH, self.close_idle)
+        # danger: on one that has just come up, the request is on its way
+        fresh_since = self._loop.now() - FRESH
+        silent = [c for c in self._places.reading if not c.started and c.used_at <= fresh_since]
+        for connection in silent + list(self._places.idle):
+            self._places.drop(connection)
 
     # Connections
 
@@ -122,7 +116,7 @@
         while True:
             yield Wait(self._listener.fileno(), READ, self._loop.now() + 3600 * SECOND)
             for _ in range(_ACCEPTS_AT_ONCE):
-                if self._open >= self._most and not self._make_room():
+                if not self._places.make_room():
                     yield from sleep(self._loop.now() + _PAUSE)
                     continue
                 try:
@@ -132,87 +126,61 @@
                     continue
                 if connection is None:
                     break
-                self._open += 1
-                connection.used_at = self._loop.now()
-                connection.grew = self._grew
+                self._places.take(connection)
                 # danger: noted only by its own first line, it could be ended before that line has run;
                 # the lines at its end would not run either, and its place would stay taken
                 self._loop.spawn(self._serve(connection))
 
-    def _make_room(self) -> bool:
-        """Closes a connection that has brought no whole request, else the one that has been idle
-        longest; its client opens another when it needs one.
-
-        Danger: hundreds that connect and say nothing would leave no place to the usual consumers.
-        """
-        fresh_since = self._loop.now() - _FRESH
-        for connection in self._new:
-            if connection.used_at > fresh_since:
-                break
-            if self._drop(connection):
-                return True
-        return any(self._drop(connection) for connection in list(self._idle))
-
-    def _grew(self, connection: Connection, size: int) -> None:
-        """Danger: many requests that stop half-way would together hold more memory than there is."""
-        self._buffered += size
-        for other in list(self._new) if self._buffered > self._most_buffered else ():
-            if other is not connection and other.size and self._drop(other):
-                return
-
-    def _let_go(self, connection: Connection) -> None:
-        self._buffered -= connection.size
-        connection.size = 0
-
     def _out_of_descriptors(self, error: OSError) -> Coroutine[None]:
         """Danger: with no descriptor left, accept fails at once for ever and the loop would spin."""
-        log.warning("no descriptor left", error=str(error), connections=self._open)
+        log.warning("no descriptor left", error=str(error), connections=self._places.taken)
         self._free_descriptors()
-        self._make_room()
+        self._places.free_descriptor()
         yield from sleep(self._loop.now() + _PAUSE)
 
     def _serve(self, connection: Connection) -> Coroutine[None]:
         task = self._loop.current
         assert task is not None
-        self._new[connection] = task
+        self._places.reading[connection] = task
         try:
-            while True:
-                request = yield from self._next_request(connection, task)
-                if request is None:
-                    return
+            while (request := (yield from self._next_request(connection, task))) is not None:
                 keep = yield from self._respond(connection, task, request)
+                self._places.jobs.discard(connection)
                 if not keep or not connection.next_cycle():
-                    yield from connection.linger(self._loop.now() + _LINGER_LIMIT)
-                    return
-                if self._closing and connection.is_silent() and not connection.started:
-                    return
+                    break
+                if self._closing_at is not None and not connection.started and connection.is_silent():
+                    break
                 connection.used_at = self._loop.now()
+                if connection.started:
+                    # danger: hundreds of requests that came at once would keep all others waiting
+                    yield from sleep(self._loop.now())
+            connection.shut_down()
         except ConnectionEndedError as error:
             yield from self._answer_malformed(connection, error)
         finally:
-            self._let_go(connection)
-            self._new.pop(connection, None)
-            self._idle.pop(connection, None)
-            self._open -= 1
-            connection.close()
+            self._places.leave(connection)
 
     def _next_request(self, connection: Connection, task: Task) -> Coroutine[Message | None]:
         """The next request, or None if the connection ended between two."""
-        first = connection in self._new
+        places = self._places
+        first = connection in places.reading
         if not connection.started:
             limit = _FIRST_LIMIT if first else _IDLE_LIMIT
-            if self._closing:  # danger: one that connects and says nothing would hold up the end
-                limit = _LINGER_LIMIT
+            if self._closing_at is not None:  # danger: one that says nothing would hold up the end
+                limit = LINGER_LIMIT
             if not first:
-                self._idle[connection] = task
+                places.idle[connection] = task
             ready = yield Wait(connection.sock.fileno(), READ, connection.used_at + limit)
-            if not ready or connection.is_closed():
+            # danger: a request may come in the very turn in which the time is over
+            if (not ready and connection.is_silent()) or connection.is_closed():
                 return None
-            self._idle.pop(connection, None)
-        begun = connection.used_at if first else self._loop.now()
-        request = yield from connection.read_message(begun + _REQUEST_LIMIT)
-        self._new.pop(connection, None)
-        self._let_go(connection)
+            places.idle.pop(connection, None)
+        if not first:
+            connection.used_at = self._loop.now()
+            places.reading[connection] = task
+        request = yield from connection.read_message(connection.used_at + _REQUEST_LIMIT)
+        places.reading.pop(connection, None)
+        places.release(connection)
         return request
 
     def _answer_malformed(self, connection: Connection, error: ConnectionEndedError) -> Coroutine[None]:
@@ -220,11 +188,13 @@
             return
         if not connection.can_answer():
             return
+        # what is not HTTP makes no room for others before its answer is out
+        self._places.reading.pop(connection, None)
         try:
-            body = _body(str(error))
-            data = connection.response_bytes(error.status, [_JSON, ("Connection", "close")], body)
+            body = error_body(str(error))
+            data = connection.response_bytes(error.status, [JSON, ("Connection", "close")], body)
             yield from connection.write(data, self._loop.now() + _WRITE_LIMIT)
-            yield from connection.linger(self._loop.now() + _LINGER_LIMIT)
+            connection.shut_down()
         except ConnectionEndedError:
             return
 
@@ -233,38 +203,50 @@
     def _respond(self, connection: Connection, task: Task, request: Message) -> Coroutine[bool]:
         """Answers one request; whether the connection may carry another."""
         headers: list[tuple[str, str]] = []
+        due = 0
         try:
             path = request.target.partition("?")[0]
             if path == "/-/ready":
-                _expect(request, "GET")
+                expect_method(request, "GET")
                 status, body = (200, b"ready") if self._host.listed else (503, b"no list of providers yet")
                 if self.shared is not None:
                     headers.append(("X-Fleet", self.shared.readiness()))
             elif path == "/callback":
-                _expect(request, "POST")
+                expect_method(request, "POST")
                 status, body = self._call_back(request)
             elif self._is_job(path):
-                _expect(request, "POST")
-                answer = yield from self._job(connection, task, request, path)
+                expect_method(request, "POST")
+                payload, placed = read_job(request)
+                due = self._loop.now() + placed["time_left"] + _AFTER_DEADLINE
+                answer = yield from self._job(connection, task, request, payload, placed)
                 if answer is None:
                     return False
-                status, body = _final(answer, headers)
+                status, body = final_answer(answer, headers)
             else:
                 raise BadRequestError(404, "no such path")
         except BadRequestError as error:
-            status, body = error.status, _body(str(error))
-            headers = [_JSON, *error.headers]
-        keep = request.keep and not self._closing
+            status, body = error.status, error_body(str(error))
+            headers = [JSON, *error.headers]
+        keep = request.keep and not connection.thrown_away and not self._ends(connection)
         if not keep:
             headers.append(("Connection", "close"))
         data = connection.response_bytes(status, headers, body)
-        yield from connection.write(data, self._loop.now() + _WRITE_LIMIT)
+        now = self._loop.now()
+        # danger: ended before its time, a consumer that reads slowly loses a whole answer
+        until = max(now + _WRITE_LIMIT, min(due, now + _UNREAD_LIMIT))
+        yield from connection.write(data, until)
         return keep
 
+    def _ends(self, connection: Connection) -> bool:
+        """Whether the next answer is the connection's last. Danger: a request that has come in already was
+        taken; but one that always has another in would never let the program end."""
+        if self._closing_at is None:
+            return False
+        rests = not connection.has_unread and connection.is_silent()
+        return rests or self._loop.now() > self._closing_at + LINGER_LIMIT
+
     def _is_job(self, path: str) -> bool:
-        if self.router is not None:
-            return True
-        return unquote(path.split("/")[1] if path.startswith("/") else "") in self._classes
+        return self.router is not None or class_in(path) in self._classes
 
     def _call_back(self, request: Message) -> tuple[int, bytes]:
         try:
@@ -274,28 +256,44 @@
         return 204, b""
 
     def _job(
-        self, connection: Connection, task: Task, request: Message, path: str
+        self, connection: Connection, task: Task, request: Message, payload: Payload, placed: dict[str, Any]
     ) -> Coroutine[Answer | None]:
         """Hands in a job and waits for its final answer; None if the consumer left first."""
+        # danger: in a burst, its sender may have left before its turn came
+        if not connection.look_ahead(self._places.room_ahead()):
+            return None
+        if not may_follow(connection.unread):
+            raise ConnectionEndedError(Ending.MALFORMED, "the body is longer than its length")
         answers: list[Answer | None] = []
 
         def answered(answer: Answer | None) -> None:
             answers.append(answer)
             task.wake()
 
-        left = self._take(connection, task, request, path, answered)
+        left = self._take(connection, task, request, payload, placed, answered)
         try:
-            while not answers:
-                # it is answered long before
-                yield Wait(connection.sock.fileno(), HANGUP, self._loop.now() + 3600 * SECOND)
-                if not answers and connection.is_gone():
-                    return None
+            there = yield from self._wait(connection, answers)
         finally:
             left()
+        if not there:
+            return None
         if answers[0] is None:
             raise BadRequestError(409, "another request is under this X-Request-ID")
         return answers[0]
 
+    def _wait(self, connection: Connection, answers: "list[Answer | None]") -> Coroutine[bool]:
+        """Waits for a job's answer; whether it came before the consumer left."""
+        while not answers:
+            now = self._loop.now()
+            if not connection.floods:
+                # it is answered long before
+                yield Wait(connection.sock.fileno(), READ, now + 3600 * SECOND)
+            else:
+                yield Wait(connection.sock.fileno(), HANGUP, now + _FLOOD_PAUSE)
+            if not answers and not connection.look_ahead(self._places.room_ahead()):
+                return False
+        return True
+
     def _withdraw(self, job: Job) -> None:
         self.asking.pop(job, None)
         self._host.withdraw(job)
@@ -310,10 +308,10 @@
     def _serve_adopted(
         self, connection: Connection, begin: Callable[[Callable[[Answer], None]], Callable[[], None]]
     ) -> Coroutine[None]:
-        answers: list[Answer] = []
+        answers: list[Answer | None] = []
         task = self._loop.current
         assert task is not None
-        self._open += 1
+        self._places.take(connection)
         left: Callable[[], None] | None = None
 
         def answered(answer: Answer) -> None:
@@ -322,63 +320,52 @@
 
         try:
             left = begin(answered)
-            while not answers:
-                yield Wait(connection.sock.fileno(), HANGUP, self._loop.now() + 3600 * SECOND)
-                if not answers and connection.is_gone():
-                    return
+            if not (yield from self._wait(connection, answers)):
+                return
             headers: list[tuple[str, str]] = [("Connection", "close")]
-            status, body = _final(answers[0], headers)
+            assert answers[0] is not None
+            status, body = final_answer(answers[0], headers)
             data = connection.response_bytes(status, headers, body)
             yield from connection.write(data, self._loop.now() + _WRITE_LIMIT)
-            yield from connection.linger(self._loop.now() + _LINGER_LIMIT)
+            connection.shut_down()
         except ConnectionEndedError:
             return
         finally:
             if left is not None and not answers:
                 left()
-            self._open -= 1
-            connection.close()
+            self._places.leave(connection)
 
     def _take(
         self,
         connection: Connection,
         task: Task,
         request: Message,
-        path: str,
+        payload: Payload,
+        placed: dict[str, Any],
         answered: Callable[[Answer | None], None],
     ) -> Callable[[], None]:
         """Hands in a job; gives back what is called at the end, or when the consumer leaves before it."""
-        headers = request.headers
-        if request.repeated & _ONCE:
-            raise BadRequestError(400, f"repeated: {', '.join(sorted(request.repeated & _ONCE))}")
-        job_id = headers.get("x-request-id", "").strip()
-        # danger: the id becomes a header and a path towards providers
-        if not 0 < len(job_id) <= _ID_MOST or not all(c.isalnum() or c in "-_.:~" for c in job_id):
-            raise BadRequestError(400, "X-Request-ID is missing or malformed")
-        if not job_id.isascii():
-            raise BadRequestError(400, "X-Request-ID is not ASCII")
-        if self.shared is None and self._host.knows(job_id):
+        if self.shared is None and self._host.knows(payload.id):
             raise BadRequestError(409, "a job with this X-Request-ID is under way")
-        attributes = _attributes(headers.get("x-attrs", ""))
-        time_left = _milliseconds(headers.get("x-timeout-ms", "")) * MS
+        if self._places.full_of_jobs:
+            # nothing of it was sent: another try is harmless
+            raise BadRequestError(503, "too many jobs wait here", self._advice(_FULL_ADVICE))
         if self.router is not None:
-            placed = self._routed(request, time_left)
+            placed |= self._routed(request, placed["time_left"])
         else:
-            placed = {"job_class": unquote(path.split("/")[1]), "key": _key(headers.get("cookie", ""))}
-        content_type = headers.get("content-type", "")
-        job = Payload(job_id, request.method, request.target, request.body, content_type)
-        placed |= {
-            "time_left": time_left,
-            "slots": attributes.get("slots", 1.0),
-            "memory": attributes.get("memory", 0.0),
-            "repeat": headers.get("x-retried", "").strip() == "1",
-        }
+            path = request.target.partition("?")[0]
+            placed |= {"job_class": class_in(path), "key": cookie_key(request.headers.get("cookie", ""))}
+        self._places.jobs.add(connection)
         if self.shared is not None:
-            return self.shared.take(job, answered, **placed)
-        taken = self._host.take(job, answered, **placed)
+            return self.shared.take(payload, answered, **placed)
+        taken = self._host.take(payload, answered, **placed)
         self.asking[taken] = connection, task
         return partial(self._withdraw, taken)
 
+    def _advice(self, wanted: int) -> list[tuple[str, str]]:
+        settings = self._host.settings
+        return retry_after(min(wanted, settings.max_retry_after) if settings.gives_retry_after else 0)
+
     def _routed(self, request: Message, time_left: int) -> dict[str, Any]:
         """Class, key, tenant and terms by the operators' routes; a BadRequestError if they turn it away.
         Last of all checks: whoever holds a ticket takes the job."""
@@ -401,72 +388,10 @@
         assert self.router is not None
         found = self.router.admit(seen, self._loop.now())
         if not isinstance(found, Ticket):
-            advice = min(found.retry_after, settings.max_retry_after) if settings.gives_retry_after else 0
-            after = [("Retry-After", f"{advice / SECOND:.3f}")] if advice else []
-            raise BadRequestError(found.status, found.reason, after)
+            raise BadRequestError(found.status, found.reason, self._advice(found.retry_after))
         return {
             "job_class": found.route.cls.name,
-            "key": _number(found.key) if found.key else None,
+            "key": key_number(found.key) if found.key else None,
             "tenant": found.tenant or None,
             "terms": Terms(**arrival(found, settings), watch=found),
         }
-
-
-def _expect(request: Message, method: str) -> None:
-    if request.method != method:
-        raise BadRequestError(405, f"only {method} is allowed here", [("Allow", method)])
-
-
-def _body(text: str) -> bytes:
-    return json.dumps({"error": text}).encode()
-
-
-def _final(answer: Answer, headers: list[tuple[str, str]]) -> tuple[int, bytes]:
-    """Danger: 429 and 503 promise that a repeat is harmless; a failure must never use them."""
-    if answer.verdict is Verdict.SERVED:
-        return 200, answer.result
-    if answer.verdict is Verdict.FAILED:
-        return 500, b""
-    if answer.retry_after > 0:
-        headers.append(("Retry-After", f"{answer.retry_after / SECOND:.3f}"))
-    return 503, b""
-
-
-def _milliseconds(text: str) -> int:
-    text = text.strip()
-    if not (text.isascii() and text.isdigit() and len(text) < 12 and 0 < int(text) <= _LONGEST_MS):
-        raise BadRequestError(400, "X-Timeout-Ms is missing or not a number of milliseconds")
-    return int(text)
-
-
-def _attributes(text: str) -> dict[str, float]:
-    found: dict[str, float] = {}
-    for pair in text.split(",") if text.strip() else ():
-        name, equals, value = pair.partition("=")
-        name = name.strip()
-        if not equals or not name:
-            raise BadRequestError(400, f"X-Attrs: not name=value: {pair[:40]!r}")
-        if name not in ("slots", "memory"):
-            continue
-        try:
-            number = float(value)
-        except ValueError:
-            number = -1.0
-        if not 0 <= number <= 1e6 or (name == "slots" and number == 0):
-            raise BadRequestError(400, f"X-Attrs: {name} is out of range")
-        found[name] = number
-    return found
-
-
-def _key(cookie: str) -> int | None:
-    """A number for what the request is about, the same at every dispatcher."""
-    for part in cookie.split(";"):
-        name, _, value = part.strip().partition("=")
-        if name == "sid" and value:
-            return _number(value)
-    return None
-
-
-def _number(key: str) -> int:
-    """A key as a number, the same at every instance."""
-    return int.from_bytes(blake2b(key.encode("utf-8", "surrogatepass"), digest_size=6).digest(), "big")
--- a/ironbarrow/transport/http.py
+++ b/ironbarrow/transport/http.py
@@ -4,6 +4,7 @@
 import select
 import socket
 from collections.abc import Callable
+from contextlib import suppress
 
 import h11
 
@@ -24,6 +25,8 @@
 _CHUNK = 16 * 1024  # no more than HEAD_LIMIT: h11 measures a head only while it is incomplete
 _READS_AT_ONCE = 4  # danger: a peer that sends at full speed would never let the others have a turn
 _LINGER_BYTES = 256 * 1024
+_AHEAD_MOST = 256 * 1024  # of what has come beyond the message in hand
+_FLOOD_BYTES = 8 << 20  # more than a peer that has gone can leave in the buffers on the way
 
 
 def _malformed(error: MalformedError) -> ConnectionEndedError:
@@ -40,6 +43,9 @@
         self.started = False  # part of a message is in
         self._reads = 0  # since it last waited
         self.size = 0  # bytes of the message that is being read; its owner resets it
+        self.shut = False  # the own side is ended: nothing that comes now is served
+        self._ahead = bytearray()  # came while the message before it was in hand
+        self.thrown_away = 0  # bytes beyond those; with a gap, no further message can be read
         self.grew: Callable[[Connection, int], None] | None = None
 
     def close(self) -> None:
@@ -70,6 +76,48 @@
         poll.register(self.sock, select.POLLRDHUP | select.POLLHUP | select.POLLERR)
         return bool(poll.poll(0))
 
+    @property
+    def held(self) -> int:
+        """Bytes of the message that is being read and of what came beyond the one before it."""
+        return self.size + len(self._ahead)
+
+    def look_ahead(self, room: int) -> bool:
+        """Takes in what comes beyond the message in hand, up to ``room`` bytes, and throws away the rest;
+        whether the peer is still there.
+
+        Danger: a peer's end stands behind the bytes it sent before; as long as they fill the buffers it is
+        not told, and the job of one that has gone would be sent on.
+        """
+        if self.is_gone():
+            return False
+        for _ in range(_READS_AT_ONCE):
+            try:
+                data = self.sock.recv(_CHUNK)
+            except (BlockingIOError, InterruptedError):
+                return True
+            except OSError:
+                return False
+            if not data:
+                return False
+            if self.thrown_away or len(data) > min(room, _AHEAD_MOST - len(self._ahead)):
+                self.thrown_away += len(data)
+                continue
+            room -= len(data)
+            self._ahead += data
+            if self.grew is not None:
+                self.grew(self, len(data))
+        return True
+
+    @property
+    def floods(self) -> bool:
+        """Whether more has been thrown away than one that has gone can have sent."""
+        return self.thrown_away > _FLOOD_BYTES
+
+    @property
+    def unread(self) -> bytes:
+        """The first bytes that are in and belong to no message yet."""
+        return self._codec.unread or bytes(self._ahead[:_CHUNK])
+
     # Reading
 
     def event(self, until: int) -> Coroutine[h11.Event | type[h11.PAUSED]]:
@@ -95,6 +143,12 @@
                 raise _malformed(error) from None
 
     def _receive(self, until: int) -> Coroutine[bytes]:
+        if self._ahead:
+            data = bytes(self._ahead[:_CHUNK])
+            del self._ahead[:_CHUNK]
+            if self.grew is not None:
+                self.grew(self, -len(data))  # whoever takes it in counts it again
+            return data
         while True:
             if self._reads < _READS_AT_ONCE:
                 self._reads += 1
@@ -145,13 +199,13 @@
     @property
     def has_unread(self) -> bool:
         """Whether bytes of a further message have been read already."""
-        return self._codec.has_unread
+        return bool(self._ahead) or self._codec.has_unread
 
     def next_cycle(self) -> bool:
         """Whether the connection can carry another exchange; makes it ready for that."""
-        if not self._codec.next_cycle():
+        if self.thrown_away or not self._codec.next_cycle():
             return False
-        self.started = self._codec.has_unread
+        self.started = self.has_unread
         return True
 
     # Writing
@@ -187,6 +241,16 @@
     def can_answer(self) -> bool:
         return self._codec.can_answer
 
+    def shut_down(self) -> None:
+        """Ends the own side. Danger: the peer is told that nothing more is answered; a request that is read
+        after this must not be served, its sender has it served elsewhere."""
+        self.shut = True
+        if self._ahead and self.grew is not None:
+            self.grew(self, -len(self._ahead))
+        self._ahead.clear()
+        with suppress(OSError):
+            self.sock.shutdown(socket.SHUT_WR)
+
     def linger(self, until: int) -> Coroutine[None]:
         """Ends the own side and reads the rest away, up to a limit.
 
@@ -194,11 +258,12 @@
         answer that was just written; but 60 MB from each of hundreds would take the whole core.
         """
         left = _LINGER_BYTES
+        if not self.shut:
+            self.shut_down()
         try:
-            self.sock.shutdown(socket.SHUT_WR)
             while left > 0 and (data := (yield from self._receive(until))):
                 left -= len(data)
-        except (OSError, ConnectionEndedError):
+        except ConnectionEndedError:
             return
 
 
--- a/ironbarrow/wire/http.py
+++ b/ironbarrow/wire/http.py
@@ -33,6 +33,7 @@
     repeated: set[str] = field(default_factory=set)  # names that came more than once
     body: bytes = b""
     keep: bool = True  # the connection may carry another
+    version: str = "1.1"  # of HTTP
 
 
 class HttpCodec:
@@ -78,6 +79,7 @@
         if isinstance(head, h11.Request):
             message.method = head.method.decode("ascii")
             message.target = head.target.decode("latin-1")
+            message.version = head.http_version.decode("ascii")
         else:
             message.status = head.status_code
         # danger: with two lengths, what one reader takes for a body another takes for a request
@@ -100,7 +102,12 @@
     @property
     def has_unread(self) -> bool:
         """Whether bytes are in that belong to no message yet."""
-        return bool(self._h11.trailing_data[0])
+        return bool(self.unread)
+
+    @property
+    def unread(self) -> bytes:
+        """Bytes that are in and belong to no message yet."""
+        return self._h11.trailing_data[0]
 
     # Writing
 
