Try the end with both requests of a pipelined pair, and one right after the closing

With the front's closings both of a pair are answered, and what comes after the shutdown goes to no provider.

--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -66,6 +66,17 @@
         c1 send {job()}
         closing
         {served("j1")}""",
+    # danger: read after the own side has ended and sent on, it would have no answer; unread, the client sends
+    # it once more elsewhere
+    "a request on a resting connection right after the closing": f"""
+        c1 send {READY}
+        c1 expect 200 OK
+        closing
+        c1 send {job()}
+        c1 ended
+        p1 silent 20
+        p2 silent 20
+        c1 close""",
     "half a request, and the rest": f"""
         c1 send {job()[:60]}
         wait 20
@@ -88,12 +99,16 @@
         c1 expect ^HTTP/1.1 408
         c1 ended
         c1 close""",
-    # one is answered, the other one goes elsewhere, since the first one's answer says close
+    # danger: the kernel has taken both, and the answer to the first must not end the second's connection
     "two requests at once": f"""
         c1 send {job("j1")}{job("j2")}
         closing
-        {served("j1")}
-        p2 silent 20""",
+        p1 expect : j1.*in$
+        p1 send {ACCEPTED}
+        c9 send {call_back("done", "j1", result="first")}
+        c9 expect HTTP/1.1 204
+        c1 expect HTTP/1.1 200 .*first
+        {served("j2", caller="c8")}""",
     "a connection that says nothing, accepted": """
         c1 silent 20
         closing
