Take indented lists, one clock for silences and calls, and a drain against a list that is behind

Cause (read in ironbarrow/directory/client.py, each shown by a test that failed on the old file, run on a copy): - A watch was broken only 6 s after its last byte, and the answer to a new call had the same 6 s: with a pause of up to 3 s what the agent had at its return came after 7 s and more, where it counts at once (1.05 s with the grace). - Pauses grew to 3 s, since only a list reset them. - The watch parsed line by line: an indented object, one without its line end and one that broke off before empty lines were nonsense or waited for. - A drain with a wrong address, weight or status was left out of a list; true and -1 counted as versions; changes of an older version undid a drain. - After a reload the new directory's list undid a drain that the old one had told a moment ago; there and back, the directory in between replaced the list, and the first one was listened to twice. Change: objects of any form and pieces, limited, at a cost that does not grow with the list; 2.75 s for silence, 0.7 s for the head of a pushed answer (2.4 s for an asked one and after 30 s without any), pauses of 60 to 180 ms; a withdrawal holds for 6 s against another directory's word on the same process; what has told nothing is not listened to once left.

--- a/ironbarrow/directory/client.py
+++ b/ironbarrow/directory/client.py
@@ -5,8 +5,10 @@
 """
 
 import json
+import math
+import re
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 from typing import Any
 
@@ -22,12 +24,21 @@
 log = structlog.get_logger()
 
 PATH = "/api/targets"
-_CONNECT_LIMIT = 1 * SECOND
-_LIST_LIMIT = 3 * SECOND
-# an empty line comes every 2 s: a watch that says nothing for longer is dead, whatever TCP thinks
-_SILENCE_LIMIT = 6 * SECOND
-_PAUSES = (100 * MS, 200 * MS, 500 * MS, 1 * SECOND, 2 * SECOND)  # before one more try
+# danger: a change counts as told 6 s after the directory had it, also where the call that should have brought
+# it hung, or the watch fell silent: a limit, a pause and one more call have to fit in there
+_SILENCE_LIMIT = 2_750 * MS  # an empty line is due every 2 s; silent for longer, a watch is broken
+# danger: a directory that pushes is on the own machine and answers at once, and what it has counts as told at
+# once, with a second's grace; a call that it left unanswered while it was down must not hold up the next one
+_PUSHED_ANSWER_LIMIT = 700 * MS  # from connecting to the answer's head
+_PATIENT_AFTER = 30 * SECOND  # without any answer; danger: on a machine that is slow there would never be one
+_ANSWER_LIMIT = 2_400 * MS  # likewise; the service that a fleet asks refuses what has waited for 2 s
+_PAUSE = 120 * MS  # before one more call for what is pushed, in the mean
+_SETTLED = 6 * SECOND  # after this two directories of one fleet say the same
 _SIZE_LIMIT = 4 << 20
+_GAP_LIMIT = 16 * 1024  # bytes between two braces
+
+# up to the next brace outside of a string
+_TO_BRACE = re.compile(rb'(?:[^"{}]++|"(?:[^"\\]++|\\.)*+")*+([{}])', re.DOTALL)
 
 _STATES = {
     "up": api.WorkerState.UP,
@@ -42,7 +53,7 @@
 
     address: Address
     version: int | None = None  # None: the whole list is needed first
-    failures: int = 0  # in a row, since it last told something
+    answered_at: int = 0  # when it last began to answer
     task: Task | None = None
 
 
@@ -54,6 +65,60 @@
     """
 
 
+class _Objects:
+    """JSON objects out of a stream, each over any number of lines and cut into any pieces."""
+
+    def __init__(self) -> None:
+        self._text = bytearray()  # from the start of the object that is not whole yet
+        self._scanned = self._depth = 0
+
+    @property
+    def unfinished(self) -> bool:
+        return self._depth > 0
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """The objects that are whole with these bytes; a ValueError where none can come of them."""
+        text = self._text
+        text += data
+        found, start = [], 0
+        while match := _TO_BRACE.match(text, self._scanned):
+            brace, self._scanned = match[1], match.end()
+            if brace == b"{" and self._depth:
+                # danger: after an object that broke off, the next one would be taken for a part of it
+                before = bytes(text[max(start, self._scanned - 65) : self._scanned - 1]).rstrip()
+                if before and before[-1:] not in b"[,:":
+                    raise ValueError("an object within another that broke off")
+            self._depth += 1 if brace == b"{" else -1
+            if self._depth < 0:
+                raise ValueError("an object's end without its start")
+            if self._depth == 0:
+                found.append(bytes(text[start : self._scanned]))
+                start = self._scanned
+        # danger: what is kept is looked at again with each piece
+        del text[:start]
+        self._scanned -= start
+        if not self._depth:
+            if text.strip():
+                raise ValueError("not an object")
+            text.clear()
+            self._scanned = 0
+        elif len(text) > _SIZE_LIMIT:
+            raise ConnectionEndedError(Ending.TOO_LARGE)
+        elif len(text) - self._scanned > _GAP_LIMIT:
+            raise ValueError("no object")
+        return found
+
+
+@dataclass(slots=True, eq=False)
+class _Withdrawal:
+    """A directory's word that a provider wants nothing new."""
+
+    source: _Source
+    at: int
+    started_at: int  # of the provider's process that it is about
+    held_back: api.WorkerEntry | None = None  # what another directory has said meanwhile
+
+
 class Directory:
     """Keeps the addresses of providers and passes each change on at once."""
 
@@ -72,8 +137,9 @@
         self._listed = listed
         self._on_request = on_request
         self._random = Random(seed)
-        self._source = _Source(address)
-        self._left: list[_Source] = []  # still listened to after a move
+        self._source = _Source(address, answered_at=loop.now())
+        self._left: _Source | None = None  # still listened to after a move
+        self._withdrawals: dict[str, _Withdrawal] = {}  # of late
         self._addresses: dict[str, Address] = {}
 
     def address_of(self, provider: str) -> Address | None:
@@ -101,16 +167,22 @@
         Danger: the new one may be long in coming. Until it has told something the list stays, and
         the old one is listened to for as long as its connection lasts.
         """
-        if address != self._source.address:
-            self._left.append(self._source)
-            self._source = _Source(address)
-            self.ask()
+        left, source = self._left, self._source
+        if address == source.address:
+            return
+        if left is not None:
+            # danger: what has told nothing yet must not, left once more, replace the list of the one that has
+            self._end(source)
+        if left is not None and left.address == address:
+            self._source, self._left = left, None
+        else:
+            self._source, self._left = _Source(address, answered_at=self._loop.now()), left or source
+        self.ask()
 
-    def _leave_old(self) -> None:
-        for source in self._left:
-            if source.task is not None:
-                source.task.cancel()
-        self._left.clear()
+    @staticmethod
+    def _end(source: _Source) -> None:
+        if source.task is not None:
+            source.task.cancel()
 
     def _take(self, source: _Source, raw: Any, kind: api.ListKind | None = None) -> None:
         """One object of a source's; a ValueError says what is wrong with it."""
@@ -118,12 +190,15 @@
             raise ValueError("no object with endpoints")
         if kind is None:
             kind = api.ListKind.FULL if raw.get("snapshot") else api.ListKind.CHANGES
-        source.failures = 0
         version = raw.get("index")
-        if isinstance(version, int):
+        # danger: what comes in a wrong order may be older than what was told
+        back = False
+        if type(version) is int and version >= 0:  # true is no number
+            back = kind is api.ListKind.CHANGES and version < (source.version or 0)
             source.version = version
-        if source is self._source:
-            self._leave_old()
+        if source is self._source and self._left is not None:
+            self._end(self._left)
+            self._left = None
         entries = []
         for item in raw["endpoints"]:
             try:
@@ -133,26 +208,74 @@
                 log.warning("directory entry ignored", error=repr(error), entry=str(item)[:200])
         if kind is not api.ListKind.CHANGES:
             listed = {entry.worker for entry in entries}
-            self._addresses = {n: a for n, a in self._addresses.items() if n in listed}
+            now = self._loop.now()
+            for name in self._addresses.keys() - listed:
+                del self._addresses[name]
+                self._withdrawals[name] = _Withdrawal(source, now, now)
+        if back:
+            entries = [entry for entry in entries if entry.state is not api.WorkerState.UP]
+        entries = self._strictest(source, entries)
         self._listed(api.WorkerList(kind, tuple(entries), source.version or 0))
+        if back:
+            raise ValueError(f"changes from an older version, {version}")
+
+    def _strictest(self, source: _Source, entries: list[api.WorkerEntry]) -> list[api.WorkerEntry]:
+        """Danger: of two directories, the new one may be behind what the old one has told. For a while a
+        withdrawal holds against the word of another directory, unless that is about a later process."""
+        now = self._loop.now()
+        late = [name for name, w in self._withdrawals.items() if now >= w.at + _SETTLED and not w.held_back]
+        for name in late:
+            del self._withdrawals[name]
+        kept = []
+        for entry in entries:
+            said = self._withdrawals.get(entry.worker)
+            if entry.state is not api.WorkerState.UP:
+                self._withdrawals[entry.worker] = _Withdrawal(source, now, entry.started_at)
+            elif said is not None and said.source is not source and entry.started_at <= said.started_at:
+                if said.held_back is None:
+                    self._loop.call_at(said.at + _SETTLED, self._release, entry.worker, said)
+                said.held_back = entry
+                entry = replace(entry, state=api.WorkerState.DRAINING)
+            else:
+                self._withdrawals.pop(entry.worker, None)
+            kept.append(entry)
+        return kept
+
+    def _release(self, name: str, said: _Withdrawal) -> None:
+        if self._withdrawals.get(name) is said and said.held_back is not None:
+            del self._withdrawals[name]
+            version = self._source.version or 0
+            self._listed(api.WorkerList(api.ListKind.CHANGES, (said.held_back,), version))
 
     def _entry(self, item: dict[str, Any]) -> api.WorkerEntry:
-        name, state = item["name"], _STATES.get(item["status"], api.WorkerState.DRAINING)
+        name, status = item["name"], item["status"]
         if not isinstance(name, str) or not name:
             raise ValueError("no name")
-        if state is api.WorkerState.GONE:
-            self._addresses.pop(name, None)
-        else:
-            self._addresses[name] = parse_address(item["address"])
-        cell = item.get("group")
+        state = _STATES.get(status if isinstance(status, str) else "", api.WorkerState.DRAINING)
+        try:
+            if state is api.WorkerState.GONE:
+                self._addresses.pop(name, None)
+            else:
+                self._addresses[name] = parse_address(item["address"])
+            return replace(self._described(name, item), state=state)
+        except (KeyError, TypeError, ValueError, OverflowError):
+            if state is api.WorkerState.UP:
+                raise
+            # danger: whatever else is wrong with its line, it is said to want nothing new
+            return api.WorkerEntry(name, state=state)
+
+    @staticmethod
+    def _described(name: str, item: dict[str, Any]) -> api.WorkerEntry:
+        cell, weight = item.get("group"), float(item.get("weight", 1.0))
+        if not math.isfinite(weight):
+            raise ValueError("no weight")
         return api.WorkerEntry(
             name,
             str(item.get("zone") or ""),
             None if cell is None else int(cell),
             str(item.get("type") or ""),
-            float(item.get("weight", 1.0)),
+            weight,
             int(item.get("since_ms") or 0) * MS,
-            state,
         )
 
     # The wire
@@ -175,49 +298,64 @@
                     self._listed(api.WorkerList(api.ListKind.LOST))
                 return
             # danger: in step with all others that lost it in the same instant, it would jam it once more
-            pause = int(_PAUSES[min(source.failures, len(_PAUSES) - 1)] * self._random.uniform(0.5, 1.5))
-            source.failures += 1
-            yield from sleep(self._loop.now() + pause)
+            yield from sleep(self._loop.now() + int(_PAUSE * self._random.uniform(0.5, 1.5)))
 
-    def _connect(self, source: _Source) -> Coroutine[Connection]:
-        return connect(source.address, self._loop.now() + _CONNECT_LIMIT)
+    def _call(self, source: _Source, target: str) -> Coroutine[Connection]:
+        """A connection on which the directory has begun to answer."""
+        now = self._loop.now()
+        patient = self._on_request or now > source.answered_at + _PATIENT_AFTER
+        until = now + (_ANSWER_LIMIT if patient else _PUSHED_ANSWER_LIMIT)
+        connection = yield from connect(source.address, until)
+        try:
+            host = "{}:{}".format(*source.address)
+            yield from connection.write(connection.request_bytes("GET", target, [("Host", host)]), until)
+            head = yield from connection.event(until)
+            while isinstance(head, h11.InformationalResponse):
+                head = yield from connection.event(until)
+            if not isinstance(head, h11.Response):
+                raise ConnectionEndedError(Ending.CLOSED)
+            source.answered_at = self._loop.now()
+            if head.status_code != 200:
+                raise _RefusedError(f"{target} was answered with {head.status_code}")
+        except BaseException:
+            connection.close()
+            raise
+        return connection
+
+    @staticmethod
+    def _body(connection: Connection, until: int) -> Coroutine[bytes | None]:
+        """The next bytes of an answer; None at its end."""
+        event = yield from connection.event(until)
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            return None
+        raise ConnectionEndedError(Ending.CLOSED)
 
     def _fetch(self, source: _Source) -> Coroutine[None]:
-        connection = yield from self._connect(source)
+        connection = yield from self._call(source, PATH)
+        body, until = bytearray(), self._loop.now() + _SILENCE_LIMIT
         try:
-            until = self._loop.now() + _LIST_LIMIT
-            yield from connection.write(self._request(source, connection, PATH), until)
-            answer = yield from connection.read_message(until, _SIZE_LIMIT)
+            while (data := (yield from self._body(connection, until))) is not None:
+                body += data
+                if len(body) > _SIZE_LIMIT:
+                    raise ConnectionEndedError(Ending.TOO_LARGE)
         finally:
             connection.close()
-        if answer.status != 200:
-            raise _RefusedError(f"the list was answered with {answer.status}")
-        self._take(source, json.loads(answer.body))
+        self._take(source, json.loads(body))
 
     def _watch(self, source: _Source) -> Coroutine[None]:
-        connection = yield from self._connect(source)
+        connection = yield from self._call(source, f"{PATH}?follow=1&since={source.version or 0}")
+        objects, unfinished, until = _Objects(), False, self._loop.now() + _SILENCE_LIMIT
         try:
-            target = f"{PATH}?follow=1&since={source.version}"
-            until = self._loop.now() + _LIST_LIMIT
-            yield from connection.write(self._request(source, connection, target), until)
-            pending = b""
-            while True:
-                event = yield from connection.event(self._loop.now() + _SILENCE_LIMIT)
-                if isinstance(event, h11.Response):
-                    if event.status_code != 200:
-                        raise _RefusedError(f"the watch was answered with {event.status_code}")
-                elif isinstance(event, h11.Data):
-                    *lines, pending = (pending + bytes(event.data)).split(b"\n")
-                    for line in lines:
-                        if line.strip():
-                            self._take(source, json.loads(line))
-                    if len(pending) > _SIZE_LIMIT:
-                        raise ConnectionEndedError(Ending.TOO_LARGE)
-                else:
-                    raise ConnectionEndedError(Ending.CLOSED)
+            while (data := (yield from self._body(connection, until))) is not None:
+                found = objects.feed(data)
+                for text in found:
+                    self._take(source, json.loads(text))
+                # danger: empty lines after an object that broke off are no signs of life
+                if found or not objects.unfinished or not unfinished:
+                    until = self._loop.now() + _SILENCE_LIMIT
+                unfinished = objects.unfinished
+            raise ConnectionEndedError(Ending.CLOSED)
         finally:
             connection.close()
-
-    @staticmethod
-    def _request(source: _Source, connection: Connection, target: str) -> bytes:
-        return connection.request_bytes("GET", target, [("Host", "{}:{}".format(*source.address))])
