Call an asked list service again within 2 s of a failure, and later only where it is overloaded

Cause: after a failure the next call waited up to ask_within (10 s), as did the first one after a start: past the 6 s after which a change counts as told. Seen by a property test over 1 to 1,024 dispatchers and seven ways to fail, in virtual time. Change: 2 s at most after a failure or a lost watch; the first call within 3.5 s in fleets of up to 40, of which a service that answers 8 calls a second can answer all in 6 s. So a refusal that came 1 to 2.3 s after its call, the sign of a full queue, is followed by the fleet's whole spread; the decisions tell it by the time since their call. Left: larger fleets keep their first call spread over up to 10 s, since a test wants 60 dispatchers served by that service with 75 calls at most, and with any earlier end of that spread it can't be.

--- a/heathway/logic.py
+++ b/heathway/logic.py
@@ -68,7 +68,7 @@
         self._agenda = state.Agenda()
         self._guesses = state.Guesses()
         self._usual = (0.0, 0.0)  # of a worker: its size, the slots that others use
-        self._next_period = self._gathered_at = self._timer_at = 0
+        self._next_period = self._gathered_at = self._timer_at = self._asked_at = 0
         self._take: dict[type, Callable[[Any], None]] = {
             api.WorkerList: self._listed,
             api.JobArrived: self._arrived,
@@ -509,13 +509,18 @@
     # The worker list
 
     def _ask_after(self, pause: int) -> None:
-        self._agenda.at(self._now + pause, lambda: self._out.append(api.Subscribe(True)))
+        self._agenda.at(self._now + pause, self._ask)
+
+    def _ask(self) -> None:
+        self._asked_at = self._now
+        self._out.append(api.Subscribe(True))
 
     def _listed(self, event: api.WorkerList) -> None:
         if event.kind is ListKind.LOST:  # the old list stays
-            self._ask_after(self._calls.failed())
+            self._ask_after(self._calls.failed(self._now - self._asked_at))
             return
         self._calls.answered()
+        self._asked_at = 0  # what is lost from now on is the watch
         if event.kind is not ListKind.CHANGES:
             listed = {entry.worker for entry in event.entries}
             for worker in self._workers.values():
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -3,6 +3,7 @@
 import heapq
 import itertools
 import json
+import random
 from collections.abc import Callable
 from typing import Any
 
@@ -11,7 +12,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from heathway import api
+from heathway import api, pacing
 from heathway.pacing import CallPace
 from heathway.settings import read_settings
 from ironbarrow.core.endings import ConnectionEndedError, Ending
@@ -19,6 +20,7 @@
 from ironbarrow.runtime.clock import Timer
 from ironbarrow.runtime.loop import MS, SECOND, Coroutine, Task, Wait
 from tests.scenario import SETTINGS, Stage, answer, call_back, job
+from tests.world import World, entries, make_settings
 
 ACCEPTED = answer(202)
 TOLD = 6 * SECOND  # after this a change counts as told
@@ -563,6 +565,8 @@
 
 
 TIMES = st.integers(0, 8_000)
+# of a larger fleet's first calls a service that answers 8 a second can't answer all in time
+ANSWERED_IN_TIME = pacing.ANSWERED_WITHIN // pacing.APART
 
 
 @given(st.sampled_from(FAILS), TIMES, st.integers(1, 20_000), TIMES, st.integers(0, 99))
@@ -583,3 +587,109 @@
             assert arrived <= reached + GRACE
         # each try is the whole list and a watch at most
         assert all(c - a >= 50 * MS for a, c in zip(agent.calls, agent.calls[2:], strict=False))
+
+
+@given(
+    st.sampled_from(FAILS),
+    st.integers(0, 20_000),
+    st.integers(1, 20_000),
+    st.integers(0, 20_000),
+    st.integers(1, ANSWERED_IN_TIME),
+    st.integers(1, 40),
+    st.integers(0, 99),
+)
+def test_what_a_directory_that_is_asked_has_is_known_before_it_counts_as_told(
+    fails: str, down: int, lasts: int, change: int, dispatchers: int, within: int, seed: int
+) -> None:
+    with pytest.MonkeyPatch.context() as patch:
+        loop = VirtualLoop()
+        up = (down + lasts) * MS
+        agent = Agent(loop, fails, down * MS, up, change * MS)
+        patch.setattr(directory, "connect", agent.connect)
+        pace = CallPace(dispatchers, within * SECOND, random.Random(seed))
+        arrived = told_at(agent, loop, up + 40 * SECOND, pace, seed)
+        # where it was down at the first call, it could not be reached before it was back
+        missed = agent.change_at >= agent.down or agent.down <= agent.calls[0] < up
+        reached = max(agent.change_at, up if missed else 0)
+        assert arrived < reached + TOLD - SECOND // 2
+
+
+@given(st.integers(1, 1_024), st.integers(0, 40), st.integers(0, 30), st.integers(0, 99))
+def test_a_limit_a_pause_and_an_answer_fit_before_a_change_counts_as_told(
+    dispatchers: int, within: int, failures: int, seed: int
+) -> None:
+    pace = CallPace(dispatchers, within * SECOND, random.Random(seed))
+    first = pace.first() if dispatchers <= ANSWERED_IN_TIME else 0
+    pauses = [pace.failed() for _ in range(failures + 1)]
+    answer_comes = 1 * SECOND
+    lost = max(directory._SILENCE_LIMIT, directory._ANSWER_LIMIT)
+    assert all(lost + pause + answer_comes < TOLD for pause in pauses)
+    # the first call may be refused, too
+    assert first + pauses[0] <= TOLD - SECOND // 2
+    assert min(pauses) >= 250 * MS
+
+
+@given(st.integers(40, 1_024), st.integers(1, 40), st.integers(0, 8), st.integers(0, 99))
+def test_the_calls_of_a_fleet_are_spread_also_where_all_fail_at_once(
+    dispatchers: int, within: int, failures: int, seed: int
+) -> None:
+    paces = [
+        CallPace(dispatchers, within * SECOND, random.Random(seed * 2_000 + n)) for n in range(dispatchers)
+    ]
+    longest = min(within * SECOND, 2 * SECOND)
+    due = sorted([pace.failed() for _ in range(failures + 1)][-1] for pace in paces)
+    assert due[-1] - due[0] > longest // 2
+    for start in range(0, longest, longest // 8):
+        assert sum(start <= d < start + longest // 8 for d in due) < dispatchers * 0.45
+
+
+def calls_when_a_service_is_back(dispatchers: int, guarded: bool) -> tuple[int, int]:
+    """Of a fleet whose calls all failed in one instant, to a service that answers 8 a second, refuses after
+    2 s and serves what it refused all the same: the calls, and the dispatchers answered, within a minute."""
+    paces = [CallPace(dispatchers, 10 * SECOND, random.Random(n)) for n in range(dispatchers)]
+    due = [(pace.failed(), n) for n, pace in enumerate(paces)]
+    heapq.heapify(due)
+    free_at = calls = answered = 0
+    while due and due[0][0] < 60 * SECOND:
+        now, n = heapq.heappop(due)
+        calls += 1
+        free_at = max(free_at, now) + 125 * MS
+        if free_at - now <= 2 * SECOND:
+            answered += 1
+        else:
+            heapq.heappush(due, (now + 2 * SECOND + paces[n].failed(2 * SECOND if guarded else 0), n))
+    return calls, answered
+
+
+@pytest.mark.parametrize("dispatchers", [3, 24, 40, 48, 60])
+def test_a_service_that_is_back_is_not_jammed_for_ever(dispatchers: int) -> None:
+    calls, answered = calls_when_a_service_is_back(dispatchers, guarded=True)
+    assert answered == dispatchers
+    assert calls <= 3 * dispatchers
+
+
+def test_what_jams_it_is_the_call_after_one_that_was_refused_late() -> None:
+    calls, answered = calls_when_a_service_is_back(60, guarded=False)
+    assert answered < 30
+    assert calls > 400
+
+
+def test_the_decisions_tell_a_late_refusal_from_a_silence_and_a_lost_watch() -> None:
+    def next_call(waited: int, listed: bool) -> int:
+        world = World(make_settings(asks_for_list=True, dispatchers=200), entries(2), seed=5)
+        while not any(isinstance(action, api.Subscribe) for action in world.actions):
+            world.advance(5 * MS)
+        world.actions.clear()
+        world.advance(waited)
+        if listed:
+            world.listed(api.ListKind.CHANGES, ())
+            world.advance(waited)
+        world.listed(api.ListKind.LOST, ())
+        lost = world.now
+        while not any(isinstance(action, api.Subscribe) for action in world.actions):
+            world.advance(5 * MS)
+        return world.now - lost
+
+    assert next_call(2 * SECOND, listed=False) > 2_100 * MS
+    for waited, listed in ((0, False), (directory._ANSWER_LIMIT, False), (2 * SECOND, True)):
+        assert next_call(waited, listed) <= pacing.AGAIN_WITHIN + 210 * MS
