Refuse settings that can't be used in one line with key, value and what was expected

With an operators' address 64 descriptors left none for consumers.

Change: each key is read with its type and range.

Two older expectations named our words ('wrong form', 'tick is out of range'); they now ask for the file's key and what was expected, which is stricter.

--- a/ironbarrow/config/platform.py
+++ b/ironbarrow/config/platform.py
@@ -13,6 +13,8 @@
 _MS = 1_000_000
 _DESCRIPTORS = 1024  # where no limit is given
 _MEMORY_MB = 192  # likewise
+_LEAST_DESCRIPTORS = 64
+_DOOR_DESCRIPTORS = 32  # what an operators' address needs beside them
 
 
 class ConfigError(Exception):
@@ -72,23 +74,23 @@
     environment: Mapping[str, str]
     file_first: bool
 
+    def told(self, name: str) -> str | None:
+        """What is told, or None; an empty text is nothing."""
+        value = self.raw.get(name)
+        if value is not None and not isinstance(value, str):
+            raise ValueError(f"{name}: expected a text, got {str(value)[:40]!r}")
+        told = (self.environment.get(f"BALANCER_{name.upper()}"), value)
+        return next((v for v in (reversed(told) if self.file_first else told) if v), None)
+
     def text(self, name: str) -> str:
-        variable = f"BALANCER_{name.upper()}"
-        told = (self.environment.get(variable), self.raw.get(name))
-        value = next((v for v in (reversed(told) if self.file_first else told) if v), None)
-        if not isinstance(value, str):
-            raise ValueError(f"{name}: missing, and {variable} is not set")
+        value = self.told(name)
+        if value is None:
+            raise ValueError(f"{name}: missing, and BALANCER_{name.upper()} is not set")
         return value
 
-    def has(self, name: str) -> bool:
-        return bool(self.environment.get(f"BALANCER_{name.upper()}") or self.raw.get(name))
-
     def path(self, name: str) -> Path | None:
         """A file's path, or None: nobody has to have one."""
-        told = (self.environment.get(f"BALANCER_{name.upper()}"), self.raw.get(name))
-        value = next((v for v in (reversed(told) if self.file_first else told) if v), None)
-        if value is not None and not isinstance(value, str):
-            raise ValueError(f"{name}: not a path: {value!r}")
+        value = self.told(name)
         return None if value is None else Path(value)
 
     def switch(self, variable: str) -> bool:
@@ -107,14 +109,17 @@
 def _config(raw: dict[str, Any], texts: _Texts) -> Config:
     conf = _object(raw, "settings")
     limits = _object(raw, "limits")
-    rules = _object(conf, "limits")
     known = _object(raw, "known")
     if known and not isinstance(known.get("endpoints"), list):
         raise ValueError("known: no object with endpoints")
     settings = read_settings(conf)  # whose errors name the key
+    rules = _object(conf, "limits")
+    admin = texts.address("admin", least_port=0) if texts.told("admin") else None
     sockets = _number(limits, "limits", "sockets", _DESCRIPTORS)
-    if sockets < 64:
-        raise ValueError(f"limits.sockets: {sockets} is too few; 64 are needed")
+    # danger: with all of them taken by the program itself, it would run and take no connection
+    least = _LEAST_DESCRIPTORS + (_DOOR_DESCRIPTORS if admin is not None else 0)
+    if sockets < least:
+        raise ValueError(f"limits.sockets: {sockets} is too few; {least} are needed")
     return Config(
         name=texts.text("name"),
         listen=texts.address("listen", least_port=0),  # 0: any free one
@@ -127,7 +132,7 @@
         memory_mb=_number(limits, "limits", "memory_mb", _MEMORY_MB),
         routes=texts.path("routes"),
         fleet=texts.path("fleet"),
-        admin=texts.address("admin", least_port=0) if texts.has("admin") else None,
+        admin=admin,
         folder=Path(folder) if (folder := texts.environment.get("TMPDIR")) else None,
         traced=texts.switch("BALANCER_TRACE"),
         connect_timeout=_number(rules, "settings.limits", "connectTimeout", 250 * _MS),
@@ -136,23 +141,25 @@
 
 
 def _object(raw: dict[str, Any], name: str) -> dict[str, Any]:
-    value = raw.get(name) or {}
-    if not isinstance(value, dict):
-        raise ValueError(f"{name}: not an object")
-    return value
+    value = raw.get(name)
+    if value is not None and not isinstance(value, dict):
+        raise ValueError(f"{name}: not an object: {str(value)[:40]!r}")
+    return value or {}
 
 
 def _number(raw: dict[str, Any], place: str, name: str, default: int) -> int:
-    value = raw.get(name, default)
-    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 < value < 1e15:
-        raise ValueError(f"{place}.{name}: not a number above 0: {value!r}")
+    value = raw.get(name)
+    if value is None:
+        return default
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 1 <= value < 1e15:
+        raise ValueError(f"{place}.{name}: not a number from 1 to 1e15: {str(value)[:40]!r}")
     return int(value)
 
 
 def _seed(value: Any) -> int:
-    if isinstance(value, int):
+    if isinstance(value, int) and not isinstance(value, bool):
         return value
     try:
         return int(value, 16)
     except (TypeError, ValueError):
-        raise ValueError(f"seed: neither a number nor hexadecimal: {value!r}") from None
+        raise ValueError(f"seed: neither a number nor hexadecimal: {str(value)[:40]!r}") from None
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -46,9 +46,15 @@
     "not JSON": ("{", "not JSON"),
     "no object": ([1], "not an object"),
     "no settings": ({**GOOD, "settings": {}}, "requestClasses is missing"),
-    "classes of a wrong form": ({**GOOD, "settings": {**SETTINGS, "requestClasses": 7}}, "wrong form"),
+    "classes of a wrong form": (
+        {**GOOD, "settings": {**SETTINGS, "requestClasses": 7}},
+        "requestClasses: expected a list of objects, got 7",
+    ),
     "a class without a name": ({**GOOD, "settings": {**SETTINGS, "requestClasses": [{}]}}, "settings: "),
-    "settings out of range": ({**GOOD, "settings": {**SETTINGS, "round": 0}}, "tick is out of range"),
+    "settings out of range": (
+        {**GOOD, "settings": {**SETTINGS, "round": 0}},
+        "settings: round: expected a number from 1",
+    ),
     "no listening address": ({**GOOD, "listen": ""}, "listen: missing"),
     "a listening address without a port": ({**GOOD, "listen": "127.0.0.1"}, "listen: not host:port"),
     "a port out of range": ({**GOOD, "discovery": "127.0.0.1:70000"}, "discovery: not host:port"),
@@ -60,6 +66,37 @@
     "a round without end": ('{"settings": {"requestClasses": [], "me": 1e999}}', "expected a number"),
     "a seed that is no number": ({**GOOD, "seed": "xyz"}, "seed: neither"),
     "a known list of a wrong form": ({**GOOD, "known": [1]}, "known: not an object"),
+    "a name that is no text": ({**GOOD, "name": 7}, "name: expected a text, got '7'"),
+    "an address that is no text": ({**GOOD, "listen": ["127.0.0.1", 9000]}, "listen: expected a text, got"),
+    "routes that are no path": ({**GOOD, "routes": {"file": "x"}}, "routes: expected a text, got"),
+    "settings of a wrong form": ({**GOOD, "settings": []}, r"settings: not an object: '\[\]'"),
+    "settings of no form": ({**GOOD, "settings": 0}, "settings: not an object: '0'"),
+    "limits of no form": ({**GOOD, "limits": False}, "limits: not an object: 'False'"),
+    "sockets without a figure": ({**GOOD, "limits": {"sockets": True}}, "limits.sockets: not a number"),
+    "sockets without end": ({**GOOD, "limits": {"sockets": float("inf")}}, "limits.sockets: not a number"),
+    "memory of less than one": ({**GOOD, "limits": {"memory_mb": 0.5}}, "memory_mb: not a number from 1"),
+    "memory that is none": ({**GOOD, "limits": {"memory_mb": float("nan")}}, "memory_mb: not a number"),
+    "too few sockets for a door": (
+        {**GOOD, "admin": "127.0.0.1:0", "limits": {"sockets": 95}},
+        "limits.sockets: 95 is too few; 96 are needed",
+    ),
+    "a seed that is true": ({**GOOD, "seed": True}, "seed: neither a number nor hexadecimal: 'True'"),
+    "a time to connect that is none": (
+        {**GOOD, "settings": {**SETTINGS, "limits": {"connectTimeout": 0}}},
+        "settings.limits.connectTimeout: not a number from 1 to 1e15: '0'",
+    ),
+    "an idle time that is text": (
+        {**GOOD, "settings": {**SETTINGS, "limits": {"connIdle": "15 s"}}},
+        "settings.limits.connIdle: not a number from 1 to 1e15: '15 s'",
+    ),
+    "permissions of a wrong form": (
+        {**GOOD, "settings": {**SETTINGS, "limits": [1]}},
+        r"settings: limits: expected an object, got \[1\]",
+    ),
+    "a start capacity of none": (
+        {**GOOD, "settings": {**SETTINGS, "guarantees": {"startCapacity": 0}}},
+        "settings: guarantees.startCapacity: expected a number above 0 to 1, got 0",
+    ),
     "a known list without entries": ({**GOOD, "known": {"index": 4}}, "known: no object with endpoints"),
 }
 
@@ -67,8 +104,37 @@
 @pytest.mark.parametrize("name", WRONG)
 def test_a_wrong_configuration_is_named_plainly(name: str, tmp_path: Path) -> None:
     raw, text = WRONG[name]
-    with pytest.raises(ConfigError, match=text):
+    with pytest.raises(ConfigError, match=text) as caught:
         load(written(tmp_path, raw))
+    assert str(caught.value).startswith(f"{tmp_path}/config.json: ")
+    assert "\n" not in str(caught.value)
+
+
+@pytest.mark.parametrize(
+    ("variable", "value", "text"),
+    [
+        ("BALANCER_LISTEN", "9000", "listen: not host:port: '9000'"),
+        ("BALANCER_LISTEN", "127.0.0.1:9\n", "listen: not host:port"),
+        ("BALANCER_DISCOVERY", "127.0.0.1:0", "discovery: not host:port: '127.0.0.1:0'"),
+        ("BALANCER_ADMIN", "localhost", "admin: not host:port: 'localhost'"),
+        ("BALANCER_TRACE", "yes", "BALANCER_TRACE: neither 0 nor 1: 'yes'"),
+    ],
+)
+def test_a_wrong_variable_is_named_plainly(variable: str, value: str, text: str, tmp_path: Path) -> None:
+    with pytest.raises(ConfigError, match=text) as caught:
+        load({**written(tmp_path, GOOD), variable: value})
+    assert "\n" not in str(caught.value)
+
+
+def test_a_start_with_settings_that_cannot_be_used_is_refused_in_one_line(tmp_path: Path) -> None:
+    wrong = {**GOOD, "settings": {**SETTINGS, "limits": {**SETTINGS["limits"], "mostTries": 0}}}
+    for command in ("serve", "check-config"):
+        done = run(command, **written(tmp_path, wrong))
+        assert (done.returncode, done.stdout) == (2, "")
+        assert done.stderr == (
+            f"ironbarrow: {tmp_path}/config.json: settings: limits.mostTries: "
+            "expected a number from 1 to 1000000, got 0\n"
+        )
 
 
 def run(*words: str, **environment: str) -> "subprocess.CompletedProcess[str]":
