--- /dev/null
+++ b/tests/test_deployments.py
@@ -0,0 +1,292 @@
+"""The rules, in virtual time and in rounds, under the settings of many customers."""
+
+import random
+from dataclasses import dataclass, replace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from heathway import api
+from heathway.api import Effect, Group, ListKind, Outcome, WorkerState
+from heathway.logic import Dispatcher
+from heathway.state import Worker
+from tests.world import MS, S, World
+
+KINDS = ("heavy", "light", "odd")
+WORKERS = 8
+
+
+@dataclass(frozen=True)
+class Deployment:
+    """What a customer's settings say, and where its workers are."""
+
+    settings: api.Settings
+    workers: tuple[api.WorkerEntry, ...]
+
+
+class RoundWorld(World):
+    """A dispatcher that is told in rounds alone: timers and time-outs come with the first one that is due."""
+
+    def advance(self, length: int) -> None:
+        tick = self.settings.tick
+        until = self.now + max(1, length // tick) * tick
+        while True:
+            due = [t for t, _ in self.timers] + [self.jobs[job].deadline for job, _ in self.out()]
+            at = min(due, default=until + 1)
+            at = self.now + max(0, -(-(at - self.now) // tick)) * tick
+            if at > until:
+                break
+            self.now = at
+            for job, number in self.out():
+                if self.jobs[job].deadline <= self.now:
+                    self.end(job, number, Outcome.TIMEOUT)
+            fired = [name for t, name in self.timers if t <= self.now]
+            self.timers = [(t, name) for t, name in self.timers if t > self.now]
+            if fired:
+                self.batch(*(api.TimerFired(name) for name in fired))
+            self._check_answers()
+        self.now = until
+        self._check_answers()
+
+
+@st.composite
+def job_classes(draw: st.DrawFn) -> tuple[api.JobClass, ...]:
+    made = []
+    for number in range(draw(st.integers(1, 4))):
+        effect = draw(st.sampled_from(Effect))
+        deadline = draw(st.sampled_from([300, 500, 1500, 2400, 10_000, 60_000])) * MS
+        made.append(
+            api.JobClass(
+                f"class {number}",
+                effect,
+                aim=int(deadline * draw(st.sampled_from([0.02, 0.1, 0.4, 1.0]))),
+                deadline=deadline,
+                stretch=draw(st.sampled_from([0.0, 1.0, 3.0])),
+                group=draw(st.sampled_from(Group)) if effect is Effect.KEYED else Group.ALL,
+                window=draw(st.sampled_from([0, 50, 700, 5000, 90_000])) * MS,
+                worth=draw(st.sampled_from([0.0, 1.0, 8.0])),
+                late_worth=draw(st.sampled_from([0.0, 0.4])),
+                worker_kind=draw(st.sampled_from([None, None, *KINDS])),
+                priority=number,
+            )
+        )
+    return tuple(made)
+
+
+@st.composite
+def deployments(draw: st.DrawFn) -> Deployment:
+    zones = tuple(f"zone {n}" for n in range(draw(st.integers(0, 6))))
+    tick = draw(st.sampled_from([1, 4, 5, 20])) * MS
+    dispatchers = draw(st.sampled_from([1, 2, 3, 12, 200]))
+    tenants = draw(st.sampled_from([0, 1, 3, 200]))
+    reports = draw(st.sampled_from([(), ("x0",), ("held", "busy")]))
+    made = api.Settings(
+        me=draw(st.integers(0, dispatchers - 1)),
+        dispatchers=dispatchers,
+        zone=draw(st.sampled_from(zones)) if zones else "",
+        zones=zones,
+        classes=draw(job_classes()),
+        tenants=tuple(
+            api.Tenant(f"tenant {n}", 1 / tenants, draw(st.sampled_from([0.0, 0.3, 40.0])) if n < 3 else 1.0)
+            for n in range(tenants)
+        ),
+        worth_by_work=draw(st.booleans()),
+        over_share_worth=draw(st.sampled_from([0.0, 0.25, 1.0])),
+        tick=tick,
+        live_weights=draw(st.booleans()),
+        asks_for_list=draw(st.booleans()),
+        report_fields=reports,
+        may_cancel=draw(st.booleans()),
+        may_probe=draw(st.booleans()),
+        gives_retry_after=draw(st.booleans()),
+        max_attempts=draw(st.integers(1, 6)),
+        max_retry_after=draw(st.sampled_from([0, 100 * MS, 2 * S])),
+        tells_start=draw(st.booleans()),
+        answer_slack=4 * tick,
+        ask_within=draw(st.sampled_from([3, 10])) * S,
+        drain_grace=draw(st.sampled_from([200, 1000, 3000])) * MS,
+        cold_time=draw(st.sampled_from([0, 8, 22])) * S,
+        start_capacity=draw(st.sampled_from([0.1, 0.4, 1.0])),
+        fall_multiple=draw(st.sampled_from([1.2, 2.5])),
+        fall_window=draw(st.sampled_from([1, 3])) * S,
+        probe_price=draw(st.sampled_from([0.0, 0.01])),
+    )
+    workers = tuple(
+        api.WorkerEntry(
+            f"w{n}", zones[n % len(zones)] if zones else "", n // 3, KINDS[n % 3], (1.0, 4.0, 9.5)[n % 3]
+        )
+        for n in range(WORKERS)
+    )
+    return Deployment(made, workers)
+
+
+Step = tuple[str, int, object]
+FAILED = [outcome for outcome in Outcome if outcome is not Outcome.OK]
+
+
+def drawn_steps(seed: int, number: int) -> list[Step]:
+    """So many steps, of which a shorter draw with the same seed has the first ones."""
+    draw = random.Random(seed)
+    quiet = draw.random() < 0.3  # nothing happens to the workers
+    names = ["arrive"] * 16 + ["end"] * 12 + ["start", "advance"] * 4 + ["probes", "withdraw"]
+    names += [] if quiet else ["listed", "restart", "full_list", "lost"]
+    steps: list[Step] = []
+    for _ in range(number):
+        what, one, two = draw.choice(names), draw.randrange(1000), draw.randrange(6)
+        values: dict[str, tuple[int, object]] = {
+            "end": (one, draw.choice(FAILED) if draw.random() < 0.6 else Outcome.OK),
+            "advance": (draw.choice([1, 7, 20, 45, 45, 210, 210, 900, 2500, 12_000]), two),
+            "listed": (one, draw.choice([WorkerState.UP, *WorkerState])),
+            "probes": (draw.choice([0, 0, 11, 104, 110, 111]), two),
+        }
+        steps.append((what, *values.get(what, (one, two))))
+    return steps
+
+
+class Play:
+    """Plays steps, each of them legal under any settings."""
+
+    def __init__(self, deployment: Deployment, seed: int) -> None:
+        self.workers = deployment.workers
+        self.world = RoundWorld(deployment.settings, deployment.workers, seed)
+        self.answered = 0  # probes
+
+    def step(self, what: str, one: int, two: object) -> None:
+        getattr(self, what)(one, two)
+        self.world.advance(1)  # one round
+
+    def report(self, number: int) -> api.LoadReport | None:
+        if not self.world.settings.report_fields:
+            return None
+        if "x0" in self.world.settings.report_fields:
+            return api.LoadReport(free_slots=float(number % 4))
+        return api.LoadReport(held=float(number % 4), busy=number % 4 / 4)
+
+    def arrive(self, one: int, two: int) -> None:
+        known = self.world.settings
+        cls = known.classes[one % len(known.classes)]
+        left = max(1, int(cls.deadline * (0.01, 0.1, 0.4, 1.0, 1.0, 1.0)[two]))
+        tenant = known.tenants[two % len(known.tenants)].name if known.tenants else None
+        self.world.arrive(cls.name, key=two or None, left=left, tenant=tenant, slots=(1.0, 1.0, 2.0)[one % 3])
+
+    def end(self, one: int, outcome: Outcome) -> None:
+        out = self.world.out()
+        if out:
+            self.world.end(*out[one % len(out)], outcome, report=self.report(one))
+
+    def start(self, one: int, _: object) -> None:
+        out = self.world.out()
+        if out and self.world.settings.tells_start:
+            job, number = out[one % len(out)]
+            worker = self.world.attempts(job)[number].worker
+            self.world.batch(api.AttemptNote(job, number, worker, api.NoteKind.STARTED))
+
+    def advance(self, one: int, _: object) -> None:
+        self.world.advance(one * MS)
+
+    def withdraw(self, one: int, _: object) -> None:
+        live = [job for job, owed in self.world.jobs.items() if not owed.over]
+        if live:
+            self.world.withdraw(live[one % len(live)])
+
+    def listed(self, one: int, state: WorkerState) -> None:
+        self.world.listed(ListKind.CHANGES, (replace(self.workers[one % WORKERS], state=state),))
+
+    def restart(self, one: int, _: object) -> None:
+        self.world.listed(
+            ListKind.CHANGES, (replace(self.workers[one % WORKERS], started_at=self.world.now),)
+        )
+
+    def full_list(self, one: int, _: object) -> None:
+        self.world.listed(ListKind.FULL, self.workers[: 1 + one % WORKERS])
+
+    def lost(self, one: int, _: object) -> None:
+        if self.world.settings.asks_for_list:
+            self.world.listed(ListKind.LOST, ())
+
+    def probes(self, code: int, _: object) -> None:
+        sent = [a.worker for a in self.world.actions if isinstance(a, api.Probe)]
+        for worker in sent[self.answered :]:
+            report = self.report(code) if code == 0 else None
+            self.world.batch(api.ProbeEnded(worker, Outcome(code), 2 * MS, report))
+        self.answered = len(sent)
+
+
+def play(deployment: Deployment, steps: list[Step], seed: int) -> World:
+    played = Play(deployment, seed)
+    for what, one, two in steps:
+        played.step(what, one, two)
+    played.world.advance(max(cls.deadline for cls in deployment.settings.classes) + S)
+    return played.world
+
+
+@settings(max_examples=120)
+@given(deployments(), st.integers(1, 80), st.integers(0, 1 << 20))
+def test_the_rules_hold_under_any_customers_settings(deployment, number, seed):
+    world = play(deployment, drawn_steps(seed, number), seed)
+    assert all(owed.over for owed in world.jobs.values())
+
+
+def sent_anywhere(self: Dispatcher, worker: Worker) -> None:
+    self.ring.mark(worker, True, cold=False)
+
+
+@pytest.mark.parametrize(
+    ("method", "instead", "rule"),
+    [
+        ("_may_send_again", lambda *_: True, "an unsafe job sent again"),
+        ("_may_refuse", lambda *_: True, "rule 2: refused"),
+        ("_repeat_group", lambda *_: -1, "rule 2: (past the window|another)"),
+        ("_update", sent_anywhere, "rule 3"),
+    ],
+)
+def test_drawn_steps_catch_decisions_that_break_a_rule(method, instead, rule, monkeypatch):
+    monkeypatch.setattr(Dispatcher, method, instead)
+    classes = (
+        api.JobClass("short", Effect.KEYED, S, 5 * S, group=Group.CELL, window=2 * S),
+        api.JobClass("once", Effect.UNSAFE, S, 5 * S),
+    )
+    known = api.Settings(
+        me=0, dispatchers=1, zone="a", zones=("a",), classes=classes, tick=4 * MS, answer_slack=16 * MS
+    )
+    workers = tuple(api.WorkerEntry(f"w{n}", "a", n // 3, "std") for n in range(WORKERS))
+    with pytest.raises(AssertionError, match=rule):
+        for seed in range(50):
+            play(Deployment(known, workers), drawn_steps(seed, 80), seed)
+
+
+@settings(max_examples=120)
+@given(deployments(), st.integers(0, 5))
+def test_a_first_job_at_an_idle_fleet_goes_out_at_once_to_a_worker_of_its_kind(deployment, seed):
+    known = deployment.settings
+    for cls in known.classes:
+        if cls.deadline <= 4 * known.tick:
+            continue
+        world = RoundWorld(known, deployment.workers, seed)
+        tenant = known.tenants[0].name if known.tenants else None
+        job = world.arrive(cls.name, left=cls.deadline, tenant=tenant)
+        assert len(world.attempts(job)) == 1
+        entry = world.entries[world.attempts(job)[0].worker]
+        assert cls.worker_kind in (None, entry.kind)
+
+
+@pytest.mark.parametrize("outcome", [Outcome.RESET, Outcome.TIMEOUT])
+@pytest.mark.parametrize("window", [0, 30, 90, 5000])
+@pytest.mark.parametrize("group", list(Group))
+def test_a_repeat_within_a_short_window_stays_in_its_group_or_is_not_made(group, window, outcome):
+    cls = api.JobClass("short", Effect.KEYED, 200 * MS, 2 * S, group=group, window=window * MS)
+    known = api.Settings(
+        me=0, dispatchers=1, zone="a", zones=("a", "b"), classes=(cls,), tick=4 * MS, answer_slack=16 * MS
+    )
+    workers = tuple(api.WorkerEntry(f"w{n}", "ab"[n % 2], n // 4, "std") for n in range(WORKERS))
+    world = RoundWorld(known, workers)
+    job = world.arrive("short", left=2 * S)
+    world.advance(60 * MS)
+    world.end(job, 0, outcome)
+    repeated = window > 60
+    assert len(world.attempts(job)) == 1 + repeated  # the world checks its group
+    if repeated:
+        world.end(job, 1, outcome)
+    world.advance(3 * S)
+    assert [type(answer) for answer in world.answers(job)] == [api.Refuse if group is Group.ALL else api.Fail]
--- a/tests/world.py
+++ b/tests/world.py
@@ -105,14 +105,20 @@
         return event.job
 
     def end(
-        self, job: int, number: int, outcome: Outcome = Outcome.OK, free: float | None = None
+        self,
+        job: int,
+        number: int,
+        outcome: Outcome = Outcome.OK,
+        free: float | None = None,
+        report: api.LoadReport | None = None,
     ) -> list[api.Action]:
         owed = self.jobs[job]
         attempt = owed.tries[number]
         attempt.out = False
         attempt.never_ran = outcome in NEVER_RAN
         owed.over = owed.over or outcome is Outcome.OK
-        report = None if free is None else api.LoadReport(free_slots=free)
+        if free is not None:
+            report = api.LoadReport(free_slots=free)
         elapsed = self.now - attempt.at
         return self.batch(api.AttemptEnded(job, number, attempt.worker, outcome, owed.over, elapsed, report))
 
@@ -175,10 +181,17 @@
                 ran = any(not t.never_ran for t in owed.tries)
                 bound = owed.cls.effect is Effect.KEYED and owed.cls.group is not Group.ALL
                 assert not (ran and (bound or owed.cls.effect is Effect.UNSAFE)), "rule 2: refused"
+                most = self.settings.max_retry_after if self.settings.gives_retry_after else 0
+                assert 0 <= action.retry_after <= most, "advice that is not allowed"
             owed.over = True
         elif isinstance(action, api.CancelAttempt):
             assert len(self.jobs[action.job].tries) > action.attempt
             assert self.settings.may_cancel
+        elif isinstance(action, api.Probe):
+            assert self.settings.may_probe
+            assert action.worker in self.entries
+        elif isinstance(action, api.Tell):
+            assert self.settings.may_tell_peers
 
     def _check_send(self, action: api.Send) -> None:
         owed = self.jobs[action.job]
@@ -195,6 +208,8 @@
                 assert self.now < earlier.at + owed.cls.window, "rule 2: past the window"
                 if owed.cls.group is Group.CELL:
                     assert self.entries[earlier.worker].cell == entry.cell, "rule 2: another cell"
+                if owed.cls.group is Group.ZONE:
+                    assert self.entries[earlier.worker].zone == entry.zone, "rule 2: another zone"
         assert len(owed.tries) < self.settings.max_attempts
         owed.tries.append(Try(action.worker, self.now))
         self.sends.append((self.now, action.job, action.worker))
