Keep a descriptor for the watch, and follow the directory on when the decisions fail on a list

Cause: without a free descriptor each call for the list failed until a consumer or a call ended, since only a failed accept makes room; and one exception out of the decisions ended the watch's coroutine, after which nothing was told any more. Change: a spare descriptor, given back for a call that finds none; any failure on a list is logged, and the whole list is asked for again.

--- a/ironbarrow/directory/client.py
+++ b/ironbarrow/directory/client.py
@@ -7,7 +7,9 @@
 import json
 import math
 import re
+import socket
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass, replace
 from random import Random
 from typing import Any
@@ -18,7 +20,7 @@
 from heathway import api
 from ironbarrow.core.endings import ConnectionEndedError, Ending
 from ironbarrow.runtime.loop import MS, SECOND, Coroutine, Loop, Task, sleep
-from ironbarrow.runtime.sockets import Address, parse_address
+from ironbarrow.runtime.sockets import Address, parse_address, stream_socket
 from ironbarrow.transport.http import Connection, connect
 
 log = structlog.get_logger()
@@ -141,6 +143,8 @@
         self._left: _Source | None = None  # still listened to after a move
         self._withdrawals: dict[str, _Withdrawal] = {}  # of late
         self._addresses: dict[str, Address] = {}
+        self._spare: socket.socket | None = None
+        self._keep_spare()
 
     def address_of(self, provider: str) -> Address | None:
         return self._addresses.get(provider)
@@ -293,6 +297,9 @@
             except (ValueError, RecursionError) as error:
                 source.version = None  # changes may be missing: the whole list is needed again
                 log.warning("directory answer not understood", error=str(error)[:200])
+            except Exception as error:
+                source.version = None
+                log.error("news not taken", exc_info=error)
             if self._on_request:
                 if source is self._source:
                     self._listed(api.WorkerList(api.ListKind.LOST))
@@ -300,12 +307,36 @@
             # danger: in step with all others that lost it in the same instant, it would jam it once more
             yield from sleep(self._loop.now() + int(_PAUSE * self._random.uniform(0.5, 1.5)))
 
+    def _keep_spare(self) -> None:
+        """Danger: consumers and calls may take every descriptor, and none of them is given up for this."""
+        if self._spare is None:
+            with suppress(OSError):
+                self._spare = stream_socket(("0.0.0.0", 0))
+
+    def _connect(self, address: Address, until: int) -> Coroutine[Connection]:
+        try:
+            return (yield from connect(address, until))
+        except ConnectionEndedError as error:
+            if error.ending is not Ending.NO_DESCRIPTOR or self._spare is None:
+                raise
+        self._spare.close()
+        self._spare = None
+        try:
+            return (yield from connect(address, until))
+        except BaseException:
+            self._keep_spare()
+            raise
+
+    def _close(self, connection: Connection) -> None:
+        connection.close()
+        self._keep_spare()
+
     def _call(self, source: _Source, target: str) -> Coroutine[Connection]:
         """A connection on which the directory has begun to answer."""
         now = self._loop.now()
         patient = self._on_request or now > source.answered_at + _PATIENT_AFTER
         until = now + (_ANSWER_LIMIT if patient else _PUSHED_ANSWER_LIMIT)
-        connection = yield from connect(source.address, until)
+        connection = yield from self._connect(source.address, until)
         try:
             host = "{}:{}".format(*source.address)
             yield from connection.write(connection.request_bytes("GET", target, [("Host", host)]), until)
@@ -318,7 +349,7 @@
             if head.status_code != 200:
                 raise _RefusedError(f"{target} was answered with {head.status_code}")
         except BaseException:
-            connection.close()
+            self._close(connection)
             raise
         return connection
 
@@ -341,7 +372,7 @@
                 if len(body) > _SIZE_LIMIT:
                     raise ConnectionEndedError(Ending.TOO_LARGE)
         finally:
-            connection.close()
+            self._close(connection)
         self._take(source, json.loads(body))
 
     def _watch(self, source: _Source) -> Coroutine[None]:
@@ -358,4 +389,4 @@
                 unfinished = objects.unfinished
             raise ConnectionEndedError(Ending.CLOSED)
         finally:
-            connection.close()
+            self._close(connection)
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -4,6 +4,7 @@
 import itertools
 import json
 import random
+import socket
 from collections.abc import Callable
 from typing import Any
 
@@ -13,10 +14,12 @@
 from hypothesis import strategies as st
 
 from heathway import api, pacing
+from heathway.logic import Dispatcher
 from heathway.pacing import CallPace
 from heathway.settings import read_settings
 from ironbarrow.core.endings import ConnectionEndedError, Ending
 from ironbarrow.directory import client as directory
+from ironbarrow.runtime import sockets
 from ironbarrow.runtime.clock import Timer
 from ironbarrow.runtime.loop import MS, SECOND, Coroutine, Task, Wait
 from tests.scenario import SETTINGS, Stage, answer, call_back, job
@@ -285,6 +288,37 @@
     watched(stage, f"d send {escaped(stage.news(moved))}\nwait 50\nc1 send {job()}\np2 expect in$")
 
 
+def test_a_list_on_which_the_decisions_fail_is_asked_for_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    # danger: the watch ended with the failure, and nothing was told any more
+    stage = Stage()
+    real = Dispatcher.handle
+    fails = iter((True,))
+
+    def handle(self: Dispatcher, now: int, events: list[api.Event]) -> list[api.Action]:
+        if any(isinstance(event, api.WorkerList) for event in events) and next(fails, False):
+            raise ZeroDivisionError
+        return real(self, now, events)
+
+    monkeypatch.setattr(Dispatcher, "handle", handle)
+    drains = escaped(stage.news(stage.entry("p1", "draining")))
+    watched(stage, f"d send {drains}\nd ended\nd close\nd expect {WHOLE_LIST}")
+
+
+def test_without_a_free_descriptor_the_watch_takes_its_spare_one(monkeypatch: pytest.MonkeyPatch) -> None:
+    # danger: idle consumers and calls had them all, and no list came until one of them ended
+    stage = Stage()
+    real = sockets.stream_socket
+
+    def none_free(address: sockets.Address) -> socket.socket:
+        if stage.dispatcher.directory._spare is not None:
+            raise OSError(24, "Too many open files")
+        return real(address)
+
+    monkeypatch.setattr(sockets, "stream_socket", none_free)
+    again = "d close\nd expect follow=1&since=41 HTTP\n"
+    watched(stage, again + again)
+
+
 # Two directories at once
 
 
@@ -465,7 +499,16 @@
     yield Wait(-1, 0, until)
 
 
-FAILS = ("refused", "never up", "hung", "refused by an answer", "ended", "silent after its head", "nonsense")
+FAILS = (
+    "refused",
+    "no descriptor",
+    "never up",
+    "hung",
+    "refused by an answer",
+    "ended",
+    "silent after its head",
+    "nonsense",
+)
 
 
 class Agent:
@@ -484,6 +527,8 @@
         yield from wait(self.loop.now())
         if self.failing() and self.fails == "refused":
             raise ConnectionEndedError(Ending.CONNECT_REFUSED)
+        if self.failing() and self.fails == "no descriptor":
+            raise ConnectionEndedError(Ending.NO_DESCRIPTOR)
         if self.failing() and self.fails == "never up":
             yield from wait(until)
             raise ConnectionEndedError(Ending.CONNECT_TIMED_OUT)
@@ -534,7 +579,7 @@
             if until < due:
                 raise ConnectionEndedError(Ending.STALLED)
             return h11.Data(data=b"\n")
-        if self.fails in ("ended", "refused", "refused by an answer"):
+        if self.fails in ("ended", "refused", "no descriptor", "refused by an answer"):
             raise ConnectionEndedError(Ending.RESET)
         if self.fails == "nonsense":
             self.fails = "ended"
