Spread a fleet's move over its asked directory, and hold the orders of two reloads by tests

Cause: SIGHUP reaches a whole fleet at once, and each dispatcher asked the new service for the whole list in that instant. Change: where lists must be asked for, a move goes by the pace of a failed call, 2 s at most; what counts comes 4 s later. Tests, new: a move of 200, two reloads in a row, a reload while the first list is out; returns in virtual time also without a known list, as after a move.

--- a/ironbarrow/directory/client.py
+++ b/ironbarrow/directory/client.py
@@ -181,7 +181,11 @@
             self._source, self._left = left, None
         else:
             self._source, self._left = _Source(address, answered_at=self._loop.now()), left or source
-        self.ask()
+        if self._on_request:
+            # danger: a whole fleet is told to move in one instant, and all would ask for whole lists at once
+            self._listed(api.WorkerList(api.ListKind.LOST))
+        else:
+            self.ask()
 
     @staticmethod
     def _end(source: _Source) -> None:
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -392,9 +392,10 @@
         stage.close()
 
 
-def test_there_and_back_the_first_directory_is_followed_on() -> None:
+def test_there_and_back_the_first_directory_is_followed_on(monkeypatch: pytest.MonkeyPatch) -> None:
     # danger: asked for the whole list anew while its own watch went on, it was listened to twice, and the
     # list of the one that was left in between replaced its news
+    monkeypatch.setattr(directory, "_PUSHED_ANSWER_LIMIT", 20 * SECOND)
     stage = Stage()
     drains = escaped(stage.news(stage.entry("p1", "draining"), index=57))
     late = whole(stage, stage.entry("p1"), stage.entry("p2"))
@@ -416,6 +417,67 @@
         stage.close()
 
 
+def test_of_two_reloads_in_a_row_the_last_one_counts(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(directory, "_PUSHED_ANSWER_LIMIT", 20 * SECOND)
+    stage = Stage(providers=3)  # p3 plays the third directory
+    may = stage.dispatcher.host.may_send_to
+    try:
+        stage_moved(
+            stage,
+            "reload d2",
+            "d2 expect GET /api/targets HTTP",
+            "reload p3",
+            "p3 expect GET /api/targets HTTP",
+            "d2 ended",
+            f"d2 send {whole(stage, stage.entry('p2'))}",
+            f"d send {escaped(stage.news(stage.entry('p2', 'draining'), index=57))}",
+            "wait 50",
+        )
+        assert may("p1") and not may("p2")
+        for line in (f"p3 send {whole(stage, stage.entry('p2'), index=9)}", "d ended"):
+            stage.step(line)
+        assert not may("p1") and not may("p2")
+    finally:
+        stage.close()
+
+
+def test_a_reload_while_the_list_is_out_takes_what_comes_first() -> None:
+    stage = Stage(known=False)
+    may = stage.dispatcher.host.may_send_to
+    lines = (
+        "d expect GET /api/targets HTTP",
+        "reload d2",
+        "d2 expect GET /api/targets HTTP",
+        f"d send {whole(stage, stage.entry('p1'), index=57)}",
+        "d ended",
+        "d close",
+        "d expect follow=1&since=57",
+    )
+    try:
+        for line in lines:
+            stage.step(line)
+        assert may("p1")
+        stage.step(f"d2 send {whole(stage, stage.entry('p2'))}")
+        stage.step("d ended")
+        assert may("p2") and not may("p1")
+    finally:
+        stage.close()
+
+
+def test_a_fleet_told_to_move_does_not_ask_its_new_directory_all_at_once() -> None:
+    conf = {**SETTINGS, "discovery": "ask", "replicasOfMe": 200}
+    stage = Stage(settings=read_settings(conf))
+    try:
+        for line in ("wait 20", "reload d2", "wait 200"):  # the earliest call is half a second later
+            stage.step(line)
+        assert stage.peers["d2"].sock is None
+        began = stage.dispatcher.loop.now()
+        stage.step(f"d2 expect {WHOLE_LIST}")
+        assert stage.dispatcher.loop.now() - began < 4 * SECOND
+    finally:
+        stage.close()
+
+
 # Objects out of a stream
 
 TEXT = st.text(st.sampled_from('{}[]"\\\n ,:aé'), max_size=6)
@@ -588,8 +650,11 @@
         raise ConnectionEndedError(Ending.STALLED)
 
 
-def told_at(agent: Agent, loop: VirtualLoop, until: int, pace: CallPace | None, seed: int) -> int:
-    """When the directory's change arrives; ``pace``: it is asked for."""
+def told_at(
+    agent: Agent, loop: VirtualLoop, until: int, pace: CallPace | None, seed: int, known: bool = True
+) -> int:
+    """When the directory's change arrives; ``pace``: it is asked for. Without a known list, as after a move,
+    the whole list comes first."""
     found: list[int] = []
 
     def listed(news: api.WorkerList) -> None:
@@ -602,7 +667,7 @@
             pace.answered()
 
     client = directory.Directory(loop, ("d", 1), listed, on_request=pace is not None, seed=seed)  # type: ignore[arg-type]
-    client.start(json.loads(told(entry(status="up"), index=41, whole=True)))
+    client.start(json.loads(told(entry(status="up"), index=41, whole=True)) if known else {})
     if pace is not None:
         loop.call_at(loop.now() + pace.first(), client.ask)
     loop.run(until)
@@ -614,16 +679,16 @@
 ANSWERED_IN_TIME = pacing.ANSWERED_WITHIN // pacing.APART
 
 
-@given(st.sampled_from(FAILS), TIMES, st.integers(1, 20_000), TIMES, st.integers(0, 99))
+@given(st.sampled_from(FAILS), TIMES, st.integers(1, 20_000), TIMES, st.integers(0, 99), st.booleans())
 def test_what_a_directory_that_pushes_has_when_it_is_back_is_known_within_the_grace(
-    fails: str, down: int, lasts: int, change: int, seed: int
+    fails: str, down: int, lasts: int, change: int, seed: int, known: bool
 ) -> None:
     with pytest.MonkeyPatch.context() as patch:
         loop = VirtualLoop()
         up = (down + lasts) * MS
         agent = Agent(loop, fails, down * MS, up, change * MS)
         patch.setattr(directory, "connect", agent.connect)
-        arrived = told_at(agent, loop, up + 10 * SECOND, None, seed)
+        arrived = told_at(agent, loop, up + 10 * SECOND, None, seed, known)
         reached = max(agent.change_at, up if agent.change_at >= agent.down else 0)
         # a watch that was open, or had its head, when it fell silent has the clock of silences
         silent = fails in ("hung", "never up", "silent after its head")
