Log a lost directory once, however often it is called in vain

Cause: with short pauses a directory that is down is called 1 to 8 times a second, each with a log line. Change: a line where the reason is another one than before. An entry is made in one step, not copied.

--- a/ironbarrow/directory/client.py
+++ b/ironbarrow/directory/client.py
@@ -56,6 +56,7 @@
     address: Address
     version: int | None = None  # None: the whole list is needed first
     answered_at: int = 0  # when it last began to answer
+    lost: str = ""  # why, since then
     task: Task | None = None
 
 
@@ -265,7 +266,7 @@
                 self._addresses.pop(name, None)
             else:
                 self._addresses[name] = parse_address(item["address"])
-            return replace(self._described(name, item), state=state)
+            return self._described(name, item, state)
         except (KeyError, TypeError, ValueError, OverflowError):
             if state is api.WorkerState.UP:
                 raise
@@ -273,7 +274,7 @@
             return api.WorkerEntry(name, state=state)
 
     @staticmethod
-    def _described(name: str, item: dict[str, Any]) -> api.WorkerEntry:
+    def _described(name: str, item: dict[str, Any], state: api.WorkerState) -> api.WorkerEntry:
         cell, weight = item.get("group"), float(item.get("weight", 1.0))
         if not math.isfinite(weight):
             raise ValueError("no weight")
@@ -284,6 +285,7 @@
             str(item.get("type") or ""),
             weight,
             int(item.get("since_ms") or 0) * MS,
+            state,
         )
 
     # The wire
@@ -294,10 +296,11 @@
                 if source.version is None:
                     yield from self._fetch(source)
                 yield from self._watch(source)
-            except ConnectionEndedError as error:
-                log.info("directory lost", ending=error.ending.name)
-            except _RefusedError as error:
-                log.info("directory call refused", error=str(error))
+            except (ConnectionEndedError, _RefusedError) as error:
+                why = error.ending.name if isinstance(error, ConnectionEndedError) else str(error)
+                if why != source.lost:  # danger: while it is down there is a call several times a second
+                    log.info("directory lost", why=why)
+                source.lost = why
             except (ValueError, RecursionError) as error:
                 source.version = None  # changes may be missing: the whole list is needed again
                 log.warning("directory answer not understood", error=str(error)[:200])
@@ -355,6 +358,7 @@
         except BaseException:
             self._close(connection)
             raise
+        source.lost = ""
         return connection
 
     @staticmethod
