Read requests in small shares of a turn; bound job bodies; give descriptors back

Cause: in one turn of the loop that read hundreds of requests, senders left unnoticed and their jobs went out; on a connection that had rested, a job was sent on in the turn in which it was read, its sender gone already. Bodies of taken jobs were bounded by no memory limit. With fewer descriptors than configured, each one freed went to the next that connected, none to the directory or a provider.

Change: 32 requests a turn, the others in their order in later turns, each looked at for its sender just before it is taken; bodies of jobs share half of what memory_mb leaves, 503 above; when accepting fails for want of descriptors, a quarter of the places is given back for 10 s.

--- a/ironbarrow/fronts/consumers.py
+++ b/ironbarrow/fronts/consumers.py
@@ -3,6 +3,7 @@
 import json
 import select
 import socket
+from collections import deque
 from collections.abc import Callable
 from functools import partial
 from typing import Any, Protocol
@@ -61,6 +62,7 @@
 _PAUSE = 20 * MS  # before accepting again when no descriptor is left
 _FLOOD_PAUSE = 1 * MS  # between two reads from one that sends without end while its job is out
 _ACCEPTS_AT_ONCE = 16  # danger: a burst of connections would keep call-backs and the directory waiting
+_REQUESTS_AT_ONCE = 32  # danger: in a turn that reads hundreds, their senders leave and are not noticed
 _FULL_ADVICE = 200 * MS  # for one that is turned away because all places have jobs
 
 
@@ -85,6 +87,9 @@
         self._free_descriptors = free_descriptors
         self._classes = {cls.name for cls in host.settings.classes}
         self._places = Places(loop, most, most_buffered)
+        self._read_now = 0  # requests in this turn of the loop
+        self._in_line: deque[Task] = deque()  # who has a request to be read in a later turn
+        self._next_planned = False  # their next ones are woken at this turn's end
         self._closing_at: int | None = None  # from when on no connection is kept
         self.asking: dict[Job, tuple[Connection, Task]] = {}  # who waits for a job's answer
         self.router: Router | None = (
@@ -135,7 +140,7 @@
         """Danger: with no descriptor left, accept fails at once for ever and the loop would spin."""
         log.warning("no descriptor left", error=str(error), connections=self._places.taken)
         self._free_descriptors()
-        self._places.free_descriptor()
+        self._places.free_descriptors()
         yield from sleep(self._loop.now() + _PAUSE)
 
     def _serve(self, connection: Connection) -> Coroutine[None]:
@@ -145,7 +150,7 @@
         try:
             while (request := (yield from self._next_request(connection, task))) is not None:
                 keep = yield from self._respond(connection, task, request)
-                self._places.jobs.discard(connection)
+                self._places.end_job(connection)
                 if not keep or not connection.next_cycle():
                     break
                 if self._closing_at is not None and not connection.started and connection.is_silent():
@@ -178,11 +183,34 @@
         if not first:
             connection.used_at = self._loop.now()
             places.reading[connection] = task
+        yield from self._turn_to_read(task)
         request = yield from connection.read_message(connection.used_at + _REQUEST_LIMIT)
         places.reading.pop(connection, None)
         places.release(connection)
         return request
 
+    def _turn_to_read(self, task: Task) -> Coroutine[None]:
+        """Waits until few enough have been read in this turn of the loop; first come, first read."""
+        if self._in_line or self._read_now >= _REQUESTS_AT_ONCE:
+            self._in_line.append(task)
+            if not (yield Wait(-1, 0, self._loop.now() + _REQUEST_LIMIT)):
+                self._in_line.remove(task)  # danger: woken later, it would end another wait
+        self._read_now += 1
+        self._plan_next()
+
+    def _plan_next(self) -> None:
+        if not self._next_planned:
+            self._next_planned = True
+            self._loop.soon(self._wake_next)
+
+    def _wake_next(self) -> None:
+        self._next_planned = False
+        self._read_now = 0
+        for _ in range(min(len(self._in_line), _REQUESTS_AT_ONCE)):
+            self._in_line.popleft().wake()
+        if self._in_line:
+            self._plan_next()
+
     def _answer_malformed(self, connection: Connection, error: ConnectionEndedError) -> Coroutine[None]:
         if error.ending not in (Ending.MALFORMED, Ending.TOO_LARGE, Ending.STALLED):
             return
@@ -347,7 +375,7 @@
         """Hands in a job; gives back what is called at the end, or when the consumer leaves before it."""
         if self.shared is None and self._host.knows(payload.id):
             raise BadRequestError(409, "a job with this X-Request-ID is under way")
-        if self._places.full_of_jobs:
+        if not self._places.has_room_for_job(len(payload.body)):
             # nothing of it was sent: another try is harmless
             raise BadRequestError(503, "too many jobs wait here", self._advice(_FULL_ADVICE))
         if self.router is not None:
@@ -355,7 +383,7 @@
         else:
             path = request.target.partition("?")[0]
             placed |= {"job_class": class_in(path), "key": cookie_key(request.headers.get("cookie", ""))}
-        self._places.jobs.add(connection)
+        self._places.begin_job(connection, len(payload.body))
         if self.shared is not None:
             return self.shared.take(payload, answered, **placed)
         taken = self._host.take(payload, answered, **placed)
--- a/ironbarrow/fronts/places.py
+++ b/ironbarrow/fronts/places.py
@@ -11,23 +11,26 @@
 FRESH = 200 * MS  # a new connection is left so long for its first request to come
 _RESERVED_SHARE = 8  # one place of so many is kept from jobs
 _ENDING_SHARE = 16  # so many places in one may end beside those that are taken
+_FEWEST = 8  # places that stay when descriptors run out
+_SHORT_FOR = 10 * SECOND  # from then until all of them may be taken again
 
 
 class Places:
-    """All connections of one listener. ``most``: places; ``most_buffered``: bytes of unfinished requests."""
+    """All connections of one listener. ``most``: places; ``most_buffered``: bytes of unfinished requests, and
+    as many of the bodies of jobs."""
 
     def __init__(self, loop: Loop, most: int, most_buffered: int) -> None:
         self._loop = loop
-        self._most = most
+        self._given = most
+        self._most = most  # fewer while descriptors are short
         self._most_ending = max(2, most // _ENDING_SHARE)
-        # danger: with jobs in all places, no call-back comes in any more, and none of the jobs would end
-        self._most_jobs = max(1, most - max(1, most // _RESERVED_SHARE))
         self._most_buffered = most_buffered
         self._buffered = 0  # bytes of requests that are not whole yet, or not begun
         self._open = 0
         self.reading: dict[Connection, Task] = {}  # no whole request yet, the oldest first
         self.idle: dict[Connection, Task] = {}  # between requests, the longest idle first
-        self.jobs: set[Connection] = set()  # from taking a job to the last byte of its answer
+        self._jobs: dict[Connection, int] = {}  # from taking a job to its answer's last byte: the body's size
+        self._job_bytes = 0
         self._ending: dict[Connection, Task] = {}  # shut, the longest so first
 
     @property
@@ -35,10 +38,19 @@
         """Connections that are not closed yet."""
         return self._open + len(self._ending)
 
-    @property
-    def full_of_jobs(self) -> bool:
-        """Whether no place is left for one more job."""
-        return len(self.jobs) >= self._most_jobs
+    def has_room_for_job(self, size: int) -> bool:
+        """Whether one more may be taken. Danger: with jobs in all places, no call-back comes in any more and
+        none of the jobs would end; and hundreds with large bodies are more than the memory holds."""
+        most = max(1, self._most - max(1, self._most // _RESERVED_SHARE))
+        return len(self._jobs) < most and self._job_bytes + size <= self._most_buffered
+
+    def begin_job(self, connection: Connection, size: int) -> None:
+        self._jobs[connection] = size
+        self._job_bytes += size
+
+    def end_job(self, connection: Connection) -> None:
+        """Its answer is out, or never will be; not every request is a job."""
+        self._job_bytes -= self._jobs.pop(connection, 0)
 
     def take(self, connection: Connection) -> None:
         """It has a place, to be left by ``leave``."""
@@ -52,7 +64,7 @@
         connection.size = 0
         self.reading.pop(connection, None)
         self.idle.pop(connection, None)
-        self.jobs.discard(connection)
+        self.end_job(connection)
         connection.grew = None
         self._open -= 1
         if connection.shut:
@@ -86,10 +98,21 @@
             self._close_ending()
         return True
 
-    def free_descriptor(self) -> None:
-        """Closes one at once that carries no request, if there is any."""
-        if self._ending or self._drop_one():
+    def free_descriptors(self) -> None:
+        """Gives a quarter of the places back for a while, those of connections that carry no request.
+
+        Danger: one that is freed alone is taken by the next connection that comes in, and the directory and
+        the providers never get any.
+        """
+        self._most = min(self._most, max(_FEWEST, self.taken * 3 // 4))
+        while self._open > self._most and self._drop_one():
+            pass
+        while self._ending:
             self._close_ending()
+        self._loop.call_at(self._loop.now() + _SHORT_FOR, self._restore)
+
+    def _restore(self) -> None:
+        self._most = self._given
 
     def room_ahead(self) -> int:
         """Bytes that may be kept of requests whose turn has not come."""
--- a/ironbarrow/transport/http.py
+++ b/ironbarrow/transport/http.py
@@ -203,7 +203,7 @@
 
     def next_cycle(self) -> bool:
         """Whether the connection can carry another exchange; makes it ready for that."""
-        if self.thrown_away or not self._codec.next_cycle():
+        if not self._codec.next_cycle():
             return False
         self.started = self.has_unread
         return True
--- a/tests/test_consumers.py
+++ b/tests/test_consumers.py
@@ -10,6 +10,7 @@
 from ironbarrow.core.host import Call
 from ironbarrow.fronts import consumers
 from ironbarrow.runtime.loop import MS
+from ironbarrow.transport import http
 from ironbarrow.transport.http import Connection
 from tests.scenario import Stage, answer, call_back, job
 
@@ -109,7 +110,8 @@
 ) -> None:
     stage = stages()
     sent = Sent(stage)
-    steps(stage, f"c1 send {job()}\n{LEAVES[leaves]}\nwait 50")
+    # on one that has rested, the job is taken and its attempt sent in one turn of the loop
+    steps(stage, f"c1 send {READY}\nc1 expect ready\nwait 20\nc1 send {job()}\n{LEAVES[leaves]}\nwait 50")
     assert sent.ids == []
     assert stage.dispatcher.consumers.busy is False
 
@@ -134,6 +136,18 @@
     steps(stage, f"c2 send {call_back('done', 'j2', result='b')}\nc1 expect 200 .*b$\nc1 silent 20")
 
 
+def test_with_a_gap_in_what_was_sent_early_nothing_of_it_is_served(
+    stages: Callable[..., Stage], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(http, "_AHEAD_MOST", 1000)
+    stage = stages()
+    sent = Sent(stage)
+    steps(stage, f"c1 send {job()}\np1 expect in$\np1 send {ACCEPTED}\nc1 send {job('j2')}\nwait 20")
+    steps(stage, f"c1 send {job('j3') * 10}\nwait 20\nc1 send {job('j4')}\nwait 20")
+    steps(stage, f"c2 send {call_back('done', result='x')}\nc1 expect 200 .*Connection: close.*x$\nc1 ended")
+    assert sent.ids == ["j1"]
+
+
 def test_what_comes_beyond_a_request_is_kept_up_to_a_limit(stages: Callable[..., Stage]) -> None:
     # danger: hundreds that send without end would together hold more memory than there is
     stage = stages(
@@ -223,6 +237,7 @@
     seen = b""
     while data := consumer.recv(65536):  # a reset is an error here
         seen += data
+    assert consumer.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) == 0  # nor after the end of the other side
     assert seen.count(b"HTTP/1.1") == bool(first)
     consumer.close()
     stage.pass_time(0.05)
@@ -272,18 +287,10 @@
 ) -> None:
     monkeypatch.setattr(consumers, "LINGER_LIMIT", 200 * MS)
     stage = stages()
-    steps(stage, f"c1 send {READY * 3}\nc1 expect 200.*200.*200")
-    stage.dispatcher.loop.call_at(stage.dispatcher.loop.now() + 1, stage.dispatcher.consumers.close_idle)
-    peer = stage.peers["c1"]
-
-    def asks_on() -> bool:
-        if peer.sock is not None and not peer.over:
-            with suppress(OSError):
-                peer.sock.send(READY.replace("\\r\\n", "\r\n").encode() * 2)
-        return peer.over
-
-    stage.until("it is ended", asks_on, 1.5)
-    assert b"Connection: close" in peer.seen
+    steps(stage, f"c1 send {READY}\nc1 expect 200\nc1 fill {READY * 1000}")
+    stage.dispatcher.consumers.close_idle()
+    stage.until("it is ended", lambda: stage.peers["c1"].over, 1.0)
+    assert b"Connection: close" in stage.peers["c1"].seen
 
 
 def test_a_connection_that_has_just_come_up_may_bring_its_request_while_stopping(
@@ -394,6 +401,69 @@
     assert turns >= 100
 
 
+def test_many_that_ask_at_once_are_read_in_several_turns_and_in_their_order(
+    stages: Callable[..., Stage],
+) -> None:
+    # danger: in a turn that reads hundreds of requests, senders leave and their jobs are sent on
+    stage = stages(sockets=1024)
+    sent = Sent(stage)
+    peers = [socket.create_connection(stage.address) for _ in range(200)]
+    stage.pass_time(0.1)
+    for n, peer in enumerate(peers):
+        peer.sendall(job(f"k{n}").replace("\\r", "\r").replace("\\n", "\n").encode())
+    host, most = stage.dispatcher.host, 0
+    while host._numbers < 200:
+        before = host._numbers
+        stage.dispatcher.loop.turn()
+        most = max(most, host._numbers - before)
+        if before < 100 <= host._numbers:
+            for peer in peers:
+                peer.close()
+            break
+    assert most <= 64
+    stage.pass_time(0.05)
+    count = len(sent.ids)
+    assert host._numbers < 200  # whoever has left before its turn came has no job
+    assert host.owed == 0
+    stage.pass_time(0.2)
+    assert len(sent.ids) == count
+
+
+def test_bodies_of_jobs_share_a_limit_on_memory(stages: Callable[..., Stage]) -> None:
+    # danger: hundreds that are sent at once would together hold more memory than there is
+    stage = stages(providers=12, sockets=1024, memory_mb=1)  # half a megabyte for all of them
+    large = {n: job(f"j{n}", body="x" * 60_000) for n in range(1, 10)}
+    steps(stage, "".join(f"c{n} send {large[n]}\nwait 10\n" for n in range(1, 10)))
+    steps(stage, f"c9 expect ^HTTP/1.1 503 .*Retry-After: 0.2.*many\nc10 send {job('j10')}")
+    assert stage.dispatcher.host.owed == 8
+    steps(stage, f"c1 close\nwait 20\nc9 send {large[9]}\nwait 50\nc9 silent 10")
+
+
+def test_descriptors_that_run_out_are_left_to_others(
+    stages: Callable[..., Stage], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # danger: each one that is freed goes to the next that connects, none to the directory or a provider
+    stage = stages(sockets=96)  # forty places
+    real, opened = socket.socket.accept, stage.dispatcher.consumers._places
+
+    def accept(self: socket.socket) -> tuple[socket.socket, object]:
+        if self is stage.dispatcher.listener and opened.taken >= 20:
+            raise OSError(24, "Too many open files")
+        return real(self)
+
+    monkeypatch.setattr(socket.socket, "accept", accept)
+    steps(stage, "".join(f"c{n} send {READY}\nc{n} expect 200\n" for n in range(1, 41)) + "wait 50")
+    assert 8 <= opened.taken <= 17
+    steps(stage, f"c50 send {job()}\np1 expect in$")
+
+
+def test_no_small_write_is_held_back(stages: Callable[..., Stage]) -> None:
+    stage = stages()
+    steps(stage, f"c1 send {job()}\np1 expect in$")
+    ((connection, _),) = stage.dispatcher.consumers.asking.values()
+    assert connection.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+
+
 # What is not a request in the form that is wanted
 
 STALLS = {
