Answer HEAD without a body instead of failing the connection's task

Observed in a look at odd requests: a HEAD (405 or 404) ended in an exception of h11's ("Too much data for declared Content-Length") and the connection without any answer. The codec now leaves the body out.

--- a/ironbarrow/wire/http.py
+++ b/ironbarrow/wire/http.py
@@ -41,6 +41,7 @@
 
     def __init__(self, *, server: bool) -> None:
         self.server = server
+        self._head_alone = False  # the request in hand is a HEAD
         self._h11 = h11.Connection(h11.SERVER if server else h11.CLIENT, max_incomplete_event_size=HEAD_LIMIT)
 
     # Reading
@@ -79,6 +80,7 @@
         if isinstance(head, h11.Request):
             message.method = head.method.decode("ascii")
             message.target = head.target.decode("latin-1")
+            self._head_alone = message.method == "HEAD"
             message.version = head.http_version.decode("ascii")
         else:
             message.status = head.status_code
@@ -124,9 +126,9 @@
         head = list(headers)
         if status != 204:  # which has no body, and so no length
             head.append(("Content-Length", str(len(body))))
-        return self._whole(
-            h11.Response(status_code=status, headers=head, reason=HTTPStatus(status).phrase), body
-        )
+        response = h11.Response(status_code=status, headers=head, reason=HTTPStatus(status).phrase)
+        # danger: h11 takes no body here, and the connection would end without any answer
+        return self._whole(response, b"" if self._head_alone else body)
 
     def chunked_bytes(self, status: int, headers: Headers = ()) -> bytes:
         """The head of an answer that stays open; its parts follow by ``chunk_bytes``."""
