Divide a cold worker's budget by work, and hold it after a dispatcher's restart

Cause: the part of a window was counted in jobs of each class. The few places of a long class and the many of a short one overlap, so that a mix adds up to more than the budget; a restarted process had forgotten what it sent and spent its part again; work sent before a restart was told was not counted; a list that came late made a cold worker warm; a start in the future kept one cold; a slow worker of known slots counted as much as a fast one, and with live weights all kinds counted alike for up to 200 ms after each list; a dispatcher with a number beyond the fleet's shared the part of another.

Change: parts are work (`warming.part_of`), together at most the budget in any mix of classes and slots, and no part shrinks while the capacity rises; sums of squares keep a few long jobs from taking the work of many short ones. For one fall window after its start a dispatcher sends nothing to workers that started before it. All sends are noted, also to a worker taken for warm. DEVIATIONS and the ramp are as they were.

--- a/heathway/logic.py
+++ b/heathway/logic.py
@@ -230,10 +230,11 @@
         memory = worker.memory is None or worker.memory >= job.memory
         return slots and memory and (worker.cold_until <= self._now or self._cold_allows(worker, job))
 
-    def _cold_part(self, worker: Worker, job: Job) -> float:
-        size = self._usual[0] * self.ring.strength(worker.entry) if self._set.live_weights else worker.size
-        mean, size = self._service[job.cls.name].mean, size or worker.size or self._usual[0] or 1.0
-        return warming.part_taken(self._set, worker.entry, self._now, size, mean, job.slots)
+    def _cold_part(self, worker: Worker) -> warming.Part:
+        size = self.ring.size_when_warm(worker, self._usual[0], self._set.live_weights)
+        runs = (None, worker.entry.kind)
+        means = (self._service[c.name].mean for c in self._set.classes if c.worker_kind in runs)
+        return warming.part_of(self._set, worker.entry, self._now, size, means)
 
     def _cold_allows(self, worker: Worker, job: Job) -> bool:
         """Danger: all dispatchers together push a cold worker over. Each keeps to its part of the budget."""
@@ -241,7 +242,11 @@
         mean = self._service[job.cls.name].mean
         if self._now + mean / capacity > job.aim_at and self.ring.open & ~self.ring.cold:
             return False
-        return worker.spent_since(self._now - self._set.fall_window) + self._cold_part(worker, job) <= 1
+        begun, window = self._gathered_at - SESSION_IDLE, self._set.fall_window
+        if worker.entry.started_at < begun and self._now < begun + window:
+            return False  # danger: killed and restarted, it has forgotten that its part is spent
+        sent = worker.sent_since(self._now - window)
+        return self._cold_part(worker).holds(sent, mean * max(1.0, job.slots))
 
     def _send(self, job: Job, worker: Worker) -> None:
         self._held.remove(job)
@@ -250,8 +255,7 @@
         self._out.append(api.Send(job.id, worker.id))
         attempt.guessed = not worker.trial and worker.cold_until <= self._now
         worker.trial = False
-        if worker.cold_until > self._now:
-            worker.sends.append((self._now, min(1.0, self._cold_part(worker, job))))
+        worker.note_sent(self._now, job.slots, self._service[job.cls.name].mean, self._set.fall_window)
         self._book(worker, job, 1)
         self._update(worker)
         self._agenda.at(
@@ -530,11 +534,11 @@
 
     def _take_entry(self, entry: api.WorkerEntry) -> None:
         worker = self._workers.setdefault(entry.worker, Worker(entry.worker, entry))
-        if worker.relist(entry, self._set.cold_time):  # a new process: what was known of it is void
+        if worker.relist(entry, self._set.cold_time, self._now):  # what was known of it is void
             worker.forget()
             self._alive(worker)
+        full = self.ring.full_weight(entry)
         if self._set.live_weights:
-            full = self.ring.full_weight(entry)
             newer = self._now - max(LIST_AGE, TOLD_BEFORE // self._set.dispatchers)
             worker.take_weight(self._now - LIST_AGE, newer, full, self._usual[0])
         if worker.cold_until > self._now:
--- a/heathway/state.py
+++ b/heathway/state.py
@@ -29,7 +29,7 @@
     heard_at: int = 0
     heard_of: int = 0  # when it last reported or was probed
     moves: deque[tuple[int, float, float]] = field(default_factory=deque)  # time, slots, memory
-    sends: deque[tuple[int, float]] = field(default_factory=deque)  # while it was cold: time, part of budget
+    sends: deque[tuple[int, float]] = field(default_factory=deque)  # of the last window: time, work in ns
     paused: bool = False
     aside: bool = False
     trial: bool = False  # set aside, but may get one job to show that it is back
@@ -88,24 +88,35 @@
         trust = max(0.0, 1 - (now - self.told_at) / believed) if self.told_at else 0.0
         return size - self.slots_out - trust * self.others - (1 - trust) * usual[1]
 
-    def spent_since(self, when: int) -> float:
-        """How much of the own budget for a cold worker was taken since."""
+    def note_sent(self, now: int, slots: float, mean: float, window: int) -> None:
+        """Notes a job sent, of that mean service time, ns, and forgets what was sent before the window.
+        Danger: what goes to a worker before its restart is told reaches it cold, and counts after it too."""
+        self.sent_since(now - window)
+        self.sends.append((now, mean * max(1.0, slots)))
+
+    def sent_since(self, when: int) -> list[float]:
+        """The work of each job sent to it since."""
         while self.sends and self.sends[0][0] <= when:
             self.sends.popleft()
-        return sum(part for _, part in self.sends)
+        return [work for _, work in self.sends]
 
     def looks_free(self) -> bool:
         """Whether the list gives it more than half the largest weight it ever had: live weights fall
         to half at one job a core; others stay the same."""
         return 2 * self.entry.weight > self.best_weight or self.best_weight <= 0
 
-    def relist(self, entry: api.WorkerEntry, cold_time: int) -> bool:
+    def relist(self, entry: api.WorkerEntry, cold_time: int, now: int) -> bool:
         """Takes in its line of the list and tells whether that shows a new process."""
-        old = self.entry
+        old, until = self.entry, self.cold_until
         if entry.state is api.WorkerState.GONE:
             entry = replace(old, state=api.WorkerState.GONE)
+        if entry.started_at < old.started_at:  # danger: by a list that comes late, a cold worker looks warm
+            entry = replace(entry, started_at=old.started_at)
         self.entry = entry
-        self.cold_until = entry.started_at + cold_time if entry.started_at else 0
+        # danger: started in the future, by another clock, it would be cold for as long as that is off
+        self.cold_until = min(entry.started_at, now) + cold_time if entry.started_at else 0
+        if until and entry.started_at == old.started_at:
+            self.cold_until = min(until, self.cold_until)
         return entry.started_at != old.started_at
 
     def forget(self) -> None:
@@ -421,6 +432,16 @@
         full = self._full.get(entry.kind, 0.0)
         return full / self._mean_full if full and self._mean_full else 1.0
 
+    def size_when_warm(self, worker: Worker, usual_size: float, live: bool) -> float:
+        """The slots, of mean speed, that a cold worker will have; ``live``: weights tell of load, too."""
+        if not usual_size:  # danger: right after a list nothing is usual, and all kinds would count alike
+            sizes = [other.size for other in self.workers if other.size]
+            usual_size = sum(sizes) / max(1, len(sizes))
+        size = usual_size * self.strength(worker.entry)
+        if worker.size and not live:  # danger: its slots tell nothing of a slow worker's speed
+            size = min(worker.size, size)
+        return size or worker.size or 1.0
+
     def sort(self, workers: dict[str, Worker]) -> None:
         self.workers = [workers[name] for name in sorted(workers)]
         self.open = self.cold = self.trials = self.reported = self.ready = 0
--- a/heathway/warming.py
+++ b/heathway/warming.py
@@ -1,17 +1,23 @@
 """The limit on what is sent to a cold worker. No decisions on jobs, no input or output.
 
 Danger: a worker that is sent a multiple of what it can do while it is cold falls over, and all dispatchers
-send at once without knowing of each other. The budget of each window is divided by their number; where a
-part is under one job, a hash of the worker's name and start picks the few that use it, others at each
-worker, so that the whole budget is used and no two of the fleet share a part.
+send at once without knowing of each other. The budget of each window is divided among them, in work and not
+in jobs, so that whatever classes each of them sends, the sum is the budget's. Where an equal part would be
+under one job, a hash of the worker's name and start gives the few that have larger ones, others at each
+worker, and no two of the fleet have the same place.
 """
 
 import math
 import zlib
+from collections.abc import Iterable
+from dataclasses import dataclass
+from functools import lru_cache
 
 from heathway import api
 
 DEVIATIONS = 3.0  # the budget holds the mean of the jobs that are allowed and so many deviations of their sum
+SLOTS = (1, 2, 4, 8)  # parts are made for jobs of so many slots; others use what there is
+STEPS = 16  # budgets and means are rounded to so many steps an octave: parts are worked out once for each
 
 
 def capacity(rules: api.Settings, started_at: int, now: int) -> float:
@@ -42,16 +48,87 @@
     return int(root * root + 1e-9)
 
 
-def part_taken(
-    rules: api.Settings, entry: api.WorkerEntry, now: int, size: float, mean: float, slots: float
-) -> float:
-    """The part of this dispatcher's budget for a cold worker that one job takes; infinite where it has none.
+@dataclass(frozen=True, slots=True)
+class Part:
+    """What a dispatcher may send to a cold worker within a window."""
 
-    ``entry``: its line of the list; ``size``: its slots, of mean speed; ``mean``: of a job's service time,
-    ns; ``slots``: what it takes. The parts sent within ``rules.fall_window`` may not pass 1.
+    work: float  # ns on one slot of a warm worker
+    squares: float  # danger: many short jobs' work, sent as a few long ones, is passed far more often
+
+    def holds(self, sent: Iterable[float], job: float) -> bool:
+        """Whether another job of that work fits beside what was sent within the window, ns."""
+        work, squares = job, job * job
+        for one in sent:
+            work += one
+            squares += one * one
+        return work <= self.work and squares <= self.squares
+
+
+NOTHING = Part(0.0, 0.0)
+
+
+def _places(budget: float, sizes: tuple[float, ...], dispatchers: int) -> list[tuple[int, Part]]:
+    """The parts that hold as many jobs of each size as fit the budget if all are of that size: the largest
+    parts first, each with the place after the last one that has it."""
+    steps = []
+    work = squares = 0.0
+    for size in sizes:
+        each, more = divmod(jobs_within(budget, size), dispatchers)
+        work, squares = max(work, each * size), max(squares, each * size * size)
+        steps.append((more, (each + 1) * size, (each + 1) * size * size))
+    parts = [(dispatchers, Part(work, squares))]
+    for until, more_work, more_squares in sorted(steps, reverse=True):
+        if until:
+            work, squares = max(work, more_work), max(squares, more_squares)
+            parts.append((until, Part(work, squares)))
+    return parts[::-1]
+
+
+def _sum(parts: list[tuple[int, Part]]) -> float:
+    total, begin = 0.0, 0
+    for until, part in parts:
+        total += (until - begin) * part.work
+        begin = until
+    return total
+
+
+@lru_cache(maxsize=2048)
+def _parts(budget_step: int, size_steps: tuple[int, ...], dispatchers: int) -> list[tuple[int, Part]]:
+    """The parts of a budget. Danger: the places of long jobs and those of short ones overlap, so that each
+    dispatcher, at the class that takes most, comes to several budgets together. So they are made as if of
+    the largest budget, up to the true one, whose parts are together no more than the true one; as that
+    grows, none shrinks."""
+    budget = 2 ** (budget_step / STEPS)
+    sizes = tuple(2 ** (step / STEPS) for step in size_steps)
+    parts = _places(budget, sizes, dispatchers)
+    if _sum(parts) <= budget:
+        return parts
+    low, high = 0.0, budget
+    for _ in range(20):
+        middle = (low + high) / 2
+        if _sum(_places(middle, sizes, dispatchers)) <= budget:
+            low = middle
+        else:
+            high = middle
+    return _places(low, sizes, dispatchers)
+
+
+def part_of(
+    rules: api.Settings, entry: api.WorkerEntry, now: int, size: float, means: Iterable[float]
+) -> Part:
+    """This dispatcher's part of the budget for a cold worker within any ``rules.fall_window``. The work of
+    all parts of the fleet is at most the budget, in any mix of classes and slots.
+
+    ``entry``: its line of the list; ``size``: its slots, of mean speed; ``means``: of the service times, ns,
+    of the classes that it runs.
     """
+    if rules.me >= rules.dispatchers:  # danger: the fleet is larger than told, its first ones have all of it
+        return NOTHING
     budget = rules.fall_multiple * capacity(rules, entry.started_at, now) * rules.fall_window * size
-    jobs = jobs_within(budget, mean * max(1.0, slots))
-    turn = rules.me - zlib.crc32(f"{entry.worker} {entry.started_at}".encode())
-    allowed = jobs // rules.dispatchers + (turn % rules.dispatchers < jobs % rules.dispatchers)
-    return 1 / allowed if allowed else math.inf
+    if budget < 1:
+        return NOTHING
+    budget_step = math.floor(math.log2(budget) * STEPS)
+    steps = {math.ceil(math.log2(max(1.0, mean * slots)) * STEPS) for mean in means for slots in SLOTS}
+    place = (rules.me - zlib.crc32(f"{entry.worker} {entry.started_at}".encode())) % rules.dispatchers
+    parts = _parts(budget_step, tuple(sorted(steps)), rules.dispatchers)
+    return next(part for until, part in parts if place < until)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -146,30 +146,6 @@
     assert len(world.sends) == 1
 
 
-@pytest.mark.parametrize("dispatchers", [1, 4, 30])
-def test_all_dispatchers_together_keep_a_cold_worker_within_its_budget(dispatchers):
-    settings = make_settings(dispatchers=dispatchers)
-    total = []
-    for me in range(dispatchers):
-        world = World(make_settings(dispatchers=dispatchers, me=me), entries(1), seed=me)
-        job = world.arrive("safe")
-        world.now += 400 * MS
-        world.end(job, 0, Outcome.OK, free=8.0)  # the size is known before the restart
-        start = world.now
-        world.listed(ListKind.CHANGES, entries(1, started_at=start))
-        sent_before = len(world.sends)
-        for n in range(40):
-            world.arrive("safe", key=n)
-            for job, number in world.out():
-                world.end(job, number, Outcome.FULL if n % 2 else Outcome.OK, free=8.0)
-            world.advance(20 * MS)
-        total += [at for at, _, _ in world.sends[sent_before:] if at < start + settings.fall_window]
-    work = len(total) * 400 * MS
-    growth = settings.fall_window / settings.cold_time
-    capacity = settings.start_capacity + (1 - settings.start_capacity) * growth
-    assert 0 < work <= settings.fall_multiple * capacity * settings.fall_window * 8
-
-
 def test_a_final_answer_comes_before_the_deadline_when_there_is_no_fleet():
     world = World(make_settings(), ())
     job = world.arrive(left=6 * S)
--- /dev/null
+++ b/tests/test_warming.py
@@ -0,0 +1,435 @@
+"""Cold workers under the sum of what a whole fleet sends, in virtual time."""
+
+import math
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from heathway import api, warming
+from heathway.api import ListKind, Outcome, WorkerState
+from heathway.logic import Dispatcher
+from heathway.state import Worker
+from tests.world import MS, S, World, entries, make_settings
+
+SITE = (4500 * MS, 800 * MS, 400 * MS)  # mean work of a fleet's classes, long ones first
+GAPS = (0, 1, 10 * MS)  # ns, between moments that are else whole, half or almost whole windows apart
+
+
+class Eager(Dispatcher):
+    """Lets all jobs in: what goes to cold workers is bounded by their budget alone."""
+
+    def _admits(self, cls: api.JobClass) -> bool:
+        return True
+
+    def _note_usual(self) -> None:
+        pass
+
+
+@dataclass
+class Offer:
+    """Jobs that a dispatcher is offered at a moment: class and slots of each, as long as they are sent."""
+
+    classes: tuple[int, ...]
+    slots: int = 1
+
+
+class Fleet:
+    """Dispatchers that share nothing, and one worker that has started. All that is sent ends at once, so
+    that nothing but the worker's being cold holds jobs back."""
+
+    def __init__(self, rules: api.Settings, means: tuple[int, ...], size: float, number: int = 0) -> None:
+        classes = tuple(
+            api.JobClass(f"c{i}", (api.Effect.SAFE, api.Effect.UNSAFE)[i % 2], 30 * S, 60 * S)
+            for i in range(len(means))
+        )
+        self.rules, self.means, self.size = replace(rules, classes=classes), means, size
+        self.entry = api.WorkerEntry("w", "a", 0, "std", started_at=100 * S)
+        self.now = 100 * S
+        self.job = 0
+        self.sends: list[tuple[int, float]] = []  # when, work in ns
+        # older than the worker by far
+        self.dispatchers = [self.start(me, 10 * S) for me in range(number or rules.dispatchers)]
+
+    def start(self, me: int, now: int | None = None) -> Eager:
+        dispatcher = Eager(replace(self.rules, me=me), me)
+        dispatcher._usual = (self.size, 0.0)
+        for i, mean in enumerate(self.means):
+            dispatcher._service[f"c{i}"].mean = mean
+        self.tell(dispatcher, now)
+        return dispatcher
+
+    def tell(self, dispatcher: Eager, now: int | None = None) -> None:
+        at = self.now if now is None else now
+        # danger: the first look at the list may be taken long before the news of the start
+        entries_now = (self.entry,) if at >= self.entry.started_at else ()
+        dispatcher.handle(at, [api.WorkerList(ListKind.FULL, entries_now)])
+
+    def tell_all(self) -> None:
+        for dispatcher in self.dispatchers:
+            self.tell(dispatcher)
+
+    def offer(self, dispatcher: Eager, offer: Offer, most: int = 10_000) -> int:
+        """Offers one job after another of each class until one is not sent; how many were."""
+        sent = 0
+        if self.now >= self.entry.started_at + self.rules.cold_time:
+            return 0  # it is warm
+        for which in offer.classes:
+            while sent < most:
+                self.job += 1
+                event = api.JobArrived(self.job, f"c{which}", None, None, 60 * S, float(offer.slots))
+                actions = dispatcher.handle(self.now, [event])
+                if not any(isinstance(a, api.Send) for a in actions):
+                    dispatcher.handle(self.now, [api.JobWithdrawn(self.job)])
+                    break
+                sent += 1
+                self.sends.append((self.now, float(self.means[which] * offer.slots)))
+                end = api.AttemptEnded(
+                    self.job, 0, "w", Outcome.CANCELLED, True, 0, api.LoadReport(free_slots=self.size)
+                )
+                dispatcher.handle(self.now, [end])
+        return sent
+
+    def most(self) -> float:
+        """The largest part of the budget of its end that was sent within a window."""
+        rules, worst, total = self.rules, 0.0, 0.0
+        window: deque[tuple[int, float]] = deque()
+        for at, work in sorted(self.sends):
+            while window and window[0][0] <= at - rules.fall_window:
+                total -= window.popleft()[1]
+            window.append((at, work))
+            total += work
+            part = rules.start_capacity + (1 - rules.start_capacity) * (at - 100 * S) / rules.cold_time
+            worst = max(worst, total / (rules.fall_multiple * min(1.0, part) * rules.fall_window * self.size))
+        return worst
+
+    def check(self) -> None:
+        """Danger: chance has its own allowance; what is sent on purpose must be within N itself."""
+        assert self.most() <= 1 + 1e-9
+
+
+def rules_of(dispatchers: int, **changes: object) -> api.Settings:
+    changes = {"fall_multiple": 2.5, "fall_window": 3 * S, "cold_time": 22 * S, **changes}
+    return make_settings(dispatchers=dispatchers, **changes)
+
+
+@st.composite
+def fleets(draw: st.DrawFn, dispatchers: Iterable[int]) -> Fleet:
+    rules = rules_of(
+        draw(st.sampled_from(list(dispatchers))),
+        fall_multiple=draw(st.floats(0.5, 6)),
+        fall_window=draw(st.integers(200, 5000)) * MS,
+        start_capacity=draw(st.floats(0.05, 1)),
+        cold_time=draw(st.integers(1, 60)) * S,
+    )
+    means = draw(st.lists(st.integers(50, 6000).map(lambda ms: ms * MS), min_size=1, max_size=4))
+    return Fleet(rules, tuple(sorted(means, reverse=True)), float(draw(st.integers(1, 32))))
+
+
+@st.composite
+def moments(draw: st.DrawFn, window: int, classes: int) -> list[tuple[int, str, list[Offer]]]:
+    """When, in which order, and what each is offered, the same offers going round."""
+    found, at = [], 0
+    whole = (0, window // 2, window - 1, window, window + 1)
+    order = st.permutations(range(classes)).map(tuple)
+    for _ in range(draw(st.integers(1, 5))):
+        at += draw(st.sampled_from(whole)) + draw(st.sampled_from(GAPS))
+        offers = draw(
+            st.lists(st.builds(Offer, order, st.sampled_from((1, 1, 1, 2, 3, 8))), min_size=1, max_size=3)
+        )
+        found.append((at, draw(st.sampled_from(("up", "down"))), offers))
+    return found
+
+
+@settings(max_examples=60)
+@given(st.data())
+def test_a_fleet_in_any_mix_keeps_a_cold_worker_within_its_budget(data):
+    # danger: the few places of the long class and the many of a short one add up to 1.6 budgets
+    fleet = data.draw(fleets((1, 2, 3, 20, 30)))
+    for at, order, offers in data.draw(moments(fleet.rules.fall_window, len(fleet.means))):
+        fleet.now = 100 * S + at
+        fleet.tell_all()
+        some = fleet.dispatchers if order == "up" else fleet.dispatchers[::-1]
+        for i, dispatcher in enumerate(some):
+            fleet.offer(dispatcher, offers[i % len(offers)], most=40)
+    fleet.check()
+
+
+@pytest.mark.parametrize("dispatchers", [1, 2, 3, 20, 30, 200, 1024])
+@pytest.mark.parametrize("age", [0, 8 * S, 22 * S - 1])
+def test_all_classes_at_once_keep_within_the_budget_and_use_most_of_it(dispatchers, age):
+    # danger: with each at the class that takes most, 30 dispatchers sent 1.09 budgets and 200 sent 1.34
+    fleet = Fleet(rules_of(dispatchers), SITE, 5.0)
+    fleet.now += age
+    fleet.tell_all()
+    for dispatcher in fleet.dispatchers:
+        fleet.offer(dispatcher, Offer((0, 1, 2)))
+    fleet.check()
+    assert fleet.most() >= (0.4 if age else 0.25)
+
+
+@pytest.mark.parametrize("dispatchers", [3, 30, 200])
+def test_a_window_in_which_the_capacity_grows_keeps_within_the_budget(dispatchers):
+    rules = rules_of(dispatchers, fall_window=3 * S, cold_time=6 * S)
+    fleet = Fleet(rules, SITE, 6.0)
+    for step in range(8):
+        fleet.now = 100 * S + step * 750 * MS
+        fleet.tell_all()
+        for i, dispatcher in enumerate(fleet.dispatchers):
+            fleet.offer(dispatcher, Offer(((0, 1, 2), (2, 1, 0), (1, 2, 0))[(i + step) % 3]))
+    fleet.check()
+
+
+def restart(fleet: Fleet, some: Iterable[int]) -> None:
+    for me in some:
+        fleet.dispatchers[me] = fleet.start(me)
+
+
+@pytest.mark.parametrize("dispatchers", [1, 2, 3, 20, 30, 200])
+@pytest.mark.parametrize("which", ["one", "a tenth each second", "seven in ten at once", "twice in a window"])
+def test_restarted_dispatchers_do_not_spend_their_part_again(dispatchers, which):
+    # danger: a restarted process has forgotten what it sent; spent twice, its part makes two of the fleet's
+    fleet = Fleet(rules_of(dispatchers, fall_multiple=4.0), SITE[1:], 6.0)
+    fleet.now += 10 * S
+    number = len(fleet.dispatchers)
+    seven = range(math.ceil(0.7 * number))
+    for step in range(12):
+        if which == "one":
+            restart(fleet, [step % number] if step in (1, 2, 3, 7) else [])
+        elif which == "a tenth each second":
+            restart(fleet, range(step % 10, number, 10) if step else [])
+        elif which == "seven in ten at once":
+            restart(fleet, seven if step in (1, 6) else [])
+        else:
+            restart(fleet, seven if step in (1, 2) else [])
+        fleet.tell_all()
+        for dispatcher in fleet.dispatchers:
+            fleet.offer(dispatcher, Offer((0, 1)))
+        fleet.now += S
+    fleet.check()
+    assert fleet.most() >= 0.4
+
+
+@settings(max_examples=60)
+@given(st.data())
+def test_a_fleet_restarted_at_any_time_keeps_within_the_budget(data):
+    fleet = data.draw(fleets((1, 2, 3, 20)))
+    for at, _, offers in data.draw(moments(fleet.rules.fall_window, len(fleet.means))):
+        fleet.now = 100 * S + at
+        fleet.tell_all()
+        for i, dispatcher in enumerate(fleet.dispatchers):
+            fleet.offer(dispatcher, offers[i % len(offers)], most=40)
+        part = data.draw(st.sampled_from((0.0, 0.1, 0.7, 1.0)))
+        restart(fleet, range(math.ceil(part * len(fleet.dispatchers))))
+        for i, dispatcher in enumerate(fleet.dispatchers):
+            fleet.offer(dispatcher, offers[i % len(offers)], most=40)
+    fleet.check()
+
+
+def test_a_fleet_that_starts_with_cold_workers_serves_after_one_window():
+    fleet = Fleet(rules_of(3), SITE[1:], 5.0)
+    fleet.now += 5 * S
+    restart(fleet, range(3))
+    assert sum(fleet.offer(dispatcher, Offer((0, 1))) for dispatcher in fleet.dispatchers) == 0
+    fleet.now += fleet.rules.fall_window
+    assert all(fleet.offer(dispatcher, Offer((0, 1))) for dispatcher in fleet.dispatchers)
+
+
+def test_a_worker_that_starts_after_the_dispatchers_is_used_at_once():
+    fleet = Fleet(rules_of(3), SITE[1:], 5.0)
+    restart(fleet, range(3))  # in the very moment of its start
+    assert all(fleet.offer(dispatcher, Offer((0, 1))) for dispatcher in fleet.dispatchers)
+
+
+def test_dispatchers_beyond_the_number_told_send_nothing_to_cold_workers():
+    # danger: their parts are those of the first ones
+    fleet = Fleet(rules_of(20), SITE, 5.0, number=30)
+    fleet.now += 10 * S
+    fleet.tell_all()
+    sent = [fleet.offer(dispatcher, Offer((0, 1, 2))) for dispatcher in fleet.dispatchers]
+    assert sum(sent[:20]) > 0
+    assert sum(sent[20:]) == 0
+    fleet.check()
+
+
+@pytest.mark.parametrize("slots", [1, 2, 4, 8, 16])
+@pytest.mark.parametrize("dispatchers", [3, 30, 200])
+def test_jobs_of_several_slots_count_with_all_of_them(dispatchers, slots):
+    fleet = Fleet(rules_of(dispatchers), SITE[1:], 32.0)
+    fleet.now += 10 * S
+    fleet.tell_all()
+    for dispatcher in fleet.dispatchers:
+        fleet.offer(dispatcher, Offer((0, 1), slots))
+        fleet.offer(dispatcher, Offer((0, 1), 1))
+    fleet.check()
+    assert any(work >= slots * SITE[2] for _, work in fleet.sends) or slots > 8
+
+
+@pytest.mark.parametrize("dispatchers", [1, 3, 20, 200])
+def test_no_more_long_jobs_are_sent_than_their_chance_has_room_for(dispatchers):
+    # danger: the work of many short jobs, sent as six long ones, is passed by drawn lengths far more often
+    fleet = Fleet(rules_of(dispatchers), SITE, 5.0)
+    fleet.now += 22 * S - 1
+    fleet.tell_all()
+    long_jobs = sum(fleet.offer(dispatcher, Offer((0,))) for dispatcher in fleet.dispatchers)
+    assert 0 < long_jobs + 2 * math.sqrt(long_jobs) <= 2.5 * 3 * S * 5.0 / SITE[0]
+
+
+def test_several_jobs_in_one_tick_share_one_part():
+    fleet = Fleet(rules_of(1), SITE[2:], 8.0)
+    fleet.now += S
+    fleet.tell_all()
+    arrivals = [api.JobArrived(i, "c0", None, None, 60 * S) for i in range(500)]
+    sent = sum(isinstance(a, api.Send) for a in fleet.dispatchers[0].handle(fleet.now, arrivals))
+    assert 0 < sent <= 8
+
+
+def test_a_trial_job_counts_and_is_kept_within_the_part():
+    fleet = Fleet(rules_of(1), SITE[2:], 5.0)
+    fleet.now += S
+    fleet.tell_all()
+    dispatcher = fleet.dispatchers[0]
+    assert fleet.offer(dispatcher, Offer((0,))) > 0
+    worker = dispatcher._workers["w"]
+    for _ in range(5):
+        worker.aside = worker.trial = True
+        dispatcher._update(worker)
+        fleet.now += 1
+        fleet.offer(dispatcher, Offer((0,)))
+    fleet.check()
+
+
+def test_work_sent_before_a_restart_was_told_counts_after_it():
+    # danger: the list comes a second late; what reached the cold worker meanwhile is most of its budget
+    fleet = Fleet(rules_of(1), SITE[2:], 5.0)
+    dispatcher = fleet.dispatchers[0]
+    told, fleet.entry = fleet.entry, replace(fleet.entry, started_at=1)
+    fleet.tell(dispatcher)
+    fleet.entry = told
+    fleet.now += S
+    before = fleet.offer(dispatcher, Offer((0,)), most=12)
+    fleet.tell(dispatcher)
+    fleet.offer(dispatcher, Offer((0,)))
+    assert before == 12
+    fleet.check()
+
+
+def test_a_worker_that_starts_again_while_cold_gets_no_more_within_a_window():
+    fleet = Fleet(rules_of(3, fall_multiple=6.0), SITE[2:], 5.0)
+    fleet.now += S
+    fleet.tell_all()
+    first = sum(fleet.offer(dispatcher, Offer((0,))) for dispatcher in fleet.dispatchers)
+    fleet.entry = replace(fleet.entry, started_at=fleet.now)
+    fleet.now += 1
+    fleet.tell_all()
+    again = sum(fleet.offer(dispatcher, Offer((0,))) for dispatcher in fleet.dispatchers)
+    assert first > 0
+    assert again <= 1  # the places turn with the start, so that one may have room that it had not
+    fleet.now += fleet.rules.fall_window
+    assert sum(fleet.offer(dispatcher, Offer((0,))) for dispatcher in fleet.dispatchers) > 0
+
+
+def relisted(*lines: tuple[int, int, WorkerState]) -> Worker:
+    """The one worker of a world, its lines coming so: ns after the first moment, start, state."""
+    world = World(make_settings(), entries(1))
+    begun = world.now
+    for after, start, state in lines:
+        world.now = begun + after
+        world.listed(ListKind.CHANGES, entries(1, started_at=start, state=state))
+    return world.dispatcher._workers["w000"]
+
+
+def test_a_line_of_a_former_start_does_not_make_a_cold_worker_warm():
+    worker = relisted((0, 7 * S, WorkerState.UP), (S, 0, WorkerState.UP), (2 * S, 3, WorkerState.UP))
+    assert worker.entry.started_at == 7 * S
+    assert worker.cold_until == 27 * S
+
+
+def test_a_worker_gone_and_up_again_is_as_cold_as_before():
+    worker = relisted((0, 7 * S, WorkerState.UP), (S, 0, WorkerState.GONE), (2 * S, 7 * S, WorkerState.UP))
+    assert worker.cold_until == 27 * S
+    assert worker.entry.started_at == 7 * S
+
+
+def test_a_start_in_the_future_keeps_a_worker_cold_for_no_longer_than_the_cold_time():
+    worker = relisted((0, 5000 * S, WorkerState.UP), (5 * S, 5000 * S, WorkerState.UP))
+    assert worker.cold_until == 27 * S
+
+
+@pytest.mark.parametrize("live", [False, True])
+def test_a_slow_worker_gets_a_budget_by_its_weight_also_right_after_a_list(live):
+    # danger: slots are known, speed is not; a worker of a quarter of the others' speed was sent as much
+    sent = []
+    for weight in (1.0, 0.25):
+        fast, slow = entries(2)
+        slow = replace(slow, kind="old", weight=weight)
+        world = World(make_settings(fall_window=3 * S, live_weights=live), (fast, slow))
+        for worker in world.dispatcher._workers.values():
+            worker.size = 8.0
+        world.dispatcher._workers["w000"].aside = True  # so that all goes to the other one
+        world.listed(ListKind.CHANGES, (replace(slow, started_at=world.now),))
+        for _ in range(60):
+            world.arrive("safe")
+            for job, number in world.out():
+                world.end(job, number, Outcome.CANCELLED)
+        sent.append(sum(name == "w001" for _, _, name in world.sends))
+    assert 0 < sent[1] <= 0.45 * sent[0]
+
+
+@given(
+    st.floats(1e6, 1e12),
+    st.lists(st.floats(1e6, 1e11), min_size=1, max_size=5),
+    st.sampled_from((1, 2, 3, 20, 30, 200, 1024)),
+    st.floats(1, 4),
+)
+def test_parts_add_up_to_the_budget_at_most_and_none_shrinks_as_it_grows(budget, sizes, dispatchers, growth):
+    steps = tuple(sorted({math.ceil(math.log2(size) * warming.STEPS) for size in sizes}))
+    shares = []
+    for one in (budget, budget * growth):
+        parts = warming._parts(math.floor(math.log2(one) * warming.STEPS), steps, dispatchers)
+        assert warming._sum(parts) <= one
+        shares.append([next(p for until, p in parts if place < until) for place in range(dispatchers)])
+    for before, after in zip(*shares, strict=True):
+        assert after.work >= before.work * (1 - 1e-5)
+
+
+@pytest.mark.parametrize("dispatchers", [1, 4, 30])
+def test_all_dispatchers_together_keep_a_cold_worker_within_its_budget(dispatchers):
+    settings = make_settings(dispatchers=dispatchers)
+    total = []
+    for me in range(dispatchers):
+        world = World(make_settings(dispatchers=dispatchers, me=me), entries(1), seed=me)
+        job = world.arrive("safe")
+        world.now += 400 * MS
+        world.end(job, 0, Outcome.OK, free=8.0)  # the size is known before the restart
+        start = world.now
+        world.listed(ListKind.CHANGES, entries(1, started_at=start))
+        sent_before = len(world.sends)
+        for n in range(40):
+            world.arrive("safe", key=n)
+            for job, number in world.out():
+                world.end(job, number, Outcome.FULL if n % 2 else Outcome.OK, free=8.0)
+            world.advance(20 * MS)
+        total += [at for at, _, _ in world.sends[sent_before:] if at < start + settings.fall_window]
+    work = len(total) * 400 * MS
+    growth = settings.fall_window / settings.cold_time
+    capacity = settings.start_capacity + (1 - settings.start_capacity) * growth
+    assert 0 < work <= settings.fall_multiple * capacity * settings.fall_window * 8
+
+
+def test_jobs_go_to_cold_workers_of_unknown_size_before_they_wait_behind_others():
+    # danger: taken to have one slot, a cold worker's budget divided by forty allowed nobody anything
+    cold = entries(60, started_at=7 * S)  # after the dispatchers: before, each would wait for a window
+    sent = set()
+    for me in range(40):
+        world = World(make_settings(me=me, dispatchers=40, tells_start=True, fall_window=3 * S), ())
+        world.dispatcher._usual = (5.0, 0.0)
+        world.dispatcher._note_usual = lambda: None
+        world.listed(api.ListKind.FULL, cold)
+        for _ in range(6):
+            world.arrive("safe")
+        sent |= {worker for _, _, worker in world.sends}
+    assert len(sent) > 30
