--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -543,7 +543,7 @@
         self.soon(task._resume, 0, True)
         return task
 
-    def forget(self, fd: int) -> None: ...
+    def forget(self, fd: int, call: Callable[[int, bool], None], turn: int) -> None: ...
 
     def ended(self, task: Task, error: Exception | None = None) -> None:
         if error is not None:
