Count a nonsensical weight in a list as none

Cause: with live weights a NaN or infinite weight of one worker made the mean weight of all nonsense. Change: such a weight counts as not listed, and a budget that is no number allows nothing. Test: test_a_nonsensical_weight_...

--- a/heathway/state.py
+++ b/heathway/state.py
@@ -422,7 +422,8 @@
 
     def full_weight(self, entry: api.WorkerEntry) -> float:
         """The weight of an idle worker of the entry's kind, as far as one was ever listed."""
-        self._full[entry.kind] = full = max(entry.weight, self._full.get(entry.kind, 0.0))
+        # danger: one nonsensical weight would make the mean of all nonsense
+        self._full[entry.kind] = full = max(_sane(entry.weight) or 0.0, self._full.get(entry.kind, 0.0))
         return full
 
     def strength(self, entry: api.WorkerEntry) -> float:
--- a/heathway/warming.py
+++ b/heathway/warming.py
@@ -137,7 +137,7 @@
     if rules.me >= rules.dispatchers:  # danger: the fleet is larger than told, its first ones have all of it
         return NOTHING
     budget = rules.fall_multiple * capacity(rules, entry.started_at, now) * rules.fall_window * size
-    if budget < 1:
+    if not 1 <= budget < math.inf:
         return NOTHING
     budget_step = math.floor(math.log2(budget) * STEPS)
     place = (rules.me - _turn(entry.worker, entry.started_at)) % rules.dispatchers
--- a/tests/test_warming.py
+++ b/tests/test_warming.py
@@ -379,6 +379,19 @@
     assert 0 < sent[1] <= 0.45 * sent[0]
 
 
+@pytest.mark.parametrize("live", [False, True])
+@pytest.mark.parametrize("weight", [math.nan, math.inf, -math.inf, -1.0, 0.0, 1e300])
+def test_a_nonsensical_weight_neither_ends_the_dispatcher_nor_keeps_other_cold_workers_idle(weight, live):
+    first, second = entries(2, started_at=7 * S)
+    world = World(make_settings(live_weights=live, fall_window=3 * S), ())
+    world.listed(ListKind.FULL, (replace(first, weight=weight, kind="odd"), second))
+    for worker in world.dispatcher._workers.values():
+        worker.size = 8.0
+    for key in range(40):
+        world.arrive("safe", key=key)
+    assert "w001" in {name for _, _, name in world.sends}
+
+
 @given(
     st.floats(1e6, 1e12),
     st.lists(st.floats(1e6, 1e11), min_size=1, max_size=5),
