Keep a provider's second answer from being taken for the next request's

Cause, from reading: a connection went back into the pool while bytes beyond its answer were in the codec, and one that had just been answered was used again at once. A second answer, in the same read or some ms late, then answered the next request on it; a stale "503 X-Not-Processed: 1" was a false proof that a booking which runs never ran.

Probes and DELETEs don't wait. A proof whose header came twice counts as none. The pools have a module of their own (backs/pool.py).

The scripted peers of the tests take a further connection once they have answered on the present one.

--- a/ironbarrow/backs/invoker.py
+++ b/ironbarrow/backs/invoker.py
@@ -1,6 +1,5 @@
-"""Invoker calls to providers over HTTP: connection pools, calls, DELETE, probes."""
+"""Invoker calls to providers over HTTP: calls and their call-backs, DELETE, probes."""
 
-from collections import deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -9,6 +8,7 @@
 
 from heathway import api
 from heathway.settings import ReportReader
+from ironbarrow.backs.pool import Pools
 from ironbarrow.core import trace
 from ironbarrow.core.endings import ConnectionEndedError, Ending
 from ironbarrow.core.host import Call, Host
@@ -20,7 +20,6 @@
 
 log = structlog.get_logger()
 
-_POOL = 8  # idle connections kept to one provider
 # a DELETE is carried out when it arrives; a hung provider never says so, and what follows it would
 # overtake it on a shorter way
 _DELETE_LIMIT = 100 * MS
@@ -58,13 +57,8 @@
         self._directory = directory
         self._reports = reports
         self._connect_timeout = connect_timeout
-        # danger: a request written to a connection that the provider is about to close ends as a reset
-        self._idle_limit = idle_limit - min(idle_limit // 2, 2 * SECOND)
-        self._most_idle = most_idle
-        self._pools: dict[Address, deque[Connection]] = {}
-        self._idle = 0
+        self._pools = Pools(loop, idle_limit=idle_limit, most=most_idle)
         self._exchanges: dict[Call, _Exchange] = {}
-        self._loop.call_at(self._loop.now() + SECOND, self._sweep)
 
     # What the host asks for
 
@@ -110,17 +104,12 @@
 
     def close_idle(self, provider: str) -> None:
         address = self._directory.address_of(provider)
-        for connection in self._pools.pop(address, ()) if address else ():
-            self._idle -= 1
-            connection.close()
+        if address is not None:
+            self._pools.close_to(address)
 
     def free_descriptors(self) -> None:
         """Closes every idle connection: this process has no descriptors left."""
-        for pool in self._pools.values():
-            for connection in pool:
-                connection.close()
-        self._pools.clear()
-        self._idle = 0
+        self._pools.close_all()
 
     # Call-backs
 
@@ -186,7 +175,7 @@
             self._host.call_written(call)
             answer = yield from connection.read_message(call.until)
             exchange.answered = True
-            self._put_back(exchange.address, connection, answer)
+            self._pools.put_back(exchange.address, connection, proof=_is_proof(answer))
             connection = None
             self._answered(call, answer)
         except ConnectionEndedError as error:
@@ -201,9 +190,8 @@
         if answer.status == 202:
             call.accepted = True
             return
-        proven = answer.status in (503, 504) and answer.headers.get("x-not-processed", "").strip() == "1"
         # danger: without the proof, a 503 may come after the job has run
-        ending = Ending.NOT_PROCESSED if proven else Ending.ERROR_ANSWER
+        ending = Ending.NOT_PROCESSED if _is_proof(answer) else Ending.ERROR_ANSWER
         self._end(call, ending, self._header_report(answer.headers))
 
     def _end(
@@ -238,8 +226,8 @@
                 headers = [("Host", "{}:{}".format(*address))]
                 target = f"/jobs/{job_id}"
                 yield from connection.write(connection.request_bytes("DELETE", target, headers), limit)
-                answer = yield from connection.read_message(limit)
-                self._put_back(address, connection, answer)
+                yield from connection.read_message(limit)
+                self._pools.put_back(address, connection)
                 connection = None
                 break
             except ConnectionEndedError as error:
@@ -269,7 +257,7 @@
             if answer.status == 200:
                 ending = Ending.DONE
                 report = self._header_report({"x-server-load": answer.body.decode("latin-1")})
-            self._put_back(address, connection, answer)
+            self._pools.put_back(address, connection)
             connection = None
         except ConnectionEndedError as error:
             ending = Ending.TIMED_OUT if error.ending is Ending.STALLED else error.ending
@@ -290,44 +278,19 @@
             headers.append(("Content-Type", payload.content_type))
         return connection.request_bytes(payload.method, payload.target, headers, payload.body)
 
-    # Pools
-
     def _connection(self, address: Address, provider: str, purpose: str) -> Coroutine[Connection]:
         """An idle connection that is surely still open, or a new one."""
-        pool = self._pools.get(address)
-        while pool:
-            connection = pool.pop()
-            self._idle -= 1
-            if self._loop.now() - connection.used_at < self._idle_limit and connection.is_silent():
-                return connection
-            connection.close()
+        # a late second answer can do no harm to a probe or a DELETE: it is no proof there
+        connection = self._pools.take(address, settled=purpose == "call")
+        if connection is not None:
+            return connection
         if self._host.traced:
             trace.connected(self._loop.now(), provider, purpose)
         return (yield from connect(address, self._loop.now() + self._connect_timeout))
 
-    def _put_back(self, address: Address, connection: Connection, answer: Message) -> None:
-        pool = self._pools.setdefault(address, deque())
-        if not connection.next_cycle() or len(pool) >= _POOL:
-            connection.close()
-            return
-        connection.used_at = self._loop.now()
-        pool.append(connection)
-        self._idle += 1
-        if self._idle > self._most_idle:
-            # danger: kept to the end of their time, old connections to providers that get little
-            # would leave none for the busy ones, and each call there would pay for a handshake
-            oldest = min((p for p in self._pools.values() if p), key=lambda p: p[0].used_at)
-            oldest.popleft().close()
-            self._idle -= 1
-
-    def _sweep(self) -> None:
-        """Closes connections that are too old to be used again."""
-        oldest = self._loop.now() - self._idle_limit
-        for address in list(self._pools):
-            pool = self._pools[address]
-            while pool and (pool[0].used_at < oldest or not pool[0].is_silent()):
-                pool.popleft().close()
-                self._idle -= 1
-            if not pool:
-                del self._pools[address]
-        self._loop.call_at(self._loop.now() + SECOND, self._sweep)
+
+def _is_proof(answer: Message) -> bool:
+    """Whether it proves that the request never ran."""
+    name = "x-not-processed"
+    told = answer.headers.get(name, "").strip() == "1" and name not in answer.repeated
+    return told and answer.status in (503, 504)
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -53,8 +53,11 @@
 class Peer:
     """One scripted end of a connection."""
 
-    def __init__(self, address: tuple[str, int] | None) -> None:
+    def __init__(self, address: tuple[str, int] | None, *, many: bool = False) -> None:
         self.address = address  # of the dispatcher; None: the peer listens itself
+        self.many = many  # once it has answered on a connection, it takes the next one that waits
+        self.answered = False
+        self.older: list[socket.socket] = []  # connections answered before; steps go to where a request came
         self.listener = None if address else listen(("127.0.0.1", 0))
         self.sock: socket.socket | None = None
         self.seen = b""
@@ -67,9 +70,12 @@
 
     def look(self) -> None:
         """Takes in what has come."""
-        if self.sock is None and self.listener is not None and select.select([self.listener], [], [], 0)[0]:
-            self.sock = self.listener.accept()[0]
-            self.sock.setblocking(False)
+        free = self.sock is None or (self.many and self.answered)
+        if free and self.listener is not None and select.select([self.listener], [], [], 0)[0]:
+            self._turn_to(self.listener.accept()[0])
+        elif self.answered and (ready := select.select(self.older, [], [], 0)[0]):
+            self.older.remove(ready[0])
+            self._turn_to(ready[0])
         if self.sock is not None and not self.over:
             try:
                 data = self.sock.recv(1 << 20)
@@ -79,18 +85,28 @@
                 data = b""
             self.seen += data
             self.over = not data
+            self.answered = self.answered and self.over
 
-    def close(self) -> None:
-        if self.sock is not None:
+    def _turn_to(self, sock: socket.socket) -> None:
+        if self.sock is not None and not self.over:
+            self.older.append(self.sock)
+        elif self.sock is not None:
             self.sock.close()
-        self.sock, self.seen, self.over = None, b"", False
+        sock.setblocking(False)
+        self.sock, self.over, self.answered = sock, False, False
+
+    def close(self) -> None:
+        for sock in (self.sock, *self.older):
+            if sock is not None:
+                sock.close()
+        self.sock, self.seen, self.over, self.answered, self.older = None, b"", False, False, []
 
 
 class Stage:
     """A dispatcher and its peers, playing one scenario."""
 
     def __init__(self, providers: int = 2, known: bool = True, **config: Any) -> None:
-        self.peers = {f"p{n}": Peer(None) for n in range(1, providers + 1)} | {
+        self.peers = {f"p{n}": Peer(None, many=True) for n in range(1, providers + 1)} | {
             "d": Peer(None),
             "d2": Peer(None),
         }
@@ -169,6 +185,7 @@
             peer.sock.setblocking(True)
             peer.sock.sendall(text.replace("\\r", "\r").replace("\\n", "\n").encode("latin-1"))
             peer.sock.setblocking(False)
+            peer.answered = True
         elif verb == "expect":
             pattern = re.compile(text.encode(), re.DOTALL)
             self.until(line, lambda: pattern.search(peer.seen))
