Ask once more at the first byte whether a call may still be sent

Cause, from reading: after a connection had come up only the provider's state was looked at. Where nothing may be called off, a call whose consumer had left was written all the same; a keyed job's repeat went out after its window, which the module looks at before the connect; and nothing was asked again when the first send() had to wait. A call whose time ended before its last byte was told as "may have run", so that a booking that never ran got 500, not 503.

Change: Host.barred is asked right before the first byte, again after each wait with none gone; send_by ends the writing with the window. A call unsent at its job's deadline is NOT_SENT, at its own time-out a failed connection, and so is one that is called off, but for safe jobs (there it would set aside a provider that is well and change nothing). connect() looks with poll whether the socket is up: SO_ERROR is 0 also while it still connects, and the loop may wake it for another socket's sake.

Shown by tests/test_invoker.py: of the 13 new cases 11 failed without the change (run so) and pass with it; "the provider drains, connecting" was guarded before, and a safe job called off stays CANCELLED.

--- a/ironbarrow/backs/invoker.py
+++ b/ironbarrow/backs/invoker.py
@@ -167,11 +167,8 @@
         connection: Connection | None = None
         try:
             connection = yield from self._connection(exchange.address, call.provider, "call")
-            if not self._host.may_send_to(call.provider):
-                # danger: it was told to drain while the connection came up
-                self._end(call, Ending.DRAINED)
-                return
-            yield from connection.write(self._request(connection, call, exchange.address), call.until)
+            request = self._request(connection, call, exchange.address)
+            yield from connection.write(request, self._host.send_by(call), lambda: self._may_begin(call))
             self._host.call_written(call)
             answer = yield from connection.read_message(call.until)
             exchange.answered = True
@@ -186,6 +183,10 @@
             if connection is not None:
                 connection.close()
 
+    def _may_begin(self, call: Call) -> None:
+        if (ending := self._host.barred(call)) is not None:
+            raise ConnectionEndedError(ending)
+
     def _answered(self, call: Call, answer: Message) -> None:
         if answer.status == 202:
             call.accepted = True
--- a/ironbarrow/core/endings.py
+++ b/ironbarrow/core/endings.py
@@ -29,7 +29,7 @@
     # this side's doing
     TIMED_OUT = auto()  # nothing came by the time-out of the call
     GIVEN_UP = auto()
-    NOT_SENT = auto()  # the job was over, or had no attempts left
+    NOT_SENT = auto()  # the job was over, or had no attempts or no time left
 
 
 class ConnectionEndedError(Exception):
@@ -42,6 +42,9 @@
 
 
 _BREAKS = frozenset((Ending.CLOSED, Ending.RESET, Ending.STALLED, Ending.MALFORMED, Ending.TOO_LARGE))
+# before the last byte each of them closes the connection; GIVEN_UP does too, but there the provider may be
+# well, and as a failed connection it would be set aside (``Host`` tells the two apart)
+_UNSENT = _BREAKS | {Ending.TIMED_OUT}
 
 _OUTCOMES = {
     Ending.DONE: Outcome.OK,
@@ -73,6 +76,6 @@
     Danger: a break proves "never ran" only before that byte; after it, a job that must not run
     twice may have run.
     """
-    if ending in _BREAKS and not written:
+    if ending in _UNSENT and not written:
         return Outcome.CONNECT_FAILED
     return _OUTCOMES[ending]
--- a/ironbarrow/core/host.py
+++ b/ironbarrow/core/host.py
@@ -185,6 +185,7 @@
         self._next_at = 0
         self._planned = False
         self._states: dict[str, api.WorkerState] = {}
+        self._classes = {cls.name: cls for cls in settings.classes}
         if traced:
             trace.begun(loop.now(), settings)
         self._carry_out: dict[type, Callable[..., None]] = {
@@ -314,6 +315,30 @@
     def may_send_to(self, provider: str) -> bool:
         return self._states.get(provider) is api.WorkerState.UP
 
+    def barred(self, call: Call) -> Ending | None:
+        """Why the call's first byte may not go out now; None: it may. Asked at the last moment. Danger: the
+        consumer may have gone, the time be over or the provider have been told to drain while a connection
+        came up or the call waited for anything else; the module decided before all that."""
+        now = self.loop.now()
+        if call.ended or call.given_up or call.job.over:
+            return Ending.NOT_SENT
+        if now >= call.until:
+            return self._out_of_time(call)
+        if now >= self.send_by(call):
+            return Ending.NOT_SENT
+        return None if self.may_send_to(call.provider) else Ending.DRAINED
+
+    def send_by(self, call: Call) -> int:
+        """Until when the call's last byte may go out. Danger: a keyed job's repeat is dropped only within the
+        window of the first attempt that may have run; after it, the repeat would run too."""
+        cls = self._classes.get(call.job.arrival.job_class)
+        if cls is None or cls.effect is not api.Effect.KEYED:
+            return call.until
+        risky = next((c for c in call.job.calls if c is not call and not c.never_ran), None)
+        if risky is None:
+            return call.until
+        return min(call.until, risky.sent_at + cls.window - self.settings.tick)
+
     def call_out(self, job_id: str, provider: str) -> Call | None:
         """The call of that id that is out at that provider."""
         job = self._by_id.get(job_id)
@@ -450,15 +475,25 @@
         self.invoker.start(call)
 
     def _timed_out(self, call: Call) -> None:
-        at_deadline = call.until >= call.job.deadline
-        if at_deadline:  # the final answer is due: the module is told before the provider
-            self.call_ended(call, Ending.TIMED_OUT)
+        if call.until >= call.job.deadline:  # the final answer is due: the module is told before the provider
+            self.call_ended(call, self._out_of_time(call))
         self._give_up(call, Ending.TIMED_OUT)
 
+    def _out_of_time(self, call: Call) -> Ending:
+        """Danger: told as a time-out, a booking whose last byte was never written could not be refused; told
+        as a failed connection, the provider would be set aside where the job's time was short."""
+        unsent = not call.written and call.until >= call.job.deadline
+        return Ending.NOT_SENT if unsent else Ending.TIMED_OUT
+
     def _cancel(self, action: api.CancelAttempt) -> None:
         job = self._jobs.get(action.job)
-        if job is not None and action.attempt < len(job.calls) and not job.calls[action.attempt].ended:
-            self._give_up(job.calls[action.attempt], Ending.GIVEN_UP)
+        if job is None or action.attempt >= len(job.calls) or job.calls[action.attempt].ended:
+            return
+        call, cls = job.calls[action.attempt], self._classes[job.arrival.job_class]
+        # danger: told as called off, a job that may not simply run again may have run; but for one that may,
+        # a failed connection would set aside a provider that is well
+        unsent = not call.written and cls.effect is not api.Effect.SAFE
+        self._give_up(call, Ending.CONNECT_TIMED_OUT if unsent else Ending.GIVEN_UP)
 
     def _give_up(self, call: Call, ending: Ending) -> None:
         if not call.given_up:
--- a/ironbarrow/transport/http.py
+++ b/ironbarrow/transport/http.py
@@ -170,10 +170,16 @@
         """One part of an answer that stays open."""
         return self._codec.chunk_bytes(data)
 
-    def write(self, data: bytes, until: int) -> Coroutine[None]:
-        """Writes all of it; ConnectionEndedError if the last byte could not be written by ``until``."""
+    def write(
+        self, data: bytes, until: int, before_first: Callable[[], None] | None = None
+    ) -> Coroutine[None]:
+        """Writes all of it; ConnectionEndedError if the last byte could not be written by ``until``.
+        ``before_first`` is called right before the first byte goes out, again after each wait with none
+        gone; what it raises ends the write."""
         rest = memoryview(data)
         while rest:
+            if before_first is not None and len(rest) == len(data):
+                before_first()
             try:
                 rest = rest[self.sock.send(rest) :]
                 continue
@@ -220,8 +226,15 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         number = sock.connect_ex(address)
         if number == errno.EINPROGRESS:
-            if not (yield Wait(sock.fileno(), WRITE, until)):
-                raise ConnectionEndedError(Ending.CONNECT_TIMED_OUT)
+            poll = select.poll()
+            poll.register(sock, select.POLLOUT)
+            waiting = True
+            while waiting:
+                if not (yield Wait(sock.fileno(), WRITE, until)):
+                    raise ConnectionEndedError(Ending.CONNECT_TIMED_OUT)
+                # danger: a wake-up meant for another socket of the same number says nothing of this one, and
+                # SO_ERROR is 0 also while it still connects
+                waiting = not poll.poll(0)
             number = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if number:
             raise ConnectionEndedError(Ending.CONNECT_REFUSED, errno.errorcode.get(number, str(number)))
--- a/tests/test_invoker.py
+++ b/tests/test_invoker.py
@@ -2,14 +2,24 @@
 
 The decisions here are the plainest ones, so that each case says where a job goes and sees each outcome."""
 
+import contextlib
+import socket
+import time
 from collections.abc import Iterable
+from dataclasses import replace
 from typing import Any
 
 import pytest
 
 from heathway import api
 from heathway.api import Outcome
-from tests.scenario import Stage, answer, call_back, job
+from heathway.settings import read_settings
+from ironbarrow.backs import invoker
+from ironbarrow.core.endings import ConnectionEndedError, Ending
+from ironbarrow.runtime.loop import MS, SECOND, Coroutine, Wait
+from ironbarrow.runtime.sockets import Address
+from ironbarrow.transport.http import Connection, connect
+from tests.scenario import SETTINGS, Stage, answer, call_back, job
 
 NOT_PROCESSED = answer(503, "X-Not-Processed: 1\\r\\n")
 ACCEPTED = answer(202)
@@ -21,6 +31,7 @@
 
     def __init__(self, order: tuple[str, ...]) -> None:
         self.order = order
+        self.timeout = 0
         self.outcomes: list[Outcome] = []
         self._ended: dict[int, list[Outcome]] = {}
 
@@ -29,7 +40,7 @@
         for event in events:
             if isinstance(event, api.JobArrived):
                 self._ended[event.job] = []
-                actions.append(api.Send(event.job, self.order[0]))
+                actions.append(api.Send(event.job, self.order[0], self.timeout))
             elif isinstance(event, api.AttemptEnded):
                 self.outcomes.append(event.outcome)
                 ended = self._ended[event.job]
@@ -88,3 +99,126 @@
         c9 send {call_back("done", "j2", result="right")}
         c2 expect HTTP/1.1 200 .*right$"""
     )
+
+
+# Before the first byte
+
+SHORT = replace(
+    read_settings(SETTINGS),
+    may_cancel=False,  # then the module calls nothing off when a consumer leaves
+    classes=(
+        *read_settings(SETTINGS).classes,
+        api.JobClass("charge", api.Effect.KEYED, 1 * SECOND, 25 * SECOND, window=100 * MS),
+    ),
+)
+
+
+class Gate:
+    """Holds calls before their first byte until it is opened."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, moment: str) -> None:
+        self.open = True
+        self.held = 0
+        real_connect, real_send = invoker.connect, socket.socket.send
+
+        def connect(address: Address, until: int) -> Coroutine[Connection]:
+            while not self.open:
+                self.held += 1
+                yield Wait(-1, 0, time.time_ns() + MS)
+            return (yield from real_connect(address, until))
+
+        def send(sock: socket.socket, data: Any, flags: int = 0) -> int:
+            if not self.open and bytes(data).startswith(b"POST"):
+                self.held += 1
+                raise BlockingIOError
+            return real_send(sock, data, flags)
+
+        if moment == "connecting":
+            monkeypatch.setattr(invoker, "connect", connect)
+        else:
+            monkeypatch.setattr(socket.socket, "send", send)
+
+
+# The job, the providers it goes to, what happens while a call is held, the outcomes, what the consumer gets
+HELD = {
+    "the consumer leaves": (booking(), ("p1",), "c1 close", [Outcome.MOOT], ""),
+    "the provider drains": (booking(), ("p1",), "d send $drained", [Outcome.FULL], "503"),
+    "the job's time ends": (booking(ms=300), ("p1",), "c1 expect 503", [Outcome.MOOT], ""),
+    "the attempt's time ends": (booking(), ("p1",), "time", [Outcome.CONNECT_FAILED], "503"),
+    "the window for a repeat ends": (
+        job(path="charge/x"),
+        ("p2", "p1"),
+        "wait 150",
+        [Outcome.ERROR, Outcome.MOOT],
+        "500",
+    ),
+}
+
+
+@pytest.mark.parametrize("moment", ["connecting", "the first byte can't be written"])
+@pytest.mark.parametrize("name", HELD)
+def test_a_call_is_not_begun_when_what_it_was_decided_on_is_over(
+    name: str, moment: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    sent, order, happens, outcomes, status = HELD[name]
+    gate = Gate(monkeypatch, moment)
+    stage, decisions = plain(*order, settings=SHORT)
+    if happens == "time":
+        decisions.timeout = 150 * MS
+        happens = "c1 expect 503"
+    stage.step("d expect GET")
+    stage.step("d send HTTP/1.1 200 X\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n1\\r\\n\\n\\r\\n")
+    if order == ("p1",):
+        gate.open = False
+    stage.step(f"c1 send {sent}")
+    if order != ("p1",):
+        stage.step("p2 expect in$")
+        gate.open = False
+        stage.step(f"p2 send {answer(500)}")
+    stage.until("held", lambda: gate.held)
+    news = stage.news(stage.entry("p1", "draining")).replace("\r", "\\r").replace("\n", "\\n")
+    stage.step(happens.replace("$drained", news))
+    stage.pass_time(0.05)
+    gate.open = True
+    stage.pass_time(0.1)
+    assert decisions.outcomes == outcomes
+    assert stage.peers["p1"].seen == b""
+    assert not stage.dispatcher.host.held_in_memory
+    if status and "expect" not in happens:
+        stage.step(f"c1 expect ^HTTP/1.1 {status}")
+    stage.close()
+
+
+@pytest.mark.parametrize(("effect", "outcome"), [("book", "CONNECT_FAILED"), ("map", "CANCELLED")])
+def test_a_call_called_off_before_its_last_byte_never_ran(
+    effect: str, outcome: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # a safe job may go elsewhere anyway, and its provider need not be set aside
+    gate = Gate(monkeypatch, "connecting")
+    gate.open = False
+    stage, decisions = plain("p1")
+    stage.step(f"c1 send {job(path=effect)}")
+    stage.until("held", lambda: gate.held)
+    host = stage.dispatcher.host
+    host._cancel(api.CancelAttempt(next(iter(host._jobs)), 0))
+    gate.open = True
+    stage.pass_time(0.05)
+    assert [found.name for found in decisions.outcomes] == [outcome]
+    assert stage.peers["p1"].seen == b""
+    stage.close()
+
+
+def test_a_wake_up_meant_for_another_socket_does_not_make_a_connection() -> None:
+    with socket.socket() as listener, contextlib.ExitStack() as waiting:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        for _ in range(3):  # more than its backlog takes: further ones don't come up
+            other = waiting.enter_context(socket.socket())
+            other.setblocking(False)
+            other.connect_ex(listener.getsockname())
+        coming_up = connect(listener.getsockname(), 1)
+        assert isinstance(next(coming_up), Wait)
+        assert isinstance(coming_up.send(True), Wait)
+        with pytest.raises(ConnectionEndedError) as found:
+            coming_up.send(False)
+        assert found.value.ending is Ending.CONNECT_TIMED_OUT
