Stop a half-written request when the provider ends, and refuse second copies

Cause: a provider that closed while the rest of a request waited to be written was not noticed; the kernel takes what is written after that, the last byte counted as written, and a booking that never ran got 500. Nothing in the host kept a second attempt in while one was out; that hung on the decisions alone. A "started" was weighed against two endings only.

Change: after a wait in the middle of a request the connection is looked at, and its end is a break before the last byte. A Send while another call of the job is out is NOT_SENT. Whatever would prove "never ran" after "started" counts as "may have run".

--- a/ironbarrow/core/host.py
+++ b/ironbarrow/core/host.py
@@ -378,7 +378,7 @@
         call.ended = True
         if call.timer is not None:
             call.timer.cancel()
-        if call.started and ending in (Ending.RETURNED, Ending.NOT_PROCESSED):
+        if call.started and outcome_of(ending, call.written) in api.NEVER_RAN:
             # danger: one of the two words is wrong, and if it is this one, a booking would run twice
             ending = Ending.LOST
         call.never_ran = outcome_of(ending, call.written) in api.NEVER_RAN
@@ -469,8 +469,9 @@
         if not job.calls and job.terms.watch is not None:
             job.terms.watch.first_attempt(now)
         call = Call(job, len(job.calls), action.worker, now, until)
+        out = any(not earlier.ended for earlier in job.calls)  # danger: this one would be a second copy
         job.calls.append(call)
-        if job.over or until <= now or len(job.calls) > self.settings.max_attempts:
+        if out or job.over or until <= now or len(job.calls) > self.settings.max_attempts:
             self.call_ended(call, Ending.NOT_SENT)
             return
         call.timer = self.loop.call_at(until, self._timed_out, call)
--- a/ironbarrow/transport/http.py
+++ b/ironbarrow/transport/http.py
@@ -198,6 +198,10 @@
                 raise ConnectionEndedError(Ending.RESET, str(error)) from None
             if not (yield Wait(self.sock.fileno(), WRITE, until)):
                 raise ConnectionEndedError(Ending.STALLED)
+            if before_first is not None and self.is_gone():
+                # danger: the kernel takes what is written after the peer's end, and the last byte would
+                # count as written
+                raise ConnectionEndedError(Ending.CLOSED)
 
     def can_answer(self) -> bool:
         return self._codec.can_answer
--- a/tests/test_invoker.py
+++ b/tests/test_invoker.py
@@ -3,9 +3,12 @@
 The decisions here are the plainest ones, so that each case says where a job goes and sees each outcome."""
 
 import contextlib
+import heapq
+import itertools
+import select
 import socket
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import replace
 from typing import Any
 
@@ -15,8 +18,10 @@
 from heathway.api import Outcome
 from heathway.settings import read_settings
 from ironbarrow.backs import invoker
-from ironbarrow.core.endings import ConnectionEndedError, Ending
+from ironbarrow.core import host as core
+from ironbarrow.core.endings import ConnectionEndedError, Ending, outcome_of
 from ironbarrow.runtime import sockets
+from ironbarrow.runtime.clock import Timer
 from ironbarrow.runtime.loop import MS, SECOND, Coroutine, Wait
 from ironbarrow.runtime.sockets import Address
 from ironbarrow.transport.http import Connection, connect
@@ -33,6 +38,7 @@
     def __init__(self, order: tuple[str, ...]) -> None:
         self.order = order
         self.timeout = 0
+        self.calls_off = False  # the attempts of consumers that leave
         self.outcomes: list[Outcome] = []
         self._ended: dict[int, list[Outcome]] = {}
 
@@ -42,6 +48,8 @@
             if isinstance(event, api.JobArrived):
                 self._ended[event.job] = []
                 actions.append(api.Send(event.job, self.order[0], self.timeout))
+            elif isinstance(event, api.JobWithdrawn) and self.calls_off:
+                actions.append(api.CancelAttempt(event.job, len(self._ended[event.job])))
             elif isinstance(event, api.AttemptEnded):
                 self.outcomes.append(event.outcome)
                 ended = self._ended[event.job]
@@ -241,6 +249,58 @@
         assert found.value.ending is Ending.CONNECT_TIMED_OUT
 
 
+# Between the first byte and the last one: half of the request is out, and the rest can't be written
+
+HALF = {
+    "the provider closes": (booking(), "p1 close", [Outcome.CONNECT_FAILED], "503"),
+    "the job's time ends": (booking(ms=300), "wait 350", [Outcome.MOOT], "503"),
+    "the attempt's time ends": (booking(), "time", [Outcome.CONNECT_FAILED], "503"),
+    "the consumer leaves": (booking(), "c1 close", [Outcome.CONNECT_FAILED], ""),
+    # it was begun before, and is not broken off: that would be lost work
+    "the provider drains": (booking(), "d send $drained", [Outcome.OK], "200"),
+}
+
+
+@pytest.mark.parametrize("name", HALF)
+def test_a_request_whose_last_byte_was_not_written_never_ran(
+    name: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    sent, happens, outcomes, status = HALF[name]
+    stage, decisions = plain("p1")
+    decisions.calls_off = name == "the consumer leaves"
+    if happens == "time":
+        decisions.timeout, happens = 150 * MS, "wait 200"
+    real, free, halves = socket.socket.send, [False], []
+
+    def send(sock: socket.socket, data: Any, flags: int = 0) -> int:
+        if bytes(data).startswith(b"POST"):
+            halves.append(1)
+            return real(sock, data[: len(data) // 2])
+        poll = select.poll()
+        poll.register(sock, select.POLLHUP | select.POLLERR)
+        if halves and not free[0] and not bytes(data).startswith(b"HTTP") and not poll.poll(0):
+            raise BlockingIOError
+        return real(sock, data, flags)
+
+    monkeypatch.setattr(socket.socket, "send", send)
+    stage.step("d expect GET")
+    stage.step("d send HTTP/1.1 200 X\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n1\\r\\n\\n\\r\\n")
+    stage.step(f"c1 send {sent}")
+    stage.step("p1 expect POST")
+    news = stage.news(stage.entry("p1", "draining")).replace("\r", "\\r").replace("\n", "\\n")
+    stage.step(happens.replace("$drained", news))
+    stage.pass_time(0.05)
+    free[0] = True
+    if status == "200":
+        for line in ("p1 expect in$", f"p1 send {ACCEPTED}", f"c9 send {call_back('done', result='out')}"):
+            stage.step(line)
+    if status:
+        stage.step(f"c1 expect ^HTTP/1.1 {status}")
+    assert decisions.outcomes == outcomes
+    assert not stage.peers["p1"].seen.endswith(b"in")
+    stage.close()
+
+
 # Answers
 
 HEAD = "HTTP/1.1 {} X\\r\\nContent-Length: 5\\r\\n{}\\r\\nab"
@@ -471,3 +531,144 @@
     stage.step("p1 expect DELETE /jobs/j1 HTTP")
     assert decisions.outcomes == []
     stage.play(f"p1 send {answer(204)}\np2 expect in$")
+
+
+# Sequences of endings, with the decisions of the program
+
+NEVER_RAN_UNWRITTEN = {"CLOSED", "RESET", "STALLED", "MALFORMED", "TOO_LARGE", "TIMED_OUT"}
+NEVER_RAN_ALWAYS = {
+    "RETURNED",
+    "NOT_PROCESSED",
+    "NO_DESCRIPTOR",
+    "CONNECT_REFUSED",
+    "CONNECT_TIMED_OUT",
+    "DRAINED",
+    "NOT_SENT",
+}
+
+
+def never_ran(ending: Ending, written: bool) -> bool:
+    return ending.name in NEVER_RAN_ALWAYS or (not written and ending.name in NEVER_RAN_UNWRITTEN)
+
+
+@pytest.mark.parametrize("written", [True, False])
+@pytest.mark.parametrize("ending", Ending)
+def test_each_ending_has_one_outcome(ending: Ending, written: bool) -> None:
+    outcome = outcome_of(ending, written)
+    assert (outcome in api.NEVER_RAN) is never_ran(ending, written)
+    if ending.name in NEVER_RAN_UNWRITTEN - {"TIMED_OUT"}:
+        assert outcome.name == ("RESET" if written else "CONNECT_FAILED")
+
+
+class VirtualClock:
+    """Time that passes only from one timer to the next."""
+
+    def __init__(self) -> None:
+        self._now, self._count = SECOND, itertools.count()
+        self._timers: list[tuple[int, int, Timer]] = []
+
+    def now(self) -> int:
+        return self._now
+
+    def call_at(self, due: int, call: Callable[..., None], *args: Any) -> Timer:
+        timer = Timer(call, args)
+        heapq.heappush(self._timers, (due, next(self._count), timer))
+        return timer
+
+    def soon(self, call: Callable[..., None], *args: Any) -> None:
+        self.call_at(self._now, call, *args)
+
+    def run(self, until: int) -> None:
+        while self._timers and self._timers[0][0] <= until:
+            due, _, timer = heapq.heappop(self._timers)
+            self._now = max(self._now, due)
+            if timer.call is not None:
+                timer.call(*timer.args)
+
+
+class Scripted:
+    """An invoker whose calls end as a script says, 20 ms after they went out."""
+
+    def __init__(self, host: core.Host, script: tuple[tuple[Ending, bool], ...]) -> None:
+        self.host, self.script = host, script
+        self.sent: list[core.Call] = []
+
+    def start(self, call: core.Call) -> None:
+        assert all(earlier.ended for earlier in self.sent)
+        if self.host.barred(call) is not None:
+            self.host.call_ended(call, Ending.NOT_SENT)
+            return
+        ending, written = self.script[len(self.sent) % len(self.script)]
+        self.sent.append(call)
+        if written:
+            self.host.call_written(call)
+        self.host.loop.call_at(self.host.loop.now() + 20 * MS, self.host.call_ended, call, ending)
+
+    def give_up(self, call: core.Call, ending: Ending) -> None:
+        self.host.call_ended(call, ending)
+
+    def probe(self, provider: str) -> None: ...
+
+    def close_idle(self, provider: str) -> None: ...
+
+
+SCRIPT = [
+    (Ending.RESET, True),
+    (Ending.RESET, False),
+    (Ending.ERROR_ANSWER, True),
+    (Ending.NOT_PROCESSED, True),
+    (Ending.RETURNED, True),
+    (Ending.LOST, True),
+    (Ending.CONNECT_REFUSED, False),
+    (Ending.DONE, True),
+]
+EFFECTS = [
+    (api.Effect.SAFE, 0),
+    (api.Effect.UNSAFE, 0),
+    (api.Effect.KEYED, 2 * SECOND),
+    (api.Effect.KEYED, 25 * MS),
+]
+
+
+@pytest.mark.parametrize(("effect", "window"), EFFECTS)
+def test_no_sequence_of_endings_breaks_a_rule(effect: api.Effect, window: int) -> None:
+    for script in itertools.product(SCRIPT, repeat=3):
+        clock, answers = VirtualClock(), []
+        settings = replace(
+            read_settings(SETTINGS),
+            classes=(api.JobClass("x", effect, 1 * SECOND, 2 * SECOND, window=window),),
+        )
+        host = core.Host(clock, settings, 1)
+        back = host.invoker = Scripted(host, script)
+        entries = tuple(api.WorkerEntry(f"p{n}", "a") for n in range(5))
+        host.providers_listed(api.WorkerList(api.ListKind.FULL, entries))
+        payload = core.Payload("j1", "POST", "/x", b"")
+        host.take(payload, answers.append, job_class="x", time_left=2 * SECOND)
+        clock.run(4 * SECOND)
+        ended = script[: len(back.sent)]
+        risky = [n for n, (ending, written) in enumerate(ended) if not never_ran(ending, written)]
+        assert len(answers) == 1, script
+        assert len(back.sent) <= settings.max_attempts
+        if effect is api.Effect.UNSAFE:
+            assert risky in ([], [len(ended) - 1]), script  # nothing goes out after one that may have run
+        if effect is api.Effect.KEYED and risky:
+            first = back.sent[risky[0]].sent_at
+            assert all(call.sent_at < first + window for call in back.sent[risky[0] :]), script
+        if answers[0].verdict is core.Verdict.REJECTED and effect is api.Effect.UNSAFE:
+            assert not risky, script
+        served = ended[-1][0] is Ending.DONE if ended else False
+        assert (answers[0].verdict is core.Verdict.SERVED) is served, script
+        assert not host.held_in_memory
+
+
+def test_a_send_while_another_is_out_is_not_sent() -> None:
+    # danger: it would be a second copy, whatever the decisions say
+    stage, decisions = plain("p1")
+    for line in (f"c1 send {job()}", "p1 expect in$"):
+        stage.step(line)
+    host = stage.dispatcher.host
+    host._send(api.Send(next(iter(host._jobs)), "p2"))
+    stage.pass_time(0.05)
+    assert decisions.outcomes[0] is Outcome.MOOT
+    assert stage.peers["p2"].sock is None
+    stage.close()
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -9,7 +9,6 @@
 from heathway import api
 from heathway.logic import Dispatcher
 from heathway.settings import read_settings
-from ironbarrow.core.endings import Ending, outcome_of
 from ironbarrow.daemon import dispatcher
 from ironbarrow.directory import client as directory
 from ironbarrow.fronts import consumers
@@ -557,14 +556,6 @@
     assert stage.dispatcher.host.held_in_memory == 0
 
 
-def test_each_ending_has_one_outcome() -> None:
-    for ending in Ending:
-        assert outcome_of(ending, written=True) is not None
-    broken = (Ending.CLOSED, Ending.RESET, Ending.STALLED)
-    assert {outcome_of(ending, written=False).name for ending in broken} == {"CONNECT_FAILED"}
-    assert {outcome_of(ending, written=True).name for ending in broken} == {"RESET"}
-
-
 def test_a_trace_tells_each_event_and_action(capsys: pytest.CaptureFixture[str]) -> None:
     Stage(traced=True).play(served("j1", "p1"))
     seen = capsys.readouterr().out
