--- a/ironbarrow/core/host.py
+++ b/ironbarrow/core/host.py
@@ -139,6 +139,7 @@
     given_up: bool = False
     written: bool = False  # the request's last byte is written
     accepted: bool = False  # the provider has told that it has taken it
+    started: bool = False  # it has told that it runs it
     never_ran: bool = False  # it ended, and that is proven
     timer: Timer | None = None
 
@@ -185,6 +186,7 @@
         self._next_at = 0
         self._planned = False
         self._states: dict[str, api.WorkerState] = {}
+        self._classes = {cls.name: cls for cls in settings.classes}
         if traced:
             trace.begun(loop.now(), settings)
         self._carry_out: dict[type, Callable[..., None]] = {
@@ -314,6 +316,30 @@
     def may_send_to(self, provider: str) -> bool:
         return self._states.get(provider) is api.WorkerState.UP
 
+    def barred(self, call: Call) -> Ending | None:
+        """Why the call's first byte may not go out now; None: it may. Asked at the last moment. Danger: the
+        consumer may have gone, the time be over or the provider have been told to drain while a connection
+        came up or the call waited for anything else; the module decided before all that."""
+        now = self.loop.now()
+        if call.ended or call.given_up or call.job.over:
+            return Ending.NOT_SENT
+        if now >= call.until:
+            return self._out_of_time(call)
+        if now >= self.send_by(call):
+            return Ending.NOT_SENT
+        return None if self.may_send_to(call.provider) else Ending.DRAINED
+
+    def send_by(self, call: Call) -> int:
+        """Until when the call's last byte may go out. Danger: a keyed job's repeat is dropped only within the
+        window of the first attempt that may have run; after it, the repeat would run too."""
+        cls = self._classes.get(call.job.arrival.job_class)
+        if cls is None or cls.effect is not api.Effect.KEYED:
+            return call.until
+        risky = next((c for c in call.job.calls if c is not call and not c.never_ran), None)
+        if risky is None:
+            return call.until
+        return min(call.until, risky.sent_at + cls.window - self.settings.tick)
+
     def call_out(self, job_id: str, provider: str) -> Call | None:
         """The call of that id that is out at that provider."""
         job = self._by_id.get(job_id)
@@ -329,6 +355,7 @@
 
     def call_started(self, call: Call) -> None:
         if not call.ended:
+            call.started = True
             if self.waits is not None:
                 self.waits.started(self.loop.now(), call.job.number)
             if self.attempts is not None:
@@ -337,6 +364,7 @@
 
     def call_progressed(self, call: Call, share: float) -> None:
         if not call.ended:
+            call.started = True
             self._post(
                 api.AttemptNote(call.job.number, call.number, call.provider, api.NoteKind.PROGRESS, share)
             )
@@ -350,6 +378,9 @@
         call.ended = True
         if call.timer is not None:
             call.timer.cancel()
+        if call.started and outcome_of(ending, call.written) in api.NEVER_RAN:
+            # danger: one of the two words is wrong, and if it is this one, a booking would run twice
+            ending = Ending.LOST
         call.never_ran = outcome_of(ending, call.written) in api.NEVER_RAN
         if self.call_over is not None:
             self.call_over(call)
@@ -438,8 +469,9 @@
         if not job.calls and job.terms.watch is not None:
             job.terms.watch.first_attempt(now)
         call = Call(job, len(job.calls), action.worker, now, until)
+        out = any(not earlier.ended for earlier in job.calls)  # danger: this one would be a second copy
         job.calls.append(call)
-        if job.over or until <= now or len(job.calls) > self.settings.max_attempts:
+        if out or job.over or until <= now or len(job.calls) > self.settings.max_attempts:
             self.call_ended(call, Ending.NOT_SENT)
             return
         call.timer = self.loop.call_at(until, self._timed_out, call)
@@ -450,15 +482,25 @@
         self.invoker.start(call)
 
     def _timed_out(self, call: Call) -> None:
-        at_deadline = call.until >= call.job.deadline
-        if at_deadline:  # the final answer is due: the module is told before the provider
-            self.call_ended(call, Ending.TIMED_OUT)
+        if call.until >= call.job.deadline:  # the final answer is due: the module is told before the provider
+            self.call_ended(call, self._out_of_time(call))
         self._give_up(call, Ending.TIMED_OUT)
 
+    def _out_of_time(self, call: Call) -> Ending:
+        """Danger: told as a time-out, a booking whose last byte was never written could not be refused; told
+        as a failed connection, the provider would be set aside where the job's time was short."""
+        unsent = not call.written and call.until >= call.job.deadline
+        return Ending.NOT_SENT if unsent else Ending.TIMED_OUT
+
     def _cancel(self, action: api.CancelAttempt) -> None:
         job = self._jobs.get(action.job)
-        if job is not None and action.attempt < len(job.calls) and not job.calls[action.attempt].ended:
-            self._give_up(job.calls[action.attempt], Ending.GIVEN_UP)
+        if job is None or action.attempt >= len(job.calls) or job.calls[action.attempt].ended:
+            return
+        call, cls = job.calls[action.attempt], self._classes[job.arrival.job_class]
+        # danger: told as called off, a job that may not simply run again may have run; but for one that may,
+        # a failed connection would set aside a provider that is well
+        unsent = not call.written and cls.effect is not api.Effect.SAFE
+        self._give_up(call, Ending.CONNECT_TIMED_OUT if unsent else Ending.GIVEN_UP)
 
     def _give_up(self, call: Call, ending: Ending) -> None:
         if not call.given_up:
@@ -481,6 +523,9 @@
 
     def _overdue(self, job: Job) -> None:
         """The module owes an answer past the slack: the consumer is not left waiting for ever."""
+        self._run()  # danger: where the loop is late, what its answer hangs on came in this very turn
+        if job.over:
+            return
         log.error("answer overdue", id=job.payload.id)
         self._conclude(job, Answer(Verdict.FAILED))
         self._post(api.JobWithdrawn(job.number))
--- a/ironbarrow/transport/http.py
+++ b/ironbarrow/transport/http.py
@@ -43,6 +43,7 @@
         self.started = False  # part of a message is in
         self._reads = 0  # since it last waited
         self.size = 0  # bytes of the message that is being read; its owner resets it
+        self._begun = 0  # what it was when that message's head was asked for
         self.shut = False  # the own side is ended: nothing that comes now is served
         self._ahead = bytearray()  # came while the message before it was in hand
         self.thrown_away = 0  # bytes beyond those; with a gap, no further message can be read
@@ -164,16 +165,25 @@
 
     def read_message(self, until: int, body_limit: int = BODY_LIMIT) -> Coroutine[Message]:
         """The peer's next whole message."""
-        begun = self.size
+        message = yield from self.read_head(until)
+        yield from self.read_body(message, until, body_limit)
+        return message
+
+    def read_head(self, until: int) -> Coroutine[Message]:
+        """The peer's next message without its body, which ``read_body`` brings."""
+        self._begun = self.size
         head = yield from self.event(until)
         while isinstance(head, h11.InformationalResponse):
             head = yield from self.event(until)
         if not isinstance(head, h11.Request | h11.Response):
             raise ConnectionEndedError(Ending.CLOSED)
         try:
-            message = self._codec.message(head)
+            return self._codec.message(head)
         except MalformedError as error:
             raise _malformed(error) from None
+
+    def read_body(self, message: Message, until: int, body_limit: int = BODY_LIMIT) -> Coroutine[None]:
+        """The rest of a message whose head was read."""
         if int(message.headers.get("content-length", "0")) > body_limit:
             raise ConnectionEndedError(Ending.TOO_LARGE, status=413)
         parts: list[bytes] = []
@@ -184,11 +194,10 @@
             parts.append(bytes(found.data))
             size += len(found.data)
             # danger: in chunks of a byte each, the framing is many times the body
-            if size > body_limit or self.size - begun > 2 * body_limit + HEAD_LIMIT:
+            if size > body_limit or self.size - self._begun > 2 * body_limit + HEAD_LIMIT:
                 raise ConnectionEndedError(Ending.TOO_LARGE, status=413)
         message.body = b"".join(parts)
         message.keep = self._codec.peer_done
-        return message
 
     def take_as_read(self) -> None:
         """Stands as if a request without a body had been read that asks for no other after it."""
@@ -224,10 +233,16 @@
         """One part of an answer that stays open."""
         return self._codec.chunk_bytes(data)
 
-    def write(self, data: bytes, until: int) -> Coroutine[None]:
-        """Writes all of it; ConnectionEndedError if the last byte could not be written by ``until``."""
+    def write(
+        self, data: bytes, until: int, before_first: Callable[[], None] | None = None
+    ) -> Coroutine[None]:
+        """Writes all of it; ConnectionEndedError if the last byte could not be written by ``until``.
+        ``before_first`` is called right before the first byte goes out, again after each wait with none
+        gone; what it raises ends the write."""
         rest = memoryview(data)
         while rest:
+            if before_first is not None and len(rest) == len(data):
+                before_first()
             try:
                 rest = rest[self.sock.send(rest) :]
                 continue
@@ -237,6 +252,10 @@
                 raise ConnectionEndedError(Ending.RESET, str(error)) from None
             if not (yield Wait(self.sock.fileno(), WRITE, until)):
                 raise ConnectionEndedError(Ending.STALLED)
+            if before_first is not None and self.is_gone():
+                # danger: the kernel takes what is written after the peer's end, and the last byte would
+                # count as written
+                raise ConnectionEndedError(Ending.CLOSED)
 
     def can_answer(self) -> bool:
         return self._codec.can_answer
@@ -285,8 +304,15 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         number = sock.connect_ex(address)
         if number == errno.EINPROGRESS:
-            if not (yield Wait(sock.fileno(), WRITE, until)):
-                raise ConnectionEndedError(Ending.CONNECT_TIMED_OUT)
+            poll = select.poll()
+            poll.register(sock, select.POLLOUT)
+            waiting = True
+            while waiting:
+                if not (yield Wait(sock.fileno(), WRITE, until)):
+                    raise ConnectionEndedError(Ending.CONNECT_TIMED_OUT)
+                # danger: a wake-up meant for another socket of the same number says nothing of this one, and
+                # SO_ERROR is 0 also while it still connects
+                waiting = not poll.poll(0)
             number = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if number:
             raise ConnectionEndedError(Ending.CONNECT_REFUSED, errno.errorcode.get(number, str(number)))
