Pass the Idempotency-Key on, and count a job for the tenant that it names

Cause: in a deployment with a keyed class, each request of that class carries an Idempotency-Key, by which a provider drops a repeat; the dispatcher sent its requests without it. Beside it, without a routes file no tenant ever reached the decisions, so that shares of tenants did nothing.

Change: the key is part of a job's payload, also in the hand-over and in the fleet's records; X-Tenant-Id names the tenant where the settings have it. Each of the two given twice is 400.

Measured: tests/test_network.py (the key reaches the first and the next provider), test_handover.py (its plays expect it at the new process), test_consumers.py (tenants): they fail without the change, as no such header passed.

--- a/ironbarrow/backs/invoker.py
+++ b/ironbarrow/backs/invoker.py
@@ -304,6 +304,9 @@
         ]
         if payload.content_type:
             headers.append(("Content-Type", payload.content_type))
+        # danger: without it, no provider could drop the repeat of a keyed job that has run
+        if payload.idempotency_key:
+            headers.append(("Idempotency-Key", payload.idempotency_key))
         return connection.request_bytes(payload.method, payload.target, headers, payload.body)
 
     def _connection(self, address: Address, provider: str, purpose: str) -> Coroutine[Connection]:
--- a/ironbarrow/core/host.py
+++ b/ironbarrow/core/host.py
@@ -51,6 +51,7 @@
     target: str
     body: bytes
     content_type: str = ""
+    idempotency_key: str = ""  # by which providers know a repeat of a keyed job
 
 
 class Watch(Protocol):
--- a/ironbarrow/fleet/records.py
+++ b/ironbarrow/fleet/records.py
@@ -51,6 +51,7 @@
     slots: float = 1.0
     memory: float = 0.0
     digest: bytes = b""  # of method, target and body: another request under the same id is not the same job
+    idempotency_key: str = ""
 
 
 class AnswerRecord(Struct, frozen=True, array_like=True, kw_only=True):
--- a/ironbarrow/fleet/takeover/work.py
+++ b/ironbarrow/fleet/takeover/work.py
@@ -166,6 +166,7 @@
             tenant=placed.get("tenant"),
             slots=placed["slots"],
             memory=placed["memory"],
+            idempotency_key=payload.idempotency_key,
             digest=blake2b(text + payload.body, digest_size=16).digest(),
         )
         waiter = _Waiter(payload.id, answered, terms.watch if terms is not None else None)
@@ -225,7 +226,14 @@
         if waiter is None and not cls.stretch:
             wanted = max(1, min(cls.aim, record.taken_at + cls.aim - now))
         self._jobs[record.id] = self._host.take(
-            Payload(record.id, record.method, record.target, record.body, record.content_type),
+            Payload(
+                record.id,
+                record.method,
+                record.target,
+                record.body,
+                record.content_type,
+                record.idempotency_key,
+            ),
             partial(self._ended, record.id),
             job_class=record.job_class,
             time_left=max(1, record.until - now),
--- a/ironbarrow/fronts/consumers.py
+++ b/ironbarrow/fronts/consumers.py
@@ -86,6 +86,7 @@
         self._called_back = called_back
         self._free_descriptors = free_descriptors
         self._classes = {cls.name for cls in host.settings.classes}
+        self._tenants = {tenant.name for tenant in host.settings.tenants}
         self._places = Places(loop, most, most_buffered)
         self._read_now = 0  # requests in this turn of the loop
         self._in_line: deque[Task] = deque()  # who has a request to be read in a later turn
@@ -383,6 +384,8 @@
         else:
             path = request.target.partition("?")[0]
             placed |= {"job_class": class_in(path), "key": cookie_key(request.headers.get("cookie", ""))}
+            if (tenant := request.headers.get("x-tenant-id", "").strip()) in self._tenants:
+                placed["tenant"] = tenant
         self._places.begin_job(connection, len(payload.body))
         if self.shared is not None:
             return self.shared.take(payload, answered, **placed)
--- a/ironbarrow/fronts/requests.py
+++ b/ironbarrow/fronts/requests.py
@@ -12,7 +12,18 @@
 
 JSON = ("Content-Type", "application/json")
 # danger: of two that differ, another reader may take the other one
-_ONCE = frozenset(("x-request-id", "x-timeout-ms", "x-attrs", "x-retried", "cookie", "content-type"))
+_ONCE = frozenset(
+    (
+        "x-request-id",
+        "x-timeout-ms",
+        "x-attrs",
+        "x-retried",
+        "x-tenant-id",
+        "cookie",
+        "content-type",
+        "idempotency-key",
+    )
+)
 _LONGEST_MS = 24 * 3600 * 1000
 _ID_MOST = 200
 _NEXT_REQUEST = re.compile(rb"[\r\n]*(?:[A-Z]{1,20}(?: |\Z)|\Z)")
@@ -60,7 +71,8 @@
         raise BadRequestError(400, "X-Request-ID is not ASCII")
     attributes = _attributes(headers.get("x-attrs", ""))
     content_type = headers.get("content-type", "")
-    return Payload(job_id, request.method, request.target, request.body, content_type), {
+    key = headers.get("idempotency-key", "")
+    return Payload(job_id, request.method, request.target, request.body, content_type, key), {
         "time_left": _milliseconds(headers.get("x-timeout-ms", "")) * MS,
         "slots": attributes.get("slots", 1.0),
         "memory": attributes.get("memory", 0.0),
--- a/ironbarrow/handover/records.py
+++ b/ironbarrow/handover/records.py
@@ -34,6 +34,7 @@
     tenant: str | None = None
     slots: float = 1.0
     memory: float = 0.0
+    idempotency_key: str = ""
 
 
 def message(kind: str, **fields: Any) -> bytes:
--- a/ironbarrow/handover/upgrade.py
+++ b/ironbarrow/handover/upgrade.py
@@ -181,6 +181,7 @@
             tenant=arrival.tenant,
             slots=arrival.slots,
             memory=arrival.memory,
+            idempotency_key=payload.idempotency_key,
         )
 
     # The new process
@@ -236,7 +237,14 @@
     def _take(self, record: Record, until: int, answer: Callable[[Answer], None]) -> Callable[[], None]:
         """Takes a job as if it had come now, with the attempts that are left."""
         job = self._host.take(
-            Payload(record.id, record.method, record.target, record.body, record.content_type),
+            Payload(
+                record.id,
+                record.method,
+                record.target,
+                record.body,
+                record.content_type,
+                record.idempotency_key,
+            ),
             answer,
             job_class=record.job_class,
             time_left=max(1, until - self._loop.now()),
--- a/tests/test_consumers.py
+++ b/tests/test_consumers.py
@@ -6,19 +6,21 @@
 
 import pytest
 
+from heathway.settings import read_settings
 from ironbarrow.core.endings import Ending
 from ironbarrow.core.host import Call
 from ironbarrow.fronts import consumers
 from ironbarrow.runtime.loop import MS
 from ironbarrow.transport import http
 from ironbarrow.transport.http import Connection
-from tests.scenario import Stage, answer, call_back, job
+from tests.scenario import SETTINGS, Stage, answer, call_back, job
 
 NOT_PROCESSED = answer(503, "X-Not-Processed: 1\\r\\n")
 ACCEPTED = answer(202)
 READY = "GET /-/ready HTTP/1.1\\r\\nHost: b\\r\\n\\r\\n"
 UPGRADE = "Connection: upgrade\\r\\nUpgrade: h2c\\r\\n"
 LAST = "GET /-/ready HTTP/1.1\\r\\nHost: b\\r\\nConnection: close\\r\\n\\r\\n"
+CRLF = "\\r\\n"
 WITHIN = 0.1  # seconds from a consumer's leaving to the end of its job
 
 
@@ -574,3 +576,34 @@
     steps(stage, "c3 expect ^HTTP/1.1 409" if who == "c3" else "p1 expect in$")
     steps(stage, f"p1 send {ACCEPTED}\nc2 send {call_back('done', result='x')}\nc1 expect x$")
     steps(stage, f"{who} send {job()}\np1 expect : j1.*in$")
+
+
+# Tenants
+
+
+class Heard:
+    """Of which tenant each job is that waits."""
+
+    def __init__(self) -> None:
+        self.tenants: list[str | None] = []
+
+    def waiting(
+        self, now: int, number: int, since: int, tenant: str | None, job_class: str, slots: float
+    ) -> None:
+        self.tenants.append(tenant)
+
+    def started(self, now: int, number: int) -> None: ...
+
+    def ended(self, now: int, number: int) -> None: ...
+
+
+def test_a_job_is_of_the_tenant_that_it_names_where_the_settings_know_it(
+    stages: Callable[..., Stage],
+) -> None:
+    # danger: counted for nobody, the flood of one tenant is paid for by all
+    realms = [{"name": "north", "share": 0.5, "allowancePerS": 10.0}]
+    stage = stages(providers=1, settings=read_settings({**SETTINGS, "realms": realms}))
+    stage.dispatcher.host.waits = heard = Heard()
+    for n, name in enumerate(("north", " north ", "south", "")):
+        steps(stage, f"c{n} send {job(f'j{n}', more=f'X-Tenant-Id: {name}' + CRLF)}\nwait 20")
+    assert heard.tenants == ["north", "north", None, None]
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -71,14 +71,14 @@
             self.new.close()
 
 
-BOOKED = f"""c1 send {job("j1", "book/x")}
+BOOKED = f"""c1 send {job("j1", "book/x", more="Idempotency-Key: 6d18-fb" + chr(92) + "r" + chr(92) + "n")}
         p1 expect X-Request-ID: j1
         p1 send {ACCEPTED}
         wait 50"""
 RETURNED = f"""p1 close
         n1 send {call_back("returned")}
         n1 expect HTTP/1.1 204
-        p1 expect X-Request-ID: j1"""
+        p1 expect X-Request-ID: j1.*Idempotency-Key: 6d18-fb"""
 PLAYS = {
     "a call-back that reaches the new process ends the old one's job": f"""
         {BOOKED}
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -18,6 +18,7 @@
 SLOTS = "X-Attrs: slots=2,other=x\\r\\n"
 KEYED = "Cookie: a=b; sid=7f3a\\r\\n"
 CONTENT_TYPE = "Content-Type: text/\xe9\\r\\n"
+IDEMPOTENT = "Idempotency-Key: 6d18-fb\\r\\n"
 CLOSE = "Connection: close\\r\\n"
 
 
@@ -193,6 +194,13 @@
         c1 send {job(more=CONTENT_TYPE)}
         p1 expect Content-Type: text/\\xe9\\r\\n.*in$
         """,
+    # danger: without it, a provider can't know the repeat of a keyed job that has run
+    "an idempotency key passes on, also to the next provider": f"""
+        c1 send {job(more=IDEMPOTENT)}
+        p1 expect Idempotency-Key: 6d18-fb\r\n.*in$
+        p1 send {answer(500)}
+        p2 expect Idempotency-Key: 6d18-fb\r\n.*in$
+        """,
     "100-continue": """
         c1 send POST /map HTTP/1.1\\r\\nHost: b\\r\\nExpect: 100-continue\\r\\nContent-Length: 2\\r\\n\\r\\n
         c1 expect HTTP/1.1 100
@@ -224,6 +232,8 @@
         400,
     ),
     "two ids": (job(more="X-Request-ID: j2\\r\\n"), 400),
+    "two idempotency keys": (job(more=IDEMPOTENT * 2), 400),
+    "two tenants": (job(more="X-Tenant-Id: a\\r\\nX-Tenant-Id: b\\r\\n"), 400),
     "two times": (job(more="X-Timeout-Ms: 5\\r\\n"), 400),
     "a length of thousands of digits": (
         job().replace("Content-Length: 2", f"Content-Length: {'9' * 9000}"),
