--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -197,9 +197,9 @@
     # danger: without it, a provider can't know the repeat of a keyed job that has run
     "an idempotency key passes on, also to the next provider": f"""
         c1 send {job(more=IDEMPOTENT)}
-        p1 expect Idempotency-Key: 6d18-fb\r\n.*in$
+        p1 expect Idempotency-Key: 6d18-fb\\r\\n.*in$
         p1 send {answer(500)}
-        p2 expect Idempotency-Key: 6d18-fb\r\n.*in$
+        p2 expect Idempotency-Key: 6d18-fb\\r\\n.*in$
         """,
     "100-continue": """
         c1 send POST /map HTTP/1.1\\r\\nHost: b\\r\\nExpect: 100-continue\\r\\nContent-Length: 2\\r\\n\\r\\n
