--- a/ironbarrow/backs/invoker.py
+++ b/ironbarrow/backs/invoker.py
@@ -1,6 +1,6 @@
-"""Invoker calls to providers over HTTP: connection pools, calls, DELETE, probes."""
+"""Invoker calls to providers over HTTP: calls and their call-backs, DELETE, probes."""
 
-from collections import deque
+from collections import Counter
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -9,6 +9,7 @@
 
 from heathway import api
 from heathway.settings import ReportReader
+from ironbarrow.backs.pool import Pools
 from ironbarrow.core import trace
 from ironbarrow.core.endings import ConnectionEndedError, Ending
 from ironbarrow.core.host import Call, Host
@@ -20,13 +21,14 @@
 
 log = structlog.get_logger()
 
-_POOL = 8  # idle connections kept to one provider
 # a DELETE is carried out when it arrives; a hung provider never says so, and what follows it would
 # overtake it on a shorter way
 _DELETE_LIMIT = 100 * MS
 _DELETE_TRIES = 3  # at least; where the provider cannot be reached, on to the call's own time-out
 _DELETE_PAUSE = 50 * MS
+_DELETES_AT_ONCE = 32  # to one provider. Danger: hundreds to one that is cut off would take all descriptors
 _PROBE_LIMIT = 1 * SECOND
+_REST_LIMIT = 500 * MS  # for the rest of an answer whose head is in, or of one whose call is over already
 _STATES = {"done": Ending.DONE, "failed": Ending.FAILED, "returned": Ending.RETURNED, "lost": Ending.LOST}
 
 
@@ -58,13 +60,9 @@
         self._directory = directory
         self._reports = reports
         self._connect_timeout = connect_timeout
-        # danger: a request written to a connection that the provider is about to close ends as a reset
-        self._idle_limit = idle_limit - min(idle_limit // 2, 2 * SECOND)
-        self._most_idle = most_idle
-        self._pools: dict[Address, deque[Connection]] = {}
-        self._idle = 0
+        self._pools = Pools(loop, idle_limit=idle_limit, most=most_idle)
         self._exchanges: dict[Call, _Exchange] = {}
-        self._loop.call_at(self._loop.now() + SECOND, self._sweep)
+        self._deleting: Counter[Address] = Counter()
 
     # What the host asks for
 
@@ -110,17 +108,12 @@
 
     def close_idle(self, provider: str) -> None:
         address = self._directory.address_of(provider)
-        for connection in self._pools.pop(address, ()) if address else ():
-            self._idle -= 1
-            connection.close()
+        if address is not None:
+            self._pools.close_to(address)
 
     def free_descriptors(self) -> None:
         """Closes every idle connection: this process has no descriptors left."""
-        for pool in self._pools.values():
-            for connection in pool:
-                connection.close()
-        self._pools.clear()
-        self._idle = 0
+        self._pools.close_all()
 
     # Call-backs
 
@@ -151,7 +144,11 @@
         elif state == "running":
             self._host.call_progressed(call, float(share))
         else:
+            exchange = self._exchanges.get(call)
             self._end(call, _STATES[state], report, result.encode())
+            if exchange is not None and exchange.task is not None and not exchange.task.done:
+                # danger: an answer that never comes or never ends would hold its descriptor
+                self._loop.call_at(self._loop.now() + _REST_LIMIT, exchange.task.cancel)
         return True
 
     def _report(self, load: Any) -> api.LoadReport | None:
@@ -178,32 +175,43 @@
         connection: Connection | None = None
         try:
             connection = yield from self._connection(exchange.address, call.provider, "call")
-            if not self._host.may_send_to(call.provider):
-                # danger: it was told to drain while the connection came up
-                self._end(call, Ending.DRAINED)
-                return
-            yield from connection.write(self._request(connection, call, exchange.address), call.until)
+            request = self._request(connection, call, exchange.address)
+            yield from connection.write(request, self._host.send_by(call), lambda: self._may_begin(call))
             self._host.call_written(call)
-            answer = yield from connection.read_message(call.until)
+            answer = yield from connection.read_head(call.until)
+            # danger: the provider has the job from here on, whatever becomes of the rest of the answer
+            exchange.answered = call.accepted = answer.status == 202
+            yield from connection.read_body(answer, min(call.until, self._loop.now() + _REST_LIMIT))
             exchange.answered = True
-            self._put_back(exchange.address, connection, answer)
+            if call.accepted or answer.status == 500 or _is_proof(answer):
+                self._pools.put_back(exchange.address, connection, proof=_is_proof(answer))
+            else:
+                # danger: no answer of the protocol's, so the job may run; closed before a 202, it is given up
+                connection.close()
             connection = None
             self._answered(call, answer)
         except ConnectionEndedError as error:
-            if error.ending is Ending.STALLED and self._loop.now() >= call.until:
-                return  # the host's own time-out tells
-            self._end(call, error.ending)
+            if connection is not None:
+                connection.close()  # before the job may go elsewhere
+            if call.accepted or (error.ending is Ending.STALLED and self._loop.now() >= call.until):
+                return  # a call-back tells, or the host's own time-out
+            ending: Ending | None = None
+            if error.ending is Ending.STALLED and not call.written:
+                ending = self._host.barred(call)  # the window for a repeat ended: no fault of the provider's
+            self._end(call, ending or error.ending)
         finally:
             if connection is not None:
                 connection.close()
 
+    def _may_begin(self, call: Call) -> None:
+        if (ending := self._host.barred(call)) is not None:
+            raise ConnectionEndedError(ending)
+
     def _answered(self, call: Call, answer: Message) -> None:
-        if answer.status == 202:
-            call.accepted = True
+        if call.accepted:
             return
-        proven = answer.status in (503, 504) and answer.headers.get("x-not-processed", "").strip() == "1"
         # danger: without the proof, a 503 may come after the job has run
-        ending = Ending.NOT_PROCESSED if proven else Ending.ERROR_ANSWER
+        ending = Ending.NOT_PROCESSED if _is_proof(answer) else Ending.ERROR_ANSWER
         self._end(call, ending, self._header_report(answer.headers))
 
     def _end(
@@ -230,16 +238,21 @@
         None: it has not said that. Danger: until it knows, a repeat would be a second copy."""
         tries = 0
         while tries < _DELETE_TRIES or (until is not None and self._loop.now() < until):
+            if self._deleting[address] >= _DELETES_AT_ONCE:
+                tries += until is None
+                yield from sleep(self._loop.now() + _DELETE_PAUSE)
+                continue
             tries += 1
             connection: Connection | None = None
+            self._deleting[address] += 1
             try:
                 connection = yield from self._connection(address, provider, "delete")
                 limit = self._loop.now() + _DELETE_LIMIT
                 headers = [("Host", "{}:{}".format(*address))]
                 target = f"/jobs/{job_id}"
                 yield from connection.write(connection.request_bytes("DELETE", target, headers), limit)
-                answer = yield from connection.read_message(limit)
-                self._put_back(address, connection, answer)
+                yield from connection.read_message(limit)
+                self._pools.put_back(address, connection)
                 connection = None
                 break
             except ConnectionEndedError as error:
@@ -248,6 +261,9 @@
                     # its call's connection is closed. Danger: a job to be moved would wait for nothing
                     break
             finally:
+                self._deleting[address] -= 1
+                if not self._deleting[address]:
+                    del self._deleting[address]
                 if connection is not None:
                     connection.close()
             yield from sleep(self._loop.now() + _DELETE_PAUSE)
@@ -269,7 +285,7 @@
             if answer.status == 200:
                 ending = Ending.DONE
                 report = self._header_report({"x-server-load": answer.body.decode("latin-1")})
-            self._put_back(address, connection, answer)
+            self._pools.put_back(address, connection)
             connection = None
         except ConnectionEndedError as error:
             ending = Ending.TIMED_OUT if error.ending is Ending.STALLED else error.ending
@@ -288,46 +304,30 @@
         ]
         if payload.content_type:
             headers.append(("Content-Type", payload.content_type))
+        # danger: without it, no provider could drop the repeat of a keyed job that has run
+        if payload.idempotency_key:
+            headers.append(("Idempotency-Key", payload.idempotency_key))
         return connection.request_bytes(payload.method, payload.target, headers, payload.body)
 
-    # Pools
-
     def _connection(self, address: Address, provider: str, purpose: str) -> Coroutine[Connection]:
         """An idle connection that is surely still open, or a new one."""
-        pool = self._pools.get(address)
-        while pool:
-            connection = pool.pop()
-            self._idle -= 1
-            if self._loop.now() - connection.used_at < self._idle_limit and connection.is_silent():
-                return connection
-            connection.close()
+        # a late second answer can do no harm to a probe or a DELETE: it is no proof there
+        connection = self._pools.take(address, settled=purpose == "call")
+        if connection is not None:
+            return connection
         if self._host.traced:
             trace.connected(self._loop.now(), provider, purpose)
+        try:
+            return (yield from connect(address, self._loop.now() + self._connect_timeout))
+        except ConnectionEndedError as error:
+            # danger: with idle connections holding the last descriptors, a DELETE could not be sent
+            if error.ending is not Ending.NO_DESCRIPTOR or not self._pools.drop_oldest():
+                raise
         return (yield from connect(address, self._loop.now() + self._connect_timeout))
 
-    def _put_back(self, address: Address, connection: Connection, answer: Message) -> None:
-        pool = self._pools.setdefault(address, deque())
-        if not connection.next_cycle() or len(pool) >= _POOL:
-            connection.close()
-            return
-        connection.used_at = self._loop.now()
-        pool.append(connection)
-        self._idle += 1
-        if self._idle > self._most_idle:
-            # danger: kept to the end of their time, old connections to providers that get little
-            # would leave none for the busy ones, and each call there would pay for a handshake
-            oldest = min((p for p in self._pools.values() if p), key=lambda p: p[0].used_at)
-            oldest.popleft().close()
-            self._idle -= 1
-
-    def _sweep(self) -> None:
-        """Closes connections that are too old to be used again."""
-        oldest = self._loop.now() - self._idle_limit
-        for address in list(self._pools):
-            pool = self._pools[address]
-            while pool and (pool[0].used_at < oldest or not pool[0].is_silent()):
-                pool.popleft().close()
-                self._idle -= 1
-            if not pool:
-                del self._pools[address]
-        self._loop.call_at(self._loop.now() + SECOND, self._sweep)
+
+def _is_proof(answer: Message) -> bool:
+    """Whether it proves that the request never ran."""
+    name = "x-not-processed"
+    told = answer.headers.get(name, "").strip() == "1" and name not in answer.repeated
+    return told and answer.status in (503, 504)
--- a/ironbarrow/transport/http.py
+++ b/ironbarrow/transport/http.py
@@ -4,6 +4,7 @@
 import select
 import socket
 from collections.abc import Callable
+from contextlib import suppress
 
 import h11
 
@@ -24,6 +25,8 @@
 _CHUNK = 16 * 1024  # no more than HEAD_LIMIT: h11 measures a head only while it is incomplete
 _READS_AT_ONCE = 4  # danger: a peer that sends at full speed would never let the others have a turn
 _LINGER_BYTES = 256 * 1024
+_AHEAD_MOST = 256 * 1024  # of what has come beyond the message in hand
+_FLOOD_BYTES = 8 << 20  # more than a peer that has gone can leave in the buffers on the way
 
 
 def _malformed(error: MalformedError) -> ConnectionEndedError:
@@ -40,6 +43,10 @@
         self.started = False  # part of a message is in
         self._reads = 0  # since it last waited
         self.size = 0  # bytes of the message that is being read; its owner resets it
+        self._begun = 0  # what it was when that message's head was asked for
+        self.shut = False  # the own side is ended: nothing that comes now is served
+        self._ahead = bytearray()  # came while the message before it was in hand
+        self.thrown_away = 0  # bytes beyond those; with a gap, no further message can be read
         self.grew: Callable[[Connection, int], None] | None = None
 
     def close(self) -> None:
@@ -70,6 +77,48 @@
         poll.register(self.sock, select.POLLRDHUP | select.POLLHUP | select.POLLERR)
         return bool(poll.poll(0))
 
+    @property
+    def held(self) -> int:
+        """Bytes of the message that is being read and of what came beyond the one before it."""
+        return self.size + len(self._ahead)
+
+    def look_ahead(self, room: int) -> bool:
+        """Takes in what comes beyond the message in hand, up to ``room`` bytes, and throws away the rest;
+        whether the peer is still there.
+
+        Danger: a peer's end stands behind the bytes it sent before; as long as they fill the buffers it is
+        not told, and the job of one that has gone would be sent on.
+        """
+        if self.is_gone():
+            return False
+        for _ in range(_READS_AT_ONCE):
+            try:
+                data = self.sock.recv(_CHUNK)
+            except (BlockingIOError, InterruptedError):
+                return True
+            except OSError:
+                return False
+            if not data:
+                return False
+            if self.thrown_away or len(data) > min(room, _AHEAD_MOST - len(self._ahead)):
+                self.thrown_away += len(data)
+                continue
+            room -= len(data)
+            self._ahead += data
+            if self.grew is not None:
+                self.grew(self, len(data))
+        return True
+
+    @property
+    def floods(self) -> bool:
+        """Whether more has been thrown away than one that has gone can have sent."""
+        return self.thrown_away > _FLOOD_BYTES
+
+    @property
+    def unread(self) -> bytes:
+        """The first bytes that are in and belong to no message yet."""
+        return self._codec.unread or bytes(self._ahead[:_CHUNK])
+
     # Reading
 
     def event(self, until: int) -> Coroutine[h11.Event | type[h11.PAUSED]]:
@@ -95,6 +144,12 @@
                 raise _malformed(error) from None
 
     def _receive(self, until: int) -> Coroutine[bytes]:
+        if self._ahead:
+            data = bytes(self._ahead[:_CHUNK])
+            del self._ahead[:_CHUNK]
+            if self.grew is not None:
+                self.grew(self, -len(data))  # whoever takes it in counts it again
+            return data
         while True:
             if self._reads < _READS_AT_ONCE:
                 self._reads += 1
@@ -110,16 +165,25 @@
 
     def read_message(self, until: int, body_limit: int = BODY_LIMIT) -> Coroutine[Message]:
         """The peer's next whole message."""
-        begun = self.size
+        message = yield from self.read_head(until)
+        yield from self.read_body(message, until, body_limit)
+        return message
+
+    def read_head(self, until: int) -> Coroutine[Message]:
+        """The peer's next message without its body, which ``read_body`` brings."""
+        self._begun = self.size
         head = yield from self.event(until)
         while isinstance(head, h11.InformationalResponse):
             head = yield from self.event(until)
         if not isinstance(head, h11.Request | h11.Response):
             raise ConnectionEndedError(Ending.CLOSED)
         try:
-            message = self._codec.message(head)
+            return self._codec.message(head)
         except MalformedError as error:
             raise _malformed(error) from None
+
+    def read_body(self, message: Message, until: int, body_limit: int = BODY_LIMIT) -> Coroutine[None]:
+        """The rest of a message whose head was read."""
         if int(message.headers.get("content-length", "0")) > body_limit:
             raise ConnectionEndedError(Ending.TOO_LARGE, status=413)
         parts: list[bytes] = []
@@ -130,11 +194,10 @@
             parts.append(bytes(found.data))
             size += len(found.data)
             # danger: in chunks of a byte each, the framing is many times the body
-            if size > body_limit or self.size - begun > 2 * body_limit + HEAD_LIMIT:
+            if size > body_limit or self.size - self._begun > 2 * body_limit + HEAD_LIMIT:
                 raise ConnectionEndedError(Ending.TOO_LARGE, status=413)
         message.body = b"".join(parts)
         message.keep = self._codec.peer_done
-        return message
 
     def take_as_read(self) -> None:
         """Stands as if a request without a body had been read that asks for no other after it."""
@@ -145,13 +208,13 @@
     @property
     def has_unread(self) -> bool:
         """Whether bytes of a further message have been read already."""
-        return self._codec.has_unread
+        return bool(self._ahead) or self._codec.has_unread
 
     def next_cycle(self) -> bool:
         """Whether the connection can carry another exchange; makes it ready for that."""
         if not self._codec.next_cycle():
             return False
-        self.started = self._codec.has_unread
+        self.started = self.has_unread
         return True
 
     # Writing
@@ -170,10 +233,16 @@
         """One part of an answer that stays open."""
         return self._codec.chunk_bytes(data)
 
-    def write(self, data: bytes, until: int) -> Coroutine[None]:
-        """Writes all of it; ConnectionEndedError if the last byte could not be written by ``until``."""
+    def write(
+        self, data: bytes, until: int, before_first: Callable[[], None] | None = None
+    ) -> Coroutine[None]:
+        """Writes all of it; ConnectionEndedError if the last byte could not be written by ``until``.
+        ``before_first`` is called right before the first byte goes out, again after each wait with none
+        gone; what it raises ends the write."""
         rest = memoryview(data)
         while rest:
+            if before_first is not None and len(rest) == len(data):
+                before_first()
             try:
                 rest = rest[self.sock.send(rest) :]
                 continue
@@ -183,10 +252,24 @@
                 raise ConnectionEndedError(Ending.RESET, str(error)) from None
             if not (yield Wait(self.sock.fileno(), WRITE, until)):
                 raise ConnectionEndedError(Ending.STALLED)
+            if before_first is not None and self.is_gone():
+                # danger: the kernel takes what is written after the peer's end, and the last byte would
+                # count as written
+                raise ConnectionEndedError(Ending.CLOSED)
 
     def can_answer(self) -> bool:
         return self._codec.can_answer
 
+    def shut_down(self) -> None:
+        """Ends the own side. Danger: the peer is told that nothing more is answered; a request that is read
+        after this must not be served, its sender has it served elsewhere."""
+        self.shut = True
+        if self._ahead and self.grew is not None:
+            self.grew(self, -len(self._ahead))
+        self._ahead.clear()
+        with suppress(OSError):
+            self.sock.shutdown(socket.SHUT_WR)
+
     def linger(self, until: int) -> Coroutine[None]:
         """Ends the own side and reads the rest away, up to a limit.
 
@@ -194,11 +277,12 @@
         answer that was just written; but 60 MB from each of hundreds would take the whole core.
         """
         left = _LINGER_BYTES
+        if not self.shut:
+            self.shut_down()
         try:
-            self.sock.shutdown(socket.SHUT_WR)
             while left > 0 and (data := (yield from self._receive(until))):
                 left -= len(data)
-        except (OSError, ConnectionEndedError):
+        except ConnectionEndedError:
             return
 
 
@@ -220,8 +304,15 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         number = sock.connect_ex(address)
         if number == errno.EINPROGRESS:
-            if not (yield Wait(sock.fileno(), WRITE, until)):
-                raise ConnectionEndedError(Ending.CONNECT_TIMED_OUT)
+            poll = select.poll()
+            poll.register(sock, select.POLLOUT)
+            waiting = True
+            while waiting:
+                if not (yield Wait(sock.fileno(), WRITE, until)):
+                    raise ConnectionEndedError(Ending.CONNECT_TIMED_OUT)
+                # danger: a wake-up meant for another socket of the same number says nothing of this one, and
+                # SO_ERROR is 0 also while it still connects
+                waiting = not poll.poll(0)
             number = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if number:
             raise ConnectionEndedError(Ending.CONNECT_REFUSED, errno.errorcode.get(number, str(number)))
