Tell a provider to stop for certain before a job goes on, and bound calls' connections

By reading _tell_to_stop: a DELETE that got no answer on an old connection counted as told though the provider may be cut off; one that broke off before the 202 ended the tries, though the 202 may have been on its way as the call's connection was closed; 100 ms is less than a handshake and a DELETE take between far zones. Ruled out: a further Send beside one that is out (the host refuses that now). Beside it: calls out had no limit of their own; a DELETE went out where nothing may be called off.

Change: silence on an old connection is tried again on a new one; a break is tried again also before the 202; the limit is 100 ms or six times what connecting took. Connections to providers are at most what consumers leave over. Where nothing may be called off no DELETE goes out, and an accepted attempt has until the deadline.

--- a/ironbarrow/backs/invoker.py
+++ b/ironbarrow/backs/invoker.py
@@ -24,6 +24,7 @@
 # a DELETE is carried out when it arrives; a hung provider never says so, and what follows it would
 # overtake it on a shorter way
 _DELETE_LIMIT = 100 * MS
+_ROUND_TRIPS = 6  # and for so many times what connecting took: handshakes, the request and its answer
 _DELETE_TRIES = 3  # at least; where the provider cannot be reached, on to the call's own time-out
 _DELETE_PAUSE = 50 * MS
 _DELETES_AT_ONCE = 32  # to one provider. Danger: hundreds to one that is cut off would take all descriptors
@@ -54,7 +55,10 @@
         connect_timeout: int,
         idle_limit: int,
         most_idle: int,
+        most: int,
     ) -> None:
+        """``connect_timeout``, ``idle_limit``: ns; ``most_idle``, ``most``: connections, in the latter those
+        that are in use, too."""
         self._loop = loop
         self._host = host
         self._directory = directory
@@ -63,6 +67,8 @@
         self._pools = Pools(loop, idle_limit=idle_limit, most=most_idle)
         self._exchanges: dict[Call, _Exchange] = {}
         self._deleting: Counter[Address] = Counter()
+        self._most = most
+        self._open = 0  # connections, those that come up and idle ones included
 
     # What the host asks for
 
@@ -82,7 +88,7 @@
             return
         if not exchange.answered and exchange.task is not None:
             exchange.task.cancel()
-        if not call.written:
+        if not call.written or not self._host.settings.may_cancel:
             self._end(call, ending)
         else:
             self._loop.spawn(self._delete(call, exchange, ending))
@@ -237,17 +243,22 @@
         """Tells a provider to stop. ``until``: it has the job, and that is when nobody waits for it any more;
         None: it has not said that. Danger: until it knows, a repeat would be a second copy."""
         tries = 0
+        pooled = True  # where an idle connection is there
         while tries < _DELETE_TRIES or (until is not None and self._loop.now() < until):
             if self._deleting[address] >= _DELETES_AT_ONCE:
                 tries += until is None
                 yield from sleep(self._loop.now() + _DELETE_PAUSE)
                 continue
             tries += 1
-            connection: Connection | None = None
             self._deleting[address] += 1
+            connection = self._pools.take(address, settled=False) if pooled else None
+            pooled = connection is not None
             try:
-                connection = yield from self._connection(address, provider, "delete")
-                limit = self._loop.now() + _DELETE_LIMIT
+                asked_at = self._loop.now()
+                if connection is None:
+                    connection = yield from self._connect(address, provider, "delete")
+                now = self._loop.now()
+                limit = now + max(_DELETE_LIMIT, _ROUND_TRIPS * (now - asked_at))
                 headers = [("Host", "{}:{}".format(*address))]
                 target = f"/jobs/{job_id}"
                 yield from connection.write(connection.request_bytes("DELETE", target, headers), limit)
@@ -256,9 +267,15 @@
                 connection = None
                 break
             except ConnectionEndedError as error:
-                if error.ending in (Ending.CONNECT_REFUSED, Ending.STALLED) or until is None:
-                    # the process is gone, or has it but is silent, or has no 202 to give any more:
-                    # its call's connection is closed. Danger: a job to be moved would wait for nothing
+                if pooled:
+                    # danger: it may be cut off, or have been closed as the DELETE was on its way: on an old
+                    # connection, silence is no sign that it arrived
+                    pooled = False
+                    continue
+                silent = error.ending in (Ending.CONNECT_REFUSED, Ending.STALLED)
+                if silent or (until is None and error.ending is Ending.CONNECT_TIMED_OUT):
+                    # the process is gone, or has it but is silent, or can't be reached and has no 202 to give
+                    # any more: its call's connection is closed. Danger: a job to be moved would wait in vain
                     break
             finally:
                 self._deleting[address] -= 1
@@ -266,6 +283,7 @@
                     del self._deleting[address]
                 if connection is not None:
                     connection.close()
+            pooled = False
             yield from sleep(self._loop.now() + _DELETE_PAUSE)
 
     def _probe(self, provider: str) -> Coroutine[None]:
@@ -315,15 +333,32 @@
         connection = self._pools.take(address, settled=purpose == "call")
         if connection is not None:
             return connection
+        return (yield from self._connect(address, provider, purpose))
+
+    def _connect(self, address: Address, provider: str, purpose: str) -> Coroutine[Connection]:
+        """A new connection."""
         if self._host.traced:
             trace.connected(self._loop.now(), provider, purpose)
+        # danger: hundreds of calls to hung providers would take consumers' and the directory's descriptors
+        if self._open >= self._most and not self._pools.drop_oldest():
+            raise ConnectionEndedError(Ending.NO_DESCRIPTOR, "all connections to providers are in use")
+        self._open += 1
         try:
-            return (yield from connect(address, self._loop.now() + self._connect_timeout))
-        except ConnectionEndedError as error:
-            # danger: with idle connections holding the last descriptors, a DELETE could not be sent
-            if error.ending is not Ending.NO_DESCRIPTOR or not self._pools.drop_oldest():
-                raise
-        return (yield from connect(address, self._loop.now() + self._connect_timeout))
+            try:
+                connection = yield from connect(address, self._loop.now() + self._connect_timeout)
+            except ConnectionEndedError as error:
+                # danger: with idle connections holding the last descriptors, a DELETE could not be sent
+                if error.ending is not Ending.NO_DESCRIPTOR or not self._pools.drop_oldest():
+                    raise
+                connection = yield from connect(address, self._loop.now() + self._connect_timeout)
+        except BaseException:
+            self._open -= 1
+            raise
+        connection.on_close = self._closed
+        return connection
+
+    def _closed(self) -> None:
+        self._open -= 1
 
 
 def _is_proof(answer: Message) -> bool:
--- a/ironbarrow/core/host.py
+++ b/ironbarrow/core/host.py
@@ -483,6 +483,11 @@
         self.invoker.start(call)
 
     def _timed_out(self, call: Call) -> None:
+        if call.accepted and not self.settings.may_cancel and call.until < call.job.deadline:
+            # danger: it can't be called off, and left behind it would still run beside the next one
+            call.until = call.job.deadline
+            call.timer = self.loop.call_at(call.until, self._timed_out, call)
+            return
         if call.until >= call.job.deadline:  # the final answer is due: the module is told before the provider
             self.call_ended(call, self._out_of_time(call))
         self._give_up(call, Ending.TIMED_OUT)
--- a/ironbarrow/daemon/dispatcher.py
+++ b/ironbarrow/daemon/dispatcher.py
@@ -99,6 +99,7 @@
             connect_timeout=config.connect_timeout,
             idle_limit=config.idle_limit,
             most_idle=spare // 4,
+            most=spare - spare * 5 // 8,
         )
         self.host.invoker = self.invoker
         self.consumers = Consumers(
--- a/ironbarrow/transport/http.py
+++ b/ironbarrow/transport/http.py
@@ -48,9 +48,13 @@
         self._ahead = bytearray()  # came while the message before it was in hand
         self.thrown_away = 0  # bytes beyond those; with a gap, no further message can be read
         self.grew: Callable[[Connection, int], None] | None = None
+        self.on_close: Callable[[], None] | None = None  # called once
 
     def close(self) -> None:
         self.sock.close()
+        if self.on_close is not None:
+            told, self.on_close = self.on_close, None
+            told()
 
     def is_closed(self) -> bool:
         """Whether the peer has closed it and nothing more can be read."""
--- a/tests/test_invoker.py
+++ b/tests/test_invoker.py
@@ -533,6 +533,88 @@
     stage.play(f"p1 send {answer(204)}\np2 expect in$")
 
 
+def test_a_delete_on_an_old_connection_counts_as_told_by_its_answer_alone() -> None:
+    # danger: cut off behind a connection that looks open, it never hears of it, and p2's is a second copy
+    stage, _ = plain("p1", "p2")
+    host = stage.dispatcher.host
+    for line in (f"c1 send {job()}", "p1 expect in$", f"p1 send {ACCEPTED}", "wait 10"):
+        stage.step(line)
+    old = stage.peers["p1"].sock
+    assert old is not None
+    host._cancel(api.CancelAttempt(next(iter(host._jobs)), 0))
+    stage.step("p1 expect DELETE /jobs/j1 HTTP")
+    assert stage.peers["p1"].sock is old
+    stage.peers["p1"].older.append(old)  # nothing more is heard or said on it
+    stage.peers["p1"].sock = None
+    stage.step("p1 expect DELETE /jobs/j1 HTTP")
+    assert stage.peers["p2"].sock is None
+    stage.play(f"p1 send {answer(204)}\np2 expect in$")
+
+
+def test_a_delete_that_breaks_off_before_the_202_is_sent_again() -> None:
+    # danger: the 202 may have been on its way as the connection was closed, and the provider runs the job
+    stage, _ = plain("p1", "p2")
+    host = stage.dispatcher.host
+    for line in (f"c1 send {job()}", "p1 expect in$"):
+        stage.step(line)
+    host._cancel(api.CancelAttempt(next(iter(host._jobs)), 0))
+    for _ in range(2):
+        stage.step("p1 close")
+        stage.step("p1 expect DELETE /jobs/j1 HTTP")
+        assert stage.peers["p2"].sock is None
+    stage.play(f"p1 send {answer(204)}\np2 expect in$")
+
+
+@pytest.mark.parametrize(("took", "waits"), [(10, 0.1), (40, 0.24)])
+def test_a_delete_has_the_time_that_a_far_provider_takes(
+    took: int, waits: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # danger: with 20 ms to and fro, a handshake and the DELETE take more than what is enough nearby
+    real, begun = invoker.connect, []
+
+    def connect(address: Address, until: int) -> Coroutine[Connection]:
+        yield Wait(-1, 0, stage.dispatcher.loop.now() + took * MS)
+        connection = yield from real(address, until)
+        begun.append(time.monotonic())
+        return connection
+
+    monkeypatch.setattr(invoker, "connect", connect)
+    stage, _ = plain("p1")
+    told: list[float] = []
+    until = stage.dispatcher.loop.now() + 5 * SECOND
+    stage.dispatcher.invoker.call_off("j1", "p1", until, lambda: told.append(time.monotonic()))
+    stage.until("told, or silent for long enough", lambda: bool(told))
+    stage.close()
+    assert told[0] - begun[0] >= waits
+
+
+def test_calls_to_hung_providers_leave_descriptors_to_others(monkeypatch: pytest.MonkeyPatch) -> None:
+    # danger: consumers, call-backs and the directory would find none
+    gate = Gate(monkeypatch, "connecting")
+    gate.open = False
+    stage, decisions = plain("p1", sockets=64)
+    for n in range(16):
+        stage.step(f"c{n} send {job(f'j{n}')}")
+    stage.until("the others refused, as never sent", lambda: len(decisions.outcomes) == 16 - gate.waiting)
+    assert 0 < gate.waiting <= 64 // 4 and set(decisions.outcomes) == {Outcome.FULL}
+    gate.open = True
+    stage.play("p1 expect in$")
+
+
+def test_where_nothing_may_be_called_off_an_attempt_has_until_the_deadline() -> None:
+    stage, decisions = plain("p1", "p2", settings=SHORT)
+    decisions.timeout = 100 * MS
+    stage.play(
+        f"""c1 send {job(ms=600)}
+        p1 expect in$
+        p1 send {ACCEPTED}
+        c1 silent 300
+        c1 expect HTTP/1.1 500
+        p1 silent 200"""
+    )
+    assert decisions.outcomes == [Outcome.TIMEOUT, Outcome.MOOT] and stage.peers["p2"].sock is None
+
+
 # Sequences of endings, with the decisions of the program
 
 NEVER_RAN_UNWRITTEN = {"CLOSED", "RESET", "STALLED", "MALFORMED", "TOO_LARGE", "TIMED_OUT"}
