Set a hung worker aside also where jobs end before a probe would

Cause: the look at a silent worker waits 1.1 s for a probe; a job of a short class reaches its deadline first, its attempt is over, and nothing is set aside (_check_silence).

Measured: tests/test_troubles.py, four deadlines: two fail without the change (13 sends to the hung worker in 2 s at 600 ms), all pass with it.

--- a/heathway/logic.py
+++ b/heathway/logic.py
@@ -439,7 +439,8 @@
             # danger: in a large fleet each hears of a worker by its own long job alone, and calls it back
             attempt.checked_at = self._now
             self._probe(worker)
-            due = self._now + probing.WITHIN
+            # danger: its deadline ends a short job first, and then nothing would set the worker aside
+            due = min(self._now + probing.WITHIN, job.deadline - 2 * self._set.tick)
         if due > self._now:
             self._agenda.at(due, self._check_silence, attempt)
             return
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -41,6 +41,28 @@
     assert world.dispatcher._workers[busy].aside
 
 
+@pytest.mark.parametrize("left", [600 * MS, 900 * MS, 1500 * MS, 6 * S])
+def test_a_hung_worker_is_set_aside_also_by_jobs_whose_time_ends_before_a_probes(left: int) -> None:
+    # danger: the job's end came first, and its worker went on getting jobs that nobody would answer
+    service = 120 * MS
+    short = replace(SAFE, aim=service, deadline=left)
+    world = World(make_settings(classes=(short,), may_probe=True, report_fields=("x0",)), entries(5))
+    hung = ""
+    sent = []
+    for n in range(500):
+        world.arrive("safe", key=n % 7, left=left)
+        for job, number in world.out():
+            attempt = world.attempts(job)[number]
+            if n == 100:
+                hung = hung or attempt.worker
+            if world.now - attempt.at >= (left if attempt.worker == hung else service):
+                world.end(job, number, Outcome.TIMEOUT if attempt.worker == hung else Outcome.OK, free=4.0)
+        if n == 400:
+            sent.append(sent_since(world, 0, hung))
+        world.advance(20 * MS)
+    assert hung and sent_since(world, 0, hung) - sent[0] <= 2  # trials at the most
+
+
 def test_a_worker_set_aside_does_not_hold_capacity_and_returns_when_it_answers():
     world = World(make_settings(), entries(2))
     job = world.arrive("unsafe")
