Make room for a connection only where one waits

Cause: after each connection taken in, _accept made room for a next one before it looked whether one waited. With all places taken, two idle connections ended for one that came; on the second, bytes could be on their way.

Change: the listener is looked at first, by poll, which also knows descriptors of 1,024 and more.

--- a/ironbarrow/fronts/consumers.py
+++ b/ironbarrow/fronts/consumers.py
@@ -1,7 +1,6 @@
 """The listener: jobs in and final answers out, call-backs of providers, readiness."""
 
 import json
-import select
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -26,6 +25,7 @@
     read_job,
     retry_after,
 )
+from ironbarrow.runtime import sockets
 from ironbarrow.runtime.loop import HANGUP, MS, READ, SECOND, Coroutine, Loop, Task, Wait, sleep
 from ironbarrow.transport.http import Connection, accept, adopt
 from ironbarrow.wire.http import Message
@@ -102,7 +102,7 @@
     @property
     def busy(self) -> bool:
         """Whether any connection is open or waits to be accepted."""
-        return self._places.taken > 0 or bool(select.select([self._listener], [], [], 0)[0])
+        return self._places.taken > 0 or sockets.has_waiting(self._listener)
 
     def close_idle(self) -> None:
         """From now on no connection is kept: the idle ones end at once, the others after their answer, and
@@ -122,6 +122,9 @@
         while True:
             yield Wait(self._listener.fileno(), READ, self._loop.now() + 3600 * SECOND)
             for _ in range(_ACCEPTS_AT_ONCE):
+                # danger: room made for nobody ends a connection on which the next request is on its way
+                if not sockets.has_waiting(self._listener):
+                    break
                 if not self._places.make_room():
                     yield from sleep(self._loop.now() + _PAUSE)
                     continue
--- a/ironbarrow/runtime/sockets.py
+++ b/ironbarrow/runtime/sockets.py
@@ -1,6 +1,7 @@
 """Addresses and TCP sockets, none of which ever blocks."""
 
 import errno
+import select
 import socket
 
 Address = tuple[str, int]
@@ -61,6 +62,13 @@
     return sock
 
 
+def has_waiting(listener: socket.socket) -> bool:
+    """Whether a connection waits to be accepted."""
+    poll = select.poll()  # select() knows no descriptor of 1,024 or more
+    poll.register(listener, select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def accept(listener: socket.socket) -> socket.socket | None:
     """The next connection that came in, or None; an OSError for want of descriptors, or for a listener that
     can't accept any more, passes on.
--- a/tests/test_consumers.py
+++ b/tests/test_consumers.py
@@ -578,6 +578,17 @@
     steps(stage, f"{who} send {job()}\np1 expect : j1.*in$")
 
 
+# Room
+
+
+def test_one_that_comes_ends_one_idle_connection_and_no_more(stages: Callable[..., Stage]) -> None:
+    # danger: room made for nobody closed a connection on which the next request was on its way
+    stage = stages(providers=1, sockets=38)  # room for three consumers
+    for n in (1, 2, 3):
+        steps(stage, f"c{n} send {READY}\nc{n} expect 200")
+    steps(stage, f"c4 send {READY}\nc4 expect 200\nc1 ended\nc2 silent 50\nc3 silent 1")
+
+
 # Tenants
 
 
