Set a timer anew where the one that was set came a little early

The wake-up set for 9.180000455 s came at 9.180 s; handle took it for one that was still to come and set no other (logic.handle, _timer_at).

--- a/heathway/logic.py
+++ b/heathway/logic.py
@@ -96,7 +96,7 @@
         for queue in self._held.queues.values():
             self._release(queue)
         due = max(now + self._set.tick, self._held.first_start(self._agenda.first(self._next_period)))
-        if self._timer_at <= now or due < self._timer_at:
+        if self._timer_at <= now + self._set.tick or due < self._timer_at:  # one may come a little early
             self._timer_at = due
             self._out.append(api.SetTimer(due - now, "wake"))
         return self._out
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -63,6 +63,21 @@
     assert hung and sent_since(world, 0, hung) - sent[0] <= 2  # trials at the most
 
 
+@pytest.mark.parametrize("early", [0, 1, 455, 2 * MS])
+def test_a_timer_that_fires_a_little_early_is_not_the_last_one(early: int) -> None:
+    # danger: with no other event, nobody would look at a held job again, and it would never be answered
+    dispatcher = Dispatcher(make_settings(), seed=1)
+    now, pending = 7 * S, []
+    actions = dispatcher.handle(now, [api.JobArrived(1, "unsafe", None, 1, 6 * S)])
+    while not any(isinstance(action, api.Refuse | api.Fail) for action in actions):
+        pending += [now + action.delay for action in actions if isinstance(action, api.SetTimer)]
+        assert pending, "no timer is left, and the job is held"
+        pending.sort()
+        now = max(now, pending.pop(0) - early)
+        actions = dispatcher.handle(now, [api.TimerFired("wake")])
+    assert now <= 13 * S
+
+
 def test_a_worker_set_aside_does_not_hold_capacity_and_returns_when_it_answers():
     world = World(make_settings(), entries(2))
     job = world.arrive("unsafe")
