Leave calls to providers half of the reserve where consumers take all places

Ruled out: the look before accepting.

Change: calls have what the places leave over and 16 of the 32 that are kept for the program, which uses 12 when idle.

--- a/ironbarrow/daemon/dispatcher.py
+++ b/ironbarrow/daemon/dispatcher.py
@@ -32,7 +32,7 @@
 _DOOR = 32  # descriptors for the operators' listener, its connections and the file of bans
 _LEAST = 8  # so that no part of what is spare comes to nothing
 _LEAST_SPARE = 32  # that consumers and providers need beside a fleet's links
-_RESERVED = 32  # descriptors for the program itself, the listener, epoll and the directory
+_RESERVED = 32  # for the program itself, the listener, epoll and the directory; calls may take half of them
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,7 +99,7 @@
             connect_timeout=config.connect_timeout,
             idle_limit=config.idle_limit,
             most_idle=spare // 4,
-            most=spare - spare * 5 // 8,
+            most=spare - spare * 5 // 8 + _RESERVED // 2,
         )
         self.host.invoker = self.invoker
         self.consumers = Consumers(
