--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -1,7 +1,10 @@
 """The rules, in virtual time and in rounds, under the settings of many customers."""
 
 import random
+import subprocess
+import tomllib
 from dataclasses import dataclass, replace
+from pathlib import Path
 
 import pytest
 from hypothesis import given, settings
@@ -290,3 +293,30 @@
         world.end(job, 1, outcome)
     world.advance(3 * S)
     assert [type(answer) for answer in world.answers(job)] == [api.Refuse if group is Group.ALL else api.Fail]
+
+
+SITES = Path(__file__).parents[1] / "deploy" / "sites"
+
+
+def test_our_own_deployments_differ_in_what_settings_tell():
+    sites = [tomllib.loads(path.read_text()) for path in sorted(SITES.glob("*.toml"))]
+    assert len(sites) == 2
+    for values in (
+        lambda site: {cls["name"] for cls in site["class"]},
+        lambda site: set(site["net"]["zones"]),
+        lambda site: {kind["name"] for tier in site["tier"] for kind in tier["kind"]},
+    ):
+        one, other = (values(site) for site in sites)
+        assert not one & other
+    for name in ("cancel", "probes", "max_attempts"):
+        assert len({site["allow"][name] for site in sites}) == 2
+    assert len({site["discovery"]["mode"] for site in sites}) == 2
+    assert sorted(bool(site.get("tenant")) for site in sites) == [False, True]
+
+
+def test_the_bench_names_are_named_where_they_are_missing(tmp_path):
+    done = subprocess.run([SITES / "lay", tmp_path], capture_output=True, text=True, check=False)
+    assert (done.returncode, done.stdout) == (2, "")
+    assert done.stderr == (
+        f"lay: real.json is missing: neither kit/sites nor kit/more/mass/other in {tmp_path} has it\n"
+    )
