Part the member machine along its states into modules with one job each

Tests: the own slowness is read as local_health.score (was _ill); the mutants' text is that of merge.py, where their lines are now; each must occur there exactly once (was: at least once), and the broken machine is checked to use the mutated module.

--- a/ironbarrow/fleet/api.py
+++ b/ironbarrow/fleet/api.py
@@ -123,7 +123,9 @@
 class Members(Protocol):
     """Who there is, as the other parts ask it. This member itself is among them, always ALIVE."""
 
-    me: Card
+    @property
+    def me(self) -> Card:
+        """The present card of this member."""
 
     def alive(self) -> Sequence[Member]:
         """The members that are ALIVE or SUSPECT, in order of name."""
--- /dev/null
+++ b/ironbarrow/fleet/members/dissemination.py
@@ -0,0 +1,145 @@
+"""Dissemination of rumours: each travels with other messages, or by gossip, a bounded number of times."""
+
+import math
+from collections.abc import Sequence
+from heapq import nsmallest
+
+import msgspec
+
+from ironbarrow.fleet.api import NEVER, Health
+from ironbarrow.fleet.members.context import MemberContext
+from ironbarrow.fleet.members.messages import RANK, Cards, Rumour
+from ironbarrow.runtime.clock import MS
+
+MAX_RUMOURS = 10  # in a message
+MAX_RUMOUR_BYTES = 1400  # of rumours in a message, but for the first
+SYNCED_TRANSMISSIONS = 3  # of what a sync brought: one member's view is no news to most
+GOSSIP_FANOUT = 2  # members that are told in half a period, while there is something to tell
+LEAVE_FANOUT = 8  # members that are told at once that this one leaves
+
+
+class Dissemination:
+    """The queue of rumours to pass on: by name of the member, since only its latest state is told."""
+
+    def __init__(self, context: MemberContext, now: int) -> None:
+        self._context = context
+        self._table = context.table
+        self._transmissions: dict[str, int] = {self._table.own_name: 0}  # made of each queued rumour
+        self._sizes: dict[str, int] = {}  # encoded, bytes
+        self._gossip_at = now
+
+    # The queue
+
+    def enqueue(self, name: str, synced: bool = False) -> None:
+        """Has the present state of a member told from now on. ``synced``: a sync brought it."""
+        if not self._transmissions:
+            self._gossip_at = max(self._gossip_at, self._context.now)
+        made = max(0, self._transmission_limit() - SYNCED_TRANSMISSIONS) if synced else 0
+        self._transmissions[name] = made
+        self._sizes.pop(name, None)
+
+    def discard(self, name: str) -> None:
+        """Tells nothing of a member any more."""
+        self._transmissions.pop(name, None)
+        self._sizes.pop(name, None)
+
+    def announce_leaving(self) -> None:
+        """Tells several members that this one leaves, in place of all that waits to be told."""
+        self._transmissions = {self._table.own_name: 0}
+        self.gossip(LEAVE_FANOUT)
+
+    def _transmission_limit(self) -> int:
+        return 3 * math.ceil(math.log(len(self._table) + 2))
+
+    # Rumours
+
+    def own_rumour(self) -> Rumour:
+        """What this member says of itself."""
+        card = self._table.own_card
+        health = Health.LEFT if self._context.leaving else Health.ALIVE
+        return Rumour(card.life, card.version, RANK[health], card=card)
+
+    def rumour_about(self, name: str) -> Rumour | None:
+        """What is passed on of a member; the card of those that are ALIVE alone. None if it is unknown."""
+        if name == self._table.own_name:
+            return self.own_rumour()
+        return self._rumour(name, with_card=False)
+
+    def full_rumour_about(self, name: str, now: int) -> Rumour | None:
+        """All that is known of a member: with its card and the time since its death."""
+        if name == self._table.own_name:
+            return self.own_rumour()
+        rumour = self._rumour(name, with_card=True)
+        entry = self._table.get(name)
+        if rumour is None or entry is None or entry.health is not Health.DEAD:
+            return rumour
+        return msgspec.structs.replace(rumour, age_ms=(now - entry.since) // MS)
+
+    def _rumour(self, name: str, with_card: bool) -> Rumour | None:
+        entry = self._table.get(name)
+        if entry is None:
+            return None
+        own_name = self._table.own_name
+        accuser = own_name if own_name in entry.accusers else min(entry.accusers, default="")
+        card = entry.card if with_card or entry.health is Health.ALIVE else None
+        return Rumour(entry.life, entry.advertised_version, RANK[entry.health], accuser, card=card)
+
+    def select(self, to: str, first: Sequence[str] = ()) -> tuple[Rumour, ...]:
+        """The rumours that travel with a message: of the members named, then those told least."""
+        limit = self._transmission_limit()
+        selected: list[Rumour] = []
+        room = MAX_RUMOUR_BYTES
+        for name in self._candidates(to, first):
+            rumour = self.rumour_about(name)
+            if rumour is None:
+                self.discard(name)
+                continue
+            size = self._sizes.get(name) or len(msgspec.msgpack.encode(rumour))
+            if selected and size > room:
+                continue
+            room -= size
+            selected.append(rumour)
+            self._count_transmission(name, size, limit)
+        return tuple(selected)
+
+    def _candidates(self, to: str, first: Sequence[str]) -> list[str]:
+        names = list(first)
+        queued = ((made, name) for name, made in self._transmissions.items() if name != to)
+        for _, name in nsmallest(MAX_RUMOURS, queued):
+            if name not in names:
+                names.append(name)
+        return names[:MAX_RUMOURS]
+
+    def _count_transmission(self, name: str, size: int, limit: int) -> None:
+        if name not in self._transmissions:
+            return
+        self._sizes[name] = size
+        self._transmissions[name] += 1
+        if self._transmissions[name] >= limit:
+            self.discard(name)
+
+    # Gossip
+
+    def gossip(self, count: int = GOSSIP_FANOUT) -> None:
+        """Sends rumours to so many random members, if there are any."""
+        if not self._transmissions:
+            return
+        reachable = [entry.life for entry in self._table if entry.reachable]
+        for life in self._context.random.sample(reachable, min(count, len(reachable))):
+            rumours = self.select(to=life.name)
+            if rumours:
+                self._context.outbox.send(life, Cards(rumours))
+
+    def tick(self, now: int) -> None:
+        """Gossips if that is due."""
+        if self._gossip_at <= now:
+            self._gossip_at = now + self._context.rules.period // 2
+            self.gossip()
+
+    def next_at(self) -> int:
+        """When gossip is due, ns; NEVER while there is nothing to tell."""
+        return self._gossip_at if self._transmissions else NEVER
+
+    def resume(self, now: int) -> None:
+        """Makes up for a stop of the process: gossip is due now at the earliest."""
+        self._gossip_at = max(self._gossip_at, now)
--- /dev/null
+++ b/ironbarrow/fleet/members/failure_detector.py
@@ -0,0 +1,175 @@
+"""The failure detector: one probe in each period, direct first, then through helpers.
+
+Who answers neither way by the end of the period becomes SUSPECT.
+"""
+
+import itertools
+from dataclasses import dataclass
+
+from ironbarrow.fleet.api import NEVER, Health, Life
+from ironbarrow.fleet.members.context import MemberContext
+from ironbarrow.fleet.members.dissemination import Dissemination
+from ironbarrow.fleet.members.helpers import choose_helpers
+from ironbarrow.fleet.members.messages import Ack, Ask, Ping
+from ironbarrow.fleet.members.probe_schedule import ProbeSchedule
+from ironbarrow.fleet.members.relays import Relays
+from ironbarrow.fleet.members.suspicion import Suspicions
+from ironbarrow.fleet.members.table import Entry
+from ironbarrow.fleet.members.views import seen_state
+
+
+@dataclass(slots=True, eq=False)
+class Probe:
+    """A question to a member that is not answered yet."""
+
+    target: Life
+    started_at: int
+    indirect_at: int  # when helpers are asked
+    fails_at: int
+    helpers: int | None = None  # asked; None: not yet
+    refusals: int = 0  # helpers that could not reach it either
+
+    @property
+    def next_at(self) -> int:
+        """When the next step is due."""
+        return self.fails_at if self.helpers is not None else min(self.fails_at, self.indirect_at)
+
+
+class FailureDetector:
+    """Probes the other members in turn, and those in doubt at once."""
+
+    def __init__(
+        self,
+        context: MemberContext,
+        dissemination: Dissemination,
+        schedule: ProbeSchedule,
+        suspicions: Suspicions,
+        now: int,
+    ) -> None:
+        self._context = context
+        self._table = context.table
+        self._dissemination = dissemination
+        self._schedule = schedule
+        self._suspicions = suspicions
+        self._numbers = itertools.count(1)
+        self._probes: dict[int, Probe] = {}
+        self._last_heard_at = now  # anybody
+        self._next_probe_at = now + context.random.randrange(context.rules.period)
+        self.relays = Relays(context, dissemination, self._numbers)
+
+    # Messages
+
+    def heard(self, now: int) -> None:
+        """Notes that a message of another member has come."""
+        self._last_heard_at = now
+
+    def on_ack(self, now: int, sender: Life, ack: Ack) -> None:
+        """Takes in an answer of a target, or the report of a helper; its rumours have been taken in."""
+        self.relays.on_ack(sender, ack)
+        probe = self._probes.get(ack.number)
+        if probe is None or probe.target != (ack.about or sender):
+            return
+        if ack.reached:
+            del self._probes[ack.number]
+            self._context.local_health.improve()
+        else:
+            self._on_refusal(now, probe)
+
+    def on_connection_lost(self, now: int, name: str) -> None:
+        """Probes a member at once, directly and through helpers: a connection to it broke."""
+        entry = self._table.get(name)
+        if entry is None or entry.health is not Health.ALIVE or self._context.leaving:
+            return
+        if now - entry.last_doubted_at >= self._context.rules.period:
+            entry.last_doubted_at = now
+            self._probe(now, entry, indirect_after=0)
+
+    def _on_refusal(self, now: int, probe: Probe) -> None:
+        probe.refusals += 1
+        helpers = probe.helpers or 0
+        if probe.indirect_at <= now and probe.refusals >= helpers > 0:
+            probe.fails_at = now
+
+    # Time
+
+    def tick_probes(self, now: int) -> None:
+        """Takes the steps that are due in the open probes, and in those made for others."""
+        for number, probe in list(self._probes.items()):
+            if probe.fails_at <= now:
+                del self._probes[number]
+                self._on_failure(now, probe)
+            elif probe.helpers is None and probe.indirect_at <= now:
+                self._ask_helpers(number, probe)
+        self.relays.tick(now)
+
+    def tick_period(self, now: int) -> None:
+        """Begins the probe of a new period if that is due."""
+        if self._context.leaving:
+            self._next_probe_at = NEVER
+        if self._next_probe_at > now:
+            return
+        self._next_probe_at = now + self._context.local_health.scale(self._context.rules.period)
+        entry = self._schedule.next()
+        if entry is not None:
+            self._probe(now, entry, self._context.local_health.scale(self._context.rules.timeout))
+
+    def next_at(self) -> int:
+        """When something is due, ns; NEVER if nothing is."""
+        probes = min((probe.next_at for probe in self._probes.values()), default=NEVER)
+        return min(self._next_probe_at, probes, self.relays.next_at())
+
+    def postpone(self, now: int, duration: int) -> None:
+        """Makes up for a stop of the process of that duration: no answer could be read meanwhile."""
+        for probe in self._probes.values():
+            probe.indirect_at += duration
+            probe.fails_at += duration
+        self.relays.postpone(duration)
+        self._next_probe_at = max(self._next_probe_at, now)
+
+    def cancel_probes(self) -> None:
+        """Waits for no answers any more."""
+        self._probes.clear()
+
+    # Probes
+
+    def _probe(self, now: int, entry: Entry, indirect_after: int) -> None:
+        target = entry.life
+        if any(probe.target == target for probe in self._probes.values()):
+            return
+        number = next(self._numbers)
+        fails_at = now + self._context.local_health.scale(self._context.rules.period)
+        probe = Probe(target, now, now + indirect_after, fails_at)
+        self._probes[number] = probe
+        seen = seen_state(self._table, target)
+        rumours = self._dissemination.select(to=target.name)
+        self._context.outbox.send(target, Ping(number, self._table.own_card.version, *seen, rumours))
+        if indirect_after == 0:
+            self._ask_helpers(number, probe)
+
+    def _ask_helpers(self, number: int, probe: Probe) -> None:
+        helpers = self._choose_helpers(probe.target.name)
+        probe.helpers = len(helpers)
+        seen = seen_state(self._table, probe.target)
+        for helper in helpers:
+            rumours = self._dissemination.select(to=helper.name)
+            self._context.outbox.send(helper, Ask(number, probe.target, *seen, rumours))
+
+    def _choose_helpers(self, target: str) -> list[Life]:
+        entry = self._table.get(target)
+        target_site = entry.card.site if entry is not None else ""
+        return choose_helpers(
+            self._table,
+            target,
+            (target_site, self._table.own_card.site),
+            self._context.rules.helpers,
+            self._context.random,
+        )
+
+    def _on_failure(self, now: int, probe: Probe) -> None:
+        entry = self._table.of_life(probe.target)
+        if entry is None:
+            return
+        if self._last_heard_at < probe.started_at:
+            self._context.local_health.degrade()  # nobody is heard: it may be this member that is cut off
+        if entry.reachable:
+            self._suspicions.suspect(now, entry, entry.version, accuser=self._table.own_name)
--- /dev/null
+++ b/ironbarrow/fleet/members/helpers.py
@@ -0,0 +1,40 @@
+"""The choice of helpers, who probe a member in another one's stead."""
+
+import random
+from collections.abc import Iterable
+
+from ironbarrow.fleet.api import Health, Life
+from ironbarrow.fleet.members.table import Entry
+
+
+def choose_helpers(
+    entries: Iterable[Entry],
+    target: str,
+    sites_last: tuple[str, str],
+    count: int,
+    random_source: random.Random,
+) -> list[Life]:
+    """Picks helpers for a target: one of each site in turn, so that a cut between two sites is seen round.
+
+    ``sites_last``: those of the target and of the member that asks; helpers of other sites go first.
+    """
+    by_site = _candidates_by_site(entries, target)
+    sites = list(by_site)
+    random_source.shuffle(sites)
+    sites.sort(key=lambda site: site in sites_last)
+    for candidates in by_site.values():
+        random_source.shuffle(candidates)
+    helpers: list[Life] = []
+    while len(helpers) < count and any(by_site.values()):
+        for site in sites:
+            if by_site[site] and len(helpers) < count:
+                helpers.append(by_site[site].pop())
+    return helpers
+
+
+def _candidates_by_site(entries: Iterable[Entry], target: str) -> dict[str, list[Life]]:
+    by_site: dict[str, list[Life]] = {}
+    for entry in entries:
+        if entry.life.name != target and entry.health is Health.ALIVE:
+            by_site.setdefault(entry.card.site, []).append(entry.life)
+    return by_site
--- /dev/null
+++ b/ironbarrow/fleet/members/local_member.py
@@ -0,0 +1,59 @@
+"""This member's own card: its changes, and what others say of this member."""
+
+import msgspec
+
+from ironbarrow.fleet.api import Card, Health, LedgerAt, Life
+from ironbarrow.fleet.invariants import check
+from ironbarrow.fleet.members.context import MemberContext
+from ironbarrow.fleet.members.dissemination import Dissemination
+from ironbarrow.fleet.members.messages import VERSION_MOST
+from ironbarrow.fleet.members.news import Replaced
+
+ACCUSATIONS = (Health.SUSPECT, Health.DEAD)
+
+
+class LocalMember:
+    """Refutes suspicions of this member by a higher version of its card."""
+
+    def __init__(self, context: MemberContext, dissemination: Dissemination) -> None:
+        self._context = context
+        self._table = context.table
+        self._dissemination = dissemination
+        self._replaced_by: Life | None = None
+        self.refuted = 0  # suspicions of this member
+
+    def set_ledgers(self, ledgers: tuple[LedgerAt, ...]) -> None:
+        """Changes the ledgers on the card."""
+        self._renew_card(msgspec.structs.replace(self._table.own_card, ledgers=ledgers))
+
+    def set_front(self, front: str) -> None:
+        """Changes the address for consumers and providers on the card."""
+        self._renew_card(msgspec.structs.replace(self._table.own_card, front=front))
+
+    def on_rumour(self, life: Life, version: int, health: Health | None) -> None:
+        """Takes in what is said of a life of this name: refutes a suspicion, notices a replacement."""
+        own = self._table.own_card
+        if life.start > own.life.start:
+            self._on_replacement(life)
+            return
+        accused = life == own.life and health in ACCUSATIONS and not self._context.leaving
+        if accused and own.version <= version < VERSION_MOST:
+            self._refute(version)
+
+    def _on_replacement(self, life: Life) -> None:
+        if self._replaced_by is None or self._replaced_by.start < life.start:
+            self._replaced_by = life
+            self._context.outbox.publish(Replaced(life))
+
+    def _refute(self, version: int) -> None:
+        self.refuted += 1
+        self._context.local_health.degrade()
+        self._renew_card(self._table.own_card, over=version)
+
+    def _renew_card(self, card: Card, over: int = 0) -> None:
+        """Takes a changed card under a version above the present one and ``over``."""
+        present = self._table.own_card.version
+        version = max(present, over) + 1
+        check("versions rise", version > present, was=present, now=version)
+        self._table.replace_own_card(msgspec.structs.replace(card, version=version))
+        self._dissemination.enqueue(self._table.own_name)
--- /dev/null
+++ b/ironbarrow/fleet/members/merge.py
@@ -0,0 +1,150 @@
+"""Merging rumours into the membership table.
+
+What is held of a life is ordered by (version, ALIVE < SUSPECT < DEAD), LEFT above all; of two lives of a name
+the later one counts. Merging takes the greater, whatever is late, doubled or overtaken.
+"""
+
+from ironbarrow.fleet.api import Card, Health, Member
+from ironbarrow.fleet.members.context import MemberContext
+from ironbarrow.fleet.members.local_member import LocalMember
+from ironbarrow.fleet.members.messages import RANK, RANKS, Rumour
+from ironbarrow.fleet.members.probe_schedule import ProbeSchedule
+from ironbarrow.fleet.members.suspicion import Suspicions
+from ironbarrow.fleet.members.table import Entry
+from ironbarrow.fleet.members.transitions import Transitions
+from ironbarrow.fleet.members.validation import is_valid_rumour
+from ironbarrow.runtime.clock import MS
+
+
+def merge_key(rumour: Rumour) -> tuple[int, bool, int, int]:
+    """The order of rumours about one name: the greater one is later."""
+    left = rumour.health == RANK[Health.LEFT]
+    return rumour.life.start, left, rumour.version, rumour.health
+
+
+class RumourMerger:
+    """Decides what each rumour changes."""
+
+    def __init__(
+        self,
+        context: MemberContext,
+        local_member: LocalMember,
+        transitions: Transitions,
+        suspicions: Suspicions,
+        schedule: ProbeSchedule,
+    ) -> None:
+        self._context = context
+        self._table = context.table
+        self._local_member = local_member
+        self._transitions = transitions
+        self._suspicions = suspicions
+        self._schedule = schedule
+
+    def merge_all(self, now: int, rumours: tuple[Rumour, ...], synced: bool = False) -> None:
+        """Takes in the rumours of a message, in order."""
+        for rumour in rumours:
+            self.merge(now, rumour, synced)
+
+    def merge(self, now: int, rumour: Rumour, synced: bool = False) -> None:
+        """Takes in one rumour. ``synced``: it is one member's view from a sync, not news."""
+        if not is_valid_rumour(rumour):
+            self._context.dropped["malformed"] += 1
+            return
+        life, health = rumour.life, RANKS[rumour.health]
+        if life.name == self._table.own_name:
+            self._local_member.on_rumour(life, rumour.version, health)
+            return
+        entry = self._table.get(life.name)
+        if entry is None or life.start > entry.life.start:
+            self._merge_new_life(now, entry, rumour, synced)
+        elif life.start < entry.life.start:
+            self._context.dropped["earlier life"] += 1
+        else:
+            self._merge_same_life(now, entry, rumour, synced)
+
+    # A life that is not in the table
+
+    def _merge_new_life(self, now: int, earlier: Entry | None, rumour: Rumour, synced: bool) -> None:
+        card = rumour.card
+        if card is None or self._is_over(rumour):
+            self._context.dropped["unknown"] += 1
+        elif earlier is None and not self._transitions.make_room():
+            self._context.dropped["full"] += 1
+        else:
+            self._add(now, earlier, card, rumour, synced)
+
+    def _is_over(self, rumour: Rumour) -> bool:
+        """Whether a life ended so long ago that it is not learnt anew."""
+        dead = RANKS[rumour.health] is Health.DEAD
+        return (
+            self._table.has_ended(rumour.life)
+            or rumour.age_ms * MS >= self._context.rules.keep_dead
+            or (dead and self._table.was_forgotten(rumour.life))
+        )
+
+    def _add(self, now: int, earlier: Entry | None, card: Card, rumour: Rumour, synced: bool) -> None:
+        # the end of the earlier life is published first
+        if earlier is not None:
+            self._transitions.end(now, earlier)
+        entry = self._new_entry(now, card, rumour)
+        if earlier is None and now - self._table.own_since >= self._context.credible_after:
+            entry.in_sight_since = now  # it may have been cut off for so long that it was forgotten
+        self._transitions.add(entry)
+        if entry.health is Health.SUSPECT:
+            entry.health = Health.ALIVE
+            self._suspicions.suspect(now, entry, rumour.version, rumour.by, publish=False)
+        self._transitions.publish(entry, synced)
+
+    def _new_entry(self, now: int, card: Card, rumour: Rumour) -> Entry:
+        health = RANKS[rumour.health]
+        since = now - rumour.age_ms * MS if health is Health.DEAD else now
+        name_hash = self._table.hash_of(card.life.name)
+        member = Member(card, health, since)
+        return Entry(card, rumour.version, health, since, name_hash, member, last_heard_at=now)
+
+    # The life that is in the table
+
+    def _merge_same_life(self, now: int, entry: Entry, rumour: Rumour, synced: bool) -> None:
+        health = RANKS[rumour.health]
+        if rumour.card is not None and rumour.card.version > entry.card.version:
+            self._transitions.update_card(entry, rumour.card)
+        if entry.health is Health.LEFT:
+            return
+        if health is Health.LEFT:
+            self._transitions.set_health(now, entry, max(entry.version, rumour.version), Health.LEFT)
+        elif health is Health.ALIVE:
+            self._merge_alive(now, entry, rumour)
+        else:
+            self._merge_accusation(now, entry, rumour, synced)
+
+    def _merge_alive(self, now: int, entry: Entry, rumour: Rumour) -> None:
+        if rumour.version > entry.version and rumour.card is not None:
+            self._transitions.set_health(now, entry, rumour.version, Health.ALIVE)
+
+    def _merge_accusation(self, now: int, entry: Entry, rumour: Rumour, synced: bool) -> None:
+        """Takes in a rumour that a member is SUSPECT or DEAD."""
+        if (rumour.version, rumour.health) < (entry.version, RANK[entry.health]):
+            return
+        if entry.reachable and (synced or not self._is_credible(now, rumour.by)):
+            # who was cut off holds the others dead; taken at its word when it comes back, all that are
+            # alive would die together: this member looks for itself
+            self._schedule.expedite(entry.life.name)
+        elif entry.health is Health.SUSPECT and RANKS[rumour.health] is Health.DEAD:
+            self._merge_death_of_suspect(now, entry, rumour)
+        elif entry.health is Health.ALIVE or RANKS[rumour.health] is Health.SUSPECT:
+            self._suspicions.suspect(now, entry, rumour.version, rumour.by)
+        else:
+            entry.version = max(entry.version, rumour.version)
+
+    def _merge_death_of_suspect(self, now: int, entry: Entry, rumour: Rumour) -> None:
+        if self._suspicions.is_confirmed_death_credible(now, entry):
+            self._suspicions.declare_dead(now, entry, rumour.version)
+        else:
+            self._suspicions.suspect(now, entry, rumour.version, rumour.by)
+
+    def _is_credible(self, now: int, accuser: str) -> bool:
+        """Whether who says that it could not reach a third has itself been in sight for a while."""
+        entry = self._table.get(accuser)
+        if entry is None or entry.health is not Health.ALIVE:
+            return False
+        return now - entry.in_sight_since >= self._context.credible_after
--- /dev/null
+++ b/ironbarrow/fleet/members/news.py
@@ -0,0 +1,12 @@
+"""What the member machine tells its process beyond ``MemberChanged``."""
+
+from dataclasses import dataclass
+
+from ironbarrow.fleet.api import Life, News
+
+
+@dataclass(frozen=True, slots=True)
+class Replaced(News):
+    """Another process goes by this member's name, with a later start: this life is held dead for good."""
+
+    by: Life
--- /dev/null
+++ b/ironbarrow/fleet/members/sync.py
@@ -0,0 +1,185 @@
+"""Anti-entropy: two members compare a part of their tables, and each sends what the other lacks.
+
+It also brings in new members, and heals cuts: dead members and unknown seeds are tried again.
+"""
+
+import math
+from collections.abc import Iterable, Sequence
+
+from ironbarrow.fleet.api import NEVER, Health, Life
+from ironbarrow.fleet.members.context import MemberContext
+from ironbarrow.fleet.members.dissemination import Dissemination
+from ironbarrow.fleet.members.merge import RumourMerger, merge_key
+from ironbarrow.fleet.members.messages import RANK, Cards, Rumour, Sync, Want
+from ironbarrow.fleet.members.table import Entry
+from ironbarrow.fleet.members.transitions import Transitions
+from ironbarrow.runtime.clock import MS, SECOND
+
+PARTITION_SIZE = 64  # members whose state is compared in a sync, about
+MAX_WANTED = 4 * PARTITION_SIZE  # cards asked for, or sent on request, at once
+MAX_CARDS = 24  # in a message
+MAX_SYNC_INTERVAL = 5 * SECOND
+MIN_SYNC_INTERVAL = SECOND // 2  # as long as a sync brings news
+RECONNECT_INTERVAL = SECOND  # between two tries of members held DEAD, or of unknown seeds
+JOIN_SEEDS = 3  # seeds that are tried at once while nobody is known
+
+
+class Synchronizer:
+    """Compares tables in intervals that grow while there is nothing new."""
+
+    def __init__(
+        self,
+        context: MemberContext,
+        dissemination: Dissemination,
+        transitions: Transitions,
+        merger: RumourMerger,
+        seeds: Sequence[str],
+        now: int,
+    ) -> None:
+        self._context = context
+        self._table = context.table
+        self._dissemination = dissemination
+        self._transitions = transitions
+        self._merger = merger
+        self._seeds = seeds
+        self._interval = MIN_SYNC_INTERVAL
+        self._sync_at = now + context.random.randrange(MIN_SYNC_INTERVAL)
+        self._reconnect_at = now
+
+    # Messages
+
+    def on_sync(self, now: int, sender: Life, sync: Sync) -> None:
+        """Answers a sync with what the sender lacks, and asks for what this member lacks."""
+        if sync.card.life != sender or not 0 <= sync.part < sync.parts:
+            self._context.dropped["malformed"] += 1
+            return
+        own_view = Rumour(sender, sync.card.version, RANK[Health.ALIVE], card=sync.card)
+        self._merger.merge(now, own_view)
+        wanted = self._merge_states(now, sync.known)
+        self._send_later_states(now, sender, sync)
+        if wanted:
+            self._context.outbox.send(sender, Want(tuple(wanted[:MAX_WANTED])))
+
+    def on_want(self, now: int, sender: Life, want: Want) -> None:
+        """Sends the cards that another member asks for."""
+        self.send_cards(sender, self._full_rumours(now, want.names[:MAX_WANTED]))
+
+    def on_cards(self, now: int, cards: Cards) -> None:
+        """Takes in cards; the next sync is soon if these came of one and brought something new."""
+        outbox = self._context.outbox
+        before = len(outbox)
+        self._merger.merge_all(now, cards.items, cards.synced)
+        if cards.synced and len(outbox) > before and self._interval > MIN_SYNC_INTERVAL:
+            self._interval = MIN_SYNC_INTERVAL
+            self._sync_at = min(self._sync_at, now + MIN_SYNC_INTERVAL)
+
+    def send_cards(self, to: Life, rumours: Sequence[Rumour], synced: bool = True) -> None:
+        """Sends rumours with their cards, a bounded number in a message."""
+        for start in range(0, len(rumours), MAX_CARDS):
+            self._context.outbox.send(to, Cards(tuple(rumours[start : start + MAX_CARDS]), synced))
+
+    def _merge_states(self, now: int, states: Iterable[Rumour]) -> list[str]:
+        """Takes in states without cards; returns the names whose cards are wanted."""
+        wanted: list[str] = []
+        for rumour in states:
+            name = rumour.life.name
+            entry = self._table.get(name)
+            if name == self._table.own_name or (entry is not None and entry.life == rumour.life):
+                self._merger.merge(now, rumour, synced=True)
+            if self._is_wanted(entry, rumour):
+                wanted.append(name)
+        return wanted
+
+    def _is_wanted(self, entry: Entry | None, rumour: Rumour) -> bool:
+        if entry is not None:
+            return (rumour.life.start, rumour.version) > (entry.life.start, entry.card.version)
+        is_other = rumour.life.name != self._table.own_name
+        return is_other and rumour.age_ms * MS < self._context.rules.keep_dead
+
+    def _send_later_states(self, now: int, sender: Life, sync: Sync) -> None:
+        theirs = {rumour.life.name: rumour for rumour in sync.known}
+        later: list[Rumour] = []
+        for mine in self._full_rumours(now, self._names_of_partition(sync, sender)):
+            known = theirs.get(mine.life.name)
+            if known is None or merge_key(known) < merge_key(mine):
+                later.append(mine)
+        self.send_cards(sender, later)
+
+    def _names_of_partition(self, sync: Sync, sender: Life) -> list[str]:
+        """This member and those others that the sync is about, but for the sender."""
+        names = [self._table.own_name]
+        for name in self._table.entries:
+            if name != sender.name and self._table.hash_of(name) % sync.parts == sync.part:
+                names.append(name)
+        return names
+
+    def _full_rumours(self, now: int, names: Iterable[str]) -> list[Rumour]:
+        found = (self._dissemination.full_rumour_about(name, now) for name in names)
+        return [rumour for rumour in found if rumour is not None]
+
+    # Time
+
+    def tick(self, now: int) -> None:
+        """Syncs with a random member, or tries those that are gone, if that is due."""
+        if self._context.leaving:
+            self._sync_at = self._reconnect_at = NEVER
+        if self._sync_at <= now:
+            self._sync_at = now + self._interval
+            self._interval = min(2 * self._interval, MAX_SYNC_INTERVAL)
+            self._sync_with_random_member(now)
+        if self._reconnect_at <= now:
+            self._reconnect_at = now + RECONNECT_INTERVAL
+            self._forget_expired(now)
+            self._reconnect(now)
+
+    def next_at(self) -> int:
+        """When something is due, ns; NEVER if nothing is."""
+        return min(self._sync_at, self._reconnect_at)
+
+    def resume(self, now: int) -> None:
+        """Makes up for a stop of the process: nothing was due before now."""
+        self._sync_at = max(self._sync_at, now)
+        self._reconnect_at = max(self._reconnect_at, now)
+
+    def _sync_with_random_member(self, now: int) -> None:
+        alive = [entry.life for entry in self._table if entry.health is Health.ALIVE]
+        if alive:
+            self._sync_with(now, self._context.random.choice(alive))
+
+    def _sync_with(self, now: int, to: Life) -> None:
+        partitions = max(1, math.ceil(len(self._table) / PARTITION_SIZE))
+        partition = self._context.random.randrange(partitions)
+        states = tuple(
+            self._state(now, entry)
+            for name, entry in self._table.entries.items()
+            if entry.hash % partitions == partition or name == to.name
+        )
+        self._context.outbox.send(to, Sync(self._table.own_card, partitions, partition, states))
+
+    def _state(self, now: int, entry: Entry) -> Rumour:
+        age_ms = (now - entry.since) // MS if entry.health is Health.DEAD else 0
+        return Rumour(entry.life, entry.advertised_version, RANK[entry.health], "", age_ms)
+
+    def _forget_expired(self, now: int) -> None:
+        for name, entry in list(self._table.entries.items()):
+            if entry.gone and now - entry.since >= self._context.rules.keep_dead:
+                self._transitions.forget(name)
+
+    def _reconnect(self, now: int) -> None:
+        if len(self._table) == 0:
+            self._join(now)
+            return
+        names = [name for name, entry in self._table.entries.items() if entry.health is Health.DEAD]
+        names += [seed for seed in self._seeds if self._is_seed_out_of_sight(seed)]
+        if names:
+            self._sync_with(now, Life(self._context.random.choice(names)))
+
+    def _join(self, now: int) -> None:
+        count = min(JOIN_SEEDS, len(self._seeds))
+        for name in self._context.random.sample(self._seeds, count):
+            self._sync_with(now, Life(name))
+
+    def _is_seed_out_of_sight(self, seed: str) -> bool:
+        """Whether a seed is unknown, or LEFT: it may have begun again where it could not be heard."""
+        entry = self._table.get(seed)
+        return entry is None or entry.health is Health.LEFT
--- /dev/null
+++ b/ironbarrow/fleet/members/transitions.py
@@ -0,0 +1,93 @@
+"""Changes of entries in the membership table, each checked against the invariants and published."""
+
+from ironbarrow.fleet.api import NEVER, Card, Health, MemberChanged
+from ironbarrow.fleet.invariants import check
+from ironbarrow.fleet.members.context import MemberContext
+from ironbarrow.fleet.members.dissemination import Dissemination
+from ironbarrow.fleet.members.probe_schedule import ProbeSchedule
+from ironbarrow.fleet.members.table import Entry
+
+
+class Transitions:
+    """Carries out changes of state; the rules that decide them are in ``merge`` and ``suspicion``."""
+
+    def __init__(self, context: MemberContext, dissemination: Dissemination, schedule: ProbeSchedule) -> None:
+        self._context = context
+        self._table = context.table
+        self._dissemination = dissemination
+        self._schedule = schedule
+
+    def add(self, entry: Entry) -> None:
+        """Puts a new life into the table, in place of an earlier one of its name. Not yet published."""
+        self._table.entries[entry.life.name] = entry
+        self._schedule.insert(entry.life.name)
+
+    def update_card(self, entry: Entry, card: Card) -> None:
+        """Takes a newer card of the same life."""
+        check("versions rise", card.version > entry.card.version, was=entry.card.version, now=card.version)
+        entry.card = card
+        self._table.refresh_member(entry)
+        self._dissemination.enqueue(card.life.name)
+
+    def set_health(self, now: int, entry: Entry, version: int, health: Health) -> None:
+        """Takes a later state of the same life: ALIVE, DEAD or LEFT; SUSPECT is set by ``suspicion``."""
+        self._check_later(entry, version, health)
+        entry.version = version
+        self._end_suspicion(entry, health)
+        if health is entry.health:
+            self._dissemination.enqueue(entry.life.name)
+            return
+        if health is Health.ALIVE:
+            entry.in_sight_since = now
+        entry.health, entry.since = health, now
+        self.publish(entry)
+
+    def publish(self, entry: Entry, synced: bool = False) -> None:
+        """Tells the process and the other members of a changed entry. ``synced``: a sync brought it."""
+        self._table.refresh_member(entry)
+        self._dissemination.enqueue(entry.life.name, synced)
+        self._context.outbox.publish(MemberChanged(entry.member))
+
+    def end(self, now: int, entry: Entry) -> None:
+        """Another life has come after that of the entry: it never comes back."""
+        if entry.health is Health.LEFT:
+            self._table.record_end(entry.life, Health.LEFT)
+            return
+        self._table.suspects.pop(entry.life.name, None)
+        if entry.health is not Health.DEAD:
+            entry.health, entry.since = Health.DEAD, now
+            self.publish(entry)
+        self._table.record_end(entry.life, Health.DEAD)
+
+    def make_room(self) -> bool:
+        """Whether the table takes another member, in place of the one that is gone longest if need be."""
+        if not self._table.full:
+            return True
+        gone = [entry for entry in self._table if entry.gone]
+        if not gone:
+            return False
+        self.forget(min(gone, key=lambda entry: entry.since).life.name)
+        return True
+
+    def forget(self, name: str) -> None:
+        """Drops the entry of one that is DEAD or LEFT."""
+        self._table.remove(name)
+        self._dissemination.discard(name)
+        self._schedule.discard(name)
+
+    def _check_later(self, entry: Entry, version: int, health: Health) -> None:
+        check("versions rise", version >= entry.version, was=entry.version, now=version)
+        check(
+            "gone stays gone",
+            not self._table.has_ended(entry.life)
+            and (entry.health is not Health.LEFT or health is Health.LEFT),
+            life=entry.life,
+            was=entry.health,
+            now=health,
+        )
+
+    def _end_suspicion(self, entry: Entry, health: Health) -> None:
+        self._table.suspects.pop(entry.life.name, None)
+        entry.suspected_until = NEVER
+        if health is not Health.DEAD:
+            entry.accusers.clear()
--- /dev/null
+++ b/ironbarrow/fleet/members/validation.py
@@ -0,0 +1,52 @@
+"""Range checks on what other members send.
+
+A value out of range would be passed on from member to member and never be outdone, so that a rumour that
+fails these checks is counted and dropped as a whole.
+"""
+
+from ironbarrow.fleet.api import NEVER, Card, Health, LedgerAt, Life
+from ironbarrow.fleet.members.messages import RANKS, VERSION_MOST, Rumour
+
+MAX_NAME_LENGTH = 64  # characters, as in the fleet file
+MAX_TEXT_LENGTH = 300  # characters of an address, a site or a ledger's name
+MAX_KEEPERS = 8
+MAX_LEDGERS = 64
+
+
+def health_from_rank(number: int) -> Health | None:
+    """The health with that number on the wire; None if there is none."""
+    return RANKS[number] if 0 <= number < len(RANKS) else None
+
+
+def is_valid_rumour(rumour: Rumour) -> bool:
+    """Whether all values of a rumour are in range and its card, if any, is of the same life."""
+    return (
+        health_from_rank(rumour.health) is not None
+        and 0 <= rumour.version < VERSION_MOST
+        and 0 <= rumour.age_ms < VERSION_MOST
+        and len(rumour.by) <= MAX_NAME_LENGTH
+        and _is_valid_life(rumour.life)
+        and (rumour.card is None or _is_valid_card(rumour.card, rumour.life))
+    )
+
+
+def _is_valid_life(life: Life) -> bool:
+    return 0 < len(life.name) <= MAX_NAME_LENGTH and 0 < life.start < NEVER
+
+
+def _is_valid_card(card: Card, life: Life) -> bool:
+    return (
+        card.life == life
+        and 0 <= card.version < VERSION_MOST
+        and max(len(card.address), len(card.site), len(card.front)) <= MAX_TEXT_LENGTH
+        and len(card.ledgers) <= MAX_LEDGERS
+        and all(_is_valid_ledger(ledger) for ledger in card.ledgers)
+    )
+
+
+def _is_valid_ledger(at: LedgerAt) -> bool:
+    return (
+        len(at.ledger) <= MAX_TEXT_LENGTH
+        and len(at.keepers) <= MAX_KEEPERS
+        and all(_is_valid_life(keeper) for keeper in at.keepers)
+    )
--- a/tests/test_fleet_members.py
+++ b/tests/test_fleet_members.py
@@ -16,6 +16,7 @@
 from ironbarrow.fleet.invariants import INVARIANTS, InvariantError
 from ironbarrow.fleet.members import MemberMachine
 from ironbarrow.fleet.members import machine as machine_module
+from ironbarrow.fleet.members import merge as merge_module
 from ironbarrow.fleet.members.messages import RANK, VERSION_MOST, Ack, Cards, Ping, Rumour
 from ironbarrow.lab.fleet.net import SimulatedNet
 from ironbarrow.lab.sim.clock import SimulatedClock
@@ -148,11 +149,11 @@
         at = (LedgerAt("l", segment, ()),)
         made.net.order("m0", lambda node, now, at=at: node.carry_out(machine.writes(at)))
         made.net.run(MS)
-        assert machine._ill == 0, segment
+        assert machine.local_health.score == 0, segment
     made.net.pause("m0")
     made.net.run(3 * SECOND)
     made.net.resume("m0")
-    assert machine._ill > 0
+    assert machine.local_health.score > 0
 
 
 def test_one_that_flaps_comes_back_each_time() -> None:
@@ -450,26 +451,37 @@
     ),
     "versions rise": ("max(entry.version, rumour.version), Health.LEFT", "rumour.version, Health.LEFT"),
     "self alive": (
-        "self._of_me(life, rumour.version, health)\n            return\n",
-        "self._of_me(life, rumour.version, health)\n",
+        "self._local_member.on_rumour(life, rumour.version, health)\n            return\n",
+        "self._local_member.on_rumour(life, rumour.version, health)\n",
     ),
 }
 
 
-def mutant(old: str, new: str) -> type[MemberMachine]:
-    """The machine with one place of its text changed."""
-    text = Path(machine_module.__file__).read_text()
-    assert old in text
-    made = ModuleType("ironbarrow.fleet.members.mutant")
-    sys.modules[made.__name__] = made  # dataclasses look for it
-    exec(compile(text.replace(old, new), made.__name__, "exec"), made.__dict__)
-    found: type[MemberMachine] = made.MemberMachine
+def executed(name: str, text: str) -> ModuleType:
+    """A module made of that text."""
+    made = ModuleType(name)
+    sys.modules[name] = made  # dataclasses look for it
+    exec(compile(text, name, "exec"), made.__dict__)
+    return made
+
+
+def mutant(monkeypatch: pytest.MonkeyPatch, old: str, new: str) -> type[MemberMachine]:
+    """The machine with one place of the text of ``merge`` changed."""
+    text = Path(merge_module.__file__).read_text()
+    assert text.count(old) == 1
+    mutated = executed("ironbarrow.fleet.members.mutant_merge", text.replace(old, new))
+    with monkeypatch.context() as patch:
+        patch.setitem(sys.modules, merge_module.__name__, mutated)
+        machine_text = Path(machine_module.__file__).read_text()
+        machine = executed("ironbarrow.fleet.members.mutant_machine", machine_text)
+    assert machine.RumourMerger is mutated.RumourMerger
+    found: type[MemberMachine] = machine.MemberMachine
     return found
 
 
 @pytest.mark.parametrize("name", MUTANTS)
-def test_each_invariant_catches_its_mutant(name: str) -> None:
-    broken = mutant(*MUTANTS[name])
+def test_each_invariant_catches_its_mutant(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    broken = mutant(monkeypatch, *MUTANTS[name])
     with pytest.raises(InvariantError, match=name):
         for seed in range(50):
             babble(alone(machine=broken), seed)
