--- a/benchmarks/members.py
+++ b/benchmarks/members.py
@@ -14,7 +14,7 @@
 import time
 from collections.abc import Callable
 
-from ironbarrow.fleet.api import Card, Health, LedgerAt, Life, MemberChanged, News
+from ironbarrow.fleet.api import Card, Health, Incarnation, LedgerAt, MemberChanged, News
 from ironbarrow.fleet.codec import Codec
 from ironbarrow.fleet.file import MemberRules
 from ironbarrow.fleet.invariants import INVARIANTS
@@ -34,25 +34,25 @@
         self.net = SimulatedNet(SimulatedClock(), Codec(MemberMachine.handles), seed)
         self.machines: dict[str, MemberMachine] = {}
         self.names = [f"dispatcher-{i}" for i in range(count)]
-        self.lives: dict[str, Life] = {}
+        self.incarnations: dict[str, Incarnation] = {}
         self.deaths: list[tuple[str, str, int]] = []  # who was told, of whom, when
         self.suspicions = 0
         for i, name in enumerate(self.names):
             self.net.add(name, SITES[i % 3], self._build).on_news = self._noted(name)
         for name in self.names:
-            self.lives[name] = self.net.start(name)
+            self.incarnations[name] = self.net.start(name)
         for name in self.names:
             self.writes(name)
 
     def _build(self, seat: Seat, node: Node) -> None:
-        card = Card(node.life, f"10.0.0.1:{len(self.machines)}", seat.site, "10.0.0.1:8080", 1)
+        card = Card(node.incarnation, f"10.0.0.1:{len(self.machines)}", seat.site, "10.0.0.1:8080", 1)
         seeds = [name for name in self.names[:3] if name != seat.name]
         self.machines[seat.name] = MemberMachine(card, MemberRules(), seeds, self.net.clock.now())
         node.add([self.machines[seat.name]])
 
     def writes(self, name: str) -> None:
-        keepers = tuple(self.lives[n] for n in self.names[:3])
-        at = (LedgerAt(f"jobs/{self.lives[name]}", 1, keepers),)
+        keepers = tuple(self.incarnations[n] for n in self.names[:3])
+        at = (LedgerAt(f"jobs/{self.incarnations[name]}", 1, keepers),)
         self.net.order(name, lambda node, now: node.carry_out(self.machines[name].writes(at)))
 
     def _noted(self, name: str) -> Callable[[News], None]:
@@ -60,7 +60,7 @@
             if isinstance(news, MemberChanged):
                 self.suspicions += news.member.health is Health.SUSPECT
                 if news.member.health is Health.DEAD:
-                    self.deaths.append((name, news.member.card.life.name, self.net.clock.now()))
+                    self.deaths.append((name, news.member.card.incarnation.name, self.net.clock.now()))
 
         return noted
 
@@ -70,7 +70,7 @@
     def see(self, of: list[str], health: Health) -> bool:
         """Whether all that run hold all of these for that."""
         return all(
-            self.machines[name].health(self.machines[other].me.life) is health
+            self.machines[name].health(self.machines[other].me.incarnation) is health
             for name in self.running()
             for other in of
             if other != name
@@ -124,7 +124,7 @@
         known = crowd.until(lambda name=name: crowd.see([name], Health.DEAD), 30, 20 * MS)
         took += [(at - died) / SECOND for _, of, at in crowd.deaths if of == name]
         last.append(known if known is not None else float("inf"))
-        crowd.lives[name] = net.start(name)
+        crowd.incarnations[name] = net.start(name)
         crowd.writes(name)
         crowd.until(lambda: crowd.see(crowd.names, Health.ALIVE), 60)
         net.run(5 * SECOND)
@@ -136,7 +136,7 @@
     mass = crowd.until(lambda: crowd.see(gone, Health.DEAD), 120)
     mass_took = [(at - died) / SECOND for _, of, at in crowd.deaths if of in gone]
     for name in gone:
-        crowd.lives[name] = net.start(name)
+        crowd.incarnations[name] = net.start(name)
         crowd.writes(name)
     crowd.until(lambda: crowd.see(crowd.names, Health.ALIVE), 120)
     net.run(10 * SECOND)
--- a/ironbarrow/fleet/api.py
+++ b/ironbarrow/fleet/api.py
@@ -1,5 +1,5 @@
-"""What the parts of a fleet are to each other: lives, messages, machines, ledgers. Plain data, no input or
-output.
+"""What the parts of a fleet are to each other: incarnations, messages, machines, ledgers. Plain data, no
+input or output.
 
 Every part is a machine: it is told the time, messages and orders, and answers with actions, as the decisions
 in ``heathway`` do. Whoever runs it (``node`` on the loop, the laboratory's network in simulated time) carries
@@ -18,11 +18,12 @@
 NEVER = 1 << 62  # ns: a time that never comes
 
 
-class Life(Struct, frozen=True, array_like=True, order=True):
-    """One life of a member: its name and when that process started, Unix ns.
+class Incarnation(Struct, frozen=True, array_like=True, order=True):
+    """One incarnation of a member: its name and when that process started, Unix ns.
 
-    A member that starts again is another life: it has forgotten all that it kept, and may not vote as the
-    one it was. ``start`` 0 in a ``Send``: whichever life answers to the name.
+    A member that starts again is another incarnation: it has forgotten all that it kept, and may not vote as
+    the one it was. ``start`` 0 in a ``Send``: whichever incarnation answers to the name.
+    What SWIM calls the incarnation number is the version of the member's ``Card`` here.
     """
 
     name: str
@@ -44,7 +45,7 @@
 class Send:
     """An action: the message goes to a member; it may be lost, late, doubled or overtaken."""
 
-    to: Life
+    to: Incarnation
     message: Message
 
 
@@ -57,11 +58,11 @@
 
 
 class Machine(Protocol):
-    """A part that lives on messages and time."""
+    """A part that is driven by messages and time."""
 
     handles: tuple[type[Message], ...]  # the messages it wants
 
-    def received(self, now: int, sender: Life, message: Any) -> list[Action]:
+    def received(self, now: int, sender: Incarnation, message: Any) -> list[Action]:
         """Takes in a message of one of those types."""
 
     def ticked(self, now: int) -> list[Action]:
@@ -78,7 +79,7 @@
     """What a member is held for."""
 
     ALIVE = "alive"
-    SUSPECT = "suspect"  # it did not answer; it may still say that it lives
+    SUSPECT = "suspect"  # it did not answer; it may still say that it is alive
     DEAD = "dead"
     LEFT = "left"  # it said that it goes: nothing of it is lost
 
@@ -88,15 +89,15 @@
 
     ledger: str
     segment: int
-    keepers: tuple[Life, ...]
+    keepers: tuple[Incarnation, ...]
 
 
 class Card(Struct, frozen=True, array_like=True):
     """What a member says of itself. ``version`` rises with each change of it and with each suspicion
-    refuted; of two cards of one life the higher one counts. ``front``: where consumers and providers reach
-    it, ``host:port``."""
+    refuted; of two cards of one incarnation the higher one counts. ``front``: where consumers and providers
+    reach it, ``host:port``."""
 
-    life: Life
+    incarnation: Incarnation
     address: str
     site: str
     front: str = ""
@@ -115,7 +116,8 @@
 
 @dataclass(frozen=True, slots=True)
 class MemberChanged(News):
-    """A member is new, or its health has changed. A new life of a name makes the earlier one DEAD first."""
+    """A member is new, or its health has changed. A new incarnation of a name makes the earlier one DEAD
+    first."""
 
     member: Member
 
@@ -130,8 +132,8 @@
     def alive(self) -> Sequence[Member]:
         """The members that are ALIVE or SUSPECT, in order of name."""
 
-    def health(self, life: Life) -> Health | None:
-        """What a life is held for; None if nothing is known of it, or no longer."""
+    def health(self, incarnation: Incarnation) -> Health | None:
+        """What an incarnation is held for; None if nothing is known of it, or no longer."""
 
     def card(self, name: str) -> Card | None:
         """The newest card of a name, dead or alive; kept for a while after a death."""
@@ -155,7 +157,7 @@
     """Who may write a segment: higher ones fence lower ones off. Round 0 is the writer that opened it."""
 
     round: int
-    by: Life
+    by: Incarnation
 
 
 class Fate(enum.IntEnum):
@@ -169,8 +171,8 @@
     """The fate of a segment."""
 
     fate: Fate
-    by: Life
-    keepers: tuple[Life, ...] = ()
+    by: Incarnation
+    keepers: tuple[Incarnation, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -196,7 +198,7 @@
     ``Kept`` can be relied on."""
 
     ledger: str
-    by: Life | None = None
+    by: Incarnation | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -226,7 +228,7 @@
     has stopped)."""
 
     ledger: str
-    by: Life | None
+    by: Incarnation | None
     partial: dict[str, bytes]
 
 
@@ -253,9 +255,9 @@
         """This member's ledger is owed nothing more: its keepers may forget it."""
 
 
-def job_ledger(life: Life) -> str:
-    """The ledger of what one life of a dispatcher owes."""
-    return f"jobs/{life}"
+def job_ledger(incarnation: Incarnation) -> str:
+    """The ledger of what one incarnation of a dispatcher owes."""
+    return f"jobs/{incarnation}"
 
 
 def rank(what: str, name: str) -> int:
--- a/ironbarrow/fleet/codec.py
+++ b/ironbarrow/fleet/codec.py
@@ -1,9 +1,9 @@
 """Messages as bytes. No input or output.
 
-A frame is a length (4 bytes, big-endian) and a MessagePack list: version, kind, the sender's life, the start
-of the life that is meant (0: any), the body. What is foreign is counted and dropped, never guessed and never
-fatal: an unknown kind is passed over, so that an older program and a newer one work side by side.
-"""
+A frame is a length (4 bytes, big-endian) and a MessagePack list: version, kind, the sender's incarnation, the
+start of the incarnation that is meant (0: any), the body. What is foreign is counted and dropped, never
+guessed and never fatal: an unknown kind is passed over, so that an older program and a newer one work side by
+side."""
 
 import struct
 from collections import Counter
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from ironbarrow.fleet.api import Life, Message
+from ironbarrow.fleet.api import Incarnation, Message
 
 VERSION = 1
 _LENGTH = struct.Struct(">I")
@@ -25,7 +25,7 @@
 class _Frame(msgspec.Struct, array_like=True):
     version: int
     kind: int
-    sender: Life
+    sender: Incarnation
     to_start: int
     body: msgspec.Raw
 
@@ -51,7 +51,7 @@
         """Knows no messages any more; what was counted stays."""
         self._decoders.clear()
 
-    def encode(self, sender: Life, to_start: int, message: Message) -> bytes:
+    def encode(self, sender: Incarnation, to_start: int, message: Message) -> bytes:
         """One frame; a ValueError if it is over ``FRAME_MOST``."""
         body = msgspec.Raw(self._encoder.encode(message))
         data = self._encoder.encode(_Frame(VERSION, message.KIND, sender, to_start, body))
@@ -59,8 +59,9 @@
             raise ValueError(f"{type(message).__name__}: {len(data)} bytes are over {FRAME_MOST}")
         return _LENGTH.pack(len(data)) + data
 
-    def decode(self, frame: bytes) -> tuple[Life, int, Message] | None:
-        """Sender, the start of the life that is meant, message; None, and counted, for what is foreign."""
+    def decode(self, frame: bytes) -> tuple[Incarnation, int, Message] | None:
+        """Sender, the start of the incarnation that is meant, message; None, and counted, for what is
+        foreign."""
         try:
             found = self._frame.decode(frame)
             if found.version != VERSION:
--- a/ironbarrow/fleet/ledgers/claimant.py
+++ b/ironbarrow/fleet/ledgers/claimant.py
@@ -21,8 +21,8 @@
     Decision,
     Fate,
     Health,
+    Incarnation,
     LedgerAt,
-    Life,
     Members,
 )
 from ironbarrow.fleet.file import LedgerRules
@@ -37,13 +37,13 @@
 
 
 class ClaimKey(msgspec.Struct, frozen=True, array_like=True):
-    """The value of ``c/LEDGER``: the fields of a ``LedgerAt``, and the lives whose claims of it are the
-    holder's to go on with."""
+    """The value of ``c/LEDGER``: the fields of a ``LedgerAt``, and the incarnations whose claims of it are
+    the holder's to go on with."""
 
     ledger: str
     segment: int
-    keepers: tuple[Life, ...]
-    of: tuple[Life, ...] = ()
+    keepers: tuple[Incarnation, ...]
+    of: tuple[Incarnation, ...] = ()
 
 
 class Home(Protocol):
@@ -53,11 +53,11 @@
         """Appends to that ledger of this member ("": its newest job ledger): its name, the number, 0 if
         there is none."""
 
-    def choose(self, ledger: str) -> tuple[Life, ...]:
-        """Keepers for a ledger; empty if there are too few lives."""
+    def choose(self, ledger: str) -> tuple[Incarnation, ...]:
+        """Keepers for a ledger; empty if there are too few incarnations."""
 
-    def tell(self, now: int, lives: Sequence[Life], learn: Learn) -> list[Action]:
-        """Tells lives of a fate until they have heard it."""
+    def tell(self, now: int, incarnations: Sequence[Incarnation], learn: Learn) -> list[Action]:
+        """Tells incarnations of a fate until they have heard it."""
 
     def lead_on(self, now: int, claim: "Claim", decision: Decision) -> list[Action]:
         """This member writes the claim's ledger from here on."""
@@ -70,7 +70,7 @@
     proposal: Proposal
     began: int  # ns
     lead: bool
-    heir_of: frozenset[Life]  # lives whose claims of it are this member's
+    heir_of: frozenset[Incarnation]  # incarnations whose claims of it are this member's
     into: str  # the ledger of this member by which it is their heir
     base: LedgerAt  # the last segment known to hold all that counted before it
     content: dict[str, bytes] | None = None  # None: not known
@@ -89,21 +89,26 @@
 class Claimant:
     """All claims of this member that are under way."""
 
-    def __init__(self, me: Life, members: Members, rules: LedgerRules, home: Home) -> None:
+    def __init__(self, me: Incarnation, members: Members, rules: LedgerRules, home: Home) -> None:
         self.me, self._members, self._rules, self._home = me, members, rules, home
         self.claims: dict[str, Claim] = {}
         self.keys: dict[str, Key] = {}  # by ledger claimed; until its claim is lost, or its key dropped
         # claimed and since replaced, or lost with the ledger that had the key: who has them
-        self.settled: OrderedDict[str, Life | None] = OrderedDict()
+        self.settled: OrderedDict[str, Incarnation | None] = OrderedDict()
         self.held: dict[str, list[Proposal]] = {}  # claimed: what is to be released when its key is dropped
 
     def start(
-        self, now: int, at: LedgerAt, lead: bool, heir_of: frozenset[Life] = frozenset(), into: str = ""
+        self,
+        now: int,
+        at: LedgerAt,
+        lead: bool,
+        heir_of: frozenset[Incarnation] = frozenset(),
+        into: str = "",
     ) -> list[Action]:
         """Begins; nothing if that ledger is being claimed, or held, already."""
         if at.ledger in self.claims or (at.ledger in self.held and not lead):
             return []
-        # danger: whoever took the ledger with the key finds "claimed by this life" and goes on with it
+        # danger: whoever took the ledger with the key finds "claimed by this incarnation" and goes on with it
         if at.ledger in self.settled and not lead and not heir_of:
             return [ClaimLost(at.ledger, self.settled[at.ledger], {})]
         if not at.keepers:
@@ -112,7 +117,7 @@
         self.claims[at.ledger] = claim
         return claim.proposal.start(now)
 
-    def received(self, now: int, sender: Life, message: Promise | Accepted | Page) -> list[Action]:
+    def received(self, now: int, sender: Incarnation, message: Promise | Accepted | Page) -> list[Action]:
         claim = self.claims.get(message.ledger)
         if claim is None or claim.proposal.at.segment != message.segment:
             return []
@@ -140,7 +145,7 @@
                     actions += self._advance(now, claim)
         return actions
 
-    def fenced(self, now: int, own: str, by: Life | None) -> list[Action]:
+    def fenced(self, now: int, own: str, by: Incarnation | None) -> list[Action]:
         """One of this member's ledgers is another's: so is what is claimed by keys in it."""
         actions: list[Action] = []
         for ledger in [name for name, key in self.keys.items() if key.ledger == own]:
@@ -159,7 +164,7 @@
         self._settle(ledger, self.me)
         return self.held.pop(ledger, [])
 
-    def _settle(self, ledger: str, by: Life | None) -> None:
+    def _settle(self, ledger: str, by: Incarnation | None) -> None:
         self.settled[ledger] = by
         while len(self.settled) > SETTLED_MOST:
             self.settled.popitem(last=False)
@@ -283,7 +288,7 @@
         self.held[at.ledger] = claim.passed
         return [*actions, Claimed(at.ledger, claim.content, self.keys[at.ledger].ledger)]
 
-    def _lost(self, now: int, claim: Claim, by: Life | None) -> list[Action]:
+    def _lost(self, now: int, claim: Claim, by: Incarnation | None) -> list[Action]:
         """Ends a claim without its ledger, and takes its key back."""
         ledger = claim.proposal.at.ledger
         self.claims.pop(ledger, None)
--- a/ironbarrow/fleet/ledgers/keeper.py
+++ b/ironbarrow/fleet/ledgers/keeper.py
@@ -14,7 +14,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from ironbarrow.fleet.api import NEVER, Ballot, Change, Decision, Life, Message
+from ironbarrow.fleet.api import NEVER, Ballot, Change, Decision, Incarnation, Message
 from ironbarrow.fleet.file import LedgerRules
 from ironbarrow.fleet.invariants import check
 from ironbarrow.fleet.ledgers.messages import (
@@ -47,7 +47,7 @@
 class Segment:
     """One segment as this keeper has it."""
 
-    writer: Life
+    writer: Incarnation
     base: int  # changes of its opening table; -1: the opening was never seen
     promised: Ballot
     touched: int  # ns
@@ -61,11 +61,11 @@
 
 
 class Keeper:
-    """All segments that this member keeps. ``lives``: whether a life is held for alive."""
+    """All segments that this member keeps. ``is_alive``: whether an incarnation is held for alive."""
 
-    def __init__(self, me: Life, lives: Callable[[Life], bool], rules: LedgerRules) -> None:
+    def __init__(self, me: Incarnation, is_alive: Callable[[Incarnation], bool], rules: LedgerRules) -> None:
         self.me = me
-        self._lives = lives
+        self._is_alive = is_alive
         self._memory = rules.memory_mb << 20
         self.segments: dict[tuple[str, int], Segment] = {}
         self.floors: OrderedDict[str, int] = OrderedDict()  # the highest forgotten segment of a ledger
@@ -73,7 +73,7 @@
         self.counts: Counter[str] = Counter()
         self._sweep_at = NEVER
 
-    def received(self, now: int, sender: Life, message: Message) -> Message | None:
+    def received(self, now: int, sender: Incarnation, message: Message) -> Message | None:
         """The answer to a message, for its sender."""
         match message:
             case Append():
@@ -90,7 +90,7 @@
                 return self.close(now, sender, message)
         return None
 
-    def append(self, now: int, sender: Life, message: Append) -> Appended | None:
+    def append(self, now: int, sender: Incarnation, message: Append) -> Appended | None:
         """Applies what is next in order, all of it or nothing."""
         ledger, number = message.ledger, message.segment
         segment = self.segments.get((ledger, number))
@@ -120,7 +120,7 @@
             self._apply(segment, sender, fresh)
         return Appended(ledger, number, segment.n)
 
-    def seal(self, now: int, sender: Life, message: Seal) -> Promise | None:
+    def seal(self, now: int, sender: Incarnation, message: Seal) -> Promise | None:
         """Promises, unless a higher ballot has the promise already."""
         ledger, number, ballot = message.ledger, message.segment, message.ballot
         if ballot.by != sender or ballot.round < 1:
@@ -154,7 +154,7 @@
             tuple(Change(key, segment.table[key]) for key in sorted(segment.table)) if whole else None,
         )
 
-    def decide(self, now: int, sender: Life, message: Decide) -> Accepted | None:
+    def decide(self, now: int, sender: Incarnation, message: Decide) -> Accepted | None:
         """Accepts a fate, unless a higher ballot has the promise."""
         ledger, number, ballot = message.ledger, message.segment, message.ballot
         segment = self.segments.get((ledger, number))
@@ -213,7 +213,7 @@
                 segment.table, segment.size = {}, 0
         return Learned(message.ledger, message.segment, message.release)
 
-    def close(self, now: int, sender: Life, message: Close) -> Learned:
+    def close(self, now: int, sender: Incarnation, message: Close) -> Learned:
         """Forgets a segment whose writer is owed nothing by it; not one that was sealed by another."""
         segment = self.segments.get((message.ledger, message.segment))
         if segment is not None and segment.writer == sender and not self._sealed(segment):
@@ -229,7 +229,7 @@
             owner = segment.decision.by if segment.decided and segment.decision else segment.writer
             if segment.released and idle >= TOMBSTONE:
                 self._forget(ledger, number)
-            elif idle >= ABANDONED and not self._lives(owner):
+            elif idle >= ABANDONED and not self._is_alive(owner):
                 self.counts["abandoned"] += 1
                 self._forget(ledger, number)
         self._sweep_at = now + SWEEP if self.segments else NEVER
@@ -240,7 +240,7 @@
     def _sealed(self, segment: Segment) -> bool:
         return segment.promised.round > 0
 
-    def _apply(self, segment: Segment, sender: Life, changes: tuple[Change, ...]) -> None:
+    def _apply(self, segment: Segment, sender: Incarnation, changes: tuple[Change, ...]) -> None:
         check("one writer a segment", sender == segment.writer, sender=sender, writer=segment.writer)
         check("no append under a seal", segment.promised.round == 0, promised=segment.promised)
         table, before = segment.table, segment.size
@@ -254,7 +254,7 @@
         segment.n += len(changes)
         self.size += segment.size - before
 
-    def _create(self, now: int, ledger: str, number: int, writer: Life, base: int) -> Segment:
+    def _create(self, now: int, ledger: str, number: int, writer: Incarnation, base: int) -> Segment:
         segment = self.segments[ledger, number] = Segment(writer, base, Ballot(0, writer), now)
         self.size += SEGMENT_SIZE
         if self._sweep_at == NEVER:
--- a/ironbarrow/fleet/ledgers/machine.py
+++ b/ironbarrow/fleet/ledgers/machine.py
@@ -14,9 +14,9 @@
     Decision,
     Fenced,
     Health,
+    Incarnation,
     Kept,
     LedgerAt,
-    Life,
 )
 from ironbarrow.fleet.file import LedgerRules
 from ironbarrow.fleet.ledgers.claimant import Claim, Claimant, ClaimKey
@@ -48,17 +48,17 @@
 
     handles: tuple[type[api.Message], ...] = (*TO_KEEPER, *TO_WRITER)
 
-    def __init__(self, me: Life, members: api.Members, rules: LedgerRules) -> None:
+    def __init__(self, me: Incarnation, members: api.Members, rules: LedgerRules) -> None:
         self.me, self._members, self._rules = me, members, rules
-        self.keeper = Keeper(me, self._lives, rules)
+        self.keeper = Keeper(me, self._is_alive, rules)
         self.writers: dict[str, Writer] = {}
         self.claimant = Claimant(me, members, rules, self)
         self.counts: Counter[str] = Counter()
         self._heirs: dict[
-            str, tuple[frozenset[Life], str]
+            str, tuple[frozenset[Incarnation], str]
         ] = {}  # whose claims of a ledger are its own, by which
         self._drops: list[tuple[str, int, str]] = []  # own ledger, number, ledger whose key that drops
-        self._tells: dict[tuple[Life, str, int, bool], list[Any]] = {}  # message, due, times
+        self._tells: dict[tuple[Incarnation, str, int, bool], list[Any]] = {}  # message, due, times
         self._further = 0  # ledgers opened for claims
         self._told: tuple[LedgerAt, ...] = ()
 
@@ -87,7 +87,7 @@
 
     # api.Machine
 
-    def received(self, now: int, sender: Life, message: Any) -> list[Action]:
+    def received(self, now: int, sender: Incarnation, message: Any) -> list[Action]:
         return self._settle(now, self._take(now, sender, message))
 
     def ticked(self, now: int) -> list[Action]:
@@ -130,35 +130,47 @@
         seq, more = self._append(now, ledger, changes)
         return ledger, seq, actions + more
 
-    def choose(self, ledger: str, avoid: frozenset[Life] = frozenset()) -> tuple[Life, ...]:
+    def choose(self, ledger: str, avoid: frozenset[Incarnation] = frozenset()) -> tuple[Incarnation, ...]:
         """Keepers for a ledger: by rank, spread over sites; empty if there are fewer others than half of
         those wanted. This member itself only where that makes the number odd: a ledger that needs its writer
         for a majority is lost with it."""
         wanted = self._rules.keepers
-        others = [m for m in self._members.alive() if m.card.life != self.me and m.card.life not in avoid]
+        others = [
+            m
+            for m in self._members.alive()
+            if m.card.incarnation != self.me and m.card.incarnation not in avoid
+        ]
         others.sort(
-            key=lambda m: (m.health is not Health.ALIVE, -api.rank(ledger, m.card.life.name), m.card.life)
+            key=lambda m: (
+                m.health is not Health.ALIVE,
+                -api.rank(ledger, m.card.incarnation.name),
+                m.card.incarnation,
+            )
         )
-        chosen: list[Life] = []
+        chosen: list[Incarnation] = []
         sites: Counter[str] = Counter()
         while others and len(chosen) < wanted:
             least = min(others, key=lambda m: sites[m.card.site])  # the first of them, so the nearest
             others.remove(least)
             sites[least.card.site] += 1
-            chosen.append(least.card.life)
+            chosen.append(least.card.incarnation)
         if len(chosen) < wanted // 2:
             return ()
         if len(chosen) < wanted and len(chosen) % 2 == 0:
             chosen.append(self.me)
         return tuple(chosen)
 
-    def tell(self, now: int, lives: Sequence[Life], learn: Learn | Close) -> list[Action]:
-        """Tells lives of a fate until they have heard it."""
+    def tell(self, now: int, incarnations: Sequence[Incarnation], learn: Learn | Close) -> list[Action]:
+        """Tells incarnations of a fate until they have heard it."""
         actions: list[Action] = []
         release = learn.release if isinstance(learn, Learn) else True
-        for life in lives:
-            actions.append(api.Send(life, learn))
-            self._tells[life, learn.ledger, learn.segment, release] = [learn, now + self._rules.resend, 1]
+        for incarnation in incarnations:
+            actions.append(api.Send(incarnation, learn))
+            self._tells[incarnation, learn.ledger, learn.segment, release] = [
+                learn,
+                now + self._rules.resend,
+                1,
+            ]
         while len(self._tells) > TELLS_MOST:
             del self._tells[next(iter(self._tells))]
             self.counts["notice given up"] += 1
@@ -173,8 +185,8 @@
 
     # Inside
 
-    def _lives(self, life: Life) -> bool:
-        return life == self.me or self._members.health(life) in (Health.ALIVE, Health.SUSPECT)
+    def _is_alive(self, incarnation: Incarnation) -> bool:
+        return incarnation == self.me or self._members.health(incarnation) in (Health.ALIVE, Health.SUSPECT)
 
     def _create(self, now: int, ledger: str) -> list[Action]:
         writer = Writer(self.me, LedgerAt(ledger, 0, self.choose(ledger)), self._members, self._rules, self)
@@ -184,7 +196,7 @@
     def _hopeless(self, writer: Writer) -> bool:
         """A majority of its keepers is dead."""
         keepers = writer.at.keepers
-        return 2 * sum(self._lives(keeper) for keeper in keepers) <= len(keepers) > 0
+        return 2 * sum(self._is_alive(keeper) for keeper in keepers) <= len(keepers) > 0
 
     def _append(self, now: int, ledger: str, changes: Sequence[Change]) -> tuple[int, list[Action]]:
         writer = self.writers.get(ledger)
@@ -196,7 +208,7 @@
                 self._drops.append((ledger, seq, change.key[len(CLAIM) :]))
         return seq, actions
 
-    def _take(self, now: int, sender: Life, message: Any) -> list[Action]:
+    def _take(self, now: int, sender: Incarnation, message: Any) -> list[Action]:
         """Hands a message to whoever wants it."""
         if isinstance(message, Learned):
             self._tells.pop((sender, message.ledger, message.segment, message.release), None)
--- a/ironbarrow/fleet/ledgers/messages.py
+++ b/ironbarrow/fleet/ledgers/messages.py
@@ -3,7 +3,7 @@
 import enum
 from typing import ClassVar
 
-from ironbarrow.fleet.api import Ballot, Change, Decision, Life, Message
+from ironbarrow.fleet.api import Ballot, Change, Decision, Incarnation, Message
 
 
 class Answer(enum.IntEnum):
@@ -49,7 +49,7 @@
     ledger: str
     segment: int
     ballot: Ballot
-    writer: Life | None = None
+    writer: Incarnation | None = None
 
 
 class Promise(Message, frozen=True, array_like=True):
@@ -62,7 +62,7 @@
     ballot: Ballot  # that was asked
     answer: Answer  # DONE, SEALED (``promised`` is higher), UNKNOWN
     promised: Ballot | None = None
-    writer: Life | None = None
+    writer: Incarnation | None = None
     n: int = 0
     base: int = -1
     accepted: Ballot | None = None
--- a/ironbarrow/fleet/ledgers/proposal.py
+++ b/ironbarrow/fleet/ledgers/proposal.py
@@ -9,7 +9,7 @@
 import enum
 from collections.abc import Iterable
 
-from ironbarrow.fleet.api import NEVER, Action, Ballot, Change, Decision, LedgerAt, Life, Send, rank
+from ironbarrow.fleet.api import NEVER, Action, Ballot, Change, Decision, Incarnation, LedgerAt, Send, rank
 from ironbarrow.fleet.file import LedgerRules
 from ironbarrow.fleet.invariants import check
 from ironbarrow.fleet.ledgers.messages import Accepted, Answer, Decide, Learn, Page, Promise, Read, Seal
@@ -25,7 +25,7 @@
     DECIDED = 5
 
 
-def majority(keepers: tuple[Life, ...]) -> int:
+def majority(keepers: tuple[Incarnation, ...]) -> int:
     """How many of them are more than half."""
     return len(keepers) // 2 + 1
 
@@ -35,10 +35,10 @@
 
     def __init__(
         self,
-        me: Life,
+        me: Incarnation,
         at: LedgerAt,
         rules: LedgerRules,
-        writer: Life | None = None,
+        writer: Incarnation | None = None,
         reads: bool = True,
     ) -> None:
         self.me, self.at, self.writer, self._reads, self._rules = me, at, writer, reads, rules
@@ -49,14 +49,14 @@
         self.table: dict[str, bytes] = {}
         self.complete = False  # ``table`` holds all that counted in this segment and before
         self.released = False  # others have all that counted
-        self.promises: dict[Life, Promise] = {}
-        self.unknown: set[Life] = set()
-        self._answers: set[Life] = set()  # to ``Decide``
-        self._refused: set[Life] = set()
+        self.promises: dict[Incarnation, Promise] = {}
+        self.unknown: set[Incarnation] = set()
+        self._answers: set[Incarnation] = set()  # to ``Decide``
+        self._refused: set[Incarnation] = set()
         self._highest = 0
         self._tries = 0
         self._asked = 0  # times, since this round began or it was answered
-        self._best: Life | None = None  # whose table is read
+        self._best: Incarnation | None = None  # whose table is read
         self._after = ""
         self._resend_at = NEVER
         self._retry_at = NEVER
@@ -88,7 +88,7 @@
         ballot = known[0] if known else self.ballot
         return Learn(self.at.ledger, self.at.segment, ballot, self.decision, release)
 
-    def promised(self, now: int, sender: Life, message: Promise) -> list[Action]:
+    def promised(self, now: int, sender: Incarnation, message: Promise) -> list[Action]:
         if sender not in self.at.keepers or message.ballot != self.ballot or self.step is not Step.SEALING:
             return []
         if message.answer is Answer.UNKNOWN:
@@ -102,7 +102,7 @@
                 return self._sealed(now)
         return []
 
-    def paged(self, now: int, sender: Life, message: Page) -> list[Action]:
+    def paged(self, now: int, sender: Incarnation, message: Page) -> list[Action]:
         if self.step is not Step.READING or sender != self._best or message.after != self._after:
             return []
         _take(self.table, message.changes)
@@ -122,7 +122,7 @@
         self._refused.clear()
         return self._ask(now)
 
-    def accepted(self, now: int, sender: Life, message: Accepted) -> list[Action]:
+    def accepted(self, now: int, sender: Incarnation, message: Accepted) -> list[Action]:
         if sender not in self.at.keepers or message.ballot != self.ballot or self.step is not Step.DECIDING:
             return []
         if message.answer is Answer.DONE:
@@ -147,7 +147,7 @@
     def next_at(self) -> int:
         return min(self._resend_at, self._retry_at)
 
-    def hopeless(self, gone: Iterable[Life]) -> bool:
+    def hopeless(self, gone: Iterable[Incarnation]) -> bool:
         """No majority can answer: too many are gone, or know nothing of the segment."""
         lost = self.unknown.union(gone)
         return sum(k not in lost for k in self.at.keepers) < majority(self.at.keepers)
@@ -200,7 +200,7 @@
         self.step, self._best = Step.READING, best
         return self._ask(now)
 
-    def _refuse(self, now: int, sender: Life | None, promised: Ballot | None) -> None:
+    def _refuse(self, now: int, sender: Incarnation | None, promised: Ballot | None) -> None:
         if promised is not None:
             self._highest = max(self._highest, promised.round)
         if sender is not None:
--- a/ironbarrow/fleet/ledgers/writer.py
+++ b/ironbarrow/fleet/ledgers/writer.py
@@ -1,8 +1,8 @@
 """The writer of one ledger: appends, counts what a majority has, changes keepers. No input or output.
 
-States: *unplaced* (too few lives), *opening* (its table goes to new keepers), *open*, *moving* (its own seal
-and ``MOVED`` are under way; appends wait), *fenced* and *closed* (it ends). Other lives than its keepers are
-never counted: a keeper that starts again is another life.
+States: *unplaced* (too few incarnations), *opening* (its table goes to new keepers), *open*, *moving* (its
+own seal and ``MOVED`` are under way; appends wait), *fenced* and *closed* (it ends). Other incarnations than
+its keepers are never counted: a keeper that starts again is another incarnation.
 """
 
 from collections import Counter, deque
@@ -17,9 +17,9 @@
     Fate,
     Fenced,
     Health,
+    Incarnation,
     Kept,
     LedgerAt,
-    Life,
     Members,
     Moved,
     NoMajority,
@@ -53,11 +53,11 @@
 class Home(Protocol):
     """What a writer needs of the member that it is part of."""
 
-    def choose(self, ledger: str, avoid: frozenset[Life] = frozenset()) -> tuple[Life, ...]:
-        """Keepers for a ledger; empty if there are too few lives."""
+    def choose(self, ledger: str, avoid: frozenset[Incarnation] = frozenset()) -> tuple[Incarnation, ...]:
+        """Keepers for a ledger; empty if there are too few incarnations."""
 
-    def tell(self, now: int, lives: Sequence[Life], learn: Learn | Close) -> list[Action]:
-        """Tells lives of a fate until they have heard it."""
+    def tell(self, now: int, incarnations: Sequence[Incarnation], learn: Learn | Close) -> list[Action]:
+        """Tells incarnations of a fate until they have heard it."""
 
 
 class Keeping:
@@ -79,7 +79,7 @@
 
     def __init__(
         self,
-        me: Life,
+        me: Incarnation,
         at: LedgerAt,
         members: Members,
         rules: LedgerRules,
@@ -98,7 +98,7 @@
         self._announce = table is not None  # ``Moved`` is due when it is opened
         self._olds: list[Proposal] = []  # segments before, whose tables go when this one is opened
         self._proposal: Proposal | None = None  # moving
-        self._avoid: dict[Life, int] = {}  # until when, ns
+        self._avoid: dict[Incarnation, int] = {}  # until when, ns
         self._down = False  # ``NoMajority`` has been told
         self._sealed_at = NEVER  # another has sealed it
         self._improve_at = NEVER
@@ -169,7 +169,7 @@
 
     # Messages
 
-    def appended(self, now: int, sender: Life, message: Appended) -> list[Action]:
+    def appended(self, now: int, sender: Incarnation, message: Appended) -> list[Action]:
         keeping = self.keeping.get(sender)
         if keeping is None or message.segment != self.at.segment:
             return []
@@ -202,7 +202,7 @@
             self._due = min(self._due, self._next(now))
         return actions
 
-    def proposed(self, now: int, sender: Life, message: Promise | Accepted | Page) -> list[Action]:
+    def proposed(self, now: int, sender: Incarnation, message: Promise | Accepted | Page) -> list[Action]:
         """An answer to its own seal."""
         proposal = self._proposal
         if proposal is None or message.segment != self.at.segment:
@@ -335,7 +335,7 @@
             self.counts["lagged"] += 1
             self._due = now
 
-    def _lost(self, now: int) -> tuple[set[Life], set[Life]]:
+    def _lost(self, now: int) -> tuple[set[Incarnation], set[Incarnation]]:
         """Keepers that are to be replaced, and those that can't be asked for a promise."""
         silent = self._rules.replace_after
         lost, gone = set(), set()
@@ -349,11 +349,11 @@
                 gone.add(keeper)
         return lost, gone
 
-    def _avoided(self, now: int) -> frozenset[Life]:
-        self._avoid = {life: until for life, until in self._avoid.items() if until > now}
+    def _avoided(self, now: int) -> frozenset[Incarnation]:
+        self._avoid = {incarnation: until for incarnation, until in self._avoid.items() if until > now}
         return frozenset(self._avoid)
 
-    def _next_keepers(self, now: int) -> tuple[Life, ...]:
+    def _next_keepers(self, now: int) -> tuple[Incarnation, ...]:
         """Danger: of fewer keepers fewer may be lost. Where too few others can be had, present ones that are
         slow, and not held for dead, stay; this member again only where that makes the number odd."""
         chosen = [k for k in self._home.choose(self.at.ledger, self._avoided(now)) if k != self.me]
@@ -394,11 +394,11 @@
 
     def _leave_behind(self, now: int) -> list[Action]:
         """Goes on in the next segment without a seal, where it is proven that nobody can ever seal this one:
-        fewer keepers than a majority can still be the lives that they were. Without this a writer whose
-        keepers start again all at once would write nothing more.
+        fewer keepers than a majority can still be the incarnations that they were. Without this a writer
+        whose keepers start again all at once would write nothing more.
 
-        Danger: that a keeper is held for dead proves nothing; that another life has its name, or that it has
-        left, does."""
+        Danger: that a keeper is held for dead proves nothing; that another incarnation has its name, or that
+        it has left, does."""
         if self.table or not self.at.ledger.startswith(job_ledger(self.me)):
             # danger: the fate may have been decided before the keepers went, and the writer not have heard
             # of it: what the segment held may be another's by now, and a led ledger another's to write
@@ -417,10 +417,10 @@
         self._waiting[0] = (self.base, waited)
         return actions
 
-    def _is_over(self, life: Life) -> bool:
-        card = self._members.card(life.name)
-        left = self._members.health(life) is Health.LEFT
-        return left or (card is not None and card.life.start > life.start)
+    def _is_over(self, incarnation: Incarnation) -> bool:
+        card = self._members.card(incarnation.name)
+        left = self._members.health(incarnation) is Health.LEFT
+        return left or (card is not None and card.incarnation.start > incarnation.start)
 
     def _patience(self) -> int:
         """Another that seals has so long to decide before the writer seals itself."""
--- a/ironbarrow/fleet/links/links.py
+++ b/ironbarrow/fleet/links/links.py
@@ -13,7 +13,7 @@
 
 import structlog
 
-from ironbarrow.fleet.api import Life, Message, Send
+from ironbarrow.fleet.api import Incarnation, Message, Send
 from ironbarrow.fleet.codec import Codec, FrameError, Splitter
 from ironbarrow.fleet.file import LinkRules
 from ironbarrow.fleet.links.queue import Budget, Queue, sort_of
@@ -68,13 +68,13 @@
         loop: Loop,
         listener: socket.socket,
         codec: Codec,
-        life: Life,
+        incarnation: Incarnation,
         rules: LinkRules,
         address_of: Callable[[str], str],
-        received: Callable[[Life, int, Message], None],
+        received: Callable[[Incarnation, int, Message], None],
         broke: Callable[[str], None],
     ) -> None:
-        self.life = life
+        self.incarnation = incarnation
         self.figures: Counter[str] = Counter()  # messages and bytes both ways, connections, foreign ones
         self.shed: Counter[str] = Counter()  # messages that were dropped: by sort, or by cause
         self._loop, self._listener, self._codec, self._rules = loop, listener, codec, rules
@@ -125,7 +125,7 @@
             self.shed["unreachable"] += 1
             return
         try:
-            frame = self._codec.encode(self.life, action.to.start, message)
+            frame = self._codec.encode(self.incarnation, action.to.start, message)
         except ValueError as error:
             self.shed["oversized"] += 1
             log.error("message not sent", peer=name, reason=str(error))
--- a/ironbarrow/fleet/members/dissemination.py
+++ b/ironbarrow/fleet/members/dissemination.py
@@ -57,7 +57,7 @@
         """What this member says of itself."""
         card = self._table.own_card
         health = Health.LEFT if self._context.leaving else Health.ALIVE
-        return Rumour(card.life, card.version, RANK[health], card=card)
+        return Rumour(card.incarnation, card.version, RANK[health], card=card)
 
     def rumour_about(self, name: str) -> Rumour | None:
         """What is passed on of a member; the card of those that are ALIVE alone. None if it is unknown."""
@@ -82,7 +82,7 @@
         own_name = self._table.own_name
         accuser = own_name if own_name in entry.accusers else min(entry.accusers, default="")
         card = entry.card if with_card or entry.health is Health.ALIVE else None
-        return Rumour(entry.life, entry.advertised_version, RANK[entry.health], accuser, card=card)
+        return Rumour(entry.incarnation, entry.advertised_version, RANK[entry.health], accuser, card=card)
 
     def select(self, to: str, first: Sequence[str] = ()) -> tuple[Rumour, ...]:
         """The rumours that travel with a message: of the members named, then those told least."""
@@ -124,11 +124,11 @@
         """Sends rumours to so many random members, if there are any."""
         if not self._transmissions:
             return
-        reachable = [entry.life for entry in self._table if entry.reachable]
-        for life in self._context.random.sample(reachable, min(count, len(reachable))):
-            rumours = self.select(to=life.name)
+        reachable = [entry.incarnation for entry in self._table if entry.reachable]
+        for incarnation in self._context.random.sample(reachable, min(count, len(reachable))):
+            rumours = self.select(to=incarnation.name)
             if rumours:
-                self._context.outbox.send(life, Cards(rumours))
+                self._context.outbox.send(incarnation, Cards(rumours))
 
     def tick(self, now: int) -> None:
         """Gossips if that is due."""
--- a/ironbarrow/fleet/members/failure_detector.py
+++ b/ironbarrow/fleet/members/failure_detector.py
@@ -6,7 +6,7 @@
 import itertools
 from dataclasses import dataclass
 
-from ironbarrow.fleet.api import NEVER, Health, Life
+from ironbarrow.fleet.api import NEVER, Health, Incarnation
 from ironbarrow.fleet.members.context import MemberContext
 from ironbarrow.fleet.members.dissemination import Dissemination
 from ironbarrow.fleet.members.helpers import choose_helpers
@@ -22,7 +22,7 @@
 class Probe:
     """A question to a member that is not answered yet."""
 
-    target: Life
+    target: Incarnation
     started_at: int
     indirect_at: int  # when helpers are asked
     fails_at: int
@@ -63,7 +63,7 @@
         """Notes that a message of another member has come."""
         self._last_heard_at = now
 
-    def on_ack(self, now: int, sender: Life, ack: Ack) -> None:
+    def on_ack(self, now: int, sender: Incarnation, ack: Ack) -> None:
         """Takes in an answer of a target, or the report of a helper; its rumours have been taken in."""
         self.relays.on_ack(sender, ack)
         probe = self._probes.get(ack.number)
@@ -133,7 +133,7 @@
     # Probes
 
     def _probe(self, now: int, entry: Entry, indirect_after: int) -> None:
-        target = entry.life
+        target = entry.incarnation
         if any(probe.target == target for probe in self._probes.values()):
             return
         number = next(self._numbers)
@@ -154,7 +154,7 @@
             rumours = self._dissemination.select(to=helper.name)
             self._context.outbox.send(helper, Ask(number, probe.target, *seen, rumours))
 
-    def _choose_helpers(self, target: str) -> list[Life]:
+    def _choose_helpers(self, target: str) -> list[Incarnation]:
         entry = self._table.get(target)
         target_site = entry.card.site if entry is not None else ""
         return choose_helpers(
@@ -166,7 +166,7 @@
         )
 
     def _on_failure(self, now: int, probe: Probe) -> None:
-        entry = self._table.of_life(probe.target)
+        entry = self._table.of_incarnation(probe.target)
         if entry is None:
             return
         if self._last_heard_at < probe.started_at:
--- a/ironbarrow/fleet/members/helpers.py
+++ b/ironbarrow/fleet/members/helpers.py
@@ -3,7 +3,7 @@
 import random
 from collections.abc import Iterable
 
-from ironbarrow.fleet.api import Health, Life
+from ironbarrow.fleet.api import Health, Incarnation
 from ironbarrow.fleet.members.table import Entry
 
 
@@ -13,7 +13,7 @@
     sites_last: tuple[str, str],
     count: int,
     random_source: random.Random,
-) -> list[Life]:
+) -> list[Incarnation]:
     """Picks helpers for a target: one of each site in turn, so that a cut between two sites is seen round.
 
     ``sites_last``: those of the target and of the member that asks; helpers of other sites go first.
@@ -24,7 +24,7 @@
     sites.sort(key=lambda site: site in sites_last)
     for candidates in by_site.values():
         random_source.shuffle(candidates)
-    helpers: list[Life] = []
+    helpers: list[Incarnation] = []
     while len(helpers) < count and any(by_site.values()):
         for site in sites:
             if by_site[site] and len(helpers) < count:
@@ -32,9 +32,9 @@
     return helpers
 
 
-def _candidates_by_site(entries: Iterable[Entry], target: str) -> dict[str, list[Life]]:
-    by_site: dict[str, list[Life]] = {}
+def _candidates_by_site(entries: Iterable[Entry], target: str) -> dict[str, list[Incarnation]]:
+    by_site: dict[str, list[Incarnation]] = {}
     for entry in entries:
-        if entry.life.name != target and entry.health is Health.ALIVE:
-            by_site.setdefault(entry.card.site, []).append(entry.life)
+        if entry.incarnation.name != target and entry.health is Health.ALIVE:
+            by_site.setdefault(entry.card.site, []).append(entry.incarnation)
     return by_site
--- a/ironbarrow/fleet/members/local_member.py
+++ b/ironbarrow/fleet/members/local_member.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from ironbarrow.fleet.api import Card, Health, LedgerAt, Life
+from ironbarrow.fleet.api import Card, Health, Incarnation, LedgerAt
 from ironbarrow.fleet.invariants import check
 from ironbarrow.fleet.members.context import MemberContext
 from ironbarrow.fleet.members.dissemination import Dissemination
@@ -19,7 +19,7 @@
         self._context = context
         self._table = context.table
         self._dissemination = dissemination
-        self._replaced_by: Life | None = None
+        self._replaced_by: Incarnation | None = None
         self.refuted = 0  # suspicions of this member
 
     def set_ledgers(self, ledgers: tuple[LedgerAt, ...]) -> None:
@@ -30,20 +30,23 @@
         """Changes the address for consumers and providers on the card."""
         self._renew_card(msgspec.structs.replace(self._table.own_card, front=front))
 
-    def on_rumour(self, life: Life, version: int, health: Health | None) -> None:
-        """Takes in what is said of a life of this name: refutes a suspicion, notices a replacement."""
+    def on_rumour(self, incarnation: Incarnation, version: int, health: Health | None) -> None:
+        """Takes in what is said of an incarnation of this name.
+
+        Refutes a suspicion, and notices a replacement.
+        """
         own = self._table.own_card
-        if life.start > own.life.start:
-            self._on_replacement(life)
+        if incarnation.start > own.incarnation.start:
+            self._on_replacement(incarnation)
             return
-        accused = life == own.life and health in ACCUSATIONS and not self._context.leaving
+        accused = incarnation == own.incarnation and health in ACCUSATIONS and not self._context.leaving
         if accused and own.version <= version < VERSION_MOST:
             self._refute(version)
 
-    def _on_replacement(self, life: Life) -> None:
-        if self._replaced_by is None or self._replaced_by.start < life.start:
-            self._replaced_by = life
-            self._context.outbox.publish(Replaced(life))
+    def _on_replacement(self, incarnation: Incarnation) -> None:
+        if self._replaced_by is None or self._replaced_by.start < incarnation.start:
+            self._replaced_by = incarnation
+            self._context.outbox.publish(Replaced(incarnation))
 
     def _refute(self, version: int) -> None:
         self.refuted += 1
--- a/ironbarrow/fleet/members/machine.py
+++ b/ironbarrow/fleet/members/machine.py
@@ -12,7 +12,7 @@
 from collections.abc import Iterable, Sequence
 from typing import Any
 
-from ironbarrow.fleet.api import Action, Card, Health, LedgerAt, Life, Member, Message
+from ironbarrow.fleet.api import Action, Card, Health, Incarnation, LedgerAt, Member, Message
 from ironbarrow.fleet.file import MemberRules
 from ironbarrow.fleet.members.context import MemberContext
 from ironbarrow.fleet.members.dissemination import Dissemination
@@ -32,7 +32,7 @@
 
 class MemberMachine:
     """The membership of one member. ``seeds``: names that it knows from its file, none of them its own;
-    ``known``: cards of others that an earlier life of it held alive."""
+    ``known``: cards of others that an earlier incarnation of it held alive."""
 
     handles: tuple[type[Message], ...] = (Ping, Ack, Ask, Sync, Cards, Want)
 
@@ -47,7 +47,7 @@
         self.rules = rules
         self.seeds = tuple(sorted(seeds))
         self._table = MembershipTable(me, now, rules.most)
-        self._context = context = MemberContext(rules, self._table, random.Random(str(me.life)), now)
+        self._context = context = MemberContext(rules, self._table, random.Random(str(me.incarnation)), now)
         self._dissemination = Dissemination(context, now)
         schedule = ProbeSchedule(self._table, context.random)
         transitions = Transitions(context, self._dissemination, schedule)
@@ -59,7 +59,7 @@
             context, self._dissemination, transitions, self._merger, self.seeds, now
         )
         for card in known:
-            self._merger.merge(now, Rumour(card.life, card.version, RANK[Health.ALIVE], card=card))
+            self._merger.merge(now, Rumour(card.incarnation, card.version, RANK[Health.ALIVE], card=card))
 
     # Questions
 
@@ -87,9 +87,9 @@
         """The members that are ALIVE or SUSPECT and this one, in order of name."""
         return self._table.alive()
 
-    def health(self, life: Life) -> Health | None:
-        """What a life is held for; None if nothing is known of it."""
-        return self._table.health(life)
+    def health(self, incarnation: Incarnation) -> Health | None:
+        """What an incarnation is held for; None if nothing is known of it."""
+        return self._table.health(incarnation)
 
     def card(self, name: str) -> Card | None:
         """The newest card of a name, dead or alive."""
@@ -132,7 +132,7 @@
 
     # Messages
 
-    def received(self, now: int, sender: Life, message: Any) -> list[Action]:
+    def received(self, now: int, sender: Incarnation, message: Any) -> list[Action]:
         """Takes in a message of another member."""
         self._notice_stop(now)
         if sender.name == self._table.own_name:
@@ -143,16 +143,16 @@
             self.dropped["left"] += 1
         return self._context.outbox.drain()
 
-    def _note_sender(self, now: int, sender: Life) -> bool:
+    def _note_sender(self, now: int, sender: Incarnation) -> bool:
         """Notes that a member is heard; False if it had left."""
         self._detector.heard(now)
-        entry = self._table.of_life(sender)
+        entry = self._table.of_incarnation(sender)
         if entry is None:
             return True
         entry.last_heard_at = now
         return entry.health is not Health.LEFT
 
-    def _dispatch(self, now: int, sender: Life, message: Any) -> None:
+    def _dispatch(self, now: int, sender: Incarnation, message: Any) -> None:
         if isinstance(message, Ping):
             self._on_ping(now, sender, message)
         elif isinstance(message, Ack):
@@ -167,21 +167,21 @@
         elif isinstance(message, Want):
             self._synchronizer.on_want(now, sender, message)
 
-    def _on_ping(self, now: int, sender: Life, ping: Ping) -> None:
-        self._local_member.on_rumour(self.me.life, ping.seen, health_from_rank(ping.seen_health))
+    def _on_ping(self, now: int, sender: Incarnation, ping: Ping) -> None:
+        self._local_member.on_rumour(self.me.incarnation, ping.seen, health_from_rank(ping.seen_health))
         self._merger.merge_all(now, ping.news)
         seen = seen_state(self._table, sender)
-        first = [self.me.life.name] if ping.seen < self.me.version else []
+        first = [self.me.incarnation.name] if ping.seen < self.me.version else []
         entry = self._table.get(sender.name)
-        if entry is not None and entry.life.start > sender.start:
+        if entry is not None and entry.incarnation.start > sender.start:
             first.append(sender.name)  # it is told that it has been replaced
         rumours = self._dissemination.select(to=sender.name, first=first)
         self._context.outbox.send(sender, Ack(ping.number, self.me.version, *seen, rumours))
 
-    def _on_ack(self, now: int, sender: Life, ack: Ack) -> None:
+    def _on_ack(self, now: int, sender: Incarnation, ack: Ack) -> None:
         self._merger.merge_all(now, ack.news)
         if ack.about is None:
-            self._local_member.on_rumour(self.me.life, ack.seen, health_from_rank(ack.seen_health))
+            self._local_member.on_rumour(self.me.incarnation, ack.seen, health_from_rank(ack.seen_health))
             if ack.seen < self.me.version and not self._context.leaving:
                 self._synchronizer.send_cards(sender, [self._dissemination.own_rumour()], synced=False)
         self._detector.on_ack(now, sender, ack)
--- a/ironbarrow/fleet/members/merge.py
+++ b/ironbarrow/fleet/members/merge.py
@@ -1,8 +1,8 @@
 """Merging rumours into the membership table.
 
-What is held of a life is ordered by (version, ALIVE < SUSPECT < DEAD), LEFT above all; of two lives of a name
-the later one counts. Merging takes the greater, whatever is late, doubled or overtaken.
-"""
+What is held of an incarnation is ordered by (version, ALIVE < SUSPECT < DEAD), LEFT above all; of two
+incarnations of a name the later one counts. Merging takes the greater, whatever is late, doubled or
+overtaken."""
 
 from ironbarrow.fleet.api import Card, Health, Member
 from ironbarrow.fleet.members.context import MemberContext
@@ -19,7 +19,7 @@
 def merge_key(rumour: Rumour) -> tuple[int, bool, int, int]:
     """The order of rumours about one name: the greater one is later."""
     left = rumour.health == RANK[Health.LEFT]
-    return rumour.life.start, left, rumour.version, rumour.health
+    return rumour.incarnation.start, left, rumour.version, rumour.health
 
 
 class RumourMerger:
@@ -50,21 +50,21 @@
         if not is_valid_rumour(rumour):
             self._context.dropped["malformed"] += 1
             return
-        life, health = rumour.life, RANKS[rumour.health]
-        if life.name == self._table.own_name:
-            self._local_member.on_rumour(life, rumour.version, health)
+        incarnation, health = rumour.incarnation, RANKS[rumour.health]
+        if incarnation.name == self._table.own_name:
+            self._local_member.on_rumour(incarnation, rumour.version, health)
             return
-        entry = self._table.get(life.name)
-        if entry is None or life.start > entry.life.start:
-            self._merge_new_life(now, entry, rumour, synced)
-        elif life.start < entry.life.start:
-            self._context.dropped["earlier life"] += 1
+        entry = self._table.get(incarnation.name)
+        if entry is None or incarnation.start > entry.incarnation.start:
+            self._merge_new_incarnation(now, entry, rumour, synced)
+        elif incarnation.start < entry.incarnation.start:
+            self._context.dropped["earlier incarnation"] += 1
         else:
-            self._merge_same_life(now, entry, rumour, synced)
+            self._merge_same_incarnation(now, entry, rumour, synced)
 
-    # A life that is not in the table
+    # An incarnation that is not in the table
 
-    def _merge_new_life(self, now: int, earlier: Entry | None, rumour: Rumour, synced: bool) -> None:
+    def _merge_new_incarnation(self, now: int, earlier: Entry | None, rumour: Rumour, synced: bool) -> None:
         card = rumour.card
         if card is None or self._is_over(rumour):
             self._context.dropped["unknown"] += 1
@@ -74,16 +74,16 @@
             self._add(now, earlier, card, rumour, synced)
 
     def _is_over(self, rumour: Rumour) -> bool:
-        """Whether a life ended so long ago that it is not learnt anew."""
+        """Whether an incarnation ended so long ago that it is not learnt anew."""
         dead = RANKS[rumour.health] is Health.DEAD
         return (
-            self._table.has_ended(rumour.life)
+            self._table.has_ended(rumour.incarnation)
             or rumour.age_ms * MS >= self._context.rules.keep_dead
-            or (dead and self._table.was_forgotten(rumour.life))
+            or (dead and self._table.was_forgotten(rumour.incarnation))
         )
 
     def _add(self, now: int, earlier: Entry | None, card: Card, rumour: Rumour, synced: bool) -> None:
-        # the end of the earlier life is published first
+        # the end of the earlier incarnation is published first
         if earlier is not None:
             self._transitions.end(now, earlier)
         entry = self._new_entry(now, card, rumour)
@@ -98,13 +98,13 @@
     def _new_entry(self, now: int, card: Card, rumour: Rumour) -> Entry:
         health = RANKS[rumour.health]
         since = now - rumour.age_ms * MS if health is Health.DEAD else now
-        name_hash = self._table.hash_of(card.life.name)
+        name_hash = self._table.hash_of(card.incarnation.name)
         member = Member(card, health, since)
         return Entry(card, rumour.version, health, since, name_hash, member, last_heard_at=now)
 
-    # The life that is in the table
+    # The incarnation that is in the table
 
-    def _merge_same_life(self, now: int, entry: Entry, rumour: Rumour, synced: bool) -> None:
+    def _merge_same_incarnation(self, now: int, entry: Entry, rumour: Rumour, synced: bool) -> None:
         health = RANKS[rumour.health]
         if rumour.card is not None and rumour.card.version > entry.card.version:
             self._transitions.update_card(entry, rumour.card)
@@ -128,7 +128,7 @@
         if entry.reachable and (synced or not self._is_credible(now, rumour.by)):
             # who was cut off holds the others dead; taken at its word when it comes back, all that are
             # alive would die together: this member looks for itself
-            self._schedule.expedite(entry.life.name)
+            self._schedule.expedite(entry.incarnation.name)
         elif entry.health is Health.SUSPECT and RANKS[rumour.health] is Health.DEAD:
             self._merge_death_of_suspect(now, entry, rumour)
         elif entry.health is Health.ALIVE or RANKS[rumour.health] is Health.SUSPECT:
--- a/ironbarrow/fleet/members/messages.py
+++ b/ironbarrow/fleet/members/messages.py
@@ -4,7 +4,7 @@
 
 from msgspec import Struct
 
-from ironbarrow.fleet.api import Card, Health, Life, Message
+from ironbarrow.fleet.api import Card, Health, Incarnation, Message
 
 RANKS = (Health.ALIVE, Health.SUSPECT, Health.DEAD, Health.LEFT)  # by their number on the wire
 RANK = {health: number for number, health in enumerate(RANKS)}
@@ -12,9 +12,9 @@
 
 
 class Rumour(Struct, frozen=True, array_like=True):
-    """What is said of a life: of two, the higher (version, health) counts, and LEFT over all."""
+    """What is said of an incarnation: of two, the higher (version, health) counts, and LEFT over all."""
 
-    life: Life
+    incarnation: Incarnation
     version: int
     health: int
     by: str = ""  # who could not reach it itself
@@ -43,7 +43,7 @@
     seen: int = -1
     seen_health: int = 0
     news: tuple[Rumour, ...] = ()
-    about: Life | None = None
+    about: Incarnation | None = None
     reached: bool = True
 
 
@@ -52,7 +52,7 @@
 
     KIND: ClassVar[int] = 3
     number: int
-    target: Life
+    target: Incarnation
     seen: int = -1
     seen_health: int = 0
     news: tuple[Rumour, ...] = ()
--- a/ironbarrow/fleet/members/news.py
+++ b/ironbarrow/fleet/members/news.py
@@ -2,11 +2,14 @@
 
 from dataclasses import dataclass
 
-from ironbarrow.fleet.api import Life, News
+from ironbarrow.fleet.api import Incarnation, News
 
 
 @dataclass(frozen=True, slots=True)
 class Replaced(News):
-    """Another process goes by this member's name, with a later start: this life is held dead for good."""
+    """Another process goes by this member's name, with a later start.
 
-    by: Life
+    This incarnation is held dead for good.
+    """
+
+    by: Incarnation
--- a/ironbarrow/fleet/members/outbox.py
+++ b/ironbarrow/fleet/members/outbox.py
@@ -1,6 +1,6 @@
 """The actions with which a call to the member machine answers."""
 
-from ironbarrow.fleet.api import Action, Life, Message, News, Send
+from ironbarrow.fleet.api import Action, Incarnation, Message, News, Send
 
 
 class Outbox:
@@ -12,7 +12,7 @@
     def __len__(self) -> int:
         return len(self._actions)
 
-    def send(self, to: Life, message: Message) -> None:
+    def send(self, to: Incarnation, message: Message) -> None:
         """Sends a message to another member."""
         self._actions.append(Send(to, message))
 
--- a/ironbarrow/fleet/members/relays.py
+++ b/ironbarrow/fleet/members/relays.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from ironbarrow.fleet.api import NEVER, Life
+from ironbarrow.fleet.api import NEVER, Incarnation
 from ironbarrow.fleet.members.context import MemberContext
 from ironbarrow.fleet.members.dissemination import Dissemination
 from ironbarrow.fleet.members.messages import Ack, Ask, Ping, Rumour
@@ -16,9 +16,9 @@
 class Relay:
     """A probe for another member (``asker``), under the number that it gave."""
 
-    asker: Life
+    asker: Incarnation
     number: int
-    target: Life
+    target: Incarnation
     expires_at: int
 
 
@@ -32,7 +32,7 @@
         self._numbers = numbers  # shared with this member's own probes
         self._relays: dict[int, Relay] = {}
 
-    def on_request(self, now: int, asker: Life, request: Ask) -> None:
+    def on_request(self, now: int, asker: Incarnation, request: Ask) -> None:
         """Probes the target of a request; its rumours have been taken in."""
         target = request.target
         if target.name == self._table.own_name or len(self._relays) >= MAX_RELAYS:
@@ -45,7 +45,7 @@
         seen = seen_state(self._table, target, SeenState(request.seen, request.seen_health))
         self._context.outbox.send(target, Ping(number, self._table.own_card.version, *seen, rumours))
 
-    def on_ack(self, sender: Life, ack: Ack) -> None:
+    def on_ack(self, sender: Incarnation, ack: Ack) -> None:
         """Reports that a target has answered, if this is the answer to such a probe."""
         relay = self._relays.get(ack.number)
         if relay is None or relay.target != sender:
--- a/ironbarrow/fleet/members/suspicion.py
+++ b/ironbarrow/fleet/members/suspicion.py
@@ -47,7 +47,7 @@
         if begins:
             self._begin(now, entry, version, accuser, publish)
         else:
-            self._dissemination.enqueue(entry.life.name)
+            self._dissemination.enqueue(entry.incarnation.name)
         entry.suspected_until = max(now, entry.since + self._duration(entry))
 
     def is_confirmed_death_credible(self, now: int, entry: Entry) -> bool:
@@ -77,9 +77,9 @@
         return bool(accuser) and accuser not in entry.accusers and len(entry.accusers) <= MAX_CONFIRMATIONS
 
     def _begin(self, now: int, entry: Entry, version: int, accuser: str, publish: bool) -> None:
-        self._table.suspects[entry.life.name] = entry
+        self._table.suspects[entry.incarnation.name] = entry
         if accuser != self._table.own_name:
-            self._schedule.expedite(entry.life.name)
+            self._schedule.expedite(entry.incarnation.name)
         entry.version = version
         entry.health, entry.since = Health.SUSPECT, now
         if publish:
--- a/ironbarrow/fleet/members/sync.py
+++ b/ironbarrow/fleet/members/sync.py
@@ -6,7 +6,7 @@
 import math
 from collections.abc import Iterable, Sequence
 
-from ironbarrow.fleet.api import NEVER, Health, Life
+from ironbarrow.fleet.api import NEVER, Health, Incarnation
 from ironbarrow.fleet.members.context import MemberContext
 from ironbarrow.fleet.members.dissemination import Dissemination
 from ironbarrow.fleet.members.merge import RumourMerger, merge_key
@@ -48,9 +48,9 @@
 
     # Messages
 
-    def on_sync(self, now: int, sender: Life, sync: Sync) -> None:
+    def on_sync(self, now: int, sender: Incarnation, sync: Sync) -> None:
         """Answers a sync with what the sender lacks, and asks for what this member lacks."""
-        if sync.card.life != sender or not 0 <= sync.part < sync.parts:
+        if sync.card.incarnation != sender or not 0 <= sync.part < sync.parts:
             self._context.dropped["malformed"] += 1
             return
         own_view = Rumour(sender, sync.card.version, RANK[Health.ALIVE], card=sync.card)
@@ -60,7 +60,7 @@
         if wanted:
             self._context.outbox.send(sender, Want(tuple(wanted[:MAX_WANTED])))
 
-    def on_want(self, now: int, sender: Life, want: Want) -> None:
+    def on_want(self, now: int, sender: Incarnation, want: Want) -> None:
         """Sends the cards that another member asks for."""
         self.send_cards(sender, self._full_rumours(now, want.names[:MAX_WANTED]))
 
@@ -73,7 +73,7 @@
             self._interval = MIN_SYNC_INTERVAL
             self._sync_at = min(self._sync_at, now + MIN_SYNC_INTERVAL)
 
-    def send_cards(self, to: Life, rumours: Sequence[Rumour], synced: bool = True) -> None:
+    def send_cards(self, to: Incarnation, rumours: Sequence[Rumour], synced: bool = True) -> None:
         """Sends rumours with their cards, a bounded number in a message."""
         for start in range(0, len(rumours), MAX_CARDS):
             self._context.outbox.send(to, Cards(tuple(rumours[start : start + MAX_CARDS]), synced))
@@ -82,9 +82,11 @@
         """Takes in states without cards; returns the names whose cards are wanted."""
         wanted: list[str] = []
         for rumour in states:
-            name = rumour.life.name
+            name = rumour.incarnation.name
             entry = self._table.get(name)
-            if name == self._table.own_name or (entry is not None and entry.life == rumour.life):
+            if name == self._table.own_name or (
+                entry is not None and entry.incarnation == rumour.incarnation
+            ):
                 self._merger.merge(now, rumour, synced=True)
             if self._is_wanted(entry, rumour):
                 wanted.append(name)
@@ -92,20 +94,20 @@
 
     def _is_wanted(self, entry: Entry | None, rumour: Rumour) -> bool:
         if entry is not None:
-            return (rumour.life.start, rumour.version) > (entry.life.start, entry.card.version)
-        is_other = rumour.life.name != self._table.own_name
+            return (rumour.incarnation.start, rumour.version) > (entry.incarnation.start, entry.card.version)
+        is_other = rumour.incarnation.name != self._table.own_name
         return is_other and rumour.age_ms * MS < self._context.rules.keep_dead
 
-    def _send_later_states(self, now: int, sender: Life, sync: Sync) -> None:
-        theirs = {rumour.life.name: rumour for rumour in sync.known}
+    def _send_later_states(self, now: int, sender: Incarnation, sync: Sync) -> None:
+        theirs = {rumour.incarnation.name: rumour for rumour in sync.known}
         later: list[Rumour] = []
         for mine in self._full_rumours(now, self._names_of_partition(sync, sender)):
-            known = theirs.get(mine.life.name)
+            known = theirs.get(mine.incarnation.name)
             if known is None or merge_key(known) < merge_key(mine):
                 later.append(mine)
         self.send_cards(sender, later)
 
-    def _names_of_partition(self, sync: Sync, sender: Life) -> list[str]:
+    def _names_of_partition(self, sync: Sync, sender: Incarnation) -> list[str]:
         """This member and those others that the sync is about, but for the sender."""
         names = [self._table.own_name]
         for name in self._table.entries:
@@ -142,11 +144,11 @@
         self._reconnect_at = max(self._reconnect_at, now)
 
     def _sync_with_random_member(self, now: int) -> None:
-        alive = [entry.life for entry in self._table if entry.health is Health.ALIVE]
+        alive = [entry.incarnation for entry in self._table if entry.health is Health.ALIVE]
         if alive:
             self._sync_with(now, self._context.random.choice(alive))
 
-    def _sync_with(self, now: int, to: Life) -> None:
+    def _sync_with(self, now: int, to: Incarnation) -> None:
         partitions = max(1, math.ceil(len(self._table) / PARTITION_SIZE))
         partition = self._context.random.randrange(partitions)
         states = tuple(
@@ -158,7 +160,7 @@
 
     def _state(self, now: int, entry: Entry) -> Rumour:
         age_ms = (now - entry.since) // MS if entry.health is Health.DEAD else 0
-        return Rumour(entry.life, entry.advertised_version, RANK[entry.health], "", age_ms)
+        return Rumour(entry.incarnation, entry.advertised_version, RANK[entry.health], "", age_ms)
 
     def _forget_expired(self, now: int) -> None:
         for name, entry in list(self._table.entries.items()):
@@ -172,12 +174,12 @@
         names = [name for name, entry in self._table.entries.items() if entry.health is Health.DEAD]
         names += [seed for seed in self._seeds if self._is_seed_out_of_sight(seed)]
         if names:
-            self._sync_with(now, Life(self._context.random.choice(names)))
+            self._sync_with(now, Incarnation(self._context.random.choice(names)))
 
     def _join(self, now: int) -> None:
         count = min(JOIN_SEEDS, len(self._seeds))
         for name in self._context.random.sample(self._seeds, count):
-            self._sync_with(now, Life(name))
+            self._sync_with(now, Incarnation(name))
 
     def _is_seed_out_of_sight(self, seed: str) -> bool:
         """Whether a seed is unknown, or LEFT: it may have begun again where it could not be heard."""
--- a/ironbarrow/fleet/members/table.py
+++ b/ironbarrow/fleet/members/table.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
 
-from ironbarrow.fleet.api import NEVER, Card, Health, Life, Member, rank
+from ironbarrow.fleet.api import NEVER, Card, Health, Incarnation, Member, rank
 from ironbarrow.fleet.invariants import check
 
 REACHABLE = (Health.ALIVE, Health.SUSPECT)
@@ -14,7 +14,7 @@
 
 @dataclass(slots=True, eq=False)
 class Entry:
-    """The record of one other member: of its latest known life."""
+    """The record of one other member: of its latest known incarnation."""
 
     card: Card  # the newest; its version may be behind ``version``
     version: int
@@ -29,9 +29,9 @@
     in_sight_since: int = -NEVER  # when it came in sight, or came back, after others had begun
 
     @property
-    def life(self) -> Life:
-        """The life that the entry is about."""
-        return self.card.life
+    def incarnation(self) -> Incarnation:
+        """The incarnation that the entry is about."""
+        return self.card.incarnation
 
     @property
     def reachable(self) -> bool:
@@ -51,9 +51,9 @@
 
 
 class MembershipTable:
-    """Entries by name, the suspects among them, and the lives that have ended.
+    """Entries by name, the suspects among them, and the incarnations that have ended.
 
-    ``capacity``: members in the table, this one included, and records of ended lives.
+    ``capacity``: members in the table, this one included, and records of ended incarnations.
     """
 
     def __init__(self, own_card: Card, now: int, capacity: int) -> None:
@@ -62,8 +62,9 @@
         self.suspects: dict[str, Entry] = {}
         self._own_since = now
         self._capacity = capacity
-        self._ended: dict[Life, Health] = {}  # replaced by a later life, or forgotten after LEFT
-        self._forgotten: dict[Life, Health] = {}  # dead ones without an entry
+        # replaced by a later one, or forgotten after LEFT
+        self._ended: dict[Incarnation, Health] = {}
+        self._forgotten: dict[Incarnation, Health] = {}  # dead ones without an entry
         self._alive: tuple[Member, ...] | None = None
 
     def __len__(self) -> int:
@@ -73,14 +74,14 @@
         return iter(self.entries.values())
 
     @property
-    def own_life(self) -> Life:
-        """The life of this member."""
-        return self.own_card.life
+    def own_incarnation(self) -> Incarnation:
+        """The incarnation of this member."""
+        return self.own_card.incarnation
 
     @property
     def own_name(self) -> str:
         """The name of this member."""
-        return self.own_card.life.name
+        return self.own_card.incarnation.name
 
     @property
     def own_since(self) -> int:
@@ -93,33 +94,37 @@
         """The entry of another member."""
         return self.entries.get(name)
 
-    def of_life(self, life: Life) -> Entry | None:
-        """The entry of another member if it is about that very life."""
-        entry = self.entries.get(life.name)
-        return entry if entry is not None and entry.life == life else None
+    def of_incarnation(self, incarnation: Incarnation) -> Entry | None:
+        """The entry of another member if it is about that very incarnation."""
+        entry = self.entries.get(incarnation.name)
+        return entry if entry is not None and entry.incarnation == incarnation else None
 
     def alive(self) -> Sequence[Member]:
         """The members that are ALIVE or SUSPECT and this one, in order of name."""
         if self._alive is None:
             found = [entry.member for entry in self if entry.reachable]
             found.append(Member(self.own_card, Health.ALIVE, self._own_since))
-            own = [member.card.life for member in found if member.card.life.name == self.own_name]
-            check("self alive", own == [self.own_life], me=self.own_life, found=own)
-            self._alive = tuple(sorted(found, key=lambda member: member.card.life.name))
+            own = [
+                member.card.incarnation for member in found if member.card.incarnation.name == self.own_name
+            ]
+            check("self alive", own == [self.own_incarnation], me=self.own_incarnation, found=own)
+            self._alive = tuple(sorted(found, key=lambda member: member.card.incarnation.name))
         return self._alive
 
-    def health(self, life: Life) -> Health | None:
-        """What a life is held for; None if nothing is known of it."""
-        if life.name == self.own_name:
-            if life.start in (0, self.own_life.start):
+    def health(self, incarnation: Incarnation) -> Health | None:
+        """What an incarnation is held for; None if nothing is known of it."""
+        if incarnation.name == self.own_name:
+            if incarnation.start in (0, self.own_incarnation.start):
                 return Health.ALIVE
-            return self._ended.get(life, Health.DEAD)
-        entry = self.entries.get(life.name)
+            return self._ended.get(incarnation, Health.DEAD)
+        entry = self.entries.get(incarnation.name)
         if entry is None:
-            return self._ended.get(life)
-        if life.start in (0, entry.life.start):
+            return self._ended.get(incarnation)
+        if incarnation.start in (0, entry.incarnation.start):
             return entry.health
-        return self._ended.get(life, Health.DEAD) if life.start < entry.life.start else None
+        return (
+            self._ended.get(incarnation, Health.DEAD) if incarnation.start < entry.incarnation.start else None
+        )
 
     def card(self, name: str) -> Card | None:
         """The newest card of a name."""
@@ -148,13 +153,13 @@
         entry = self.entries.get(name)
         return entry.hash if entry is not None else rank("sync", name)
 
-    def has_ended(self, life: Life) -> bool:
-        """Whether a life is known to be over for good."""
-        return life in self._ended
+    def has_ended(self, incarnation: Incarnation) -> bool:
+        """Whether an incarnation is known to be over for good."""
+        return incarnation in self._ended
 
-    def was_forgotten(self, life: Life) -> bool:
-        """Whether a life died and its entry was dropped."""
-        return life in self._forgotten
+    def was_forgotten(self, incarnation: Incarnation) -> bool:
+        """Whether an incarnation died and its entry was dropped."""
+        return incarnation in self._forgotten
 
     @property
     def full(self) -> bool:
@@ -173,20 +178,20 @@
         entry.member = Member(entry.card, entry.health, entry.since)
         self._alive = None
 
-    def record_end(self, life: Life, health: Health) -> None:
-        """Notes that a life is over for good: DEAD or LEFT."""
-        self._ended[life] = health
+    def record_end(self, incarnation: Incarnation, health: Health) -> None:
+        """Notes that an incarnation is over for good: DEAD or LEFT."""
+        self._ended[incarnation] = health
         self._trim(self._ended)
 
     def remove(self, name: str) -> None:
         """Drops the entry of one that is DEAD or LEFT; that it was is remembered for a while."""
         entry = self.entries.pop(name)
         if entry.health is Health.LEFT:
-            self.record_end(entry.life, entry.health)
+            self.record_end(entry.incarnation, entry.health)
         else:
-            self._forgotten[entry.life] = entry.health
+            self._forgotten[entry.incarnation] = entry.health
             self._trim(self._forgotten)
 
-    def _trim(self, records: dict[Life, Health]) -> None:
+    def _trim(self, records: dict[Incarnation, Health]) -> None:
         while len(records) > self._capacity:
             del records[next(iter(records))]
--- a/ironbarrow/fleet/members/transitions.py
+++ b/ironbarrow/fleet/members/transitions.py
@@ -18,24 +18,27 @@
         self._schedule = schedule
 
     def add(self, entry: Entry) -> None:
-        """Puts a new life into the table, in place of an earlier one of its name. Not yet published."""
-        self._table.entries[entry.life.name] = entry
-        self._schedule.insert(entry.life.name)
+        """Puts a new incarnation into the table, in place of an earlier one; not yet published."""
+        self._table.entries[entry.incarnation.name] = entry
+        self._schedule.insert(entry.incarnation.name)
 
     def update_card(self, entry: Entry, card: Card) -> None:
-        """Takes a newer card of the same life."""
+        """Takes a newer card of the same incarnation."""
         check("versions rise", card.version > entry.card.version, was=entry.card.version, now=card.version)
         entry.card = card
         self._table.refresh_member(entry)
-        self._dissemination.enqueue(card.life.name)
+        self._dissemination.enqueue(card.incarnation.name)
 
     def set_health(self, now: int, entry: Entry, version: int, health: Health) -> None:
-        """Takes a later state of the same life: ALIVE, DEAD or LEFT; SUSPECT is set by ``suspicion``."""
+        """Takes a later state of the same incarnation: ALIVE, DEAD or LEFT.
+
+        SUSPECT is set by ``suspicion``.
+        """
         self._check_later(entry, version, health)
         entry.version = version
         self._end_suspicion(entry, health)
         if health is entry.health:
-            self._dissemination.enqueue(entry.life.name)
+            self._dissemination.enqueue(entry.incarnation.name)
             return
         if health is Health.ALIVE:
             entry.in_sight_since = now
@@ -45,19 +48,19 @@
     def publish(self, entry: Entry, synced: bool = False) -> None:
         """Tells the process and the other members of a changed entry. ``synced``: a sync brought it."""
         self._table.refresh_member(entry)
-        self._dissemination.enqueue(entry.life.name, synced)
+        self._dissemination.enqueue(entry.incarnation.name, synced)
         self._context.outbox.publish(MemberChanged(entry.member))
 
     def end(self, now: int, entry: Entry) -> None:
-        """Another life has come after that of the entry: it never comes back."""
+        """Another incarnation has come after that of the entry: it never comes back."""
         if entry.health is Health.LEFT:
-            self._table.record_end(entry.life, Health.LEFT)
+            self._table.record_end(entry.incarnation, Health.LEFT)
             return
-        self._table.suspects.pop(entry.life.name, None)
+        self._table.suspects.pop(entry.incarnation.name, None)
         if entry.health is not Health.DEAD:
             entry.health, entry.since = Health.DEAD, now
             self.publish(entry)
-        self._table.record_end(entry.life, Health.DEAD)
+        self._table.record_end(entry.incarnation, Health.DEAD)
 
     def make_room(self) -> bool:
         """Whether the table takes another member, in place of the one that is gone longest if need be."""
@@ -66,7 +69,7 @@
         gone = [entry for entry in self._table if entry.gone]
         if not gone:
             return False
-        self.forget(min(gone, key=lambda entry: entry.since).life.name)
+        self.forget(min(gone, key=lambda entry: entry.since).incarnation.name)
         return True
 
     def forget(self, name: str) -> None:
@@ -79,15 +82,15 @@
         check("versions rise", version >= entry.version, was=entry.version, now=version)
         check(
             "gone stays gone",
-            not self._table.has_ended(entry.life)
+            not self._table.has_ended(entry.incarnation)
             and (entry.health is not Health.LEFT or health is Health.LEFT),
-            life=entry.life,
+            incarnation=entry.incarnation,
             was=entry.health,
             now=health,
         )
 
     def _end_suspicion(self, entry: Entry, health: Health) -> None:
-        self._table.suspects.pop(entry.life.name, None)
+        self._table.suspects.pop(entry.incarnation.name, None)
         entry.suspected_until = NEVER
         if health is not Health.DEAD:
             entry.accusers.clear()
--- a/ironbarrow/fleet/members/validation.py
+++ b/ironbarrow/fleet/members/validation.py
@@ -4,7 +4,7 @@
 fails these checks is counted and dropped as a whole.
 """
 
-from ironbarrow.fleet.api import NEVER, Card, Health, LedgerAt, Life
+from ironbarrow.fleet.api import NEVER, Card, Health, Incarnation, LedgerAt
 from ironbarrow.fleet.members.messages import RANKS, VERSION_MOST, Rumour
 
 MAX_NAME_LENGTH = 64  # characters, as in the fleet file
@@ -19,24 +19,24 @@
 
 
 def is_valid_rumour(rumour: Rumour) -> bool:
-    """Whether all values of a rumour are in range and its card, if any, is of the same life."""
+    """Whether all values of a rumour are in range and its card, if any, is of the same incarnation."""
     return (
         health_from_rank(rumour.health) is not None
         and 0 <= rumour.version < VERSION_MOST
         and 0 <= rumour.age_ms < VERSION_MOST
         and len(rumour.by) <= MAX_NAME_LENGTH
-        and _is_valid_life(rumour.life)
-        and (rumour.card is None or _is_valid_card(rumour.card, rumour.life))
+        and _is_valid_incarnation(rumour.incarnation)
+        and (rumour.card is None or _is_valid_card(rumour.card, rumour.incarnation))
     )
 
 
-def _is_valid_life(life: Life) -> bool:
-    return 0 < len(life.name) <= MAX_NAME_LENGTH and 0 < life.start < NEVER
+def _is_valid_incarnation(incarnation: Incarnation) -> bool:
+    return 0 < len(incarnation.name) <= MAX_NAME_LENGTH and 0 < incarnation.start < NEVER
 
 
-def _is_valid_card(card: Card, life: Life) -> bool:
+def _is_valid_card(card: Card, incarnation: Incarnation) -> bool:
     return (
-        card.life == life
+        card.incarnation == incarnation
         and 0 <= card.version < VERSION_MOST
         and max(len(card.address), len(card.site), len(card.front)) <= MAX_TEXT_LENGTH
         and len(card.ledgers) <= MAX_LEDGERS
@@ -48,5 +48,5 @@
     return (
         len(at.ledger) <= MAX_TEXT_LENGTH
         and len(at.keepers) <= MAX_KEEPERS
-        and all(_is_valid_life(keeper) for keeper in at.keepers)
+        and all(_is_valid_incarnation(keeper) for keeper in at.keepers)
     )
--- a/ironbarrow/fleet/members/views.py
+++ b/ironbarrow/fleet/members/views.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from ironbarrow.fleet.api import Life
+from ironbarrow.fleet.api import Incarnation
 from ironbarrow.fleet.members.messages import RANK
 from ironbarrow.fleet.members.table import MembershipTable
 
@@ -19,9 +19,9 @@
 UNKNOWN = SeenState()
 
 
-def seen_state(table: MembershipTable, life: Life, told: SeenState = UNKNOWN) -> SeenState:
-    """What the table holds of a life, or what was told of it if that is later."""
-    entry = table.of_life(life)
+def seen_state(table: MembershipTable, incarnation: Incarnation, told: SeenState = UNKNOWN) -> SeenState:
+    """What the table holds of an incarnation, or what was told of it if that is later."""
+    entry = table.of_incarnation(incarnation)
     if entry is None:
         return told
     return max(SeenState(entry.advertised_version, RANK[entry.health]), told)
--- a/ironbarrow/fleet/node.py
+++ b/ironbarrow/fleet/node.py
@@ -5,18 +5,21 @@
 from collections import Counter
 from collections.abc import Callable, Iterable
 
-from ironbarrow.fleet.api import NEVER, Action, Life, Machine, Message, News, Send
+from ironbarrow.fleet.api import NEVER, Action, Incarnation, Machine, Message, News, Send
 
 
 class Node:
     """Runs machines. ``send`` carries messages away; ``told`` gets all news, in order."""
 
-    def __init__(self, life: Life, send: Callable[[Send], None], told: Callable[[News], None]) -> None:
-        self.life = life
+    def __init__(
+        self, incarnation: Incarnation, send: Callable[[Send], None], told: Callable[[News], None]
+    ) -> None:
+        self.incarnation = incarnation
         self._send, self._told = send, told
         self._machines: list[Machine] = []
         self._by_type: dict[type[Message], Machine] = {}
-        self.passed_over: Counter[str] = Counter()  # messages for another life, or that no machine wants
+        # messages for another incarnation, or that no machine wants
+        self.passed_over: Counter[str] = Counter()
 
     def add(self, machines: Iterable[Machine]) -> None:
         """Adds machines; a ValueError if two want the same message."""
@@ -27,12 +30,12 @@
                     raise ValueError(f"{kind.__name__}: two machines want it")
                 self._by_type[kind] = machine
 
-    def received(self, now: int, sender: Life, to_start: int, message: Message) -> None:
-        """Takes in a message. Danger: one that is meant for an earlier life of this member must change
+    def received(self, now: int, sender: Incarnation, to_start: int, message: Message) -> None:
+        """Takes in a message. Danger: one that is meant for an earlier incarnation of this member must change
         nothing."""
         machine = self._by_type.get(type(message))
-        if to_start not in (0, self.life.start):
-            self.passed_over["another life"] += 1
+        if to_start not in (0, self.incarnation.start):
+            self.passed_over["another incarnation"] += 1
         elif machine is None:
             self.passed_over[type(message).__name__] += 1
         else:
--- a/ironbarrow/fleet/rolling.py
+++ b/ironbarrow/fleet/rolling.py
@@ -37,8 +37,8 @@
 
 
 class Rolling:
-    """It lives as long as the process; ``machine`` is another in each life of the member. A FleetError for a
-    plan that can't be used."""
+    """It lasts as long as the process; ``machine`` is another in each incarnation of the member. A FleetError
+    for a plan that can't be used."""
 
     machine: Rollouts
 
@@ -50,7 +50,7 @@
         rules: RolloutRules,
         ledgers: Callable[[], Ledgers],
     ) -> None:
-        """``ledgers``: those of the life that the service is in."""
+        """``ledgers``: those of the incarnation that the service is in."""
         self._loop, self._host, self._service, self._rules = loop, host, service, rules
         self._targets: dict[str, Listed] = {}
         self._absent: dict[str, int] = {}  # targets that are no longer listed: since when, ns
@@ -74,7 +74,7 @@
         service.on_news(self._told)
 
     def _begin(self, service: FleetService) -> None:
-        """Another life of the member."""
+        """Another incarnation of the member."""
         self.machine = Rollouts(service.members, self._ledgers(), _unix, self._host.settings)
         self.machine.held = lambda: self._host.slots_waiting
         self.machine.providers(self._loop.now(), self._targets.values())
--- a/ironbarrow/fleet/rollout/coordinator.py
+++ b/ironbarrow/fleet/rollout/coordinator.py
@@ -24,10 +24,10 @@
     ClaimLost,
     Fenced,
     Health,
+    Incarnation,
     Kept,
     LedgerAt,
     Ledgers,
-    Life,
     MemberChanged,
     Members,
     Message,
@@ -105,7 +105,7 @@
     kept: int = 0  # the ledger's last entry that counts
     waiting: list[tuple[int, Callable[[], None]]] = field(default_factory=list)
     majority: bool = True
-    lives: dict[tuple[str, int], tuple[str, bool]] = field(default_factory=dict)
+    incarnations: dict[tuple[str, int], tuple[str, bool]] = field(default_factory=dict)
     began: bool = False
     look_at: int = 0
     unasked: dict[str, int] = field(
@@ -134,14 +134,14 @@
         if classes is None:
             classes = {c.name: c.worker_kind for c in settings.classes} if settings is not None else {}
         self.classes = classes
-        self.me = members.me.life
+        self.me = members.me.incarnation
         self.signals = Signals(members.me.site)
         self.held: Callable[[], float] = lambda: 0.0  # slots of the jobs that wait here
         self.listed: dict[str, Listed] = {}
         self.lead: _Lead | None = None
         self.last: RolloutChanged | None = None  # as this member knows it
         self._place: LedgerAt | None = None
-        self._writer: Life | None = None
+        self._writer: Incarnation | None = None
         self._dead_since: int | None = None
         self._leading_until = 0  # a call to lead is out until then at the latest
         self._starting: tuple[str, bytes, Plan] | None = None
@@ -239,9 +239,9 @@
 
     def _member(self, now: int, news: MemberChanged) -> None:
         for at in news.member.card.ledgers:
-            self._seen(at, news.member.card.life)
+            self._seen(at, news.member.card.incarnation)
 
-    def _seen(self, at: LedgerAt, writer: Life) -> None:
+    def _seen(self, at: LedgerAt, writer: Incarnation) -> None:
         if not at.ledger.startswith(LEDGER):
             return
         known = self._place
@@ -258,7 +258,7 @@
         elif known is not None and at == known:
             self._writer = writer
 
-    def _old(self, at: LedgerAt, writer: Life) -> bool:
+    def _old(self, at: LedgerAt, writer: Incarnation) -> bool:
         """Whether a card speaks of a rollout that another has followed: of two, the one that a living
         member writes counts."""
         known = self._place
@@ -301,8 +301,8 @@
             if target is not None:
                 judge.machine(target).new = step.runtime == plan.runtime
             if step.stage is StepStage.DONE:
-                life = (step.worker or step.target, step.started_at // MS)
-                lead.lives[life] = (step.target, step.runtime == plan.runtime)
+                incarnation = (step.worker or step.target, step.started_at // MS)
+                lead.incarnations[incarnation] = (step.target, step.runtime == plan.runtime)
                 lead.unasked[step.target] = -NEVER
             else:
                 lead.ways[step.target] = _Way(step, kept=True)
@@ -316,10 +316,10 @@
         lead.judge.machine(one.target)
         step = lead.steps.get(name)
         if step is None:
-            lead.lives.setdefault((name, one.since // MS), (name, False))
+            lead.incarnations.setdefault((name, one.since // MS), (name, False))
 
     def _runtime_of(self, worker: str, started_at: int) -> tuple[str, bool] | None:
-        return self.lead.lives.get((worker, started_at // MS)) if self.lead is not None else None
+        return self.lead.incarnations.get((worker, started_at // MS)) if self.lead is not None else None
 
     def _target(self, name: str) -> Target | None:
         found = self.listed.get(name)
@@ -330,7 +330,7 @@
 
     # Messages
 
-    def received(self, now: int, sender: Life, message: object) -> list[Action]:
+    def received(self, now: int, sender: Incarnation, message: object) -> list[Action]:
         lead = self.lead
         if lead is None:
             return []
@@ -352,8 +352,8 @@
             return []
         machine = lead.judge.machine(target)
         if answer.phase == Phase.UP and (step is None or answer.number == step.number):
-            life = (answer.worker or answer.target, answer.started_at // MS)
-            lead.lives[life] = (answer.target, answer.runtime == lead.plan.runtime)
+            incarnation = (answer.worker or answer.target, answer.started_at // MS)
+            lead.incarnations[incarnation] = (answer.target, answer.runtime == lead.plan.runtime)
             machine.up = True
         before = lead.last_crashes.get(answer.target, 0)
         if step is None or answer.number == step.number:
@@ -430,7 +430,7 @@
         self._tick_at = now + LOOK
         for member in self._members.alive():
             for at in member.card.ledgers:
-                self._seen(at, member.card.life)
+                self._seen(at, member.card.incarnation)
         actions: list[Action] = []
         if self._place is not None and now >= self._tell_at:
             self._tell_at = now + TELL
@@ -452,7 +452,7 @@
             return []
         if self._dead_since is None:
             self._dead_since = now
-        names = [m.card.life.name for m in self._members.alive() if m.health is Health.ALIVE]
+        names = [m.card.incarnation.name for m in self._members.alive() if m.health is Health.ALIVE]
         names.sort(key=lambda name: rank(self._place.ledger if self._place else "", name), reverse=True)
         turn = names.index(self.me.name) if self.me.name in names else len(names)
         if now < self._dead_since + turn * TURN:
@@ -675,7 +675,7 @@
                 lead.unasked[name] = now
                 runtime = lead.steps[name].runtime
                 actions.append(
-                    Send(Life(AGENT + name), Command(lead.plan.name, lead.epoch, 0, name, runtime))
+                    Send(Incarnation(AGENT + name), Command(lead.plan.name, lead.epoch, 0, name, runtime))
                 )
         for name, way in lead.ways.items():
             due = way.asked_at + (POLL if way.begun else REPEAT)
@@ -701,7 +701,7 @@
             command = Command(
                 lead.plan.name, lead.epoch, number, name, way.step.runtime, int(lead.plan.drain)
             )
-            actions.append(Send(Life(AGENT + name), command))
+            actions.append(Send(Incarnation(AGENT + name), command))
         return actions
 
     def _may_send(self, lead: _Lead, way: _Way, unix: int) -> bool:
--- a/ironbarrow/fleet/rollout/rules.py
+++ b/ironbarrow/fleet/rollout/rules.py
@@ -18,7 +18,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
-from ironbarrow.fleet.api import Life
+from ironbarrow.fleet.api import Incarnation
 from ironbarrow.fleet.rollout.commands import Observed, StarvationSeen
 from ironbarrow.fleet.rollout.plan import Plan, Target
 from ironbarrow.fleet.rollout.sequential import Block, Comparison, log_mixture
@@ -86,7 +86,7 @@
         self._cold_time = cold_time
         self._classes = list(classes)
         self.machines: dict[str, Machine] = {}
-        self._numbers: dict[str, tuple[int, int]] = {}  # life and number of the last Observed
+        self._numbers: dict[str, tuple[int, int]] = {}  # incarnation and number of the last Observed
         self._sites: dict[str, int] = {}  # when a member of a site was last heard
         self._tests: dict[tuple[str, str, str], Comparison] = {}  # signal, site, class
         self._open: dict[tuple[str, str, str], Block] = {}
@@ -132,9 +132,9 @@
         if seen.began_at >= self.first_at:
             self._starved = seen
 
-    def observed(self, now: int, life: Life, seen: Observed) -> None:
+    def observed(self, now: int, incarnation: Incarnation, seen: Observed) -> None:
         """A member's figures. A repeat or a late one changes nothing."""
-        sender, number = life.name, (life.start, seen.number)
+        sender, number = incarnation.name, (incarnation.start, seen.number)
         if number <= self._numbers.get(sender, (0, 0)):
             return
         self._numbers[sender] = number
--- a/ironbarrow/fleet/rollout/signals.py
+++ b/ironbarrow/fleet/rollout/signals.py
@@ -51,9 +51,9 @@
         entry = self._entry(worker, started_at, job_class)
         if entry is not None:
             entry.sent_work += int(work * slots)
-        life = (worker, started_at)
-        if life in self._mine or len(self._mine) < ENTRIES_MOST:
-            self._mine[life] = self._mine.get(life, 0.0) + slots
+        incarnation = (worker, started_at)
+        if incarnation in self._mine or len(self._mine) < ENTRIES_MOST:
+            self._mine[incarnation] = self._mine.get(incarnation, 0.0) + slots
 
     def ended(
         self,
@@ -67,11 +67,11 @@
     ) -> None:
         """An attempt that was sent has ended; ``end`` None: its worker is not to blame for how.
         ``elapsed``: ns, 0 if it says nothing; ``free``: slots that the worker tells with it."""
-        life = (worker, started_at)
-        if life in self._mine:
-            self._mine[life] = max(0.0, self._mine[life] - slots)
+        incarnation = (worker, started_at)
+        if incarnation in self._mine:
+            self._mine[incarnation] = max(0.0, self._mine[incarnation] - slots)
             if free is not None:
-                self._free[life] = free
+                self._free[incarnation] = free
         entry = self._entry(worker, started_at, job_class) if end is not None else None
         if entry is None:
             return
@@ -93,6 +93,6 @@
         )
         loads = tuple(Load(w, s, mine, self._free.get((w, s), -1.0)) for (w, s), mine in self._mine.items())
         self._entries = {}
-        self._mine = {life: mine for life, mine in self._mine.items() if mine > 1e-9}
+        self._mine = {incarnation: mine for incarnation, mine in self._mine.items() if mine > 1e-9}
         self._free = {}
         return Observed(self._number, self.site, counts, loads, held)
--- a/ironbarrow/fleet/service.py
+++ b/ironbarrow/fleet/service.py
@@ -1,4 +1,4 @@
-"""One member of a fleet on the program's loop: its links, and the machines that live on them."""
+"""One member of a fleet on the program's loop: its links, and the machines that use them."""
 
 import socket
 import time
@@ -6,7 +6,7 @@
 
 import structlog
 
-from ironbarrow.fleet.api import NEVER, Action, Card, Life, Machine, MemberChanged, Message, News, Send
+from ironbarrow.fleet.api import NEVER, Action, Card, Incarnation, Machine, MemberChanged, Message, News, Send
 from ironbarrow.fleet.codec import Codec
 from ironbarrow.fleet.file import Fleet
 from ironbarrow.fleet.links import Links
@@ -52,21 +52,28 @@
         self.address = fleet.address or f"{host}:{listener.getsockname()[1]}"
         self._begin(time.time_ns(), ())
         self.links = Links(
-            loop, listener, self.codec, self.life, fleet.links, self._address_of, self._received, self._broke
+            loop,
+            listener,
+            self.codec,
+            self.incarnation,
+            fleet.links,
+            self._address_of,
+            self._received,
+            self._broke,
         )
 
     def _begin(self, start: int, known: Iterable[Card]) -> None:
-        self.life = Life(self.name, start)
+        self.incarnation = Incarnation(self.name, start)
         self._began = self._loop.now()
-        self.node = Node(self.life, self._send, self._told)
-        card = Card(self.life, self.address, self.site, self.front, version=1)
+        self.node = Node(self.incarnation, self._send, self._told)
+        card = Card(self.incarnation, self.address, self.site, self.front, version=1)
         self.members = MemberMachine(card, self.fleet.members, self._seeds, self._began, known)
         self.add(self.members)
 
     # What the process does with it
 
     def add(self, *machines: Machine) -> None:
-        """Adds machines to this life; a ValueError if two want the same message."""
+        """Adds machines to this incarnation; a ValueError if two want the same message."""
         self.codec.learn(kind for machine in machines for kind in machine.handles)
         self.node.add(machines)
         self._plan_soon()
@@ -77,22 +84,24 @@
         self._plan_soon()
 
     def on_news(self, callback: Callable[[News], None]) -> None:
-        """Calls for each news of any machine, in order, over all lives."""
+        """Calls for each news of any machine, in order, over all incarnations."""
         self._listeners.append(callback)
 
     def on_renewed(self, callback: Callable[["FleetService"], None]) -> None:
-        """Calls when a new life has begun: the machines of the other parts are added anew there."""
+        """Calls when a new incarnation has begun: the machines of the other parts are added anew there."""
         self._on_renewed.append(callback)
 
     def renew(self, over: int = 0) -> None:
-        """Begins another life in this process, later than ``over``: what was fenced off is over, nothing of
-        it is kept but who the others are."""
-        start = max(time.time_ns(), self.life.start + 1, over + 1)
-        known = [member.card for member in self.members.alive() if member.card.life != self.life]
-        log.warning("a new life begins", was=str(self.life), start=start)
+        """Begins another incarnation in this process, later than ``over``: what was fenced off is over,
+        nothing of it is kept but who the others are."""
+        start = max(time.time_ns(), self.incarnation.start + 1, over + 1)
+        known = [
+            member.card for member in self.members.alive() if member.card.incarnation != self.incarnation
+        ]
+        log.warning("a new incarnation begins", was=str(self.incarnation), start=start)
         self.codec.forget()
         self._begin(start, known)
-        self.links.life = self.life
+        self.links.incarnation = self.incarnation
         for callback in self._on_renewed:
             callback(self)
 
@@ -124,7 +133,7 @@
     def _send(self, action: Send) -> None:
         self.links.send(action)
 
-    def _received(self, sender: Life, to_start: int, message: Message) -> None:
+    def _received(self, sender: Incarnation, to_start: int, message: Message) -> None:
         self.node.received(self._loop.now(), sender, to_start, message)
         self._plan_soon()
 
@@ -135,16 +144,18 @@
     def _told(self, news: News) -> None:
         if isinstance(news, MemberChanged):
             member = news.member
-            log.info("member", name=str(member.card.life), site=member.card.site, health=member.health.value)
+            log.info(
+                "member", name=str(member.card.incarnation), site=member.card.site, health=member.health.value
+            )
         for listener in self._listeners:
             listener(news)
         if isinstance(news, Replaced):
-            # danger: a clock that was set back makes this life look like an earlier one than its last; two
-            # processes of one name would renew against each other for ever
+            # danger: a clock that was set back makes this incarnation look like an earlier one than its last;
+            # two processes of one name would renew against each other for ever
             if self._loop.now() - self._began < _RENEW_WITHIN:
                 self._loop.soon(self.renew, news.by.start)
             else:
-                log.error("another process goes by this name", name=self.name, life=str(news.by))
+                log.error("another process goes by this name", name=self.name, incarnation=str(news.by))
 
     def _plan_soon(self) -> None:
         if not self._planning and not self._closed:
--- a/ironbarrow/fleet/starvation/machine.py
+++ b/ironbarrow/fleet/starvation/machine.py
@@ -22,8 +22,8 @@
     Card,
     Change,
     Health,
+    Incarnation,
     Ledgers,
-    Life,
     Members,
     Message,
     News,
@@ -134,20 +134,20 @@
         transfer: Transfer | None = None,
         book: WaitBook | None = None,
     ) -> None:
-        """``book``: that of an earlier life of the same process, whose jobs still wait."""
+        """``book``: that of an earlier incarnation of the same process, whose jobs still wait."""
         self._me, self._members, self._ledgers = me, members, ledgers
         self._rules, self._shares, self._transfer = rules, shares, transfer
         self.book = book or WaitBook(rules, now)
         self.collected = Collected(rules.windows, rules.window)
-        self.verdicts = Verdicts(me.life.name, rules)
+        self.verdicts = Verdicts(me.incarnation.name, rules)
         self.mover = Mover(rules.window, rules.windows)
         self.looks: dict[str, Look] = {}  # the last one at each tenant
         self.dropped: Counter[str] = Counter()
         self._asked = 0
-        self._answers: dict[tuple[int, Life], _Answer] = {}
-        self._acknowledged: dict[Life, tuple[tuple[int, ...], frozenset[int]]] = {}
-        self._names: tuple[Life, ...] = ()
-        self._collectors: dict[Life, tuple[int, ...]] = {}
+        self._answers: dict[tuple[int, Incarnation], _Answer] = {}
+        self._acknowledged: dict[Incarnation, tuple[tuple[int, ...], frozenset[int]]] = {}
+        self._names: tuple[Incarnation, ...] = ()
+        self._collectors: dict[Incarnation, tuple[int, ...]] = {}
         self._unwritten: dict[str, StarvationBegan] = {}
         self._close_at, self._look_at, self._move_at = now + rules.window, NEVER, NEVER
 
@@ -190,16 +190,16 @@
         self.collected.expire(now)
         return self._send_round(now)
 
-    def _map(self) -> dict[Life, tuple[int, ...]]:
+    def _map(self) -> dict[Incarnation, tuple[int, ...]]:
         """Who collects which shards."""
-        names = tuple(member.card.life for member in self._members.alive())
+        names = tuple(member.card.incarnation for member in self._members.alive())
         if names != self._names:
             self._names = names
-            shards: dict[Life, list[int]] = {}
+            shards: dict[Incarnation, list[int]] = {}
             for shard in range(SHARDS):
-                for life in sorted(names, key=lambda n: -rank(f"waits/{shard}", n.name))[:COPIES]:
-                    shards.setdefault(life, []).append(shard)
-            self._collectors = {life: tuple(some) for life, some in shards.items()}
+                for incarnation in sorted(names, key=lambda n: -rank(f"waits/{shard}", n.name))[:COPIES]:
+                    shards.setdefault(incarnation, []).append(shard)
+            self._collectors = {incarnation: tuple(some) for incarnation, some in shards.items()}
             self._acknowledged = {n: a for n, a in self._acknowledged.items() if n in shards}
             self._answers = {key: a for key, a in self._answers.items() if key[1] in shards}
         return self._collectors
@@ -210,8 +210,8 @@
             (w.number, w.taken, [(shard_of(r.tenant), r) for r in rows_to_send(w)]) for w in self.book.closed
         ]
         spots_of = tuple(self.verdicts.open()) if self._rules.move else ()
-        for life, shards in self._map().items():
-            before, has = self._acknowledged.get(life, ((), frozenset()))
+        for incarnation, shards in self._map().items():
+            before, has = self._acknowledged.get(incarnation, ((), frozenset()))
             if before != shards:
                 has = frozenset()
             some = set(shards)
@@ -222,14 +222,14 @@
             )
             asks = tuple(tenant for tenant in spots_of if shard_of(tenant) in some)
             message = Waits(self._me.site, self._asked, shards, windows, asks)
-            if life == self._me.life:
-                self.collected.take(now, life, message)
-                self._acknowledged[life] = (shards, frozenset(number for number, _, _ in tables))
+            if incarnation == self._me.incarnation:
+                self.collected.take(now, incarnation, message)
+                self._acknowledged[incarnation] = (shards, frozenset(number for number, _, _ in tables))
             else:
-                actions.append(Send(life, message))
+                actions.append(Send(incarnation, message))
         return actions
 
-    def received(self, now: int, sender: Life, message: Any) -> list[Action]:
+    def received(self, now: int, sender: Incarnation, message: Any) -> list[Action]:
         # danger: a late copy from a dead partition must not bring it back
         if self._members.health(sender) not in (Health.ALIVE, Health.SUSPECT):
             self.dropped["stranger"] += 1
@@ -240,12 +240,16 @@
         self._answered(sender, message)
         return []
 
-    def _answer(self, life: Life, asked: int, shards: Sequence[int], spots_of: Iterable[str]) -> Elsewhere:
+    def _answer(
+        self, incarnation: Incarnation, asked: int, shards: Sequence[int], spots_of: Iterable[str]
+    ) -> Elsewhere:
         shards = tuple(shard for shard in shards if 0 <= shard < SHARDS)
-        kept = [set(self.collected.kept(shard, life)) for shard in shards]
+        kept = [set(self.collected.kept(shard, incarnation)) for shard in shards]
         heard = min((len({n.name for n in self.collected.heard(shard)}) for shard in shards), default=0)
-        taken = max((self.collected.taken_by_others(shard, life) for shard in shards), default=0)
-        rows = [row_of(k, t) for shard in shards for k, t in self.collected.others(shard, life).items()]
+        taken = max((self.collected.taken_by_others(shard, incarnation) for shard in shards), default=0)
+        rows = [
+            row_of(k, t) for shard in shards for k, t in self.collected.others(shard, incarnation).items()
+        ]
         return Elsewhere(
             asked,
             shards,
@@ -253,24 +257,24 @@
             heard,
             taken,
             tuple(rows),
-            tuple(spot for tenant in spots_of for spot in self._spots(life, tenant)),
+            tuple(spot for tenant in spots_of for spot in self._spots(incarnation, tenant)),
         )
 
-    def _spots(self, asker: Life, tenant: str) -> list[Spot]:
+    def _spots(self, asker: Incarnation, tenant: str) -> list[Spot]:
         """Where a tenant waits least, the askers' own partition left out."""
         found = []
-        for life, site, rows in self.collected.by_partition(shard_of(tenant), tenant):
+        for incarnation, site, rows in self.collected.by_partition(shard_of(tenant), tenant):
             jobs = sum(tally.entered for tally in rows.values())
-            if life == asker or jobs < self._rules.least_jobs:
+            if incarnation == asker or jobs < self._rules.least_jobs:
                 continue
             wait = 0.0
             for tally in rows.values():
                 curve = tally.at_risk()
                 wait += tally.entered / jobs * mean_wait(curve, int(min(horizon(curve), len(curve[0]))))
-            found.append(Spot(tenant, life, site, jobs, int(wait / 1000)))
-        return sorted(found, key=lambda spot: (spot.wait, spot.life))[:_SPOTS]
+            found.append(Spot(tenant, incarnation, site, jobs, int(wait / 1000)))
+        return sorted(found, key=lambda spot: (spot.wait, spot.incarnation))[:_SPOTS]
 
-    def _answered(self, sender: Life, message: Elsewhere) -> None:
+    def _answered(self, sender: Incarnation, message: Elsewhere) -> None:
         mine = self._collectors.get(sender)
         if mine != message.shards or not self._asked - self._rules.windows < message.asked <= self._asked:
             self.dropped["not asked for"] += 1
@@ -297,14 +301,14 @@
     def _newest(self, now: int) -> dict[int, _Answer]:
         """The answer on each shard that has heard most, of this look or the one before."""
         found: dict[int, _Answer] = {}
-        own = self._collectors.get(self._me.life, ())
+        own = self._collectors.get(self._me.incarnation, ())
         known = [(shard, answer) for (shard, _), answer in self._answers.items()]
         for shard in own:
             asks = self.verdicts.open()
             mine = self._answer(
-                self._me.life, self._asked, (shard,), [t for t in asks if shard_of(t) == shard]
+                self._me.incarnation, self._asked, (shard,), [t for t in asks if shard_of(t) == shard]
             )
-            rows = self.collected.others(shard, self._me.life)
+            rows = self.collected.others(shard, self._me.incarnation)
             known.append((shard, _Answer(self._asked, mine.heard, mine.taken, rows, mine.spots)))
         for shard, answer in known:
             best = found.get(shard)
@@ -348,7 +352,7 @@
         return actions
 
     def _write(self, now: int, change: Change) -> tuple[int, list[Action]]:
-        return self._ledgers.append(now, job_ledger(self._me.life), [change])
+        return self._ledgers.append(now, job_ledger(self._me.incarnation), [change])
 
     def _move(self, now: int) -> list[Action]:
         """The remedy, once a second while a tenant starves."""
--- a/ironbarrow/fleet/starvation/remedy.py
+++ b/ironbarrow/fleet/starvation/remedy.py
@@ -1,6 +1,6 @@
 """What is done about a tenant that starves: held jobs of it go to where it waits least. No input or output.
 
-So that they don't slosh: a job is moved once in its life; a budget that fills slowly; half of what is held
+So that they don't slosh: a job is moved at most once; a budget that fills slowly; half of what is held
 stays, so that the partition's own waits are still seen; never to a partition where the wait is not clearly
 shorter, and no more a window than a part of what that one has of the tenant anyway; and a partition that was
 sent such jobs passes none of that tenant on for a while.
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from ironbarrow.fleet.api import Action, Life
+from ironbarrow.fleet.api import Action, Incarnation
 from ironbarrow.fleet.starvation.tables import Spot
 from ironbarrow.runtime.clock import SECOND
 
@@ -39,7 +39,7 @@
     """A job to be transferred."""
 
     id: str
-    to: Life
+    to: Incarnation
 
 
 class Transfer(Protocol):
@@ -48,7 +48,7 @@
     def held(self, tenant: str) -> Sequence[Held]:
         """The jobs of a tenant that wait here."""
 
-    def transfer(self, now: int, job: str, to: Life) -> list[Action]:
+    def transfer(self, now: int, job: str, to: Incarnation) -> list[Action]:
         """Hands a job over with the age and the attempts it has; nothing if it no longer waits. To the
         partition here it has ended without a start."""
 
@@ -59,7 +59,7 @@
     def __init__(self, window: int, windows: int) -> None:
         self._window, self._pause = window, windows * window
         self._left, self._filled_at = MOST, 0
-        self._sent: dict[tuple[str, Life], tuple[int, int]] = {}  # since when, how many since
+        self._sent: dict[tuple[str, Incarnation], tuple[int, int]] = {}  # since when, how many since
         self._came: dict[str, int] = {}  # tenant: when a job of it last came by a move
 
     def came(self, now: int, tenant: str) -> None:
@@ -80,19 +80,19 @@
         fresh = sorted((j for j in waiting if not j.sent and not j.moved), key=lambda j: (-j.waited, j.id))
         most = min(len(waiting) // STAYS, int(self._left))
         good = sorted(
-            (s for s in spots if s.wait * 1000 * LEAST_GAIN <= wait), key=lambda s: (s.wait, s.life)
+            (s for s in spots if s.wait * 1000 * LEAST_GAIN <= wait), key=lambda s: (s.wait, s.incarnation)
         )
         moves: list[Move] = []
         for spot in good:
-            since, sent = self._sent.get((tenant, spot.life), (now, 0))
+            since, sent = self._sent.get((tenant, spot.incarnation), (now, 0))
             room = int(PART * spot.jobs) - sent
             # danger: what can't be in time there either only takes the place of what can
             some = [j for j in fresh if j.time_left > 2 * spot.wait * 1000][
                 : max(0, min(room, most - len(moves)))
             ]
-            moves += [Move(job.id, spot.life) for job in some]
+            moves += [Move(job.id, spot.incarnation) for job in some]
             fresh = [j for j in fresh if j not in some]
             if some:
-                self._sent[tenant, spot.life] = (since, sent + len(some))
+                self._sent[tenant, spot.incarnation] = (since, sent + len(some))
         self._left -= len(moves)
         return moves
--- a/ironbarrow/fleet/starvation/tables.py
+++ b/ironbarrow/fleet/starvation/tables.py
@@ -16,7 +16,7 @@
 
 from msgspec import Struct
 
-from ironbarrow.fleet.api import Life, Message, rank
+from ironbarrow.fleet.api import Incarnation, Message, rank
 from ironbarrow.fleet.invariants import check
 from ironbarrow.runtime.clock import MS
 
@@ -89,7 +89,7 @@
     """How a tenant fares in a partition: its jobs, and the mean wait in us, restricted to its horizon."""
 
     tenant: str
-    life: Life
+    incarnation: Incarnation
     site: str
     jobs: int
     wait: int
@@ -262,17 +262,17 @@
 
 class Collected:
     """What a collector has of others' windows. What is kept depends on the set of windows that came, not on
-    their order or number: of each (partition's life, shard, window) the highest version, of each partition
-    the newest windows, each until it runs out."""
+    their order or number: of each (partition's incarnation, shard, window) the highest version, of each
+    partition the newest windows, each until it runs out."""
 
     def __init__(self, windows: int, length: int) -> None:
         self._most, self._length = windows, length
-        self._kept: dict[int, dict[Life, _Kept]] = {}
+        self._kept: dict[int, dict[Incarnation, _Kept]] = {}
         self._sums: dict[int, dict[Key, Tally]] = {}
         self._starts: Counter[int] = Counter()  # in all windows kept of a shard, counted from the rows sent
         self.dropped: Counter[str] = Counter()
 
-    def take(self, now: int, sender: Life, message: Waits) -> None:
+    def take(self, now: int, sender: Incarnation, message: Waits) -> None:
         """Takes windows in; a repeat, or a copy older than the one that is here, changes nothing."""
         changed: set[int] = set()
         for window in message.windows:
@@ -294,10 +294,16 @@
             self._again(shard, self._kept[shard][sender])
 
     def _put(
-        self, now: int, shard: int, life: Life, site: str, window: Window, rows: dict[Key, Tally]
+        self,
+        now: int,
+        shard: int,
+        incarnation: Incarnation,
+        site: str,
+        window: Window,
+        rows: dict[Key, Tally],
     ) -> bool:
         """Whether it has changed what is kept."""
-        kept = self._kept.setdefault(shard, {}).setdefault(life, _Kept(site))
+        kept = self._kept.setdefault(shard, {}).setdefault(incarnation, _Kept(site))
         old = kept.windows.get(window.number)
         newest = max(kept.windows, default=window.number)
         if old is not None and old.version >= window.version:
@@ -335,34 +341,34 @@
             starts=self._starts[shard],
         )
 
-    def expire(self, now: int, gone: Iterable[Life] = ()) -> None:
-        """Drops what has run out, and at once that of ``gone``: lives that have a successor."""
+    def expire(self, now: int, gone: Iterable[Incarnation] = ()) -> None:
+        """Drops what has run out, and at once that of ``gone``: incarnations that have a successor."""
         away = set(gone)
-        for shard, lives in self._kept.items():
-            for life, kept in list(lives.items()):
-                over = [n for n, w in kept.windows.items() if w.runs_out <= now or life in away]
+        for shard, incarnations in self._kept.items():
+            for incarnation, kept in list(incarnations.items()):
+                over = [n for n, w in kept.windows.items() if w.runs_out <= now or incarnation in away]
                 if over:
                     self._drop(shard, kept, over)
                     self._again(shard, kept)
                 if not kept.windows:
-                    del lives[life]
+                    del incarnations[incarnation]
 
-    def heard(self, shard: int) -> list[Life]:
+    def heard(self, shard: int) -> list[Incarnation]:
         """The partitions whose windows are here."""
         return list(self._kept.get(shard, {}))
 
-    def kept(self, shard: int, life: Life) -> list[int]:
+    def kept(self, shard: int, incarnation: Incarnation) -> list[int]:
         """The windows of a partition that are here."""
-        kept = self._kept.get(shard, {}).get(life)
+        kept = self._kept.get(shard, {}).get(incarnation)
         return sorted(kept.windows) if kept is not None else []
 
-    def taken_by_others(self, shard: int, life: Life) -> int:
+    def taken_by_others(self, shard: int, incarnation: Incarnation) -> int:
         """Jobs taken in all partitions but one."""
-        return sum(kept.taken for other, kept in self._kept.get(shard, {}).items() if other != life)
+        return sum(kept.taken for other, kept in self._kept.get(shard, {}).items() if other != incarnation)
 
-    def others(self, shard: int, life: Life) -> dict[Key, Tally]:
+    def others(self, shard: int, incarnation: Incarnation) -> dict[Key, Tally]:
         """The sums of all partitions but one, of the tenants that this one has too."""
-        kept = self._kept.get(shard, {}).get(life)
+        kept = self._kept.get(shard, {}).get(incarnation)
         if kept is None:
             return {}
         tenants = {tenant for tenant, _, _ in kept.rows}
@@ -377,13 +383,13 @@
                     del found[key]
         return found
 
-    def by_partition(self, shard: int, tenant: str) -> list[tuple[Life, str, Mapping[Key, Tally]]]:
+    def by_partition(self, shard: int, tenant: str) -> list[tuple[Incarnation, str, Mapping[Key, Tally]]]:
         """Each partition's rows of a tenant."""
-        found: list[tuple[Life, str, Mapping[Key, Tally]]] = []
-        for life, kept in self._kept.get(shard, {}).items():
+        found: list[tuple[Incarnation, str, Mapping[Key, Tally]]] = []
+        for incarnation, kept in self._kept.get(shard, {}).items():
             rows = {key: tally for key, tally in kept.rows.items() if key[0] == tenant}
             if rows:
-                found.append((life, kept.site, rows))
+                found.append((incarnation, kept.site, rows))
         return found
 
 
--- a/ironbarrow/fleet/takeover/machine.py
+++ b/ironbarrow/fleet/takeover/machine.py
@@ -19,10 +19,10 @@
     ClaimLost,
     Fenced,
     Health,
+    Incarnation,
     Kept,
     LedgerAt,
     Ledgers,
-    Life,
     MemberChanged,
     Members,
     Message,
@@ -74,9 +74,10 @@
 _TELL_AGAIN = (200 * MS, 1 * SECOND, 3 * SECOND)  # after a ledger is taken over, since messages are lost
 _RETRY = 1 * SECOND  # a claim that has no end yet is looked at again
 _TRIES = 3  # of a claim, while a majority of the keepers seems to be there
-_GONE_FOR = 2 * SECOND  # without a majority of keepers, until this life is given up for one that has them
+# without a majority of keepers, until this incarnation is given up for one that has them
+_GONE_FOR = 2 * SECOND
 _GONE_AT_MOST = 15 * SECOND  # while a job that may not run twice is out
-_REMEMBERED = 1024  # lives taken over
+_REMEMBERED = 1024  # incarnations taken over
 
 _VERDICTS = {verdict.value: verdict for verdict in Verdict}
 _FAILED = Answer(Verdict.FAILED)
@@ -104,7 +105,7 @@
     record: JobRecord
     safe: bool
     waiters: list[object]
-    remote: dict[Life, None] = field(default_factory=dict)
+    remote: dict[Incarnation, None] = field(default_factory=dict)
     adopted: bool = False
     intent: "_Wait | None" = None  # the present attempt's
     unprotected: bool = False  # it goes out though no majority knows
@@ -130,23 +131,23 @@
 class _Open:
     """A ledger that somebody has to take over."""
 
-    life: Life
+    incarnation: Incarnation
     at: LedgerAt
     since: int
     due: int
-    by: Life | None = None  # who has claimed it; it has ended too
+    by: Incarnation | None = None  # who has claimed it; it has ended too
     claiming: bool = False
-    heir_of: Life | None = None  # the claim was found in that one's ledger, which is this member's now
+    heir_of: Incarnation | None = None  # the claim was found in that one's ledger, which is this member's now
     adopting: bool = False
     tries: int = 0
 
 
 class Takeover:
-    """One life's machine; ``succeed`` moves on what outlives a life."""
+    """One incarnation's machine; ``succeed`` moves on what outlives an incarnation."""
 
     handles: tuple[type[Message], ...] = KINDS
 
-    def __init__(self, now: int, me: Life, members: Members, ledgers: Ledgers, rules: Rules) -> None:
+    def __init__(self, now: int, me: Incarnation, members: Members, ledgers: Ledgers, rules: Rules) -> None:
         self.me, self.members, self.ledgers, self.rules = me, members, ledgers, rules
         self.ledger = job_ledger(me)
         self.begun = now
@@ -158,9 +159,9 @@
         self.asking: dict[str, Asking] = {}
         self.answers = Answers(rules.keep_for, rules.most_answers)
         self.promises = Promises(rules.keep_for)
-        self.open: dict[Life, _Open] = {}
-        self.left_open: list[_Open] = []  # by a life that is over
-        self.taken_over: OrderedDict[Life, bool] = OrderedDict()  # whether whole
+        self.open: dict[Incarnation, _Open] = {}
+        self.left_open: list[_Open] = []  # by an incarnation that is over
+        self.taken_over: OrderedDict[Incarnation, bool] = OrderedDict()  # whether whole
         self.counts: Counter[str] = Counter()
         self._changes: dict[str, Change] = {}
         self._gathered: list[_Wait] = []
@@ -170,18 +171,19 @@
         self._look_at = now
         self._gone_since = NEVER
         self._linger: deque[tuple[int, str]] = deque()
-        self._tell: list[tuple[int, Life, bool]] = []
-        self._lost: dict[Life, int] = {}  # until when a repeat may be about a job of it
+        self._tell: list[tuple[int, Incarnation, bool]] = []
+        self._lost: dict[Incarnation, int] = {}  # until when a repeat may be about a job of it
 
     # What the process tells
 
     def begin(self, now: int) -> list[Action]:
-        """Opens this life's ledger."""
+        """Opens this incarnation's ledger."""
         return self.ledgers.create(now, self.ledger)
 
     def succeed(self, now: int, earlier: "Takeover") -> list[Action]:
-        """Takes on the consumers, answers and promises of an earlier life, which others have taken over.
-        Their jobs are asked for first, and those that may have gone out from here are not taken anew."""
+        """Takes on the consumers, answers and promises of an earlier incarnation, which others have taken
+        over. Their jobs are asked for first, and those that may have gone out from here are not taken
+        anew."""
         self.answers, self.promises, self.counts = earlier.answers, earlier.promises, earlier.counts
         self._lost, self.taken_over = earlier._lost, earlier.taken_over
         actions: list[Action] = []
@@ -193,8 +195,8 @@
             actions += self._ask(now, asking)
         earlier.asking = {}
         for opened in earlier.left_open:
-            if opened.life not in self.open and opened.life not in self.taken_over:
-                self._open(now, opened.life, opened.at, None)
+            if opened.incarnation not in self.open and opened.incarnation not in self.taken_over:
+                self._open(now, opened.incarnation, opened.at, None)
         return actions
 
     def arrive(self, now: int, record: JobRecord, marked: bool, waiter: object) -> list[Action]:
@@ -203,7 +205,7 @@
             return known
         safe = self.rules.safe.get(record.job_class, False)
         if self.fenced:
-            # the next life asks for it, as for all that came when this one was over
+            # the next incarnation asks for it, as for all that came when this one was over
             self.asking[record.id] = Asking(record, safe, [waiter], now, next_at=NEVER)
             return []
         seen = record.id in self.closing or self.promises.given(record.id, now)
@@ -387,9 +389,9 @@
         for asking in [a for a in waiting if min(a.next_at, self._gives_up_at(a)) <= now]:
             if self.asking.get(asking.record.id) is asking:
                 actions += self._ask(now, asking)
-        for due, life, whole in [told for told in self._tell if told[0] <= now]:
-            self._tell.remove((due, life, whole))
-            actions += self._to_all(TakenOver(life, whole))
+        for due, incarnation, whole in [told for told in self._tell if told[0] <= now]:
+            self._tell.remove((due, incarnation, whole))
+            actions += self._to_all(TakenOver(incarnation, whole))
         for opened in [o for o in self.open.values() if o.due <= now]:
             actions += self._claim(now, opened)
         return actions + self.flush(now)
@@ -405,7 +407,7 @@
             times.append(self._look_at)
         return min(times, default=NEVER)
 
-    def received(self, now: int, sender: Life, message: Message) -> list[Action]:
+    def received(self, now: int, sender: Incarnation, message: Message) -> list[Action]:
         actions: list[Action] = []
         if isinstance(message, Ask):
             actions = self._asked(now, sender, message)
@@ -415,8 +417,8 @@
             actions = self._told(now, message.id, message.verdict, message.result, message.retry_after)
         elif isinstance(message, CallBack):
             actions = [Heard(message.id, message.provider, message.state, message.result)]
-        elif isinstance(message, TakenOver) and message.life != self.me:
-            self._note_taken_over(now, message.life, message.whole)
+        elif isinstance(message, TakenOver) and message.incarnation != self.me:
+            self._note_taken_over(now, message.incarnation, message.whole)
         return actions + self.flush(now)
 
     def told(self, now: int, news: News) -> list[Action]:
@@ -547,10 +549,13 @@
         self._linger.append((now + LINGER, job_id))
 
     def _tell_all(
-        self, job_id: str, waiters: Iterable[object], remote: Iterable[Life], answer: Answer
+        self, job_id: str, waiters: Iterable[object], remote: Iterable[Incarnation], answer: Answer
     ) -> list[Action]:
         told = Told(job_id, answer.verdict.value, answer.result, answer.retry_after)
-        return [*(Reply(waiter, answer) for waiter in waiters), *(Send(life, told) for life in remote)]
+        return [
+            *(Reply(waiter, answer) for waiter in waiters),
+            *(Send(incarnation, told) for incarnation in remote),
+        ]
 
     def _kept(self, now: int, seq: int) -> list[Action]:
         self.alone = False
@@ -573,11 +578,11 @@
         return [action for wait in waits for action in self._fail(now, wait)]
 
     def supersede(self, now: int) -> list[Action]:
-        """This life is over by a word from elsewhere: as if its ledger had been sealed."""
+        """This incarnation is over by a word from elsewhere: as if its ledger had been sealed."""
         return [action for action in self._fence(now) if not isinstance(action, Superseded)]
 
     def _give_up_ledger(self, now: int) -> list[Action]:
-        """Where a majority of its keepers is gone for good no ledger comes back: this life ends, as if
+        """Where a majority of its keepers is gone for good no ledger comes back: this incarnation ends, as if
         another had sealed it, and the next one has new keepers. Jobs that may not run twice and are out are
         waited for, up to a bound."""
         if now < self._look_at:
@@ -601,7 +606,7 @@
         return self._fence(now)
 
     def _fence(self, now: int) -> list[Action]:
-        """Danger: from here on another may do whatever this life owes."""
+        """Danger: from here on another may do whatever this incarnation owes."""
         self.fenced = True
         self.counts["fenced"] += 1
         waits = [w for _, group in self._waits for w in group] + self._gathered
@@ -698,21 +703,25 @@
             or now < self.begun + _SETTLED
         ):
             return []
-        if any(m.card.life not in asking.heard for m in self.members.alive() if m.card.life != self.me):
+        if any(
+            m.card.incarnation not in asking.heard
+            for m in self.members.alive()
+            if m.card.incarnation != self.me
+        ):
             return []
         lost = asking.lost or self._has_lost(now)
         if (lost and not asking.safe) or not asking.may_take:
-            # nobody has it: it has ended and is forgotten, or was with a life of which nobody knows all
+            # nobody has it: it has ended and is forgotten, or nobody knows all that an ended incarnation had
             self.counts["not found"] += 1
             return self._end_asking(now, asking, self._rejection() if asking.safe else _FAILED)
         self.counts["repeats taken"] += 1
         return self._take_asked(now, asking)
 
     def _has_lost(self, now: int) -> bool:
-        self._lost = {life: until for life, until in self._lost.items() if until > now}
+        self._lost = {incarnation: until for incarnation, until in self._lost.items() if until > now}
         return bool(self._lost)
 
-    def _asked(self, now: int, sender: Life, ask: Ask) -> list[Action]:
+    def _asked(self, now: int, sender: Incarnation, ask: Ask) -> list[Action]:
         word, answer = Word.NONE, None
         ended = self.answers.find(ask.id, now)
         held, asking = self.held.get(ask.id), self.asking.get(ask.id)
@@ -745,7 +754,7 @@
         )
         return [*actions, Send(sender, said)]
 
-    def _said(self, now: int, sender: Life, said: Said) -> list[Action]:
+    def _said(self, now: int, sender: Incarnation, said: Said) -> list[Action]:
         asking = self.asking.get(said.id)
         if asking is None:
             return []
@@ -782,36 +791,38 @@
         return self._end_asking(now, asking, answer)
 
     def _to_all(self, message: Message) -> list[Action]:
-        return [Send(m.card.life, message) for m in self.members.alive() if m.card.life != self.me]
+        return [
+            Send(m.card.incarnation, message) for m in self.members.alive() if m.card.incarnation != self.me
+        ]
 
     # Taking over
 
     def _member(self, now: int, news: MemberChanged) -> None:
-        card, life = news.member.card, news.member.card.life
-        if life == self.me:
+        card, incarnation = news.member.card, news.member.card.incarnation
+        if incarnation == self.me:
             return
         if news.member.health not in (Health.DEAD, Health.LEFT):
-            opened = self.open.get(life)
+            opened = self.open.get(incarnation)
             if opened is not None and not opened.claiming and opened.heir_of is None:
-                del self.open[life]
+                del self.open[incarnation]
             return
         for asking in self.asking.values():
-            asking.remote.pop(life, None)
-            if asking.holder == life:
+            asking.remote.pop(incarnation, None)
+            if asking.holder == incarnation:
                 asking.lost_holder(now)
         for held in self.held.values():
-            held.remote.pop(life, None)
-        if life in self.open or life in self.taken_over or self.leaving or self.fenced:
+            held.remote.pop(incarnation, None)
+        if incarnation in self.open or incarnation in self.taken_over or self.leaving or self.fenced:
             return
-        ledger = job_ledger(life)
+        ledger = job_ledger(incarnation)
         at = next((at for at in card.ledgers if at.ledger == ledger), None)
         if at is not None:
-            self._open(now, life, at, None)
+            self._open(now, incarnation, at, None)
 
-    def _open(self, now: int, life: Life, at: LedgerAt, heir_of: Life | None) -> None:
-        names = [m.card.life.name for m in self.members.alive()]
+    def _open(self, now: int, incarnation: Incarnation, at: LedgerAt, heir_of: Incarnation | None) -> None:
+        names = [m.card.incarnation.name for m in self.members.alive()]
         before = 0 if heir_of is not None else turn(at.ledger, self.me.name, names)
-        self.open[life] = _Open(life, at, now, now + before * STAND, heir_of=heir_of)
+        self.open[incarnation] = _Open(incarnation, at, now, now + before * STAND, heir_of=heir_of)
 
     def _claim(self, now: int, opened: _Open) -> list[Action]:
         """This member's turn has come: the claim is written down, then the ledger sealed."""
@@ -819,7 +830,7 @@
         if opened.by is not None and opened.by not in self.open:
             opened.by = None  # whoever had it has been taken over: with it, this
             if opened.heir_of is None:
-                del self.open[opened.life]
+                del self.open[opened.incarnation]
                 return []
         if opened.claiming or opened.adopting or opened.by is not None or self.leaving:
             return []
@@ -843,9 +854,9 @@
                 opened.claiming, opened.due = False, now + _RETRY
                 return []
             self.counts["ledgers lost"] += 1
-            if opened.life in self.taken_over:
+            if opened.incarnation in self.taken_over:
                 # danger: nothing but its word keeps whoever read a part first from doing the same jobs
-                del self.open[opened.life]
+                del self.open[opened.incarnation]
                 return []
             return self._claimed(now, news.ledger, news.partial, whole=False)
         if news.by == self.me or news.by == opened.heir_of:
@@ -853,8 +864,8 @@
         opened.claiming = False
         if self.members.health(news.by) in (Health.ALIVE, Health.SUSPECT):
             # it tells itself that the ledger is open until all of it is its own
-            del self.open[opened.life]
-            self._remember(now, opened.life, True)
+            del self.open[opened.incarnation]
+            self._remember(now, opened.incarnation, True)
         else:
             opened.by = news.by
         return []
@@ -866,7 +877,7 @@
             return []
         self._passed("after-seal")
         opened.adopting = True
-        check("one holder", not whole or not self.taken_over.get(opened.life), ledger=ledger)
+        check("one holder", not whole or not self.taken_over.get(opened.incarnation), ledger=ledger)
         records = jobs(content)
         kept_answers = answers(content)
         further = [at for at in claims(content) if at.ledger != self.ledger]
@@ -901,7 +912,7 @@
         whole: bool,
     ) -> list[Action]:
         self._passed("after-adoption")
-        life = opened.life
+        incarnation = opened.incarnation
         actions: list[Action] = []
         for answer in kept_answers:
             verdict = _VERDICTS.get(answer.verdict, Verdict.FAILED)
@@ -910,9 +921,9 @@
             self._linger.append((now + LINGER, answer.id))
         for record in records:
             actions += self._adopt(now, record, whole=whole)
-        del self.open[life]
+        del self.open[incarnation]
         for at in further:
-            other = _life_of(at.ledger)
+            other = _incarnation_of(at.ledger)
             if other is None or other == self.me:
                 continue
             # danger: it counts as taken over since the one that is taken over here won it, but that one has
@@ -920,19 +931,19 @@
             self.taken_over.pop(other, None)
             known = self.open.get(other)
             if known is None:
-                self._open(now, other, at, life)
+                self._open(now, other, at, incarnation)
             elif not known.adopting:
-                known.heir_of, known.by, known.due = life, None, now
-        self._note_taken_over(now, life, whole)
-        self._tell += [(now + later, life, whole) for later in _TELL_AGAIN]
+                known.heir_of, known.by, known.due = incarnation, None, now
+        self._note_taken_over(now, incarnation, whole)
+        self._tell += [(now + later, incarnation, whole) for later in _TELL_AGAIN]
         self.counts["ledgers taken over"] += 1
         self.counts["jobs taken over"] += len(records)
         # what waits here for an answer may be among these
         for asking in list(self.asking.values()):
             actions += self._ask(now, asking)
         return [
-            *self._to_all(TakenOver(life, whole)),
-            Adopted(life, len(records), whole, now - opened.since),
+            *self._to_all(TakenOver(incarnation, whole)),
+            Adopted(incarnation, len(records), whole, now - opened.since),
             *actions,
         ]
 
@@ -960,27 +971,27 @@
             return self._finish(now, held, self._rejection())
         return self._finish(now, held, _FAILED)
 
-    def _note_taken_over(self, now: int, life: Life, whole: bool) -> None:
-        self._remember(now, life, whole)
-        opened = self.open.get(life)
+    def _note_taken_over(self, now: int, incarnation: Incarnation, whole: bool) -> None:
+        self._remember(now, incarnation, whole)
+        opened = self.open.get(incarnation)
         # danger: what another could still read in part is no end of a claim that may bring all of it
         if opened is not None and not opened.adopting and (whole or not opened.claiming):
-            del self.open[life]
+            del self.open[incarnation]
         for other in list(self.open.values()):
-            if other.by == life and other.heir_of is None and not other.adopting:
-                del self.open[other.life]
+            if other.by == incarnation and other.heir_of is None and not other.adopting:
+                del self.open[other.incarnation]
 
-    def _remember(self, now: int, life: Life, whole: bool) -> None:
-        self.taken_over[life] = whole
+    def _remember(self, now: int, incarnation: Incarnation, whole: bool) -> None:
+        self.taken_over[incarnation] = whole
         if not whole:
-            self._lost[life] = now + self.rules.keep_for
+            self._lost[incarnation] = now + self.rules.keep_for
         while len(self.taken_over) > _REMEMBERED:
             self.taken_over.popitem(last=False)
 
 
-def _life_of(ledger: str) -> Life | None:
+def _incarnation_of(ledger: str) -> Incarnation | None:
     """Whose jobs are in a ledger of that name; None for another kind of ledger."""
     name, _, start = ledger.removeprefix("jobs/").rpartition("/")
     if not ledger.startswith("jobs/") or not name or not start.isdigit():
         return None
-    return Life(name, int(start))
+    return Incarnation(name, int(start))
--- a/ironbarrow/fleet/takeover/messages.py
+++ b/ironbarrow/fleet/takeover/messages.py
@@ -2,7 +2,7 @@
 
 import enum
 
-from ironbarrow.fleet.api import Life, Message
+from ironbarrow.fleet.api import Incarnation, Message
 
 
 class Word(enum.IntEnum):
@@ -24,8 +24,9 @@
 
 
 class Said(Message, frozen=True, array_like=True):
-    """``open``: lives that have ended and whose ledgers nobody is known to have taken over yet; ``lost``:
-    lives of which no majority remembers the ledger, so that nobody knows all that they had."""
+    """``open``: incarnations that have ended and whose ledgers nobody is known to have taken over yet;
+    ``lost``: incarnations of which no majority remembers the ledger, so that nobody knows all that they
+    had."""
 
     KIND = 41
     id: str
@@ -34,8 +35,8 @@
     verdict: str = ""
     result: bytes = b""
     retry_after: int = 0
-    open: tuple[Life, ...] = ()
-    lost: tuple[Life, ...] = ()
+    open: tuple[Incarnation, ...] = ()
+    lost: tuple[Incarnation, ...] = ()
 
 
 class Told(Message, frozen=True, array_like=True):
@@ -59,10 +60,10 @@
 
 
 class TakenOver(Message, frozen=True, array_like=True):
-    """The sender has what a life owed. ``whole``: all of it; else what could still be read."""
+    """The sender has what an incarnation owed. ``whole``: all of it; else what could still be read."""
 
     KIND = 44
-    life: Life
+    incarnation: Incarnation
     whole: bool = True
 
 
--- a/ironbarrow/fleet/takeover/orders.py
+++ b/ironbarrow/fleet/takeover/orders.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from ironbarrow.core.host import Answer
-from ironbarrow.fleet.api import Life, News
+from ironbarrow.fleet.api import Incarnation, News
 from ironbarrow.fleet.records import JobRecord
 
 
@@ -71,15 +71,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Adopted(News):
-    """All that a life owed is in this member's ledger, and what is to be done with it has begun. ``whole``
-    False: what could still be read of it."""
+    """All that an incarnation owed is in this member's ledger, and what is to be done with it has begun.
+    ``whole`` False: what could still be read of it."""
 
-    life: Life
+    incarnation: Incarnation
     jobs: int
     whole: bool
-    after: int  # ns since this member held that life for ended
+    after: int  # ns since this member held that incarnation for ended
 
 
 @dataclass(frozen=True, slots=True)
 class Superseded(News):
-    """Another has sealed this member's ledger: it goes on as a new life or not at all."""
+    """Another has sealed this member's ledger: it goes on as a new incarnation or not at all."""
--- a/ironbarrow/fleet/takeover/process.py
+++ b/ironbarrow/fleet/takeover/process.py
@@ -54,11 +54,11 @@
             Rolling(loop, host, self.service, self.fleet.rollout, lambda: self.ledgers)
 
     def _begin(self, service: FleetService) -> None:
-        """Another life: its machines, and what consumers of the last one still wait for."""
+        """Another incarnation: its machines, and what consumers of the last one still wait for."""
         now = self._loop.now()
         earlier: Takeover | None = getattr(self.work, "machine", None)
-        self.ledgers = LedgerMachine(service.life, service.members, self.fleet.ledgers)
-        machine = Takeover(now, service.life, service.members, self.ledgers, self._rules)
+        self.ledgers = LedgerMachine(service.incarnation, service.members, self.fleet.ledgers)
+        machine = Takeover(now, service.incarnation, service.members, self.ledgers, self._rules)
         service.add(self.ledgers, machine)
         if self.fleet.starvation is not None:
             self._compare_waits(service, self.fleet.starvation, now)
--- a/ironbarrow/fleet/takeover/repeats.py
+++ b/ironbarrow/fleet/takeover/repeats.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from ironbarrow.core.host import Answer
-from ironbarrow.fleet.api import Life
+from ironbarrow.fleet.api import Incarnation
 from ironbarrow.fleet.records import JobRecord
 from ironbarrow.runtime.clock import MS, SECOND
 
@@ -76,20 +76,20 @@
 
 @dataclass(slots=True, eq=False)
 class Asking:
-    """A job that comes again, while all are asked who has it. A round is over once every member that lives
+    """A job that comes again, while all are asked who has it. A round is over once every member that is alive
     has answered in it, and it decides only where none of them knows of an open ledger."""
 
     record: JobRecord
     safe: bool
     waiters: list[object]
     begun: int  # ns, when it was asked for first, or lost its holder
-    may_take: bool = True  # False: it was sent from here in an earlier life
-    remote: dict[Life, None] = field(default_factory=dict)
+    may_take: bool = True  # False: it was sent from here in an earlier incarnation
+    remote: dict[Incarnation, None] = field(default_factory=dict)
     round: int = 0
-    heard: set[Life] = field(default_factory=set)
+    heard: set[Incarnation] = field(default_factory=set)
     clean: bool = True
-    lost: bool = False  # a life is lost of which nobody knows all that it had
-    holder: Life | None = None
+    lost: bool = False  # an incarnation is lost of which nobody knows all that it had
+    holder: Incarnation | None = None
     next_at: int = 0
 
     def new_round(self, now: int) -> None:
--- a/ironbarrow/fleet/takeover/work.py
+++ b/ironbarrow/fleet/takeover/work.py
@@ -89,7 +89,7 @@
 
 class Work:
     """One dispatcher's work as its fleet knows it. ``machine`` is set before the first job, and anew with
-    each life."""
+    each incarnation."""
 
     machine: Takeover
 
@@ -265,7 +265,9 @@
             self._host.let_go(job)
 
     def _adopted(self, news: Adopted) -> None:
-        log.info("ledger taken over", of=str(news.life), jobs=news.jobs, whole=news.whole, after=news.after)
+        log.info(
+            "ledger taken over", of=str(news.incarnation), jobs=news.jobs, whole=news.whole, after=news.after
+        )
         self.adopted(news)
 
     # Jobs that a provider has
--- a/ironbarrow/lab/fleet/agents.py
+++ b/ironbarrow/lab/fleet/agents.py
@@ -6,7 +6,7 @@
 
 from typing import Protocol
 
-from ironbarrow.fleet.api import NEVER, Action, Life, Message, Send
+from ironbarrow.fleet.api import NEVER, Action, Incarnation, Message, Send
 from ironbarrow.fleet.rollout.commands import Agent, Answer, Command, Phase
 from ironbarrow.runtime.clock import MS, SECOND
 
@@ -40,14 +40,14 @@
 
     def __init__(self, agent: Agent, box: Box) -> None:
         self.agent, self.box = agent, box
-        self._commander: Life | None = None
+        self._commander: Incarnation | None = None
         self._end_at = NEVER  # a drain ends then
         self._begin_at = NEVER  # a process is started then
         self._look_at = 0
         if agent.phase is Phase.DRAINING:  # the agent itself was started anew in between
             self._end_at = 0
 
-    def received(self, now: int, sender: Life, command: Command) -> list[Action]:
+    def received(self, now: int, sender: Incarnation, command: Command) -> list[Action]:
         if command.target != self.agent.target:
             return []
         begins, answer = self.agent.take(command)
--- a/ironbarrow/lab/fleet/field.py
+++ b/ironbarrow/lab/fleet/field.py
@@ -134,9 +134,9 @@
 
     def _member(self, seat: Seat, node: Node) -> None:
         seeds = [name for name in self.names if name != seat.name]
-        card = Card(node.life, "", seat.site, version=1)
+        card = Card(node.incarnation, "", seat.site, version=1)
         members = MemberMachine(card, MemberRules(), seeds, self.clock.now())
-        ledgers = self.ledgers[seat.name] = WatchedLedgers(node.life, members, LedgerRules())
+        ledgers = self.ledgers[seat.name] = WatchedLedgers(node.incarnation, members, LedgerRules())
         ledgers.field = self
         machine = Rollouts(members, ledgers, lambda now: now, None, self.classes)
         self.machines[seat.name] = machine
--- a/ironbarrow/lab/fleet/logs.py
+++ b/ironbarrow/lab/fleet/logs.py
@@ -9,7 +9,7 @@
 
 import numpy as np
 
-_ADOPTED = "ledger taken over"  # fields: of (a life, "name/start"), jobs, whole
+_ADOPTED = "ledger taken over"  # fields: of (an incarnation, "name/start"), jobs, whole
 _BROKEN = "invariant broken"
 
 
--- a/ironbarrow/lab/fleet/losses.py
+++ b/ironbarrow/lab/fleet/losses.py
@@ -20,7 +20,7 @@
 
 
 class LedgerFleet:
-    """Members on a simulated network that do nothing but keep ledgers; all know at once who lives."""
+    """Members on a simulated network that do nothing but keep ledgers; all know at once who is alive."""
 
     def __init__(self, n: int, keepers: int = 3, sites: int = 3, seed: int = 1) -> None:
         self.net = SimulatedNet(SimulatedClock(), Codec(LedgerMachine.handles), seed)
@@ -33,9 +33,9 @@
             self.net.start(name)
 
     def _build(self, seat: Seat, node: Node) -> None:
-        self.everyone.started(node.life, seat.site)
-        view = StillMembers(self.everyone, node.life)
-        self.machines[seat.name] = machine = LedgerMachine(node.life, view, self.rules)
+        self.everyone.started(node.incarnation, seat.site)
+        view = StillMembers(self.everyone, node.incarnation)
+        self.machines[seat.name] = machine = LedgerMachine(node.incarnation, view, self.rules)
         node.add([machine])
 
     def order(self, name: str, what: Callable[[int], list[Action]]) -> None:
--- a/ironbarrow/lab/fleet/net.py
+++ b/ironbarrow/lab/fleet/net.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from ironbarrow.fleet.api import NEVER, Life, News, Send
+from ironbarrow.fleet.api import NEVER, Incarnation, News, Send
 from ironbarrow.fleet.codec import Codec
 from ironbarrow.fleet.node import Node
 from ironbarrow.lab.sim.clock import SimulatedClock
@@ -30,17 +30,17 @@
 
 @dataclass(slots=True, eq=False)
 class Seat:
-    """A name on the network, over all its lives."""
+    """A name on the network, over all its incarnations."""
 
     name: str
     site: str
-    build: Callable[["Seat", Node], None]  # puts the machines of a new life together
+    build: Callable[["Seat", Node], None]  # puts the machines of a new incarnation together
     node: Node | None = None  # None: it does not run
     paused: bool = False  # stopped, as by SIGSTOP: what comes waits
     waiting: list[Callable[[], None]] = field(default_factory=list)
     planned_at: int = NEVER
-    lives: int = 0
-    told: list[News] = field(default_factory=list)  # by its present life
+    incarnations: int = 0
+    told: list[News] = field(default_factory=list)  # by its present incarnation
     on_news: Callable[[News], None] | None = None
 
 
@@ -77,15 +77,15 @@
         self.ways.clear()
 
     def add(self, name: str, site: str, build: Callable[[Seat, Node], None]) -> Seat:
-        """A new name; ``start`` begins its first life."""
+        """A new name; ``start`` begins its first incarnation."""
         self.seats[name] = seat = Seat(name, site, build)
         return seat
 
-    def start(self, name: str) -> Life:
-        """Begins a life, or the next one, which knows nothing of the last."""
+    def start(self, name: str) -> Incarnation:
+        """Begins an incarnation, or the next one, which knows nothing of the last."""
         seat = self.seats[name]
-        seat.lives += 1
-        life = Life(name, self.clock.now() + seat.lives)
+        seat.incarnations += 1
+        incarnation = Incarnation(name, self.clock.now() + seat.incarnations)
         seat.paused, seat.told, seat.planned_at = False, [], NEVER
         seat.waiting = []
 
@@ -94,13 +94,13 @@
             if seat.on_news is not None:
                 seat.on_news(news)
 
-        node = seat.node = Node(life, lambda action: self._send(seat, node, action), told)
+        node = seat.node = Node(incarnation, lambda action: self._send(seat, node, action), told)
         seat.build(seat, node)
         self._plan(seat)
-        return life
+        return incarnation
 
     def crash(self, name: str) -> None:
-        """Ends a life at once."""
+        """Ends an incarnation at once."""
         seat = self.seats[name]
         seat.node, seat.waiting = None, []
 
@@ -145,7 +145,7 @@
     def _send(self, seat: Seat, node: Node, action: Send) -> None:
         if seat.node is not node:
             return
-        frame = self.codec.encode(node.life, action.to.start, action.message)
+        frame = self.codec.encode(node.incarnation, action.to.start, action.message)
         self.messages[seat.name] += 1
         self.bytes[seat.name] += len(frame)
         self.kinds[type(action.message).__name__] += 1
--- a/ironbarrow/lab/fleet/random_ledgers.py
+++ b/ironbarrow/lab/fleet/random_ledgers.py
@@ -26,9 +26,9 @@
     ClaimLost,
     Fenced,
     Health,
+    Incarnation,
     Kept,
     LedgerAt,
-    Life,
     Moved,
     News,
     NoMajority,
@@ -55,7 +55,7 @@
 class Run:
     """What one writer has put into one ledger, as the observer saw it."""
 
-    life: Life
+    incarnation: Incarnation
     base: dict[str, bytes]
     changes: list[Change] = field(default_factory=list)
     kept: int = 0
@@ -67,19 +67,19 @@
 
     def __init__(self) -> None:
         self.runs: dict[str, list[Run]] = {}
-        self.acted: dict[str, Life] = {}
+        self.acted: dict[str, Incarnation] = {}
         self.counted: set[str] = set()  # jobs that were kept at some time
         self.ended: set[str] = set()  # jobs that somebody began to drop
         self.counts: Counter[str] = Counter()
 
-    def opened(self, ledger: str, life: Life, base: dict[str, bytes]) -> None:
-        self.runs.setdefault(ledger, []).append(Run(life, base))
+    def opened(self, ledger: str, incarnation: Incarnation, base: dict[str, bytes]) -> None:
+        self.runs.setdefault(ledger, []).append(Run(incarnation, base))
 
-    def run(self, ledger: str, life: Life) -> Run:
-        return next(run for run in reversed(self.runs[ledger]) if run.life == life)
+    def run(self, ledger: str, incarnation: Incarnation) -> Run:
+        return next(run for run in reversed(self.runs[ledger]) if run.incarnation == incarnation)
 
-    def kept(self, ledger: str, life: Life, seq: int) -> None:
-        run = self.run(ledger, life)
+    def kept(self, ledger: str, incarnation: Incarnation, seq: int) -> None:
+        run = self.run(ledger, incarnation)
         for change in run.changes[run.kept : seq]:
             if change.key.startswith(JOB) and change.value is not None:
                 self.counted.add(change.key)
@@ -117,12 +117,12 @@
             False,
             ledger=ledger,
             content=sorted(content),
-            runs=[(r.life, r.kept, len(r.changes)) for r in self.runs[ledger]],
+            runs=[(r.incarnation, r.kept, len(r.changes)) for r in self.runs[ledger]],
         )
 
-    def acts(self, job: str, life: Life) -> None:
-        check("one holder", job not in self.acted, job=job, first=self.acted.get(job), second=life)
-        self.acted[job] = life
+    def acts(self, job: str, incarnation: Incarnation) -> None:
+        check("one holder", job not in self.acted, job=job, first=self.acted.get(job), second=incarnation)
+        self.acted[job] = incarnation
 
 
 class Watched(LedgerMachine):
@@ -141,11 +141,11 @@
 
 
 class Owner:
-    """One life of a member as the rest of a dispatcher would use its ledgers."""
+    """One incarnation of a member as the rest of a dispatcher would use its ledgers."""
 
     def __init__(self, world: "World", seat: Seat, node: Node) -> None:
-        self.world, self.seat, self.node, self.life = world, seat, node, node.life
-        self.machine = Watched(node.life, StillMembers(world.everyone, node.life), world.rules)
+        self.world, self.seat, self.node, self.incarnation = world, seat, node, node.incarnation
+        self.machine = Watched(node.incarnation, StillMembers(world.everyone, node.incarnation), world.rules)
         self.machine.observer = world.observer
         node.add([self.machine])
         self.ledgers: list[str] = []  # of jobs, that it writes
@@ -154,7 +154,7 @@
         self.lost: set[str] = set()  # ledgers that can't be had, as told to it
 
     def start(self) -> None:
-        name = job_ledger(self.life)
+        name = job_ledger(self.incarnation)
         self.create(name + (f"+{len(self.ledgers)}" if self.ledgers else ""))
 
     def create(self, ledger: str) -> None:
@@ -191,7 +191,7 @@
         ]
         if len(held) < 40 and rng.random() < 0.6:
             self.jobs += 1
-            self.append(ledger, [Change(f"{JOB}{self.life}/{self.jobs}", TAKEN)])
+            self.append(ledger, [Change(f"{JOB}{self.incarnation}/{self.jobs}", TAKEN)])
         elif held:
             name, key, value = rng.choice(held)
             if value == TAKEN:
@@ -209,12 +209,12 @@
         observer.counts[type(news).__name__] += 1
         match news:
             case Kept(ledger, seq):
-                observer.kept(ledger, self.life, seq)
+                observer.kept(ledger, self.incarnation, seq)
                 due = [w for w in self.waits.get(ledger, []) if w[0] <= seq]
                 self.waits[ledger] = [w for w in self.waits.get(ledger, []) if w[0] > seq]
                 for _, then, what in due:
                     if then == "act":
-                        observer.acts(what, self.life)
+                        observer.acts(what, self.incarnation)
             case Claimed(ledger, content, into):
                 observer.got(ledger, content)
                 world.later(0, self, lambda: self.adopt(ledger, content, into))
@@ -227,7 +227,7 @@
                     world.later(0, self, self.start)
             case Moved(at, content) if content is not None:
                 observer.got(at.ledger, content)
-                observer.opened(at.ledger, self.life, dict(content))
+                observer.opened(at.ledger, self.incarnation, dict(content))
             case NoMajority(ledger, False) if ledger == self.writable():
                 world.later(3000 * MS, self, lambda: self.start_over(ledger))
 
@@ -276,11 +276,11 @@
         self.owners["m0"].create(LED)
 
     def _build(self, seat: Seat, node: Node) -> None:
-        self.everyone.started(node.life, seat.site)
+        self.everyone.started(node.incarnation, seat.site)
         self.owners[seat.name] = Owner(self, seat, node)
 
     def order(self, owner: Owner, what) -> None:  # type: ignore[no-untyped-def]
-        """Has a member do something now, if that life runs."""
+        """Has a member do something now, if that incarnation runs."""
         if owner.seat.node is owner.node:
             self.net.order(owner.seat.name, lambda node, now: node.carry_out(what(now)))
 
@@ -295,7 +295,8 @@
         self.clock.call_at(self.clock.now() + delay, do)
 
     def died(self, name: str) -> None:
-        """A name's present life is held for dead: those that follow stand in line for what it wrote."""
+        """A name's present incarnation is held for dead: those that follow stand in line for what it
+        wrote."""
         member = self.everyone.members[name]
         self.everyone.ended(name)
         for at in member.card.ledgers:
@@ -312,7 +313,7 @@
                 break
 
     def revived(self, name: str) -> None:
-        """It was held for dead, and says that it lives."""
+        """It was held for dead, and says that it is alive."""
         if self.net.seats[name].node is not None:
             self.everyone.ended(name, Health.ALIVE)
 
@@ -423,7 +424,7 @@
 
     def verdict(self) -> None:
         """Each job that counted is with one member, or its ledger is lost."""
-        where: dict[str, list[Life]] = {}
+        where: dict[str, list[Incarnation]] = {}
         stuck: set[str] = set()
         for owner in self.owners.values():
             for name in owner.ledgers:
@@ -433,7 +434,7 @@
                     continue
                 for key in writer.table if writer is not None else ():
                     if key.startswith(JOB):
-                        where.setdefault(key, []).append(owner.life)
+                        where.setdefault(key, []).append(owner.incarnation)
         self.observer.counts["stuck"] += len(stuck)
         lost_ledgers = {ledger for owner in self.owners.values() for ledger in owner.lost}
         forgotten = {
@@ -442,8 +443,13 @@
             for run in self.observer.runs[ledger]
             for change in run.changes
         }
-        for job, lives in where.items():
-            check("one holder", len(lives) == 1, job=job, lives=[str(life) for life in lives])
+        for job, incarnations in where.items():
+            check(
+                "one holder",
+                len(incarnations) == 1,
+                job=job,
+                incarnations=[str(incarnation) for incarnation in incarnations],
+            )
         for job in self.observer.counted - self.observer.ended:
             if job not in where and job not in stuck:
                 check("what counted is in the content", job in forgotten, job=job, holder=None)
--- a/ironbarrow/lab/fleet/rollouts.py
+++ b/ironbarrow/lab/fleet/rollouts.py
@@ -31,7 +31,7 @@
 from ironbarrow.lab.result import Result
 from ironbarrow.lab.settings import zone_of
 from ironbarrow.lab.sim.back import SimulatedBack, _Way
-from ironbarrow.lab.sim.clock import Life
+from ironbarrow.lab.sim.clock import ProcessClock
 from ironbarrow.lab.sim.run import Simulation
 from ironbarrow.runtime.clock import MS, SECOND
 
@@ -136,7 +136,7 @@
     def _told(self, call: Call, way: _Way, state: str, report: Report | None) -> None:
         noted = self._noted.get(call)
         if state == "started" and noted is not None:
-            self._noted[call] = (*noted[:4], self._life.now())
+            self._noted[call] = (*noted[:4], self._clock.now())
         super()._told(call, way, state, report)
 
     def _end(
@@ -145,7 +145,7 @@
         noted = self._noted.pop(call, None)
         if noted is not None:
             worker, since, job_class, slots, started = noted
-            elapsed = self._life.now() - started if started else 0
+            elapsed = self._clock.now() - started if started else 0
             free = report.free_slots if report is not None else None
             self.signals.ended(worker, since, job_class, slots, _ENDS.get(ending), elapsed, free)
         super()._end(call, ending, report, result)
@@ -267,9 +267,9 @@
         if plan is not None:
             self.clock.call_at(self.clock.now() + start_at, self._begin, plan)
 
-    def make_back(self, number: int, life: Life, host: Host) -> SimulatedBack:
+    def make_back(self, number: int, clock: ProcessClock, host: Host) -> SimulatedBack:
         zone = zone_of(self.world, number)
-        back = WatchedBack(life, host, self.fleet, self.audit, f"d{number}", zone, self.habits.needs)
+        back = WatchedBack(clock, host, self.fleet, self.audit, f"d{number}", zone, self.habits.needs)
         self.signals[number] = Signals(zone)
         back.watch(self.signals[number])
         machine = self.machines.get(f"d{number}")
@@ -281,9 +281,9 @@
         number = int(seat.name[1:])
         seeds = [name for name in self.names if name != seat.name]
         members = MemberMachine(
-            Card(node.life, "", seat.site, version=1), MemberRules(), seeds, self.clock.now()
+            Card(node.incarnation, "", seat.site, version=1), MemberRules(), seeds, self.clock.now()
         )
-        ledgers = LedgerMachine(node.life, members, LedgerRules())
+        ledgers = LedgerMachine(node.incarnation, members, LedgerRules())
         settings = self.dispatchers[number].settings
         machine = Rollouts(members, ledgers, lambda now: now, settings)
         machine.signals = self.signals[number]
--- a/ironbarrow/lab/fleet/search.py
+++ b/ironbarrow/lab/fleet/search.py
@@ -31,9 +31,9 @@
     Decision,
     Fate,
     Health,
+    Incarnation,
     Kept,
     LedgerAt,
-    Life,
     Member,
     Message,
     Moved,
@@ -48,23 +48,23 @@
 
 LEDGER = "l"
 LONG = 1_000_000_000  # ns: a step of time that is longer than the writer's patience
-WRITER = Life("w", 1)
-KEEPERS = tuple(Life(f"k{i}", 1) for i in range(4))
-CLAIMANTS = (Life("c0", 1), Life("c1", 1))
+WRITER = Incarnation("w", 1)
+KEEPERS = tuple(Incarnation(f"k{i}", 1) for i in range(4))
+CLAIMANTS = (Incarnation("c0", 1), Incarnation("c1", 1))
 
 
 class _View:
     """Members as one of them sees them: all keepers, but those that it holds for dead."""
 
-    def __init__(self, life: Life) -> None:
-        self.me = Card(life, "", "")
+    def __init__(self, incarnation: Incarnation) -> None:
+        self.me = Card(incarnation, "", "")
         self.dead: tuple[str, ...] = ()
 
     def alive(self) -> Sequence[Member]:
         return [Member(Card(k, "", ""), Health.ALIVE, 0) for k in KEEPERS if k.name not in self.dead]
 
-    def health(self, life: Life) -> Health | None:
-        return Health.DEAD if life.name in self.dead else Health.ALIVE
+    def health(self, incarnation: Incarnation) -> Health | None:
+        return Health.DEAD if incarnation.name in self.dead else Health.ALIVE
 
     def card(self, name: str) -> Card | None:
         return None
@@ -83,11 +83,11 @@
 class _Actor:
     """One member: its machine, its clock, its view of the others."""
 
-    def __init__(self, life: Life, rules: LedgerRules) -> None:
-        self.life, self.clock = life, 0
+    def __init__(self, incarnation: Incarnation, rules: LedgerRules) -> None:
+        self.incarnation, self.clock = incarnation, 0
         self.asked = False  # it has been told to claim or lead
-        self.view = _View(life)
-        self.machine = _Searched(life, self.view, rules)
+        self.view = _View(incarnation)
+        self.machine = _Searched(incarnation, self.view, rules)
 
 
 @dataclass(frozen=True)
@@ -116,7 +116,7 @@
 )
 
 # An envelope: who sent it, to whom, what
-_Envelope = tuple[Life, Life, Message]
+_Envelope = tuple[Incarnation, Incarnation, Message]
 
 
 @dataclass(frozen=True)
@@ -153,8 +153,8 @@
 
 
 class Search:
-    """Searches one scenario. ``forgetful``: a keeper that restarts does so as the life that it was, which
-    the program never does."""
+    """Searches one scenario. ``forgetful``: a keeper that restarts does so as the incarnation that it was,
+    which the program never does."""
 
     def __init__(self, scenario: Scenario, *, forgetful: bool = False, seed: int = 0) -> None:
         self.scenario, self.forgetful = scenario, forgetful
@@ -167,9 +167,9 @@
         self._done: dict[tuple[int, object], tuple[int, tuple[int, ...], tuple[Any, ...]]] = {}
         self._open: dict[int, tuple[Any, ...]] = {}  # what an actor tells of itself, by number
         self._budget_of = ("appends", "doubles", "restarts", "ticks", "sleeps", "changes")
-        lives = (WRITER, *KEEPERS, *CLAIMANTS)
-        self._names = [life.name for life in lives]
-        self._start = self._first(lives)
+        incarnations = (WRITER, *KEEPERS, *CLAIMANTS)
+        self._names = [incarnation.name for incarnation in incarnations]
+        self._start = self._first(incarnations)
 
     def run(self, most: int = 1 << 62) -> Found:
         """Searches until all states are seen, or so many, or a violation is."""
@@ -282,11 +282,15 @@
         sends: list[Send] = []
         news: list[Any] = []
         if event[0] == "restart":
-            life = actor.life if self.forgetful else Life(actor.life.name, actor.life.start + 1)
-            return self._number(_Actor(life, self._rules)), (), ()
+            incarnation = (
+                actor.incarnation
+                if self.forgetful
+                else Incarnation(actor.incarnation.name, actor.incarnation.start + 1)
+            )
+            return self._number(_Actor(incarnation, self._rules)), (), ()
         machine = actor.machine
         actor.asked |= event[0] in ("claim", "lead")
-        node = Node(actor.life, sends.append, news.append)
+        node = Node(actor.incarnation, sends.append, news.append)
         node.add([machine])
         match event[0]:
             case "letter":
@@ -317,17 +321,17 @@
             if isinstance(send.message, Learn):
                 news.append(send.message)
             if not isinstance(send.message, Learned) and send.to.name in self._names:
-                letters.append(self._letter((actor.life, send.to, send.message)))
+                letters.append(self._letter((actor.incarnation, send.to, send.message)))
         told = tuple(n for n in news if isinstance(n, Kept | Claimed | Learn | Moved))
-        facts = tuple(_fact(actor.life.name, n) for n in told)
+        facts = tuple(_fact(actor.incarnation.name, n) for n in told)
         return self._number(actor), tuple(letters), facts
 
     def _orders(self, actor: _Actor) -> tuple[tuple[Any, ...], ...]:
         """Which orders make sense to an actor now."""
-        name, machine, scenario = actor.life.name, actor.machine, self.scenario
+        name, machine, scenario = actor.incarnation.name, actor.machine, self.scenario
         orders: list[tuple[Any, ...]] = []
         if name[0] == "k":
-            return (("restart",),) if actor.life.start == 1 and machine.keeper.segments else ()
+            return (("restart",),) if actor.incarnation.start == 1 and machine.keeper.segments else ()
         writer = machine.writers.get(LEDGER)
         claim = machine.claimant.claims.get(LEDGER)
         if writer is not None:
@@ -383,7 +387,7 @@
         return number
 
     def _number(self, actor: _Actor) -> int:
-        content = (_content(actor.machine), actor.clock, actor.view.dead, actor.life, actor.asked)
+        content = (_content(actor.machine), actor.clock, actor.view.dead, actor.incarnation, actor.asked)
         number = self._actor_of.get(content)
         if number is None:
             number = self._actor_of[content] = len(self._actors)
@@ -391,19 +395,21 @@
             self._open[number] = self._orders(actor)
         return number
 
-    def _first(self, lives: Sequence[Life]) -> _State:
+    def _first(self, incarnations: Sequence[Incarnation]) -> _State:
         """The writer's ledger is open at its keepers."""
         self._stales: dict[tuple[int, int, str], bool] = {}
-        actors = {life.name: _Actor(life, self._rules) for life in lives}
-        queue: deque[tuple[Life, Action]] = deque()
+        actors = {incarnation.name: _Actor(incarnation, self._rules) for incarnation in incarnations}
+        queue: deque[tuple[Incarnation, Action]] = deque()
         queue.extend((WRITER, a) for a in actors["w"].machine.create(0, LEDGER))
         while queue:
             sender, action = queue.popleft()
             if isinstance(action, Send):
                 actor = actors[action.to.name]
-                queue.extend((actor.life, a) for a in actor.machine.received(0, sender, action.message))
+                queue.extend(
+                    (actor.incarnation, a) for a in actor.machine.received(0, sender, action.message)
+                )
         self._at = actors["w"].machine.writers[LEDGER].at
-        numbers = tuple(self._number(actors[life.name]) for life in lives)
+        numbers = tuple(self._number(actors[incarnation.name]) for incarnation in incarnations)
         budget = tuple(getattr(self.scenario, name) for name in self._budget_of)
         return numbers, (), budget, _Seen()
 
@@ -443,7 +449,7 @@
 
 
 _PASSED = frozenset(
-    ("_members", "_rules", "_home", "counts", "touched", "_lives", "me", "_tells", "_told", "_sweep_at")
+    ("_members", "_rules", "_home", "counts", "touched", "_is_alive", "me", "_tells", "_told", "_sweep_at")
 )
 _SLOTS: dict[type, tuple[str, ...] | None] = {}
 
--- a/ironbarrow/lab/fleet/starved.py
+++ b/ironbarrow/lab/fleet/starved.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 from heapq import heapify, heappop, heappush
 
-from ironbarrow.fleet.api import Action, Card, Change, Health, LedgerAt, Life, Member, News
+from ironbarrow.fleet.api import Action, Card, Change, Health, Incarnation, LedgerAt, Member, News
 from ironbarrow.fleet.codec import Codec
 from ironbarrow.fleet.file import StarvationRules
 from ironbarrow.fleet.node import Node
@@ -260,14 +260,14 @@
 
     def __init__(self, me: Card, cards: Sequence[Card]) -> None:
         self.me = me
-        self._cards = {card.life.name: card for card in cards}
-        self._members = [Member(card, Health.ALIVE, 0) for card in sorted(cards, key=lambda c: c.life)]
+        self._cards = {card.incarnation.name: card for card in cards}
+        self._members = [Member(card, Health.ALIVE, 0) for card in sorted(cards, key=lambda c: c.incarnation)]
 
     def alive(self) -> Sequence[Member]:
         return self._members
 
-    def health(self, life: Life) -> Health | None:
-        return Health.ALIVE if life.name in self._cards else None
+    def health(self, incarnation: Incarnation) -> Health | None:
+        return Health.ALIVE if incarnation.name in self._cards else None
 
     def card(self, name: str) -> Card | None:
         return self._cards.get(name)
@@ -345,10 +345,10 @@
         self.machines: dict[str, StarvationMachine] = {}
         self.pages: dict[str, Pages] = {}
         place = {name: number for number, name in enumerate(sites)}
-        cards = [Card(Life(name, self.begins + 1), "", site) for name, site in sites.items()]
+        cards = [Card(Incarnation(name, self.begins + 1), "", site) for name, site in sites.items()]
 
         def build(seat: Seat, node: Node) -> None:
-            card = next(c for c in cards if c.life.name == seat.name)
+            card = next(c for c in cards if c.incarnation.name == seat.name)
             pages = self.pages[seat.name] = Pages()
             members = AllThere(card, cards)
             # their windows end at different times
--- a/ironbarrow/lab/fleet/work.py
+++ b/ironbarrow/lab/fleet/work.py
@@ -198,7 +198,7 @@
 
 @dataclass(slots=True, eq=False)
 class Process:
-    """A dispatcher's process: its host and its work last over lives of its member."""
+    """A dispatcher's process: its host and its work last over incarnations of its member."""
 
     seat: Seat
     clock: SeatClock
@@ -266,10 +266,10 @@
         known = [
             p.members.me for p in self.processes.values() if p.seat.node is not None and p.seat is not seat
         ]
-        card = Card(node.life, f"{seat.name}:1", seat.site, version=1)
+        card = Card(node.incarnation, f"{seat.name}:1", seat.site, version=1)
         seeds = {name: f"{name}:1" for name in self.net.seats if name != seat.name}
         members = MemberMachine(card, self.fleet.members, seeds, now, known)
-        ledgers = LedgerMachine(node.life, members, self.fleet.ledgers)
+        ledgers = LedgerMachine(node.incarnation, members, self.fleet.ledgers)
         if new:
             process = self._process(seat, members, ledgers)
         assert process is not None
@@ -277,7 +277,7 @@
         work = process.work
         earlier = None if new else work.machine
         rules = rules_of(self.settings, self.fleet, self.faults.get(seat.name))
-        machine = Takeover(now, node.life, members, ledgers, rules)
+        machine = Takeover(now, node.incarnation, members, ledgers, rules)
         work.machine = machine
         node.add((members, ledgers, machine))
         seat.on_news = work.told
--- a/ironbarrow/lab/live/processes.py
+++ b/ironbarrow/lab/live/processes.py
@@ -43,7 +43,7 @@
 
 
 class Instance:
-    """One dispatcher's process, over all its lives."""
+    """One dispatcher's process, over all its incarnations."""
 
     def __init__(
         self,
@@ -62,7 +62,7 @@
         self._agent, self._folder, self._program, self._seed = agent, folder, program, seed
         self._fleet_file = fleet_file
         self._process: subprocess.Popen[bytes] | None = None
-        self.fault = ""  # a point at which its next life ends by itself, "POINT:N"
+        self.fault = ""  # a point at which its next incarnation ends by itself, "POINT:N"
         self.fault_once = False  # unless another has done so before
         self._starts = 0
         self._expected = False  # its end is wanted
--- a/ironbarrow/lab/live/rollouts.py
+++ b/ironbarrow/lab/live/rollouts.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from ironbarrow.fleet.api import NEVER, Life, Message, News, Send
+from ironbarrow.fleet.api import NEVER, Incarnation, Message, News, Send
 from ironbarrow.fleet.codec import Codec
 from ironbarrow.fleet.file import LinkRules
 from ironbarrow.fleet.links import Links
@@ -66,11 +66,11 @@
     """An agent on the loop, with links of its own. It answers to whoever commands."""
 
     def __init__(self, loop: Loop, name: str, listen: Address, box: LiveBox, peers: dict[str, str]) -> None:
-        life = Life(AGENT + name, loop.now())
+        incarnation = Incarnation(AGENT + name, loop.now())
         self.agent = Agent(name, "1.0")
         self._loop, self._closed = loop, False
         kinds: tuple[type[Message], ...] = (Command, Answer)
-        self._node = Node(life, self._send, self._told)
+        self._node = Node(incarnation, self._send, self._told)
         self._node.add([AgentMachine(self.agent, box)])
         listener = sockets.listen(listen)
         self.address: Address = listener.getsockname()[:2]
@@ -78,7 +78,7 @@
             loop,
             listener,
             Codec(kinds),
-            life,
+            incarnation,
             LinkRules(),
             lambda other: peers.get(other, ""),
             self._received,
@@ -92,7 +92,7 @@
     def _told(self, news: News) -> None:
         return
 
-    def _received(self, sender: Life, to_start: int, message: Message) -> None:
+    def _received(self, sender: Incarnation, to_start: int, message: Message) -> None:
         self._node.received(self._loop.now(), sender, to_start, message)
 
     def _tick(self) -> None:
--- a/ironbarrow/lab/live/run.py
+++ b/ironbarrow/lab/live/run.py
@@ -264,14 +264,14 @@
             instance.fault_once = True
 
     def end_at(self, number: int, point: str, down: int) -> None:
-        """A dispatcher's first life ends by itself at a named point ("POINT:N"), and starts again so many ns
-        later. Before ``run``."""
+        """A dispatcher's first incarnation ends by itself at a named point ("POINT:N"), and starts again so
+        many ns later. Before ``run``."""
         self.instances[number].fault = point
         self._down[number] = down
 
     def stop_at(self, number: int, point: str, lasts: int) -> None:
-        """A dispatcher's first life stops by itself at a named point, and goes on so many ns later. Before
-        ``run``."""
+        """A dispatcher's first incarnation stops by itself at a named point, and goes on so many ns later.
+        Before ``run``."""
         self.instances[number].fault = f"{point}:stop"
         self.loop.spawn(self._watch_for_stop(number, lasts))
 
--- a/ironbarrow/lab/model/front.py
+++ b/ironbarrow/lab/model/front.py
@@ -12,24 +12,26 @@
     def __init__(self, clock: Clock, zones: list[str], notice: Duration) -> None:
         self._clock, self._zones, self._notice = clock, zones, notice  # zones: one for each dispatcher
         self._dealt: set[int] = set()
-        self._lives = [0] * len(zones)
+        self._incarnations = [0] * len(zones)
         self._turns: dict[str, int] = {}
 
     def ready(self, number: int) -> None:
         """It has told that it is ready."""
-        self._lives[number] += 1
+        self._incarnations[number] += 1
         self._dealt.add(number)
 
     def died(self, number: int) -> None:
         """It refuses or is gone; the front goes on dealing to it for a while."""
-        self._clock.call_at(self._clock.now() + self._notice, self._noticed, number, self._lives[number])
+        self._clock.call_at(
+            self._clock.now() + self._notice, self._noticed, number, self._incarnations[number]
+        )
 
     def leaves(self, number: int) -> None:
         """It was told to stop: new connections go on coming to it for a short while only."""
-        self._clock.call_at(self._clock.now() + _LEAVING, self._noticed, number, self._lives[number])
+        self._clock.call_at(self._clock.now() + _LEAVING, self._noticed, number, self._incarnations[number])
 
-    def _noticed(self, number: int, life: int) -> None:
-        if self._lives[number] == life:
+    def _noticed(self, number: int, incarnation: int) -> None:
+        if self._incarnations[number] == incarnation:
             self._dealt.discard(number)
 
     def pick(self, zone: str) -> int | None:
--- a/ironbarrow/lab/sim/back.py
+++ b/ironbarrow/lab/sim/back.py
@@ -14,7 +14,7 @@
 from ironbarrow.lab.audit import Auditor
 from ironbarrow.lab.model.fleet import Fleet
 from ironbarrow.lab.model.provider import Need, Provider, Reply, Report, State
-from ironbarrow.lab.sim.clock import Life
+from ironbarrow.lab.sim.clock import ProcessClock
 from ironbarrow.runtime.clock import MS, SECOND
 
 _CONNECT_TIMEOUT = 250 * MS
@@ -51,7 +51,7 @@
 
     def __init__(
         self,
-        life: Life,
+        clock: ProcessClock,
         host: Host,
         fleet: Fleet,
         audit: Auditor,
@@ -59,7 +59,7 @@
         zone: str,
         needs: dict[str, Need],
     ) -> None:
-        self._life, self._host, self._fleet, self._audit = life, host, fleet, audit
+        self._clock, self._host, self._fleet, self._audit = clock, host, fleet, audit
         self._name, self._zone, self._needs = name, zone, needs
         self._idle: dict[str, deque[int]] = {}
         self._ways: dict[Call, _Way] = {}
@@ -82,15 +82,17 @@
         provider = way.provider
         reaches = self._fleet.network.reaches(self._zone, provider.zone)
         if provider.state is State.VANISHED or not reaches:
-            self._life.call_at(self._life.now() + _CONNECT_TIMEOUT, self._end, call, Ending.CONNECT_TIMED_OUT)
+            self._clock.call_at(
+                self._clock.now() + _CONNECT_TIMEOUT, self._end, call, Ending.CONNECT_TIMED_OUT
+            )
             return
         trip = self._latency(provider) + self._latency(provider)
         if provider.state is State.DOWN or provider.connections >= provider.group.connections:
-            self._life.call_at(self._life.now() + trip, self._end, call, Ending.CONNECT_REFUSED)
+            self._clock.call_at(self._clock.now() + trip, self._end, call, Ending.CONNECT_REFUSED)
             return
         provider.connections += 1
         way.connected = True
-        self._life.call_at(self._life.now() + trip, self._write, call, way)
+        self._clock.call_at(self._clock.now() + trip, self._write, call, way)
 
     def _latency(self, provider: Provider) -> int:
         return self._fleet.network.latency(self._zone, provider.zone, provider.name)
@@ -125,8 +127,8 @@
             self._send_back(provider, self._reset, call)
 
     def _send_back(self, provider: Provider, call: Callable[..., None], *args: object) -> None:
-        if not self._life.over:
-            self._fleet.network.send(provider.zone, self._zone, provider.name, self._life.run, call, args)
+        if not self._clock.over:
+            self._fleet.network.send(provider.zone, self._zone, provider.name, self._clock.run, call, args)
 
     def _accepted(self, call: Call, way: _Way) -> None:
         if not way.answered:
@@ -173,7 +175,7 @@
             self._zone, way.provider.zone, way.provider.name, self._delete, call, way, ending
         )
         if not reaches or way.provider.trouble.hung or way.provider.state is State.VANISHED:
-            self._life.call_at(self._life.now() + _DELETE_LIMIT, self._end, call, ending)
+            self._clock.call_at(self._clock.now() + _DELETE_LIMIT, self._end, call, ending)
 
     def _delete(self, call: Call, way: _Way, ending: Ending) -> None:
         way.provider.cancel(call.job.payload.id)
@@ -188,7 +190,7 @@
             self._host.probe_ended(provider, Ending.CONNECT_REFUSED, 0)
             return
         trip = self._latency(found) + self._latency(found)
-        self._life.call_at(self._life.now() + trip, self._probed, found, self._life.now())
+        self._clock.call_at(self._clock.now() + trip, self._probed, found, self._clock.now())
 
     def _probed(self, provider: Provider, since: int) -> None:
         silent = (
@@ -196,9 +198,9 @@
             or provider.state is State.VANISHED
             or not self._fleet.network.reaches(self._zone, provider.zone)
         )
-        elapsed = self._life.now() - since
+        elapsed = self._clock.now() - since
         if silent:
-            self._life.call_at(
+            self._clock.call_at(
                 since + _PROBE_LIMIT, self._host.probe_ended, provider.name, Ending.TIMED_OUT, _PROBE_LIMIT
             )
         elif provider.state is State.DOWN:
@@ -221,7 +223,7 @@
 
     def _take_idle(self, provider: Provider) -> bool:
         idle = self._idle.get(provider.name)
-        oldest = self._life.now() - _IDLE_LIMIT
+        oldest = self._clock.now() - _IDLE_LIMIT
         while idle:
             if idle.pop() > oldest and provider.state in (State.UP, State.DRAINING):
                 return True
@@ -233,7 +235,7 @@
             idle = self._idle.setdefault(way.provider.name, deque())
             if len(idle) < _POOL:
                 way.connected = False
-                idle.append(self._life.now())
+                idle.append(self._clock.now())
             else:
                 self._drop_connection(way)
 
--- a/ironbarrow/lab/sim/clock.py
+++ b/ironbarrow/lab/sim/clock.py
@@ -65,7 +65,7 @@
         return len(self._heap) + len(self._soon)
 
 
-class Life:
+class ProcessClock:
     """The clock as one process sees it: after its end nothing that it had planned is called."""
 
     def __init__(self, clock: SimulatedClock) -> None:
@@ -80,6 +80,6 @@
         return self._clock.call_at(due, self.run, call, args)
 
     def run(self, call: Callable[..., None], args: tuple[Any, ...]) -> None:
-        """Calls, if the process still lives."""
+        """Calls, if the process still runs."""
         if not self.over:
             call(*args)
--- a/ironbarrow/lab/sim/run.py
+++ b/ironbarrow/lab/sim/run.py
@@ -23,7 +23,7 @@
 from ironbarrow.lab.result import Result
 from ironbarrow.lab.settings import settings_object, zone_of
 from ironbarrow.lab.sim.back import SimulatedBack
-from ironbarrow.lab.sim.clock import Life, SimulatedClock
+from ironbarrow.lab.sim.clock import ProcessClock, SimulatedClock
 from ironbarrow.routing.file import Loaded, parse
 from ironbarrow.routing.request import make_request
 from ironbarrow.routing.router import Router, Ticket, arrival
@@ -90,9 +90,9 @@
 
 @dataclass(slots=True, eq=False)
 class _Process:
-    """One life of a dispatcher."""
+    """One incarnation of a dispatcher."""
 
-    life: Life
+    clock: ProcessClock
     host: Host
     back: SimulatedBack
     leave_directory: Any = None
@@ -101,7 +101,7 @@
 
 
 class _Dispatcher:
-    """A dispatcher's name and place, over all its lives."""
+    """A dispatcher's name and place, over all its incarnations."""
 
     def __init__(self, run: "Simulation", number: int) -> None:
         self._run, self.number = run, number
@@ -113,19 +113,19 @@
 
     def start(self) -> None:
         run = self._run
-        life = Life(run.clock)
+        clock = ProcessClock(run.clock)
         self._starts += 1
         seed = run.seed * 1_000_003 + self.number * 1009 + self._starts
-        host = Host(life, self.settings, seed)
-        back = run.make_back(self.number, life, host)
+        host = Host(clock, self.settings, seed)
+        back = run.make_back(self.number, clock, host)
         host.invoker = back
-        process = self.process = _Process(life, host, back)
+        process = self.process = _Process(clock, host, back)
         if run.world.dispatchers.routes:
             text = run.world.dispatchers.routes.encode()
             process.router = Router(Table(Loaded(parse(text, "routes"), {}, ("routes",)), self.settings))
         host.providers_listed(_list(self._known, api.ListKind.LAST_KNOWN))
         process.leave_directory = run.fleet.directory.subscribe(
-            f"d{self.number}", lambda news: life.run(self._listed, (process, news))
+            f"d{self.number}", lambda news: clock.run(self._listed, (process, news))
         )
         run.front.ready(self.number)
 
@@ -152,7 +152,7 @@
         if process is not None:
             process.leave_directory()
             process.leave_directory = self._run.fleet.directory.subscribe(
-                f"d{self.number}", lambda news: process.life.run(self._listed, (process, news))
+                f"d{self.number}", lambda news: process.clock.run(self._listed, (process, news))
             )
 
     def end(self, down: int, *, killed: bool) -> None:
@@ -161,7 +161,7 @@
         if process is None:
             return
         self.process = None
-        process.life.over = True
+        process.clock.over = True
         process.leave_directory()
         process.back.close()
         if killed or process.host.owed:
@@ -244,10 +244,10 @@
         self.turned_away = 0  # by limits, before the decisions
         self.samples = Sampler(_SAMPLE_STEP, [], [])
 
-    def make_back(self, number: int, life: Life, host: Host) -> SimulatedBack:
+    def make_back(self, number: int, clock: ProcessClock, host: Host) -> SimulatedBack:
         """The back of a dispatcher's new process."""
         zone = zone_of(self.world, number)
-        return SimulatedBack(life, host, self.fleet, self.audit, f"d{number}", zone, self.habits.needs)
+        return SimulatedBack(clock, host, self.fleet, self.audit, f"d{number}", zone, self.habits.needs)
 
     # Faults on dispatchers
 
@@ -272,7 +272,7 @@
         """Plays it to the end: until every order is over and a little longer."""
         begun = time.perf_counter()
         # a job and its calls hold each other: without collections memory grows with all jobs that ever came,
-        # and with the usual threshold a quarter of the time goes into looking at what lives on
+        # and with the usual threshold a quarter of the time goes into looking at what stays alive
         threshold = gc.get_threshold()
         gc.set_threshold(_COLLECT_AFTER, 50, 1000)
         try:
--- a/tests/test_fleet_base.py
+++ b/tests/test_fleet_base.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from ironbarrow.fleet.api import Life, Message, Send
+from ironbarrow.fleet.api import Incarnation, Message, Send
 from ironbarrow.fleet.codec import FRAME_MOST, Codec, FrameError, Splitter
 from ironbarrow.fleet.file import FleetError, parse
 from ironbarrow.lab.fleet.net import SimulatedNet, Way
@@ -30,7 +30,7 @@
     KIND = 121
 
 
-ME = Life("a", 7)
+ME = Incarnation("a", 7)
 
 
 @given(st.lists(st.text(max_size=50), max_size=8), st.integers(1, 40))
@@ -89,13 +89,13 @@
     def __init__(self, other: str) -> None:
         self.other, self.due, self.heard = other, 0, []
 
-    def received(self, now: int, sender: Life, message: Note) -> list[Send]:
+    def received(self, now: int, sender: Incarnation, message: Note) -> list[Send]:
         self.heard.append(message.text)
         return []
 
     def ticked(self, now: int) -> list[Send]:
         self.due = now + 10 * MS
-        return [Send(Life(self.other), Note(str(now)))]
+        return [Send(Incarnation(self.other), Note(str(now)))]
 
     def next_at(self) -> int:
         return self.due
--- a/tests/test_fleet_frames.py
+++ b/tests/test_fleet_frames.py
@@ -2,15 +2,15 @@
 
 import pytest
 
-from ironbarrow.fleet.api import Ballot, Card, Change, Decision, Fate, LedgerAt, Life, Message
+from ironbarrow.fleet.api import Ballot, Card, Change, Decision, Fate, Incarnation, LedgerAt, Message
 from ironbarrow.fleet.codec import Codec
 from ironbarrow.fleet.ledgers import messages as ledgers
 from ironbarrow.fleet.members import messages as members
 from ironbarrow.fleet.takeover import messages as takeover
 
-SENDER = Life("dispatcher-1", 1_700_000_000_000_000_001)
-OTHER = Life("dispatcher-2", 1_700_000_000_000_000_002)
-THIRD = Life("dispatcher-3", 3)
+SENDER = Incarnation("dispatcher-1", 1_700_000_000_000_000_001)
+OTHER = Incarnation("dispatcher-2", 1_700_000_000_000_000_002)
+THIRD = Incarnation("dispatcher-3", 3)
 AT = LedgerAt("jobs/dispatcher-2/7", 4, (SENDER, THIRD))
 CARD = Card(OTHER, "127.0.0.1:9", "north", "127.0.0.1:8", 5, (AT,))
 SUSPECTED = members.Rumour(OTHER, 6, 1, "dispatcher-3", 250, CARD)
