--- a/tests/test_fleet_ledgers.py
+++ b/tests/test_fleet_ledgers.py
@@ -10,9 +10,9 @@
     Claimed,
     ClaimLost,
     Fenced,
+    Incarnation,
     Kept,
     LedgerAt,
-    Life,
     Moved,
     NoMajority,
 )
@@ -88,7 +88,7 @@
     assert [news.seq for news in fleet.news("m0", Kept)][-1] == 21
     at = fleet.at("m0")
     assert len(at.keepers) == (1 if n == 2 else min(keepers, n)) and (
-        n <= keepers or Life("m0") not in at.keepers
+        n <= keepers or Incarnation("m0") not in at.keepers
     )
     if n == 2:
         return  # two of two are the majority: nothing can be had once one is lost
@@ -181,7 +181,7 @@
     fleet.run(20)
     assert fleet.news("m1", Claimed)[0].into == second.ledger
     fleet.kill("m1")
-    by = next(n for n in fleet.names[2:] if Life(n) not in (*first.keepers, *second.keepers))
+    by = next(n for n in fleet.names[2:] if Incarnation(n) not in (*first.keepers, *second.keepers))
     fleet.do(by, "claim", second)
     fleet.run(20)
     key = CLAIM + first.ledger
@@ -205,7 +205,7 @@
 
 @pytest.mark.parametrize("mutant", [False, True])
 def test_what_went_with_a_ledger_is_not_claimed_anew(mutant: bool, monkeypatch: pytest.MonkeyPatch) -> None:
-    """m1 has claimed m0's ledger; m2 has claimed m1's, and with its key m0's. m1 lives, and asks again."""
+    """m1 has claimed m0's ledger; m2 has claimed m1's, and with its key m0's. m1 is alive, and asks again."""
     if mutant:
         monkeypatch.setattr(Claimant, "_settle", lambda self, ledger, by: None)
     fleet = opened(9)
@@ -280,8 +280,8 @@
 
 
 def test_a_full_keeper_opens_nothing_and_keeps_what_it_has() -> None:
-    keeper = Keeper(Life("k", 1), lambda life: True, LedgerRules(memory_mb=1))
-    writer, other = Life("a", 1), Life("b", 1)
+    keeper = Keeper(Incarnation("k", 1), lambda incarnation: True, LedgerRules(memory_mb=1))
+    writer, other = Incarnation("a", 1), Incarnation("b", 1)
     seq = 0
     answers = []
     for seq in range(1, 12):
@@ -294,8 +294,8 @@
 
 
 def test_what_is_forgotten_is_never_made_anew() -> None:
-    keeper = Keeper(Life("k", 1), lambda life: True, LedgerRules())
-    writer, claimant = Life("a", 1), Life("c", 1)
+    keeper = Keeper(Incarnation("k", 1), lambda incarnation: True, LedgerRules())
+    writer, claimant = Incarnation("a", 1), Incarnation("c", 1)
     keeper.append(0, writer, Append("l", 0, 0, 1, (Change("x", b""),)))
     keeper.close(0, writer, Close("l", 0))
     assert keeper.append(0, writer, Append("l", 0, 0, 1)).answer is Answer.UNKNOWN
@@ -352,7 +352,7 @@
 def _claim_beside_the_old_writer() -> None:
     fleet = opened(6)
     ledger, at = job_ledger(fleet, "m0"), fleet.at("m0")
-    by = [n for n in fleet.names[1:] if Life(n) not in {Life(k.name) for k in at.keepers}]
+    by = [n for n in fleet.names[1:] if Incarnation(n) not in {Incarnation(k.name) for k in at.keepers}]
     fleet.do("m0", "append", ledger, put(2))
     fleet.net.cut("m0", at.keepers[0].name)
     fleet.do("m0", "append", ledger, put(2, 5))
@@ -366,9 +366,9 @@
 
 
 def two_writers(patch: pytest.MonkeyPatch) -> None:
-    keeper = Keeper(Life("k", 1), lambda life: True, LedgerRules())
-    keeper.append(0, Life("a", 1), Append("l", 0, 0, 1))
-    keeper._apply(keeper.segments["l", 0], Life("b", 1), (Change("x", b""),))
+    keeper = Keeper(Incarnation("k", 1), lambda incarnation: True, LedgerRules())
+    keeper.append(0, Incarnation("a", 1), Append("l", 0, 0, 1))
+    keeper._apply(keeper.segments["l", 0], Incarnation("b", 1), (Change("x", b""),))
 
 
 def appends_under_a_seal(patch: pytest.MonkeyPatch) -> None:
--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from ironbarrow.fleet.api import Health, Life, MemberChanged, Message, News, Send
+from ironbarrow.fleet.api import Health, Incarnation, MemberChanged, Message, News, Send
 from ironbarrow.fleet.codec import FRAME_MOST, Codec
 from ironbarrow.fleet.file import Fleet, FleetError, parse
 from ironbarrow.fleet.invariants import INVARIANTS
@@ -38,9 +38,9 @@
     handles = (Bulk, Table)
 
     def __init__(self) -> None:
-        self.heard: list[tuple[Life, bytes]] = []
+        self.heard: list[tuple[Incarnation, bytes]] = []
 
-    def received(self, now: int, sender: Life, message: Bulk) -> list[Send]:
+    def received(self, now: int, sender: Incarnation, message: Bulk) -> list[Send]:
         self.heard.append((sender, message.data))
         return []
 
@@ -93,7 +93,8 @@
     def met(self) -> bool:
         names = sorted(service.name for service in self.services)
         return all(
-            [(m.card.life.name, m.health) for m in s.members.alive()] == [(n, Health.ALIVE) for n in names]
+            [(m.card.incarnation.name, m.health) for m in s.members.alive()]
+            == [(n, Health.ALIVE) for n in names]
             for s in self.services
         )
 
@@ -119,7 +120,7 @@
     a, b = pair(bench)
     c = bench.start("c", a)
     bench.until(bench.met)
-    first = c.life
+    first = c.incarnation
     bench.end(c)
     started = bench.loop.now()
     bench.until(lambda: {s.members.health(first) for s in (a, b)} == {Health.DEAD}, 2)
@@ -129,9 +130,11 @@
     b.leave()
     bench.until(lambda: b.sent, 1)
     bench.end(b)
-    bench.until(lambda: {s.members.health(b.life) for s in (a, c)} == {Health.LEFT}, 2)
-    told = [(n.member.card.life, n.member.health) for n in bench.told["a"] if isinstance(n, MemberChanged)]
-    assert told.index((first, Health.DEAD)) < told.index((c.life, Health.ALIVE))
+    bench.until(lambda: {s.members.health(b.incarnation) for s in (a, c)} == {Health.LEFT}, 2)
+    told = [
+        (n.member.card.incarnation, n.member.health) for n in bench.told["a"] if isinstance(n, MemberChanged)
+    ]
+    assert told.index((first, Health.DEAD)) < told.index((c.incarnation, Health.ALIVE))
 
 
 def test_a_way_that_is_cut_in_one_direction_kills_nobody_where_a_third_sees_both(bench: Bench) -> None:
@@ -150,17 +153,17 @@
         assert b.links.figures["messages in"] > 0 and not a.links.shed["unreachable"]
 
 
-def test_a_renewed_member_is_another_life_and_the_old_one_is_dead(bench: Bench) -> None:
+def test_a_renewed_member_is_another_incarnation_and_the_old_one_is_dead(bench: Bench) -> None:
     a, b = pair(bench)
-    before, sink = b.life, Sink()
+    before, sink = b.incarnation, Sink()
     b.on_renewed(lambda service: service.add(sink))
     b.renew()
-    assert b.life.name == "b" and b.life.start > before.start
-    bench.until(lambda: a.members.health(b.life) is Health.ALIVE)
+    assert b.incarnation.name == "b" and b.incarnation.start > before.start
+    bench.until(lambda: a.members.health(b.incarnation) is Health.ALIVE)
     assert a.members.health(before) is Health.DEAD
-    a.order([Send(before, Bulk(b"old")), Send(b.life, Bulk(b"new"))])
+    a.order([Send(before, Bulk(b"old")), Send(b.incarnation, Bulk(b"new"))])
     bench.until(lambda: bool(sink.heard))
-    assert sink.heard == [(a.life, b"new")]
+    assert sink.heard == [(a.incarnation, b"new")]
     assert bench.sinks["b"].heard == []
 
 
@@ -188,11 +191,11 @@
 
 def test_a_clock_set_back_does_not_keep_a_member_out(bench: Bench, monkeypatch: pytest.MonkeyPatch) -> None:
     a, b = pair(bench)
-    old = b.life
+    old = b.incarnation
     bench.end(b)
     monkeypatch.setattr("ironbarrow.fleet.service.time.time_ns", lambda: old.start - SECOND)
     b = bench.start("b", a, port=int(b.address.rpartition(":")[2]))
-    bench.until(lambda: b.life.start > old.start and a.members.health(b.life) is Health.ALIVE)
+    bench.until(lambda: b.incarnation.start > old.start and a.members.health(b.incarnation) is Health.ALIVE)
     assert bench.met()
 
 
@@ -233,7 +236,7 @@
         KIND = 19
         text: str
 
-    frame = Codec([Later]).encode(Life("old", 1), 0, Later("x"))
+    frame = Codec([Later]).encode(Incarnation("old", 1), 0, Later("x"))
     with socket.create_connection(("127.0.0.1", a.links.port)) as sock:
         sock.sendall(frame * 3)
         bench.until(lambda: a.codec.dropped["kind"] == 3)
@@ -246,13 +249,13 @@
         a.fleet.routes["deaf"] = f"127.0.0.1:{deaf.getsockname()[1]}"
         data = bytes(60_000)
         for _ in range(200):
-            a.order([Send(Life("deaf"), Bulk(data)), Send(Life("deaf"), Table(data))])
+            a.order([Send(Incarnation("deaf"), Bulk(data)), Send(Incarnation("deaf"), Table(data))])
             bench.run(0.002)
             assert a.links._budget.used <= 1100 << 10
         assert a.links.shed["starvation"] > 100
         assert a.links.shed["ledger"] > 50
-        a.order([Send(b.life, Bulk(b"on"))])
-        bench.until(lambda: bench.sinks["b"].heard == [(a.life, b"on")])
+        a.order([Send(b.incarnation, Bulk(b"on"))])
+        bench.until(lambda: bench.sinks["b"].heard == [(a.incarnation, b"on")])
         bench.until(lambda: not a.links._budget.used)  # it is given up in time
         assert bench.met()
 
@@ -267,7 +270,7 @@
         assert a.links.figures["evicted"] >= 24
         for i in range(40):
             a.fleet.routes[f"n{i}"] = b.address
-            a.order([Send(Life(f"n{i}"), Bulk(b"x"))])
+            a.order([Send(Incarnation(f"n{i}"), Bulk(b"x"))])
             bench.run(0.01)
         assert a.links.open <= 32
         assert len(socks) == 40
@@ -280,7 +283,7 @@
         a.fleet.routes["shut"] = f"127.0.0.1:{shut.getsockname()[1]}"
         end, taken = bench.loop.now() + SECOND, 0
         while bench.loop.now() < end:
-            a.order([Send(Life("shut"), Bulk(b"x"))])
+            a.order([Send(Incarnation("shut"), Bulk(b"x"))])
             bench.run(0.005)
             while (sock := accept(shut)) is not None:
                 taken += 1
--- a/tests/test_fleet_members.py
+++ b/tests/test_fleet_members.py
@@ -10,7 +10,7 @@
 import pytest
 
 from ironbarrow.config.units import ms
-from ironbarrow.fleet.api import NEVER, Card, Health, LedgerAt, Life, MemberChanged, Message, Send
+from ironbarrow.fleet.api import NEVER, Card, Health, Incarnation, LedgerAt, MemberChanged, Message, Send
 from ironbarrow.fleet.codec import Codec
 from ironbarrow.fleet.file import MemberRules
 from ironbarrow.fleet.invariants import INVARIANTS, InvariantError
@@ -43,7 +43,7 @@
             self.net.start(name)
 
     def _build(self, seat, node) -> None:
-        card = Card(node.life, f"{seat.name}:1", seat.site, version=1)
+        card = Card(node.incarnation, f"{seat.name}:1", seat.site, version=1)
         seeds = [name for name in self.names[:3] if name != seat.name]
         machine = MemberMachine(card, self.rules, seeds, self.net.clock.now())
         self.machines[seat.name] = machine
@@ -53,9 +53,9 @@
         return [name for name in self.names if self.net.seats[name].node is not None]
 
     def healths(self, of: str) -> dict[str, Health | None]:
-        """What the others that run hold the present life of a member for."""
-        life = self.machines[of].me.life
-        return {name: self.machines[name].health(life) for name in self.running() if name != of}
+        """What the others that run hold the present incarnation of a member for."""
+        incarnation = self.machines[of].me.incarnation
+        return {name: self.machines[name].health(incarnation) for name in self.running() if name != of}
 
     def all_alive(self) -> bool:
         return all(set(self.healths(name).values()) == {Health.ALIVE} for name in self.running())
@@ -165,7 +165,7 @@
         made.net.run(1500 * MS)
     made.until(made.all_alive, 3 * SECOND)
     assert all(
-        news.member.card.life.name == "m2"
+        news.member.card.incarnation.name == "m2"
         for seat in made.net.seats.values()
         for news in seat.told
         if isinstance(news, MemberChanged) and news.member.health is Health.DEAD
@@ -195,9 +195,9 @@
         assert made.deaths() == 0
 
 
-def test_a_restart_is_another_life_and_the_earlier_one_ends_first() -> None:
+def test_a_restart_is_another_incarnation_and_the_earlier_one_ends_first() -> None:
     made = crowd(6)
-    before = made.machines["m3"].me.life
+    before = made.machines["m3"].me.incarnation
     made.net.crash("m3")
     made.net.run(100 * MS)
     after = made.net.start("m3")
@@ -206,12 +206,12 @@
         if name != "m3":
             assert made.machines[name].health(before) is Health.DEAD
             told = [
-                (n.member.card.life, n.member.health)
+                (n.member.card.incarnation, n.member.health)
                 for n in made.net.seats[name].told
-                if isinstance(n, MemberChanged) and n.member.card.life.name == "m3"
+                if isinstance(n, MemberChanged) and n.member.card.incarnation.name == "m3"
             ]
             assert told.index((before, Health.DEAD)) == told.index((after, Health.ALIVE)) - 1
-    assert before == Life("m3", before.start)
+    assert before == Incarnation("m3", before.start)
     assert made.all_alive()
 
 
@@ -278,16 +278,16 @@
 
     made.until(agreed, 15 * SECOND)
     for seat in net.seats.values():
-        last: dict[str, Life] = {}
-        ended: dict[Life, Health] = {}
+        last: dict[str, Incarnation] = {}
+        ended: dict[Incarnation, Health] = {}
         for news in seat.told:
             assert isinstance(news, MemberChanged)
-            life, health = news.member.card.life, news.member.health
-            before = last.get(life.name, life)
-            assert life.start >= before.start
-            assert life == before or ended.get(before) in (Health.DEAD, Health.LEFT)
-            assert ended.get(life) is not Health.LEFT
-            last[life.name], ended[life] = life, health
+            incarnation, health = news.member.card.incarnation, news.member.health
+            before = last.get(incarnation.name, incarnation)
+            assert incarnation.start >= before.start
+            assert incarnation == before or ended.get(before) in (Health.DEAD, Health.LEFT)
+            assert ended.get(incarnation) is not Health.LEFT
+            last[incarnation.name], ended[incarnation] = incarnation, health
 
 
 # FLEET_SEEDS="FROM TO" plays others: a failing one is in its test's name
@@ -305,16 +305,16 @@
 
 
 def alone(rules: MemberRules | None = None, machine: type[MemberMachine] = MemberMachine) -> MemberMachine:
-    return machine(Card(Life("me", 5), "h:1", "x", version=1), rules or MemberRules(), (), 0)
+    return machine(Card(Incarnation("me", 5), "h:1", "x", version=1), rules or MemberRules(), (), 0)
 
 
 def card(name: str, start: int = 1, version: int = 1, **more: object) -> Card:
-    return Card(Life(name, start), "h:2", "y", version=version, **more)  # type: ignore[arg-type]
+    return Card(Incarnation(name, start), "h:2", "y", version=version, **more)  # type: ignore[arg-type]
 
 
 def said(what: Card, health: Health = Health.ALIVE, version: int | None = None, **more: object) -> Rumour:
     at = what.version if version is None else version
-    return Rumour(what.life, at, RANK[health], card=what, **more)  # type: ignore[arg-type]
+    return Rumour(what.incarnation, at, RANK[health], card=what, **more)  # type: ignore[arg-type]
 
 
 @pytest.mark.parametrize(
@@ -327,17 +327,17 @@
         said(card("a"), version=VERSION_MOST),
         said(card("a", version=-1), version=1),
         said(card("a"), age_ms=-1),
-        said(card("a", ledgers=(LedgerAt("l", 1, (Life("k"),)),))),
+        said(card("a", ledgers=(LedgerAt("l", 1, (Incarnation("k"),)),))),
         said(card("a", ledgers=(LedgerAt("l" * 301, 1, ()),))),
         said(card("a", front="f" * 301)),
-        Rumour(Life("b", 1), 1, 0, card=card("a")),
-        Rumour(Life("a", 1), 1, 4, card=card("a")),
-        Rumour(Life("me", 5), VERSION_MOST, 2),
+        Rumour(Incarnation("b", 1), 1, 0, card=card("a")),
+        Rumour(Incarnation("a", 1), 1, 4, card=card("a")),
+        Rumour(Incarnation("me", 5), VERSION_MOST, 2),
     ],
 )
 def test_what_is_out_of_range_is_counted_and_changes_nothing(rumour: Rumour) -> None:
     machine = alone()
-    actions = machine.received(1, Life("x", 1), Cards((rumour,)))
+    actions = machine.received(1, Incarnation("x", 1), Cards((rumour,)))
     assert not actions and machine.dropped == {"malformed": 1}
     assert len(machine.alive()) == 1 and machine.me.version == 1
 
@@ -347,13 +347,14 @@
     machine = alone(MemberRules(most=count))
     for start in range(0, count + 50, 50):
         names = [f"m{i}" for i in range(start, start + 50)]
-        machine.received(1 + start, Life("m0", 1), Cards(tuple(said(card(name)) for name in names)))
+        machine.received(1 + start, Incarnation("m0", 1), Cards(tuple(said(card(name)) for name in names)))
     assert len(machine.alive()) == count
     assert machine.dropped["full"] == start + 50 - (count - 1)
     late = 2 * SECOND
-    machine.received(late, Life("m0", 1), Cards((said(card("m7"), Health.LEFT),)))
-    machine.received(late, Life("m0", 1), Cards((said(card("new")),)))  # takes the place of one that is gone
-    assert machine.health(Life("new", 1)) is Health.ALIVE and machine.card("m7") is None
+    machine.received(late, Incarnation("m0", 1), Cards((said(card("m7"), Health.LEFT),)))
+    # takes the place of one that is gone
+    machine.received(late, Incarnation("m0", 1), Cards((said(card("new")),)))
+    assert machine.health(Incarnation("new", 1)) is Health.ALIVE and machine.card("m7") is None
     codec = Codec(MemberMachine.handles)
     sizes: list[int] = []
     now = late
@@ -361,24 +362,24 @@
         now = max(now, min(machine.next_at(), now + 100 * MS))
         for action in machine.ticked(now):
             if isinstance(action, Send):
-                sizes.append(len(codec.encode(machine.me.life, 0, action.message)))
+                sizes.append(len(codec.encode(machine.me.incarnation, 0, action.message)))
     assert len(sizes) > 100 and max(sizes) < 8_000
 
 
 def test_a_joiner_learns_two_thousand_members_from_one() -> None:
     machine, joiner = (
         alone(),
-        MemberMachine(Card(Life("j", 9), "h:3", "x", version=1), MemberRules(), ("me",), 0),
+        MemberMachine(Card(Incarnation("j", 9), "h:3", "x", version=1), MemberRules(), ("me",), 0),
     )
     for start in range(0, 2000, 50):
         names = [f"m{i}" for i in range(start, start + 50)]
-        machine.received(1, Life("m0", 1), Cards(tuple(said(card(name)) for name in names)))
+        machine.received(1, Incarnation("m0", 1), Cards(tuple(said(card(name)) for name in names)))
     asked = [a.message for a in joiner.ticked(1) if isinstance(a, Send)]
     codec, largest = Codec(MemberMachine.handles), 0
-    for action in machine.received(2, Life("j", 9), asked[0]):
+    for action in machine.received(2, Incarnation("j", 9), asked[0]):
         if isinstance(action, Send):
-            largest = max(largest, len(codec.encode(machine.me.life, 0, action.message)))
-            joiner.received(3, machine.me.life, action.message)
+            largest = max(largest, len(codec.encode(machine.me.incarnation, 0, action.message)))
+            joiner.received(3, machine.me.incarnation, action.message)
     assert len(joiner.alive()) == len(machine.alive()) == 2002
     assert largest < 16_000
 
@@ -393,29 +394,31 @@
         news: tuple[Rumour, ...] = ()
         more: str = ""
 
-    frame = Codec([LaterPing]).encode(Life("new", 3), 0, LaterPing(7, 1, 1, 0, (said(card("a")),), "x"))
+    frame = Codec([LaterPing]).encode(
+        Incarnation("new", 3), 0, LaterPing(7, 1, 1, 0, (said(card("a")),), "x")
+    )
     found = Codec(MemberMachine.handles).decode(frame[4:])
     assert found is not None
     machine = alone()
     (answer,) = [a for a in machine.received(1, found[0], found[2]) if isinstance(a, Send)]
     assert isinstance(answer.message, Ack) and answer.message.number == 7
-    assert machine.health(Life("a", 1)) is Health.ALIVE
+    assert machine.health(Incarnation("a", 1)) is Health.ALIVE
 
 
 # What must hold, whatever is said
 
 
 def babble(machine: MemberMachine, seed: int) -> None:
-    """Says at random of a few lives what could be said of them, this member's own included."""
+    """Says at random of a few incarnations what could be said of them, this member's own included."""
     dice = random.Random(seed)
     now, versions = 1, dict[str, int]()
     for _ in range(150):
         now += dice.randrange(400 * MS)
         name, start = dice.choice(["me", "a", "b", "c"]), dice.choice([4, 5, 6])
-        found = Card(Life(name, start), "h:1", dice.choice("xy"), version=dice.randrange(6))
+        found = Card(Incarnation(name, start), "h:1", dice.choice("xy"), version=dice.randrange(6))
         items = [
             Rumour(
-                found.life,
+                found.incarnation,
                 dice.randrange(6),
                 dice.choice([0, 0, 1, 2, 2, 3]),
                 dice.choice(["", "a", "b", "c", "me"]),
@@ -423,7 +426,7 @@
                 dice.choice([found, found, None]),
             )
         ]
-        sender = Life(dice.choice("abc"), start)
+        sender = Incarnation(dice.choice("abc"), start)
         synced = dice.random() < 0.3
         seen = dice.randrange(-1, 6), dice.randrange(4)
         message = dice.choice(
@@ -432,16 +435,16 @@
         machine.received(now, sender, message)
         machine.ticked(max(now, min(machine.next_at(), now + SECOND)))
         for member in machine.alive():
-            before = versions.get(str(member.card.life), -1)
+            before = versions.get(str(member.card.incarnation), -1)
             assert member.card.version >= before
-            versions[str(member.card.life)] = member.card.version
+            versions[str(member.card.incarnation)] = member.card.version
 
 
 def test_whatever_is_said_the_list_keeps_its_rules() -> None:
     for seed in range(200):
         machine = alone()
         babble(machine, seed)
-        assert machine.me.life == Life("me", 5)
+        assert machine.me.incarnation == Incarnation("me", 5)
 
 
 MUTANTS = {
@@ -451,8 +454,8 @@
     ),
     "versions rise": ("max(entry.version, rumour.version), Health.LEFT", "rumour.version, Health.LEFT"),
     "self alive": (
-        "self._local_member.on_rumour(life, rumour.version, health)\n            return\n",
-        "self._local_member.on_rumour(life, rumour.version, health)\n",
+        "self._local_member.on_rumour(incarnation, rumour.version, health)\n            return\n",
+        "self._local_member.on_rumour(incarnation, rumour.version, health)\n",
     ),
 }
 
--- a/tests/test_fleet_rig.py
+++ b/tests/test_fleet_rig.py
@@ -390,7 +390,7 @@
     only where what the dispatchers share is lost with them."""
 
     faults: tuple[Fault, ...] = ()
-    ends_at: tuple[tuple[int, str], ...] = ()  # dispatchers' first lives end at these points
+    ends_at: tuple[tuple[int, str], ...] = ()  # dispatchers' first incarnations end at these points
     ends_first: str = ""  # or the first one that comes to this one
     stops_at: tuple[tuple[int, str, int], ...] = ()  # or stop there, for so many ms
     ends: int = 0
--- a/tests/test_fleet_search.py
+++ b/tests/test_fleet_search.py
@@ -74,7 +74,7 @@
 
 
 def forgetful(patch: pytest.MonkeyPatch) -> None:
-    """The search lets a keeper that has forgotten vote as the life that it was."""
+    """The search lets a keeper that has forgotten vote as the incarnation that it was."""
 
 
 MUTANTS: list[tuple[Callable[[pytest.MonkeyPatch], None], Scenario]] = [
--- a/tests/test_fleet_starvation.py
+++ b/tests/test_fleet_starvation.py
@@ -13,7 +13,7 @@
 from scipy import stats
 
 from ironbarrow.fleet import records
-from ironbarrow.fleet.api import Life
+from ironbarrow.fleet.api import Incarnation
 from ironbarrow.fleet.file import StarvationRules
 from ironbarrow.fleet.invariants import INVARIANTS, InvariantError
 from ironbarrow.fleet.starvation import tables, verdict, waits
@@ -182,24 +182,24 @@
                     rows.append(tables.row_of((tenant, "map", 0), tally))
                 shards = tuple(range(tables.SHARDS))
                 window = Window(number, version, len(rows), tuple(rows))
-                found.append((Life(name, 1), Waits("s", 1, shards, (window,))))
+                found.append((Incarnation(name, 1), Waits("s", 1, shards, (window,))))
     return found
 
 
 def _state(collected):
     return {
-        (shard, life): (
-            collected.kept(shard, life),
-            collected._kept[shard][life].taken,
-            _flat(shard, collected, life),
+        (shard, incarnation): (
+            collected.kept(shard, incarnation),
+            collected._kept[shard][incarnation].taken,
+            _flat(shard, collected, incarnation),
         )
         for shard in range(tables.SHARDS)
-        for life in collected.heard(shard)
+        for incarnation in collected.heard(shard)
     }
 
 
-def _flat(shard, collected, life):
-    return sorted(tables.row_of(k, t) for k, t in collected.others(shard, life).items())
+def _flat(shard, collected, incarnation):
+    return sorted(tables.row_of(k, t) for k, t in collected.others(shard, incarnation).items())
 
 
 def _collect(messages):
@@ -230,12 +230,12 @@
     message = Waits("s", 1, tuple(range(tables.SHARDS)), (Window(0, 9, 1, (row,)),))
     sound = tables.read(row) is not None
     assert not sound or (taken == sum(hist[1::2]) and len(hist) % 2 == 0)
-    collected.take(7, Life("p", 1), message)
+    collected.take(7, Incarnation("p", 1), message)
     if not sound:
         assert collected.dropped["unsound"] == 1
-        rest = {k: v for k, v in _state(collected).items() if k[1] != Life("p", 1)}
+        rest = {k: v for k, v in _state(collected).items() if k[1] != Incarnation("p", 1)}
         assert {k: v[:2] for k, v in rest.items()} == {
-            k: v[:2] for k, v in before.items() if k[1] != Life("p", 1)
+            k: v[:2] for k, v in before.items() if k[1] != Incarnation("p", 1)
         }
 
 
@@ -362,7 +362,8 @@
 # The remedy
 
 SPOTS = [
-    tables.Spot("x", Life(n, 1), "s", 400, wait) for n, wait in (("q", 50_000), ("r", 80_000), ("t", 600_000))
+    tables.Spot("x", Incarnation(n, 1), "s", 400, wait)
+    for n, wait in (("q", 50_000), ("r", 80_000), ("t", 600_000))
 ]
 
 
@@ -418,8 +419,8 @@
     sites = dict.fromkeys("abc", "s")
     fleet = starved.Fleet(sites, {}, RULES, 1)
     machine, now = fleet.machines["a"], fleet.clock.now()
-    assert machine.received(now, Life("z", 1), Waits("s", 1, (0,), ())) == []
-    assert machine.received(now, Life("b", 1), tables.Elsewhere(9, (0,), (), 3, 0, ())) == []
+    assert machine.received(now, Incarnation("z", 1), Waits("s", 1, (0,), ())) == []
+    assert machine.received(now, Incarnation("b", 1), tables.Elsewhere(9, (0,), (), 3, 0, ())) == []
     assert machine.dropped == {"stranger": 1, "not asked for": 1}
 
 
--- a/tests/test_fleet_takeover.py
+++ b/tests/test_fleet_takeover.py
@@ -292,7 +292,7 @@
 
 
 def _has_it_twice(self: Takeover, now: int, news: Any) -> list[Any]:
-    self.taken_over |= {opened.life: True for opened in self.open.values()}
+    self.taken_over |= {opened.incarnation: True for opened in self.open.values()}
     return _TOLD(self, now, news)
 
 
