--- a/ironbarrow/fleet/members/failure_detector.py
+++ b/ironbarrow/fleet/members/failure_detector.py
@@ -115,8 +115,10 @@
 
     def next_at(self) -> int:
         """When something is due, ns; NEVER if nothing is."""
-        probes = min((probe.next_at for probe in self._probes.values()), default=NEVER)
-        return min(self._next_probe_at, probes, self.relays.next_at())
+        due = min(self._next_probe_at, self.relays.next_at())
+        for probe in self._probes.values():
+            due = min(due, probe.next_at)
+        return due
 
     def postpone(self, now: int, duration: int) -> None:
         """Makes up for a stop of the process of that duration: no answer could be read meanwhile."""
--- a/ironbarrow/fleet/members/relays.py
+++ b/ironbarrow/fleet/members/relays.py
@@ -63,7 +63,9 @@
 
     def next_at(self) -> int:
         """When the next target is given up, ns; NEVER if there is none."""
-        return min((relay.expires_at for relay in self._relays.values()), default=NEVER)
+        if not self._relays:  # the usual case, asked for with every message
+            return NEVER
+        return min(relay.expires_at for relay in self._relays.values())
 
     def postpone(self, duration: int) -> None:
         """Makes up for a stop of the process."""
--- a/ironbarrow/fleet/members/suspicion.py
+++ b/ironbarrow/fleet/members/suspicion.py
@@ -66,7 +66,9 @@
 
     def next_at(self) -> int:
         """When the next suspicion ends, ns; NEVER if there is none."""
-        return min((entry.suspected_until for entry in self._table.suspects.values()), default=NEVER)
+        if not self._table.suspects:  # the usual case, asked for with every message
+            return NEVER
+        return min(entry.suspected_until for entry in self._table.suspects.values())
 
     def postpone(self, duration: int) -> None:
         """Makes up for a stop of the process: all suspicions last so much longer."""
