Give each dispatcher of a live run a routes file of its own, replaced whole

Cause: `test_where_nobody_starves_nothing_is_told` once failed with "a dispatcher ended at its start"; its log was gone. The starved worlds are the only live tests with routes, and each start of each dispatcher rewrote one routes.toml for the whole run with `Path.write_text` (processes.py, `_config`), which empties the file first. The first dispatcher may read it then: nothing but time kept d1's and d2's starts (11 ms each) before d0's reading (some 200 ms after its own start). Seen: with the file emptied between, `serve` ended with status 2, "Object missing required field `version`". Ruled out: no port is chosen, let go and bound again: `serve` binds 9000 and 9100, below the range of the kernel's own choice (32768 to 60999), at addresses made of the run's process id, and outgoing connections have 127.0.0.1 as their source.

Change: routes, fleet file and configuration are files of each dispatcher, written beside and moved into place.

--- a/ironbarrow/lab/live/processes.py
+++ b/ironbarrow/lab/live/processes.py
@@ -86,8 +86,8 @@
         rules = self._world.dispatchers
         routes = {}
         if rules.routes:
-            path = self._folder / "routes.toml"
-            path.write_text(rules.routes)
+            path = self._folder / f"d{self.number}.routes.toml"
+            _replace_text(path, rules.routes)
             routes["routes"] = str(path)
         return {
             **routes,
@@ -119,7 +119,7 @@
         }
         if self._fleet_file is not None:
             path = self._folder / f"d{self.number}.fleet.toml"
-            path.write_text(self._fleet_file)
+            _replace_text(path, self._fleet_file)
             environment["BALANCER_FLEET"] = str(path)
         if self.fault:
             environment["BALANCER_FAULT"], self.fault = self.fault, ""
@@ -139,9 +139,7 @@
         self._loop.spawn(self._watch(self._process))
 
     def _write_config(self) -> None:
-        fresh = self.config_path.with_suffix(".new")
-        fresh.write_text(json.dumps(self._config()))
-        fresh.replace(self.config_path)
+        _replace_text(self.config_path, json.dumps(self._config()))
 
     def _watch(self, process: subprocess.Popen[bytes]) -> Coroutine[None]:
         begun = self._loop.now()
@@ -245,3 +243,10 @@
             self._process.kill()
         if self._process is not None:
             self._process.wait()
+
+
+def _replace_text(path: Path, text: str) -> None:
+    """Replaces a file. Danger: a process that reads it meanwhile must find the old text or the new one."""
+    fresh = path.with_name(path.name + ".new")
+    fresh.write_text(text)
+    fresh.replace(path)
--- a/ironbarrow/lab/live/run.py
+++ b/ironbarrow/lab/live/run.py
@@ -314,18 +314,22 @@
             self._until_ready()
             result = self._play()
         finally:
-            for instance in self.instances:
-                instance.close()
-            for doors in self._doors.values():
-                for door in doors:
-                    door.close()
-            for agent in self._agents:
-                agent.close()
-            self.links.close()
-            self.loop.close()
+            self.close()
         result.wall_s = time.perf_counter() - begun
         return result
 
+    def close(self) -> None:
+        """Ends the dispatchers' processes and lets go of every socket."""
+        for instance in self.instances:
+            instance.close()
+        for doors in self._doors.values():
+            for door in doors:
+                door.close()
+        for agent in self._agents:
+            agent.close()
+        self.links.close()
+        self.loop.close()
+
     def _until_ready(self) -> None:
         limit = time.monotonic() + 30
         while len(self._ready) < len(self.instances):
