Reserve a loopback network for each live run, and keep the laboratory off dispatchers' addresses

Cause: a live run made its addresses of its process id (run.py, `_host`) and nothing held them. Two runs in one process, or in processes whose ids are 20,000 apart, or in two process namespaces on one host, had the same ones; a dispatcher left over from a run that was killed kept its port from the next run there. Agents of the directory and stand-ins of links listened at any free port of the dispatchers' own addresses, which is 9000 or 9100 where the kernel's choice reaches down so far (it begins at 32768 here). fleet_price.py had fixed addresses.

Change: lab/live/ports.py. A run reserves a /24 network of 127.0.0.0/8 by a socket that it keeps bound, so the kernel holds the reservation over all processes and takes it back when the holder is killed. A network where a dispatcher's port is taken is passed over. The laboratory's own listeners have addresses of their own. `LiveRun.close` lets go of all of it.

--- a/benchmarks/fleet_price.py
+++ b/benchmarks/fleet_price.py
@@ -23,6 +23,7 @@
 from ironbarrow.config.units import ms
 from ironbarrow.lab.fleet.files import fleet_file
 from ironbarrow.lab.live.directory_server import Agent
+from ironbarrow.lab.live.ports import LoopbackNetwork
 from ironbarrow.lab.live.processes import Instance, Program
 from ironbarrow.lab.model import spec
 from ironbarrow.lab.model.directory import Directory, Entry
@@ -205,7 +206,7 @@
     )
 
 
-def play(mode: str, count: int, rate: float, seconds: float, program: Program, base: str) -> dict[str, Any]:
+def play(mode: str, count: int, rate: float, seconds: float, program: Program) -> dict[str, Any]:
     """One round of a mode."""
     keepers = {"k3": 3, "k5": 5}.get(mode, 0)
     of = world(keepers, count)
@@ -216,17 +217,19 @@
     directory.start([Entry(f"p{n}", "north", "", 32.0) for n in range(PROVIDERS)])
     ready: set[int] = set()
     instances, agents, parties = [], [], []
-    addresses = [(f"{base}.{n + 1}", 9000) for n in range(count)]
-    providers = [[(f"{base}.{n + 101}", 9200 + p) for p in range(PROVIDERS)] for n in range(count)]
+    network = LoopbackNetwork.reserve(count)
+    addresses = [network.dispatcher(n) for n in range(count)]
+    members = ["{}:{}".format(*network.fleet_member(n)) for n in range(count)]
+    providers = [[(network.party(n)[0], 9200 + p) for p in range(PROVIDERS)] for n in range(count)]
     for n in range(count):
         names = {f"p{p}": "{}:{}".format(*providers[n][p]) for p in range(PROVIDERS)}
-        agent = Agent(loop, directory, f"d{n}", names, lambda name, up: None, (addresses[n][0], 0))
+        agent = Agent(loop, directory, f"d{n}", names, lambda name, up: None, network.agents)
         agents.append(agent)
         text = None
         if of.dispatchers.fleet is not None:
-            others = {f"d{o}": f"{addresses[o][0]}:9100" for o in range(count) if o != n}
+            others = {f"d{o}": members[o] for o in range(count) if o != n}
             site = of.network.zones[n % 3]
-            text = fleet_file(of.dispatchers.fleet, f"{addresses[n][0]}:9100", site, others)
+            text = fleet_file(of.dispatchers.fleet, members[n], site, others)
         made = Instance(loop, of, n, addresses[n], agent, folder, program, n, text)
         made.on_ready = ready.add
         instances.append(made)
@@ -268,6 +271,7 @@
         for agent in agents:
             agent.close()
         loop.close()
+        network.close()
     waits = sorted(row[1] for row in rows)
     return {
         "mode": mode,
@@ -309,8 +313,7 @@
     for number in range(asked.rounds):
         for mode in asked.modes if number % 2 == 0 else reversed(asked.modes):
             program = Program.in_folder(asked.before.resolve()) if mode == "before" else Program.own()
-            base = f"127.{40 + number}.{10 + asked.modes.index(mode)}"
-            rows.append(play(mode, asked.count, asked.rate, asked.seconds, program, base))
+            rows.append(play(mode, asked.count, asked.rate, asked.seconds, program))
             if not asked.json:
                 print(
                     {k: round(v, 3) if isinstance(v, float) else v for k, v in rows[-1].items()}, flush=True
--- a/ironbarrow/lab/live/rollouts.py
+++ b/ironbarrow/lab/live/rollouts.py
@@ -129,10 +129,10 @@
         self._watch()
 
     def _place_agents(self) -> None:
-        peers = {f"d{n}": "{}:{}".format(*self._fleet_address(n)) for n in range(len(self._listen))}
+        peers = {f"d{n}": "{}:{}".format(*self._loopback.fleet_member(n)) for n in range(len(self._listen))}
         for name in self.fleet.providers:
             box = self.boxes[name] = LiveBox(self, name)
-            self.seats[name] = AgentSeat(self.loop, name, (f"{self._host}.99", 0), box, peers)
+            self.seats[name] = AgentSeat(self.loop, name, self._loopback.agents, box, peers)
 
     def _fleet_file(self, number: int) -> str | None:
         """With the agents' addresses, and the plan at the one that starts it."""
--- a/ironbarrow/lab/live/run.py
+++ b/ironbarrow/lab/live/run.py
@@ -1,6 +1,5 @@
 """A live run: the model's parties in this process, dispatchers in processes of their own, on loopback."""
 
-import os
 import tempfile
 import time
 from collections.abc import Callable
@@ -16,6 +15,7 @@
 from ironbarrow.lab.fleet.logs import read_logs
 from ironbarrow.lab.live.consumers import Consumers
 from ironbarrow.lab.live.directory_server import Agent
+from ironbarrow.lab.live.ports import LoopbackNetwork
 from ironbarrow.lab.live.processes import Instance, Program
 from ironbarrow.lab.live.provider_server import Door
 from ironbarrow.lab.live.wire import Client
@@ -31,15 +31,12 @@
 from ironbarrow.lab.settings import zone_of
 from ironbarrow.runtime.clock import MS, SECOND
 from ironbarrow.runtime.loop import Coroutine, Loop, sleep
-from ironbarrow.runtime.sockets import Address
 
 log = structlog.get_logger()
 
 SOCKETS_SLACK = 50 * MS  # each time limit is so much longer on sockets
 LATE = 20 * MS  # a generator whose 99th percentile of lateness is over this marks its result
 _SAMPLE_STEP = 250 * MS
-_PORT = 9000
-_FLEET_PORT = 9100
 _SEES_STOP = 20 * MS
 
 
@@ -85,16 +82,14 @@
         self._progress = progress
         self.loop = loop = Loop(self._failed)
         self.errors = 0
-        # addresses of this run's own on the loopback net; ports of outgoing connections are elsewhere
-        net = 1 + os.getpid() % 200
-        self._host = f"127.{64 + os.getpid() // 200 % 100}.{net}"
         self.streams = Streams(seed)
         self.audit = Auditor(loop, world, sockets_slack=SOCKETS_SLACK)
         self.fleet = _LiveFleet(loop, world, self.streams, self.audit)
         self._habits = Habits(loop, world, self.streams)
         self._doors: dict[str, list[Door]] = {}
         count = world.dispatchers.count
-        self._listen = [(f"{self._host}.{n + 1}", _PORT) for n in range(count)]
+        self._loopback = LoopbackNetwork.reserve(count)
+        self._listen = [self._loopback.dispatcher(n) for n in range(count)]
         self._call_backs = [Client(loop, address) for address in self._listen]
         self._addresses: list[dict[str, str]] = [{} for _ in range(count)]
         self._directory_told: list[set[str]] = [set() for _ in range(count)]
@@ -128,7 +123,7 @@
         if world.dispatchers.fleet is not None and stand_ins:
             self._routes = {
                 (n, other): self.links.add(
-                    f"d{n}", f"d{other}", (f"{self._host}.{1 + n}", 0), self._fleet_address(other)
+                    f"d{n}", f"d{other}", self._loopback.party(n), self._loopback.fleet_member(other)
                 )
                 for n in range(count)
                 for other in range(count)
@@ -141,9 +136,6 @@
         self.errors += 1
         log.error("a party of the laboratory failed", exc_info=error)
 
-    def _fleet_address(self, number: int) -> Address:
-        return self._listen[number][0], _FLEET_PORT
-
     def _fleet_file(self, number: int) -> str | None:
         """Of one dispatcher: it finds each other one at the stand-in of that way."""
         rules = self.world.dispatchers.fleet
@@ -152,9 +144,11 @@
         others = {}
         for other in range(len(self._listen)):
             if other != number:
-                address = self._routes[number, other] if self._stand_ins else self._fleet_address(other)
+                address = (
+                    self._routes[number, other] if self._stand_ins else self._loopback.fleet_member(other)
+                )
                 others[f"d{other}"] = "{}:{}".format(*address)
-        listen = "{}:{}".format(*self._fleet_address(number))
+        listen = "{}:{}".format(*self._loopback.fleet_member(number))
         return fleet_file(rules, listen, zone_of(self.world, number), others)
 
     def _add_instance(self, number: int) -> None:
@@ -167,7 +161,7 @@
             f"d{number}",
             self._addresses[number],
             told,
-            (self._listen[number][0], 0),
+            self._loopback.party(number),
         )
         instance = Instance(
             self.loop,
@@ -200,7 +194,7 @@
             door = Door(
                 self.loop,
                 provider,
-                (f"{self._host}.{101 + number}", 0),
+                self._loopback.party(number),
                 zone=zone,
                 call_back=client,
                 needs=self._habits.needs,
@@ -329,6 +323,7 @@
             agent.close()
         self.links.close()
         self.loop.close()
+        self._loopback.close()
 
     def _until_ready(self) -> None:
         limit = time.monotonic() + 30
--- a/tests/test_live.py
+++ b/tests/test_live.py
@@ -1,11 +1,18 @@
 """Live runs: what their dispatchers' processes find at a start, and what is told of one that ended there."""
 
+import os
+import socket
+import subprocess
+import sys
 import time
 from pathlib import Path
 
 import msgspec
 import pytest
 
+from ironbarrow.lab.live import ports
+from ironbarrow.lab.live.ports import LoopbackError, LoopbackNetwork
+from ironbarrow.lab.live.processes import Program
 from ironbarrow.lab.live.run import LiveRun
 from ironbarrow.lab.model.spec import World, convert
 from ironbarrow.runtime.loop import MS
@@ -39,8 +46,8 @@
 START_LIMIT_S = 30.0
 
 
-def routed_run(folder: Path) -> LiveRun:
-    return LiveRun(convert(msgspec.toml.decode(ROUTED), World, "routed"), 1, folder)
+def routed_run(folder: Path, program: Program | None = None) -> LiveRun:
+    return LiveRun(convert(msgspec.toml.decode(ROUTED), World, "routed"), 1, folder, program)
 
 
 def turn_until_ready_or_ended(run: LiveRun, number: int) -> None:
@@ -75,3 +82,104 @@
         assert second.status is None, second.log_path.read_text()
     finally:
         run.close()
+
+
+# Addresses
+
+_HOLDER = """
+import sys
+from ironbarrow.lab.live import ports
+ports._FIRST_SECOND_BYTE, ports._FIRST_THIRD_BYTE, ports._NETWORKS = {range}
+network = ports.LoopbackNetwork.reserve(2)
+print(network.prefix, flush=True)
+sys.stdin.read()
+"""
+
+
+@pytest.fixture
+def own_range(monkeypatch: pytest.MonkeyPatch) -> tuple[int, int, int]:
+    """Four networks that no other live run comes to, nor the tests in another process."""
+    number = os.getpid()
+    chosen = (200 + number % 50, 1 + 4 * (number // 50 % 50), 4)
+    for name, value in zip(("_FIRST_SECOND_BYTE", "_FIRST_THIRD_BYTE", "_NETWORKS"), chosen, strict=True):
+        monkeypatch.setattr(ports, name, value)
+    return chosen
+
+
+def test_two_runs_side_by_side_in_one_process_both_come_up(tmp_path: Path) -> None:
+    runs = [routed_run(tmp_path / name) for name in ("a", "b")]
+    try:
+        for run in runs:
+            for instance in run.instances:
+                instance.start()
+        for run in runs:
+            for number in range(2):
+                turn_until_ready_or_ended(run, number)
+        found = [(i.status, i.log_path.read_text()) for run in runs for i in run.instances if i.ended_at]
+        assert found == []
+    finally:
+        for run in runs:
+            run.close()
+
+
+def test_a_network_has_one_holder_over_all_processes_and_is_free_once_that_is_killed(
+    own_range: tuple[int, int, int],
+) -> None:
+    others = [LoopbackNetwork.reserve(2) for _ in range(3)]
+    holder = subprocess.Popen(
+        [sys.executable, "-c", _HOLDER.replace("{range}", str(own_range))],
+        cwd=Program.own().folder,
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    try:
+        assert holder.stdout is not None
+        held = holder.stdout.readline().strip()
+        assert len({held, *(network.prefix for network in others)}) == 4
+        with pytest.raises(LoopbackError, match="no free loopback network"):
+            LoopbackNetwork.reserve(2)
+    finally:
+        holder.kill()
+        holder.communicate(timeout=10)
+    for _ in range(2):
+        again = LoopbackNetwork.reserve(2)
+        assert again.prefix == held
+        again.close()
+    for network in others:
+        network.close()
+
+
+@pytest.mark.parametrize("port", [ports.DISPATCHER_PORT, ports.FLEET_PORT])
+def test_a_network_in_which_a_dispatcher_was_left_over_is_passed_over(port: int, own_range: object) -> None:
+    network = LoopbackNetwork.reserve(2)
+    network.close()
+    with socket.create_server((network.dispatcher(1)[0], port)):
+        other = LoopbackNetwork.reserve(2)
+        assert other.prefix != network.prefix
+        other.close()
+
+
+def test_addresses_of_a_network_are_distinct_and_its_size_is_checked() -> None:
+    network = LoopbackNetwork.reserve(ports.MOST_DISPATCHERS)
+    numbers = range(ports.MOST_DISPATCHERS)
+    hosts = [address(n)[0] for address in (network.dispatcher, network.party) for n in numbers]
+    hosts.append(network.agents[0])
+    network.close()
+    assert len(set(hosts)) == len(hosts)
+    assert all(socket.inet_aton(host) for host in hosts)
+    assert [network.fleet_member(n)[0] for n in numbers] == [network.dispatcher(n)[0] for n in numbers]
+    with pytest.raises(LoopbackError, match="expected at most"):
+        LoopbackNetwork.reserve(ports.MOST_DISPATCHERS + 1)
+
+
+def test_nothing_of_the_laboratory_listens_at_a_dispatchers_address(tmp_path: Path) -> None:
+    """Where the kernel's own choice of ports reaches down to the dispatchers' it could be given theirs."""
+    run = routed_run(tmp_path)
+    try:
+        hosts = {instance.address[0] for instance in run.instances}
+        listeners = [agent.address for agent in run._agents]
+        listeners += [door.address for doors in run._doors.values() for door in doors]
+        assert listeners and not hosts & {host for host, _ in listeners}
+    finally:
+        run.close()
