Print the last log lines of dispatchers with which a live run could not start

Need: a failed start named a folder that is gone with the test's own. Change: the LiveError brings, for each dispatcher that ended or is not ready, its exit status and the last ten lines of its log.

--- a/ironbarrow/lab/live/processes.py
+++ b/ironbarrow/lab/live/processes.py
@@ -22,6 +22,8 @@
 _READY_EVERY = 20 * MS
 _READY_LIMIT = 10 * SECOND
 _ALIVE_EVERY = 10 * MS
+_LAST_LINES = 10
+_LINE_LENGTH = 500  # of each, at most
 
 
 @dataclass(slots=True)
@@ -218,6 +220,14 @@
         """The exit status of the last process; None while it runs."""
         return None if self._process is None else self._process.poll()
 
+    @property
+    def last_words(self) -> str:
+        """Its exit status and the last lines of its log, for the message of a failure."""
+        ended = "runs" if self.status is None else f"exit status {self.status}"
+        text = self.log_path.read_text(errors="replace") if self.log_path.exists() else ""
+        lines = [f"  {line[:_LINE_LENGTH]}" for line in text.splitlines()[-_LAST_LINES:]]
+        return "\n".join([f"d{self.number}, {ended}, log ends with:", *(lines or ["  (nothing)"])])
+
     def stop(self) -> None:
         """SIGTERM; SIGKILL if it has not ended when its stop time is over."""
         self._expected = True
--- a/ironbarrow/lab/live/run.py
+++ b/ironbarrow/lab/live/run.py
@@ -38,6 +38,7 @@
 LATE = 20 * MS  # a generator whose 99th percentile of lateness is over this marks its result
 _SAMPLE_STEP = 250 * MS
 _SEES_STOP = 20 * MS
+_START_LIMIT_S = 30
 
 
 class LiveError(Exception):
@@ -326,14 +327,19 @@
         self._loopback.close()
 
     def _until_ready(self) -> None:
-        limit = time.monotonic() + 30
+        limit = time.monotonic() + _START_LIMIT_S
         while len(self._ready) < len(self.instances):
             if time.monotonic() > limit:
-                raise LiveError(f"not all dispatchers are ready after 30 s; see their logs in {self._folder}")
-            if any(instance.crashes for instance in self.instances):
-                raise LiveError(f"a dispatcher ended at its start; see its log in {self._folder}")
+                late = [one for one in self.instances if one.number not in self._ready]
+                raise self._failed_start(f"not all dispatchers are ready after {_START_LIMIT_S} s", late)
+            if ended := [instance for instance in self.instances if instance.crashes]:
+                raise self._failed_start("a dispatcher ended at its start", ended)
             self._turn(100 * MS)
 
+    def _failed_start(self, what: str, concerned: list[Instance]) -> LiveError:
+        logs = "\n".join(instance.last_words for instance in concerned)
+        return LiveError(f"{what}; logs are in {self._folder}\n{logs}")
+
     def _turn(self, most: int) -> None:
         self.loop.call_at(self.loop.now() + most, _nothing)
         self.loop.turn()
--- a/tests/test_live.py
+++ b/tests/test_live.py
@@ -13,7 +13,7 @@
 from ironbarrow.lab.live import ports
 from ironbarrow.lab.live.ports import LoopbackError, LoopbackNetwork
 from ironbarrow.lab.live.processes import Program
-from ironbarrow.lab.live.run import LiveRun
+from ironbarrow.lab.live.run import LiveError, LiveRun
 from ironbarrow.lab.model.spec import World, convert
 from ironbarrow.runtime.loop import MS
 
@@ -183,3 +183,35 @@
         assert listeners and not hosts & {host for host, _ in listeners}
     finally:
         run.close()
+
+
+# What is told of a start that failed
+
+_TALKS_AND_ENDS = """
+for number in range(30):
+    print("line", number, "of the log", flush=True)
+raise SystemExit(3)
+"""
+
+
+def test_a_dispatcher_that_ends_at_its_start_is_told_with_its_status_and_last_lines(tmp_path: Path) -> None:
+    run = routed_run(tmp_path, Program([sys.executable, "-c", _TALKS_AND_ENDS], tmp_path))
+    with pytest.raises(LiveError) as caught:
+        run.run()
+    text = str(caught.value)
+    assert "ended at its start" in text and str(tmp_path) in text
+    assert "exit status 3" in text
+    assert "line 29 of the log" in text and "line 20 of the log" in text
+    assert "line 19 of the log" not in text
+
+
+def test_a_dispatcher_that_does_not_become_ready_is_told_with_its_last_lines(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("ironbarrow.lab.live.run._START_LIMIT_S", 0.3)
+    talks = "import time; print('still at it', flush=True); time.sleep(60)"
+    run = routed_run(tmp_path, Program([sys.executable, "-c", talks], tmp_path))
+    with pytest.raises(LiveError) as caught:
+        run.run()
+    text = str(caught.value)
+    assert "not all dispatchers are ready" in text and "d0, runs" in text and "d1, runs" in text
