--- a/ironbarrow/lab/live/processes.py
+++ b/ironbarrow/lab/live/processes.py
@@ -20,7 +20,6 @@
 from ironbarrow.runtime.sockets import Address
 
 _READY_EVERY = 20 * MS
-_READY_LIMIT = 10 * SECOND
 _ALIVE_EVERY = 10 * MS
 _LAST_LINES = 10
 _LINE_LENGTH = 500  # of each, at most
@@ -155,8 +154,6 @@
                     break
             except ConnectionEndedError:
                 pass
-            if self._loop.now() > begun + _READY_LIMIT:
-                break
             yield from sleep(self._loop.now() + _READY_EVERY)
         turns = 0
         while process.poll() is None:
--- a/ironbarrow/lab/live/run.py
+++ b/ironbarrow/lab/live/run.py
@@ -304,15 +304,19 @@
         """Plays it in real time; a LiveError if the dispatchers do not come up."""
         begun = time.perf_counter()
         try:
-            for instance in self.instances:
-                instance.start()
-            self._until_ready()
+            self.start()
             result = self._play()
         finally:
             self.close()
         result.wall_s = time.perf_counter() - begun
         return result
 
+    def start(self) -> None:
+        """Starts the dispatchers; a LiveError unless all of them become ready."""
+        for instance in self.instances:
+            instance.start()
+        self._until_ready()
+
     def close(self) -> None:
         """Ends the dispatchers' processes and lets go of every socket."""
         for instance in self.instances:
--- a/tests/test_live.py
+++ b/tests/test_live.py
@@ -15,7 +15,7 @@
 from ironbarrow.lab.live.processes import Program
 from ironbarrow.lab.live.run import LiveError, LiveRun
 from ironbarrow.lab.model.spec import World, convert
-from ironbarrow.runtime.loop import MS
+from ironbarrow.runtime.loop import MS, SECOND
 
 ROUTED = """
 name = "routed"
@@ -84,6 +84,22 @@
         run.close()
 
 
+def test_a_dispatcher_that_takes_long_to_come_up_is_noticed_when_it_has(tmp_path: Path) -> None:
+    run = routed_run(tmp_path)
+    instance = run.instances[0]
+    try:
+        instance.start()
+        instance.pause()
+        run._turn(20 * MS)  # somebody watches it
+        run.loop._offset += 12 * SECOND  # the time that is called a long one here
+        run._turn(20 * MS)
+        instance.go_on()
+        turn_until_ready_or_ended(run, 0)
+        assert instance.ready_after and instance.ready_after[0] > 12 * SECOND
+    finally:
+        run.close()
+
+
 # Addresses
 
 _HOLDER = """
