Test that what could not be called off for another dispatcher is not sent again

Need: the mend of attempts keeps a job that was taken over for its call-back until its worker has confirmed the DELETE; nothing forced the case where it never does. Change: the work world of the laboratory can lose such DELETEs; the test asks for one start, and for the call-back's result or a refusal at the deadline. Without the confirmation the case that outlasts the deadline fails.

--- a/ironbarrow/lab/fleet/work.py
+++ b/ironbarrow/lab/fleet/work.py
@@ -180,7 +180,10 @@
         self._out.discard(call)
 
     def call_off(self, job_id: str, provider: str, until: int, done: Callable[[bool], None]) -> None:
-        self._delete(provider, job_id, lambda: done(True))
+        if self._world.deletes_lost:
+            self._clock.call_at(until, done, False)
+        else:
+            self._delete(provider, job_id, lambda: done(True))
 
     def called_back(self, raw: Any) -> bool:
         call = self.host.call_out(raw["id"], raw["from"])
@@ -242,6 +245,7 @@
         self.settings, self.seed = settings, seed
         self.fleet = fleet or Fleet(listen="127.0.0.1:0")
         self.refuses = self.fails = self.returns = 0.0
+        self.deletes_lost = False  # providers can't be told to stop what another dispatcher sent
         self.call_backs_to: str | None = None  # None: to any dispatcher
         self.lasts = (100 * MS, 600 * MS)
         self.written: Counter[str] = Counter()  # by id
--- a/tests/test_fleet_takeover.py
+++ b/tests/test_fleet_takeover.py
@@ -141,6 +141,20 @@
     assert not played.providers.copies and not played.broken(UNSAFE) and not played.providers.unheard
 
 
+@pytest.mark.parametrize(("lasts", "verdict"), [(1700, Verdict.SERVED), (20_000, Verdict.REJECTED)])
+def test_what_could_not_be_called_off_is_not_sent_again(lasts: int, verdict: Verdict) -> None:
+    # danger: its provider may be cut off from the heir alone, and runs on
+    played = world()
+    played.lasts = (ms(lasts), ms(lasts))
+    played.deletes_lost = True
+    order = played.order("j", "map", ms(5000), "d0")
+    played.run(ms(300))
+    played.kill("d0")
+    played.run(ms(9000))
+    assert [a and a.verdict for a in order.heard] == [verdict]
+    assert played.providers.starts["j"] == 1 and not played.providers.copies
+
+
 def test_stopped_between_the_look_and_the_write_nothing_is_sent_twice() -> None:
     """Where a lease would fail: the process has all it needs to send, is stopped, and others go on."""
     played = world()
