--- a/ironbarrow/lab/fleet/work.py
+++ b/ironbarrow/lab/fleet/work.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from heathway import api
+from ironbarrow.core.attempt import Progress
 from ironbarrow.core.endings import Ending
 from ironbarrow.core.host import Answer, Call, Host, Payload, Verdict
 from ironbarrow.fleet.api import Action, Card
@@ -28,6 +29,7 @@
 
 _TRIP = MS // 2  # between dispatcher and provider, one way
 _CONNECT = 2 * MS
+_UNCONFIRMED_AFTER = 300 * MS  # where DELETEs are lost
 _CALL_BACK_TRIES = 12
 _CALL_BACK_PAUSE = 250 * MS
 _ENDS = {"done": Ending.DONE, "failed": Ending.FAILED, "returned": Ending.RETURNED, "lost": Ending.LOST}
@@ -151,7 +153,7 @@
 
     def _answered(self, call: Call, taken: bool) -> None:
         if taken:
-            call.accepted = True
+            call.reach(Progress.ACCEPTED)
         elif call in self._out:
             self._end(call, Ending.NOT_PROCESSED)
 
@@ -178,8 +180,11 @@
     def let_go(self, call: Call) -> None:
         self._out.discard(call)
 
-    def call_off(self, job_id: str, provider: str, until: int, done: Callable[[], None]) -> None:
-        self._delete(provider, job_id, done)
+    def call_off(self, job_id: str, provider: str, until: int, done: Callable[[bool], None]) -> None:
+        if self._world.deletes_lost:
+            self._clock.call_at(min(until, self._clock.now() + _UNCONFIRMED_AFTER), done, False)
+        else:
+            self._delete(provider, job_id, lambda: done(True))
 
     def called_back(self, raw: Any) -> bool:
         call = self.host.call_out(raw["id"], raw["from"])
@@ -241,6 +246,7 @@
         self.settings, self.seed = settings, seed
         self.fleet = fleet or Fleet(listen="127.0.0.1:0")
         self.refuses = self.fails = self.returns = 0.0
+        self.deletes_lost = False  # providers can't be told to stop what another dispatcher sent
         self.call_backs_to: str | None = None  # None: to any dispatcher
         self.lasts = (100 * MS, 600 * MS)
         self.written: Counter[str] = Counter()  # by id
