Use the field's standard names: client, worker, refusal, discovery

Need: consumer, provider, rejection and directory were names of our own for what the protocol and the decisions call client, worker, refusal and discovery; a newcomer met two words for each.

--- a/ironbarrow/core/endings.py
+++ b/ironbarrow/core/endings.py
@@ -8,7 +8,7 @@
 class Ending(Enum):
     """How it ended. For an invoker call, ``outcome_of`` tells the module's word for it."""
 
-    # told by the provider
+    # told by the worker
     DONE = auto()  # call-back: done
     FAILED = auto()  # call-back: failed
     RETURNED = auto()  # call-back: returned
@@ -19,7 +19,7 @@
     NO_DESCRIPTOR = auto()  # this process has no socket left
     CONNECT_REFUSED = auto()
     CONNECT_TIMED_OUT = auto()
-    DRAINED = auto()  # the provider was listed as draining or gone before the first byte went out
+    DRAINED = auto()  # the worker was listed as draining or gone before the first byte went out
     # the connection itself
     CLOSED = auto()  # the peer closed it
     RESET = auto()  # it broke
@@ -42,7 +42,7 @@
 
 
 _BREAKS = frozenset((Ending.CLOSED, Ending.RESET, Ending.STALLED, Ending.MALFORMED, Ending.TOO_LARGE))
-# before the last byte each of them closes the connection; GIVEN_UP does too, but there the provider may be
+# before the last byte each of them closes the connection; GIVEN_UP does too, but there the worker may be
 # well, and as a failed connection it would be set aside (``Host`` tells the two apart)
 _UNSENT = _BREAKS | {Ending.TIMED_OUT}
 
@@ -53,7 +53,7 @@
     Ending.RETURNED: Outcome.FULL,
     Ending.NOT_PROCESSED: Outcome.FULL,
     # danger: reported as a failed connection, a drain or a lack of own sockets would count as the
-    # provider's failure and set it aside
+    # worker's failure and set it aside
     Ending.DRAINED: Outcome.FULL,
     Ending.NO_DESCRIPTOR: Outcome.FULL,
     Ending.CONNECT_REFUSED: Outcome.CONNECT_FAILED,
--- a/ironbarrow/core/host.py
+++ b/ironbarrow/core/host.py
@@ -1,7 +1,7 @@
 """The module's host: owns jobs and calls, feeds events, carries out actions in order.
 
 It knows no wire protocol. A front (``fronts``) hands in jobs and is given their final
-answers; a back (``Invoker``) carries calls to providers and tells how they ended. Both may be of
+answers; a back (``Invoker``) carries calls to workers and tells how they ended. Both may be of
 any protocol: the decisions and the rules are the same.
 """
 
@@ -27,11 +27,11 @@
     """The kinds of final answer."""
 
     SERVED = "served"
-    REJECTED = "rejected"
+    REFUSED = "refused"
     FAILED = "failed"
 
 
-_COUNTED_AS = {Verdict.SERVED: "served", Verdict.REJECTED: "refused", Verdict.FAILED: "failed"}
+_COUNTED_AS = {Verdict.SERVED: "served", Verdict.REFUSED: "refused", Verdict.FAILED: "failed"}
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,14 +45,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Payload:
-    """What passes on to a provider unchanged. The host looks at the id alone."""
+    """What passes on to a worker unchanged. The host looks at the id alone."""
 
     id: str
     method: str
     target: str
     body: bytes
     content_type: str = ""
-    idempotency_key: str = ""  # by which providers know a repeat of a keyed job
+    idempotency_key: str = ""  # by which workers know a repeat of a keyed job
 
 
 class Watch(Protocol):
@@ -65,7 +65,7 @@
         """Whether a budget is left for one more attempt; takes it out."""
 
     def ended(self, now: int, *, in_time: bool) -> None:
-        """The job has its final answer, or its consumer is gone."""
+        """The job has its final answer, or its client is gone."""
 
 
 class Waits(Protocol):
@@ -78,7 +78,7 @@
         """The job waits, ``since`` when it was taken; also one that came back and has not run."""
 
     def started(self, now: int, number: int) -> None:
-        """A provider runs it, or has it where providers don't tell that."""
+        """A worker runs it, or has it where workers don't tell that."""
 
     def ended(self, now: int, number: int) -> None:
         """Nothing more is owed of it."""
@@ -91,7 +91,7 @@
         """It goes out now."""
 
     def started(self, call: "Call") -> None:
-        """Its provider runs it; not told by all."""
+        """Its worker runs it; not told by all."""
 
     def ended(self, call: "Call", ending: Ending, report: api.LoadReport | None) -> None:
         """It is over, once."""
@@ -134,7 +134,7 @@
 
     job: Job
     number: int
-    provider: str
+    worker: str
     sent_at: int
     until: int  # when this side stops waiting for it
     progress: Progress = Progress.CONNECTING
@@ -151,12 +151,12 @@
 
     @property
     def accepted(self) -> bool:
-        """Whether the provider has told that it has the job."""
+        """Whether the worker has told that it has the job."""
         return self.progress >= Progress.ACCEPTED
 
     @property
     def started(self) -> bool:
-        """Whether the provider has told that it runs the job."""
+        """Whether the worker has told that it runs the job."""
         return self.progress >= Progress.STARTED
 
     def reach(self, progress: Progress) -> None:
@@ -169,23 +169,23 @@
 
 
 class Invoker(Protocol):
-    """What carries calls to providers."""
+    """What carries calls to workers."""
 
     def start(self, call: Call) -> None:
         """Sends it; ``Host.call_ended`` tells of its end."""
 
     def give_up(self, call: Call, ending: Ending) -> None:
-        """Calls it off at the provider, and tells ``ending`` once it is proven that the call is over, unless
+        """Calls it off at the worker, and tells ``ending`` once it is proven that the call is over, unless
         another came first. The host waits for that up to the job's deadline."""
 
     def let_go(self, call: Call) -> None:
-        """Closes what it holds of a call; nothing is told to the provider, nor of the call's end."""
+        """Closes what it holds of a call; nothing is told to the worker, nor of the call's end."""
 
-    def probe(self, provider: str) -> None:
-        """Checks a provider; ``Host.probe_ended`` tells the result."""
+    def probe(self, worker: str) -> None:
+        """Checks a worker; ``Host.probe_ended`` tells the result."""
 
-    def close_idle(self, provider: str) -> None:
-        """Closes the idle connections to a provider."""
+    def close_idle(self, worker: str) -> None:
+        """Closes the idle connections to a worker."""
 
 
 class Host:
@@ -196,7 +196,7 @@
         self.traced = traced  # each event and action is logged
         self.settings = settings
         self.invoker: Invoker
-        # begins to follow the directory, or stops; where the decisions say when
+        # begins to follow the discovery service, or stops; where the decisions say when
         self.follow: Callable[[bool], None] | None = None
         # told of each call that has ended; where others may have to go on with its job
         self.call_over: Callable[[Call], None] | None = None
@@ -214,7 +214,7 @@
         self._next_at = 0
         self._planned = False
         self._states: dict[str, api.WorkerState] = {}
-        self._starts: dict[str, int] = {}  # when each provider last started, as listed; ns
+        self._starts: dict[str, int] = {}  # when each worker last started, as listed; ns
         self._classes = {cls.name: cls for cls in settings.classes}
         if traced:
             trace.begun(loop.now(), settings)
@@ -244,12 +244,12 @@
 
     @property
     def avoided(self) -> frozenset[str]:
-        """The providers that the decisions have set aside: they get a trial job now and then, at the most."""
+        """The workers that the decisions have set aside: they get a trial job now and then, at the most."""
         return self._dispatcher.ring.aside()
 
     @property
     def workers(self) -> list[api.WorkerEntry]:
-        """The providers as they are listed now."""
+        """The workers as they are listed now."""
         return [worker.entry for worker in self._dispatcher.ring.workers]
 
     @property
@@ -260,7 +260,7 @@
 
     @property
     def listed(self) -> bool:
-        """Whether any list of providers has come in."""
+        """Whether any list of workers has come in."""
         return bool(self._states)
 
     def knows(self, job_id: str) -> bool:
@@ -312,14 +312,14 @@
         return job
 
     def withdraw(self, job: Job) -> None:
-        """The consumer is gone: nothing more is owed."""
+        """The client is gone: nothing more is owed."""
         if not job.over:
             self._conclude(job)
             self._post(api.JobWithdrawn(job.number))
             self._forget_if_done(job)
 
     def let_go(self, job: Job) -> None:
-        """Another process has the job now, with its consumer and with the call that is out: this one owes
+        """Another process has the job now, with its client and with the call that is out: this one owes
         nothing more and calls nothing off."""
         for call in job.calls:
             call.ended = True
@@ -327,7 +327,7 @@
                 call.timer.cancel()
         self.withdraw(job)
 
-    def providers_listed(self, news: api.WorkerList) -> None:
+    def workers_listed(self, news: api.WorkerList) -> None:
         """Danger: sends that wait behind this must not go out before the module knows of a drain."""
         for entry in news.entries:
             self._states[entry.worker] = entry.state
@@ -337,7 +337,7 @@
                 if name not in listed:
                     self._states[name] = api.WorkerState.GONE
         self._states = {n: s for n, s in self._states.items() if s is not api.WorkerState.GONE}
-        # danger: told after the list, the end of a call would count against the provider's new process
+        # danger: told after the list, the end of a call would count against the worker's new process
         self._end_restarted(news.entries)
         self._events.append(news)
         self._run()
@@ -345,24 +345,24 @@
             self.on_listed()
 
     def _end_restarted(self, entries: tuple[api.WorkerEntry, ...]) -> None:
-        """Ends the calls that were out at a provider's earlier process."""
+        """Ends the calls that were out at a worker's earlier process."""
         later = {e.worker for e in entries if e.started_at > self._starts.get(e.worker, 0)}
         self._starts.update((e.worker, e.started_at) for e in entries if e.worker in later)
         self._starts = {name: at for name, at in self._starts.items() if name in self._states}
         now = self.loop.now()
         out = [call for job in self._jobs.values() for call in job.calls if not call.ended] if later else []
         for call in out:
-            started_at = self._starts.get(call.provider, 0)
+            started_at = self._starts.get(call.worker, 0)
             if restarted(started_at, call.written_at, now) and call.is_over(Observation.RESTARTED):
                 self.invoker.let_go(call)
                 self.call_ended(call, Ending.LOST)
 
-    def may_send_to(self, provider: str) -> bool:
-        return self._states.get(provider) is api.WorkerState.UP
+    def may_send_to(self, worker: str) -> bool:
+        return self._states.get(worker) is api.WorkerState.UP
 
     def barred(self, call: Call) -> Ending | None:
         """Why the call's first byte may not go out now; None: it may. Asked at the last moment. Danger: the
-        consumer may have gone, the time be over or the provider have been told to drain while a connection
+        client may have gone, the time be over or the worker have been told to drain while a connection
         came up or the call waited for anything else; the module decided before all that."""
         now = self.loop.now()
         if call.ended or call.given_up or call.job.over:
@@ -371,7 +371,7 @@
             return self._out_of_time(call)
         if now >= self.send_by(call):
             return Ending.NOT_SENT
-        return None if self.may_send_to(call.provider) else Ending.DRAINED
+        return None if self.may_send_to(call.worker) else Ending.DRAINED
 
     def send_by(self, call: Call) -> int:
         """Until when the call's last byte may go out. Danger: a keyed job's repeat is dropped only within the
@@ -384,12 +384,12 @@
             return call.until
         return min(call.until, risky.sent_at + cls.window - self.settings.tick)
 
-    def call_out(self, job_id: str, provider: str) -> Call | None:
-        """The call of that id that is out at that provider."""
+    def call_out(self, job_id: str, worker: str) -> Call | None:
+        """The call of that id that is out at that worker."""
         job = self._by_id.get(job_id)
         if job is None:
             return None
-        return next((c for c in job.calls if c.provider == provider and not c.ended), None)
+        return next((c for c in job.calls if c.worker == worker and not c.ended), None)
 
     def call_written(self, call: Call) -> None:
         """The request's last byte is written, or must have been: it counts as an attempt, once."""
@@ -405,13 +405,13 @@
                 self.waits.started(self.loop.now(), call.job.number)
             if self.attempts is not None:
                 self.attempts.started(call)
-            self._post(api.AttemptNote(call.job.number, call.number, call.provider, api.NoteKind.STARTED))
+            self._post(api.AttemptNote(call.job.number, call.number, call.worker, api.NoteKind.STARTED))
 
     def call_progressed(self, call: Call, share: float) -> None:
         if not call.ended:
             call.reach(Progress.STARTED)
             self._post(
-                api.AttemptNote(call.job.number, call.number, call.provider, api.NoteKind.PROGRESS, share)
+                api.AttemptNote(call.job.number, call.number, call.worker, api.NoteKind.PROGRESS, share)
             )
 
     def call_ended(
@@ -448,7 +448,7 @@
             api.AttemptEnded(
                 job.number,
                 call.number,
-                call.provider,
+                call.worker,
                 outcome_of(ending, call.written),
                 job.over,
                 self.loop.now() - call.sent_at,
@@ -459,9 +459,9 @@
         self._forget_if_done(job)
 
     def probe_ended(
-        self, provider: str, ending: Ending, elapsed: int, report: api.LoadReport | None = None
+        self, worker: str, ending: Ending, elapsed: int, report: api.LoadReport | None = None
     ) -> None:
-        self._post(api.ProbeEnded(provider, outcome_of(ending, written=True), elapsed, report))
+        self._post(api.ProbeEnded(worker, outcome_of(ending, written=True), elapsed, report))
 
     # The module's turn
 
@@ -531,7 +531,7 @@
             # danger: it can't be called off, and left behind it would still run beside the next one
             self._wait_to_deadline(call)
             return
-        if call.until >= call.job.deadline:  # the final answer is due: the module is told before the provider
+        if call.until >= call.job.deadline:  # the final answer is due: the module is told before the worker
             self.call_ended(call, self._out_of_time(call))
         if call.given_up:
             self.invoker.let_go(call)
@@ -540,7 +540,7 @@
 
     def _out_of_time(self, call: Call) -> Ending:
         """Danger: told as a time-out, a booking whose last byte was never written could not be refused; told
-        as a failed connection, the provider would be set aside where the job's time was short."""
+        as a failed connection, the worker would be set aside where the job's time was short."""
         unsent = not call.written and call.until >= call.job.deadline
         return Ending.NOT_SENT if unsent else Ending.TIMED_OUT
 
@@ -550,7 +550,7 @@
             return
         call, cls = job.calls[action.attempt], self._classes[job.arrival.job_class]
         # danger: told as called off, a job that may not simply run again may have run; but for one that may,
-        # a failed connection would set aside a provider that is well
+        # a failed connection would set aside a worker that is well
         unsent = not call.written and cls.effect is not api.Effect.SAFE
         self._give_up(call, Ending.CONNECT_TIMED_OUT if unsent else Ending.GIVEN_UP)
 
@@ -571,7 +571,7 @@
     # Final answers
 
     def _refuse(self, action: api.Refuse) -> None:
-        self._answer(action.job, Answer(Verdict.REJECTED, retry_after=action.retry_after))
+        self._answer(action.job, Answer(Verdict.REFUSED, retry_after=action.retry_after))
 
     def _fail(self, action: api.Fail) -> None:
         self._answer(action.job, Answer(Verdict.FAILED))
@@ -583,7 +583,7 @@
             self._forget_if_done(job)
 
     def _overdue(self, job: Job) -> None:
-        """The module owes an answer past the slack: the consumer is not left waiting for ever."""
+        """The module owes an answer past the slack: the client is not left waiting for ever."""
         self._run()  # danger: where the loop is late, what its answer hangs on came in this very turn
         if job.over:
             return
--- a/ironbarrow/fleet/rolling.py
+++ b/ironbarrow/fleet/rolling.py
@@ -77,7 +77,7 @@
         """Another incarnation of the member."""
         self.machine = Rollouts(service.members, self._ledgers(), _unix, self._host.settings)
         self.machine.held = lambda: self._host.slots_waiting
-        self.machine.providers(self._loop.now(), self._targets.values())
+        self.machine.workers(self._loop.now(), self._targets.values())
         service.add(self.machine)
 
     # The plan
@@ -141,7 +141,7 @@
 
     def _news(self) -> None:
         self._list()
-        self.machine.providers(self._loop.now(), self._targets.values())
+        self.machine.workers(self._loop.now(), self._targets.values())
 
     def _list(self) -> None:
         """Slots are the most that a worker was ever listed with: live weights fall with its load."""
@@ -172,12 +172,12 @@
     def sent(self, call: Call) -> None:
         if not self.machine.known:
             return
-        listed = self._targets.get(call.provider)
+        listed = self._targets.get(call.worker)
         since = listed.since if listed is not None else 0
         self._sent[call] = since, 0
         made = call.job.arrival
         usual = int(self._usual.get(made.job_class, 0.0))
-        self.machine.signals.sent(call.provider, since, made.job_class, usual, made.slots)
+        self.machine.signals.sent(call.worker, since, made.job_class, usual, made.slots)
 
     def started(self, call: Call) -> None:
         noted = self._sent.get(call)
@@ -196,5 +196,5 @@
             before = self._usual.get(made.job_class, float(elapsed))
             self._usual[made.job_class] = before + (elapsed - before) / _LEARNT_OVER
         free = report.free_slots if report is not None else None
-        worker, name = call.provider, made.job_class
+        worker, name = call.worker, made.job_class
         self.machine.signals.ended(worker, since, name, made.slots, end, elapsed, free)
--- a/ironbarrow/fleet/takeover/work.py
+++ b/ironbarrow/fleet/takeover/work.py
@@ -1,6 +1,6 @@
 """The machine of taking over beside the host: jobs come in through here, calls go out through here.
 
-It stands between the consumers' front and the host (``take``), and between the host and what carries its
+It stands between the clients' front and the host (``take``), and between the host and what carries its
 calls (``start``, ``give_up``). Works on any clock; the sockets are the front's and the back's.
 """
 
@@ -48,17 +48,17 @@
 class Back(Invoker, Protocol):
     """What carries calls, and can let go of them."""
 
-    def call_off(self, job_id: str, provider: str, until: int, done: Callable[[bool], None]) -> None:
-        """Calls a job off that another had sent. ``done`` is told whether the provider has confirmed it, or
+    def call_off(self, job_id: str, worker: str, until: int, done: Callable[[bool], None]) -> None:
+        """Calls a job off that another had sent. ``done`` is told whether the worker has confirmed it, or
         False at ``until`` (ns)."""
 
     def called_back(self, raw: Any) -> bool:
-        """A provider's word on a call, and whether any is out that it is about; a ValueError if malformed."""
+        """A worker's word on a call, and whether any is out that it is about; a ValueError if malformed."""
 
 
 @dataclass(slots=True, eq=False)
 class _Waiter:
-    """A consumer that waits."""
+    """A client that waits."""
 
     id: str
     answered: Callable[[Answer | None], None]
@@ -146,7 +146,7 @@
         self, payload: Payload, answered: Callable[[Answer | None], None], **placed: Any
     ) -> Callable[[], None]:
         """As ``Host.take``; ``answered`` is told None where another request is under that id. Gives back what
-        is called when the consumer leaves or has its answer."""
+        is called when the client leaves or has its answer."""
         now = self._clock.now()
         text = f"{payload.method}\0{payload.target}\0".encode()
         terms: Terms | None = placed.get("terms")
@@ -268,7 +268,7 @@
         )
         self.adopted(news)
 
-    # Jobs that a provider has
+    # Jobs that a worker has
 
     def _keep(self, news: Keep) -> None:
         record, now = news.record, self._clock.now()
@@ -300,7 +300,7 @@
             self._look()
 
     def _call_off(self, news: CallOff) -> None:
-        """Danger: until the provider has confirmed it, the attempt may run: it is kept for its call-back."""
+        """Danger: until the worker has confirmed it, the attempt may run: it is kept for its call-back."""
         record, machine = news.record, self.machine
         self._keep(Keep(record, safe=True))
         kept = self.keeper.jobs.get(record.id)
@@ -313,7 +313,7 @@
                 self.keeper.gone(record.id)
                 self._do(machine.called_off(self._clock.now(), record.id))
 
-        self._back.call_off(record.id, record.provider, record.until, done)
+        self._back.call_off(record.id, record.worker, record.until, done)
 
     def stray(self, raw: dict[str, Any]) -> None:
         """A call-back for no call of this process: for a job kept here, or for another member."""
@@ -329,7 +329,7 @@
 
     def _heard(self, news: Heard) -> None:
         """Passed on by another. Danger: passed on again, what nobody knows would go round for ever."""
-        raw = {"id": news.id, "from": news.provider, "state": news.state}
+        raw = {"id": news.id, "from": news.worker, "state": news.state}
         raw["result"] = news.result.decode("utf-8", "replace")
         try:
             if not self._back.called_back(raw):
@@ -341,7 +341,7 @@
 
     def start(self, call: Call) -> None:
         now = self._clock.now()
-        self._do(self.machine.intent(now, call, call.job.payload.id, call.provider))
+        self._do(self.machine.intent(now, call, call.job.payload.id, call.worker))
 
     def _go(self, news: Go) -> None:
         call = news.call
@@ -350,7 +350,7 @@
             return
         if news.may:
             job_id = call.job.payload.id
-            check("intent before send", self.machine.may_send(job_id), id=job_id, provider=call.provider)
+            check("intent before send", self.machine.may_send(job_id), id=job_id, worker=call.worker)
             self._back.start(call)
         else:
             self._host.call_ended(call, Ending.NOT_SENT)
@@ -368,8 +368,8 @@
         self.machine.call_over(call.job.payload.id, never_ran=call.never_ran)
         self._do(())
 
-    def probe(self, provider: str) -> None:
-        self._back.probe(provider)
+    def probe(self, worker: str) -> None:
+        self._back.probe(worker)
 
-    def close_idle(self, provider: str) -> None:
-        self._back.close_idle(provider)
+    def close_idle(self, worker: str) -> None:
+        self._back.close_idle(worker)
--- a/ironbarrow/handover/upgrade.py
+++ b/ironbarrow/handover/upgrade.py
@@ -27,12 +27,12 @@
 
 
 class Front(Protocol):
-    """What has the consumers' connections."""
+    """What has the clients' connections."""
 
     asking: dict[Job, tuple[Connection, Task]]
 
     def adopt(self, sock: socket.socket, begin: _Begin) -> Task:
-        """Answers a consumer whose request another process has read; ended early, the task lets go of it."""
+        """Answers a client whose request another process has read; ended early, the task lets go of it."""
 
 
 class Back(Protocol):
@@ -42,12 +42,12 @@
         """Another process has the call now."""
 
     def called_back(self, raw: Any) -> bool:
-        """A provider's word on a call, and whether any is out that it is about; a ValueError if malformed."""
+        """A worker's word on a call, and whether any is out that it is about; a ValueError if malformed."""
 
 
 @dataclass(slots=True)
 class _Adopted:
-    """A job of the old process: its consumer, what was told of it, the host's job once taken anew."""
+    """A job of the old process: its client, what was told of it, the host's job once taken anew."""
 
     sock: socket.socket
     task: Task
@@ -156,7 +156,7 @@
 
     def _record(self, job: Job, earlier: Record | None = None) -> Record | None:
         """What the successor has to know of a job, ``earlier`` being what this process was told of it; None
-        while it can't be moved: an attempt is on its way to a provider or being called off, or its repeats
+        while it can't be moved: an attempt is on its way to a worker or being called off, or its repeats
         are bound to where it may have run."""
         left = job.deadline - self._loop.now()
         out = [call for call in job.calls if not call.ended]
@@ -175,7 +175,7 @@
             content_type=payload.content_type,
             time_left=left,
             attempts=len(job.calls) + (earlier.attempts if earlier is not None else 0),
-            provider=out[0].provider if out else "",
+            worker=out[0].worker if out else "",
             may_have_run=risky or (earlier is not None and earlier.may_have_run),
             key=arrival.key,
             tenant=arrival.tenant,
@@ -216,7 +216,7 @@
             log.error("job of the other process passed over", id=record.id)
             sock.close()
             return
-        begin = self._keep if record.provider else self._take
+        begin = self._keep if record.worker else self._take
         task = self._front.adopt(sock, lambda answer: begin(record, until, answer))
         self._adopted[record.id] = _Adopted(sock, task, record)
 
