Call one try of a job at a worker an attempt, from the host to its back

Need: core and backs said call, and the decisions, records and rules attempt, for one thing; `call` also means three other things there.

--- a/ironbarrow/backs/__init__.py
+++ b/ironbarrow/backs/__init__.py
@@ -1,1 +1,1 @@
-"""What carries invoker calls to workers."""
+"""What carries attempts to workers."""
--- a/ironbarrow/core/__init__.py
+++ b/ironbarrow/core/__init__.py
@@ -1,1 +1,1 @@
-"""Jobs, invoker calls and endings: what every front and every back shares."""
+"""Jobs, attempts and endings: what every front and every back shares."""
--- a/ironbarrow/core/endings.py
+++ b/ironbarrow/core/endings.py
@@ -6,7 +6,7 @@
 
 
 class Ending(Enum):
-    """How it ended. For an invoker call, ``outcome_of`` tells the module's word for it."""
+    """How it ended. For an attempt, ``outcome_of`` tells the module's word for it."""
 
     # told by the worker
     DONE = auto()  # call-back: done
@@ -27,7 +27,7 @@
     MALFORMED = auto()  # not HTTP
     TOO_LARGE = auto()  # over a size limit
     # this side's doing
-    TIMED_OUT = auto()  # nothing came by the time-out of the call
+    TIMED_OUT = auto()  # nothing came by the time-out of the attempt
     GIVEN_UP = auto()
     NOT_SENT = auto()  # the job was over, or had no attempts or no time left
 
--- a/ironbarrow/core/trace.py
+++ b/ironbarrow/core/trace.py
@@ -84,5 +84,5 @@
 
 
 def connected(now: int, worker: str, purpose: str) -> None:
-    """Notes a new connection to a worker, for a call, a DELETE or a probe."""
+    """Notes a new connection to a worker, for an attempt, a DELETE or a probe."""
     log.info("connect", at=now, worker=worker, purpose=purpose)
--- a/ironbarrow/fleet/takeover/machine.py
+++ b/ironbarrow/fleet/takeover/machine.py
@@ -1,6 +1,6 @@
 """Jobs written down before they are done, and what others have left taken over. No input or output.
 
-The process tells it what comes (``arrive``, ``intent``, ``call_over``, ``ended``, ``left``, ``stray``) and
+The process tells it what comes (``arrive``, ``intent``, ``attempt_over``, ``ended``, ``left``, ``stray``) and
 carries out what it answers (``orders``). Changes of one turn are gathered; ``flush`` appends them together.
 """
 
@@ -118,12 +118,12 @@
 
 @dataclass(slots=True, eq=False)
 class _Wait:
-    """What waits for a majority. ``call``: the call that an intent is about."""
+    """What waits for a majority. ``attempt``: the attempt that an intent is about."""
 
     until: int
     kept: Callable[[int], list[Action]]
     failed: Callable[[int], list[Action]]
-    call: object = None
+    attempt: object = None
     off: bool = False
     again: bool = False  # its time was given once more
     seq: int = NEVER  # the append's that has to be kept
@@ -168,7 +168,7 @@
         self._changes: dict[str, Change] = {}
         self._gathered: list[_Wait] = []
         self._waits: deque[tuple[int, list[_Wait]]] = deque()
-        self._calls: dict[object, _Wait] = {}
+        self._attempts: dict[object, _Wait] = {}
         self.closing: set[str] = set()  # ids whose clients have left, being called off
         self._look_at = now
         self._gone_since = NEVER
@@ -221,11 +221,11 @@
             return [Reply(waiter, Answer(Verdict.REFUSED, retry_after=self.rules.retry_after))]
         return self._take(now, Held(record, safe, [waiter]))
 
-    def intent(self, now: int, call: object, job_id: str, worker: str) -> list[Action]:
+    def intent(self, now: int, attempt: object, job_id: str, worker: str) -> list[Action]:
         """An attempt is about to go out; ``Go`` follows, at once or once a majority knows."""
         held = self.held.get(job_id)
         if held is None or self.fenced or self.leaving:
-            return [Go(call, False)]
+            return [Go(attempt, False)]
         old = held.record
         held.record = msgspec.structs.replace(
             old,
@@ -236,29 +236,29 @@
         )
         if held.record.attempts > self.rules.most_attempts:
             held.record = old
-            return [Go(call, False)]
+            return [Go(attempt, False)]
         wait = _Wait(
             now + self.rules.wait,
-            lambda at: self._go(at, held, call, kept=True),
-            lambda at: self._unkept(at, held, call),
-            call,
+            lambda at: self._go(at, held, attempt, kept=True),
+            lambda at: self._unkept(at, held, attempt),
+            attempt,
         )
         held.intent, held.unprotected = wait, False
         self._write(put(held.record), wait)
         if self.alone:
             return self._fail(now, wait)
-        self._calls[call] = wait
+        self._attempts[attempt] = wait
         return []
 
-    def given_up(self, call: object) -> bool:
-        """A call is called off; whether it had no leave to go yet, and now never gets it."""
-        wait = self._calls.pop(call, None)
+    def given_up(self, attempt: object) -> bool:
+        """An attempt is called off; whether it had no leave to go yet, and now never gets it."""
+        wait = self._attempts.pop(attempt, None)
         if wait is None:
             return False
         wait.off = True
         return True
 
-    def call_over(self, job_id: str, *, never_ran: bool) -> None:
+    def attempt_over(self, job_id: str, *, never_ran: bool) -> None:
         """An attempt has ended, its job may have not."""
         self.closing.discard(job_id)
         held = self.held.get(job_id)
@@ -338,11 +338,11 @@
         """From now on nothing is sent; what is owed stays in the ledger, for the others."""
         self.leaving = True
         actions: list[Action] = []
-        for wait in list(self._calls.values()):
+        for wait in list(self._attempts.values()):
             if not wait.off:
                 wait.off = True
-                actions.append(Go(wait.call, False))
-        self._calls.clear()
+                actions.append(Go(wait.attempt, False))
+        self._attempts.clear()
         return actions + self.flush(now)
 
     @property
@@ -487,10 +487,10 @@
     def _refusal(self) -> Answer:
         return Answer(Verdict.REFUSED, retry_after=self.rules.retry_after)
 
-    def _go(self, now: int, held: Held, call: object, *, kept: bool) -> list[Action]:
-        self._calls.pop(call, None)
+    def _go(self, now: int, held: Held, attempt: object, *, kept: bool) -> list[Action]:
+        self._attempts.pop(attempt, None)
         if held.over or self.fenced or self.leaving:
-            return [Go(call, False)]
+            return [Go(attempt, False)]
         if kept:
             self._passed("after-intent")
         else:
@@ -499,7 +499,7 @@
         check("unsafe never sent twice", held.safe or not held.unproven, id=held.record.id)
         check("at most three attempts", held.record.attempts <= self.rules.most_attempts, id=held.record.id)
         held.unproven = True
-        return [Go(call, True)]
+        return [Go(attempt, True)]
 
     def may_send(self, job_id: str) -> bool:
         """Whether an attempt's intent is at a majority, or its class is served without one: looked at by who
@@ -510,18 +510,18 @@
         away = held.record.job_class in self.rules.turn_away
         return held.intent.seq <= self.kept or (held.unprotected and not away)
 
-    def _unkept(self, now: int, held: Held, call: object) -> list[Action]:
+    def _unkept(self, now: int, held: Held, attempt: object) -> list[Action]:
         """No majority has answered in time."""
         if held.over:
-            return [Go(call, False)]
+            return [Go(attempt, False)]
         if not self.fenced and held.record.job_class not in self.rules.turn_away:
-            return self._go(now, held, call, kept=False)
-        self._calls.pop(call, None)
+            return self._go(now, held, attempt, kept=False)
+        self._attempts.pop(attempt, None)
         if self.fenced:
-            return [Go(call, False)]
+            return [Go(attempt, False)]
         self.counts["turned away"] += 1
         answer = self._refusal() if held.safe else _FAILED
-        return [Go(call, False), Withdraw(held.record.id), *self._finish(now, held, answer)]
+        return [Go(attempt, False), Withdraw(held.record.id), *self._finish(now, held, answer)]
 
     def _refused(self, now: int, held: Held, answer: Answer) -> list[Action]:
         self._passed("after-refusal")
--- a/ironbarrow/fleet/takeover/orders.py
+++ b/ironbarrow/fleet/takeover/orders.py
@@ -39,9 +39,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Go(News):
-    """A call's first byte may be written, or (``may`` False) never is."""
+    """An attempt's first byte may be written, or (``may`` False) never is."""
 
-    call: object
+    attempt: object
     may: bool
 
 
--- a/ironbarrow/handover/upgrade.py
+++ b/ironbarrow/handover/upgrade.py
@@ -10,7 +10,7 @@
 import structlog
 
 from heathway import api
-from ironbarrow.core.host import Answer, Call, Host, Job, Payload, Terms
+from ironbarrow.core.host import Answer, Attempt, Host, Job, Payload, Terms
 from ironbarrow.handover import records
 from ironbarrow.handover.channel import Channel
 from ironbarrow.handover.keeper import Keeper, Kept
@@ -36,13 +36,14 @@
 
 
 class Back(Protocol):
-    """What has the calls."""
+    """What has the attempts."""
 
-    def let_go(self, call: Call) -> None:
-        """Another process has the call now."""
+    def let_go(self, attempt: Attempt) -> None:
+        """Another process has the attempt now."""
 
     def called_back(self, raw: Any) -> bool:
-        """A worker's word on a call, and whether any is out that it is about; a ValueError if malformed."""
+        """A worker's word on an attempt, and whether any is out that it is about; a ValueError if it is
+        malformed."""
 
 
 @dataclass(slots=True)
@@ -98,7 +99,7 @@
         self._channel.close()
 
     def stray(self, raw: dict[str, Any]) -> None:
-        """A call-back for no call of this process: for a job kept here, or for the process beside it."""
+        """A call-back for no attempt of this process: for a job kept here, or for the process beside it."""
         if not self._kept_called_back(raw):
             data = records.message("call-back", call_back=raw)
             for other in self._channel.others():
@@ -146,8 +147,8 @@
             adopted.task.cancel()
 
     def _let_go(self, job: Job) -> None:
-        for call in job.calls:
-            self._back.let_go(call)
+        for attempt in job.attempts:
+            self._back.let_go(attempt)
         self._host.let_go(job)
 
     def _give(self, record: Record, sock: socket.socket) -> bool:
@@ -159,10 +160,10 @@
         while it can't be moved: an attempt is on its way to a worker or being called off, or its repeats
         are bound to where it may have run."""
         left = job.deadline - self._loop.now()
-        out = [call for call in job.calls if not call.ended]
+        out = [attempt for attempt in job.attempts if not attempt.ended]
         if job.over or left < _LEAST_LEFT or any(not c.accepted or c.given_up for c in out):
             return None
-        risky = any(call.ended and not call.never_ran for call in job.calls)
+        risky = any(attempt.ended and not attempt.never_ran for attempt in job.attempts)
         if risky and not self._safe.get(job.arrival.job_class, False):
             return None
         payload, arrival = job.payload, job.arrival
@@ -174,7 +175,7 @@
             body=payload.body,
             content_type=payload.content_type,
             time_left=left,
-            attempts=len(job.calls) + (earlier.attempts if earlier is not None else 0),
+            attempts=len(job.attempts) + (earlier.attempts if earlier is not None else 0),
             worker=out[0].worker if out else "",
             may_have_run=risky or (earlier is not None and earlier.may_have_run),
             key=arrival.key,
--- a/ironbarrow/lab/fleet/rollouts.py
+++ b/ironbarrow/lab/fleet/rollouts.py
@@ -10,7 +10,7 @@
 
 from heathway import api
 from ironbarrow.core.endings import Ending
-from ironbarrow.core.host import Call, Host
+from ironbarrow.core.host import Attempt, Host
 from ironbarrow.fleet.api import Card, Message, News
 from ironbarrow.fleet.codec import Codec
 from ironbarrow.fleet.file import LedgerRules, MemberRules
@@ -119,36 +119,36 @@
     """Notes what becomes of a dispatcher's attempts."""
 
     signals: Signals
-    _noted: dict[Call, tuple[str, int, str, float, int]]
+    _noted: dict[Attempt, tuple[str, int, str, float, int]]
 
     def watch(self, signals: Signals) -> None:
         self.signals, self._noted = signals, {}
 
-    def _write(self, call: Call, way: _Way) -> None:
-        super()._write(call, way)
-        if call.written and not way.over and call not in self._noted:
-            job = call.job.arrival
+    def _write(self, attempt: Attempt, way: _Way) -> None:
+        super()._write(attempt, way)
+        if attempt.written and not way.over and attempt not in self._noted:
+            job = attempt.job.arrival
             since = way.worker.started_at // MS * MS
-            usual = self._needs[call.job.payload.id].usual
-            self._noted[call] = (call.worker, since, job.job_class, job.slots, 0)
-            self.signals.sent(call.worker, since, job.job_class, int(usual), job.slots)
+            usual = self._needs[attempt.job.payload.id].usual
+            self._noted[attempt] = (attempt.worker, since, job.job_class, job.slots, 0)
+            self.signals.sent(attempt.worker, since, job.job_class, int(usual), job.slots)
 
-    def _told(self, call: Call, way: _Way, state: str, report: Report | None) -> None:
-        noted = self._noted.get(call)
+    def _told(self, attempt: Attempt, way: _Way, state: str, report: Report | None) -> None:
+        noted = self._noted.get(attempt)
         if state == "started" and noted is not None:
-            self._noted[call] = (*noted[:4], self._clock.now())
-        super()._told(call, way, state, report)
+            self._noted[attempt] = (*noted[:4], self._clock.now())
+        super()._told(attempt, way, state, report)
 
     def _end(
-        self, call: Call, ending: Ending, report: api.LoadReport | None = None, result: bytes = b""
+        self, attempt: Attempt, ending: Ending, report: api.LoadReport | None = None, result: bytes = b""
     ) -> None:
-        noted = self._noted.pop(call, None)
+        noted = self._noted.pop(attempt, None)
         if noted is not None:
             worker, since, job_class, slots, started = noted
             elapsed = self._clock.now() - started if started else 0
             free = report.free_slots if report is not None else None
             self.signals.ended(worker, since, job_class, slots, _ENDS.get(ending), elapsed, free)
-        super()._end(call, ending, report, result)
+        super()._end(attempt, ending, report, result)
 
 
 class WorkerBox:
--- a/ironbarrow/lab/fleet/work.py
+++ b/ironbarrow/lab/fleet/work.py
@@ -13,7 +13,7 @@
 from heathway import api
 from ironbarrow.core.attempt import Progress
 from ironbarrow.core.endings import Ending
-from ironbarrow.core.host import Answer, Call, Host, Payload, Verdict
+from ironbarrow.core.host import Answer, Attempt, Host, Payload, Verdict
 from ironbarrow.fleet.api import Action, Card
 from ironbarrow.fleet.codec import Codec
 from ironbarrow.fleet.file import Fleet
@@ -128,45 +128,45 @@
 
 
 class Back:
-    """One process's calls to workers."""
+    """One process's attempts to workers."""
 
     def __init__(self, world: "WorkWorld", clock: SeatClock) -> None:
         self.host: Host
         self._world, self._clock = world, clock
-        self._out: set[Call] = set()
+        self._out: set[Attempt] = set()
 
-    def start(self, call: Call) -> None:
-        self._out.add(call)
-        self._clock.call_at(self._clock.now() + _CONNECT, self._write, call)
+    def start(self, attempt: Attempt) -> None:
+        self._out.add(attempt)
+        self._clock.call_at(self._clock.now() + _CONNECT, self._write, attempt)
 
-    def _write(self, call: Call) -> None:
-        if call not in self._out:
+    def _write(self, attempt: Attempt) -> None:
+        if attempt not in self._out:
             return
-        self.host.call_written(call)
-        self._world.written[call.job.payload.id] += 1
-        clock, job_id = self._world.clock, call.job.payload.id
-        clock.call_at(clock.now() + _TRIP, self._arrive, call, job_id)
+        self.host.attempt_written(attempt)
+        self._world.written[attempt.job.payload.id] += 1
+        clock, job_id = self._world.clock, attempt.job.payload.id
+        clock.call_at(clock.now() + _TRIP, self._arrive, attempt, job_id)
 
-    def _arrive(self, call: Call, job_id: str) -> None:
-        taken = self._world.workers.arrive(call.worker, job_id)
-        self._clock.call_at(self._world.clock.now() + _TRIP, self._answered, call, taken)
+    def _arrive(self, attempt: Attempt, job_id: str) -> None:
+        taken = self._world.workers.arrive(attempt.worker, job_id)
+        self._clock.call_at(self._world.clock.now() + _TRIP, self._answered, attempt, taken)
 
-    def _answered(self, call: Call, taken: bool) -> None:
+    def _answered(self, attempt: Attempt, taken: bool) -> None:
         if taken:
-            call.reach(Progress.ACCEPTED)
-        elif call in self._out:
-            self._end(call, Ending.NOT_PROCESSED)
-
-    def _end(self, call: Call, ending: Ending, result: bytes = b"") -> None:
-        self._out.discard(call)
-        self.host.call_ended(call, ending, None, result)
-
-    def give_up(self, call: Call, ending: Ending) -> None:
-        if call not in self._out or not call.written:
-            self._out.discard(call)
-            self.host.call_ended(call, ending)
+            attempt.reach(Progress.ACCEPTED)
+        elif attempt in self._out:
+            self._end(attempt, Ending.NOT_PROCESSED)
+
+    def _end(self, attempt: Attempt, ending: Ending, result: bytes = b"") -> None:
+        self._out.discard(attempt)
+        self.host.attempt_ended(attempt, ending, None, result)
+
+    def give_up(self, attempt: Attempt, ending: Ending) -> None:
+        if attempt not in self._out or not attempt.written:
+            self._out.discard(attempt)
+            self.host.attempt_ended(attempt, ending)
             return
-        self._delete(call.worker, call.job.payload.id, lambda: self._end(call, ending))
+        self._delete(attempt.worker, attempt.job.payload.id, lambda: self._end(attempt, ending))
 
     def _delete(self, worker: str, job_id: str, done: Callable[[], None]) -> None:
         def arrives() -> None:
@@ -177,8 +177,8 @@
         # a way of its own: slower than a request's, so that it does not overtake one
         clock.call_at(clock.now() + _CONNECT + _TRIP, arrives)
 
-    def let_go(self, call: Call) -> None:
-        self._out.discard(call)
+    def let_go(self, attempt: Attempt) -> None:
+        self._out.discard(attempt)
 
     def call_off(self, job_id: str, worker: str, until: int, done: Callable[[bool], None]) -> None:
         if self._world.deletes_lost:
@@ -187,11 +187,11 @@
             self._delete(worker, job_id, lambda: done(True))
 
     def called_back(self, raw: Any) -> bool:
-        call = self.host.call_out(raw["id"], raw["from"])
-        if call is None:
+        attempt = self.host.attempt_out(raw["id"], raw["from"])
+        if attempt is None:
             return False
-        self.host.call_written(call)
-        self._end(call, _ENDS[raw["state"]], raw.get("result", "").encode())
+        self.host.attempt_written(attempt)
+        self._end(attempt, _ENDS[raw["state"]], raw.get("result", "").encode())
         return True
 
     def probe(self, worker: str) -> None:
--- a/ironbarrow/lab/sim/back.py
+++ b/ironbarrow/lab/sim/back.py
@@ -1,6 +1,6 @@
-"""The back of a simulated dispatcher: invoker calls to workers of the model, as the HTTP back makes them.
+"""The back of a simulated dispatcher: attempts to workers of the model, as the HTTP back makes them.
 
-Connections are counted, not opened: a call without an idle one pays a round trip to connect, and a
+Connections are counted, not opened: an attempt without an idle one pays a round trip to connect, and a
 worker takes only so many. Endings are those that ``ironbarrow.backs.invoker`` finds on sockets.
 """
 
@@ -11,7 +11,7 @@
 from heathway import api
 from ironbarrow.core.attempt import Observation, Progress
 from ironbarrow.core.endings import Ending
-from ironbarrow.core.host import Call, Host
+from ironbarrow.core.host import Attempt, Host
 from ironbarrow.lab.audit import Auditor
 from ironbarrow.lab.model.fleet import Fleet
 from ironbarrow.lab.model.worker import Need, Reply, Report, State, Worker
@@ -40,7 +40,7 @@
 
 @dataclass(slots=True, eq=False)
 class _Way:
-    """A call's way to its worker."""
+    """An attempt's way to its worker."""
 
     worker: Worker
     connected: bool = False  # it holds a connection
@@ -49,7 +49,7 @@
 
 
 class SimulatedBack:
-    """Carries one dispatcher's calls."""
+    """Carries one dispatcher's attempts."""
 
     def __init__(
         self,
@@ -64,142 +64,142 @@
         self._clock, self._host, self._fleet, self._audit = clock, host, fleet, audit
         self._name, self._zone, self._needs = name, zone, needs
         self._idle: dict[str, deque[int]] = {}
-        self._ways: dict[Call, _Way] = {}
+        self._ways: dict[Attempt, _Way] = {}
 
     # What the host asks for
 
-    def start(self, call: Call) -> None:
-        worker = self._fleet.workers.get(call.worker)
+    def start(self, attempt: Attempt) -> None:
+        worker = self._fleet.workers.get(attempt.worker)
         if worker is None:
-            self._host.call_ended(call, Ending.DRAINED)
+            self._host.attempt_ended(attempt, Ending.DRAINED)
             return
-        way = self._ways[call] = _Way(worker)
+        way = self._ways[attempt] = _Way(worker)
         if self._take_idle(worker):
             way.connected = True
-            self._write(call, way)
+            self._write(attempt, way)
         else:
-            self._connect(call, way)
+            self._connect(attempt, way)
 
-    def _connect(self, call: Call, way: _Way) -> None:
+    def _connect(self, attempt: Attempt, way: _Way) -> None:
         worker = way.worker
         reaches = self._fleet.network.reaches(self._zone, worker.zone)
         if worker.state is State.VANISHED or not reaches:
             self._clock.call_at(
-                self._clock.now() + _CONNECT_TIMEOUT, self._end, call, Ending.CONNECT_TIMED_OUT
+                self._clock.now() + _CONNECT_TIMEOUT, self._end, attempt, Ending.CONNECT_TIMED_OUT
             )
             return
         trip = self._latency(worker) + self._latency(worker)
         if worker.state is State.DOWN or worker.connections >= worker.group.connections:
-            self._clock.call_at(self._clock.now() + trip, self._end, call, Ending.CONNECT_REFUSED)
+            self._clock.call_at(self._clock.now() + trip, self._end, attempt, Ending.CONNECT_REFUSED)
             return
         worker.connections += 1
         way.connected = True
-        self._clock.call_at(self._clock.now() + trip, self._write, call, way)
+        self._clock.call_at(self._clock.now() + trip, self._write, attempt, way)
 
     def _latency(self, worker: Worker) -> int:
         return self._fleet.network.latency(self._zone, worker.zone, worker.name)
 
-    def _write(self, call: Call, way: _Way) -> None:
+    def _write(self, attempt: Attempt, way: _Way) -> None:
         if way.over:
             return
-        if not self._host.may_send_to(call.worker):
+        if not self._host.may_send_to(attempt.worker):
             self._put_back(way)
-            self._end(call, Ending.DRAINED)
+            self._end(attempt, Ending.DRAINED)
             return
-        self._host.call_written(call)
-        self._audit.sent(call.job.payload.id, call.worker)
-        self._fleet.network.send(self._zone, way.worker.zone, way.worker.name, self._arrive, call, way)
+        self._host.attempt_written(attempt)
+        self._audit.sent(attempt.job.payload.id, attempt.worker)
+        self._fleet.network.send(self._zone, way.worker.zone, way.worker.name, self._arrive, attempt, way)
 
-    def _arrive(self, call: Call, way: _Way) -> None:
+    def _arrive(self, attempt: Attempt, way: _Way) -> None:
         """At the worker, whatever has become of the dispatcher since."""
         worker = way.worker
-        need = self._needs[call.job.payload.id]
+        need = self._needs[attempt.job.payload.id]
 
         def tell(state: str, report: Report | None) -> None:
-            self._send_back(worker, self._told, call, way, state, report)
+            self._send_back(worker, self._told, attempt, way, state, report)
 
-        if worker.holds(call.job.payload.id):
+        if worker.holds(attempt.job.payload.id):
             return
-        reply = worker.arrive(call.job.payload.id, need, tell)
+        reply = worker.arrive(attempt.job.payload.id, need, tell)
         if reply is Reply.TAKEN:
-            self._send_back(worker, self._accepted, call, way)
+            self._send_back(worker, self._accepted, attempt, way)
         elif reply is Reply.FULL:
-            self._send_back(worker, self._turned_away, call, way, worker.report())
+            self._send_back(worker, self._turned_away, attempt, way, worker.report())
         elif reply is Reply.REFUSED and worker.state is State.DOWN:
-            self._send_back(worker, self._reset, call)
+            self._send_back(worker, self._reset, attempt)
 
     def _send_back(self, worker: Worker, call: Callable[..., None], *args: object) -> None:
         if not self._clock.over:
             self._fleet.network.send(worker.zone, self._zone, worker.name, self._clock.run, call, args)
 
-    def _accepted(self, call: Call, way: _Way) -> None:
+    def _accepted(self, attempt: Attempt, way: _Way) -> None:
         if not way.answered:
             way.answered = True
-            call.reach(Progress.ACCEPTED)
+            attempt.reach(Progress.ACCEPTED)
             self._put_back(way)
 
-    def _turned_away(self, call: Call, way: _Way, report: Report) -> None:
+    def _turned_away(self, attempt: Attempt, way: _Way, report: Report) -> None:
         self._put_back(way)
-        self._end(call, Ending.NOT_PROCESSED, _read(report))
+        self._end(attempt, Ending.NOT_PROCESSED, _read(report))
 
-    def _reset(self, call: Call) -> None:
-        self._end(call, Ending.RESET)
+    def _reset(self, attempt: Attempt) -> None:
+        self._end(attempt, Ending.RESET)
 
-    def _told(self, call: Call, way: _Way, state: str, report: Report | None) -> None:
-        if call.ended:
+    def _told(self, attempt: Attempt, way: _Way, state: str, report: Report | None) -> None:
+        if attempt.ended:
             return
         if state == "accepted":
-            self._accepted(call, way)
+            self._accepted(attempt, way)
         elif state == "started":
-            self._host.call_started(call)
+            self._host.attempt_started(attempt)
         else:
-            self._end(call, _TOLD[state], _read(report), b"done" if state == "done" else b"")
+            self._end(attempt, _TOLD[state], _read(report), b"done" if state == "done" else b"")
 
     def _end(
-        self, call: Call, ending: Ending, report: api.LoadReport | None = None, result: bytes = b""
+        self, attempt: Attempt, ending: Ending, report: api.LoadReport | None = None, result: bytes = b""
     ) -> None:
-        way = self._ways.pop(call, None)
+        way = self._ways.pop(attempt, None)
         if way is not None:
             way.over = True
             self._drop_connection(way)
-        self._audit.attempt_over(call.job.payload.id, call.worker, never_ran=ending in _NEVER_RAN)
-        self._host.call_ended(call, ending, report, result)
+        self._audit.attempt_over(attempt.job.payload.id, attempt.worker, never_ran=ending in _NEVER_RAN)
+        self._host.attempt_ended(attempt, ending, report, result)
 
     # Giving up
 
-    def give_up(self, call: Call, ending: Ending) -> None:
-        way = self._ways.get(call)
-        if way is None or not call.written:
-            self._end(call, ending)
+    def give_up(self, attempt: Attempt, ending: Ending) -> None:
+        way = self._ways.get(attempt)
+        if way is None or not attempt.written:
+            self._end(attempt, ending)
             return
-        if call.is_over(Observation.CONNECTION_ENDED):
-            self._audit.attempt_over(call.job.payload.id, call.worker, never_ran=False)
-            self._clock.call_at(self._clock.now() + _DELETE_LIMIT, self._end, call, ending)
-        self._send_delete(call, way, ending)
+        if attempt.is_over(Observation.CONNECTION_ENDED):
+            self._audit.attempt_over(attempt.job.payload.id, attempt.worker, never_ran=False)
+            self._clock.call_at(self._clock.now() + _DELETE_LIMIT, self._end, attempt, ending)
+        self._send_delete(attempt, way, ending)
 
-    def let_go(self, call: Call) -> None:
-        way = self._ways.pop(call, None)
+    def let_go(self, attempt: Attempt) -> None:
+        way = self._ways.pop(attempt, None)
         if way is not None:
             way.over = True
             self._drop_connection(way)
-            self._audit.attempt_over(call.job.payload.id, call.worker, never_ran=False)
+            self._audit.attempt_over(attempt.job.payload.id, attempt.worker, never_ran=False)
 
-    def _send_delete(self, call: Call, way: _Way, ending: Ending) -> None:
-        """Sent again and again until it is answered, or the call has ended otherwise."""
-        if call.ended or way.over:
+    def _send_delete(self, attempt: Attempt, way: _Way, ending: Ending) -> None:
+        """Sent again and again until it is answered, or the attempt has ended otherwise."""
+        if attempt.ended or way.over:
             return
         self._fleet.network.send(
-            self._zone, way.worker.zone, way.worker.name, self._delete, call, way, ending
+            self._zone, way.worker.zone, way.worker.name, self._delete, attempt, way, ending
         )
-        self._clock.call_at(self._clock.now() + _DELETE_AGAIN, self._send_delete, call, way, ending)
+        self._clock.call_at(self._clock.now() + _DELETE_AGAIN, self._send_delete, attempt, way, ending)
 
-    def _delete(self, call: Call, way: _Way, ending: Ending) -> None:
+    def _delete(self, attempt: Attempt, way: _Way, ending: Ending) -> None:
         worker = way.worker
         if worker.trouble.hung or worker.state is State.VANISHED:
             return
-        worker.cancel(call.job.payload.id)
-        self._audit.attempt_over(call.job.payload.id, call.worker, never_ran=False)
-        self._send_back(worker, self._end, call, ending)
+        worker.cancel(attempt.job.payload.id)
+        self._audit.attempt_over(attempt.job.payload.id, attempt.worker, never_ran=False)
+        self._send_back(worker, self._end, attempt, ending)
 
     # Probes and connections
 
--- a/tests/test_attempt.py
+++ b/tests/test_attempt.py
@@ -298,8 +298,8 @@
 
     def _call_off(self) -> None:
         for number, taken in self.host._jobs.items():
-            if taken.calls:
-                self.host._cancel(api.CancelAttempt(number, len(taken.calls) - 1))
+            if taken.attempts:
+                self.host._cancel(api.CancelAttempt(number, len(taken.attempts) - 1))
 
     def _restart(self, name: str) -> None:
         """The process ends and is back at once; discovery lists that some time later."""
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -8,7 +8,7 @@
 
 from heathway.settings import read_settings
 from ironbarrow.core.endings import Ending
-from ironbarrow.core.host import Call
+from ironbarrow.core.host import Attempt
 from ironbarrow.fronts import clients
 from ironbarrow.runtime.loop import MS
 from ironbarrow.transport import http
@@ -29,15 +29,15 @@
 
     def __init__(self, stage: Stage) -> None:
         self.ids: list[str] = []
-        stage.dispatcher.host.attempts = self
+        stage.dispatcher.host.attempt_observer = self
 
-    def sent(self, call: Call) -> None:
-        self.ids.append(call.job.payload.id)
+    def sent(self, attempt: Attempt) -> None:
+        self.ids.append(attempt.job.payload.id)
 
-    def started(self, call: Call) -> None:
+    def started(self, attempt: Attempt) -> None:
         pass
 
-    def ended(self, call: Call, ending: Ending, report: object) -> None:
+    def ended(self, attempt: Attempt, ending: Ending, report: object) -> None:
         pass
 
 
--- a/tests/test_invoker.py
+++ b/tests/test_invoker.py
@@ -1,4 +1,4 @@
-"""Invoker calls: what may come in a bad order between the dispatcher and a worker, each order forced.
+"""Attempts at workers: what may come in a bad order between the dispatcher and a worker, each order forced.
 
 The decisions here are the plainest ones, so that each case says where a job goes and sees each outcome."""
 
@@ -132,7 +132,7 @@
 
 @pytest.mark.parametrize("moment", ["connecting", "the first byte can't be written"])
 @pytest.mark.parametrize("name", HELD)
-def test_a_call_is_not_begun_when_what_it_was_decided_on_is_over(
+def test_an_attempt_is_not_begun_when_what_it_was_decided_on_is_over(
     name: str, moment: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     sent, order, happens, outcomes, status = HELD[name]
@@ -176,7 +176,7 @@
 
 
 @pytest.mark.parametrize(("effect", "outcome"), [("book", "CONNECT_FAILED"), ("map", "CANCELLED")])
-def test_a_call_called_off_before_its_last_byte_never_ran(
+def test_an_attempt_called_off_before_its_last_byte_never_ran(
     effect: str, outcome: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     # a safe job may go elsewhere anyway, and its worker need not be set aside
@@ -554,7 +554,7 @@
     assert to_p2 - delete >= waits + took / 1000
 
 
-def test_calls_to_hung_workers_leave_descriptors_to_others(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_attempts_at_hung_workers_leave_descriptors_to_others(monkeypatch: pytest.MonkeyPatch) -> None:
     # danger: clients, call-backs and the discovery service would find none
     gate = Gate(monkeypatch, "connecting")
     gate.open = False
@@ -635,25 +635,27 @@
 
 
 class Scripted:
-    """An invoker whose calls end as a script says, 20 ms after they went out."""
+    """An invoker whose attempts end as a script says, 20 ms after they went out."""
 
     def __init__(self, host: core.Host, script: tuple[tuple[Ending, bool], ...]) -> None:
         self.host, self.script = host, script
-        self.sent: list[core.Call] = []
+        self.sent: list[core.Attempt] = []
 
-    def start(self, call: core.Call) -> None:
+    def start(self, attempt: core.Attempt) -> None:
         assert all(earlier.ended for earlier in self.sent)
-        if self.host.barred(call) is not None:
-            self.host.call_ended(call, Ending.NOT_SENT)
+        if self.host.barred(attempt) is not None:
+            self.host.attempt_ended(attempt, Ending.NOT_SENT)
             return
         ending, written = self.script[len(self.sent) % len(self.script)]
-        self.sent.append(call)
+        self.sent.append(attempt)
         if written:
-            self.host.call_written(call)
-        self.host.loop.call_at(self.host.loop.now() + 20 * MS, self.host.call_ended, call, ending)
+            self.host.attempt_written(attempt)
+        self.host.loop.call_at(self.host.loop.now() + 20 * MS, self.host.attempt_ended, attempt, ending)
 
-    def give_up(self, call: core.Call, ending: Ending) -> None:
-        self.host.call_ended(call, ending)
+    def give_up(self, attempt: core.Attempt, ending: Ending) -> None:
+        self.host.attempt_ended(attempt, ending)
+
+    def let_go(self, attempt: core.Attempt) -> None: ...
 
     def probe(self, worker: str) -> None: ...
 
@@ -701,7 +703,7 @@
             assert risky in ([], [len(ended) - 1]), script  # nothing goes out after one that may have run
         if effect is api.Effect.KEYED and risky:
             first = back.sent[risky[0]].sent_at
-            assert all(call.sent_at < first + window for call in back.sent[risky[0] :]), script
+            assert all(attempt.sent_at < first + window for attempt in back.sent[risky[0] :]), script
         if answers[0].verdict is core.Verdict.REFUSED and effect is api.Effect.UNSAFE:
             assert not risky, script
         served = ended[-1][0] is Ending.DONE if ended else False
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -126,7 +126,7 @@
     job = host._jobs.get(action.job)
     if job is not None and not job.over:
         other = next(name for name in host._states if name != action.worker)
-        host.invoker.start(core.Call(job, len(job.calls), other, host.loop.now(), job.deadline))
+        host.invoker.start(core.Attempt(job, len(job.attempts), other, host.loop.now(), job.deadline))
 
 
 def hears_no_drain(host: core.Host, news: Any) -> None:
@@ -472,7 +472,7 @@
             {"event": "done", "at": start, "what": "Refuse", "job": 2, "reason": "not_admitted"},
             {"event": "answered", "at": start, "job": 2, "verdict": "refused"},
             {"event": "done", "at": start + 1, "what": "Send", "job": 1, "worker": "w1"},
-            {"event": "connect", "at": start + 2, "worker": "w1", "purpose": "call"},
+            {"event": "connect", "at": start + 2, "worker": "w1", "purpose": "attempt"},
             {"event": "done", "at": start + 3 * 10**9, "what": "Send", "job": 1, "worker": "w2"},
             {
                 "event": "told",
