--- a/ironbarrow/cli/lab.py
+++ b/ironbarrow/cli/lab.py
@@ -11,6 +11,8 @@
 import structlog
 import typer
 
+from ironbarrow.cli.scale import scale
+
 app = typer.Typer(
     no_args_is_help=True,
     help="The laboratory: a model of the whole fleet, in simulated time and on live sockets.\n\n"
@@ -18,6 +20,8 @@
     "argument that can't be used; 130 interrupted.",
 )
 
+app.command()(scale)
+
 WorldFile = Annotated[Path, typer.Argument(help="A world, in TOML.", show_default=False)]
 Seed = Annotated[int, typer.Option(help="Equal seeds give equal worlds.", min=0)]
 FleetOn = Annotated[bool, typer.Option("--fleet", help="The dispatchers share a fleet, by its defaults.")]
--- a/ironbarrow/fleet/service.py
+++ b/ironbarrow/fleet/service.py
@@ -34,7 +34,9 @@
         front: str,
         *,
         listener: socket.socket | None = None,
+        codec: Codec | None = None,
     ) -> None:
+        """``codec``: one that also counts what passes, for instance; None: a plain one."""
         self._loop, self.fleet, self.name = loop, fleet, name
         self.site, self.front = fleet.site or site, front
         self._seeds = {seed: address for seed, _, address in (text.partition("=") for text in fleet.seeds)}
@@ -45,7 +47,7 @@
         self._not_before = 0
         self._planning = False
         self._closed = False
-        self.codec = Codec(())
+        self.codec = codec or Codec(())
         address = sockets.parse_address(fleet.listen, 0)
         listener = listener or sockets.listen(address)
         host = address[0]
--- a/ironbarrow/fleet/takeover/process.py
+++ b/ironbarrow/fleet/takeover/process.py
@@ -4,6 +4,7 @@
 """
 
 import os
+from collections.abc import Callable
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -34,14 +35,24 @@
     OSError if it can't listen where the file says."""
 
     def __init__(
-        self, loop: Loop, host: Host, back: Back, path: Path, name: str, site: str, front: Address
+        self,
+        loop: Loop,
+        host: Host,
+        back: Back,
+        path: Path,
+        name: str,
+        site: str,
+        front: Address,
+        *,
+        make_service: Callable[[Loop, Fleet, str, str, str], FleetService] = FleetService,
     ) -> None:
+        """``make_service``: makes the member on the loop; a laboratory's own may count or cut its links."""
         self.fleet: Fleet = file.load(path, name)
         passed = faults.from_environment(os.environ)
         self._loop, self._host, self._stopping = loop, host, False
         self.waits: StarvationMachine | None = None
         self._rules = rules_of(host.settings, self.fleet, passed)
-        self.service = FleetService(loop, self.fleet, name, site, "{}:{}".format(*front))
+        self.service = make_service(loop, self.fleet, name, site, "{}:{}".format(*front))
         self.work = Work(loop, host, back, self.service.order)
         self.work.superseded = lambda: loop.soon(self._superseded)
         self._begin(self.service)
--- a/ironbarrow/lab/live/processes.py
+++ b/ironbarrow/lab/live/processes.py
@@ -9,10 +9,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import Any, Protocol
 
 from ironbarrow.core.endings import ConnectionEndedError
-from ironbarrow.lab.live.directory_server import Agent
 from ironbarrow.lab.live.wire import Client
 from ironbarrow.lab.model.spec import World
 from ironbarrow.lab.settings import settings_object
@@ -24,6 +23,18 @@
 _ALIVE_EVERY = 10 * MS
 
 
+class Agent(Protocol):
+    """The directory's agent beside a dispatcher, as far as its process depends on it."""
+
+    address: Address
+
+    def known(self) -> dict[str, object]:
+        """The list as it has it now, in the directory's form."""
+
+    def move(self) -> Address:
+        """Listens at another port from now on."""
+
+
 @dataclass(slots=True)
 class Program:
     """The command and folder of the dispatcher that is tried."""
--- /dev/null
+++ b/ironbarrow/lab/scale/measuring.py
@@ -0,0 +1,167 @@
+"""From counts of all processes to the figures of one phase."""
+
+import os
+import time
+from collections import defaultdict
+from collections.abc import Iterable
+
+from ironbarrow.lab.scale.messages import Lateness, MemberNews, States, Traffic
+from ironbarrow.lab.scale.meters import LATE_MS, LatenessMeter, Usage, percentile, usage
+from ironbarrow.lab.scale.parties import Collected, Parties
+from ironbarrow.lab.scale.result import Held, Phase, Process, Rate, Told
+from ironbarrow.runtime.loop import Coroutine
+
+_NS_PER_MS = 1e6
+_NS_PER_S = 1e9
+
+
+class Measurement:
+    """One phase, from ``begin`` to ``end``. ``started_at``: ns on the machine's monotonic clock."""
+
+    def __init__(self, parties: Parties, lateness: LatenessMeter, name: str) -> None:
+        self._parties, self._lateness, self.name = parties, lateness, name
+        self.started_at = 0
+        self._first_version = 0
+        self._usages: dict[str, dict[int, Usage]] = {}
+        self.collected = Collected()
+
+    def begin(self) -> Coroutine[None]:
+        """Counts from now on."""
+        yield from self._parties.collect()
+        self._lateness.take()
+        self._usages = self._usages_now()
+        self._first_version = self._parties.workers.version + 1
+        self.started_at = time.monotonic_ns()
+
+    def end(self, ended: frozenset[str] = frozenset()) -> Coroutine[Phase]:
+        """The phase's figures. ``ended``: dispatchers that were stopped or ended in it on purpose."""
+        seconds = (time.monotonic_ns() - self.started_at) / _NS_PER_S
+        usages, own_lateness = self._usages_now(), self._lateness.take()
+        self.collected = yield from self._parties.collect()
+        worst = self._worst_lateness(own_lateness)
+        size = self._parties.layout.size
+        running = max(1, sum(report.states.dispatchers for report in self.collected.dispatchers))
+        all_dispatchers = max(1, running + len(self._parties.ready))
+        reports = self.collected.dispatchers
+        probes = _sum(report.requests for report in self.collected.workers).get("probes", Traffic())
+        return Phase(
+            name=self.name,
+            seconds=seconds,
+            late=worst.p99_ms > LATE_MS,
+            late_p50_ms=worst.p50_ms,
+            late_p99_ms=worst.p99_ms,
+            load_average=os.getloadavg()[0],
+            sent=_rates(_sum(report.sent for report in reports), running * seconds),
+            received=_rates(_sum(report.received for report in reports), running * seconds),
+            from_real=_rates(_sum(report.from_real for report in reports), size.real * seconds),
+            directory=_rates(self.collected.directory, all_dispatchers * seconds),
+            probes=_rate("probes", probes, all_dispatchers * seconds),
+            processes=self._processes(usages, seconds),
+            told=[self._list_told(running)],
+            held=_held(report.states for report in reports),
+            jobs=self.collected.jobs,
+            false_deaths=sum(
+                news.health == "dead" and news.subject not in ended and news.observer not in ended
+                for news in self.member_news()
+            ),
+        )
+
+    def member_news(self) -> Iterable[MemberNews]:
+        """What hollow dispatchers have learnt of each other in this phase."""
+        for report in self.collected.dispatchers:
+            yield from report.member_news
+
+    def told(self, what: str, news: Iterable[MemberNews], since: int, expected: int) -> Told:
+        """How long these news took from a time on the monotonic clock, ns."""
+        return _told(what, [(one.at - since) / _NS_PER_MS for one in news], expected)
+
+    def _list_told(self, running: int) -> Told:
+        changed_at = self._parties.workers.changed_at
+        took: list[float] = []
+        for report in self.collected.dispatchers:
+            for news in report.list_news:
+                if news.version >= self._first_version and news.version in changed_at:
+                    took.append((news.at - changed_at[news.version]) / _NS_PER_MS)
+        versions = self._parties.workers.version - self._first_version + 1
+        return _told("changes of the list of workers", took, versions * running)
+
+    def _worst_lateness(self, own: Lateness) -> Lateness:
+        collected = self.collected
+        found = [own, *(report.lateness for report in collected.dispatchers)]
+        found += [report.lateness for report in collected.workers]
+        return Lateness(
+            max(one.p50_ms for one in found),
+            max(one.p99_ms for one in found),
+            max(one.most_ms for one in found),
+        )
+
+    def _usages_now(self) -> dict[str, dict[int, Usage]]:
+        own = usage(os.getpid())
+        assert own is not None
+        return {
+            "real dispatcher": self._parties.real_usage(),
+            "hollow dispatchers": self._parties.hollow_usage(),
+            "hollow workers": self._parties.worker_usage(),
+            "lists and jobs": {os.getpid(): own},
+        }
+
+    def _processes(self, now: dict[str, dict[int, Usage]], seconds: float) -> list[Process]:
+        size = self._parties.layout.size
+        parties = {"hollow dispatchers": size.hollow, "hollow workers": size.workers}
+        return [
+            _process(role, parties.get(role, len(found)), self._usages[role], found, seconds)
+            for role, found in now.items()
+        ]
+
+
+def _process(
+    role: str, parties: int, before: dict[int, Usage], after: dict[int, Usage], seconds: float
+) -> Process:
+    """Of processes that ran all the time."""
+    both = [pid for pid in after if pid in before]
+    percents = [100 * (after[pid].cpu_s - before[pid].cpu_s) / seconds for pid in both] or [0.0]
+    resident = [after[pid].resident_mb for pid in both] or [0.0]
+    return Process(
+        role,
+        len(both),
+        parties,
+        sum(percents) / len(percents),
+        max(percents),
+        sum(resident) / len(resident),
+        max(resident),
+    )
+
+
+def _sum(counts: Iterable[dict[str, Traffic]]) -> dict[str, Traffic]:
+    total: dict[str, Traffic] = defaultdict(Traffic)
+    for one in counts:
+        for kind, traffic in one.items():
+            total[kind].messages += traffic.messages
+            total[kind].bytes += traffic.bytes
+    return total
+
+
+def _rate(kind: str, traffic: Traffic, party_seconds: float) -> Rate:
+    return Rate(kind, traffic.messages / party_seconds, traffic.bytes / party_seconds)
+
+
+def _rates(traffic: dict[str, Traffic], party_seconds: float) -> list[Rate]:
+    return [_rate(kind, found, party_seconds) for kind, found in sorted(traffic.items())]
+
+
+def _told(what: str, took_ms: list[float], expected: int) -> Told:
+    last = max(took_ms, default=0.0)
+    return Told(what, percentile(took_ms, 0.5), percentile(took_ms, 0.99), last, len(took_ms), expected)
+
+
+def _held(states: Iterable[States]) -> Held:
+    found = [one for one in states if one.dispatchers]
+    count = max(1, sum(one.dispatchers for one in found))
+    return Held(
+        members=sum(one.members for one in found) / count,
+        least_members=min((one.least_members for one in found), default=0),
+        workers=sum(one.workers for one in found) / count,
+        segments=sum(one.segments for one in found) / count,
+        segment_entries=sum(one.segment_entries for one in found) / count,
+        segment_bytes=sum(one.segment_bytes for one in found) / count,
+    )
--- /dev/null
+++ b/ironbarrow/lab/scale/result.py
@@ -0,0 +1,261 @@
+"""What a scale run has found, as typed data, as JSON and as the tables of a page."""
+
+from collections.abc import Callable
+from pathlib import Path
+
+import msgspec
+from msgspec import Struct
+
+from ironbarrow.lab.scale.target import CPU_BUDGET_PERCENT, MEMORY_BUDGET_MB, TRAFFIC_BUDGET_BYTES
+
+
+class Rate(Struct):
+    """Messages and bytes a second of one kind, for one dispatcher."""
+
+    kind: str
+    messages: float
+    bytes: float
+
+
+class Told(Struct):
+    """How long news took, from the change to those that had to hear it. ``told`` of ``expected`` did."""
+
+    what: str
+    p50_ms: float
+    p99_ms: float
+    last_ms: float
+    told: int
+    expected: int
+
+
+class Process(Struct):
+    """What the processes of a role spent. For real dispatchers each figure is of one process."""
+
+    role: str
+    processes: int
+    parties: int  # dispatchers or workers in all of them
+    cpu_percent_mean: float  # of one core, a process
+    cpu_percent_most: float
+    resident_mb_mean: float
+    resident_mb_most: float
+
+
+class Held(Struct):
+    """What a dispatcher holds, the mean over hollow ones."""
+
+    members: float
+    least_members: int
+    workers: float
+    segments: float
+    segment_entries: float
+    segment_bytes: float
+
+
+class Phase(Struct):
+    """One part of a run: calm, or one kind of fault."""
+
+    name: str
+    seconds: float
+    late: bool  # then its figures are the generator's
+    late_p50_ms: float
+    late_p99_ms: float
+    load_average: float
+    sent: list[Rate]  # by a hollow dispatcher
+    received: list[Rate]
+    from_real: list[Rate]  # by a real dispatcher, as hollow ones received it
+    directory: list[Rate]  # to a dispatcher
+    probes: Rate  # by a dispatcher, requests and answers
+    processes: list[Process]
+    told: list[Told]
+    held: Held
+    jobs: dict[str, int]
+    false_deaths: int
+    notes: list[str] = []
+
+
+class ScaleResult(Struct):
+    """A run at one size."""
+
+    size: str
+    workers: int
+    dispatchers: int
+    real: int
+    teams: int
+    starts_per_second: float
+    all_met_after_s: float  # from the start of the last process until each knew all members; 0: never
+    peak_memory_mb: float
+    processes: int
+    took_s: float
+    phases: list[Phase]
+    stopped: str = ""  # why it ended before its time
+    errors: int = 0
+
+    @property
+    def late(self) -> bool:
+        """Whether any phase was late."""
+        return any(phase.late for phase in self.phases)
+
+    @property
+    def calm(self) -> Phase | None:
+        """The calm phase, if it was played."""
+        return next((phase for phase in self.phases if phase.name == "calm"), None)
+
+
+def write(result: ScaleResult, path: Path) -> None:
+    """The result as a JSON file, indented."""
+    path.parent.mkdir(parents=True, exist_ok=True)
+    path.write_bytes(msgspec.json.format(msgspec.json.encode(result), indent=1) + b"\n")
+
+
+def read(path: Path) -> ScaleResult:
+    """A result that was written."""
+    return msgspec.json.decode(path.read_bytes(), type=ScaleResult)
+
+
+# Tables
+
+
+def tables(results: list[ScaleResult]) -> str:
+    """All tables of a page, as Markdown."""
+    ordered = sorted(results, key=lambda result: result.dispatchers)
+    parts = [_runs_table(ordered), _calm_table(ordered), _budget_table(ordered), _phases_table(ordered)]
+    parts.append(_told_table(ordered))
+    return "\n\n".join(parts) + "\n"
+
+
+def _table(head: list[str], rows: list[list[str]]) -> str:
+    lines = [head, ["---"] * len(head), *rows]
+    return "\n".join("| " + " | ".join(cells) + " |" for cells in lines)
+
+
+def _runs_table(results: list[ScaleResult]) -> str:
+    head = ["size", "workers", "dispatchers (real)", "teams", "starts/s", "processes", "memory, MB"]
+    head += ["all members known after, s", "took, s", "late phases", "stopped"]
+    rows = [
+        [
+            result.size,
+            str(result.workers),
+            f"{result.dispatchers} ({result.real})",
+            str(result.teams),
+            f"{result.starts_per_second:.1f}",
+            str(result.processes),
+            f"{result.peak_memory_mb:.0f}",
+            f"{result.all_met_after_s:.1f}" if result.all_met_after_s else "not",
+            f"{result.took_s:.0f}",
+            ", ".join(phase.name for phase in result.phases if phase.late) or "none",
+            result.stopped or "no",
+        ]
+        for result in results
+    ]
+    return _table(head, rows)
+
+
+def _calm_table(results: list[ScaleResult]) -> str:
+    head = ["a dispatcher, calm", *(_size_head(result) for result in results)]
+    calm = [result.calm for result in results]
+    rows = []
+    picks: list[tuple[str, Callable[[Phase], list[Rate]]]] = [
+        ("sent", lambda phase: phase.sent),
+        ("received", lambda phase: phase.received),
+        ("sent by a real one", lambda phase: phase.from_real),
+        ("list of workers", lambda phase: phase.directory),
+    ]
+    for title, pick in picks:
+        kinds = sorted({rate.kind for phase in calm if phase is not None for rate in pick(phase)})
+        for kind in kinds:
+            cells = []
+            for phase in calm:
+                found = [rate for rate in pick(phase) if rate.kind == kind] if phase is not None else []
+                cells.append(_rate(found[0]) if found else "-")
+            rows.append([f"{title}: {kind}", *cells])
+    rows.append(["probes, with answers", *(_rate(phase.probes) if phase else "-" for phase in calm)])
+    values: list[tuple[str, Callable[[Held], float]]] = [
+        ("members known", lambda held: held.members),
+        ("workers known", lambda held: held.workers),
+        ("segments kept for others", lambda held: held.segments),
+        ("entries in them", lambda held: held.segment_entries),
+        ("bytes of them", lambda held: held.segment_bytes),
+    ]
+    for title, value in values:
+        rows.append([title, *(f"{value(phase.held):.0f}" if phase else "-" for phase in calm)])
+    return "Messages a second; bytes a second:\n\n" + _table(head, rows)
+
+
+def _size_head(result: ScaleResult) -> str:
+    mark = " (late)" if result.calm is not None and result.calm.late else ""
+    return f"{result.size}{mark}"
+
+
+def _rate(rate: Rate) -> str:
+    return f"{rate.messages:.2f}; {rate.bytes:.0f}"
+
+
+def control_bytes(phase: Phase) -> float:
+    """Bytes a second that a dispatcher sends and receives for control: members, lists, probes."""
+    rates = [*phase.sent, *phase.received, *phase.directory, phase.probes]
+    return sum(rate.bytes for rate in rates)
+
+
+def _budget_table(results: list[ScaleResult]) -> str:
+    head = ["calm, against the budget", *(_size_head(result) for result in results), "budget"]
+    cpu, memory, traffic, lateness = [], [], [], []
+    for result in results:
+        phase = result.calm
+        real = next((p for p in phase.processes if p.role == "real dispatcher"), None) if phase else None
+        cpu.append(f"{real.cpu_percent_mean:.1f} ({real.cpu_percent_most:.1f})" if real else "-")
+        memory.append(f"{real.resident_mb_mean:.0f} ({real.resident_mb_most:.0f})" if real else "-")
+        traffic.append(f"{control_bytes(phase):.0f}" if phase else "-")
+        lateness.append(f"{phase.late_p50_ms:.1f} / {phase.late_p99_ms:.1f}" if phase else "-")
+    rows = [
+        ["CPU of a real process, % of a core, mean (most)", *cpu, f"{CPU_BUDGET_PERCENT}"],
+        ["resident, MB, mean (most)", *memory, f"{MEMORY_BUDGET_MB:.0f}"],
+        ["control, bytes/s both ways", *traffic, f"{TRAFFIC_BUDGET_BYTES:.0f}"],
+        ["generator late by, ms, p50 / p99", *lateness, "100 (p99)"],
+    ]
+    return _table(head, rows)
+
+
+def _phases_table(results: list[ScaleResult]) -> str:
+    head = ["size", "phase", "s", "members and ledgers, bytes/s sent", "lists, bytes/s", "real: CPU %"]
+    head += ["real: MB", "false deaths", "jobs", "late by p50 / p99, ms", "load average"]
+    rows = []
+    for result in results:
+        for phase in result.phases:
+            real = next((p for p in phase.processes if p.role == "real dispatcher"), None)
+            rows.append(
+                [
+                    result.size,
+                    phase.name + (" (late)" if phase.late else ""),
+                    f"{phase.seconds:.0f}",
+                    f"{sum(rate.bytes for rate in phase.sent):.0f}",
+                    f"{sum(rate.bytes for rate in phase.directory):.0f}",
+                    f"{real.cpu_percent_mean:.1f}" if real else "-",
+                    f"{real.resident_mb_most:.0f}" if real else "-",
+                    str(phase.false_deaths),
+                    ", ".join(f"{count} {how}" for how, count in sorted(phase.jobs.items())) or "-",
+                    f"{phase.late_p50_ms:.1f} / {phase.late_p99_ms:.1f}",
+                    f"{phase.load_average:.1f}",
+                ]
+            )
+    return _table(head, rows)
+
+
+def _told_table(results: list[ScaleResult]) -> str:
+    head = ["size", "phase", "what", "p50, ms", "p99, ms", "last, ms", "told of expected", "late by p99, ms"]
+    rows = []
+    for result in results:
+        for phase in result.phases:
+            for told in phase.told:
+                rows.append(
+                    [
+                        result.size,
+                        phase.name + (" (late)" if phase.late else ""),
+                        told.what,
+                        f"{told.p50_ms:.0f}",
+                        f"{told.p99_ms:.0f}",
+                        f"{told.last_ms:.0f}",
+                        f"{told.told} of {told.expected}",
+                        f"{phase.late_p99_ms:.1f}",
+                    ]
+                )
+    return _table(head, rows)
--- a/ironbarrow/runtime/loop.py
+++ b/ironbarrow/runtime/loop.py
@@ -196,10 +196,18 @@
         while not self.stopped:
             self.turn()
 
-    def turn(self) -> None:
-        """Waits for what comes next and runs all that is due."""
+    def fileno(self) -> int:
+        """A descriptor that is readable when one of the watched ones is ready: for a poll over many loops."""
+        return self._epoll.fileno()
+
+    def idle_for(self) -> float:
+        """Seconds until the next timer is due, 0 if something waits to be run."""
+        return self._poll_time()
+
+    def turn(self, *, wait: bool = True) -> None:
+        """Waits for what comes next, unless ``wait`` is off, and runs all that is due."""
         self._turns += 1
-        for fd, _ in self._epoll.poll(self._poll_time()):
+        for fd, _ in self._epoll.poll(self._poll_time() if wait else 0.0):
             if fd == self._wake_read:
                 with suppress(BlockingIOError):
                     os.read(fd, 4096)
