--- a/ironbarrow/lab/scale/hollow_dispatchers.py
+++ b/ironbarrow/lab/scale/hollow_dispatchers.py
@@ -118,9 +118,9 @@
 
     def _note(self, news: News) -> None:
         if isinstance(news, MemberChanged):
-            member = news.member
-            name, health = member.card.life.name, member.health.value
-            self._counts.member_news.append(MemberNews(time.monotonic_ns(), self.name, name, health))
+            life, health = news.member.card.life, news.member.health.value
+            now = time.monotonic_ns()
+            self._counts.member_news.append(MemberNews(now, self.name, life.name, life.start, health))
 
 
 class HollowDispatcher(Dispatcher):
