--- a/ironbarrow/lab/scale/result.py
+++ b/ironbarrow/lab/scale/result.py
@@ -9,7 +9,6 @@
 from ironbarrow.lab.scale.meters import LATE_MS
 from ironbarrow.lab.scale.target import CPU_BUDGET_PERCENT, MEMORY_BUDGET_MB, TRAFFIC_BUDGET_BYTES
 
-
 LATE = "late"  # in place of a figure
 
 
