--- a/ironbarrow/lab/scale/measuring.py
+++ b/ironbarrow/lab/scale/measuring.py
@@ -8,7 +8,7 @@
 from ironbarrow.lab.scale.messages import Lateness, MemberNews, States, Traffic
 from ironbarrow.lab.scale.meters import LATE_MS, LatenessMeter, Usage, percentile, usage
 from ironbarrow.lab.scale.parties import Collected, Parties
-from ironbarrow.lab.scale.result import Held, Phase, Process, Rate, Told
+from ironbarrow.lab.scale.result import HOLLOW, LEADER, REAL, WORKERS, Held, Phase, Process, Rate, Told
 from ironbarrow.runtime.loop import Coroutine
 
 _NS_PER_MS = 1e6
@@ -62,6 +62,7 @@
             told=[self._list_told(running, ended_at)],
             held=_held(report.states for report in reports),
             jobs=self.collected.jobs,
+            late_p99_by_role_ms=self._lateness_by_role(own_lateness),
             false_deaths=sum(
                 news.health == "dead" and news.subject not in ended and news.observer not in ended
                 for news in self.member_news()
@@ -116,19 +117,27 @@
             max(one.most_ms for one in found),
         )
 
+    def _lateness_by_role(self, own: Lateness) -> dict[str, float]:
+        collected = self.collected
+        return {
+            LEADER: own.p99_ms,
+            HOLLOW: max((report.lateness.p99_ms for report in collected.dispatchers), default=0.0),
+            WORKERS: max((report.lateness.p99_ms for report in collected.workers), default=0.0),
+        }
+
     def _usages_now(self) -> dict[str, dict[int, Usage]]:
         own = usage(os.getpid())
         assert own is not None
         return {
-            "real dispatcher": self._parties.real_usage(),
-            "hollow dispatchers": self._parties.hollow_usage(),
-            "hollow workers": self._parties.worker_usage(),
-            "lists and jobs": {os.getpid(): own},
+            REAL: self._parties.real_usage(),
+            HOLLOW: self._parties.hollow_usage(),
+            WORKERS: self._parties.worker_usage(),
+            LEADER: {os.getpid(): own},
         }
 
     def _processes(self, now: dict[str, dict[int, Usage]], seconds: float) -> list[Process]:
         size = self._parties.layout.size
-        parties = {"hollow dispatchers": size.hollow, "hollow workers": size.workers}
+        parties = {HOLLOW: size.hollow, WORKERS: size.workers}
         return [
             _process(role, parties.get(role, len(found)), self._usages[role], found, seconds)
             for role, found in now.items()
--- a/ironbarrow/lab/scale/result.py
+++ b/ironbarrow/lab/scale/result.py
@@ -10,6 +10,8 @@
 from ironbarrow.lab.scale.target import CPU_BUDGET_PERCENT, MEMORY_BUDGET_MB, TRAFFIC_BUDGET_BYTES
 
 LATE = "late"  # in place of a figure
+REAL, HOLLOW, WORKERS = "real dispatcher", "hollow dispatchers", "hollow workers"  # roles of processes
+LEADER = "lists and jobs"
 
 
 class Rate(Struct):
@@ -73,6 +75,7 @@
     held: Held
     jobs: dict[str, int]
     false_deaths: int
+    late_p99_by_role_ms: dict[str, float] = {}
     notes: list[str] = []
 
 
@@ -245,7 +248,7 @@
 
 
 def _budget_cells(phase: Phase | None) -> list[str]:
-    real, hollow = _role(phase, "real dispatcher"), _role(phase, "hollow dispatchers")
+    real, hollow = _role(phase, REAL), _role(phase, HOLLOW)
     if phase is None or real is None or hollow is None:
         return ["-"] * len(_BUDGET_TITLES)
     a_hollow_one = hollow.cpu_percent_mean * hollow.processes / max(1, hollow.parties)
@@ -267,7 +270,7 @@
 
 
 def _phase_row(result: ScaleResult, phase: Phase) -> list[str]:
-    real = _role(phase, "real dispatcher")
+    real = _role(phase, REAL)
     figures = [
         f"{sum(rate.bytes for rate in phase.sent):.0f}",
         f"{sum(rate.bytes for rate in phase.directory):.0f}",
