--- a/ironbarrow/lab/scale/hollow_dispatchers.py
+++ b/ironbarrow/lab/scale/hollow_dispatchers.py
@@ -80,14 +80,14 @@
     def encode(self, sender: Life, to_start: int, message: Message) -> bytes:
         """One frame, counted."""
         data = super().encode(sender, to_start, message)
-        self._counts.sent[kind_of(message)].add(len(data))
+        self._counts.sent[kind_of(type(message))].add(len(data))
         return data
 
     def decode(self, frame: bytes) -> tuple[Life, int, Message] | None:
         """What a frame holds, counted."""
         found = super().decode(frame)
         if found is not None:
-            self._counts.note_received(found[0].name, kind_of(found[2]), len(frame))
+            self._counts.note_received(found[0].name, kind_of(type(found[2])), len(frame))
         return found
 
 
--- a/ironbarrow/lab/scale/kinds.py
+++ b/ironbarrow/lab/scale/kinds.py
@@ -8,7 +8,7 @@
 _OTHER = "other"
 
 
-def kind_of(message: Message) -> str:
-    """The part of the fleet to which a message belongs."""
+def kind_of(message: type[Message]) -> str:
+    """The part of the fleet to which a kind of message belongs."""
     place = message.KIND // _NUMBERS_OF_A_KIND
     return KINDS[place] if place < len(KINDS) else _OTHER
--- a/ironbarrow/lab/scale/live.py
+++ b/ironbarrow/lab/scale/live.py
@@ -21,7 +21,6 @@
 _CHECK_EVERY = SECOND
 _MOST_ERRORS = 20
 _SLACK_S = 180.0  # to start, to meet, to end
-_WARM_UP = 5 * SECOND  # from the first job to the first measurement
 
 Progress = Callable[[str], None]
 
@@ -110,7 +109,7 @@
             yield from self._until_met()
             self._parties.load.start()
             self._parties.weights.start()
-            yield from sleep(self._loop.now() + _WARM_UP)
+            yield from sleep(self._loop.now() + int(self._lengths.warm_up * SECOND))
             phases = Phases(self._parties, self._lateness, self._lengths, self._phase_done)
             yield from phases.play()
         except Exception as error:
--- a/ironbarrow/lab/scale/phases.py
+++ b/ironbarrow/lab/scale/phases.py
@@ -25,6 +25,7 @@
     """How long each phase lasts, s. A cut of regions stands for one of an hour: what grows with its length is
     extrapolated."""
 
+    warm_up: float = 5.0  # from the first job to the first measurement
     calm: float = 20.0
     workers: float = 8.0
     rack: float = 10.0
--- /dev/null
+++ b/tests/test_scale.py
@@ -0,0 +1,388 @@
+"""Live scale runs: their bounds, what hollow workers say, results and tables, and one tiny run."""
+
+import os
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+
+from ironbarrow.fleet.ledgers.messages import Append
+from ironbarrow.fleet.members.messages import Ping
+from ironbarrow.fleet.starvation.tables import Waits
+from ironbarrow.fleet.takeover.messages import Told as TakeoverTold
+from ironbarrow.lab.live.wire import Client
+from ironbarrow.lab.model.directory import Entry
+from ironbarrow.lab.scale.directory import DispatcherAgent, RegionLines, WorkerList
+from ironbarrow.lab.scale.hollow_workers import Party, dispatcher_of
+from ironbarrow.lab.scale.kinds import KINDS, kind_of
+from ironbarrow.lab.scale.limits import LimitError, Limits
+from ironbarrow.lab.scale.live import ScaleRun
+from ironbarrow.lab.scale.messages import Traffic, WorkerSpec, WorkersSpec
+from ironbarrow.lab.scale.meters import LATE_MS, LatenessMeter, memory_total_mb, percentile, usage
+from ironbarrow.lab.scale.phases import Lengths
+from ironbarrow.lab.scale.result import (
+    HOLLOW,
+    REAL,
+    Held,
+    Phase,
+    Process,
+    Rate,
+    ScaleResult,
+    Told,
+    control_bytes,
+    read,
+    tables,
+    write,
+)
+from ironbarrow.lab.scale.target import SIZES, Size, size_of
+from ironbarrow.runtime.loop import MS, SECOND, Coroutine, Loop, sleep
+from ironbarrow.runtime.sockets import Address, listen
+from ironbarrow.transport.http import Connection
+
+TINY = Size(
+    "tiny",
+    workers=4,
+    dispatchers=3,
+    real=1,
+    teams=2,
+    starts_per_second=4.0,
+    failures=1,
+    rack_workers=1,
+    replaced=1,
+)
+
+
+# Sizes
+
+
+def test_sizes_are_the_whole_fleet_and_its_parts():
+    assert [size_of(name).dispatchers for name in SIZES] == [29, 58, 115, 230]
+    assert [size_of(name).workers for name in SIZES] == [104, 208, 415, 830]
+    whole = size_of("whole")
+    assert (whole.teams, whole.starts_per_second, whole.replaced, whole.failures) == (290, 70.0, 250, 8)
+    assert whole.hollow == 222
+
+
+# Bounds
+
+
+def test_too_many_processes_are_refused_before_any_is_started():
+    with pytest.raises(LimitError, match="4 processes are over the bound of 3"):
+        Limits(3, 1000.0).check_plan(4)
+    Limits(4, 1000.0).check_plan(4)
+
+
+def test_too_much_memory_is_an_error():
+    own = os.getpid()
+    held = usage(own)
+    assert held is not None
+    with pytest.raises(LimitError, match="over the bound of 1 MB"):
+        Limits(10, 1.0).check([own])
+    assert Limits(10, 10 * held.resident_mb).check([own, 0]) == pytest.approx(held.resident_mb, rel=0.2)
+
+
+def test_no_more_than_half_of_the_machine_is_taken():
+    limits = Limits.of_machine()
+    assert limits.memory_mb <= memory_total_mb() / 2
+    assert limits.processes == 300
+
+
+def test_a_run_over_its_memory_stops_itself(tmp_path: Path):
+    run = ScaleRun(TINY, lengths=Lengths(calm=60), limits=Limits(300, 20.0), folder=tmp_path)
+    result = run.run()
+    assert "over the bound of 20 MB" in result.stopped
+    assert result.phases == []
+    assert result.took_s < 30
+
+
+def test_a_run_with_too_many_processes_starts_none(tmp_path: Path):
+    with pytest.raises(LimitError):
+        ScaleRun(TINY, limits=Limits(2, 1000.0), folder=tmp_path).run()
+    assert list(tmp_path.iterdir()) == []
+
+
+# Meters
+
+
+def test_percentiles_are_by_nearest_rank():
+    assert percentile([], 0.5) == 0.0
+    assert percentile([3.0, 1.0, 2.0], 0.5) == 2.0
+    assert percentile([float(n) for n in range(100)], 0.99) == 99.0
+
+
+def test_a_loop_that_stands_still_is_late():
+    loop = Loop(_fail)
+    meter = LatenessMeter(loop)
+    stands_until = loop.now() + 300 * MS
+
+    def stand_still() -> None:
+        while loop.now() < stands_until:
+            pass
+        loop.call_at(loop.now() + 120 * MS, loop.stop)
+
+    loop.soon(stand_still)
+    loop.run()
+    loop.close()
+    taken = meter.take()
+    assert taken.most_ms >= 200
+    assert taken.p99_ms > LATE_MS
+    assert meter.take().most_ms == 0.0
+
+
+def test_messages_are_counted_by_the_part_of_the_fleet():
+    kinds = [kind_of(kind) for kind in (Ping, Append, TakeoverTold, Waits)]
+    assert kinds == [KINDS[0], KINDS[1], KINDS[2], KINDS[4]]
+
+
+def _fail(error: Exception) -> None:
+    raise error
+
+
+# Hollow workers
+
+
+class Fronts:
+    """A dispatcher's front that notes call-backs."""
+
+    def __init__(self, loop: Loop) -> None:
+        from ironbarrow.lab.live.wire import Server, next_message
+
+        self.heard: list[dict[str, Any]] = []
+        listener = listen(("127.0.0.1", 0))
+        self.address: Address = listener.getsockname()[:2]
+
+        def serve(connection: Connection) -> Coroutine[None]:
+            while True:
+                _, request = yield from next_message(loop, connection, SECOND, SECOND)
+                assert (request.method, request.target) == ("POST", "/callback")
+                self.heard.append(msgspec.json.decode(request.body))
+                yield from connection.write(connection.response_bytes(204), loop.now() + SECOND)
+                if not connection.next_cycle():
+                    return
+
+        self.server = Server(loop, listener, serve)
+
+
+class WorkerWorld:
+    """One hollow worker of the north with two slots, and one dispatcher's front."""
+
+    def __init__(self) -> None:
+        # ports that are free now: the spec has to name them
+        probes = [listen(("127.0.0.1", 0)) for _ in range(2)]
+        self.addresses = [f"127.0.0.1:{probe.getsockname()[1]}" for probe in probes]
+        for probe in probes:
+            probe.close()
+        addresses = dict(zip(("north", "south"), self.addresses, strict=True))
+        spec = WorkerSpec("w0", "north-1", addresses)
+        front = listen(("127.0.0.1", 0))
+        address = "{}:{}".format(*front.getsockname()[:2])
+        front.close()
+        self.party = Party(WorkersSpec([spec], [address], 2, 0.05, 10.0))
+        self.loop = self.party.loop
+        self.fronts = Fronts(self.loop)
+        self.party._fronts = [Client(self.loop, self.fronts.address)]
+        self.answers: list[tuple[int, dict[str, str], bytes]] = []
+
+    def ask(self, *requests: tuple[str, str, str], region: int = 0, lasts: int = 400 * MS) -> None:
+        """Sends requests (method, target, job id) one after another, then lets time pass."""
+        host, _, port = self.addresses[region].rpartition(":")
+        client = Client(self.loop, (host, int(port)))
+
+        def talk() -> Coroutine[None]:
+            for method, target, job_id in requests:
+                headers = [("X-Request-ID", job_id)] if job_id else []
+                answer = yield from client.exchange(method, target, headers, b"", self.loop.now() + SECOND)
+                self.answers.append((answer.status, answer.headers, answer.body))
+
+        self.loop.spawn(talk())
+        self.loop.call_at(self.loop.now() + lasts, self.loop.stop)
+        self.loop.stopped = False
+        self.loop.run()
+
+    def close(self) -> None:
+        self.loop.close()
+
+
+@pytest.fixture
+def workers():
+    made = WorkerWorld()
+    yield made
+    made.close()
+
+
+def test_a_hollow_worker_takes_a_job_and_tells_of_it(workers: WorkerWorld):
+    workers.ask(("POST", "/task/1", "j-0-1"))
+    assert [status for status, _, _ in workers.answers] == [202]
+    assert [(said["id"], said["from"], said["state"]) for said in workers.fronts.heard] == [
+        ("j-0-1", "w0", "started"),
+        ("j-0-1", "w0", "done"),
+    ]
+    assert workers.fronts.heard[1]["result"] == "done j-0-1"
+    assert workers.fronts.heard[1]["load"] == {"eps": 0.0, "queue": 0.0, "x0": 2.0}
+
+
+def test_a_full_hollow_worker_says_that_nothing_ran(workers: WorkerWorld):
+    jobs = [("POST", "/task/1", f"j-0-{n}") for n in (1, 2, 3)]
+    workers.ask(*jobs, lasts=40 * MS)
+    assert [status for status, _, _ in workers.answers] == [202, 202, 503]
+    assert workers.answers[2][1]["x-not-processed"] == "1"
+
+
+def test_a_hollow_worker_answers_probes_and_forgets_a_cancelled_job(workers: WorkerWorld):
+    workers.ask(
+        ("GET", "/-/healthy", ""),
+        ("POST", "/task/1", "j-0-1"),
+        ("GET", "/-/load", ""),
+        ("DELETE", "/jobs/j-0-1", ""),
+        ("GET", "/-/load", ""),
+        ("GET", "/elsewhere", ""),
+        ("POST", "/task/1", ""),
+    )
+    assert [status for status, _, _ in workers.answers] == [200, 202, 200, 204, 200, 404, 400]
+    assert workers.answers[2][2] == b"eps=0,queue=0,x0=1"
+    assert workers.answers[4][2] == b"eps=0,queue=0,x0=2"
+    assert [said["state"] for said in workers.fronts.heard] == ["started"]
+    assert set(workers.party.requests) == {"probes", "jobs", "cancellations", "other"}
+
+
+def test_a_hollow_worker_is_silent_to_a_region_that_is_cut_off(workers: WorkerWorld):
+    workers.party.cut = True
+    workers.ask(("GET", "/-/healthy", ""), region=1, lasts=200 * MS)
+    assert workers.answers == []
+    workers.ask(("GET", "/-/healthy", ""), region=0, lasts=200 * MS)
+    assert [status for status, _, _ in workers.answers] == [200]
+
+
+def test_the_dispatcher_of_a_job_is_read_from_its_id():
+    assert dispatcher_of("j-17-3") == 17
+    assert [dispatcher_of(text) for text in ("", "j-17", "j-x-3", "k-17-3")] == [None] * 4
+
+
+# The list of workers
+
+
+def test_an_agent_tells_a_change_after_its_own_delay():
+    loop = Loop(_fail)
+    workers = WorkerList([Entry("w0", "north-1", "", 5.0)])
+    region = RegionLines(workers, {"w0": "127.0.0.1:1", "w1": "127.0.0.1:2"})
+    traffic: dict[str, Traffic] = {name: Traffic() for name in ("heads", "changes", "whole lists")}
+    agent = DispatcherAgent(loop, region, 100 * MS, traffic)
+    changed_at, heard_at = 0, 0
+    client_connection: list[Connection] = []
+
+    def follow() -> Coroutine[None]:
+        nonlocal changed_at, heard_at
+        from ironbarrow.transport.http import connect
+
+        until = loop.now() + 2 * SECOND
+        connection = yield from connect(agent.address, until)
+        client_connection.append(connection)
+        headers = [("Host", "directory")]
+        target = "/api/targets?follow=1&since=1"
+        yield from connection.write(connection.request_bytes("GET", target, headers), until)
+        yield from connection.event(until)  # the head
+        yield from sleep(loop.now() + 50 * MS)
+        changed_at = loop.now()
+        assert workers.change(Entry("w1", "north-2", "", 5.0)) == 2
+        event = yield from connection.event(until)
+        heard_at = loop.now()
+        said = msgspec.json.decode(bytes(event.data))  # type: ignore[union-attr]
+        assert (said["index"], said["snapshot"]) == (2, False)
+        assert [line["name"] for line in said["endpoints"]] == ["w1"]
+        loop.stop()
+
+    loop.spawn(follow())
+    loop.call_at(loop.now() + 3 * SECOND, loop.stop)
+    loop.run()
+    client_connection[0].close()
+    loop.close()
+    assert heard_at - changed_at >= 100 * MS
+    assert traffic["changes"].messages == 1
+
+
+# Results
+
+
+def phase(name: str = "calm", *, late: bool = False) -> Phase:
+    rates = [Rate("members", 7.0, 500.0)]
+    processes = [Process(REAL, 8, 8, 2.5, 3.5, 30.0, 31.0), Process(HOLLOW, 2, 10, 10.0, 12.0, 60.0, 61.0)]
+    return Phase(
+        name,
+        20.0,
+        late,
+        1.0,
+        150.0 if late else 20.0,
+        4.0,
+        rates,
+        rates,
+        rates,
+        [Rate("changes", 1.0, 2000.0)],
+        Rate("probes", 0.5, 100.0),
+        processes,
+        [Told("changes of the list of workers", 5.0, 20.0, 33.0, 10, 10)],
+        Held(29.0, 29, 104.0, 3.0, 8.0, 6000.0),
+        {"served": 12, "rejected": 1},
+        0,
+    )
+
+
+def result(size: str = "1-8", dispatchers: int = 29, *, late: bool = False) -> ScaleResult:
+    return ScaleResult(size, 104, dispatchers, 8, 37, 8.75, 0.5, 400.0, 11, 120.0, [phase(late=late)])
+
+
+def test_a_result_is_read_as_it_was_written(tmp_path: Path):
+    path = tmp_path / "results" / "scale-1-8.json"
+    write(result(), path)
+    assert read(path) == result()
+
+
+def test_tables_have_a_column_for_each_size_and_the_budget():
+    text = tables([result("1-4", 58), result("1-8", 29)])
+    assert "| a dispatcher, calm | 1-8 | 1-4 |" in text  # the smaller one first
+    assert "| CPU of a real process, % of a core, mean (most) | 2.5 (3.5) | 2.5 (3.5) | 3.2 |" in text
+    assert "| control, bytes/s both ways | 3100 | 3100 | 15000 |" in text
+    assert "| CPU of a hollow one, % of a core, mean | 2.00 | 2.00 | 3.2 |" in text
+    for block in text.split("\n\n"):
+        lines = [line for line in block.splitlines() if line.startswith("|")]
+        assert len({line.count("|") for line in lines}) <= 1  # as many cells in each row
+
+
+def test_no_figure_of_a_late_run_is_shown_as_the_programs():
+    text = tables([result(late=True)])
+    assert "1-8 (late)" in text
+    assert "| control, bytes/s both ways | late | 15000 |" in text
+    assert "2.5 (3.5)" not in text
+    assert "| 1.0 / 150.0 |" in text
+
+
+def test_control_is_all_but_the_jobs_themselves():
+    assert control_bytes(phase()) == 500 + 500 + 2000 + 100
+
+
+# A tiny run
+
+
+def test_a_tiny_run_counts_what_real_and_hollow_parties_say(tmp_path: Path):
+    lengths = Lengths(1, calm=4, workers=2, rack=2, zone=1.5, zone_back=1, cut=2, heal=2, rolling=1.5)
+    found = ScaleRun(TINY, lengths=lengths, folder=tmp_path).run()
+    assert (found.stopped, found.errors) == ("", 0)
+    assert found.all_met_after_s >= 0
+    names = ["calm", "workers fail", "rack lost", "zone lost", "zone back", "regions apart"]
+    assert [phase.name for phase in found.phases] == [*names, "regions together again", "rolling restart"]
+    calm = found.phases[0]
+    assert calm.held.members == 3
+    assert calm.held.workers == 4
+    assert {rate.kind for rate in calm.sent} >= {"members", "ledgers"}
+    assert all(rate.messages > 0 for rate in calm.from_real)
+    assert calm.told[0].expected >= 2
+    assert calm.told[0].told == calm.told[0].expected
+    real = next(process for process in calm.processes if process.role == REAL)
+    assert real.processes == 1
+    assert 10 < real.resident_mb_most < 64
+    assert found.processes == 4  # with the leader
+    assert not [line for log in tmp_path.glob("*.log") for line in _errors(log)]
+
+
+def _errors(log: Path) -> list[str]:
+    return [line for line in log.read_text().splitlines() if "Traceback" in line or '"error"' in line]
