--- a/ironbarrow/lab/scale/measuring.py
+++ b/ironbarrow/lab/scale/measuring.py
@@ -64,9 +64,9 @@
             jobs=self.collected.jobs,
             late_p99_by_role_ms=self._lateness_by_role(own_lateness),
             false_deaths=sum(
-                news.health == "dead" and news.subject not in ended and news.observer not in ended
-                for news in self.member_news()
+                news.subject not in ended and news.observer not in ended for news in self.deaths()
             ),
+            replaced_lives=len(self._replaced_lives()),
         )
 
     def member_news(self) -> Iterable[MemberNews]:
@@ -74,6 +74,33 @@
         for report in self.collected.dispatchers:
             yield from report.member_news
 
+    def deaths(self) -> list[MemberNews]:
+        """News of deaths, but for those of lives that have been followed by a later one of the same member."""
+        latest = self._latest_lives()
+        return [
+            news
+            for news in self.member_news()
+            if news.health == "dead" and news.start >= latest.get((news.observer, news.subject), 0)
+        ]
+
+    def _replaced_lives(self) -> set[tuple[str, int]]:
+        """Lives that have been followed by a later one, by name and start."""
+        latest = self._latest_lives()
+        return {
+            (news.subject, news.start)
+            for news in self.member_news()
+            if news.start < latest.get((news.observer, news.subject), 0)
+        }
+
+    def _latest_lives(self) -> dict[tuple[str, str], int]:
+        """The latest life that each observer holds alive, by member."""
+        found: dict[tuple[str, str], int] = {}
+        for news in self.member_news():
+            if news.health == "alive":
+                key = (news.observer, news.subject)
+                found[key] = max(news.start, found.get(key, 0))
+        return found
+
     def told(self, what: str, news: Iterable[MemberNews], since: int, expected: int) -> Told:
         """How long these news took from a time on the monotonic clock, ns."""
         return _told(what, [(one.at - since) / _NS_PER_MS for one in news], expected)
--- a/ironbarrow/lab/scale/phases.py
+++ b/ironbarrow/lab/scale/phases.py
@@ -149,11 +149,7 @@
         parties.workers.mark(workers, "removed")
         yield from self._sleep(seconds - _LISTED_AFTER / SECOND)
         phase = yield from measured.end(lost)
-        deaths = [
-            news
-            for news in measured.member_news()
-            if news.health == "dead" and news.subject in lost and news.observer not in lost
-        ]
+        deaths = [news for news in measured.deaths() if news.subject in lost and news.observer not in lost]
         observers = parties.layout.size.hollow - len(dispatchers)
         deaths = measured.first_of_each(deaths)
         phase.told.append(measured.told("deaths of members", deaths, since, observers * len(lost)))
@@ -214,14 +210,9 @@
         since = time.monotonic_ns()
         yield from self._sleep(self._lengths.cut)
         phase = yield from measured.end()
-        across, within = [], 0
-        for news in measured.member_news():
-            if news.health == "dead":
-                if self._is_across(news):
-                    across.append(news)
-                else:
-                    within += 1
-        phase.false_deaths = within
+        deaths = measured.deaths()
+        across = [news for news in deaths if self._is_across(news)]
+        phase.false_deaths = len(deaths) - len(across)
         what = "members of the other region dead"
         across = measured.first_of_each(across)
         phase.told.append(measured.told(what, across, since, self._pairs_apart()))
@@ -242,14 +233,7 @@
         phase.told.append(
             measured.told("members of the other region back", alive, since, self._pairs_apart())
         )
-        begun = {(one.observer, one.subject, one.start) for one in news if one.health == "alive"}
-        latest = {(observer, subject): start for observer, subject, start in sorted(begun)}
-        dead = [one for one in news if one.health == "dead"]
-        false = [one for one in dead if latest.get((one.observer, one.subject), 0) <= one.start]
-        phase.false_deaths = len(false)
-        phase.told.append(measured.told("deaths told after the cut", false, since, 0))
-        renewed = [one for one in dead if latest.get((one.observer, one.subject), 0) > one.start]
-        phase.told.append(measured.told("lives replaced by a later one", renewed, since, 0))
+        phase.told.append(measured.told("deaths told after the cut", measured.deaths(), since, 0))
         self._note_members(phase)
         self._done(phase)
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -324,6 +324,7 @@
         Held(29.0, 29, 104.0, 3.0, 8.0, 6000.0),
         {"served": 12, "rejected": 1},
         0,
+        0,
     )
 
 
