--- a/ironbarrow/lab/scale/measuring.py
+++ b/ironbarrow/lab/scale/measuring.py
@@ -75,7 +75,7 @@
             yield from report.member_news
 
     def deaths(self) -> list[MemberNews]:
-        """News of deaths, but for those of lives that have been followed by a later one of the same member."""
+        """News of deaths, but for those of lives that a later one of the same member has followed."""
         latest = self._latest_lives()
         return [
             news
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -18,8 +18,17 @@
 from ironbarrow.lab.scale.kinds import KINDS, kind_of
 from ironbarrow.lab.scale.limits import LimitError, Limits
 from ironbarrow.lab.scale.live import ScaleRun
-from ironbarrow.lab.scale.messages import Traffic, WorkerSpec, WorkersSpec
+from ironbarrow.lab.scale.measuring import Measurement
+from ironbarrow.lab.scale.messages import (
+    DispatchersReport,
+    Lateness,
+    MemberNews,
+    Traffic,
+    WorkerSpec,
+    WorkersSpec,
+)
 from ironbarrow.lab.scale.meters import LATE_MS, LatenessMeter, memory_total_mb, percentile, usage
+from ironbarrow.lab.scale.parties import Collected
 from ironbarrow.lab.scale.phases import Lengths
 from ironbarrow.lab.scale.result import (
     HOLLOW,
@@ -301,6 +310,35 @@
     assert traffic["changes"].messages == 1
 
 
+# What is made of counts
+
+
+def test_deaths_are_told_from_lives_that_a_later_one_follows():
+    news = [
+        MemberNews(1, "d0", "d1", 10, "alive"),
+        MemberNews(2, "d0", "d1", 10, "dead"),
+        MemberNews(3, "d0", "d1", 20, "alive"),  # a later life of the same member
+        MemberNews(4, "d0", "d2", 10, "suspect"),
+        MemberNews(5, "d0", "d2", 10, "dead"),
+        MemberNews(6, "d3", "d2", 10, "dead"),
+        MemberNews(7, "d3", "d2", 10, "alive"),  # held dead, and back in the same life
+    ]
+    measured = Measurement(None, None, "calm")  # type: ignore[arg-type]
+    report = DispatchersReport(Lateness(0, 0, 0), member_news=news)
+    measured.collected = Collected(dispatchers=[report])
+    assert [(one.observer, one.subject) for one in measured.deaths()] == [("d0", "d2"), ("d3", "d2")]
+    assert measured._replaced_lives() == {("d1", 10)}
+
+
+def test_news_count_once_for_each_pair_of_members():
+    news = [MemberNews(at, "d0", "d1", 10, "dead") for at in (2_000_000, 5_000_000)]
+    measured = Measurement(None, None, "calm")  # type: ignore[arg-type]
+    first = measured.told("deaths", measured.first_of_each(news), 0, 1)
+    last = measured.told("deaths", measured.last_of_each(news), 0, 1)
+    assert (first.last_ms, first.told, first.expected) == (2.0, 1, 1)
+    assert (last.last_ms, last.told) == (5.0, 1)
+
+
 # Results
 
 
