--- a/ironbarrow/lab/scale/hollow_dispatchers.py
+++ b/ironbarrow/lab/scale/hollow_dispatchers.py
@@ -196,6 +196,7 @@
         self._counts = Counts(spec.real)
         self._specs = {one.name: one for one in spec.dispatchers}
         self._running: dict[str, HollowDispatcher] = {}
+        self._paused: set[str] = set()
         self._errors = 0
         self.loop = Loop(self._failed)
         self._group = LoopGroup(self.loop)
@@ -221,6 +222,7 @@
         self._group.add(made.loop)
 
     def _end(self, name: str) -> None:
+        self._paused.discard(name)
         ended = self._running.pop(name, None)
         if ended is not None:
             self._group.remove(ended.loop)
@@ -233,6 +235,7 @@
             case Pause():
                 for name in self._mine(command.names):
                     self._group.remove(self._running[name].loop)
+                    self._paused.add(name)
             case End():
                 for name in self._mine(command.names):
                     self._end(name)
@@ -250,8 +253,9 @@
     def _report(self) -> DispatchersReport:
         lateness = self._lateness.take()
         states = States()
-        for dispatcher in self._running.values():
-            dispatcher.add_states(states)
+        for name, dispatcher in self._running.items():
+            if name not in self._paused:
+                dispatcher.add_states(states)
         counts = self._counts
         report = DispatchersReport(
             lateness,
--- a/ironbarrow/lab/scale/result.py
+++ b/ironbarrow/lab/scale/result.py
@@ -164,7 +164,7 @@
     picks: list[tuple[str, Callable[[Phase], list[Rate]]]] = [
         ("sent", lambda phase: phase.sent),
         ("received", lambda phase: phase.received),
-        ("sent by a real one", lambda phase: phase.from_real),
+        ("sent by a real one to hollow ones", lambda phase: phase.from_real),
         ("list of workers", lambda phase: phase.directory),
     ]
     for title, pick in picks:
