--- a/ironbarrow/cli/scale.py
+++ b/ironbarrow/cli/scale.py
@@ -20,6 +20,9 @@
         list[str] | None,
         typer.Option("--size", help="1-8, 1-4, 1-2 or whole; may be given again.", show_default="1-8"),
     ] = None,
+    dispatchers: Annotated[
+        int, typer.Option(help="Another number of dispatchers than the size has; 0: its own.", min=0, max=250)
+    ] = 0,
     out: Annotated[Path, typer.Option(help="Folder for the results.")] = RESULTS,
     tables: Annotated[
         bool, typer.Option("--tables", help="Print the tables of the results there; play nothing.")
@@ -36,7 +39,7 @@
     from ironbarrow.lab.scale.target import SIZES
 
     if tables:
-        paths = [path for name in SIZES if (path := _path(out, name)).exists()]
+        paths = sorted(path for name in SIZES for path in out.glob(f"scale-{name}*.json"))
         if not paths:
             _fail(f"{out}: no results there")
         _show([read(path) for path in paths], as_json)
@@ -44,14 +47,10 @@
     unknown = [name for name in sizes or () if name not in SIZES]
     if unknown:
         _fail(f"--size: expected some of {', '.join(SIZES)}, got {unknown[0]!r}")
-    _show(_play_all(sizes or ["1-8"], out), as_json)
+    _show(_play_all(sizes or ["1-8"], dispatchers, out), as_json)
 
 
-def _path(out: Path, size: str) -> Path:
-    return out / f"scale-{size}.json"
-
-
-def _play_all(names: list[str], out: Path) -> list[Any]:
+def _play_all(names: list[str], dispatchers: int, out: Path) -> list[Any]:
     """The results by size; after a late run, the next smaller size is played too."""
     from ironbarrow.lab.scale.result import write
     from ironbarrow.lab.scale.target import SIZES
@@ -60,15 +59,15 @@
     waiting, results = list(dict.fromkeys(names)), {}
     while waiting:
         name = waiting.pop(0)
-        result = results[name] = _play(name)
-        write(result, _path(out, name))
+        result = results[name] = _play(name, dispatchers)
+        write(result, out / f"scale-{result.size}.json")
         next_one = smaller.get(name)
         if result.late and next_one is not None and next_one not in results and next_one not in waiting:
             waiting.insert(0, next_one)
     return list(results.values())
 
 
-def _play(name: str) -> Any:
+def _play(name: str, dispatchers: int) -> Any:
     from ironbarrow.lab.scale.children import ChildError
     from ironbarrow.lab.scale.limits import LimitError
     from ironbarrow.lab.scale.live import ScaleRun, StartError
@@ -78,7 +77,7 @@
         typer.echo(text, err=True)
 
     try:
-        return ScaleRun(size_of(name), progress=progress).run()
+        return ScaleRun(size_of(name, dispatchers), progress=progress).run()
     except (ChildError, LimitError, StartError) as error:
         _fail(f"{name}: {error}", 1)
     except OSError as error:
--- a/ironbarrow/lab/scale/live.py
+++ b/ironbarrow/lab/scale/live.py
@@ -1,10 +1,12 @@
 """A scale run at one size, from the first process to the result."""
 
 import os
+import signal
 import tempfile
 import time
 from collections.abc import Callable
 from pathlib import Path
+from types import FrameType
 
 from ironbarrow.lab.scale.layout import Layout
 from ironbarrow.lab.scale.limits import LimitError, Limits
@@ -69,6 +71,7 @@
         over them from the start, a StartError if not all parties come up."""
         self._limits.check_plan(self._result.processes)
         begun = time.monotonic()
+        earlier = signal.signal(signal.SIGTERM, self._told_to_stop)
         try:
             self._parties.start()
             self._loop.spawn(self._watch_limits())
@@ -77,6 +80,7 @@
         finally:
             self._parties.close()
             self._loop.close()
+            signal.signal(signal.SIGTERM, earlier)
         self._result.took_s = time.monotonic() - begun
         if self._fatal is not None:
             raise self._fatal
@@ -89,6 +93,10 @@
         if self._result.errors > _MOST_ERRORS:
             self._stop(f"{self._result.errors} errors, the last one {error!r}")
 
+    def _told_to_stop(self, number: int, frame: FrameType | None) -> None:
+        """Danger: ended by the signal, real dispatchers would be left behind."""
+        self._stop("told to stop")
+
     def _stop(self, why: str) -> None:
         self._result.stopped = self._result.stopped or why
         self._loop.stop()
--- a/ironbarrow/lab/scale/load.py
+++ b/ironbarrow/lab/scale/load.py
@@ -84,7 +84,7 @@
     def __init__(self, loop: Loop, layout: Layout, workers: WorkerList, seed: int) -> None:
         self._loop, self._workers = loop, workers
         self._random = random.Random(seed)
-        self._changes = max(1, round(2 * layout.size.starts_per_second))  # each job starts and ends
+        self._changes = max(1, round(2 * layout.size.list_starts_per_second))  # each job starts and ends
         self._stopped = False
 
     def start(self) -> None:
--- a/ironbarrow/lab/scale/target.py
+++ b/ironbarrow/lab/scale/target.py
@@ -46,7 +46,8 @@
     dispatchers: int
     real: int  # of the dispatchers, those that are processes of their own
     teams: int
-    starts_per_second: float
+    starts_per_second: float  # that are sent
+    list_starts_per_second: float  # that the weights in the list tell of
     failures: int
     rack_workers: int
     replaced: int
@@ -57,20 +58,26 @@
         return self.dispatchers - self.real
 
 
-def size_of(name: str, real: int = 8) -> Size:
-    """The fleet of one of ``SIZES``; a KeyError for another name."""
+def size_of(name: str, dispatchers: int = 0, real: int = 8) -> Size:
+    """The fleet of one of ``SIZES``; a KeyError for another name.
+
+    ``dispatchers``: another number of them than that size has, each with its part of the jobs, so that one
+    thing grows at a time.
+    """
     part = SIZES[name]
 
     def scaled(whole: int) -> int:
         return math.ceil(whole * part)
 
+    count = dispatchers or scaled(DISPATCHERS)
     return Size(
-        name,
+        f"{name}-{dispatchers}d" if dispatchers else name,
         workers=scaled(WORKERS),
-        dispatchers=scaled(DISPATCHERS),
-        real=min(real, scaled(DISPATCHERS) - 1),
+        dispatchers=count,
+        real=min(real, count - 1),
         teams=scaled(TEAMS),
-        starts_per_second=STARTS_PER_SECOND * float(part),
+        starts_per_second=STARTS_PER_SECOND * float(part) * count / scaled(DISPATCHERS),
+        list_starts_per_second=STARTS_PER_SECOND * float(part),
         failures=scaled(ORDINARY_FAILURES),
         rack_workers=scaled(RACK_WORKERS),
         replaced=scaled(REPLACED_WORKERS),
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -56,6 +56,7 @@
     real=1,
     teams=2,
     starts_per_second=4.0,
+    list_starts_per_second=4.0,
     failures=1,
     rack_workers=1,
     replaced=1,
@@ -73,6 +74,13 @@
     assert whole.hollow == 222
 
 
+def test_dispatchers_may_grow_alone():
+    few = size_of("whole", dispatchers=23)
+    assert (few.name, few.workers, few.dispatchers, few.teams) == ("whole-23d", 830, 23, 290)
+    assert few.starts_per_second == pytest.approx(7.0)  # a dispatcher's part is that of the whole fleet
+    assert few.list_starts_per_second == 70.0
+
+
 # Bounds
 
 
