--- a/ironbarrow/lab/scale/measuring.py
+++ b/ironbarrow/lab/scale/measuring.py
@@ -186,6 +186,8 @@
         max(percents),
         sum(resident) / len(resident),
         max(resident),
+        [round(percent, 2) for percent in percents],
+        [round(mb, 1) for mb in resident],
     )
 
 
--- a/ironbarrow/lab/scale/result.py
+++ b/ironbarrow/lab/scale/result.py
@@ -43,6 +43,8 @@
     cpu_percent_most: float
     resident_mb_mean: float
     resident_mb_most: float
+    cpu_percents: list[float] = []  # of each process
+    resident_mbs: list[float] = []
 
 
 class Held(Struct):
