--- a/ironbarrow/lab/scale/hollow_dispatchers.py
+++ b/ironbarrow/lab/scale/hollow_dispatchers.py
@@ -58,11 +58,17 @@
     def clear(self) -> None:
         """Begins anew."""
         self.sent: dict[str, Traffic] = defaultdict(Traffic)
+        self.sent_by_type: dict[str, Traffic] = defaultdict(Traffic)
         self.received: dict[str, Traffic] = defaultdict(Traffic)
         self.from_real: dict[str, Traffic] = defaultdict(Traffic)
         self.member_news: list[MemberNews] = []
         self.list_news: list[ListNews] = []
 
+    def note_sent(self, message: type[Message], size: int) -> None:
+        """A message was written out."""
+        self.sent[kind_of(message)].add(size)
+        self.sent_by_type[message.__name__].add(size)
+
     def note_received(self, sender: str, kind: str, size: int) -> None:
         """A message came in."""
         self.received[kind].add(size)
@@ -80,7 +86,7 @@
     def encode(self, sender: Life, to_start: int, message: Message) -> bytes:
         """One frame, counted."""
         data = super().encode(sender, to_start, message)
-        self._counts.sent[kind_of(type(message))].add(len(data))
+        self._counts.note_sent(type(message), len(data))
         return data
 
     def decode(self, frame: bytes) -> tuple[Life, int, Message] | None:
@@ -266,6 +272,7 @@
             counts.list_news,
             states,
             self._errors,
+            dict(counts.sent_by_type),
         )
         counts.clear()
         return report
--- a/ironbarrow/lab/scale/measuring.py
+++ b/ironbarrow/lab/scale/measuring.py
@@ -67,6 +67,7 @@
                 news.subject not in ended and news.observer not in ended for news in self.deaths()
             ),
             replaced_lives=len(self._replaced_lives()),
+            sent_by_type=_rates(_sum(report.sent_by_type for report in reports), running * seconds),
         )
 
     def member_news(self) -> Iterable[MemberNews]:
--- a/ironbarrow/lab/scale/messages.py
+++ b/ironbarrow/lab/scale/messages.py
@@ -112,6 +112,7 @@
     list_news: list[ListNews] = []
     states: States = msgspec.field(default_factory=States)
     errors: int = 0
+    sent_by_type: dict[str, Traffic] = {}  # the same as ``sent``, by type of message
 
 
 class WorkersReport(Struct):
--- a/ironbarrow/lab/scale/result.py
+++ b/ironbarrow/lab/scale/result.py
@@ -80,6 +80,7 @@
     replaced_lives: int  # lives that were given up for a later one of the same process, or followed by it
     late_p99_by_role_ms: dict[str, float] = {}
     notes: list[str] = []
+    sent_by_type: list[Rate] = []  # by a hollow dispatcher, by type of message
 
 
 class ScaleResult(Struct):
