--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -1,6 +1,10 @@
 """Live scale runs: their bounds, what hollow workers say, results and tables, and one tiny run."""
 
 import os
+import signal
+import subprocess
+import sys
+import time
 from pathlib import Path
 from typing import Any
 
@@ -49,6 +53,7 @@
 from ironbarrow.runtime.sockets import Address, listen
 from ironbarrow.transport.http import Connection
 
+ROOT = Path(__file__).parents[1]
 TINY = Size(
     "tiny",
     workers=4,
@@ -431,5 +436,37 @@
     assert not [line for log in tmp_path.glob("*.log") for line in _errors(log)]
 
 
+def test_a_run_that_is_told_to_stop_leaves_no_process_behind(tmp_path: Path):
+    code = (
+        "from pathlib import Path; from ironbarrow.lab.scale.live import ScaleRun; "
+        "from tests.test_scale import TINY; "
+        f"print(ScaleRun(TINY, folder=Path({str(tmp_path)!r})).run().stopped)"
+    )
+    process = subprocess.Popen([sys.executable, "-c", code], cwd=ROOT, stdout=subprocess.PIPE, text=True)
+    limit = time.monotonic() + 30
+    while not (tmp_path / "d0.log").exists() and time.monotonic() < limit:
+        time.sleep(0.05)
+    time.sleep(1)
+    assert len(_processes_of(tmp_path)) >= 3  # two hollow parties, one real dispatcher
+    process.send_signal(signal.SIGTERM)
+    said, _ = process.communicate(timeout=30)
+    assert said.strip() == "told to stop"
+    assert _processes_of(tmp_path) == []
+
+
+def _processes_of(folder: Path) -> list[int]:
+    """Processes that were started with files of the folder, in arguments or environment."""
+    found = []
+    for place in Path("/proc").iterdir():
+        if place.name.isdigit():
+            try:
+                started_with = (place / "cmdline").read_bytes() + (place / "environ").read_bytes()
+            except OSError:
+                continue
+            if f"{folder}/".encode() in started_with:
+                found.append(int(place.name))
+    return found
+
+
 def _errors(log: Path) -> list[str]:
     return [line for line in log.read_text().splitlines() if "Traceback" in line or '"error"' in line]
