--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -1,16 +1,19 @@
 """Live scale runs: their bounds, what hollow workers say, results and tables, and one tiny run."""
 
+import json
 import os
 import signal
 import subprocess
 import sys
 import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
 import msgspec
 import pytest
 
+from ironbarrow.fleet.file import parse
 from ironbarrow.fleet.ledgers.messages import Append
 from ironbarrow.fleet.members.messages import Ping
 from ironbarrow.fleet.starvation.tables import Waits
@@ -18,6 +21,7 @@
 from ironbarrow.lab.live.wire import Client
 from ironbarrow.lab.model.directory import Entry
 from ironbarrow.lab.scale.directory import DispatcherAgent, RegionLines, WorkerList
+from ironbarrow.lab.scale.hollow_dispatchers import Counts, HollowMember, LoopGroup
 from ironbarrow.lab.scale.hollow_workers import Party, dispatcher_of
 from ironbarrow.lab.scale.kinds import KINDS, kind_of
 from ironbarrow.lab.scale.limits import LimitError, Limits
@@ -48,7 +52,7 @@
     tables,
     write,
 )
-from ironbarrow.lab.scale.target import SIZES, Size, size_of
+from ironbarrow.lab.scale.target import SIZES, Size, size_of, zone_of
 from ironbarrow.runtime.loop import MS, SECOND, Coroutine, Loop, sleep
 from ironbarrow.runtime.sockets import Address, listen
 from ironbarrow.transport.http import Connection
@@ -323,6 +327,71 @@
     assert traffic["changes"].messages == 1
 
 
+# Hollow dispatchers' members
+
+
+def test_members_of_two_regions_lose_each_other_while_these_are_apart():
+    loop = Loop(_fail)
+    counts = Counts(["d0"])
+    listeners = {name: listen(("127.0.0.1", 0)) for name in ("d0", "d1", "d4")}
+    addresses = {name: f"127.0.0.1:{one.getsockname()[1]}" for name, one in listeners.items()}
+    members = {}
+    for name, listener in listeners.items():
+        seeds = tuple(f"{other}={address}" for other, address in addresses.items() if other != name)
+        listener.close()
+        text = f"listen = {json.dumps(addresses[name])}\nseeds = {json.dumps(seeds)}\n"
+        fleet = parse(text.encode(), "test", name)
+        members[name] = HollowMember(loop, fleet, name, zone_of(int(name[1:])), "", counts=counts)
+
+    def alive(name: str) -> list[str]:
+        return [member.card.life.name for member in members[name].members.alive()]
+
+    def turn_until(holds: Callable[[], bool]) -> bool:
+        limit = loop.now() + 30 * SECOND
+        while not holds() and loop.now() < limit:
+            loop.call_at(loop.now() + 20 * MS, lambda: None)
+            loop.turn()
+        return holds()
+
+    try:
+        assert turn_until(lambda: all(len(alive(name)) == 3 for name in members))
+        counts.cut = True
+        assert turn_until(lambda: alive("d0") == ["d0", "d1"] and alive("d4") == ["d4"])
+        counts.cut = False
+        assert turn_until(lambda: all(len(alive(name)) == 3 for name in members))
+        dead = {(news.observer, news.subject) for news in counts.member_news if news.health == "dead"}
+        assert dead >= {("d0", "d4"), ("d1", "d4"), ("d4", "d0"), ("d4", "d1")}
+        sent, received = counts.sent["members"], counts.received["members"]
+        assert 0 < received.messages <= sent.messages
+        assert 0 < counts.from_real["members"].messages < received.messages
+        assert sent.messages == sum(traffic.messages for traffic in counts.sent_by_type.values())
+    finally:
+        for member in members.values():
+            member.close()
+        loop.close()
+
+
+def test_a_loop_that_is_taken_out_of_its_group_stands_still():
+    leading, other = Loop(_fail), Loop(_fail)
+    group = LoopGroup(leading)
+    ticks: list[str] = []
+
+    def tick() -> None:
+        ticks.append("tick")
+        other.call_at(other.now() + 10 * MS, tick)
+
+    tick()
+    group.add(other)
+    leading.call_at(leading.now() + 100 * MS, group.remove, other)
+    leading.call_at(leading.now() + 100 * MS, ticks.append, "out")
+    leading.call_at(leading.now() + 200 * MS, leading.stop)
+    group.run()
+    assert ticks[-1] == "out"
+    assert ticks.count("tick") >= 3
+    other.close()
+    leading.close()
+
+
 # What is made of counts
 
 
