--- a/ironbarrow/cli/scale.py
+++ b/ironbarrow/cli/scale.py
@@ -61,6 +61,8 @@
         name = waiting.pop(0)
         result = results[name] = _play(name, dispatchers)
         write(result, out / f"scale-{result.size}.json")
+        if result.stopped:
+            break
         next_one = smaller.get(name)
         if result.late and next_one is not None and next_one not in results and next_one not in waiting:
             waiting.insert(0, next_one)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -12,7 +12,10 @@
 
 import msgspec
 import pytest
+from typer.testing import CliRunner
 
+from ironbarrow.cli import main
+from ironbarrow.cli import scale as command
 from ironbarrow.fleet.file import parse
 from ironbarrow.fleet.ledgers.messages import Append
 from ironbarrow.fleet.members.messages import Ping
@@ -539,3 +542,41 @@
 
 def _errors(log: Path) -> list[str]:
     return [line for line in log.read_text().splitlines() if "Traceback" in line or '"error"' in line]
+
+
+# The command
+
+
+def play(monkeypatch: pytest.MonkeyPatch, tmp_path: Path, *, late: bool, stopped: str = "") -> list[str]:
+    """The sizes that the command plays when asked for a quarter, and every run ends like this."""
+    played: list[str] = []
+
+    def run(name: str, dispatchers: int) -> ScaleResult:
+        played.append(name)
+        made = result(name, late=late)
+        made.stopped = stopped
+        return made
+
+    monkeypatch.setattr(command, "_play", run)
+    CliRunner().invoke(main.app, ["lab", "scale", "--size", "1-4", "--out", str(tmp_path)])
+    assert [path.name for path in sorted(tmp_path.iterdir())] == sorted(f"scale-{n}.json" for n in played)
+    return played
+
+
+def test_a_late_run_is_repeated_smaller(monkeypatch: pytest.MonkeyPatch, tmp_path: Path):
+    assert play(monkeypatch, tmp_path, late=True) == ["1-4", "1-8"]
+
+
+def test_a_run_in_time_is_not_repeated(monkeypatch: pytest.MonkeyPatch, tmp_path: Path):
+    assert play(monkeypatch, tmp_path, late=False) == ["1-4"]
+
+
+def test_nothing_follows_a_run_that_was_stopped(monkeypatch: pytest.MonkeyPatch, tmp_path: Path):
+    assert play(monkeypatch, tmp_path, late=True, stopped="told to stop") == ["1-4"]
+
+
+def test_an_unknown_size_and_a_folder_without_results_are_refused(tmp_path: Path):
+    asked = CliRunner().invoke(main.app, ["lab", "scale", "--size", "1-3"])
+    assert (asked.exit_code, asked.output.count("1-3")) == (2, 1)
+    asked = CliRunner().invoke(main.app, ["lab", "scale", "--tables", "--out", str(tmp_path)])
+    assert asked.exit_code == 2
