Begin a claim's round anew where the keepers left to answer may be dead

`Proposal._refuse` planned no new round while the keepers that had not refused were a majority by number. Seen by traces: a rival completes the claimant's own fate, all others hear that it has won, and the winner alone waits for its `Decide` to be answered by the dead one. What the dead member owed was then nobody's for that time.

Change: after any refusal a new round is planned, later (by four times `resend`) where the others may still be enough; a majority that comes first cancels it, as before. A second refusal of the same round by the same keeper changes nothing.

--- a/ironbarrow/fleet/ledgers/proposal.py
+++ b/ironbarrow/fleet/ledgers/proposal.py
@@ -14,6 +14,8 @@
 from ironbarrow.fleet.invariants import check
 from ironbarrow.fleet.ledgers.messages import Accepted, Answer, Decide, Learn, Page, Promise, Read, Seal
 
+_OTHERS_ANSWER = 4  # times ``resend``: so long those that have not refused are waited for
+
 
 class Step(enum.Enum):
     """How far a proposal has come."""
@@ -201,17 +203,24 @@
         return self._ask(now)
 
     def _refuse(self, now: int, sender: Life | None, promised: Ballot | None) -> None:
+        """Plans another round. Danger: the keepers that are left may be a majority by number and yet never
+        answer, one being dead: where they would be enough they are only waited for longer."""
         if promised is not None:
             self._highest = max(self._highest, promised.round)
+        enough_left = False
         if sender is not None:
+            if sender in self._refused:
+                return  # it was asked again
             self._refused.add(sender)
-            if len(self.at.keepers) - len(self._refused) >= majority(self.at.keepers):
-                return  # the others are enough
+            enough_left = len(self.at.keepers) - len(self._refused) >= majority(self.at.keepers)
         if self._retry_at == NEVER:
             self._tries += 1
-            most = self._rules.resend << min(self._tries, 5)
-            seed = f"{self.at.ledger}/{self.at.segment}/{self._tries}"
-            self._retry_at = now + most // 4 + rank(seed, str(self.me)) % most
+        most = self._rules.resend << min(self._tries, 5)
+        seed = f"{self.at.ledger}/{self.at.segment}/{self._tries}"
+        wait = most // 4 + rank(seed, str(self.me)) % most
+        if enough_left:
+            wait += _OTHERS_ANSWER * self._rules.resend
+        self._retry_at = min(self._retry_at, now + wait)
 
 
 def _accepted(promise: Promise) -> Ballot:
--- a/tests/test_fleet_ledgers.py
+++ b/tests/test_fleet_ledgers.py
@@ -22,7 +22,7 @@
 from ironbarrow.fleet.ledgers.claimant import Claimant
 from ironbarrow.fleet.ledgers.keeper import SEGMENT_SIZE, Keeper
 from ironbarrow.fleet.ledgers.messages import Answer, Append, Close, Seal
-from ironbarrow.fleet.ledgers.proposal import Proposal
+from ironbarrow.fleet.ledgers.proposal import Proposal, Step
 from ironbarrow.fleet.records import CLAIM
 from ironbarrow.lab.fleet.losses import LedgerFleet, formula, mass_kill, price
 from ironbarrow.lab.fleet.random_ledgers import World
@@ -170,6 +170,48 @@
     assert Kept("rollout/r", seq) in fleet.news("m1", Kept)
 
 
+@pytest.mark.parametrize("sealed_first", [False, True], ids=["its seal", "its fate"])
+def test_a_claim_goes_on_where_one_keeper_is_dead_and_another_has_promised_a_rival(
+    sealed_first: bool,
+) -> None:
+    """One answer, one refusal and one that never comes are no majority: the round must be begun anew."""
+    fleet = opened(9)
+    ledger, at = job_ledger(fleet, "m0"), fleet.at("m0")
+    fleet.do("m0", "append", ledger, put(3))
+    fleet.run(5)
+    _, refuses, dead = at.keepers
+    fleet.kill("m0")
+    fleet.kill(dead.name)
+    others = [n for n in fleet.names if fleet.net.seats[n].node and Life(n) not in at.keepers]
+    # its own ledger is kept by others, and it can write its claim down
+    first = next(n for n in others if not {refuses, dead} & set(fleet.at(n).keepers))
+    rival = next(n for n in others if n != first)
+    if not sealed_first:
+        fleet.net.cut(first, refuses.name)
+    fleet.do(first, "claim", at)
+    for _ in range(200):
+        step = fleet.machines[first].claimant.claims[ledger].proposal.step
+        if step is Step.SEALED or not sealed_first:
+            break
+        fleet.run(0.05)
+    fleet.net.cut(first, refuses.name)
+    fleet.run(10)
+    assert fleet.machines[first].claimant.claims[ledger].proposal.step is (
+        Step.DECIDING if sealed_first else Step.SEALING
+    )
+    fleet.do(rival, "claim", at)
+    fleet.run(100)
+    fleet.net.mend()
+    fleet.run(1000)
+    winners = [name for name in (first, rival) if fleet.news(name, Claimed)]
+    assert winners == [first] if sealed_first else len(winners) == 1
+    (winner,) = winners
+    (loser,) = {first, rival} - {winner}
+    (claimed,) = fleet.news(winner, Claimed)
+    assert claimed.content.keys() == {"j/0", "j/1", "j/2"}
+    assert [news.by for news in fleet.news(loser, ClaimLost)] == [fleet.machines[winner].me]
+
+
 def test_a_claim_outlives_its_claimant() -> None:
     """m1 has claimed m0's ledger and dies before it has taken over what it holds: m2 gets both."""
     fleet = opened(9)
