Let tests bind a port again only at an address of their own

Cause: three tests choose a port at 127.0.0.1, let it go and bind it again later (test_fleet_links.py: the restart of a member and the clock set back; test_descriptors.py: the directory that was down). In between it may be another process's. Seen: with other listeners asking the kernel for any port at 127.0.0.1, the 2,161st was given the one let go, and to bind it again failed with "Address already in use"; at an address of a reserved network it was bound again while another listener had the same number at 127.0.0.1 (the 207th). No such failure of these tests is known. Change: these members and this directory listen in a network reserved by lab/live/ports.py. Nothing that is checked changes.

--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -59,12 +59,14 @@
 class Peer:
     """One scripted end of a connection."""
 
-    def __init__(self, address: tuple[str, int] | None, *, many: bool = False) -> None:
+    def __init__(
+        self, address: tuple[str, int] | None, *, many: bool = False, host: str = "127.0.0.1"
+    ) -> None:
         self.address = address  # of the dispatcher; None: the peer listens itself
         self.many = many  # once it has answered on a connection, it takes the next one that waits
         self.answered = False
         self.older: list[socket.socket] = []  # connections answered before; steps go to where a request came
-        self.listener = None if address else listen(("127.0.0.1", 0))
+        self.listener = None if address else listen((host, 0))
         self.sock: socket.socket | None = None
         self.seen = b""
         self.over = False
@@ -112,9 +114,12 @@
 class Stage:
     """A dispatcher and its peers, playing one scenario."""
 
-    def __init__(self, providers: int = 2, known: bool = True, **config: Any) -> None:
+    def __init__(
+        self, providers: int = 2, known: bool = True, directory_host: str = "127.0.0.1", **config: Any
+    ) -> None:
+        """``directory_host``: where the directory listens, at a port of the kernel's choice."""
         self.peers = {f"p{n}": Peer(None, many=True) for n in range(1, providers + 1)} | {
-            "d": Peer(None),
+            "d": Peer(None, host=directory_host),
             "d2": Peer(None),
         }
         ports = {name: peer.listener.getsockname() for name, peer in self.peers.items() if peer.listener}
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -5,6 +5,7 @@
 import pytest
 
 from ironbarrow.daemon.dispatcher import _descriptors
+from ironbarrow.lab.live.ports import LoopbackNetwork
 from ironbarrow.runtime.sockets import listen
 from tests.scenario import Stage, job
 
@@ -41,7 +42,8 @@
 @pytest.mark.parametrize("idle", [READY, job()[:40], ""])
 def test_service_comes_back_after_idle_consumers_took_all_while_the_directory_was_down(idle: str) -> None:
     # danger: whoever waits for a descriptor that nobody gives back waits for ever
-    stage = Stage(sockets=38, known=False)  # room for three consumers
+    network = LoopbackNetwork.reserve(1)  # so that nobody else is given the directory's port meanwhile
+    stage = Stage(sockets=38, known=False, directory_host=network.party(0)[0])  # room for three consumers
     directory = stage.peers["d"]
     assert directory.listener is not None
     address = directory.listener.getsockname()
@@ -63,3 +65,4 @@
         )
     finally:
         stage.close()
+        network.close()
--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -13,6 +13,7 @@
 from ironbarrow.fleet.invariants import INVARIANTS
 from ironbarrow.fleet.links.queue import Budget, Queue, Sort, sort_of
 from ironbarrow.fleet.service import FleetService
+from ironbarrow.lab.live.ports import LoopbackNetwork
 from ironbarrow.runtime.loop import MS, SECOND, Loop
 from ironbarrow.runtime.sockets import accept, listen
 
@@ -57,13 +58,16 @@
     def __init__(self) -> None:
         self.errors: list[Exception] = []
         self.loop = Loop(self.errors.append)
+        # danger: of ports at 127.0.0.1 one that is let go may be another's before it is bound again
+        self.network = LoopbackNetwork.reserve(1)
+        self.host = self.network.party(0)[0]
         self.services: list[FleetService] = []
         self.sinks: dict[str, Sink] = {}
         self.told: dict[str, list[News]] = {}
 
     def start(self, name: str, *seeds: FleetService, extra: str = "", port: int = 0) -> FleetService:
         listed = ", ".join(f'"{s.name}={s.address}"' for s in seeds)
-        text = f'listen = "127.0.0.1:{port}"\nseeds = [{listed}]\n{extra}'
+        text = f'listen = "{self.host}:{port}"\nseeds = [{listed}]\n{extra}'
         fleet: Fleet = parse(text.encode(), "fleet.toml", name)
         service = FleetService(self.loop, fleet, name, "x", "127.0.0.1:80")
         self.sinks[name] = Sink()
@@ -105,6 +109,7 @@
     for service in list(made.services):
         made.end(service)
     made.loop.close()
+    made.network.close()
     assert not made.errors, made.errors
 
 
@@ -208,7 +213,7 @@
 @pytest.mark.parametrize("data", FOREIGN.values(), ids=FOREIGN)
 def test_foreign_bytes_close_their_connection_and_are_counted(bench: Bench, data: bytes) -> None:
     a, _ = pair(bench)
-    with socket.create_connection(("127.0.0.1", a.links.port)) as sock:
+    with socket.create_connection((bench.host, a.links.port)) as sock:
         sock.sendall(data)
         sock.setblocking(False)
 
@@ -234,7 +239,7 @@
         text: str
 
     frame = Codec([Later]).encode(Life("old", 1), 0, Later("x"))
-    with socket.create_connection(("127.0.0.1", a.links.port)) as sock:
+    with socket.create_connection((bench.host, a.links.port)) as sock:
         sock.sendall(frame * 3)
         bench.until(lambda: a.codec.dropped["kind"] == 3)
         assert a.links.figures["foreign"] == 0
@@ -260,9 +265,7 @@
 def test_the_number_of_connections_is_bounded(bench: Bench) -> None:
     a, b = pair(bench, "[links]\nincoming = 16\noutgoing = 16")
     with contextlib.ExitStack() as stack:
-        socks = [
-            stack.enter_context(socket.create_connection(("127.0.0.1", a.links.port))) for _ in range(40)
-        ]
+        socks = [stack.enter_context(socket.create_connection((bench.host, a.links.port))) for _ in range(40)]
         bench.run(0.3)
         assert a.links.figures["evicted"] >= 24
         for i in range(40):
@@ -293,7 +296,7 @@
     a, _ = pair(bench, "[links]\nmemory_mb = 2")
     with contextlib.ExitStack() as stack:
         for _ in range(8):
-            sock = stack.enter_context(socket.create_connection(("127.0.0.1", a.links.port)))
+            sock = stack.enter_context(socket.create_connection((bench.host, a.links.port)))
             sock.setblocking(False)
             left = memoryview(FRAME_MOST.to_bytes(4, "big") + bytes(FRAME_MOST - 100_000))
             while left:
