Count in virtual time what each role sends and holds as the fleet grows

The target's size decides the design from now on, and nothing told how messages, bytes and records grow with members, jobs, tenants and workers. ironbarrow/lab/capacity counts them through the real machines, decisions and directory client, and fits lines with range, residual and quadratic part. tests/test_capacity.py holds each slope within a bound; mutants that make members (two), ledgers, tables of waits, probes and rollout figures grow with the fleet or its history are caught.

--- /dev/null
+++ b/ironbarrow/lab/capacity/ledgers.py
@@ -0,0 +1,169 @@
+"""Counts of the replicated ledgers: by job start, by running job, by dispatcher, and in a region cut."""
+
+from dataclasses import dataclass
+
+from heathway import api
+from ironbarrow.fleet.api import job_ledger
+from ironbarrow.fleet.file import Fleet
+from ironbarrow.fleet.ledgers import LedgerMachine
+from ironbarrow.fleet.ledgers.messages import Append, Appended
+from ironbarrow.fleet.ledgers.proposal import majority
+from ironbarrow.fleet.members import MemberMachine
+from ironbarrow.fleet.records import JobRecord, Stage, drop, put
+from ironbarrow.fleet.takeover.machine import Takeover
+from ironbarrow.lab.capacity.counting import Sent, metered, region_of, zone_of
+from ironbarrow.lab.fleet.losses import LedgerFleet
+from ironbarrow.lab.fleet.work import WorkWorld
+from ironbarrow.runtime.clock import MS, SECOND
+
+_MEMBERS = 9  # of a fleet in which one writer is looked at
+_PAUSE = 20 * MS  # between two turns of a writer
+_BODY = b"x" * 200
+_WORK_KINDS = (*LedgerMachine.handles, *Takeover.handles)
+_CLASS = api.JobClass("task", api.Effect.UNSAFE, aim=10 * SECOND, deadline=60 * SECOND)
+
+
+def record(number: int, stage: Stage = Stage.TAKEN) -> JobRecord:
+    """A job as a dispatcher's ledger has it, with a body of 200 bytes."""
+    return JobRecord(
+        id=f"job-{number:012d}",
+        job_class="task",
+        method="POST",
+        target="/task",
+        body=_BODY,
+        content_type="application/json",
+        taken_at=1_700_000_000 * SECOND,
+        until=1_700_003_600 * SECOND,
+        stage=stage,
+        attempts=int(stage is Stage.INTENT),
+        provider="worker-0123" if stage is Stage.INTENT else "",
+        tenant="team-123",
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class WriterCount:
+    """What one writer and its replicas send for so many jobs, and what is held at the end."""
+
+    jobs: int
+    appends: Sent  # writer to replicas
+    acknowledgements: Sent  # replicas to writer
+    replica_bytes: int  # of a replica's tables
+    replica_rows: int
+
+
+def count_writer(jobs: int, *, keep: bool = False, keepers: int = 3) -> WriterCount:
+    """Counts jobs one after another at one writer: taken, sent and ended, or (``keep``) left running."""
+    fleet = LedgerFleet(_MEMBERS, keepers)
+    traffic = metered(fleet.net, LedgerMachine.handles)
+    fleet.create()
+    fleet.net.run(SECOND)
+    ledger = job_ledger(fleet.machines["m0"].me)
+    traffic.clear()
+    for number in range(jobs):
+        changes = [put(record(number)), put(record(number, Stage.INTENT))]
+        if not keep:
+            changes.append(drop(record(number).id))
+        for change in changes:
+            fleet.append("m0", ledger, [change])
+            fleet.net.run(_PAUSE)
+    fleet.net.run(SECOND)
+    writer = fleet.machines["m0"].writers[ledger]
+    segment = fleet.machines[writer.at.keepers[0].name].keeper.segments[ledger, writer.at.segment]
+    return WriterCount(
+        jobs, traffic.of_kinds(Append), traffic.of_kinds(Appended), segment.size, len(segment.table)
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class StartCount:
+    """What whole dispatchers send for the jobs that they take, start and end."""
+
+    dispatchers: int
+    jobs: int
+    ledgers: Sent
+    acknowledged: int  # messages
+    changes: int
+    takeover: Sent
+    members: Sent
+
+
+def count_starts(jobs: int, dispatchers: int = 7, *, seconds: int = 10, seed: int = 1) -> StartCount:
+    """Counts so many jobs over so many seconds, by real hosts, decisions and machines."""
+    settings = api.Settings(
+        me=0, dispatchers=dispatchers, zone="a", zones=("a",), classes=(_CLASS,), tells_start=True
+    )
+    world = WorkWorld(settings, dispatchers, seed=seed, fleet=Fleet(listen="127.0.0.1:0"), providers=8)
+    traffic = metered(world.net, (*MemberMachine.handles, *_WORK_KINDS))
+    world.run(3 * SECOND)
+    traffic.clear()
+    for number in range(jobs):
+        world.order(f"job-{number:012d}", "task", 30 * SECOND)
+        world.run(seconds * SECOND // jobs)
+    world.run(2 * SECOND)
+    appends = traffic.of_kinds(Append)
+    return StartCount(
+        dispatchers,
+        jobs,
+        traffic.of_kinds(*LedgerMachine.handles),
+        traffic.of_kinds(Appended).messages,
+        appends.items,
+        traffic.of_kinds(*Takeover.handles),
+        traffic.of_kinds(*MemberMachine.handles),
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class MoveCount:
+    """What it takes to replace one replica of a ledger with so many running jobs."""
+
+    running: int
+    sent: Sent
+    seconds: float  # until the ledger is open at its new replicas
+
+
+def count_move(running: int) -> MoveCount:
+    """Counts the loss of one replica."""
+    fleet = LedgerFleet(_MEMBERS)
+    fleet.create()
+    ledger = job_ledger(fleet.machines["m0"].me)
+    for number in range(running):
+        fleet.append("m0", ledger, [put(record(number, Stage.INTENT))])
+    fleet.net.run(SECOND)
+    writer = fleet.machines["m0"].writers[ledger]
+    segment = writer.at.segment
+    traffic = metered(fleet.net, LedgerMachine.handles)
+    began = fleet.net.clock.now()
+    fleet.kill(writer.at.keepers[0].name)
+    while writer.at.segment == segment or not writer.opened:
+        fleet.net.run(MS)
+        if fleet.net.clock.now() - began > 30 * SECOND:
+            raise RuntimeError("the ledger did not move")
+    took = (fleet.net.clock.now() - began) / SECOND
+    fleet.net.run(SECOND)
+    return MoveCount(running, traffic.total(), took)
+
+
+@dataclass(frozen=True, slots=True)
+class CutShare:
+    """Ledgers whose writer can't reach a majority of its replicas once the regions are apart."""
+
+    dispatchers: int
+    ledgers: int
+    without_majority: int
+
+
+def share_without_majority(dispatchers: int, keepers: int = 3) -> CutShare:
+    """By the replicas that the real machines choose over the target's zones."""
+    fleet = LedgerFleet(0, keepers)
+    fleet.names = [f"dispatcher-{number}" for number in range(dispatchers)]
+    for number, name in enumerate(fleet.names):
+        fleet.net.add(name, zone_of(number), fleet._build)
+        fleet.net.start(name)
+    zones = {name: zone_of(number) for number, name in enumerate(fleet.names)}
+    lost = 0
+    for name in fleet.names:
+        replicas = fleet.machines[name].choose(job_ledger(fleet.machines[name].me))
+        near = sum(region_of(zones[life.name]) == region_of(zones[name]) for life in replicas)
+        lost += near < majority(replicas)
+    return CutShare(dispatchers, dispatchers, lost)
--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,325 @@
+"""What each part costs as the fleet grows: slopes of counts in virtual time, and mutants that bend them."""
+
+import sys
+from pathlib import Path
+from types import ModuleType
+from typing import Any
+
+import pytest
+
+from heathway import probing
+from ironbarrow.fleet.file import StarvationRules
+from ironbarrow.fleet.ledgers import machine as ledger_machine
+from ironbarrow.fleet.ledgers import writer
+from ironbarrow.fleet.members import machine as member_machine
+from ironbarrow.fleet.rollout import signals
+from ironbarrow.fleet.starvation import machine as starvation_machine
+from ironbarrow.lab.capacity import decisions, ledgers, lists, members, rollouts, waits
+from ironbarrow.lab.capacity.fit import Fit, fit
+from ironbarrow.lab.fleet import starved
+
+BEND = 0.05  # most of a value that may come from the quadratic term, at the largest size
+RESIDUAL = 0.05  # most that a point may be off the line, as a part of the mean
+
+
+def assert_line(found: Fit, least: float, most: float) -> None:
+    """A line whose slope is within the stated bound."""
+    assert abs(found.bend) <= BEND, found
+    assert found.residual <= RESIDUAL, found
+    assert least <= found.slope <= most, found
+
+
+def mutant(module: ModuleType, *changes: tuple[str, str]) -> ModuleType:
+    """A module with some places of its text changed."""
+    text = Path(str(module.__file__)).read_text()
+    for old, new in changes:
+        assert text.count(old) == 1, old
+        text = text.replace(old, new)
+    made = ModuleType(f"{module.__name__}_mutant")
+    sys.modules[made.__name__] = made  # dataclasses look for it
+    exec(compile(text, made.__name__, "exec"), made.__dict__)
+    return made
+
+
+# The fits
+
+
+def test_a_line_and_a_parabola_are_told_apart() -> None:
+    line = fit([1, 2, 4, 8], [5, 7, 11, 19])
+    assert (line.intercept, line.slope) == (pytest.approx(3), pytest.approx(2))
+    assert line.r_squared == pytest.approx(1) and line.residual < 1e-9 and abs(line.bend) < 1e-9
+    assert line.at(100) == pytest.approx(203)
+    assert line.extrapolates_to(9) and not line.extrapolates_to(8)
+    parabola = fit([1, 2, 4, 8], [1, 4, 16, 64])
+    assert parabola.quadratic == pytest.approx(1) and parabola.bend == pytest.approx(1)
+    assert parabola.residual > RESIDUAL
+    with pytest.raises(ValueError, match="three sizes"):
+        fit([1, 2, 2], [1, 2, 2])
+
+
+# Members
+
+CALM_SIZES = (8, 16, 32, 48)
+
+
+def calm_fits(sizes: tuple[int, ...] = CALM_SIZES) -> tuple[Fit, Fit]:
+    """Messages of the whole fleet, and bytes of one member, a second."""
+    found = [members.count_calm(size, seconds=10, settle_s=25) for size in sizes]
+    assert all(count.entries == count.members for count in found)
+    return (
+        fit(sizes, [count.rate.messages * count.members for count in found]),
+        fit(sizes, [count.rate.bytes for count in found]),
+    )
+
+
+def test_calm_members_send_seven_messages_a_second_each_at_any_size() -> None:
+    messages, bytes_each = calm_fits()
+    assert_line(messages, 6.5, 7.2)
+    # a part of the list of up to 64 members is compared every 5 s: its rumours are what grows
+    assert_line(bytes_each, 4.0, 8.0)
+    assert bytes_each.intercept < 450
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        (
+            "            self._ask_next(now)\n",
+            "            [self._ask(now, e) for e in self._entries.values()]\n",
+        ),
+        (
+            "            if alive:\n                self._sync(now, self._random.choice(alive).card.life)\n",
+            "            for entry in alive:\n                self._sync(now, entry.card.life)\n",
+        ),
+    ],
+    ids=["asks all in each period", "compares with all"],
+)
+def test_members_that_talk_to_all_are_caught(
+    change: tuple[str, str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    broken = mutant(member_machine, change)
+    monkeypatch.setattr(members, "MemberMachine", broken.MemberMachine)
+    messages, _ = calm_fits((6, 9, 12))
+    with pytest.raises(AssertionError):
+        assert_line(messages, 6.5, 7.2)
+
+
+def test_a_death_costs_each_member_a_bounded_rate_and_is_known_in_time() -> None:
+    sizes = (8, 16, 24, 32)
+    found = [members.count_death(size, settle_s=20) for size in sizes]
+    assert all(count.known_s < 3.5 and count.told_dead == count.members for count in found)
+    assert_line(fit(sizes, [count.beyond.messages for count in found]), 30, 45)
+    # one of the dead is asked each second, with the part of the list that it would be in
+    assert max(count.bytes_each for count in found) < 1500
+
+
+def test_regions_that_lose_each_other_come_together_and_none_dies_of_it() -> None:
+    sizes = (7, 14, 28)
+    found = [members.count_region_cut(size, settle_s=20) for size in sizes]
+    for size, (cut, heal) in zip(sizes, found, strict=True):
+        north = sum(zone.startswith("north") for zone in map(members.zone_of, range(size)))
+        assert cut.told_dead == 2 * north * (size - north)
+        assert heal.told_dead == 0 and heal.known_s < 6
+        assert heal.bytes_each < 250 * size
+
+
+# Ledgers
+
+JOBS = (10, 20, 40, 80)
+
+
+def writer_fits() -> tuple[Fit, Fit, Fit]:
+    """Messages, changes and bytes from a writer to its replicas, by jobs."""
+    found = [ledgers.count_writer(jobs) for jobs in JOBS]
+    assert all(count.replica_rows == 0 and count.replica_bytes == 0 for count in found)
+    return (
+        fit(JOBS, [count.appends.messages + count.acknowledgements.messages for count in found]),
+        fit(JOBS, [count.appends.items for count in found]),
+        fit(JOBS, [count.appends.bytes for count in found]),
+    )
+
+
+def assert_writer(found: tuple[Fit, Fit, Fit]) -> None:
+    messages, changes, size = found
+    assert_line(messages, 17.9, 18.1)  # three changes, three replicas, both ways
+    assert_line(changes, 8.9, 9.1)
+    assert_line(size, 2500, 2800)
+
+
+def test_a_job_costs_its_writer_the_same_whatever_came_before() -> None:
+    assert_writer(writer_fits())
+
+
+def test_a_writer_that_sends_its_history_again_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    broken = mutant(
+        writer,
+        ("            if done > 0:\n", "            if done < 0:\n"),
+        ("                first = keeping.sent + 1\n", "                first = self._tail_from\n"),
+        ("keeping.sent += len(message.changes)", "keeping.sent = self.n"),
+    )
+    monkeypatch.setattr(ledger_machine, "Writer", broken.Writer)
+    found = writer_fits()
+    with pytest.raises(AssertionError):
+        assert_writer(found)
+    assert found[1].bend > 0.5
+
+
+def test_a_running_job_is_one_row_at_each_replica() -> None:
+    found = [ledgers.count_writer(jobs, keep=True) for jobs in JOBS]
+    assert_line(fit(JOBS, [count.replica_rows for count in found]), 0.99, 1.01)
+    assert_line(fit(JOBS, [count.replica_bytes for count in found]), 440, 480)
+
+
+def test_a_replica_is_replaced_at_the_cost_of_the_running_jobs() -> None:
+    found = [ledgers.count_move(running) for running in JOBS]
+    assert_line(fit(JOBS, [count.sent.bytes for count in found]), 1400, 2000)
+    assert max(count.seconds for count in found) < 1
+
+
+def test_starts_cost_ledgers_the_same_in_a_larger_fleet() -> None:
+    jobs = (15, 30, 60)
+    found = [ledgers.count_starts(number) for number in jobs]
+    messages = fit(jobs, [count.ledgers.messages for count in found])
+    # what comes within one turn goes in one message, so that busy writers need fewer for a job
+    assert messages.bend <= BEND and messages.residual <= RESIDUAL and 11 <= messages.slope <= 20, messages
+    assert_line(fit(jobs, [count.changes for count in found]), 8, 11)
+    sizes = (5, 10, 15)
+    by_size = [ledgers.count_starts(30, size) for size in sizes]
+    each = [count.ledgers.messages / count.jobs for count in by_size]
+    assert max(each) < 1.1 * min(each)
+    # a call-back that comes to another dispatcher is asked for at all members
+    assert max(count.takeover.messages / count.jobs / count.dispatchers for count in by_size) < 1.5
+
+
+# Tables of waits
+
+DISPATCHERS = (4, 6, 8, 10)
+TENANTS = (4, 8, 16)
+
+
+def rows_by_dispatchers() -> Fit:
+    """Rows sent in a window, with the same tenants everywhere."""
+    found = [waits.count_waits(size, 8, windows=1, warm_up=3) for size in DISPATCHERS]
+    return fit(DISPATCHERS, [count.tables.items for count in found])
+
+
+def test_rows_of_waits_grow_with_dispatchers_and_with_tenants_alone() -> None:
+    # two collectors of each tenant, three classes; a collector does not send to itself
+    assert_line(rows_by_dispatchers(), 47, 49)
+    by_tenants = [waits.count_waits(4, tenants, windows=1, warm_up=3) for tenants in TENANTS]
+    assert_line(fit(TENANTS, [c.tables.items + c.answers.items for c in by_tenants]), 35, 37)
+    assert_line(fit(TENANTS, [c.tables.bytes + c.answers.bytes for c in by_tenants]), 800, 1000)
+
+
+def test_a_partition_that_sends_all_rows_to_each_collector_is_caught(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    broken = mutant(
+        starvation_machine, ("row for shard, row in rows if shard in some", "row for shard, row in rows")
+    )
+    monkeypatch.setattr(starved, "StarvationMachine", broken.StarvationMachine)
+    found = rows_by_dispatchers()
+    with pytest.raises(AssertionError):
+        assert_line(found, 47, 49)
+    assert found.bend > 0.5
+
+
+def test_a_table_has_no_more_tenants_than_its_bound() -> None:
+    rules = StarvationRules(tenants=8, least_jobs=1 << 30)
+    found = [waits.count_waits(3, tenants, windows=1, warm_up=3, rules=rules) for tenants in (8, 16, 32)]
+    assert [count.judged for count in found] == [8, 8, 8]
+    assert max(c.tables.items for c in found) == min(c.tables.items for c in found)
+
+
+# Rollouts
+
+
+def test_a_coordinator_is_told_by_each_member_of_the_workers_that_it_used() -> None:
+    sizes = (4, 8, 16)
+    by_members = [rollouts.count_rollout(size, 8) for size in sizes]
+    assert_line(fit(sizes, [count.observed.messages / count.seconds for count in by_members]), 0.99, 1.01)
+    by_workers = [rollouts.count_rollout(4, workers) for workers in sizes]
+    each = [count.observed.bytes / (count.members - 1) / count.seconds for count in by_workers]
+    assert_line(fit(sizes, each), 40, 60)
+    assert all(count.commands.messages == count.ledger.messages == 0 for count in by_members)
+
+
+def test_a_dispatcher_that_tells_all_it_ever_saw_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    broken = mutant(
+        signals, ("        self._entries = {}\n        self._mine = {life", "        self._mine = {life")
+    )
+    taken: list[int] = []
+    for seconds in (4, 8, 16):
+        told = broken.Signals("a")
+        for second in range(seconds):
+            told.sent(f"worker-{second}", 0, "map", 1, 1.0)
+            observed = told.take(0.0)
+        taken.append(len(observed.counts))
+    assert taken == [4, 8, 16]
+    told = signals.Signals("a")
+    for second in range(16):
+        told.sent(f"worker-{second}", 0, "map", 1, 1.0)
+        observed = told.take(0.0)
+    assert len(observed.counts) == 1
+
+
+# The list of workers
+
+
+def test_a_list_grows_by_each_worker_and_a_change_by_those_that_changed() -> None:
+    sizes = (25, 50, 100, 200)
+    found = [lists.count_list(size) for size in sizes]
+    assert_line(fit(sizes, [count.whole_bytes for count in found]), 130, 145)
+    # live weights: every list tells of every worker
+    assert_line(fit(sizes, [count.weights_bytes for count in found]), 130, 145)
+    assert_line(fit(sizes, [count.entries_told_by_weights for count in found]), 2.99, 3.01)
+    assert len({count.one_bytes for count in found}) == 1 and found[0].one_bytes < 250
+
+
+# Decisions
+
+
+def probes(sizes: tuple[int, ...] = (25, 50, 100)) -> list[int]:
+    """Probes of four dispatchers over six seconds, by workers."""
+    return [decisions.count_decisions(4, size, 2.0).probes for size in sizes]
+
+
+def assert_probes(found: list[int]) -> None:
+    jobs = 4 * 11
+    assert max(found) <= probing.PER_JOB * jobs + 4 * probing.MOST_SAVED
+    assert max(found) <= 1.05 * min(found)
+
+
+def test_probes_are_paid_by_jobs_and_not_by_workers() -> None:
+    assert_probes(probes())
+    sizes = (4, 8, 16)
+    by_dispatchers = [decisions.count_decisions(size, 50, 2.0).probes for size in sizes]
+    assert_line(fit(sizes, by_dispatchers), 20, 30)
+
+
+def test_probes_of_every_quiet_worker_are_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    def always(self: Any, keep: float = 0.0) -> bool:
+        return True
+
+    monkeypatch.setattr(probing.ProbeBudget, "take", always)
+    with pytest.raises(AssertionError):
+        assert_probes(probes())
+
+
+def test_what_a_dispatcher_holds_grows_with_workers_and_with_jobs_out() -> None:
+    sizes = (25, 50, 100)
+    found = [decisions.count_decisions(1, size, 8.0).records for size in sizes]
+    assert [records.workers for records in found] == list(sizes)
+    assert len({(records.jobs, records.agenda, records.sessions) for records in found}) == 1
+    assert found[0].agenda < 60
+
+
+def test_a_cold_worker_is_planned_for_once_with_each_list() -> None:
+    found = [decisions.agenda_after_cold_lists(cold, 5) for cold in (10, 20, 40)]
+    assert_line(fit((10, 20, 40), found), 4.9, 5.1)
+
+
+def test_a_cold_workers_budget_is_spent_by_few_dispatchers_in_a_fleet_of_any_size() -> None:
+    found = [decisions.count_cold_share(size, 0.2, workers=10) for size in (4, 8, 28)]
+    assert {share.with_a_part for share in found} == {1.0}
+    assert decisions.count_cold_share(28, 10.0, workers=10).with_a_part == 0.0
