--- /dev/null
+++ b/ironbarrow/lab/capacity/summary.py
@@ -0,0 +1,219 @@
+"""Slopes out of the results of ``benchmarks/capacity.py``."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from ironbarrow.fleet.file import StarvationRules
+from ironbarrow.lab.capacity.budget import DISPATCHERS, Slopes
+from ironbarrow.lab.capacity.fit import Fit, fit
+from ironbarrow.runtime.clock import SECOND
+
+Results = dict[str, list[dict[str, Any]]]
+Found = Any  # what one size of a part brought, as JSON has it
+
+
+@dataclass(frozen=True, slots=True)
+class Series:
+    """A value of a part by its size."""
+
+    name: str
+    unit: str
+    part: str
+    value: Callable[[Found], float]
+    least: int = 0  # smaller sizes are left out of the line
+    most: int = 1 << 30
+
+
+def waits_bytes_each(found: Found) -> float:
+    """Bytes a second that one member sends for tables of waits."""
+    window_s = StarvationRules().window / SECOND
+    sent = found["tables"]["bytes"] + found["answers"]["bytes"]
+    return float(sent / found["dispatchers"] / found["windows"] / window_s)
+
+
+def event_bytes_each(found: Found) -> float:
+    """Bytes a second of one member beyond a calm time."""
+    return float(found["beyond"]["bytes"] / found["members"] / found["seconds"])
+
+
+def _sum(*names: str) -> Callable[[Found], float]:
+    def value(found: Found) -> float:
+        return float(sum(found[name]["bytes"] for name in names))
+
+    return value
+
+
+SERIES = (
+    Series(
+        "members, calm: messages of the fleet a second",
+        "a member",
+        "calm",
+        lambda f: f["rate"]["messages"] * f["members"],
+    ),
+    Series(
+        "members, calm: bytes a second of one member, up to 64",
+        "a member",
+        "calm",
+        lambda f: f["rate"]["bytes"],
+        most=64,
+    ),
+    Series("members, calm: the same from 64 on", "a member", "calm", lambda f: f["rate"]["bytes"], least=64),
+    Series("a death: bytes beyond calm, a member and second (30 s)", "a member", "death", event_bytes_each),
+    Series("a death: messages beyond calm", "a member", "death", lambda f: f["beyond"]["messages"]),
+    Series(
+        "regions cut: bytes beyond calm, a member and second (first 20 s)",
+        "a member",
+        "region_cut",
+        lambda f: event_bytes_each(f["cut"]),
+    ),
+    Series(
+        "regions together: bytes beyond calm, a member and second (first 60 s)",
+        "a member",
+        "region_cut",
+        lambda f: event_bytes_each(f["heal"]),
+    ),
+    Series(
+        "ledger: messages of a writer and its replicas",
+        "a job",
+        "writer",
+        lambda f: f["appends"]["messages"] + f["acknowledgements"]["messages"],
+    ),
+    Series(
+        "ledger: bytes of a writer and its replicas", "a job", "writer", _sum("appends", "acknowledgements")
+    ),
+    Series("ledger: bytes of whole dispatchers", "a job", "starts", lambda f: f["ledgers"]["bytes"]),
+    Series("ledger: messages of whole dispatchers", "a job", "starts", lambda f: f["ledgers"]["messages"]),
+    Series(
+        "take-over: messages for a job (call-backs reach any dispatcher)",
+        "a dispatcher",
+        "starts_dispatchers",
+        lambda f: f["takeover"]["messages"] / f["jobs"],
+    ),
+    Series("ledger: bytes held by a replica", "a running task", "running", lambda f: f["replica_bytes"]),
+    Series("ledger: bytes to replace one replica", "a running task", "move", lambda f: f["sent"]["bytes"]),
+    Series(
+        "tables of waits: bytes a second of one member, 3 jobs a window",
+        "a tenant",
+        "waits_tenants",
+        waits_bytes_each,
+        most=64,
+    ),
+    Series("the same with room for 290 tenants", "a tenant", "waits_all_tenants", waits_bytes_each),
+    Series(
+        "tables of waits at two jobs a window: bytes a second of one member",
+        "a dispatcher",
+        "waits_dispatchers",
+        waits_bytes_each,
+        most=64,
+    ),
+    Series("the same from 64 on", "a dispatcher", "waits_dispatchers", waits_bytes_each, least=64),
+    Series(
+        "rollout: bytes a second to the coordinator, 8 workers used",
+        "a member",
+        "rollout_members",
+        lambda f: f["observed"]["bytes"] / f["seconds"],
+    ),
+    Series(
+        "rollout: bytes a second of one member's report",
+        "a worker used",
+        "rollout_workers",
+        lambda f: f["observed"]["bytes"] / f["seconds"] / (f["members"] - 1),
+    ),
+    Series("list: bytes of a list of live weights", "a worker", "lists", lambda f: f["weights_bytes"]),
+    Series("probes of 8 dispatchers, 88 jobs", "a worker", "probes_workers", lambda f: f["probes"]),
+    Series("probes, 11 jobs each", "a dispatcher", "probes_dispatchers", lambda f: f["probes"]),
+    Series("planned by 20 lists of cold workers", "a cold worker", "cold_agenda", lambda f: f),
+    Series("records of own sends, 20 s, with reports", "a job", "moves", lambda f: f["with"]),
+    Series(
+        "records of own sends, 20 s, neither reports nor live weights",
+        "a job",
+        "moves",
+        lambda f: f["without"],
+    ),
+    Series("CPU of a list of live weights, ms", "a worker", "cpu_list", lambda f: f),
+    Series("CPU of a turn that places a job, ms", "a worker", "cpu_turn", lambda f: f["placed_ms"]),
+    Series(
+        "CPU of a turn with nine jobs waiting and no room, ms", "a worker", "cpu_turn", lambda f: f["full_ms"]
+    ),
+    Series("looks at a worker in that turn", "a worker", "cpu_turn", lambda f: f["full_looks"]),
+    Series(
+        "CPU of a member and second, calm, ms (with the simulated network)",
+        "a member",
+        "cpu_member",
+        lambda f: f,
+    ),
+    Series(
+        "CPU of a turn that looks at waits, ms: the longest",
+        "a tenant",
+        "cpu_look",
+        lambda f: f["longest_ms"],
+    ),
+    Series("resident memory of the list, KiB", "a worker", "rss_workers", lambda f: f),
+    Series("resident memory of a member's list, KiB", "a member", "rss_members", lambda f: f),
+    Series("resident memory of a replica, KiB", "a running task", "rss_replicas", lambda f: f),
+)
+
+
+def points(results: Results, series: Series) -> list[tuple[float, float]]:
+    """Sizes and values that were measured; a size that failed is left out."""
+    return [
+        (float(_size(series, one)), series.value(one["found"]))
+        for one in results.get(series.part, [])
+        if "found" in one and series.least <= one["size"] <= series.most
+    ]
+
+
+def _size(series: Series, one: dict[str, Any]) -> float:
+    """The size that a value belongs to: jobs are counted, since not all that are asked for come."""
+    found = one["found"]
+    return float(found["jobs"]) if series.part == "moves" else float(one["size"])
+
+
+def line(results: Results, series: Series) -> Fit | None:
+    """The line of a series; None with too few sizes."""
+    found = points(results, series)
+    if len({size for size, _ in found}) < 3:
+        return None
+    return fit([size for size, _ in found], [value for _, value in found])
+
+
+def at_size(results: Results, part: str, size: int) -> Found:
+    """What one size brought; a KeyError if it was not measured."""
+    for one in results.get(part, []):
+        if one.get("size") == size and "found" in one:
+            return one["found"]
+    raise KeyError(f"{part} at {size}")
+
+
+def _named(results: Results, name: str) -> Fit:
+    series = next(series for series in SERIES if series.name == name)
+    found = line(results, series)
+    if found is None:
+        raise KeyError(name)
+    return found
+
+
+def slopes_of(results: Results, idle_mb: float, dispatchers: int = DISPATCHERS) -> Slopes:
+    """What the budget is worked out from, at that many dispatchers; a KeyError for what is missing."""
+    cut = at_size(results, "region_cut", dispatchers)
+    share = at_size(results, "majority", dispatchers)["k3"]
+    starts = at_size(results, "starts_dispatchers", 56)
+    return Slopes(
+        member_bytes=at_size(results, "calm", dispatchers)["rate"]["bytes"],
+        death_bytes=event_bytes_each(at_size(results, "death", dispatchers)),
+        heal_bytes=event_bytes_each(cut["heal"]),
+        list_bytes=_named(results, "list: bytes of a list of live weights"),
+        change_bytes=at_size(results, "lists", 830)["one_bytes"],
+        start_bytes=_named(results, "ledger: bytes of whole dispatchers"),
+        stray_bytes=starts["takeover"]["bytes"] / starts["jobs"] / (starts["dispatchers"] - 1),
+        waits_bytes=waits_bytes_each(at_size(results, "waits_dispatchers", dispatchers)),
+        observed_bytes=_named(results, "rollout: bytes a second of one member's report"),
+        replica_row_bytes=_named(results, "ledger: bytes held by a replica"),
+        cut_share=share["without_majority"] / share["ledgers"],
+        list_cpu_ms=_named(results, "CPU of a list of live weights, ms"),
+        member_cpu_ms=at_size(results, "cpu_member", 64),
+        start_cpu_ms=at_size(results, "cpu_start", 400),
+        full_turn_ms=_named(results, "CPU of a turn with nine jobs waiting and no room, ms"),
+        idle_mb=idle_mb,
+    )
--- a/ironbarrow/lab/capacity/waits.py
+++ b/ironbarrow/lab/capacity/waits.py
@@ -45,6 +45,17 @@
         number += 1
 
 
+def waits_fleet(
+    dispatchers: int, tenants: int, per_window: int, windows: int, rules: StarvationRules
+) -> Fleet:
+    """A fleet that is about to see jobs for so many windows."""
+    names = [f"dispatcher-{number}" for number in range(dispatchers)]
+    fleet = Fleet({name: zone_of(number) for number, name in enumerate(names)}, {}, rules, 1)
+    for name in names:
+        fleet.tell(name, _jobs(tenants, per_window, rules.window, windows * rules.window))
+    return fleet
+
+
 def count_waits(
     dispatchers: int,
     tenants: int,
@@ -57,16 +68,12 @@
     """Counts whole windows of a fleet in which every dispatcher serves every tenant alike, after so many
     windows of ``warm_up``."""
     rules = rules or StarvationRules(least_jobs=_NO_LOOK)
-    names = [f"dispatcher-{number}" for number in range(dispatchers)]
-    fleet = Fleet({name: zone_of(number) for number, name in enumerate(names)}, {}, rules, 1)
+    fleet = waits_fleet(dispatchers, tenants, per_window, warm_up + windows + 1, rules)
     traffic = metered(fleet.net, (Waits, Elsewhere))
-    length = (warm_up + windows + 1) * rules.window
-    for name in names:
-        fleet.tell(name, _jobs(tenants, per_window, rules.window, length))
     fleet.net.run(warm_up * rules.window)
     traffic.clear()
     fleet.net.run(windows * rules.window)
-    closed = fleet.machines[names[0]].book.closed[-1]
+    closed = next(iter(fleet.machines.values())).book.closed[-1]
     judged = {tenant for tenant, _, _ in closed.rows} - {REST}
     return WaitsCount(
         dispatchers,
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -14,7 +14,18 @@
 from ironbarrow.fleet.members import machine as member_machine
 from ironbarrow.fleet.rollout import signals
 from ironbarrow.fleet.starvation import machine as starvation_machine
-from ironbarrow.lab.capacity import decisions, ledgers, lists, members, rollouts, waits
+from ironbarrow.lab.capacity import (
+    costs,
+    decisions,
+    ledgers,
+    lists,
+    members,
+    rollouts,
+    summary,
+    tables,
+    waits,
+)
+from ironbarrow.lab.capacity.budget import Slopes, Verdict, evaluate
 from ironbarrow.lab.capacity.fit import Fit, fit
 from ironbarrow.lab.fleet import starved
 
@@ -323,3 +334,77 @@
     found = [decisions.count_cold_share(size, 0.2, workers=10) for size in (4, 8, 28)]
     assert {share.with_a_part for share in found} == {1.0}
     assert decisions.count_cold_share(28, 10.0, workers=10).with_a_part == 0.0
+
+
+def test_a_full_fleet_is_looked_through_once_for_each_waiting_job_and_reserve() -> None:
+    sizes = (25, 50, 100)
+    found = [costs.turn_cost(size).full_looks for size in sizes]
+    assert_line(fit(sizes, found), 17.99, 18.01)  # nine jobs, two reserves
+
+
+# The budget
+
+
+def line_of(slope: float, intercept: float = 0.0) -> Fit:
+    return Fit(100, 800, 4, intercept, slope, 1.0, 0.0, 0.0, 0.0)
+
+
+SLOPES = Slopes(
+    member_bytes=700.0,
+    death_bytes=1000.0,
+    heal_bytes=20_000.0,
+    list_bytes=line_of(140.0),
+    change_bytes=190,
+    start_bytes=line_of(1700.0),
+    stray_bytes=78.0,
+    waits_bytes=900.0,
+    observed_bytes=line_of(50.0),
+    replica_row_bytes=line_of(457.0),
+    cut_share=0.5,
+    list_cpu_ms=line_of(0.02),
+    member_cpu_ms=1.6,
+    start_cpu_ms=1.0,
+    full_turn_ms=line_of(0.02),
+    idle_mb=32.0,
+)
+
+
+def test_each_line_of_the_target_has_its_verdict() -> None:
+    found = {one.name: one for one in evaluate(SLOPES, 230)}
+    assert found["worker view, nominal weights"].verdict is Verdict.CARRIED
+    live = found["worker view, live weights"]
+    assert live.verdict is Verdict.OVER_BUDGET
+    assert live.over_by == pytest.approx(140 * 830 / 15_000)
+    assert found["worker view, live weights: CPU"].used == pytest.approx(0.0166 / 0.032)
+    assert found["members, calm"].used == pytest.approx(1400 / 15_000)
+    assert found["members, a minute after a region cut"].verdict is Verdict.OVER_BUDGET
+    assert found["starts written down"].used == pytest.approx(2 * 1700 * 70 / 230 / 15_000)
+    assert found["running tasks, as connections of consumers"].used == pytest.approx(3800 / 542 / 230)
+    assert found["ledgers while regions are apart"].verdict is Verdict.OVER_BUDGET
+    missing = [one.name for one in found.values() if one.verdict is Verdict.NO_MECHANISM]
+    assert missing == [
+        "configuration in force everywhere",
+        "quotas over all dispatchers",
+        "urgent work",
+        "gangs",
+    ]
+    assert all(one.over_by == 0 for one in found.values() if one.verdict is not Verdict.OVER_BUDGET)
+
+
+def test_too_few_dispatchers_can_not_hold_the_running_tasks() -> None:
+    found = {one.name: one for one in evaluate(SLOPES, 7)}
+    held = found["running tasks, as connections of consumers"]
+    assert held.verdict is Verdict.OVER_BUDGET and held.over_by == pytest.approx(3800 / 542 / 7)
+
+
+def test_sizes_that_failed_are_left_out_of_a_line_and_named_in_the_tables() -> None:
+    series = next(one for one in summary.SERIES if one.part == "cpu_list")
+    runs = [{"size": size, "load": 1.0, "wall_s": 2.0, "found": 0.02 * size} for size in (100, 200, 400)]
+    results = {"cpu_list": [*runs, {"size": 800, "load": 9.0, "wall_s": 1.0, "failed": ["MemoryError"]}]}
+    found = summary.line(results, series)
+    assert found is not None and found.most == 400 and found.slope == pytest.approx(0.02)
+    assert "failed: ['MemoryError']" in tables.sizes(results, "cpu_list")
+    assert summary.line({"cpu_list": runs[:2]}, series) is None
+    row = next(text for text in tables.slopes(results).splitlines() if text.startswith(f"| {series.name} "))
+    assert "100 to 400 (3)" in row
+    assert "not measured" in tables.slopes({})
