--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -21,6 +21,7 @@
 
 import msgspec
 
+from heathway.api import Effect
 from ironbarrow.fleet.file import StarvationRules
 from ironbarrow.lab.capacity import costs, decisions, ledgers, lists, members, rollouts, tables, waits
 
@@ -56,6 +57,15 @@
     return {"jobs": without.jobs, "with": with_reports.records.moves, "without": without.records.moves}
 
 
+def _cut_work(seed: int) -> list[dict[str, Any]]:
+    """Running jobs in a region cut of 30 s, safe and unsafe, beside the same without a cut."""
+    return [
+        _plain(ledgers.count_cut_work(effect, cut=cut, seed=seed))
+        for effect in (Effect.SAFE, Effect.UNSAFE)
+        for cut in (False, True)
+    ]
+
+
 @dataclasses.dataclass(frozen=True)
 class Part:
     """One thing that is measured, at several sizes."""
@@ -82,6 +92,7 @@
     "starts": Part((20, 40, 80, 160, 320), ledgers.count_starts),
     "starts_dispatchers": Part((4, 7, 14, 28, 56), lambda size: ledgers.count_starts(60, size)),
     "majority": Part(TARGET_DISPATCHERS, _majority),
+    "cut_work": Part((1, 2, 3), _cut_work),  # by seed
     "rollout_members": Part((4, 8, 16, 32, 64), lambda size: rollouts.count_rollout(size, 8)),
     "rollout_workers": Part((8, 16, 32, 64, 128, 256), lambda size: rollouts.count_rollout(4, size)),
     "lists": Part((104, 208, 415, 830), lists.count_list),
--- a/ironbarrow/lab/capacity/ledgers.py
+++ b/ironbarrow/lab/capacity/ledgers.py
@@ -11,7 +11,7 @@
 from ironbarrow.fleet.members import MemberMachine
 from ironbarrow.fleet.records import JobRecord, Stage, drop, put
 from ironbarrow.fleet.takeover.machine import Takeover
-from ironbarrow.lab.capacity.counting import Sent, metered, region_of, zone_of
+from ironbarrow.lab.capacity.counting import ZONES, Sent, metered, region_of, zone_of
 from ironbarrow.lab.fleet.losses import LedgerFleet
 from ironbarrow.lab.fleet.work import WorkWorld
 from ironbarrow.runtime.clock import MS, SECOND
@@ -167,3 +167,70 @@
         near = sum(region_of(zones[life.name]) == region_of(zones[name]) for life in replicas)
         lost += near < majority(replicas)
     return CutShare(dispatchers, dispatchers, lost)
+
+
+@dataclass(frozen=True, slots=True)
+class CutWork:
+    """What becomes of running jobs when regions lose each other. Providers are reached by all."""
+
+    dispatchers: int
+    effect: str
+    running: int  # jobs out when the cut began
+    cut_s: int  # 0: there was none
+    second_copies: int  # runs of a job that another copy was out of
+    ends: dict[str, int]  # what consumers heard
+    renewed: int  # dispatchers that began a new life
+    ledgers: Sent
+    takeover: Sent
+
+
+def count_cut_work(
+    effect: api.Effect,
+    dispatchers: int = 14,
+    *,
+    cut: bool = True,
+    running: int = 56,
+    cut_s: int = 30,
+    seed: int = 1,
+) -> CutWork:
+    """Counts jobs that run for longer than the cut lasts; or (``cut`` False) the same without one, for
+    comparison."""
+    long = api.JobClass("long", effect, aim=60 * SECOND, deadline=200 * SECOND, stretch=2.0)
+    settings = api.Settings(me=0, dispatchers=dispatchers, zone="a", zones=("a",), classes=(long,))
+    world = WorkWorld(
+        settings,
+        dispatchers,
+        seed=seed,
+        fleet=Fleet(listen="127.0.0.1:0"),
+        sites=len(ZONES),
+        providers=4 * running,
+    )
+    traffic = metered(world.net, (*MemberMachine.handles, *_WORK_KINDS))
+    world.run(5 * SECOND)
+    world.lasts = ((cut_s + 10) * SECOND, (cut_s + 20) * SECOND)
+    for number in range(running):
+        world.order(f"long-{number:06d}", "long", 150 * SECOND, at=f"d{number % dispatchers}")
+        world.run(2 * MS)  # together: of workers whose size is not known, few sessions enter later
+    world.run(2 * SECOND)
+    out = sum(len(provider.running) for provider in world.providers.all.values())
+    traffic.clear()
+    zones = {name: zone_of(number) for number, name in enumerate(world.net.seats)}
+    for one in zones:
+        for other in zones:
+            if cut and region_of(zones[one]) != region_of(zones[other]):
+                world.net.cut(one, other, both=False)
+    world.run(cut_s * SECOND)
+    ledgers, takeover = traffic.of_kinds(*LedgerMachine.handles), traffic.of_kinds(*Takeover.handles)
+    world.net.mend()
+    world.run(80 * SECOND)
+    return CutWork(
+        dispatchers,
+        effect.name,
+        out,
+        cut_s if cut else 0,
+        sum(world.providers.copies.values()),
+        dict(world.ends()),
+        world.counts["renewed"],
+        ledgers,
+        takeover,
+    )
