--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -1,6 +1,6 @@
 """What each role of the program costs as the fleet grows: counts in virtual time, CPU and resident memory.
 
-    python benchmarks/capacity.py [--only PART ...] [--parallel 3]   # runs, writes results/capacity.json
+    python benchmarks/capacity.py [--only PART ...] [--missing]   # runs, writes results/capacity.json
     python benchmarks/capacity.py --tables                           # prints the page's tables from that file
 
 Each size of each part runs in a process of its own. Counts are the same on any machine; CPU times and memory
@@ -77,10 +77,10 @@
 PARTS: dict[str, Part] = {
     "region_cut": Part((7, 14, 28, 56, 115, 230), _region_cut),
     "hour": Part((14, 28), _hour),
-    "calm": Part((8, 16, 32, 64, 115, 230), members.count_calm),
-    "death": Part((8, 16, 32, 64, 115, 230), lambda size: members.count_death(size, seconds=30)),
+    "calm": Part((8, 16, 28, 32, 56, 64, 115, 230), members.count_calm),
+    "death": Part((8, 16, 28, 32, 56, 64, 115, 230), lambda size: members.count_death(size, seconds=30)),
     "waits_dispatchers": Part(
-        (4, 8, 16, 32, 64, 115, 230), lambda size: waits.count_waits(size, 2, per_window=1)
+        (4, 8, 16, 28, 32, 56, 64, 115, 230), lambda size: waits.count_waits(size, 2, per_window=1)
     ),
     "waits_tenants": Part((8, 16, 32, 64, 128, 290), lambda size: waits.count_waits(4, size)),
     "waits_all_tenants": Part(
@@ -130,24 +130,32 @@
     if done.returncode:
         found["failed"] = done.stderr.strip().splitlines()[-1:] or ["?"]
     else:
-        found["found"] = json.loads(done.stdout)
+        found["found"] = json.loads(done.stdout.splitlines()[-1])  # logs come before
     print(part, json.dumps(found)[:300], flush=True)
     return found
 
 
-def run(names: list[str], parallel: int, path: Path) -> dict[str, Any]:
-    """Runs parts, the largest sizes first; what earlier runs found of other parts stays."""
+def run(names: list[str], parallel: int, path: Path, missing: bool) -> dict[str, Any]:
+    """Runs parts, the largest sizes first; what earlier runs found of other parts stays. ``missing``: only
+    sizes of which nothing was found."""
     results: dict[str, Any] = json.loads(path.read_text()) if path.exists() else {}
+    kept = {
+        (name, one["size"]): one
+        for name in (names if missing else ())
+        for one in results.get(name, [])
+        if "found" in one
+    }
     with ThreadPoolExecutor(parallel) as pool:
         waiting = {
             (name, size): pool.submit(_measure, name, size)
             for name in names
             for size in sorted(PARTS[name].sizes, reverse=True)
+            if (name, size) not in kept
         }
         for name in names:
             sizes = PARTS[name].sizes
             try:
-                results[name] = [waiting[name, size].result() for size in sizes]
+                results[name] = [kept.get((name, n)) or waiting[name, n].result() for n in sizes]
             except subprocess.TimeoutExpired as error:
                 results[name] = [{"failed": str(error)}]
             path.parent.mkdir(exist_ok=True)
@@ -159,6 +167,7 @@
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
     parser.add_argument("--only", nargs="+", choices=PARTS, default=list(PARTS))
     parser.add_argument("--parallel", type=int, default=3)
+    parser.add_argument("--missing", action="store_true", help="only sizes that were not measured yet")
     parser.add_argument("--tables", action="store_true")
     parser.add_argument("--results", type=Path, default=RESULTS)
     parser.add_argument("--here", nargs=2, help=argparse.SUPPRESS)
@@ -169,7 +178,7 @@
     elif given.tables:
         print(tables.page(json.loads(given.results.read_text())))
     else:
-        run(given.only, given.parallel, given.results)
+        run(given.only, given.parallel, given.results, given.missing)
 
 
 if __name__ == "__main__":
--- a/ironbarrow/lab/capacity/budget.py
+++ b/ironbarrow/lab/capacity/budget.py
@@ -32,6 +32,7 @@
 DISPATCHERS = 230  # as many as the largest trials have had
 CONSUMER_PLACES = 542  # jobs that one dispatcher holds at once: seven in eight of its 620 places
 LIST_PERIOD_S = 1.0  # between two lists of live weights
+TURNS_A_SECOND = 5  # of the decisions that no event asks for: one in each service period
 DAY_S = 86_400
 
 
@@ -79,7 +80,9 @@
     member_cpu_ms: float  # of a member and second
     start_cpu_ms: float  # of a job at its writer and replicas together
     full_turn_ms: Fit  # of a turn in which jobs wait and no worker has room, by workers
-    idle_mb: float  # resident memory of a dispatcher of a fleet that does nothing
+    idle_mb: float  # resident memory of a process of a small fleet
+    worker_kb: Fit  # of resident memory, by workers listed
+    member_kb: Fit  # of resident memory, by members
 
 
 def bytes_by_concern(slopes: Slopes, dispatchers: int) -> dict[str, float]:
@@ -122,7 +125,8 @@
         *_members(slopes, sent),
         *_ledgers(slopes, sent, dispatchers),
         _regions_apart(slopes),
-        *_all_of_control(sent, core, slopes),
+        *_not_calm(slopes, dispatchers),
+        *_all_of_control(sent, core, slopes, dispatchers),
         *_not_there(),
     ]
 
@@ -223,8 +227,43 @@
     )
 
 
-def _all_of_control(sent: dict[str, float], core: dict[str, float], slopes: Slopes) -> list[Line]:
-    held_mb = slopes.idle_mb
+def _not_calm(slopes: Slopes, dispatchers: int) -> list[Line]:
+    """What is spent only at times. A rollout's figure is an upper one: each running task has ended and begun
+    in each second."""
+    starts = STARTS_A_SECOND / dispatchers
+    stray = 2 * slopes.stray_bytes * (dispatchers - 1) * starts
+    told = slopes.observed_bytes.at(RUNNING_TASKS / dispatchers) * (dispatchers - 1)
+    turns = TURNS_A_SECOND + 1 / LIST_PERIOD_S + 2 * starts
+    scan = slopes.full_turn_ms.at(WORKERS) / 1000 * turns
+    return [
+        _line(
+            "call-backs that reach any dispatcher",
+            f"{STARTS_A_SECOND} starts/s",
+            stray / BYTES_A_SECOND,
+            "passed on to all members",
+            f"{stray / 1000:.1f} KB/s",
+        ),
+        _line(
+            "a rollout under way, its coordinator",
+            f"{WORKERS} workers",
+            told / BYTES_A_SECOND,
+            "every member tells each second of the workers that it uses",
+            f"{told / 1000:.0f} KB/s at most",
+        ),
+        _line(
+            "jobs that wait while all workers are full",
+            f"{WORKERS} workers, {CORE_PART:.1%} of a core",
+            scan / CORE_PART,
+            "first fit over all workers for nine jobs in each turn",
+            f"{scan:.0%} of a core at {turns:.1f} turns/s",
+        ),
+    ]
+
+
+def _all_of_control(
+    sent: dict[str, float], core: dict[str, float], slopes: Slopes, dispatchers: int
+) -> list[Line]:
+    held_mb = slopes.idle_mb + (slopes.worker_kb.at(WORKERS) + slopes.member_kb.at(dispatchers)) / 1024
     return [
         _line(
             "control, bytes in all",
@@ -244,7 +283,7 @@
             "control, memory",
             f"{MEMORY_MB:.0f} MB a dispatcher",
             held_mb / MEMORY_MB,
-            "the whole process",
+            "the whole process, its list and members",
             f"{held_mb:.1f} MB",
         ),
     ]
--- a/ironbarrow/lab/capacity/summary.py
+++ b/ironbarrow/lab/capacity/summary.py
@@ -59,7 +59,14 @@
         most=64,
     ),
     Series("members, calm: the same from 64 on", "a member", "calm", lambda f: f["rate"]["bytes"], least=64),
-    Series("a death: bytes beyond calm, a member and second (30 s)", "a member", "death", event_bytes_each),
+    Series(
+        "a death: bytes beyond calm, a member and second (30 s), up to 64",
+        "a member",
+        "death",
+        event_bytes_each,
+        most=64,
+    ),
+    Series("the same after a death, from 64 on", "a member", "death", event_bytes_each, least=64),
     Series("a death: messages beyond calm", "a member", "death", lambda f: f["beyond"]["messages"]),
     Series(
         "regions cut: bytes beyond calm, a member and second (first 20 s)",
@@ -216,4 +223,6 @@
         start_cpu_ms=at_size(results, "cpu_start", 400),
         full_turn_ms=_named(results, "CPU of a turn with nine jobs waiting and no room, ms"),
         idle_mb=idle_mb,
+        worker_kb=_named(results, "resident memory of the list, KiB"),
+        member_kb=_named(results, "resident memory of a member's list, KiB"),
     )
--- a/ironbarrow/lab/capacity/tables.py
+++ b/ironbarrow/lab/capacity/tables.py
@@ -86,6 +86,6 @@
     """All tables."""
     parts = ["## Slopes", slopes(results), f"## Lines at {budget.DISPATCHERS}"]
     parts.append(lines(results, budget.DISPATCHERS))
-    parts += ["## Bytes by concern", concerns(results, (56, 115, 230))]
+    parts += ["## Bytes by concern", concerns(results, (28, 56, 115, 230))]
     parts += [f"## Runs: {part}\n\n{sizes(results, part)}" for part in results]
     return "\n\n".join(parts)
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -366,6 +366,8 @@
     start_cpu_ms=1.0,
     full_turn_ms=line_of(0.02),
     idle_mb=32.0,
+    worker_kb=line_of(1.0),
+    member_kb=line_of(2.0),
 )
 
 
@@ -381,6 +383,11 @@
     assert found["starts written down"].used == pytest.approx(2 * 1700 * 70 / 230 / 15_000)
     assert found["running tasks, as connections of consumers"].used == pytest.approx(3800 / 542 / 230)
     assert found["ledgers while regions are apart"].verdict is Verdict.OVER_BUDGET
+    assert found["a rollout under way, its coordinator"].used == pytest.approx(50 * 3800 / 230 * 229 / 15_000)
+    scan = found["jobs that wait while all workers are full"]
+    assert scan.over_by == pytest.approx(0.0166 * (5 + 1 + 140 / 230) / 0.032)
+    memory = found["control, memory"].used
+    assert memory == pytest.approx((32 + (830 + 460) / 1024) / 64)
     missing = [one.name for one in found.values() if one.verdict is Verdict.NO_MECHANISM]
     assert missing == [
         "configuration in force everywhere",
