--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -37,6 +37,12 @@
     return {"cut": _plain(cut), "heal": _plain(heal)}
 
 
+def _short_cut(size: int) -> dict[str, Any]:
+    """A cut that ends while deaths are still being told."""
+    cut, heal = members.count_region_cut(size, seconds=30, cut_s=5)
+    return {"cut": _plain(cut), "heal": _plain(heal)}
+
+
 def _hour(size: int) -> dict[str, Any]:
     cut, heal = members.count_region_cut(size, cut_s=_HOUR_S, seconds=60)
     return {"cut": _plain(cut), "heal": _plain(heal)}
@@ -76,6 +82,8 @@
 
 PARTS: dict[str, Part] = {
     "region_cut": Part((7, 14, 28, 56, 115, 230), _region_cut),
+    "short_cut": Part((14, 28, 56, 115, 230), _short_cut),
+    "zone_loss": Part((14, 28, 56, 115, 230), members.count_zone_loss),
     "hour": Part((14, 28), _hour),
     "calm": Part((8, 16, 28, 32, 56, 64, 115, 230), members.count_calm),
     "death": Part((8, 16, 28, 32, 56, 64, 115, 230), lambda size: members.count_death(size, seconds=30)),
@@ -87,6 +95,7 @@
         (16, 32, 64, 128, 290), lambda size: waits.count_waits(4, size, rules=_ALL_TENANTS)
     ),
     "writer": Part((10, 40, 160, 640), ledgers.count_writer),
+    "body": Part((0, 200, 1000, 4000), lambda size: ledgers.count_writer(50, body=size)),
     "running": Part((10, 40, 160, 640), lambda size: ledgers.count_writer(size, keep=True)),
     "move": Part((10, 40, 160, 640), ledgers.count_move),
     "starts": Part((20, 40, 80, 160, 320), ledgers.count_starts),
--- a/ironbarrow/lab/capacity/ledgers.py
+++ b/ironbarrow/lab/capacity/ledgers.py
@@ -18,19 +18,19 @@
 
 _MEMBERS = 9  # of a fleet in which one writer is looked at
 _PAUSE = 20 * MS  # between two turns of a writer
-_BODY = b"x" * 200
+_BODY = 200  # bytes of a job's body
 _WORK_KINDS = (*LedgerMachine.handles, *Takeover.handles)
 _CLASS = api.JobClass("task", api.Effect.UNSAFE, aim=10 * SECOND, deadline=60 * SECOND)
 
 
-def record(number: int, stage: Stage = Stage.TAKEN) -> JobRecord:
-    """A job as a dispatcher's ledger has it, with a body of 200 bytes."""
+def record(number: int, stage: Stage = Stage.TAKEN, body: int = _BODY) -> JobRecord:
+    """A job as a dispatcher's ledger has it, with a body of so many bytes."""
     return JobRecord(
         id=f"job-{number:012d}",
         job_class="task",
         method="POST",
         target="/task",
-        body=_BODY,
+        body=b"x" * body,
         content_type="application/json",
         taken_at=1_700_000_000 * SECOND,
         until=1_700_003_600 * SECOND,
@@ -52,7 +52,7 @@
     replica_rows: int
 
 
-def count_writer(jobs: int, *, keep: bool = False, keepers: int = 3) -> WriterCount:
+def count_writer(jobs: int, *, keep: bool = False, keepers: int = 3, body: int = _BODY) -> WriterCount:
     """Counts jobs one after another at one writer: taken, sent and ended, or (``keep``) left running."""
     fleet = LedgerFleet(_MEMBERS, keepers)
     traffic = metered(fleet.net, LedgerMachine.handles)
@@ -61,7 +61,7 @@
     ledger = job_ledger(fleet.machines["m0"].me)
     traffic.clear()
     for number in range(jobs):
-        changes = [put(record(number)), put(record(number, Stage.INTENT))]
+        changes = [put(record(number, stage, body)) for stage in (Stage.TAKEN, Stage.INTENT)]
         if not keep:
             changes.append(drop(record(number).id))
         for change in changes:
--- a/ironbarrow/lab/capacity/members.py
+++ b/ironbarrow/lab/capacity/members.py
@@ -192,3 +192,16 @@
     cut = _count(fleet, calm, cut_s, fleet.regions_apart)
     fleet.net.mend()
     return cut, _count(fleet, calm, seconds, lambda: fleet.agree(fleet.names, Health.ALIVE))
+
+
+def count_zone_loss(
+    size: int, seed: int = 1, *, seconds: float = 30, settle_s: float = SETTLE_S
+) -> EventCount:
+    """Counts the loss of all members of one zone at once."""
+    fleet = MemberFleet(size, seed)
+    fleet.meet(settle_s)
+    calm = fleet.rate(10)
+    lost = [name for name in fleet.names if fleet.net.seats[name].site == ZONES[0]]
+    for name in lost:
+        fleet.net.crash(name)
+    return _count(fleet, calm, seconds, lambda: fleet.agree(lost, Health.DEAD))
--- a/ironbarrow/lab/capacity/summary.py
+++ b/ironbarrow/lab/capacity/summary.py
@@ -74,6 +74,13 @@
         "region_cut",
         lambda f: event_bytes_each(f["cut"]),
     ),
+    Series(
+        "a zone lost: bytes beyond calm, a member and second (30 s)",
+        "a member",
+        "zone_loss",
+        event_bytes_each,
+    ),
+    Series("a zone lost: seconds to the last member", "a member", "zone_loss", lambda f: f["known_s"]),
     Series(
         "regions together: bytes beyond calm, a member and second (first 60 s)",
         "a member",
@@ -89,6 +96,12 @@
     Series(
         "ledger: bytes of a writer and its replicas", "a job", "writer", _sum("appends", "acknowledgements")
     ),
+    Series(
+        "ledger: bytes of a writer and its replicas for a job",
+        "a byte of body",
+        "body",
+        lambda f: (f["appends"]["bytes"] + f["acknowledgements"]["bytes"]) / f["jobs"],
+    ),
     Series("ledger: bytes of whole dispatchers", "a job", "starts", lambda f: f["ledgers"]["bytes"]),
     Series("ledger: messages of whole dispatchers", "a job", "starts", lambda f: f["ledgers"]["messages"]),
     Series(
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -16,6 +16,7 @@
 from ironbarrow.fleet.starvation import machine as starvation_machine
 from ironbarrow.lab.capacity import (
     costs,
+    counting,
     decisions,
     ledgers,
     lists,
@@ -128,12 +129,20 @@
     sizes = (7, 14, 28)
     found = [members.count_region_cut(size, settle_s=20) for size in sizes]
     for size, (cut, heal) in zip(sizes, found, strict=True):
-        north = sum(zone.startswith("north") for zone in map(members.zone_of, range(size)))
+        north = sum(zone.startswith("north") for zone in map(counting.zone_of, range(size)))
         assert cut.told_dead == 2 * north * (size - north)
         assert heal.told_dead == 0 and heal.known_s < 6
         assert heal.bytes_each < 250 * size
 
 
+def test_a_lost_zone_is_known_to_the_rest_and_nobody_else_dies() -> None:
+    for size in (14, 28):
+        found = members.count_zone_loss(size, seconds=15, settle_s=20)
+        lost = size // len(counting.ZONES)
+        assert found.members == size - lost and found.told_dead == found.members * lost
+        assert found.known_s < 5
+
+
 # Ledgers
 
 JOBS = (10, 20, 40, 80)
@@ -181,6 +190,12 @@
     assert_line(fit(JOBS, [count.replica_bytes for count in found]), 440, 480)
 
 
+def test_each_byte_of_a_body_goes_out_six_times() -> None:
+    sizes = (100, 400, 1600)
+    found = [ledgers.count_writer(10, body=size) for size in sizes]
+    assert_line(fit(sizes, [count.appends.bytes / count.jobs for count in found]), 5.9, 6.1)
+
+
 def test_a_replica_is_replaced_at_the_cost_of_the_running_jobs() -> None:
     found = [ledgers.count_move(running) for running in JOBS]
     assert_line(fit(JOBS, [count.sent.bytes for count in found]), 1400, 2000)
