--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -183,7 +183,8 @@
     given = parser.parse_args()
     if given.here:
         part, size = given.here
-        print(json.dumps(msgspec.to_builtins(_plain(PARTS[part].run(int(size))))))
+        found = msgspec.to_builtins(_plain(PARTS[part].run(int(size))))
+        print(json.dumps(found).replace("Infinity", "null"))  # never within the limit
     elif given.tables:
         print(tables.page(json.loads(given.results.read_text())))
     else:
--- a/ironbarrow/lab/capacity/budget.py
+++ b/ironbarrow/lab/capacity/budget.py
@@ -134,6 +134,8 @@
 def _worker_view(slopes: Slopes, sent: dict[str, float], core: dict[str, float]) -> list[Line]:
     changes = 4 * (REPLACED_A_DAY + FAILURES_A_DAY) * slopes.change_bytes / DAY_S
     live, cpu = sent["list, live weights"], core["list, live weights"]
+    changed = min(WORKERS, 2 * STARTS_A_SECOND * LIST_PERIOD_S)  # a start and an end each
+    told = slopes.list_bytes.at(changed) / LIST_PERIOD_S
     return [
         _line(
             "worker view, nominal weights",
@@ -149,6 +151,13 @@
             "a list of all weights each second (directory client)",
             f"{live / 1000:.1f} KB/s",
         ),
+        _line(
+            "worker view, live weights that have changed alone",
+            f"{STARTS_A_SECOND} starts/s and as many ends",
+            told / BYTES_A_SECOND,
+            "where the directory leaves out the others",
+            f"{told / 1000:.1f} KB/s",
+        ),
         _line(
             "worker view, live weights: CPU",
             f"{WORKERS} workers, {CORE_PART:.1%} of a core",
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -392,6 +392,8 @@
     live = found["worker view, live weights"]
     assert live.verdict is Verdict.OVER_BUDGET
     assert live.over_by == pytest.approx(140 * 830 / 15_000)
+    changed = found["worker view, live weights that have changed alone"]
+    assert changed.over_by == pytest.approx(140 * 140 / 15_000)
     assert found["worker view, live weights: CPU"].used == pytest.approx(0.0166 / 0.032)
     assert found["members, calm"].used == pytest.approx(1400 / 15_000)
     assert found["members, a minute after a region cut"].verdict is Verdict.OVER_BUDGET
