--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -271,9 +271,7 @@
 
 
 def test_a_dispatcher_that_tells_all_it_ever_saw_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
-    broken = mutant(
-        signals, ("        self._entries = {}\n        self._mine = {life", "        self._mine = {life")
-    )
+    broken = mutant(signals, ("        self._entries = {}\n        self._mine = ", "        self._mine = "))
     taken: list[int] = []
     for seconds in (4, 8, 16):
         told = broken.Signals("a")
