--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -1,7 +1,7 @@
 """What each role of the program costs as the fleet grows: counts in virtual time, CPU and resident memory.
 
-    python benchmarks/capacity.py [--only PART ...] [--missing]   # runs, writes results/capacity.json
-    python benchmarks/capacity.py --tables                           # prints the page's tables from that file
+    PYTHONPATH=. python benchmarks/capacity.py [--only PART ...] [--missing]   # writes results/capacity.json
+    PYTHONPATH=. python benchmarks/capacity.py --tables   # prints the page's tables from that file
 
 Each size of each part runs in a process of its own. Counts are the same on any machine; CPU times and memory
 are not, and stand beside the machine's load.
