--- a/tests/test_fleet_takeover.py
+++ b/tests/test_fleet_takeover.py
@@ -141,6 +141,20 @@
     assert not played.providers.copies and not played.broken(UNSAFE) and not played.providers.unheard
 
 
+@pytest.mark.parametrize(("lasts", "verdict"), [(1700, Verdict.SERVED), (20_000, Verdict.REJECTED)])
+def test_what_could_not_be_called_off_is_not_sent_again(lasts: int, verdict: Verdict) -> None:
+    # danger: its provider may be cut off from the heir alone, and runs on
+    played = world()
+    played.lasts = (ms(lasts), ms(lasts))
+    played.deletes_lost = True
+    order = played.order("j", "map", ms(5000), "d0")
+    played.run(ms(300))
+    played.kill("d0")
+    played.run(ms(9000))
+    assert [a and a.verdict for a in order.heard] == [verdict]
+    assert played.providers.starts["j"] == 1 and not played.providers.copies
+
+
 def test_stopped_between_the_look_and_the_write_nothing_is_sent_twice() -> None:
     """Where a lease would fail: the process has all it needs to send, is stopped, and others go on."""
     played = world()
@@ -229,7 +243,7 @@
     played.run(ms(22_000))
     assert not played.broken(UNSAFE) and counts(played, "ledgers lost") > 0
     served = sum(bool(o.heard and o.heard[0] and o.heard[0].verdict is Verdict.SERVED) for o in orders)
-    # what a keeper that is left had is saved, the rest is told its consumers and counted
+    # what a replica that is left had is saved, the rest is told its consumers and counted
     assert 5 <= served < 20 and all(order.heard for order in orders)
     assert counts(played, "taken over: keep") > 0 and counts(played, "taken over: call off") > 0
 
@@ -292,7 +306,7 @@
 
 
 def _has_it_twice(self: Takeover, now: int, news: Any) -> list[Any]:
-    self.taken_over |= {opened.life: True for opened in self.open.values()}
+    self.taken_over |= {opened.incarnation: True for opened in self.open.values()}
     return _TOLD(self, now, news)
 
 
