--- a/ironbarrow/lab/capacity/counting.py
+++ b/ironbarrow/lab/capacity/counting.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from ironbarrow.fleet.api import Life, Message
+from ironbarrow.fleet.api import Incarnation, Message
 from ironbarrow.fleet.codec import Codec
 from ironbarrow.fleet.ledgers.messages import Append
 from ironbarrow.fleet.members.messages import Ack, Ask, Cards, Ping, Sync
@@ -114,7 +114,7 @@
         super().__init__(kinds)
         self.traffic = Traffic()
 
-    def encode(self, sender: Life, to_start: int, message: Message) -> bytes:
+    def encode(self, sender: Incarnation, to_start: int, message: Message) -> bytes:
         frame = super().encode(sender, to_start, message)
         self.traffic.note(sender.name, type(message).__name__, len(frame), items_of(message))
         return frame
--- a/ironbarrow/lab/capacity/ledgers.py
+++ b/ironbarrow/lab/capacity/ledgers.py
@@ -52,9 +52,9 @@
     replica_rows: int
 
 
-def count_writer(jobs: int, *, keep: bool = False, keepers: int = 3, body: int = _BODY) -> WriterCount:
+def count_writer(jobs: int, *, keep: bool = False, replicas: int = 3, body: int = _BODY) -> WriterCount:
     """Counts jobs one after another at one writer: taken, sent and ended, or (``keep``) left running."""
-    fleet = LedgerFleet(_MEMBERS, keepers)
+    fleet = LedgerFleet(_MEMBERS, replicas)
     traffic = metered(fleet.net, LedgerMachine.handles)
     fleet.create()
     fleet.net.run(SECOND)
@@ -69,7 +69,7 @@
             fleet.net.run(_PAUSE)
     fleet.net.run(SECOND)
     writer = fleet.machines["m0"].writers[ledger]
-    segment = fleet.machines[writer.at.keepers[0].name].keeper.segments[ledger, writer.at.segment]
+    segment = fleet.machines[writer.at.replicas[0].name].replica.segments[ledger, writer.at.segment]
     return WriterCount(
         jobs, traffic.of_kinds(Append), traffic.of_kinds(Appended), segment.size, len(segment.table)
     )
@@ -134,7 +134,7 @@
     segment = writer.at.segment
     traffic = metered(fleet.net, LedgerMachine.handles)
     began = fleet.net.clock.now()
-    fleet.kill(writer.at.keepers[0].name)
+    fleet.kill(writer.at.replicas[0].name)
     while writer.at.segment == segment or not writer.opened:
         fleet.net.run(MS)
         if fleet.net.clock.now() - began > 30 * SECOND:
@@ -153,9 +153,9 @@
     without_majority: int
 
 
-def share_without_majority(dispatchers: int, keepers: int = 3) -> CutShare:
+def share_without_majority(dispatchers: int, replicas: int = 3) -> CutShare:
     """By the replicas that the real machines choose over the target's zones."""
-    fleet = LedgerFleet(0, keepers)
+    fleet = LedgerFleet(0, replicas)
     fleet.names = [f"dispatcher-{number}" for number in range(dispatchers)]
     for number, name in enumerate(fleet.names):
         fleet.net.add(name, zone_of(number), fleet._build)
@@ -163,9 +163,9 @@
     zones = {name: zone_of(number) for number, name in enumerate(fleet.names)}
     lost = 0
     for name in fleet.names:
-        replicas = fleet.machines[name].choose(job_ledger(fleet.machines[name].me))
-        near = sum(region_of(zones[life.name]) == region_of(zones[name]) for life in replicas)
-        lost += near < majority(replicas)
+        chosen = fleet.machines[name].choose(job_ledger(fleet.machines[name].me))
+        near = sum(region_of(zones[replica.name]) == region_of(zones[name]) for replica in chosen)
+        lost += near < majority(chosen)
     return CutShare(dispatchers, dispatchers, lost)
 
 
@@ -179,7 +179,7 @@
     cut_s: int  # 0: there was none
     second_copies: int  # runs of a job that another copy was out of
     ends: dict[str, int]  # what consumers heard
-    renewed: int  # dispatchers that began a new life
+    renewed: int  # dispatchers that began a new incarnation
     ledgers: Sent
     takeover: Sent
 
--- a/ironbarrow/lab/capacity/members.py
+++ b/ironbarrow/lab/capacity/members.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from ironbarrow.fleet.api import Card, Health, LedgerAt, Life, MemberChanged, News
+from ironbarrow.fleet.api import Card, Health, Incarnation, LedgerAt, MemberChanged, News
 from ironbarrow.fleet.codec import Codec
 from ironbarrow.fleet.file import MemberRules
 from ironbarrow.fleet.members import MemberMachine
@@ -13,7 +13,7 @@
 from ironbarrow.lab.sim.clock import SimulatedClock
 from ironbarrow.runtime.clock import MS, SECOND
 
-_KEEPERS = 3
+_REPLICAS = 3
 _STEP = 50 * MS  # between two looks at whether a state is reached
 SETTLE_S = 40.0  # until the news of a start has been told to all
 
@@ -30,28 +30,29 @@
         self.names = [f"dispatcher-{number}" for number in range(size)]
         for number, name in enumerate(self.names):
             self.net.add(name, zone_of(number), self._build).on_news = self._listener(name)
-        lives = {name: self.net.start(name) for name in self.names}
+        incarnations = {name: self.net.start(name) for name in self.names}
         for name in self.names:
-            self._announce(name, lives)
+            self._announce(name, incarnations)
 
     def _build(self, seat: Seat, node: Node) -> None:
         number = self.names.index(seat.name)
-        card = Card(node.life, f"10.0.{number // 200}.{number % 200}:7946", seat.site, "10.0.0.1:8080", 1)
+        address = f"10.0.{number // 200}.{number % 200}:7946"
+        card = Card(node.incarnation, address, seat.site, "10.0.0.1:8080", 1)
         seeds = [name for name in self.names[: len(ZONES)] if name != seat.name]
         machine = MemberMachine(card, self.rules, seeds, self.net.clock.now())
         self.machines[seat.name] = machine
         node.add([machine])
 
-    def _announce(self, name: str, lives: dict[str, Life]) -> None:
-        keepers = tuple(lives[other] for other in self.names if other != name)[:_KEEPERS]
-        at = (LedgerAt(f"jobs/{lives[name]}", 0, keepers),)
+    def _announce(self, name: str, incarnations: dict[str, Incarnation]) -> None:
+        replicas = tuple(incarnations[other] for other in self.names if other != name)[:_REPLICAS]
+        at = (LedgerAt(f"jobs/{incarnations[name]}", 0, replicas),)
         machine = self.machines[name]
         self.net.order(name, lambda node, now: node.carry_out(machine.writes(at)))
 
     def _listener(self, name: str) -> Callable[[News], None]:
         def told(news: News) -> None:
             if isinstance(news, MemberChanged) and news.member.health is Health.DEAD:
-                self.deaths.append((name, news.member.card.life.name))
+                self.deaths.append((name, news.member.card.incarnation.name))
 
         return told
 
@@ -61,12 +62,12 @@
 
     def agree(self, about: list[str], health: Health) -> bool:
         """Whether all members that run hold these for that."""
-        lives = [self.machines[name].me.life for name in about]
+        incarnations = [self.machines[name].me.incarnation for name in about]
         return all(
-            self.machines[name].health(life) is health
+            self.machines[name].health(incarnation) is health
             for name in self.running()
-            for life in lives
-            if life.name != name
+            for incarnation in incarnations
+            if incarnation.name != name
         )
 
     def seconds_until(self, holds: Callable[[], bool], limit_s: float) -> float:
@@ -105,7 +106,7 @@
     def regions_apart(self) -> bool:
         """Whether every member holds all of the other region for dead."""
         return all(
-            machine.health(other.me.life) is Health.DEAD
+            machine.health(other.me.incarnation) is Health.DEAD
             for machine in self.machines.values()
             for other in self.machines.values()
             if region_of(machine.me.site) != region_of(other.me.site)
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -11,6 +11,7 @@
 from ironbarrow.fleet.file import StarvationRules
 from ironbarrow.fleet.ledgers import machine as ledger_machine
 from ironbarrow.fleet.ledgers import writer
+from ironbarrow.fleet.members import failure_detector, sync
 from ironbarrow.fleet.members import machine as member_machine
 from ironbarrow.fleet.rollout import signals
 from ironbarrow.fleet.starvation import machine as starvation_machine
@@ -93,24 +94,32 @@
 
 
 @pytest.mark.parametrize(
-    "change",
+    ("module", "name", "change"),
     [
         (
-            "            self._ask_next(now)\n",
-            "            [self._ask(now, e) for e in self._entries.values()]\n",
+            failure_detector,
+            "FailureDetector",
+            (
+                "        entry = self._schedule.next()\n        if entry is not None:\n",
+                "        for entry in list(self._table):\n",
+            ),
         ),
         (
-            "            if alive:\n                self._sync(now, self._random.choice(alive).card.life)\n",
-            "            for entry in alive:\n                self._sync(now, entry.card.life)\n",
+            sync,
+            "Synchronizer",
+            (
+                "            self._sync_with(now, self._context.random.choice(alive))\n",
+                "            [self._sync_with(now, one) for one in alive]\n",
+            ),
         ),
     ],
     ids=["asks all in each period", "compares with all"],
 )
 def test_members_that_talk_to_all_are_caught(
-    change: tuple[str, str], monkeypatch: pytest.MonkeyPatch
+    module: ModuleType, name: str, change: tuple[str, str], monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    broken = mutant(member_machine, change)
-    monkeypatch.setattr(members, "MemberMachine", broken.MemberMachine)
+    broken = mutant(module, change)
+    monkeypatch.setattr(member_machine, name, getattr(broken, name))
     messages, _ = calm_fits((6, 9, 12))
     with pytest.raises(AssertionError):
         assert_line(messages, 6.5, 7.2)
@@ -174,8 +183,8 @@
     broken = mutant(
         writer,
         ("            if done > 0:\n", "            if done < 0:\n"),
-        ("                first = keeping.sent + 1\n", "                first = self._tail_from\n"),
-        ("keeping.sent += len(message.changes)", "keeping.sent = self.n"),
+        ("                first = progress.sent + 1\n", "                first = self._tail_from\n"),
+        ("progress.sent += len(message.changes)", "progress.sent = self.n"),
     )
     monkeypatch.setattr(ledger_machine, "Writer", broken.Writer)
     found = writer_fits()
