--- a/ironbarrow/lab/capacity/budget.py
+++ b/ironbarrow/lab/capacity/budget.py
@@ -30,7 +30,7 @@
 
 # Assumed
 DISPATCHERS = 230  # as many as the largest trials have had
-CONSUMER_PLACES = 542  # jobs that one dispatcher holds at once: seven in eight of its 620 places
+CLIENT_PLACES = 542  # jobs that one dispatcher holds at once: seven in eight of its 620 places
 LIST_PERIOD_S = 1.0  # between two lists of live weights
 TURNS_A_SECOND = 5  # of the decisions that no event asks for: one in each service period
 DAY_S = 86_400
@@ -141,28 +141,28 @@
             "worker view, nominal weights",
             f"{WORKERS} workers, {REPLACED_A_DAY} replaced a day",
             changes / BYTES_A_SECOND,
-            "changes alone are told (directory client)",
+            "changes alone are told (discovery client)",
             f"{changes:.1f} B/s at four changes of each worker replaced or lost",
         ),
         _line(
             "worker view, live weights",
             f"{WORKERS} workers, {BYTES_A_SECOND / 1000:.0f} KB/s",
             live / BYTES_A_SECOND,
-            "a list of all weights each second (directory client)",
+            "a list of all weights each second (discovery client)",
             f"{live / 1000:.1f} KB/s",
         ),
         _line(
             "worker view, live weights that have changed alone",
             f"{STARTS_A_SECOND} starts/s and as many ends",
             told / BYTES_A_SECOND,
-            "where the directory leaves out the others",
+            "where the discovery service leaves out the others",
             f"{told / 1000:.1f} KB/s",
         ),
         _line(
             "worker view, live weights: CPU",
             f"{WORKERS} workers, {CORE_PART:.1%} of a core",
             cpu / CORE_PART,
-            "JSON, entries, ring (directory client, decisions)",
+            "JSON, entries, ring (discovery client, decisions)",
             f"{cpu:.2%} of a core",
         ),
     ]
@@ -197,7 +197,7 @@
 
 
 def _ledgers(slopes: Slopes, sent: dict[str, float], dispatchers: int) -> list[Line]:
-    places = CONSUMER_PLACES * dispatchers
+    places = CLIENT_PLACES * dispatchers
     held_mb = 3 * slopes.replica_row_bytes.slope * RUNNING_TASKS / dispatchers / 1e6
     return [
         _line(
@@ -215,11 +215,11 @@
             f"{held_mb:.3f} MB a dispatcher",
         ),
         _line(
-            "running tasks, as connections of consumers",
+            "running tasks, as connections of clients",
             f"{RUNNING_TASKS} tasks",
             RUNNING_TASKS / places,
-            "a consumer's connection for each",
-            f"{RUNNING_TASKS / dispatchers:.1f} of {CONSUMER_PLACES} places a dispatcher",
+            "a client's connection for each",
+            f"{RUNNING_TASKS / dispatchers:.1f} of {CLIENT_PLACES} places a dispatcher",
         ),
     ]
 
--- a/ironbarrow/lab/capacity/costs.py
+++ b/ironbarrow/lab/capacity/costs.py
@@ -11,8 +11,8 @@
 from heathway.logic import Dispatcher
 from heathway.state import Worker
 from ironbarrow.core.host import Host
-from ironbarrow.directory.client import Directory as Client
-from ironbarrow.directory.client import _Objects
+from ironbarrow.discovery.client import Discovery as Client
+from ironbarrow.discovery.client import _Objects
 from ironbarrow.fleet.api import job_ledger
 from ironbarrow.fleet.file import StarvationRules
 from ironbarrow.fleet.records import Stage, put
@@ -22,7 +22,7 @@
 from ironbarrow.lab.capacity.lists import addresses_of, live_weight, worker_entries
 from ironbarrow.lab.capacity.members import MemberFleet
 from ironbarrow.lab.fleet.losses import LedgerFleet
-from ironbarrow.lab.model.directory import Entry, News
+from ironbarrow.lab.model.discovery import Entry, News
 from ironbarrow.lab.settings import list_object
 from ironbarrow.runtime.clock import MS, SECOND
 from ironbarrow.runtime.loop import Loop
@@ -42,9 +42,9 @@
 
     def give_up(self, call: object, ending: object) -> None: ...
 
-    def probe(self, provider: str) -> None: ...
+    def probe(self, worker: str) -> None: ...
 
-    def close_idle(self, provider: str) -> None: ...
+    def close_idle(self, worker: str) -> None: ...
 
 
 def _cpu_ms(what: Callable[[], object]) -> float:
@@ -55,7 +55,7 @@
 
 
 def _lines(size: int, turns: int) -> list[bytes]:
-    """A whole list and changes of all weights, as the directory sends them."""
+    """A whole list and changes of all weights, as the discovery service sends them."""
     entries = worker_entries(size)
     addresses = addresses_of(entries)
     news = [News(1, True, tuple(entries))]
@@ -68,13 +68,13 @@
 
 
 class ListReader:
-    """The real client and host of one dispatcher, fed with the directory's bytes."""
+    """The real client and host of one dispatcher, fed with the discovery service's bytes."""
 
     def __init__(self, dispatchers: int = 230) -> None:
         self._loop = Loop(self._failed)
         self.host = Host(self._loop, fleet_settings(dispatchers), 0)
         self.host.invoker = IdleInvoker()
-        self._client = Client(self._loop, ("127.0.0.1", 9), self.host.providers_listed)
+        self._client = Client(self._loop, ("127.0.0.1", 9), self.host.workers_listed)
         self._objects = _Objects()
 
     @staticmethod
--- a/ironbarrow/lab/capacity/ledgers.py
+++ b/ironbarrow/lab/capacity/ledgers.py
@@ -36,7 +36,7 @@
         until=1_700_003_600 * SECOND,
         stage=stage,
         attempts=int(stage is Stage.INTENT),
-        provider="worker-0123" if stage is Stage.INTENT else "",
+        worker="worker-0123" if stage is Stage.INTENT else "",
         tenant="team-123",
     )
 
@@ -93,7 +93,7 @@
     settings = api.Settings(
         me=0, dispatchers=dispatchers, zone="a", zones=("a",), classes=(_CLASS,), tells_start=True
     )
-    world = WorkWorld(settings, dispatchers, seed=seed, fleet=Fleet(listen="127.0.0.1:0"), providers=8)
+    world = WorkWorld(settings, dispatchers, seed=seed, fleet=Fleet(listen="127.0.0.1:0"), workers=8)
     traffic = metered(world.net, (*MemberMachine.handles, *_WORK_KINDS))
     world.run(3 * SECOND)
     traffic.clear()
@@ -171,14 +171,14 @@
 
 @dataclass(frozen=True, slots=True)
 class CutWork:
-    """What becomes of running jobs when regions lose each other. Providers are reached by all."""
+    """What becomes of running jobs when regions lose each other. Workers are reached by all."""
 
     dispatchers: int
     effect: str
     running: int  # jobs out when the cut began
     cut_s: int  # 0: there was none
     second_copies: int  # runs of a job that another copy was out of
-    ends: dict[str, int]  # what consumers heard
+    ends: dict[str, int]  # what clients heard
     renewed: int  # dispatchers that began a new incarnation
     ledgers: Sent
     takeover: Sent
@@ -203,7 +203,7 @@
         seed=seed,
         fleet=Fleet(listen="127.0.0.1:0"),
         sites=len(ZONES),
-        providers=4 * running,
+        workers=4 * running,
     )
     traffic = metered(world.net, (*MemberMachine.handles, *_WORK_KINDS))
     world.run(5 * SECOND)
@@ -212,7 +212,7 @@
         world.order(f"long-{number:06d}", "long", 150 * SECOND, at=f"d{number % dispatchers}")
         world.run(2 * MS)  # together: of workers whose size is not known, few sessions enter later
     world.run(2 * SECOND)
-    out = sum(len(provider.running) for provider in world.providers.all.values())
+    out = sum(len(worker.running) for worker in world.workers.all.values())
     traffic.clear()
     zones = {name: zone_of(number) for number, name in enumerate(world.net.seats)}
     for one in zones:
@@ -228,7 +228,7 @@
         effect.name,
         out,
         cut_s if cut else 0,
-        sum(world.providers.copies.values()),
+        sum(world.workers.copies.values()),
         dict(world.ends()),
         world.counts["renewed"],
         ledgers,
--- a/ironbarrow/lab/capacity/lists.py
+++ b/ironbarrow/lab/capacity/lists.py
@@ -5,11 +5,11 @@
 from dataclasses import dataclass, replace
 
 from heathway import api
-from ironbarrow.directory.client import Directory as Client
+from ironbarrow.discovery.client import Discovery as Client
 from ironbarrow.lab.capacity.counting import zone_of
-from ironbarrow.lab.live.directory_server import Agent
+from ironbarrow.lab.live.discovery_server import Agent
 from ironbarrow.lab.model import spec
-from ironbarrow.lab.model.directory import Directory, Entry, News
+from ironbarrow.lab.model.discovery import Discovery, Entry, News
 from ironbarrow.lab.model.randomness import Streams
 from ironbarrow.runtime.loop import SECOND, Loop
 
@@ -43,7 +43,7 @@
 
 
 def live_weight(number: int, turn: int) -> float:
-    """The weight of a worker by what it holds, as a directory with live weights tells it."""
+    """The weight of a worker by what it holds, as a discovery service with live weights tells it."""
     held = (number * 7 + turn * 3) % _MOST_HELD
     return round(4.0 / (1 + held / 4), 3)
 
@@ -73,7 +73,7 @@
     told: list[api.WorkerList] = []
     try:
         entries = worker_entries(size)
-        model = Directory(loop, spec.Directory(soonest=0, latest=0, weights="live"), Streams(1))  # type: ignore[arg-type]
+        model = Discovery(loop, spec.Discovery(soonest=0, latest=0, weights="live"), Streams(1))  # type: ignore[arg-type]
         model.start(entries)
         agent = CountingAgent(
             loop, model, "dispatcher", addresses_of(entries), lambda name, up: None, ("127.0.0.1", 0)
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -405,7 +405,7 @@
     assert found["members, calm"].used == pytest.approx(1400 / 15_000)
     assert found["members, a minute after a region cut"].verdict is Verdict.OVER_BUDGET
     assert found["starts written down"].used == pytest.approx(2 * 1700 * 70 / 230 / 15_000)
-    assert found["running tasks, as connections of consumers"].used == pytest.approx(3800 / 542 / 230)
+    assert found["running tasks, as connections of clients"].used == pytest.approx(3800 / 542 / 230)
     assert found["ledgers while regions are apart"].verdict is Verdict.OVER_BUDGET
     assert found["a rollout under way, its coordinator"].used == pytest.approx(50 * 3800 / 230 * 229 / 15_000)
     scan = found["jobs that wait while all workers are full"]
@@ -424,7 +424,7 @@
 
 def test_too_few_dispatchers_can_not_hold_the_running_tasks() -> None:
     found = {one.name: one for one in evaluate(SLOPES, 7)}
-    held = found["running tasks, as connections of consumers"]
+    held = found["running tasks, as connections of clients"]
     assert held.verdict is Verdict.OVER_BUDGET and held.over_by == pytest.approx(3800 / 542 / 7)
 
 
