--- a/ironbarrow/lab/fleet/work.py
+++ b/ironbarrow/lab/fleet/work.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from heathway import api
+from ironbarrow.core.attempt import Progress
 from ironbarrow.core.endings import Ending
 from ironbarrow.core.host import Answer, Call, Host, Payload, Verdict
 from ironbarrow.fleet.api import Action, Card
@@ -28,6 +29,7 @@
 
 _TRIP = MS // 2  # between dispatcher and provider, one way
 _CONNECT = 2 * MS
+_UNCONFIRMED_AFTER = 300 * MS  # where DELETEs are lost
 _CALL_BACK_TRIES = 12
 _CALL_BACK_PAUSE = 250 * MS
 _ENDS = {"done": Ending.DONE, "failed": Ending.FAILED, "returned": Ending.RETURNED, "lost": Ending.LOST}
@@ -151,7 +153,7 @@
 
     def _answered(self, call: Call, taken: bool) -> None:
         if taken:
-            call.accepted = True
+            call.reach(Progress.ACCEPTED)
         elif call in self._out:
             self._end(call, Ending.NOT_PROCESSED)
 
@@ -178,8 +180,11 @@
     def let_go(self, call: Call) -> None:
         self._out.discard(call)
 
-    def call_off(self, job_id: str, provider: str, until: int, done: Callable[[], None]) -> None:
-        self._delete(provider, job_id, done)
+    def call_off(self, job_id: str, provider: str, until: int, done: Callable[[bool], None]) -> None:
+        if self._world.deletes_lost:
+            self._clock.call_at(min(until, self._clock.now() + _UNCONFIRMED_AFTER), done, False)
+        else:
+            self._delete(provider, job_id, lambda: done(True))
 
     def called_back(self, raw: Any) -> bool:
         call = self.host.call_out(raw["id"], raw["from"])
@@ -198,7 +203,7 @@
 
 @dataclass(slots=True, eq=False)
 class Process:
-    """A dispatcher's process: its host and its work last over lives of its member."""
+    """A dispatcher's process: its host and its work last over incarnations of its member."""
 
     seat: Seat
     clock: SeatClock
@@ -241,6 +246,7 @@
         self.settings, self.seed = settings, seed
         self.fleet = fleet or Fleet(listen="127.0.0.1:0")
         self.refuses = self.fails = self.returns = 0.0
+        self.deletes_lost = False  # providers can't be told to stop what another dispatcher sent
         self.call_backs_to: str | None = None  # None: to any dispatcher
         self.lasts = (100 * MS, 600 * MS)
         self.written: Counter[str] = Counter()  # by id
@@ -266,10 +272,10 @@
         known = [
             p.members.me for p in self.processes.values() if p.seat.node is not None and p.seat is not seat
         ]
-        card = Card(node.life, f"{seat.name}:1", seat.site, version=1)
+        card = Card(node.incarnation, f"{seat.name}:1", seat.site, version=1)
         seeds = {name: f"{name}:1" for name in self.net.seats if name != seat.name}
         members = MemberMachine(card, self.fleet.members, seeds, now, known)
-        ledgers = LedgerMachine(node.life, members, self.fleet.ledgers)
+        ledgers = LedgerMachine(node.incarnation, members, self.fleet.ledgers)
         if new:
             process = self._process(seat, members, ledgers)
         assert process is not None
@@ -277,7 +283,7 @@
         work = process.work
         earlier = None if new else work.machine
         rules = rules_of(self.settings, self.fleet, self.faults.get(seat.name))
-        machine = Takeover(now, node.life, members, ledgers, rules)
+        machine = Takeover(now, node.incarnation, members, ledgers, rules)
         work.machine = machine
         node.add((members, ledgers, machine))
         seat.on_news = work.told
--- a/ironbarrow/lab/sim/back.py
+++ b/ironbarrow/lab/sim/back.py
@@ -9,18 +9,20 @@
 from dataclasses import dataclass
 
 from heathway import api
+from ironbarrow.core.attempt import Observation, Progress
 from ironbarrow.core.endings import Ending
 from ironbarrow.core.host import Call, Host
 from ironbarrow.lab.audit import Auditor
 from ironbarrow.lab.model.fleet import Fleet
 from ironbarrow.lab.model.provider import Need, Provider, Reply, Report, State
-from ironbarrow.lab.sim.clock import Life
+from ironbarrow.lab.sim.clock import ProcessClock
 from ironbarrow.runtime.clock import MS, SECOND
 
 _CONNECT_TIMEOUT = 250 * MS
 _IDLE_LIMIT = 13 * SECOND
 _POOL = 8
-_DELETE_LIMIT = 100 * MS
+_DELETE_LIMIT = 100 * MS  # where no proof is needed that it has arrived
+_DELETE_AGAIN = 500 * MS  # after one that was not answered
 _PROBE_LIMIT = 1 * SECOND
 _TOLD = {"done": Ending.DONE, "failed": Ending.FAILED, "returned": Ending.RETURNED, "lost": Ending.LOST}
 _NEVER_RAN = frozenset(
@@ -51,7 +53,7 @@
 
     def __init__(
         self,
-        life: Life,
+        clock: ProcessClock,
         host: Host,
         fleet: Fleet,
         audit: Auditor,
@@ -59,7 +61,7 @@
         zone: str,
         needs: dict[str, Need],
     ) -> None:
-        self._life, self._host, self._fleet, self._audit = life, host, fleet, audit
+        self._clock, self._host, self._fleet, self._audit = clock, host, fleet, audit
         self._name, self._zone, self._needs = name, zone, needs
         self._idle: dict[str, deque[int]] = {}
         self._ways: dict[Call, _Way] = {}
@@ -82,15 +84,17 @@
         provider = way.provider
         reaches = self._fleet.network.reaches(self._zone, provider.zone)
         if provider.state is State.VANISHED or not reaches:
-            self._life.call_at(self._life.now() + _CONNECT_TIMEOUT, self._end, call, Ending.CONNECT_TIMED_OUT)
+            self._clock.call_at(
+                self._clock.now() + _CONNECT_TIMEOUT, self._end, call, Ending.CONNECT_TIMED_OUT
+            )
             return
         trip = self._latency(provider) + self._latency(provider)
         if provider.state is State.DOWN or provider.connections >= provider.group.connections:
-            self._life.call_at(self._life.now() + trip, self._end, call, Ending.CONNECT_REFUSED)
+            self._clock.call_at(self._clock.now() + trip, self._end, call, Ending.CONNECT_REFUSED)
             return
         provider.connections += 1
         way.connected = True
-        self._life.call_at(self._life.now() + trip, self._write, call, way)
+        self._clock.call_at(self._clock.now() + trip, self._write, call, way)
 
     def _latency(self, provider: Provider) -> int:
         return self._fleet.network.latency(self._zone, provider.zone, provider.name)
@@ -125,12 +129,13 @@
             self._send_back(provider, self._reset, call)
 
     def _send_back(self, provider: Provider, call: Callable[..., None], *args: object) -> None:
-        if not self._life.over:
-            self._fleet.network.send(provider.zone, self._zone, provider.name, self._life.run, call, args)
+        if not self._clock.over:
+            self._fleet.network.send(provider.zone, self._zone, provider.name, self._clock.run, call, args)
 
     def _accepted(self, call: Call, way: _Way) -> None:
         if not way.answered:
             way.answered = True
+            call.reach(Progress.ACCEPTED)
             self._put_back(way)
 
     def _turned_away(self, call: Call, way: _Way, report: Report) -> None:
@@ -167,18 +172,34 @@
         if way is None or not call.written:
             self._end(call, ending)
             return
-        # a DELETE goes out: from its first byte the attempt counts as given up
-        self._audit.attempt_over(call.job.payload.id, call.provider, never_ran=False)
-        reaches = self._fleet.network.send(
+        if call.is_over(Observation.CONNECTION_ENDED):
+            self._audit.attempt_over(call.job.payload.id, call.provider, never_ran=False)
+            self._clock.call_at(self._clock.now() + _DELETE_LIMIT, self._end, call, ending)
+        self._send_delete(call, way, ending)
+
+    def let_go(self, call: Call) -> None:
+        way = self._ways.pop(call, None)
+        if way is not None:
+            way.over = True
+            self._drop_connection(way)
+            self._audit.attempt_over(call.job.payload.id, call.provider, never_ran=False)
+
+    def _send_delete(self, call: Call, way: _Way, ending: Ending) -> None:
+        """Sent again and again until it is answered, or the call has ended otherwise."""
+        if call.ended or way.over:
+            return
+        self._fleet.network.send(
             self._zone, way.provider.zone, way.provider.name, self._delete, call, way, ending
         )
-        if not reaches or way.provider.trouble.hung or way.provider.state is State.VANISHED:
-            self._life.call_at(self._life.now() + _DELETE_LIMIT, self._end, call, ending)
+        self._clock.call_at(self._clock.now() + _DELETE_AGAIN, self._send_delete, call, way, ending)
 
     def _delete(self, call: Call, way: _Way, ending: Ending) -> None:
-        way.provider.cancel(call.job.payload.id)
-        if not way.provider.trouble.hung:
-            self._send_back(way.provider, self._end, call, ending)
+        provider = way.provider
+        if provider.trouble.hung or provider.state is State.VANISHED:
+            return
+        provider.cancel(call.job.payload.id)
+        self._audit.attempt_over(call.job.payload.id, call.provider, never_ran=False)
+        self._send_back(provider, self._end, call, ending)
 
     # Probes and connections
 
@@ -188,7 +209,7 @@
             self._host.probe_ended(provider, Ending.CONNECT_REFUSED, 0)
             return
         trip = self._latency(found) + self._latency(found)
-        self._life.call_at(self._life.now() + trip, self._probed, found, self._life.now())
+        self._clock.call_at(self._clock.now() + trip, self._probed, found, self._clock.now())
 
     def _probed(self, provider: Provider, since: int) -> None:
         silent = (
@@ -196,9 +217,9 @@
             or provider.state is State.VANISHED
             or not self._fleet.network.reaches(self._zone, provider.zone)
         )
-        elapsed = self._life.now() - since
+        elapsed = self._clock.now() - since
         if silent:
-            self._life.call_at(
+            self._clock.call_at(
                 since + _PROBE_LIMIT, self._host.probe_ended, provider.name, Ending.TIMED_OUT, _PROBE_LIMIT
             )
         elif provider.state is State.DOWN:
@@ -221,7 +242,7 @@
 
     def _take_idle(self, provider: Provider) -> bool:
         idle = self._idle.get(provider.name)
-        oldest = self._life.now() - _IDLE_LIMIT
+        oldest = self._clock.now() - _IDLE_LIMIT
         while idle:
             if idle.pop() > oldest and provider.state in (State.UP, State.DRAINING):
                 return True
@@ -233,7 +254,7 @@
             idle = self._idle.setdefault(way.provider.name, deque())
             if len(idle) < _POOL:
                 way.connected = False
-                idle.append(self._life.now())
+                idle.append(self._clock.now())
             else:
                 self._drop_connection(way)
 
