--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 	.lab-venv/bin/python -m pip -q install -r requirements-lab.txt
 	touch .lab-venv
 
-demo: .lab-venv ## three dispatchers and twelve providers on loopback for about 20 s, two of them in trouble
+demo: .lab-venv ## three dispatchers and twelve workers on loopback for about 20 s, two of them in trouble
 	$(LAB) -m ironbarrow lab demo
 
 test: .dev-venv ## the tests
--- a/benchmarks/fleet20.py
+++ b/benchmarks/fleet20.py
@@ -24,7 +24,7 @@
 RESTART_EVERY_MS = 1_500
 KILL_EVERY_MS, KILLS_FOR_MS = 2_000, 60_000
 CUT_MS, BETWEEN_MS = 5_000, 5_000
-OUTCOMES = ("served", "rejected", "failed", "no answer", "left")
+OUTCOMES = ("served", "refused", "failed", "no answer", "left")
 
 
 def timeline(seed: int) -> tuple[list[Fault], list[tuple[str, float]], float]:
@@ -67,11 +67,11 @@
         name="fleet20",
         duration=ms(length),
         classes=classes,
-        providers=[spec.Group(name="p", count=12, slots=8, cores=8)],
+        workers=[spec.Group(name="p", count=12, slots=8, cores=8)],
         arrivals=spec.Arrivals(rate=rate),
         network=spec.Network(zones=ZONES),
         dispatchers=spec.Dispatchers(count=COUNT, fleet=spec.Fleet()),
-        consumers=spec.Consumers(retries=0, notice=ms(1000), same_id=True),
+        clients=spec.Clients(retries=0, notice=ms(1000), same_id=True),
         faults=faults,
     )
     made.check()
@@ -97,7 +97,7 @@
     def phase_of(due_s: float) -> str:
         return [name for name, begins in phases if begins <= due_s][-1]
 
-    for order in run.consumers.without_dispatcher:
+    for order in run.clients.without_dispatcher:
         lost[phase_of((order.due - began) / 1e9), of.classes[order.cls].name] += 1
     rows: dict[tuple[str, str], Counter[str]] = {}
     columns = result.rows
--- a/benchmarks/fleet_price.py
+++ b/benchmarks/fleet_price.py
@@ -3,8 +3,8 @@
     python benchmarks/fleet_price.py [--rate 100] [--seconds 10] [--rounds 3] [--modes off k3 k5]
     python benchmarks/fleet_price.py --modes before off --before FOLDER   # FOLDER: another revision's program
 
-Six `serve` processes on loopback, each with a process of scripted parties of its own: consumers that send
-short jobs at an even rate (a fifth of them bookings) and providers that answer 202 at once and call back 5 ms
+Six `serve` processes on loopback, each with a process of scripted parties of its own: clients that send
+short jobs at an even rate (a fifth of them bookings) and workers that answer 202 at once and call back 5 ms
 later. Modes are played in turn, round after round, and compared within a round. No stand-ins between
 dispatchers.
 """
@@ -22,21 +22,21 @@
 
 from ironbarrow.config.units import ms
 from ironbarrow.lab.fleet.files import fleet_file
-from ironbarrow.lab.live.directory_server import Agent
+from ironbarrow.lab.live.discovery_server import Agent
 from ironbarrow.lab.live.ports import LoopbackNetwork
 from ironbarrow.lab.live.processes import Instance, Program
 from ironbarrow.lab.model import spec
-from ironbarrow.lab.model.directory import Directory, Entry
+from ironbarrow.lab.model.discovery import Discovery, Entry
 from ironbarrow.lab.model.randomness import Streams
 from ironbarrow.runtime import sockets
 from ironbarrow.runtime.loop import MS, READ, SECOND, Coroutine, Loop, Wait, sleep
 from ironbarrow.runtime.sockets import Address
 from ironbarrow.transport.http import connect
 
-PROVIDERS = 4
+WORKERS = 4
 WORK = 5 * MS
 BODY = b"x" * 200
-LOAD = {"eps": 0.0, "queue": 0.0, "x0": 32.0}  # a provider with room
+LOAD = {"eps": 0.0, "queue": 0.0, "x0": 32.0}  # a worker with room
 WARM_UP_S = 2.0
 
 
@@ -44,7 +44,7 @@
 
 
 class Party:
-    """Consumers and providers that do as little as they can."""
+    """Clients and workers that do as little as they can."""
 
     def __init__(self, dispatcher: Address, listen: list[Address], rate: float, until: float) -> None:
         self.loop = Loop(self._failed)
@@ -58,7 +58,7 @@
         self.open = 0
         for number, address in enumerate(listen):
             self.loop.spawn(self._accept(sockets.listen(address), f"p{number}"))
-        self.loop.spawn(self._consumers())
+        self.loop.spawn(self._clients())
 
     def _failed(self, error: Exception) -> None:
         self.errors += 1
@@ -134,7 +134,7 @@
         self.idle.append(sock)
         return int(found[0].split(b" ", 2)[1])
 
-    def _consumers(self) -> Coroutine[None]:
+    def _clients(self) -> Coroutine[None]:
         number, due = 0, self.loop.now()
         while due < self.ends_at:
             yield from sleep(due)
@@ -199,7 +199,7 @@
         name="price",
         duration=ms(1000),
         classes=[cls, booking],
-        providers=[spec.Group(name="p", count=PROVIDERS, slots=32, cores=32)],
+        workers=[spec.Group(name="p", count=WORKERS, slots=32, cores=32)],
         arrivals=spec.Arrivals(rate=1.0),
         network=spec.Network(zones=["north", "middle", "south"]),
         dispatchers=spec.Dispatchers(count=count, probes=False, tells_start=False, fleet=fleet),
@@ -213,17 +213,17 @@
     folder = Path(tempfile.mkdtemp(prefix="fleet-price-"))
     errors: list[Exception] = []
     loop = Loop(errors.append)
-    directory = Directory(loop, of.directory, Streams(1))
-    directory.start([Entry(f"p{n}", "north", "", 32.0) for n in range(PROVIDERS)])
+    discovery = Discovery(loop, of.discovery, Streams(1))
+    discovery.start([Entry(f"p{n}", "north", "", 32.0) for n in range(WORKERS)])
     ready: set[int] = set()
     instances, agents, parties = [], [], []
     network = LoopbackNetwork.reserve(count)
     addresses = [network.dispatcher(n) for n in range(count)]
     members = ["{}:{}".format(*network.fleet_member(n)) for n in range(count)]
-    providers = [[(network.party(n)[0], 9200 + p) for p in range(PROVIDERS)] for n in range(count)]
+    workers = [[(network.party(n)[0], 9200 + p) for p in range(WORKERS)] for n in range(count)]
     for n in range(count):
-        names = {f"p{p}": "{}:{}".format(*providers[n][p]) for p in range(PROVIDERS)}
-        agent = Agent(loop, directory, f"d{n}", names, lambda name, up: None, network.agents)
+        names = {f"p{p}": "{}:{}".format(*workers[n][p]) for p in range(WORKERS)}
+        agent = Agent(loop, discovery, f"d{n}", names, lambda name, up: None, network.agents)
         agents.append(agent)
         text = None
         if of.dispatchers.fleet is not None:
@@ -248,7 +248,7 @@
         begins = time.time() + WARM_UP_S + 0.5
         until = begins + seconds
         for n in range(count):
-            told = {"dispatcher": addresses[n], "listen": providers[n], "rate": rate, "until": until + 0.5}
+            told = {"dispatcher": addresses[n], "listen": workers[n], "rate": rate, "until": until + 0.5}
             command = [sys.executable, __file__, "--party", json.dumps(told)]
             parties.append(subprocess.Popen(command, stdout=subprocess.PIPE, text=True))
         turn_until(begins)
--- a/benchmarks/kill_day.py
+++ b/benchmarks/kill_day.py
@@ -34,7 +34,7 @@
         "mode": mode,
         "seed": seed,
         "classes": {
-            name: {k: figures[k] for k in ("asked", "served", "in_time", "rejected", "failed", "no_answer")}
+            name: {k: figures[k] for k in ("asked", "served", "in_time", "refused", "failed", "no_answer")}
             for name, figures in (*found["summary"]["classes"].items(), ("all", found["summary"]["all"]))
         },
         "without_dispatcher": notes["without_dispatcher"],
@@ -67,7 +67,7 @@
             wanting = sum(
                 n for row in mine for c, n in row["without_dispatcher"].items() if name in (c, "all")
             )
-            ends = {k: sum(r["classes"][name][k] for r in mine) for k in ("rejected", "failed", "no_answer")}
+            ends = {k: sum(r["classes"][name][k] for r in mine) for k in ("refused", "failed", "no_answer")}
             print(
                 f"  {name:8} {asked:6} asked  {useless:5} without a useful answer ({useless / asked:6.2%})  "
                 f"{wanting:5} for want of a dispatcher ({wanting / asked:6.2%})  {ends}"
--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -1,8 +1,8 @@
 """What a simulated job costs as the fleet grows: jobs a second of wall time, and memory.
 
-    python benchmarks/scale.py --providers 10 100 1000 5000 [--jobs 200000] [--dispatchers 100] [--json]
+    python benchmarks/scale.py --workers 10 100 1000 5000 [--jobs 200000] [--dispatchers 100] [--json]
 
-Each size runs in a process of its own. Jobs of 200 ms on providers of five cores, at load 0.6.
+Each size runs in a process of its own. Jobs of 200 ms on workers of five cores, at load 0.6.
 """
 
 import argparse
@@ -16,7 +16,7 @@
 from ironbarrow.lab.sim.run import Simulation
 
 
-def world(providers: int, dispatchers: int, jobs: int) -> World:
+def world(workers: int, dispatchers: int, jobs: int) -> World:
     """A plain fleet of one generation, for so many jobs."""
     made = World(
         name="scale",
@@ -34,10 +34,10 @@
                 effect="unsafe",
             ),
         ],
-        providers=[Group(name="p", count=providers)],
+        workers=[Group(name="p", count=workers)],
         arrivals=Arrivals(load=0.6),
-        dispatchers=Dispatchers(count=min(dispatchers, providers), probes=False),
-        sessions=Sessions(count=20 * providers),
+        dispatchers=Dispatchers(count=min(dispatchers, workers), probes=False),
+        sessions=Sessions(count=20 * workers),
     )
     seconds = jobs / made.rate()
     return World(
@@ -46,13 +46,13 @@
     )
 
 
-def measure(providers: int, dispatchers: int, jobs: int) -> dict[str, object]:
+def measure(workers: int, dispatchers: int, jobs: int) -> dict[str, object]:
     """One run in this process."""
-    result = Simulation(world(providers, dispatchers, jobs), 1).run()
+    result = Simulation(world(workers, dispatchers, jobs), 1).run()
     asked = len(result.rows["due"])
     return {
-        "providers": providers,
-        "dispatchers": min(dispatchers, providers),
+        "workers": workers,
+        "dispatchers": min(dispatchers, workers),
         "jobs": asked,
         "wall_s": round(result.wall_s, 2),
         "jobs_per_s": round(asked / result.wall_s),
@@ -66,23 +66,23 @@
 
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
-    parser.add_argument("--providers", type=int, nargs="+", default=[10, 100, 1000])
+    parser.add_argument("--workers", type=int, nargs="+", default=[10, 100, 1000])
     parser.add_argument("--dispatchers", type=int, default=100)
     parser.add_argument("--jobs", type=int, default=20_000)
     parser.add_argument("--json", action="store_true")
-    parser.add_argument("--plot", help="a PNG file for cost by number of providers")
+    parser.add_argument("--plot", help="a PNG file for cost by number of workers")
     parser.add_argument("--here", action="store_true", help="in this process: for a profiler")
     given = parser.parse_args()
     points = []
-    for providers in given.providers:
+    for workers in given.workers:
         if given.here:
-            found = measure(providers, given.dispatchers, given.jobs)
+            found = measure(workers, given.dispatchers, given.jobs)
         else:
-            command = [sys.executable, __file__, "--here", "--json", "--providers", str(providers)]
+            command = [sys.executable, __file__, "--here", "--json", "--workers", str(workers)]
             command += ["--dispatchers", str(given.dispatchers), "--jobs", str(given.jobs)]
             done = subprocess.run(command, check=True, capture_output=True, text=True)
             found = json.loads(done.stdout.splitlines()[-1])
-        points.append((providers, found["us_per_job"]))
+        points.append((workers, found["us_per_job"]))
         if given.json:
             print(json.dumps(found), flush=True)
         else:
@@ -96,7 +96,7 @@
 
         figure, axes = plt.subplots(figsize=(6, 3.6))
         axes.plot(*zip(*points, strict=True), marker="o")
-        axes.set(xscale="log", xlabel="providers", ylabel="us of wall time a simulated job")
+        axes.set(xscale="log", xlabel="workers", ylabel="us of wall time a simulated job")
         axes.grid(alpha=0.3)
         figure.savefig(given.plot, dpi=110, bbox_inches="tight")
 
--- a/benchmarks/starts.py
+++ b/benchmarks/starts.py
@@ -44,7 +44,7 @@
 work = { mean = "50 ms", kind = "fixed" }
 wanted = "2 s"
 deadline = "3 s"
-[[providers]]
+[[workers]]
 name = "p"
 count = 2
 cores = 4
--- a/experiments/rollouts.py
+++ b/experiments/rollouts.py
@@ -54,10 +54,10 @@
 def world_of(*, thin: bool, faults: list[Fault], seconds: float | None = None) -> World:
     world = load_world(HERE / "rollout.toml")
     if thin:
-        groups = [msgspec.structs.replace(group, count=6) for group in world.providers]
+        groups = [msgspec.structs.replace(group, count=6) for group in world.workers]
         world = msgspec.structs.replace(
             world,
-            providers=groups,
+            workers=groups,
             arrivals=msgspec.structs.replace(world.arrivals, load=0.4),
             dispatchers=msgspec.structs.replace(world.dispatchers, count=3),
             duration=ms(85_000),
@@ -89,7 +89,7 @@
         "kind": kind,
         "seed": seed,
         **{name: getattr(outcome, name) for name in outcome.__slots__},
-        **{name: figures[name] for name in ("asked", "served", "in_time", "failed", "rejected", "service")},
+        **{name: figures[name] for name in ("asked", "served", "in_time", "failed", "refused", "service")},
         "breaches": dict(result.verdicts.breaches),
         "checked": {name: INVARIANTS.checked[name] for name in ("floor kept", "a step once")},
         "faults": [f"{fault.kind} {fault.at / 1e9:.0f}" for fault in world.faults],
--- a/ironbarrow/admin/bans.py
+++ b/ironbarrow/admin/bans.py
@@ -1,7 +1,7 @@
-"""Workers that operators have taken out of use, joined with the directory's word. No input or output.
+"""Workers that operators have taken out of use, joined with the discovery service's word. No input or output.
 
-The stricter word wins: whatever the directory says of a banned worker, the decisions hear that it drains,
-as an ordinary event of the list, and every limit on draining workers holds for it as it stands.
+The stricter word wins: whatever the discovery service says of a banned worker, the decisions hear that it
+drains, as an ordinary event of the list, and every limit on draining workers holds for it as it stands.
 """
 
 from dataclasses import replace
@@ -12,11 +12,11 @@
 
 
 class Bans:
-    """Who is banned, and what the directory says of each worker."""
+    """Who is banned, and what the discovery service says of each worker."""
 
     def __init__(self) -> None:
         self.banned: frozenset[str] = frozenset()
-        self._listed: dict[str, api.WorkerEntry] = {}  # as the directory has it now
+        self._listed: dict[str, api.WorkerEntry] = {}  # as the discovery service has it now
         self._known: dict[str, None] = {}  # every id that was ever listed, the oldest first
 
     def knows(self, worker: str) -> bool:
@@ -25,7 +25,7 @@
 
     @property
     def listed(self) -> frozenset[str]:
-        """The workers on the directory's list."""
+        """The workers on the discovery service's list."""
         return frozenset(self._listed)
 
     def take_list(self, news: api.WorkerList) -> api.WorkerList:
--- a/ironbarrow/admin/operations.py
+++ b/ironbarrow/admin/operations.py
@@ -32,7 +32,7 @@
         loop.call_at(loop.now() + _LOOK_EVERY, self._look)
 
     def listed(self, news: api.WorkerList) -> api.WorkerList:
-        """The directory's news as the host is to hear them."""
+        """The discovery service's news as the host is to hear them."""
         return self._bans.take_list(news)
 
     def is_ready(self) -> bool:
@@ -68,4 +68,4 @@
     def _apply(self, banned: frozenset[str]) -> None:
         news = self._bans.set(banned)
         if news is not None:
-            self._host.providers_listed(news)
+            self._host.workers_listed(news)
--- a/ironbarrow/backs/__init__.py
+++ b/ironbarrow/backs/__init__.py
@@ -1,1 +1,1 @@
-"""What carries invoker calls to providers."""
+"""What carries invoker calls to workers."""
--- a/ironbarrow/backs/invoker.py
+++ b/ironbarrow/backs/invoker.py
@@ -1,4 +1,4 @@
-"""Invoker calls to providers over HTTP: calls and their call-backs, DELETE, probes."""
+"""Attempts over HTTP: requests to workers and their call-backs, DELETE, probes."""
 
 from collections import Counter
 from collections.abc import Callable, Iterator, Mapping
@@ -13,8 +13,8 @@
 from ironbarrow.core import trace
 from ironbarrow.core.attempt import Observation, Progress, delete_answered, is_unreachable, proves_over
 from ironbarrow.core.endings import ConnectionEndedError, Ending
-from ironbarrow.core.host import Call, Host
-from ironbarrow.directory.client import Directory
+from ironbarrow.core.host import Attempt, Host
+from ironbarrow.discovery.client import Discovery
 from ironbarrow.runtime.loop import MS, SECOND, Coroutine, Loop, Task, sleep
 from ironbarrow.runtime.sockets import Address
 from ironbarrow.transport.http import Connection, connect
@@ -25,37 +25,37 @@
 # for the answer to a DELETE on a connection that had been idle, or of which no proof is needed
 _TOLD_LIMIT = 100 * MS
 _DELETE_LIMIT = 500 * MS  # else, in the first try
-_DELETE_LIMIT_MOST = 2 * SECOND  # and in later ones: each try costs a hung provider a connection
+_DELETE_LIMIT_MOST = 2 * SECOND  # and in later ones: each try costs a hung worker a connection
 _ROUND_TRIPS = 6  # at least so many times what connecting took: handshakes, the request and its answer
 _DELETE_TRIES = 3  # for an attempt that is over already: it may run on, but nothing waits for it
 _DELETE_PAUSE = 50 * MS  # after the first try; doubled with each one
 _DELETE_PAUSE_MOST = 400 * MS
 _LAST_WORD = 1 * SECOND  # for DELETEs of an attempt at its deadline, where others go first
-_DELETES_AT_ONCE = 32  # to one provider. Danger: hundreds to one that is cut off would take all descriptors
+_DELETES_AT_ONCE = 32  # to one worker. Danger: hundreds to one that is cut off would take all descriptors
 _PROBE_LIMIT = 1 * SECOND
-_REST_LIMIT = 500 * MS  # for the rest of an answer whose head is in, or of one whose call is over already
+_REST_LIMIT = 500 * MS  # for the rest of an answer whose head is in, or of one whose attempt is over already
 _ACCEPTED = 202
 _STATES = {"done": Ending.DONE, "failed": Ending.FAILED, "returned": Ending.RETURNED, "lost": Ending.LOST}
 
 
 @dataclass(slots=True, eq=False)
 class _Exchange:
-    """A call's way over the sockets."""
+    """An attempt's way over the sockets."""
 
     address: Address
     task: Task | None = None
-    answered: bool = False  # the provider's 202 is in, or the connection has ended
+    answered: bool = False  # the worker's 202 is in, or the connection has ended
     stopping: bool = False  # DELETEs go out until its end is proven
 
 
 class HttpInvoker:
-    """Carries the host's calls to the providers that the directory names."""
+    """Carries the host's attempts to the workers that the discovery service names."""
 
     def __init__(
         self,
         loop: Loop,
         host: Host,
-        directory: Directory,
+        discovery: Discovery,
         reports: ReportReader,
         *,
         connect_timeout: int,
@@ -67,62 +67,62 @@
         that are in use, too."""
         self._loop = loop
         self._host = host
-        self._directory = directory
+        self._discovery = discovery
         self._reports = reports
         self._connect_timeout = connect_timeout
         self._pools = Pools(loop, idle_limit=idle_limit, most=most_idle)
-        self._exchanges: dict[Call, _Exchange] = {}
+        self._exchanges: dict[Attempt, _Exchange] = {}
         self._deleting: Counter[Address] = Counter()
         self._most = most
         self._open = 0  # connections, those that come up and idle ones included
 
     # What the host asks for
 
-    def start(self, call: Call) -> None:
-        address = self._directory.address_of(call.provider)
+    def start(self, attempt: Attempt) -> None:
+        address = self._discovery.address_of(attempt.worker)
         if address is None:
-            self._host.call_ended(call, Ending.DRAINED)
+            self._host.attempt_ended(attempt, Ending.DRAINED)
             return
         exchange = _Exchange(address)
-        self._exchanges[call] = exchange
-        exchange.task = self._loop.spawn(self._call(call, exchange))
+        self._exchanges[attempt] = exchange
+        exchange.task = self._loop.spawn(self._carry(attempt, exchange))
 
-    def give_up(self, call: Call, ending: Ending) -> None:
-        exchange = self._exchanges.get(call)
+    def give_up(self, attempt: Attempt, ending: Ending) -> None:
+        exchange = self._exchanges.get(attempt)
         if exchange is None:
-            self._end(call, ending)
+            self._end(attempt, ending)
             return
         if not exchange.answered and exchange.task is not None:
             exchange.task.cancel()  # and with it goes its connection
-        self._stop(call, exchange, ending)
+        self._stop(attempt, exchange, ending)
 
-    def _stop(self, call: Call, exchange: _Exchange, ending: Ending) -> None:
-        """Sees to it that a call whose connection is closed ends with a proof."""
+    def _stop(self, attempt: Attempt, exchange: _Exchange, ending: Ending) -> None:
+        """Sees to it that an attempt whose connection is closed ends with a proof."""
         if exchange.stopping:
             return
-        if call.written and self._host.settings.may_cancel:
+        if attempt.written and self._host.settings.may_cancel:
             exchange.stopping = True
-            self._loop.spawn(self._delete(call, exchange, ending))
-        elif call.ended or call.is_over(Observation.CONNECTION_ENDED):
-            self._end(call, ending)
+            self._loop.spawn(self._delete(attempt, exchange, ending))
+        elif attempt.ended or attempt.is_over(Observation.CONNECTION_ENDED):
+            self._end(attempt, ending)
 
-    def let_go(self, call: Call) -> None:
-        """Another process has the call now; nothing is told to the provider, and what is not written yet
+    def let_go(self, attempt: Attempt) -> None:
+        """Another process has the attempt now; nothing is told to the worker, and what is not written yet
         never is."""
-        exchange = self._exchanges.pop(call, None)
+        exchange = self._exchanges.pop(attempt, None)
         if exchange is not None and exchange.task is not None and not exchange.answered:
             exchange.task.cancel()
 
-    def call_off(self, job_id: str, provider: str, until: int, done: Callable[[bool], None]) -> None:
-        """Calls a job off that another process had sent. ``done`` is told True once the provider has
+    def call_off(self, job_id: str, worker: str, until: int, done: Callable[[bool], None]) -> None:
+        """Calls a job off that another process had sent. ``done`` is told True once the worker has
         confirmed it, or False at ``until`` (ns)."""
-        self._loop.spawn(self._call_off(job_id, provider, until, done))
+        self._loop.spawn(self._call_off(job_id, worker, until, done))
 
-    def probe(self, provider: str) -> None:
-        self._loop.spawn(self._probe(provider))
+    def probe(self, worker: str) -> None:
+        self._loop.spawn(self._probe(worker))
 
-    def close_idle(self, provider: str) -> None:
-        address = self._directory.address_of(provider)
+    def close_idle(self, worker: str) -> None:
+        address = self._discovery.address_of(worker)
         if address is not None:
             self._pools.close_to(address)
 
@@ -133,12 +133,12 @@
     # Call-backs
 
     def called_back(self, raw: Any) -> bool:
-        """A provider's word on a call, and whether any call is out that it is about; a ValueError if it is
+        """A worker's word on an attempt, and whether any attempt is out that it is about; a ValueError if it is
         malformed."""
         if not isinstance(raw, dict):
             raise ValueError("not an object")
-        job_id, provider, state = raw.get("id"), raw.get("from"), raw.get("state")
-        if not isinstance(job_id, str) or not isinstance(provider, str) or not isinstance(state, str):
+        job_id, worker, state = raw.get("id"), raw.get("from"), raw.get("state")
+        if not isinstance(job_id, str) or not isinstance(worker, str) or not isinstance(state, str):
             raise ValueError("id, from and state must be text")
         if state not in _STATES and state not in ("started", "running"):
             raise ValueError(f"unknown state: {state[:40]!r}")
@@ -149,18 +149,18 @@
         if isinstance(share, bool) or not isinstance(share, int | float):
             raise ValueError("share must be a number")
         report = self._report(raw.get("load"))
-        call = self._host.call_out(job_id, provider)
-        if call is None:
-            return False  # late, sent again, for a call that was never made, or for another process
+        attempt = self._host.attempt_out(job_id, worker)
+        if attempt is None:
+            return False  # late, sent again, for an attempt that was never made, or for another process
         # danger: the call-back may come before the 202, even before the own write is seen to be whole
-        self._host.call_written(call)
+        self._host.attempt_written(attempt)
         if state == "started":
-            self._host.call_started(call)
+            self._host.attempt_started(attempt)
         elif state == "running":
-            self._host.call_progressed(call, float(share))
+            self._host.attempt_progressed(attempt, float(share))
         else:
-            exchange = self._exchanges.get(call)
-            self._end(call, _STATES[state], report, result.encode())
+            exchange = self._exchanges.get(attempt)
+            self._end(attempt, _STATES[state], report, result.encode())
             if exchange is not None and exchange.task is not None and not exchange.task.done:
                 # danger: an answer that never comes or never ends would hold its descriptor
                 self._loop.call_at(self._loop.now() + _REST_LIMIT, exchange.task.cancel)
@@ -186,19 +186,21 @@
 
     # Coroutines
 
-    def _call(self, call: Call, exchange: _Exchange) -> Coroutine[None]:
+    def _carry(self, attempt: Attempt, exchange: _Exchange) -> Coroutine[None]:
         connection: Connection | None = None
         try:
-            connection = yield from self._connection(exchange.address, call.provider, "call")
-            request = self._request(connection, call, exchange.address)
-            yield from connection.write(request, self._host.send_by(call), lambda: self._may_begin(call))
-            self._host.call_written(call)
-            answer = yield from connection.read_head(call.until)
+            connection = yield from self._connection(exchange.address, attempt.worker, "attempt")
+            request = self._request(connection, attempt, exchange.address)
+            yield from connection.write(
+                request, self._host.send_by(attempt), lambda: self._may_begin(attempt)
+            )
+            self._host.attempt_written(attempt)
+            answer = yield from connection.read_head(attempt.until)
             if answer.status == _ACCEPTED:
-                # danger: the provider has the job from here on, whatever becomes of the rest of the answer
+                # danger: the worker has the job from here on, whatever becomes of the rest of the answer
                 exchange.answered = True
-                call.reach(Progress.ACCEPTED)
-            yield from connection.read_body(answer, min(call.until, self._loop.now() + _REST_LIMIT))
+                attempt.reach(Progress.ACCEPTED)
+            yield from connection.read_body(answer, min(attempt.until, self._loop.now() + _REST_LIMIT))
             exchange.answered = True
             if answer.status == _ACCEPTED or _is_final(answer):
                 self._pools.put_back(exchange.address, connection, proof=_is_proof(answer))
@@ -206,83 +208,83 @@
                 # danger: no answer of the protocol's, so the job may run; closed before a 202, it is given up
                 connection.close()
             connection = None
-            self._answered(call, exchange, answer)
+            self._answered(attempt, exchange, answer)
         except ConnectionEndedError as error:
             if connection is not None:
                 connection.close()  # before the job may go elsewhere
-            self._broke(call, exchange, error.ending)
+            self._broke(attempt, exchange, error.ending)
         finally:
             if connection is not None:
                 connection.close()
 
-    def _may_begin(self, call: Call) -> None:
+    def _may_begin(self, attempt: Attempt) -> None:
         """Asked right before the first byte goes out."""
-        if (ending := self._host.barred(call)) is not None:
+        if (ending := self._host.barred(attempt)) is not None:
             raise ConnectionEndedError(ending)
-        call.reach(Progress.WRITING)
+        attempt.reach(Progress.WRITING)
 
-    def _broke(self, call: Call, exchange: _Exchange, ending: Ending) -> None:
-        """A call's connection has ended, or none came up."""
-        accepted_there = exchange.answered and call.accepted
-        if accepted_there or (ending is Ending.STALLED and self._loop.now() >= call.until):
+    def _broke(self, attempt: Attempt, exchange: _Exchange, ending: Ending) -> None:
+        """An attempt's connection has ended, or none came up."""
+        accepted_there = exchange.answered and attempt.accepted
+        if accepted_there or (ending is Ending.STALLED and self._loop.now() >= attempt.until):
             return  # a call-back tells, or the host's own time-out
         exchange.answered = True
-        if call.is_over(Observation.CONNECTION_ENDED):
-            if ending is Ending.STALLED and not call.written:
-                # the window for a repeat ended: no fault of the provider's
-                ending = self._host.barred(call) or ending
-            self._end(call, ending)
+        if attempt.is_over(Observation.CONNECTION_ENDED):
+            if ending is Ending.STALLED and not attempt.written:
+                # the window for a repeat ended: no fault of the worker's
+                ending = self._host.barred(attempt) or ending
+            self._end(attempt, ending)
         else:
             # danger: it has called back that it runs the job, so the break is no proof that this has ended
-            self._stop(call, exchange, ending)
+            self._stop(attempt, exchange, ending)
 
-    def _answered(self, call: Call, exchange: _Exchange, answer: Message) -> None:
+    def _answered(self, attempt: Attempt, exchange: _Exchange, answer: Message) -> None:
         if answer.status == _ACCEPTED:
             return
         # danger: without the proof, a 503 may come after the job has run
         ending = Ending.NOT_PROCESSED if _is_proof(answer) else Ending.ERROR_ANSWER
         final = _is_final(answer)
-        if call.is_over(Observation.FINAL_ANSWER if final else Observation.CONNECTION_ENDED):
-            self._end(call, ending, self._header_report(answer.headers))
+        if attempt.is_over(Observation.FINAL_ANSWER if final else Observation.CONNECTION_ENDED):
+            self._end(attempt, ending, self._header_report(answer.headers))
         else:
-            self._stop(call, exchange, ending)
+            self._stop(attempt, exchange, ending)
 
     def _end(
-        self, call: Call, ending: Ending, report: api.LoadReport | None = None, result: bytes = b""
+        self, attempt: Attempt, ending: Ending, report: api.LoadReport | None = None, result: bytes = b""
     ) -> None:
-        self._exchanges.pop(call, None)
-        self._host.call_ended(call, ending, report, result)
+        self._exchanges.pop(attempt, None)
+        self._host.attempt_ended(attempt, ending, report, result)
 
-    def _delete(self, call: Call, exchange: _Exchange, ending: Ending) -> Coroutine[None]:
-        """Tells a call's provider to stop until something proves the call to be over, or the host has ended
+    def _delete(self, attempt: Attempt, exchange: _Exchange, ending: Ending) -> Coroutine[None]:
+        """Tells an attempt's worker to stop until something proves the attempt to be over, or the host has ended
         it at the job's deadline."""
-        over_before = call.ended
-        until = max(call.until, self._loop.now() + _LAST_WORD)
+        over_before = attempt.ended
+        until = max(attempt.until, self._loop.now() + _LAST_WORD)
         for tries, pause in enumerate(_pauses()):
             # danger: a 202 may have crossed the close; so it is told, but its arrival need not be proven
-            only_told = call.is_over(Observation.CONNECTION_ENDED) or over_before
+            only_told = attempt.is_over(Observation.CONNECTION_ENDED) or over_before
             limit = _TOLD_LIMIT if only_told else min(_DELETE_LIMIT << tries, _DELETE_LIMIT_MOST)
             observation = yield from self._tell_to_stop(
-                exchange.address, call.job.payload.id, call.provider, limit, until
+                exchange.address, attempt.job.payload.id, attempt.worker, limit, until
             )
             if self._host.traced:
-                trace.told_to_stop(self._loop.now(), call.job.number, call.provider, observation)
-            if call.is_over(observation) or (call.ended and not over_before):
+                trace.told_to_stop(self._loop.now(), attempt.job.number, attempt.worker, observation)
+            if attempt.is_over(observation) or (attempt.ended and not over_before):
                 break
-            only_told = call.is_over(Observation.CONNECTION_ENDED) or over_before
+            only_told = attempt.is_over(Observation.CONNECTION_ENDED) or over_before
             if only_told and (tries + 1 >= _DELETE_TRIES or is_unreachable(observation)):
                 break
             yield from sleep(self._loop.now() + pause)
-        self._end(call, ending)
+        self._end(attempt, ending)
 
     def _call_off(
-        self, job_id: str, provider: str, until: int, done: Callable[[bool], None]
+        self, job_id: str, worker: str, until: int, done: Callable[[bool], None]
     ) -> Coroutine[None]:
         stopped = False
         for pause in _pauses():
-            address = self._directory.address_of(provider)
+            address = self._discovery.address_of(worker)
             if address is not None:
-                observation = yield from self._tell_to_stop(address, job_id, provider, _DELETE_LIMIT, until)
+                observation = yield from self._tell_to_stop(address, job_id, worker, _DELETE_LIMIT, until)
                 stopped = proves_over(observation, Progress.ACCEPTED)
             if stopped or self._loop.now() >= until:
                 break
@@ -290,7 +292,7 @@
         done(stopped)
 
     def _tell_to_stop(
-        self, address: Address, job_id: str, provider: str, limit: int, until: int
+        self, address: Address, job_id: str, worker: str, limit: int, until: int
     ) -> Coroutine[Observation]:
         """One DELETE, and what came of it. ``limit``: ns, to its answer on a new connection; ``until``: when
         it need not be sent any more, ns."""
@@ -308,7 +310,7 @@
                 # it may be cut off behind a connection that looks open, or have closed it meanwhile
             try:
                 asked_at = self._loop.now()
-                connection = yield from self._connect(address, provider, "delete")
+                connection = yield from self._connect(address, worker, "delete")
             except ConnectionEndedError as error:
                 none_here = error.ending is Ending.NO_DESCRIPTOR
                 return Observation.DELETE_BROKEN if none_here else Observation.DELETE_UNSENT
@@ -340,16 +342,16 @@
                 connection.close()
         return delete_answered(answer.status)
 
-    def _probe(self, provider: str) -> Coroutine[None]:
+    def _probe(self, worker: str) -> Coroutine[None]:
         started_at = self._loop.now()
         until = started_at + _PROBE_LIMIT
         ending, report = Ending.ERROR_ANSWER, None
-        address = self._directory.address_of(provider)
+        address = self._discovery.address_of(worker)
         connection: Connection | None = None
         try:
             if address is None:
                 raise ConnectionEndedError(Ending.CONNECT_REFUSED)
-            connection = yield from self._connection(address, provider, "probe")
+            connection = yield from self._connection(address, worker, "probe")
             target = "/-/load" if self._host.settings.report_fields else "/-/healthy"
             headers = [("Host", "{}:{}".format(*address))]
             yield from connection.write(connection.request_bytes("GET", target, headers), until)
@@ -364,11 +366,11 @@
         finally:
             if connection is not None:
                 connection.close()
-        self._host.probe_ended(provider, ending, self._loop.now() - started_at, report)
+        self._host.probe_ended(worker, ending, self._loop.now() - started_at, report)
 
-    def _request(self, connection: Connection, call: Call, address: Address) -> bytes:
-        payload = call.job.payload
-        left = max(1, (call.until - self._loop.now()) // MS)
+    def _request(self, connection: Connection, attempt: Attempt, address: Address) -> bytes:
+        payload = attempt.job.payload
+        left = max(1, (attempt.until - self._loop.now()) // MS)
         headers = [
             ("Host", "{}:{}".format(*address)),
             ("X-Request-ID", payload.id),
@@ -376,26 +378,27 @@
         ]
         if payload.content_type:
             headers.append(("Content-Type", payload.content_type))
-        # danger: without it, no provider could drop the repeat of a keyed job that has run
+        # danger: without it, no worker could drop the repeat of a keyed job that has run
         if payload.idempotency_key:
             headers.append(("Idempotency-Key", payload.idempotency_key))
         return connection.request_bytes(payload.method, payload.target, headers, payload.body)
 
-    def _connection(self, address: Address, provider: str, purpose: str) -> Coroutine[Connection]:
+    def _connection(self, address: Address, worker: str, purpose: str) -> Coroutine[Connection]:
         """An idle connection that is surely still open, or a new one."""
         # a late second answer can do no harm to a probe or a DELETE: it is no proof there
-        connection = self._pools.take(address, settled=purpose == "call")
+        connection = self._pools.take(address, settled=purpose == "attempt")
         if connection is not None:
             return connection
-        return (yield from self._connect(address, provider, purpose))
+        return (yield from self._connect(address, worker, purpose))
 
-    def _connect(self, address: Address, provider: str, purpose: str) -> Coroutine[Connection]:
+    def _connect(self, address: Address, worker: str, purpose: str) -> Coroutine[Connection]:
         """A new connection."""
         if self._host.traced:
-            trace.connected(self._loop.now(), provider, purpose)
-        # danger: hundreds of calls to hung providers would take consumers' and the directory's descriptors
+            trace.connected(self._loop.now(), worker, purpose)
+        # danger: hundreds of attempts to hung workers would take clients' and the discovery service's
+        # descriptors
         if self._open >= self._most and not self._pools.drop_oldest():
-            raise ConnectionEndedError(Ending.NO_DESCRIPTOR, "all connections to providers are in use")
+            raise ConnectionEndedError(Ending.NO_DESCRIPTOR, "all connections to workers are in use")
         self._open += 1
         try:
             try:
--- a/ironbarrow/backs/pool.py
+++ b/ironbarrow/backs/pool.py
@@ -1,4 +1,4 @@
-"""Idle connections to providers, kept for further requests."""
+"""Idle connections to workers, kept for further requests."""
 
 from collections import deque
 from dataclasses import dataclass
@@ -7,9 +7,9 @@
 from ironbarrow.runtime.sockets import Address
 from ironbarrow.transport.http import Connection
 
-_POOL = 8  # idle connections kept to one provider
+_POOL = 8  # idle connections kept to one worker
 # danger: an answer that comes twice, the second time some milliseconds late, would be taken for the answer to
-# the next request. The price: more than one call within that time to one provider takes a further connection
+# the next request. The price: more than one call within that time to one worker takes a further connection
 _SETTLED_AFTER = 30 * MS
 # danger: the second copy of a proof that a job never ran would be a false proof for another job
 _SETTLED_AFTER_PROOF = 250 * MS
@@ -23,11 +23,11 @@
 
 
 class Pools:
-    """The idle connections to each provider; in all no more than ``most``."""
+    """The idle connections to each worker; in all no more than ``most``."""
 
     def __init__(self, loop: Loop, *, idle_limit: int, most: int) -> None:
         self._loop = loop
-        # danger: a request written to a connection that the provider is about to close ends as a reset
+        # danger: a request written to a connection that the worker is about to close ends as a reset
         self._idle_limit = idle_limit - min(idle_limit // 2, 2 * SECOND)
         self._most = most
         self._pools: dict[Address, deque[_Idle]] = {}
@@ -61,7 +61,7 @@
         pool.append(_Idle(connection, now, now + (_SETTLED_AFTER_PROOF if proof else _SETTLED_AFTER)))
         self._count += 1
         if self._count > self._most:
-            # danger: kept to the end of their time, old connections to providers that get little
+            # danger: kept to the end of their time, old connections to workers that get little
             # would leave none for the busy ones, and each call there would pay for a handshake
             self.drop_oldest()
 
@@ -84,7 +84,7 @@
             self.close_to(address)
 
     def _sweep(self) -> None:
-        """Closes connections that are too old to be used again, and those that the provider has closed."""
+        """Closes connections that are too old to be used again, and those that the worker has closed."""
         oldest = self._loop.now() - self._idle_limit
         for address in list(self._pools):
             pool = self._pools[address]
--- a/ironbarrow/cli/lab.py
+++ b/ironbarrow/cli/lab.py
@@ -94,30 +94,30 @@
 
 @app.command()
 def demo(as_json: Json = False) -> None:
-    """Play experiments/demo.toml live: one provider hangs, one drains, for about 20 s."""
+    """Play experiments/demo.toml live: one worker hangs, one drains, for about 20 s."""
     from ironbarrow.lab.experiment.spec import ROOT
 
     loaded = _world(ROOT / "experiments" / "demo.toml")
     _quiet()
     if not as_json:
-        providers = sum(group.count for group in loaded.providers)
+        workers = sum(group.count for group in loaded.workers)
         typer.echo(
-            f"{loaded.dispatchers.count} dispatchers, {providers} providers, {loaded.rate():.0f} jobs/s for "
+            f"{loaded.dispatchers.count} dispatchers, {workers} workers, {loaded.rate():.0f} jobs/s for "
             f"{loaded.duration.seconds:.0f} s on loopback"
         )
         for fault in loaded.faults:
             ends = (fault.at + fault.lasts) / 1e9
-            typer.echo(f"  {fault.at / 1e9:4.0f} to {ends:.0f} s: {fault.kind}: {', '.join(fault.providers)}")
+            typer.echo(f"  {fault.at / 1e9:4.0f} to {ends:.0f} s: {fault.kind}: {', '.join(fault.workers)}")
     _show(_play_live(loaded, 1, None), as_json)
 
 
 @app.command()
 def tally(
     logs: Annotated[Path, typer.Argument(help="A folder of traces, one *.log a dispatcher.")],
-    cold: Annotated[float, typer.Option(help="How long a provider counts as cold, s.", min=0)] = 20.0,
+    cold: Annotated[float, typer.Option(help="How long a worker counts as cold, s.", min=0)] = 20.0,
     as_json: Json = False,
 ) -> None:
-    """Count what a fleet did, by second, by provider and how each class's jobs ended and why, from logs
+    """Count what a fleet did, by second, by worker and how each class's jobs ended and why, from logs
     written with BALANCER_TRACE=1."""
     from ironbarrow.lab.tally import COLUMNS, LogsError
     from ironbarrow.lab.tally import tally as count
@@ -144,7 +144,7 @@
         for end, number in ends.most_common():
             if end != "asked":
                 typer.echo(f"  {number:7d}  {number / ends['asked']:5.1%}  {end}")
-    typer.echo(f"{found.dispatchers} dispatchers, {len(found.providers)} providers")
+    typer.echo(f"{found.dispatchers} dispatchers, {len(found.workers)} workers")
 
 
 @app.command()
@@ -153,7 +153,7 @@
     job: Annotated[str, typer.Argument(help="The job's X-Request-ID.")],
     as_json: Json = False,
 ) -> None:
-    """Follow one job through all dispatchers' logs, with what was known of each provider it was sent to."""
+    """Follow one job through all dispatchers' logs, with what was known of each worker it was sent to."""
     from ironbarrow.lab.follow import follow as steps_of
     from ironbarrow.lab.tally import LogsError
 
@@ -229,12 +229,12 @@
     title = f"{result.world.name}, seed {result.seed}, {result.mode}: {result.span_s:.0f} s"
     table = Table(title=title, title_justify="left", box=box.SIMPLE_HEAD, pad_edge=False)
     table.add_column("class")
-    for name in ("asked", "in time", "late", "rejected", "failed", "silent", "p50/ms", "p99/ms", "service"):
+    for name in ("asked", "in time", "late", "refused", "failed", "silent", "p50/ms", "p99/ms", "service"):
         table.add_column(name, justify="right", no_wrap=True)
     for name, figures in (*summary["classes"].items(), ("all", summary["all"])):
         late = figures["served"] - figures["in_time"]
         counts = [figures["asked"], figures["in_time"], late]
-        counts += [figures[k] for k in ("rejected", "failed", "no_answer")]
+        counts += [figures[k] for k in ("refused", "failed", "no_answer")]
         times = [f"{figures[k]:.0f}" if figures["served"] else "-" for k in ("p50_ms", "p99_ms")]
         table.add_row(name, *map(str, counts), *times, f"{figures['service']:.3f}")
     console = Console() if sys.stdout.isatty() else Console(width=100)
@@ -327,7 +327,7 @@
     if dry_run:
         typer.echo(f"{len(plan.cells)} cells, {missing} to run, into {folder}")
         return
-    # a live cell keeps dispatchers, providers and consumers busy at once
+    # a live cell keeps dispatchers, workers and clients busy at once
     runner = Runner(plan, store, 1 if plan.experiment.mode == "live" else jobs)
     shown = Progress(
         TextColumn("{task.description}"),
@@ -482,7 +482,7 @@
     seed: Seed = 1,
     as_json: Json = False,
 ) -> None:
-    """Hold the provider's model against closed forms: M/M/1, M/M/c, M/D/1 and Little's law."""
+    """Hold the worker's model against closed forms: M/M/1, M/M/c, M/D/1 and Little's law."""
     _libraries()
     from concurrent.futures import ProcessPoolExecutor
     from functools import partial
--- a/ironbarrow/config/platform.py
+++ b/ironbarrow/config/platform.py
@@ -27,16 +27,16 @@
 
     name: str
     listen: Address
-    directory: Address
+    discovery: Address
     seed: int
     settings: api.Settings
     reports: ReportReader
-    known: dict[str, Any]  # the list as this dispatcher had it last, in the directory's form
+    known: dict[str, Any]  # the list as this dispatcher had it last, in the discovery service's form
     sockets: int = _DESCRIPTORS
     memory_mb: int = _MEMORY_MB
     connect_timeout: int = 250 * _MS
     routes: Path | None = None  # an operators' file of routes and limits
-    idle_limit: int = 15_000 * _MS  # a provider closes a connection that was idle for so long
+    idle_limit: int = 15_000 * _MS  # a worker closes a connection that was idle for so long
     admin: Address | None = None  # the operators' own address
     folder: Path | None = None  # for what is to outlast this process: TMPDIR
     fleet: Path | None = None  # the fleet file; None: this dispatcher shares nothing with others
@@ -123,7 +123,7 @@
     return Config(
         name=texts.text("name"),
         listen=texts.address("listen", least_port=0),  # 0: any free one
-        directory=texts.address("discovery"),
+        discovery=texts.address("discovery"),
         seed=_seed(raw.get("seed", 0)),
         settings=settings,
         reports=ReportReader(conf),
--- a/ironbarrow/core/endings.py
+++ b/ironbarrow/core/endings.py
@@ -6,9 +6,9 @@
 
 
 class Ending(Enum):
-    """How it ended. For an invoker call, ``outcome_of`` tells the module's word for it."""
+    """How it ended. For an attempt, ``outcome_of`` tells the module's word for it."""
 
-    # told by the provider
+    # told by the worker
     DONE = auto()  # call-back: done
     FAILED = auto()  # call-back: failed
     RETURNED = auto()  # call-back: returned
@@ -19,7 +19,7 @@
     NO_DESCRIPTOR = auto()  # this process has no socket left
     CONNECT_REFUSED = auto()
     CONNECT_TIMED_OUT = auto()
-    DRAINED = auto()  # the provider was listed as draining or gone before the first byte went out
+    DRAINED = auto()  # the worker was listed as draining or gone before the first byte went out
     # the connection itself
     CLOSED = auto()  # the peer closed it
     RESET = auto()  # it broke
@@ -27,7 +27,7 @@
     MALFORMED = auto()  # not HTTP
     TOO_LARGE = auto()  # over a size limit
     # this side's doing
-    TIMED_OUT = auto()  # nothing came by the time-out of the call
+    TIMED_OUT = auto()  # nothing came by the time-out of the attempt
     GIVEN_UP = auto()
     NOT_SENT = auto()  # the job was over, or had no attempts or no time left
 
@@ -42,7 +42,7 @@
 
 
 _BREAKS = frozenset((Ending.CLOSED, Ending.RESET, Ending.STALLED, Ending.MALFORMED, Ending.TOO_LARGE))
-# before the last byte each of them closes the connection; GIVEN_UP does too, but there the provider may be
+# before the last byte each of them closes the connection; GIVEN_UP does too, but there the worker may be
 # well, and as a failed connection it would be set aside (``Host`` tells the two apart)
 _UNSENT = _BREAKS | {Ending.TIMED_OUT}
 
@@ -53,7 +53,7 @@
     Ending.RETURNED: Outcome.FULL,
     Ending.NOT_PROCESSED: Outcome.FULL,
     # danger: reported as a failed connection, a drain or a lack of own sockets would count as the
-    # provider's failure and set it aside
+    # worker's failure and set it aside
     Ending.DRAINED: Outcome.FULL,
     Ending.NO_DESCRIPTOR: Outcome.FULL,
     Ending.CONNECT_REFUSED: Outcome.CONNECT_FAILED,
--- a/ironbarrow/core/figures.py
+++ b/ironbarrow/core/figures.py
@@ -24,7 +24,7 @@
         self.ended[job_class, outcome] += 1
 
     def attempt_written(self, job_class: str) -> None:
-        """Counts an attempt whose last byte is written to a provider."""
+        """Counts an attempt whose last byte is written to a worker."""
         self.attempts[job_class] += 1
 
     def text(self, **levels: int) -> str:
--- a/ironbarrow/core/host.py
+++ b/ironbarrow/core/host.py
@@ -1,7 +1,7 @@
-"""The module's host: owns jobs and calls, feeds events, carries out actions in order.
+"""The module's host: owns jobs and attempts, feeds events, carries out actions in order.
 
 It knows no wire protocol. A front (``fronts``) hands in jobs and is given their final
-answers; a back (``Invoker``) carries calls to providers and tells how they ended. Both may be of
+answers; a back (``Invoker``) carries attempts to workers and tells how they ended. Both may be of
 any protocol: the decisions and the rules are the same.
 """
 
@@ -27,11 +27,11 @@
     """The kinds of final answer."""
 
     SERVED = "served"
-    REJECTED = "rejected"
+    REFUSED = "refused"
     FAILED = "failed"
 
 
-_COUNTED_AS = {Verdict.SERVED: "served", Verdict.REJECTED: "refused", Verdict.FAILED: "failed"}
+_COUNTED_AS = {Verdict.SERVED: "served", Verdict.REFUSED: "refused", Verdict.FAILED: "failed"}
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,14 +45,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Payload:
-    """What passes on to a provider unchanged. The host looks at the id alone."""
+    """What passes on to a worker unchanged. The host looks at the id alone."""
 
     id: str
     method: str
     target: str
     body: bytes
     content_type: str = ""
-    idempotency_key: str = ""  # by which providers know a repeat of a keyed job
+    idempotency_key: str = ""  # by which workers know a repeat of a keyed job
 
 
 class Watch(Protocol):
@@ -65,7 +65,7 @@
         """Whether a budget is left for one more attempt; takes it out."""
 
     def ended(self, now: int, *, in_time: bool) -> None:
-        """The job has its final answer, or its consumer is gone."""
+        """The job has its final answer, or its client is gone."""
 
 
 class Waits(Protocol):
@@ -78,22 +78,22 @@
         """The job waits, ``since`` when it was taken; also one that came back and has not run."""
 
     def started(self, now: int, number: int) -> None:
-        """A provider runs it, or has it where providers don't tell that."""
+        """A worker runs it, or has it where workers don't tell that."""
 
     def ended(self, now: int, number: int) -> None:
         """Nothing more is owed of it."""
 
 
-class Attempts(Protocol):
+class AttemptObserver(Protocol):
     """Who follows each attempt and how it ended; told on the loop's thread."""
 
-    def sent(self, call: "Call") -> None:
+    def sent(self, attempt: "Attempt") -> None:
         """It goes out now."""
 
-    def started(self, call: "Call") -> None:
-        """Its provider runs it; not told by all."""
+    def started(self, attempt: "Attempt") -> None:
+        """Its worker runs it; not told by all."""
 
-    def ended(self, call: "Call", ending: Ending, report: api.LoadReport | None) -> None:
+    def ended(self, attempt: "Attempt", ending: Ending, report: api.LoadReport | None) -> None:
         """It is over, once."""
 
 
@@ -122,19 +122,19 @@
     arrived_at: int
     deadline: int
     answer: Callable[[Answer], None]
-    calls: "list[Call]" = field(default_factory=list)
+    attempts: "list[Attempt]" = field(default_factory=list)
     over: bool = False
     overdue: Timer | None = None
     terms: Terms = _NO_TERMS
 
 
 @dataclass(slots=True, eq=False)
-class Call:
-    """An invoker call: one attempt of a job."""
+class Attempt:
+    """One try of a job at a worker."""
 
     job: Job
     number: int
-    provider: str
+    worker: str
     sent_at: int
     until: int  # when this side stops waiting for it
     progress: Progress = Progress.CONNECTING
@@ -151,12 +151,12 @@
 
     @property
     def accepted(self) -> bool:
-        """Whether the provider has told that it has the job."""
+        """Whether the worker has told that it has the job."""
         return self.progress >= Progress.ACCEPTED
 
     @property
     def started(self) -> bool:
-        """Whether the provider has told that it runs the job."""
+        """Whether the worker has told that it runs the job."""
         return self.progress >= Progress.STARTED
 
     def reach(self, progress: Progress) -> None:
@@ -169,23 +169,23 @@
 
 
 class Invoker(Protocol):
-    """What carries calls to providers."""
+    """What carries attempts to workers."""
 
-    def start(self, call: Call) -> None:
-        """Sends it; ``Host.call_ended`` tells of its end."""
+    def start(self, attempt: Attempt) -> None:
+        """Sends it; ``Host.attempt_ended`` tells of its end."""
 
-    def give_up(self, call: Call, ending: Ending) -> None:
-        """Calls it off at the provider, and tells ``ending`` once it is proven that the call is over, unless
+    def give_up(self, attempt: Attempt, ending: Ending) -> None:
+        """Calls it off at the worker, and tells ``ending`` once it is proven that the attempt is over, unless
         another came first. The host waits for that up to the job's deadline."""
 
-    def let_go(self, call: Call) -> None:
-        """Closes what it holds of a call; nothing is told to the provider, nor of the call's end."""
+    def let_go(self, attempt: Attempt) -> None:
+        """Closes what it holds of an attempt; nothing is told to the worker, nor of the attempt's end."""
 
-    def probe(self, provider: str) -> None:
-        """Checks a provider; ``Host.probe_ended`` tells the result."""
+    def probe(self, worker: str) -> None:
+        """Checks a worker; ``Host.probe_ended`` tells the result."""
 
-    def close_idle(self, provider: str) -> None:
-        """Closes the idle connections to a provider."""
+    def close_idle(self, worker: str) -> None:
+        """Closes the idle connections to a worker."""
 
 
 class Host:
@@ -196,12 +196,12 @@
         self.traced = traced  # each event and action is logged
         self.settings = settings
         self.invoker: Invoker
-        # begins to follow the directory, or stops; where the decisions say when
+        # begins to follow the discovery service, or stops; where the decisions say when
         self.follow: Callable[[bool], None] | None = None
-        # told of each call that has ended; where others may have to go on with its job
-        self.call_over: Callable[[Call], None] | None = None
+        # told of each attempt that has ended; where others may have to go on with its job
+        self.attempt_over: Callable[[Attempt], None] | None = None
         self.waits: Waits | None = None
-        self.attempts: Attempts | None = None
+        self.attempt_observer: AttemptObserver | None = None
         self.on_listed: Callable[[], None] | None = None  # ``workers`` has news
         self._dispatcher = Dispatcher(settings, seed)
         self.figures = Figures(tuple(cls.name for cls in settings.classes))
@@ -214,7 +214,7 @@
         self._next_at = 0
         self._planned = False
         self._states: dict[str, api.WorkerState] = {}
-        self._starts: dict[str, int] = {}  # when each provider last started, as listed; ns
+        self._starts: dict[str, int] = {}  # when each worker last started, as listed; ns
         self._classes = {cls.name: cls for cls in settings.classes}
         if traced:
             trace.begun(loop.now(), settings)
@@ -239,28 +239,30 @@
 
     @property
     def held_in_memory(self) -> int:
-        """Jobs that are not forgotten yet: owed their answer, or with a call that is still out."""
+        """Jobs that are not forgotten yet: owed their answer, or with an attempt that is still out."""
         return len(self._jobs)
 
     @property
     def avoided(self) -> frozenset[str]:
-        """The providers that the decisions have set aside: they get a trial job now and then, at the most."""
+        """The workers that the decisions have set aside: they get a trial job now and then, at the most."""
         return self._dispatcher.ring.aside()
 
     @property
     def workers(self) -> list[api.WorkerEntry]:
-        """The providers as they are listed now."""
+        """The workers as they are listed now."""
         return [worker.entry for worker in self._dispatcher.ring.workers]
 
     @property
     def slots_waiting(self) -> float:
-        """Slots of the jobs that wait here with no call out."""
+        """Slots of the jobs that wait here with no attempt out."""
         jobs = self._jobs.values()
-        return sum(j.arrival.slots for j in jobs if not j.over and all(call.ended for call in j.calls))
+        return sum(
+            j.arrival.slots for j in jobs if not j.over and all(attempt.ended for attempt in j.attempts)
+        )
 
     @property
     def listed(self) -> bool:
-        """Whether any list of providers has come in."""
+        """Whether any list of workers has come in."""
         return bool(self._states)
 
     def knows(self, job_id: str) -> bool:
@@ -312,22 +314,22 @@
         return job
 
     def withdraw(self, job: Job) -> None:
-        """The consumer is gone: nothing more is owed."""
+        """The client is gone: nothing more is owed."""
         if not job.over:
             self._conclude(job)
             self._post(api.JobWithdrawn(job.number))
             self._forget_if_done(job)
 
     def let_go(self, job: Job) -> None:
-        """Another process has the job now, with its consumer and with the call that is out: this one owes
+        """Another process has the job now, with its client and with the attempt that is out: this one owes
         nothing more and calls nothing off."""
-        for call in job.calls:
-            call.ended = True
-            if call.timer is not None:
-                call.timer.cancel()
+        for attempt in job.attempts:
+            attempt.ended = True
+            if attempt.timer is not None:
+                attempt.timer.cancel()
         self.withdraw(job)
 
-    def providers_listed(self, news: api.WorkerList) -> None:
+    def workers_listed(self, news: api.WorkerList) -> None:
         """Danger: sends that wait behind this must not go out before the module knows of a drain."""
         for entry in news.entries:
             self._states[entry.worker] = entry.state
@@ -337,7 +339,7 @@
                 if name not in listed:
                     self._states[name] = api.WorkerState.GONE
         self._states = {n: s for n, s in self._states.items() if s is not api.WorkerState.GONE}
-        # danger: told after the list, the end of a call would count against the provider's new process
+        # danger: told after the list, the end of an attempt would count against the worker's new process
         self._end_restarted(news.entries)
         self._events.append(news)
         self._run()
@@ -345,98 +347,106 @@
             self.on_listed()
 
     def _end_restarted(self, entries: tuple[api.WorkerEntry, ...]) -> None:
-        """Ends the calls that were out at a provider's earlier process."""
+        """Ends the attempts that were out at a worker's earlier process."""
         later = {e.worker for e in entries if e.started_at > self._starts.get(e.worker, 0)}
         self._starts.update((e.worker, e.started_at) for e in entries if e.worker in later)
         self._starts = {name: at for name, at in self._starts.items() if name in self._states}
         now = self.loop.now()
-        out = [call for job in self._jobs.values() for call in job.calls if not call.ended] if later else []
-        for call in out:
-            started_at = self._starts.get(call.provider, 0)
-            if restarted(started_at, call.written_at, now) and call.is_over(Observation.RESTARTED):
-                self.invoker.let_go(call)
-                self.call_ended(call, Ending.LOST)
-
-    def may_send_to(self, provider: str) -> bool:
-        return self._states.get(provider) is api.WorkerState.UP
-
-    def barred(self, call: Call) -> Ending | None:
-        """Why the call's first byte may not go out now; None: it may. Asked at the last moment. Danger: the
-        consumer may have gone, the time be over or the provider have been told to drain while a connection
-        came up or the call waited for anything else; the module decided before all that."""
+        out = (
+            [attempt for job in self._jobs.values() for attempt in job.attempts if not attempt.ended]
+            if later
+            else []
+        )
+        for attempt in out:
+            started_at = self._starts.get(attempt.worker, 0)
+            if restarted(started_at, attempt.written_at, now) and attempt.is_over(Observation.RESTARTED):
+                self.invoker.let_go(attempt)
+                self.attempt_ended(attempt, Ending.LOST)
+
+    def may_send_to(self, worker: str) -> bool:
+        return self._states.get(worker) is api.WorkerState.UP
+
+    def barred(self, attempt: Attempt) -> Ending | None:
+        """Why the attempt's first byte may not go out now; None: it may. Asked at the last moment. Danger: the
+        client may have gone, the time be over or the worker have been told to drain while a connection
+        came up or the attempt waited for anything else; the module decided before all that."""
         now = self.loop.now()
-        if call.ended or call.given_up or call.job.over:
+        if attempt.ended or attempt.given_up or attempt.job.over:
             return Ending.NOT_SENT
-        if now >= call.until:
-            return self._out_of_time(call)
-        if now >= self.send_by(call):
+        if now >= attempt.until:
+            return self._out_of_time(attempt)
+        if now >= self.send_by(attempt):
             return Ending.NOT_SENT
-        return None if self.may_send_to(call.provider) else Ending.DRAINED
+        return None if self.may_send_to(attempt.worker) else Ending.DRAINED
 
-    def send_by(self, call: Call) -> int:
-        """Until when the call's last byte may go out. Danger: a keyed job's repeat is dropped only within the
+    def send_by(self, attempt: Attempt) -> int:
+        """Until when the attempt's last byte may go out. Danger: a keyed job's repeat is dropped only within the
         window of the first attempt that may have run; after it, the repeat would run too."""
-        cls = self._classes.get(call.job.arrival.job_class)
+        cls = self._classes.get(attempt.job.arrival.job_class)
         if cls is None or cls.effect is not api.Effect.KEYED:
-            return call.until
-        risky = next((c for c in call.job.calls if c is not call and not c.never_ran), None)
+            return attempt.until
+        risky = next((c for c in attempt.job.attempts if c is not attempt and not c.never_ran), None)
         if risky is None:
-            return call.until
-        return min(call.until, risky.sent_at + cls.window - self.settings.tick)
+            return attempt.until
+        return min(attempt.until, risky.sent_at + cls.window - self.settings.tick)
 
-    def call_out(self, job_id: str, provider: str) -> Call | None:
-        """The call of that id that is out at that provider."""
+    def attempt_out(self, job_id: str, worker: str) -> Attempt | None:
+        """The attempt of that id that is out at that worker."""
         job = self._by_id.get(job_id)
         if job is None:
             return None
-        return next((c for c in job.calls if c.provider == provider and not c.ended), None)
+        return next((c for c in job.attempts if c.worker == worker and not c.ended), None)
 
-    def call_written(self, call: Call) -> None:
+    def attempt_written(self, attempt: Attempt) -> None:
         """The request's last byte is written, or must have been: it counts as an attempt, once."""
-        if not call.written:
-            call.reach(Progress.WRITTEN)
-            call.written_at = self.loop.now()
-            self.figures.attempt_written(call.job.arrival.job_class)
-
-    def call_started(self, call: Call) -> None:
-        if not call.ended:
-            call.reach(Progress.STARTED)
+        if not attempt.written:
+            attempt.reach(Progress.WRITTEN)
+            attempt.written_at = self.loop.now()
+            self.figures.attempt_written(attempt.job.arrival.job_class)
+
+    def attempt_started(self, attempt: Attempt) -> None:
+        if not attempt.ended:
+            attempt.reach(Progress.STARTED)
             if self.waits is not None:
-                self.waits.started(self.loop.now(), call.job.number)
-            if self.attempts is not None:
-                self.attempts.started(call)
-            self._post(api.AttemptNote(call.job.number, call.number, call.provider, api.NoteKind.STARTED))
-
-    def call_progressed(self, call: Call, share: float) -> None:
-        if not call.ended:
-            call.reach(Progress.STARTED)
+                self.waits.started(self.loop.now(), attempt.job.number)
+            if self.attempt_observer is not None:
+                self.attempt_observer.started(attempt)
+            self._post(
+                api.AttemptNote(attempt.job.number, attempt.number, attempt.worker, api.NoteKind.STARTED)
+            )
+
+    def attempt_progressed(self, attempt: Attempt, share: float) -> None:
+        if not attempt.ended:
+            attempt.reach(Progress.STARTED)
             self._post(
-                api.AttemptNote(call.job.number, call.number, call.provider, api.NoteKind.PROGRESS, share)
+                api.AttemptNote(
+                    attempt.job.number, attempt.number, attempt.worker, api.NoteKind.PROGRESS, share
+                )
             )
 
-    def call_ended(
-        self, call: Call, ending: Ending, report: api.LoadReport | None = None, result: bytes = b""
+    def attempt_ended(
+        self, attempt: Attempt, ending: Ending, report: api.LoadReport | None = None, result: bytes = b""
     ) -> None:
         """Tells the module, once. Danger: call-backs come twice, late, and after a time-out."""
-        if call.ended:
+        if attempt.ended:
             return
-        call.ended = True
-        if call.timer is not None:
-            call.timer.cancel()
-        if call.started and outcome_of(ending, call.written) in api.NEVER_RAN:
+        attempt.ended = True
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+        if attempt.started and outcome_of(ending, attempt.written) in api.NEVER_RAN:
             # danger: one of the two words is wrong, and if it is this one, a booking would run twice
             ending = Ending.LOST
-        call.never_ran = outcome_of(ending, call.written) in api.NEVER_RAN
-        if self.call_over is not None:
-            self.call_over(call)
-        if self.attempts is not None:
-            self.attempts.ended(call, ending, report)
-        job = call.job
+        attempt.never_ran = outcome_of(ending, attempt.written) in api.NEVER_RAN
+        if self.attempt_over is not None:
+            self.attempt_over(attempt)
+        if self.attempt_observer is not None:
+            self.attempt_observer.ended(attempt, ending, report)
+        job = attempt.job
         if self.waits is not None and not job.over:
             now, made = self.loop.now(), job.arrival
             if ending is Ending.DONE:
                 self.waits.started(now, job.number)
-            elif call.never_ran:
+            elif attempt.never_ran:
                 since, slots = job.arrived_at, made.slots
                 self.waits.waiting(now, job.number, since, made.tenant, made.job_class, slots)
         retry = True
@@ -447,11 +457,11 @@
         self._post(
             api.AttemptEnded(
                 job.number,
-                call.number,
-                call.provider,
-                outcome_of(ending, call.written),
+                attempt.number,
+                attempt.worker,
+                outcome_of(ending, attempt.written),
                 job.over,
-                self.loop.now() - call.sent_at,
+                self.loop.now() - attempt.sent_at,
                 report,
                 retry,
             )
@@ -459,9 +469,9 @@
         self._forget_if_done(job)
 
     def probe_ended(
-        self, provider: str, ending: Ending, elapsed: int, report: api.LoadReport | None = None
+        self, worker: str, ending: Ending, elapsed: int, report: api.LoadReport | None = None
     ) -> None:
-        self._post(api.ProbeEnded(provider, outcome_of(ending, written=True), elapsed, report))
+        self._post(api.ProbeEnded(worker, outcome_of(ending, written=True), elapsed, report))
 
     # The module's turn
 
@@ -511,67 +521,69 @@
         now = self.loop.now()
         timeout = action.timeout or job.terms.timeout
         until = min(job.deadline, now + timeout) if timeout else job.deadline
-        if not job.calls and job.terms.watch is not None:
+        if not job.attempts and job.terms.watch is not None:
             job.terms.watch.first_attempt(now)
-        call = Call(job, len(job.calls), action.worker, now, until)
-        out = any(not earlier.ended for earlier in job.calls)  # danger: this one would be a second copy
-        job.calls.append(call)
-        if out or job.over or until <= now or len(job.calls) > self.settings.max_attempts:
-            self.call_ended(call, Ending.NOT_SENT)
+        attempt = Attempt(job, len(job.attempts), action.worker, now, until)
+        out = any(not earlier.ended for earlier in job.attempts)  # danger: this one would be a second copy
+        job.attempts.append(attempt)
+        if out or job.over or until <= now or len(job.attempts) > self.settings.max_attempts:
+            self.attempt_ended(attempt, Ending.NOT_SENT)
             return
-        call.timer = self.loop.call_at(until, self._timed_out, call)
+        attempt.timer = self.loop.call_at(until, self._timed_out, attempt)
         if self.waits is not None and not self.settings.tells_start:
             self.waits.started(now, job.number)
-        if self.attempts is not None:
-            self.attempts.sent(call)
-        self.invoker.start(call)
+        if self.attempt_observer is not None:
+            self.attempt_observer.sent(attempt)
+        self.invoker.start(attempt)
 
-    def _timed_out(self, call: Call) -> None:
-        if call.accepted and not self.settings.may_cancel and call.until < call.job.deadline:
+    def _timed_out(self, attempt: Attempt) -> None:
+        if attempt.accepted and not self.settings.may_cancel and attempt.until < attempt.job.deadline:
             # danger: it can't be called off, and left behind it would still run beside the next one
-            self._wait_to_deadline(call)
+            self._wait_to_deadline(attempt)
             return
-        if call.until >= call.job.deadline:  # the final answer is due: the module is told before the provider
-            self.call_ended(call, self._out_of_time(call))
-        if call.given_up:
-            self.invoker.let_go(call)
+        if (
+            attempt.until >= attempt.job.deadline
+        ):  # the final answer is due: the module is told before the worker
+            self.attempt_ended(attempt, self._out_of_time(attempt))
+        if attempt.given_up:
+            self.invoker.let_go(attempt)
         else:
-            self._give_up(call, Ending.TIMED_OUT)
+            self._give_up(attempt, Ending.TIMED_OUT)
 
-    def _out_of_time(self, call: Call) -> Ending:
+    def _out_of_time(self, attempt: Attempt) -> Ending:
         """Danger: told as a time-out, a booking whose last byte was never written could not be refused; told
-        as a failed connection, the provider would be set aside where the job's time was short."""
-        unsent = not call.written and call.until >= call.job.deadline
+        as a failed connection, the worker would be set aside where the job's time was short."""
+        unsent = not attempt.written and attempt.until >= attempt.job.deadline
         return Ending.NOT_SENT if unsent else Ending.TIMED_OUT
 
     def _cancel(self, action: api.CancelAttempt) -> None:
         job = self._jobs.get(action.job)
-        if job is None or action.attempt >= len(job.calls) or job.calls[action.attempt].ended:
+        if job is None or action.attempt >= len(job.attempts) or job.attempts[action.attempt].ended:
             return
-        call, cls = job.calls[action.attempt], self._classes[job.arrival.job_class]
+        attempt, cls = job.attempts[action.attempt], self._classes[job.arrival.job_class]
         # danger: told as called off, a job that may not simply run again may have run; but for one that may,
-        # a failed connection would set aside a provider that is well
-        unsent = not call.written and cls.effect is not api.Effect.SAFE
-        self._give_up(call, Ending.CONNECT_TIMED_OUT if unsent else Ending.GIVEN_UP)
-
-    def _give_up(self, call: Call, ending: Ending) -> None:
-        if not call.given_up:
-            call.given_up = True
-            if not call.ended:
-                self._wait_to_deadline(call)  # danger: without a proof by then, the answer would be late
-            self.invoker.give_up(call, ending)
-
-    def _wait_to_deadline(self, call: Call) -> None:
-        if call.until < call.job.deadline:
-            if call.timer is not None:
-                call.timer.cancel()
-            call.until = call.job.deadline
-            call.timer = self.loop.call_at(call.until, self._timed_out, call)
+        # a failed connection would set aside a worker that is well
+        unsent = not attempt.written and cls.effect is not api.Effect.SAFE
+        self._give_up(attempt, Ending.CONNECT_TIMED_OUT if unsent else Ending.GIVEN_UP)
+
+    def _give_up(self, attempt: Attempt, ending: Ending) -> None:
+        if not attempt.given_up:
+            attempt.given_up = True
+            if not attempt.ended:
+                self._wait_to_deadline(attempt)  # danger: without a proof by then, the answer would be late
+            self.invoker.give_up(attempt, ending)
+
+    def _wait_to_deadline(self, attempt: Attempt) -> None:
+        if attempt.until < attempt.job.deadline:
+            if attempt.timer is not None:
+                attempt.timer.cancel()
+            attempt.until = attempt.job.deadline
+            attempt.timer = self.loop.call_at(attempt.until, self._timed_out, attempt)
 
     # Final answers
 
     def _refuse(self, action: api.Refuse) -> None:
-        self._answer(action.job, Answer(Verdict.REJECTED, retry_after=action.retry_after))
+        self._answer(action.job, Answer(Verdict.REFUSED, retry_after=action.retry_after))
 
     def _fail(self, action: api.Fail) -> None:
         self._answer(action.job, Answer(Verdict.FAILED))
@@ -583,7 +595,7 @@
             self._forget_if_done(job)
 
     def _overdue(self, job: Job) -> None:
-        """The module owes an answer past the slack: the consumer is not left waiting for ever."""
+        """The module owes an answer past the slack: the client is not left waiting for ever."""
         self._run()  # danger: where the loop is late, what its answer hangs on came in this very turn
         if job.over:
             return
@@ -616,6 +628,6 @@
 
     def _forget_if_done(self, job: Job) -> None:
         """Danger: memory is bounded; nothing of a finished job stays."""
-        if job.over and all(call.ended for call in job.calls):
+        if job.over and all(attempt.ended for attempt in job.attempts):
             self._jobs.pop(job.number, None)
             self._by_id.pop(job.payload.id, None)
--- a/ironbarrow/core/trace.py
+++ b/ironbarrow/core/trace.py
@@ -62,7 +62,7 @@
 
 
 def answered(now: int, number: int, job_id: str, verdict: str, elapsed: int) -> None:
-    """Notes a job's final answer, ``elapsed`` ns after it was taken; "gone" where its consumer left."""
+    """Notes a job's final answer, ``elapsed`` ns after it was taken; "gone" where its client left."""
     log.info("answered", at=now, job=number, id=job_id, verdict=verdict, elapsed=elapsed)
 
 
@@ -78,11 +78,11 @@
         log.info("done", at=now, what=type(action).__name__, **_fields(action))
 
 
-def told_to_stop(now: int, number: int, provider: str, observation: Observation) -> None:
+def told_to_stop(now: int, number: int, worker: str, observation: Observation) -> None:
     """Notes a DELETE of a job's attempt, and what came of it."""
-    log.info("delete", at=now, job=number, provider=provider, observation=observation.name.lower())
+    log.info("delete", at=now, job=number, worker=worker, observation=observation.name.lower())
 
 
-def connected(now: int, provider: str, purpose: str) -> None:
-    """Notes a new connection to a provider, for a call, a DELETE or a probe."""
-    log.info("connect", at=now, provider=provider, purpose=purpose)
+def connected(now: int, worker: str, purpose: str) -> None:
+    """Notes a new connection to a worker, for an attempt, a DELETE or a probe."""
+    log.info("connect", at=now, worker=worker, purpose=purpose)
--- a/ironbarrow/daemon/dispatcher.py
+++ b/ironbarrow/daemon/dispatcher.py
@@ -16,8 +16,8 @@
 from ironbarrow.backs.invoker import HttpInvoker
 from ironbarrow.config.platform import Config, ConfigError
 from ironbarrow.core.host import Host
-from ironbarrow.directory.client import Directory
-from ironbarrow.fronts.consumers import Consumers
+from ironbarrow.discovery.client import Discovery
+from ironbarrow.fronts.clients import Clients
 from ironbarrow.runtime.loop import MS, SECOND, Loop
 from ironbarrow.runtime.sockets import listen
 
@@ -25,14 +25,15 @@
 
 _LONGEST_COUNTED = 3 * SECOND
 _KILLED_AFTER = 700 * MS
-_HANDING_OVER = 300 * MS  # consumers and providers that are just connecting still find this one
+_HANDING_OVER = 300 * MS  # clients and workers that are just connecting still find this one
 _DONE_CHECKED = 10 * MS
 _MB = 1 << 20
 _PROGRAM_MB = 28  # the program itself, as measured on a calm day
 _DOOR = 32  # descriptors for the operators' listener, its connections and the file of bans
 _LEAST = 8  # so that no part of what is spare comes to nothing
-_LEAST_SPARE = 32  # that consumers and providers need beside a fleet's links
-_RESERVED = 32  # for the program itself, the listener, epoll and the directory; calls may take half of them
+_LEAST_SPARE = 32  # that clients and workers need beside a fleet's links
+# for the program itself, the listener, epoll and the discovery service; calls may take half of them
+_RESERVED = 32
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,7 +51,7 @@
         more than 0.7 s after SIGTERM must have its answer by then; 0.2 to 0.4 s long new ones are still sent.
 
         Danger: closed at once, connections bring nothing more, but while another dispatcher is starting again
-        their consumers have nowhere to go. Kept for as long where deadlines are short, they would bring what
+        their clients have nowhere to go. Kept for as long where deadlines are short, they would bring what
         finds its end in SIGKILL.
         """
         longest = min(_LONGEST_COUNTED, max(cls.deadline for cls in settings.classes))
@@ -83,18 +84,18 @@
 
             self._operations = Operations(self.loop, self.host, config.folder, config.name)
         asks = config.settings.asks_for_list
-        self.directory = Directory(
-            self.loop, config.directory, self._listed, on_request=asks, seed=config.seed
+        self.discovery = Discovery(
+            self.loop, config.discovery, self._listed, on_request=asks, seed=config.seed
         )
         if asks:
-            self.host.follow = self.directory.ask
+            self.host.follow = self.discovery.ask
         spare = _descriptors(config.sockets) - _RESERVED - (_DOOR if config.admin is not None else 0)
         if config.fleet is not None:
             spare = _without_links(config, config.fleet, spare)
         self.invoker = HttpInvoker(
             self.loop,
             self.host,
-            self.directory,
+            self.discovery,
             config.reports,
             connect_timeout=config.connect_timeout,
             idle_limit=config.idle_limit,
@@ -102,7 +103,7 @@
             most=spare - spare * 5 // 8 + _RESERVED // 2,
         )
         self.host.invoker = self.invoker
-        self.consumers = Consumers(
+        self.clients = Clients(
             self.loop,
             self.host,
             self.listener,
@@ -114,7 +115,7 @@
         self._router: Any = None
         if config.routes is not None:
             self._route(self._read_routes(config))
-        self.directory.start(config.known)
+        self.discovery.start(config.known)
         self._upgrade: Any = None
         self.fleet: Any = None
         if config.fleet is not None:
@@ -144,7 +145,7 @@
             raise ConfigError(str(error)) from None
         except OSError as error:
             raise ConfigError(f"{path}: listen: can't listen there: {error}") from None
-        self.consumers.shared = self.fleet.work
+        self.clients.shared = self.fleet.work
 
     def _open_channel(self, config: Config) -> None:
         """Where the process that replaces this one finds it."""
@@ -155,7 +156,7 @@
 
         try:
             self._upgrade = Upgrade(
-                self.loop, self.host, self.consumers, self.invoker, config.folder, config.name
+                self.loop, self.host, self.clients, self.invoker, config.folder, config.name
             )
         except OSError as error:
             log.warning("no hand-over to a next process", folder=str(config.folder), error=str(error))
@@ -172,7 +173,7 @@
             self._upgrade.stray(raw)
 
     def _listed(self, news: api.WorkerList) -> None:
-        self.host.providers_listed(news if self._operations is None else self._operations.listed(news))
+        self.host.workers_listed(news if self._operations is None else self._operations.listed(news))
 
     def run(self) -> None:
         """Serves until ``stop``, and then until all that was taken has its answer."""
@@ -210,12 +211,12 @@
             log.error("configuration not taken, the running one stays", error=str(error))
 
     def reload(self, config: Config) -> None:
-        """Applies what may change while it serves: the directory's address and the operators' routes,
-        all of it or, with a ConfigError, nothing. Jobs, connections and the list of providers stay; what
+        """Applies what may change while it serves: the discovery service's address and the operators' routes,
+        all of it or, with a ConfigError, nothing. Jobs, connections and the list of workers stay; what
         else has changed is named in the log and waits for a start."""
         table = self._read_routes(config)
         self._route(table)
-        self.directory.move(config.directory)
+        self.discovery.move(config.discovery)
         fixed = (
             "name",
             "listen",
@@ -228,7 +229,7 @@
             "idle_limit",
         )
         waits = [name for name in fixed if getattr(self._config, name) != getattr(config, name)]
-        log.info("reloaded", directory="{}:{}".format(*config.directory), waits_for_start=waits)
+        log.info("reloaded", discovery="{}:{}".format(*config.discovery), waits_for_start=waits)
 
     def _read_routes(self, config: Config) -> Any:
         """The operators' routes, checked whole; None without a file."""
@@ -252,7 +253,7 @@
             self._router = Router(table)
         else:
             self._router.replace(table)
-        self.consumers.router = self._router
+        self.clients.router = self._router
 
     def close(self) -> None:
         """Lets go of every connection and descriptor."""
@@ -301,7 +302,7 @@
             return False
 
     def _leave(self) -> None:
-        """What is still owed goes to the others; its consumers come again there. Danger: nothing of it may be
+        """What is still owed goes to the others; its clients come again there. Danger: nothing of it may be
         sent, answered or called off here from now on."""
         self.fleet.leave(self.loop.now() + self.pace.leave_limit)
         self._stop_when_left()
@@ -320,13 +321,13 @@
 
     def _close_idle(self) -> None:
         self.loop.soon(self._stop_when_done)  # danger: whatever fails here, the end has to come
-        self.consumers.close_idle()
+        self.clients.close_idle()
 
     def _stop_when_done(self) -> None:
         # danger: the listener stays to the end, since call-backs come in through it
         kept = self._upgrade.owed if self._upgrade is not None else 0
         kept += self.fleet.work.owed if self.fleet is not None else 0
-        if self.host.owed or kept or self.consumers.busy:
+        if self.host.owed or kept or self.clients.busy:
             self.loop.call_at(self.loop.now() + _DONE_CHECKED, self._stop_when_done)
         elif self.fleet is None:
             self._end()
@@ -337,7 +338,7 @@
 
 def _descriptors(configured: int) -> int:
     """How many there are. Danger: counted on beyond what the system gives, the last ones are never there, and
-    the directory and providers would get none while consumers take all."""
+    the discovery service and workers would get none while clients take all."""
     try:
         given = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
     except (OSError, ValueError):
@@ -352,7 +353,7 @@
     """What is left of the descriptors beside the links of a fleet. A ConfigError for a file that can't be
     used, or where too few are left.
 
-    Danger: taken by consumers, none would be left for those who keep what this process owes.
+    Danger: taken by clients, none would be left for those who keep what this process owes.
     """
     try:
         from ironbarrow.fleet.file import FleetError, load
@@ -365,7 +366,7 @@
     if spare - links < _LEAST_SPARE:
         raise ConfigError(
             f"{path}: links: {links} descriptors leave {spare - links} of limits.sockets = {config.sockets}"
-            f" to consumers and providers, expected {_LEAST_SPARE} or more"
+            f" to clients and workers, expected {_LEAST_SPARE} or more"
         )
     return spare - links
 
--- a/ironbarrow/directory/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""The list of providers and the watch on it."""
--- /dev/null
+++ b/ironbarrow/discovery/__init__.py
@@ -0,0 +1,1 @@
+"""The list of workers and the watch on it."""
--- a/ironbarrow/directory/client.py
+++ b/ironbarrow/discovery/client.py
@@ -1,7 +1,7 @@
-"""The directory's list of providers: what is known at the start, then a watch that tells the changes.
+"""The discovery service's list of workers: what is known at the start, then a watch that tells the changes.
 
-A directory that pushes is followed from the start and after each loss. One that has to be asked is one
-service for the whole fleet: there the decisions say when (``ask``), and hear of each call that failed.
+A discovery service that pushes is followed from the start and after each loss. One that has to be asked is
+one service for the whole fleet: there the decisions say when (``ask``), and hear of each call that failed.
 """
 
 import json
@@ -26,16 +26,17 @@
 log = structlog.get_logger()
 
 PATH = "/api/targets"
-# danger: a change counts as told 6 s after the directory had it, also where the call that should have brought
-# it hung, or the watch fell silent: a limit, a pause and one more call have to fit in there
+# danger: a change counts as told 6 s after the discovery service had it, also where the call that should have
+# brought it hung, or the watch fell silent: a limit, a pause and one more call have to fit in there
 _SILENCE_LIMIT = 2_750 * MS  # an empty line is due every 2 s; silent for longer, a watch is broken
-# danger: a directory that pushes is on the own machine and answers at once, and what it has counts as told at
-# once, with a second's grace; a call that it left unanswered while it was down must not hold up the next one
+# danger: a discovery service that pushes is on the own machine and answers at once, and what it has counts as
+# told at once, with a second's grace; a call that it left unanswered while it was down must not hold up the
+# next one
 _PUSHED_ANSWER_LIMIT = 700 * MS  # from connecting to the answer's head
 _PATIENT_AFTER = 30 * SECOND  # without any answer; danger: on a machine that is slow there would never be one
 _ANSWER_LIMIT = 2_400 * MS  # likewise; the service that a fleet asks refuses what has waited for 2 s
 _PAUSE = 120 * MS  # before one more call for what is pushed, in the mean
-_SETTLED = 6 * SECOND  # after this two directories of one fleet say the same
+_SETTLED = 6 * SECOND  # after this two discovery services of one fleet say the same
 _SIZE_LIMIT = 4 << 20
 _GAP_LIMIT = 16 * 1024  # bytes between two braces
 
@@ -46,12 +47,12 @@
     "up": api.WorkerState.UP,
     "draining": api.WorkerState.DRAINING,
     "removed": api.WorkerState.GONE,
-}  # whatever else a provider may be said to be, it is not said to want new work
+}  # whatever else a worker may be said to be, it is not said to want new work
 
 
 @dataclass(slots=True, eq=False)
 class _Source:
-    """One address of the directory, and how far its news have come."""
+    """One address of the discovery service, and how far its news have come."""
 
     address: Address
     version: int | None = None  # None: the whole list is needed first
@@ -61,7 +62,8 @@
 
 
 class _RefusedError(Exception):
-    """The directory did not answer a call. What it has told stays whole: only later changes are missing.
+    """The discovery service did not answer a call. What it has told stays whole: only later changes are
+    missing.
 
     Danger: a whole list costs it many times what the changes do, and a fleet that asks for whole lists after
     each refusal keeps it too busy to answer anybody.
@@ -114,16 +116,16 @@
 
 @dataclass(slots=True, eq=False)
 class _Withdrawal:
-    """A directory's word that a provider wants nothing new."""
+    """A discovery service's word that a worker wants nothing new."""
 
     source: _Source
     at: int
-    started_at: int  # of the provider's process that it is about
-    held_back: api.WorkerEntry | None = None  # what another directory has said meanwhile
+    started_at: int  # of the worker's process that it is about
+    held_back: api.WorkerEntry | None = None  # what another discovery service has said meanwhile
 
 
-class Directory:
-    """Keeps the addresses of providers and passes each change on at once."""
+class Discovery:
+    """Keeps the addresses of workers and passes each change on at once."""
 
     def __init__(
         self,
@@ -134,8 +136,8 @@
         on_request: bool = False,
         seed: int = 0,
     ) -> None:
-        """``on_request``: the directory is called only when ``ask`` says so, once each time, and a call
-        that fails or a watch that ends is passed on as a list of the kind LOST."""
+        """``on_request``: the discovery service is called only when ``ask`` says so, once each time, and a
+        call that fails or a watch that ends is passed on as a list of the kind LOST."""
         self._loop = loop
         self._listed = listed
         self._on_request = on_request
@@ -147,18 +149,20 @@
         self._spare: socket.socket | None = None
         self._keep_spare()
 
-    def address_of(self, provider: str) -> Address | None:
-        return self._addresses.get(provider)
+    def address_of(self, worker: str) -> Address | None:
+        return self._addresses.get(worker)
 
     def start(self, known: dict[str, Any]) -> None:
-        """Danger: the directory may be down; with what was known the program can serve all the same."""
+        """Danger: the discovery service may be down; with what was known the program can serve all the
+        same."""
         if known:
             self._take(self._source, known, api.ListKind.LAST_KNOWN)
         if not self._on_request:
             self.ask()
 
     def ask(self, active: bool = True) -> None:
-        """Follows the directory from now on, where it is not followed or called already; or stops that."""
+        """Follows the discovery service from now on, where it is not followed or called already; or stops
+        that."""
         source = self._source
         if not active:
             if source.task is not None:
@@ -167,7 +171,7 @@
             source.task = self._loop.spawn(self._follow(source))
 
     def move(self, address: Address) -> None:
-        """Follows the directory at another address from now on, and asks it for the whole list.
+        """Follows the discovery service at another address from now on, and asks it for the whole list.
 
         Danger: the new one may be long in coming. Until it has told something the list stays, and
         the old one is listened to for as long as its connection lasts.
@@ -214,7 +218,7 @@
                 entries.append(self._entry(item))
             except (KeyError, TypeError, ValueError, OverflowError) as error:
                 # one bad entry must not hide a drain among the others
-                log.warning("directory entry ignored", error=repr(error), entry=str(item)[:200])
+                log.warning("discovery entry ignored", error=repr(error), entry=str(item)[:200])
         if kind is not api.ListKind.CHANGES:
             listed = {entry.worker for entry in entries}
             now = self._loop.now()
@@ -229,8 +233,9 @@
             raise ValueError(f"changes from an older version, {version}")
 
     def _strictest(self, source: _Source, entries: list[api.WorkerEntry]) -> list[api.WorkerEntry]:
-        """Danger: of two directories, the new one may be behind what the old one has told. For a while a
-        withdrawal holds against the word of another directory, unless that is about a later process."""
+        """Danger: of two discovery services, the new one may be behind what the old one has told. For a while
+        a withdrawal holds against the word of another discovery service, unless that is about a later
+        process."""
         now = self._loop.now()
         late = [name for name, w in self._withdrawals.items() if now >= w.at + _SETTLED and not w.held_back]
         for name in late:
@@ -299,11 +304,11 @@
             except (ConnectionEndedError, _RefusedError) as error:
                 why = error.ending.name if isinstance(error, ConnectionEndedError) else str(error)
                 if why != source.lost:  # danger: while it is down there is a call several times a second
-                    log.info("directory lost", why=why)
+                    log.info("discovery service lost", why=why)
                 source.lost = why
             except (ValueError, RecursionError) as error:
                 source.version = None  # changes may be missing: the whole list is needed again
-                log.warning("directory answer not understood", error=str(error)[:200])
+                log.warning("discovery answer not understood", error=str(error)[:200])
             except Exception as error:
                 source.version = None
                 log.error("news not taken", exc_info=error)
@@ -315,7 +320,7 @@
             yield from sleep(self._loop.now() + int(_PAUSE * self._random.uniform(0.5, 1.5)))
 
     def _keep_spare(self) -> None:
-        """Danger: consumers and calls may take every descriptor, and none of them is given up for this."""
+        """Danger: clients and calls may take every descriptor, and none of them is given up for this."""
         if self._spare is None:
             with suppress(OSError):
                 self._spare = stream_socket(("0.0.0.0", 0))
@@ -339,7 +344,7 @@
         self._keep_spare()
 
     def _call(self, source: _Source, target: str) -> Coroutine[Connection]:
-        """A connection on which the directory has begun to answer."""
+        """A connection on which the discovery service has begun to answer."""
         now = self._loop.now()
         patient = self._on_request or now > source.answered_at + _PATIENT_AFTER
         until = now + (_ANSWER_LIMIT if patient else _PUSHED_ANSWER_LIMIT)
--- a/ironbarrow/fleet/api.py
+++ b/ironbarrow/fleet/api.py
@@ -94,7 +94,7 @@
 
 class Card(Struct, frozen=True, array_like=True):
     """What a member says of itself. ``version`` rises with each change of it and with each suspicion
-    refuted; of two cards of one incarnation the higher one counts. ``front``: where consumers and providers
+    refuted; of two cards of one incarnation the higher one counts. ``front``: where clients and workers
     reach it, ``host:port``."""
 
     incarnation: Incarnation
--- a/ironbarrow/fleet/file.py
+++ b/ironbarrow/fleet/file.py
@@ -58,7 +58,7 @@
 
 
 class AnswerRules(_Table, frozen=True):
-    """Answers kept for consumers that come again with the same id."""
+    """Answers kept for clients that come again with the same id."""
 
     keep_for: Duration = ms(60_000)
     most: Count = 4096
--- a/ironbarrow/fleet/members/local_member.py
+++ b/ironbarrow/fleet/members/local_member.py
@@ -27,7 +27,7 @@
         self._renew_card(msgspec.structs.replace(self._table.own_card, ledgers=ledgers))
 
     def set_front(self, front: str) -> None:
-        """Changes the address for consumers and providers on the card."""
+        """Changes the address for clients and workers on the card."""
         self._renew_card(msgspec.structs.replace(self._table.own_card, front=front))
 
     def on_rumour(self, incarnation: Incarnation, version: int, health: Health | None) -> None:
--- a/ironbarrow/fleet/members/machine.py
+++ b/ironbarrow/fleet/members/machine.py
@@ -112,7 +112,7 @@
         return self._context.outbox.drain()
 
     def fronts(self, front: str) -> list[Action]:
-        """Tells all others that consumers and providers reach this member at another address now."""
+        """Tells all others that clients and workers reach this member at another address now."""
         self._local_member.set_front(front)
         self._dissemination.gossip()
         return self._context.outbox.drain()
--- a/ironbarrow/fleet/records.py
+++ b/ironbarrow/fleet/records.py
@@ -1,7 +1,7 @@
 """What a dispatcher's ledger says of a job, and what is passed on with it. No input or output.
 
 A job is under the key ``j/ID``. It is written when it is taken (nobody has it), again before each attempt
-(who is about to have it), again with a rejection before its consumer hears that, and dropped when it has
+(who is about to have it), again with a refusal before its client hears that, and dropped when it has
 ended.
 """
 
@@ -24,8 +24,8 @@
     """How far a job has come."""
 
     TAKEN = 1  # no attempt of it is out, and none may have run unless ``may_have_run``
-    INTENT = 2  # the attempt to ``provider`` may go out at any time, or has
-    REJECTED = 3  # its consumer may have been told that a repeat is harmless: it is never sent again
+    INTENT = 2  # the attempt to ``worker`` may go out at any time, or has
+    REFUSED = 3  # its client may have been told that a repeat is harmless: it is never sent again
 
 
 class JobRecord(Struct, frozen=True, array_like=True, kw_only=True):
@@ -44,7 +44,7 @@
     until: int
     stage: Stage
     attempts: int = 0  # over all holders, that of the intent included
-    provider: str = ""  # INTENT: who is about to have it
+    worker: str = ""  # INTENT: who is about to have it
     may_have_run: bool = False  # at an attempt before the one of the intent
     key: int | None = None
     tenant: str | None = None
@@ -55,7 +55,7 @@
 
 
 class AnswerRecord(Struct, frozen=True, array_like=True, kw_only=True):
-    """The answer of a job that has ended, in place of the job: its consumer may come again for it."""
+    """The answer of a job that has ended, in place of the job: its client may come again for it."""
 
     id: str
     digest: bytes
--- a/ironbarrow/fleet/rolling.py
+++ b/ironbarrow/fleet/rolling.py
@@ -8,7 +8,7 @@
 
 from heathway import api
 from ironbarrow.core.endings import Ending, outcome_of
-from ironbarrow.core.host import Call, Host
+from ironbarrow.core.host import Attempt, Host
 from ironbarrow.fleet.api import Ledgers, MemberChanged, News
 from ironbarrow.fleet.file import FleetError, RolloutRules
 from ironbarrow.fleet.rollout.commands import StarvationSeen
@@ -55,14 +55,14 @@
         self._targets: dict[str, Listed] = {}
         self._absent: dict[str, int] = {}  # targets that are no longer listed: since when, ns
         # attempts that are out: their workers' starts, and (0: not yet) their own, ns
-        self._sent: dict[Call, tuple[int, int]] = {}
+        self._sent: dict[Attempt, tuple[int, int]] = {}
         self._usual: dict[str, float] = {}  # ns that a job of a class takes, as learnt here
         self._plan: tuple[bytes, Plan] | None = None
         self._list()
         if rules.plan:
             self._plan = self._read(Path(rules.plan))
             loop.call_at(loop.now() + rules.meet, self._start)
-        host.attempts, host.on_listed = self, self._news
+        host.attempt_observer, host.on_listed = self, self._news
         self._ledgers = ledgers
         self._verdict: type[News] | None = None
         if service.fleet.starvation is not None:
@@ -77,7 +77,7 @@
         """Another incarnation of the member."""
         self.machine = Rollouts(service.members, self._ledgers(), _unix, self._host.settings)
         self.machine.held = lambda: self._host.slots_waiting
-        self.machine.providers(self._loop.now(), self._targets.values())
+        self.machine.workers(self._loop.now(), self._targets.values())
         service.add(self.machine)
 
     # The plan
@@ -141,7 +141,7 @@
 
     def _news(self) -> None:
         self._list()
-        self.machine.providers(self._loop.now(), self._targets.values())
+        self.machine.workers(self._loop.now(), self._targets.values())
 
     def _list(self) -> None:
         """Slots are the most that a worker was ever listed with: live weights fall with its load."""
@@ -169,32 +169,32 @@
 
     # Attempts, for the host
 
-    def sent(self, call: Call) -> None:
+    def sent(self, attempt: Attempt) -> None:
         if not self.machine.known:
             return
-        listed = self._targets.get(call.provider)
+        listed = self._targets.get(attempt.worker)
         since = listed.since if listed is not None else 0
-        self._sent[call] = since, 0
-        made = call.job.arrival
+        self._sent[attempt] = since, 0
+        made = attempt.job.arrival
         usual = int(self._usual.get(made.job_class, 0.0))
-        self.machine.signals.sent(call.provider, since, made.job_class, usual, made.slots)
+        self.machine.signals.sent(attempt.worker, since, made.job_class, usual, made.slots)
 
-    def started(self, call: Call) -> None:
-        noted = self._sent.get(call)
+    def started(self, attempt: Attempt) -> None:
+        noted = self._sent.get(attempt)
         if noted is not None:
-            self._sent[call] = noted[0], self._loop.now()
+            self._sent[attempt] = noted[0], self._loop.now()
 
-    def ended(self, call: Call, ending: Ending, report: api.LoadReport | None) -> None:
+    def ended(self, attempt: Attempt, ending: Ending, report: api.LoadReport | None) -> None:
         """What was never whole at its worker says nothing of that one's runtime."""
-        since, started = self._sent.pop(call, (-1, 0))
+        since, started = self._sent.pop(attempt, (-1, 0))
         if since < 0:
             return
-        end = _ENDS.get(outcome_of(ending, call.written)) if call.written else None
-        made = call.job.arrival
+        end = _ENDS.get(outcome_of(ending, attempt.written)) if attempt.written else None
+        made = attempt.job.arrival
         elapsed = self._loop.now() - started if end is End.DONE and started else 0
         if elapsed:
             before = self._usual.get(made.job_class, float(elapsed))
             self._usual[made.job_class] = before + (elapsed - before) / _LEARNT_OVER
         free = report.free_slots if report is not None else None
-        worker, name = call.provider, made.job_class
+        worker, name = attempt.worker, made.job_class
         self.machine.signals.ended(worker, since, name, made.slots, end, elapsed, free)
--- a/ironbarrow/fleet/rollout/commands.py
+++ b/ironbarrow/fleet/rollout/commands.py
@@ -12,7 +12,7 @@
 from ironbarrow.fleet.api import Message
 from ironbarrow.fleet.invariants import check
 
-AGENT = "agent:"  # a target's agent is the member of this name and the target's, at providers
+AGENT = "agent:"  # a target's agent is the member of this name and the target's, at workers
 
 
 class Phase(enum.IntEnum):
@@ -57,7 +57,7 @@
     """What a dispatcher saw of one worker and class since it last told."""
 
     worker: str
-    started_at: int  # of the worker's process, Unix ns, as the directory tells it; 0: long ago
+    started_at: int  # of the worker's process, Unix ns, as the discovery service tells it; 0: long ago
     job_class: str
     done: int = 0
     failed: int = 0  # ended with an error
--- a/ironbarrow/fleet/rollout/coordinator.py
+++ b/ironbarrow/fleet/rollout/coordinator.py
@@ -195,8 +195,8 @@
             return []
         return [Send(self._writer, seen)] if self._writer is not None else []
 
-    def providers(self, now: int, listed: Iterable[Listed]) -> None:
-        """The whole list of targets, as the directory or the list of members has it."""
+    def workers(self, now: int, listed: Iterable[Listed]) -> None:
+        """The whole list of targets, as the discovery service or the list of members has it."""
         before, self.listed = self.listed, {one.target.name: one for one in listed}
         if self.lead is not None:
             for name, one in self.listed.items():
--- a/ironbarrow/fleet/rollout/plan.py
+++ b/ironbarrow/fleet/rollout/plan.py
@@ -29,7 +29,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Target:
-    """What can be upgraded: a provider or a dispatcher, with the slots that it adds to the fleet."""
+    """What can be upgraded: a worker or a dispatcher, with the slots that it adds to the fleet."""
 
     name: str
     site: str
--- a/ironbarrow/fleet/service.py
+++ b/ironbarrow/fleet/service.py
@@ -22,7 +22,7 @@
 
 
 class FleetService:
-    """A member. ``site``: where it is, if the file does not say; ``front``: its consumers' address. An
+    """A member. ``site``: where it is, if the file does not say; ``front``: its clients' address. An
     OSError if it can't listen where the file says."""
 
     def __init__(
--- a/ironbarrow/fleet/starvation/tables.py
+++ b/ironbarrow/fleet/starvation/tables.py
@@ -2,7 +2,7 @@
 input or output.
 
 A job is counted where it comes under observation (``taken``, or ``late`` at the age it has: carried on from
-the window before, back from a provider that has not run it, taken over from another) and where it leaves it:
+the window before, back from a worker that has not run it, taken over from another) and where it leaves it:
 ``started``, ``censored`` (ended without a start: its wait is at least that), or ``waiting`` at the window's
 end. So the two sides of every table are equal, whatever is added up: *sums of tables conserved*.
 """
--- a/ironbarrow/fleet/starvation/waits.py
+++ b/ironbarrow/fleet/starvation/waits.py
@@ -1,6 +1,6 @@
 """What one partition sees: how long each job waits, from taken to started. No input or output.
 
-A job that ends without a start (given up, rejected, moved, taken over, its consumer gone) is censored: it has
+A job that ends without a start (given up, refused, moved, taken over, its client gone) is censored: it has
 waited at least that long. One that still waits at the end of a window is carried on into the next.
 """
 
@@ -78,7 +78,7 @@
     def waiting(
         self, now: int, number: int, since: int, tenant: str | None, job_class: str, slots: float
     ) -> None:
-        """A job waits, ``since`` when it was taken: now, or earlier if it comes back from a provider that has
+        """A job waits, ``since`` when it was taken: now, or earlier if it comes back from a worker that has
         not run it, or from another dispatcher."""
         if number in self._jobs:
             return
--- a/ironbarrow/fleet/takeover/claims.py
+++ b/ironbarrow/fleet/takeover/claims.py
@@ -3,9 +3,9 @@
 | in the ledger | safe | not safe |
 | --- | --- | --- |
 | taken, nobody has it | taken anew | taken anew; of a partial reading: not sent, counted |
-| intent | called off at the provider, then anew | kept for its call-back, never sent again |
-| rejected | remembered | remembered |
-| no time or attempts left | rejected | rejected if no attempt may have run, else failed |
+| intent | called off at the worker, then anew | kept for its call-back, never sent again |
+| refused | remembered | remembered |
+| no time or attempts left | refused | refused if no attempt may have run, else failed |
 """
 
 import enum
@@ -24,7 +24,7 @@
     AGAIN = "again"
     CALL_OFF = "call off"
     KEEP = "keep"
-    REJECTED = "rejected"
+    REFUSED = "refused"
     FAILED = "failed"
     UNSAVED = "unsaved"  # it may be done by nobody, since nothing proves that nobody else does it
 
@@ -37,17 +37,17 @@
 
 def what(record: JobRecord, *, safe: bool, whole: bool, most_attempts: int, now: int) -> What:
     """What to do with a job that another has left. ``whole``: the ledger was sealed and read to its end."""
-    if record.stage is Stage.REJECTED:
-        return What.REJECTED
+    if record.stage is Stage.REFUSED:
+        return What.REFUSED
     may_run = record.may_have_run or record.stage is Stage.INTENT
     if record.stage is Stage.INTENT and not (safe and record.until <= now):
         if not safe:
             return What.KEEP if record.until > now else What.FAILED
         return What.CALL_OFF
     if not safe and may_run:
-        return What.FAILED  # danger: it may have run; a rejection invites a repeat
+        return What.FAILED  # danger: it may have run; a refusal invites a repeat
     if not safe and not whole:
         return What.UNSAVED  # danger: an intent may be in what could not be read
     if record.until <= now or record.attempts >= most_attempts:
-        return What.REJECTED
+        return What.REFUSED
     return What.AGAIN
--- a/ironbarrow/fleet/takeover/faults.py
+++ b/ironbarrow/fleet/takeover/faults.py
@@ -13,8 +13,8 @@
 POINTS = {
     "after-taken": "a job is taken, its record is not sent yet",
     "after-intent": "an attempt's intent is at a majority, its first byte is not written",
-    "before-rejection": "a rejection is decided, its record is not sent yet",
-    "after-rejection": "a rejection is at a majority, its consumer has not heard it",
+    "before-refusal": "a refusal is decided, its record is not sent yet",
+    "after-refusal": "a refusal is at a majority, its client has not heard it",
     "before-claim": "it is this member's turn to claim a ledger, nothing is sealed",
     "after-seal": "a ledger is claimed, nothing of it is in the own one",
     "after-adoption": "what was claimed is in the own ledger at a majority, nothing is done with it",
--- a/ironbarrow/fleet/takeover/machine.py
+++ b/ironbarrow/fleet/takeover/machine.py
@@ -1,6 +1,6 @@
 """Jobs written down before they are done, and what others have left taken over. No input or output.
 
-The process tells it what comes (``arrive``, ``intent``, ``call_over``, ``ended``, ``left``, ``stray``) and
+The process tells it what comes (``arrive``, ``intent``, ``attempt_over``, ``ended``, ``left``, ``stray``) and
 carries out what it answers (``orders``). Changes of one turn are gathered; ``flush`` appends them together.
 """
 
@@ -68,7 +68,7 @@
 LINGER = 10 * SECOND  # the answer of a job that must not run twice stays in the ledger so long after its end
 _LINGERING = 1024  # such answers at the most
 _RESULT_WRITTEN = 4096  # bytes; a longer result is not written down, and a repeat elsewhere hears "failed"
-_SAFE_WAITS = 5 * SECOND  # at most, and half of its time: then a safe job that is asked for is rejected
+_SAFE_WAITS = 5 * SECOND  # at most, and half of its time: then a safe job that is asked for is refused
 _SETTLED = 1 * SECOND  # so long after its start a member does not yet know all others
 _REMOTE = 64  # others that are told a job's answer unasked
 _TELL_AGAIN = (200 * MS, 1 * SECOND, 3 * SECOND)  # after a ledger is taken over, since messages are lost
@@ -79,7 +79,9 @@
 _GONE_AT_MOST = 15 * SECOND  # while a job that may not run twice is out
 _REMEMBERED = 1024  # incarnations taken over
 
-_VERDICTS = {verdict.value: verdict for verdict in Verdict}
+# as ledgers and messages have them: members of other versions read and write the same words
+ENCODED_VERDICTS = {Verdict.SERVED: "served", Verdict.REFUSED: "rejected", Verdict.FAILED: "failed"}
+_VERDICTS = {encoded: verdict for verdict, encoded in ENCODED_VERDICTS.items()}
 _FAILED = Answer(Verdict.FAILED)
 
 
@@ -110,18 +112,18 @@
     intent: "_Wait | None" = None  # the present attempt's
     unprotected: bool = False  # it goes out though no majority knows
     unproven: bool = False  # an attempt may have run
-    answering: bool = False  # its rejection is being written
+    answering: bool = False  # its refusal is being written
     over: bool = False
 
 
 @dataclass(slots=True, eq=False)
 class _Wait:
-    """What waits for a majority. ``call``: the call that an intent is about."""
+    """What waits for a majority. ``attempt``: the attempt that an intent is about."""
 
     until: int
     kept: Callable[[int], list[Action]]
     failed: Callable[[int], list[Action]]
-    call: object = None
+    attempt: object = None
     off: bool = False
     again: bool = False  # its time was given once more
     seq: int = NEVER  # the append's that has to be kept
@@ -166,8 +168,8 @@
         self._changes: dict[str, Change] = {}
         self._gathered: list[_Wait] = []
         self._waits: deque[tuple[int, list[_Wait]]] = deque()
-        self._calls: dict[object, _Wait] = {}
-        self.closing: set[str] = set()  # ids whose consumers have left, being called off
+        self._attempts: dict[object, _Wait] = {}
+        self.closing: set[str] = set()  # ids whose clients have left, being called off
         self._look_at = now
         self._gone_since = NEVER
         self._linger: deque[tuple[int, str]] = deque()
@@ -181,7 +183,7 @@
         return self.ledgers.create(now, self.ledger)
 
     def succeed(self, now: int, earlier: "Takeover") -> list[Action]:
-        """Takes on the consumers, answers and promises of an earlier incarnation, which others have taken
+        """Takes on the clients, answers and promises of an earlier incarnation, which others have taken
         over. Their jobs are asked for first, and those that may have gone out from here are not taken
         anew."""
         self.answers, self.promises, self.counts = earlier.answers, earlier.promises, earlier.counts
@@ -200,7 +202,7 @@
         return actions
 
     def arrive(self, now: int, record: JobRecord, marked: bool, waiter: object) -> list[Action]:
-        """A consumer's request. ``marked``: it says that it comes again."""
+        """A client's request. ``marked``: it says that it comes again."""
         if (known := self._join(now, record, waiter)) is not None:
             return known
         safe = self.rules.safe.get(record.job_class, False)
@@ -216,47 +218,47 @@
         if self.alone and record.job_class in self.rules.turn_away:
             # nothing of it was written, nobody can do it: a repeat is harmless
             self.counts["turned away"] += 1
-            return [Reply(waiter, Answer(Verdict.REJECTED, retry_after=self.rules.retry_after))]
+            return [Reply(waiter, Answer(Verdict.REFUSED, retry_after=self.rules.retry_after))]
         return self._take(now, Held(record, safe, [waiter]))
 
-    def intent(self, now: int, call: object, job_id: str, provider: str) -> list[Action]:
+    def intent(self, now: int, attempt: object, job_id: str, worker: str) -> list[Action]:
         """An attempt is about to go out; ``Go`` follows, at once or once a majority knows."""
         held = self.held.get(job_id)
         if held is None or self.fenced or self.leaving:
-            return [Go(call, False)]
+            return [Go(attempt, False)]
         old = held.record
         held.record = msgspec.structs.replace(
             old,
             stage=Stage.INTENT,
             attempts=old.attempts + 1,
-            provider=provider,
+            worker=worker,
             may_have_run=old.may_have_run or held.unproven,
         )
         if held.record.attempts > self.rules.most_attempts:
             held.record = old
-            return [Go(call, False)]
+            return [Go(attempt, False)]
         wait = _Wait(
             now + self.rules.wait,
-            lambda at: self._go(at, held, call, kept=True),
-            lambda at: self._unkept(at, held, call),
-            call,
+            lambda at: self._go(at, held, attempt, kept=True),
+            lambda at: self._unkept(at, held, attempt),
+            attempt,
         )
         held.intent, held.unprotected = wait, False
         self._write(put(held.record), wait)
         if self.alone:
             return self._fail(now, wait)
-        self._calls[call] = wait
+        self._attempts[attempt] = wait
         return []
 
-    def given_up(self, call: object) -> bool:
-        """A call is called off; whether it had no leave to go yet, and now never gets it."""
-        wait = self._calls.pop(call, None)
+    def given_up(self, attempt: object) -> bool:
+        """An attempt is called off; whether it had no leave to go yet, and now never gets it."""
+        wait = self._attempts.pop(attempt, None)
         if wait is None:
             return False
         wait.off = True
         return True
 
-    def call_over(self, job_id: str, *, never_ran: bool) -> None:
+    def attempt_over(self, job_id: str, *, never_ran: bool) -> None:
         """An attempt has ended, its job may have not."""
         self.closing.discard(job_id)
         held = self.held.get(job_id)
@@ -266,7 +268,7 @@
             held.unproven = held.record.may_have_run
         if never_ran or held.safe:
             held.record = msgspec.structs.replace(
-                held.record, stage=Stage.TAKEN, provider="", may_have_run=held.unproven
+                held.record, stage=Stage.TAKEN, worker="", may_have_run=held.unproven
             )
             self._write(put(held.record))
 
@@ -275,23 +277,23 @@
         held = self.held.get(job_id)
         if held is None or held.answering:
             return []
-        if answer.verdict is not Verdict.REJECTED or held.safe:
+        if answer.verdict is not Verdict.REFUSED or held.safe:
             return self._finish(now, held, answer)
         if self.fenced or self.alone:
             return self._finish(now, held, _FAILED)
-        self._passed("before-rejection")
+        self._passed("before-refusal")
         held.answering = True
-        held.record = msgspec.structs.replace(held.record, stage=Stage.REJECTED)
+        held.record = msgspec.structs.replace(held.record, stage=Stage.REFUSED)
         wait = _Wait(
             now + self.rules.wait,
-            lambda at: self._rejected(at, held, answer),
+            lambda at: self._refused(at, held, answer),
             lambda at: self._finish(at, held, _FAILED),
         )
         self._write(put(held.record), wait)
         return []
 
     def left(self, now: int, job_id: str, waiter: object) -> list[Action]:
-        """A consumer has gone before its answer."""
+        """A client has gone before its answer."""
         asking = self.asking.get(job_id)
         if asking is not None and waiter in asking.waiters:
             asking.waiters.remove(waiter)
@@ -305,20 +307,20 @@
         if held.waiters or held.remote or held.adopted or held.answering:
             return []
         if not held.safe and held.record.stage is not Stage.TAKEN:
-            return []  # it may have run: it goes on, for the consumer that comes again
+            return []  # it may have run: it goes on, for the client that comes again
         del self.held[job_id]
         if held.record.stage is Stage.INTENT:
             self.closing.add(job_id)
         self._write(drop(job_id))
         return [Withdraw(job_id)]
 
-    def stray(self, job_id: str, provider: str, state: str, result: bytes) -> list[Action]:
-        """A provider's word on a job that is not here: all others hear it."""
+    def stray(self, job_id: str, worker: str, state: str, result: bytes) -> list[Action]:
+        """A worker's word on a job that is not here: all others hear it."""
         self.counts["call-backs passed on"] += 1
-        return self._to_all(CallBack(job_id, provider, state, result))
+        return self._to_all(CallBack(job_id, worker, state, result))
 
     def called_off(self, now: int, job_id: str) -> list[Action]:
-        """A job that was taken over is called off at the provider that had it."""
+        """A job that was taken over is called off at the worker that had it."""
         held = self.held.get(job_id)
         if held is None or held.answering:
             return []
@@ -336,11 +338,11 @@
         """From now on nothing is sent; what is owed stays in the ledger, for the others."""
         self.leaving = True
         actions: list[Action] = []
-        for wait in list(self._calls.values()):
+        for wait in list(self._attempts.values()):
             if not wait.off:
                 wait.off = True
-                actions.append(Go(wait.call, False))
-        self._calls.clear()
+                actions.append(Go(wait.attempt, False))
+        self._attempts.clear()
         return actions + self.flush(now)
 
     @property
@@ -416,7 +418,7 @@
         elif isinstance(message, Told):
             actions = self._told(now, message.id, message.verdict, message.result, message.retry_after)
         elif isinstance(message, CallBack):
-            actions = [Heard(message.id, message.provider, message.state, message.result)]
+            actions = [Heard(message.id, message.worker, message.state, message.result)]
         elif isinstance(message, TakenOver) and message.incarnation != self.me:
             self._note_taken_over(now, message.incarnation, message.whole)
         return actions + self.flush(now)
@@ -460,7 +462,7 @@
             self._gathered.append(wait)
 
     def _take(self, now: int, held: Held) -> list[Action]:
-        held.record = msgspec.structs.replace(held.record, stage=Stage.TAKEN, provider="")
+        held.record = msgspec.structs.replace(held.record, stage=Stage.TAKEN, worker="")
         self.held[held.record.id] = held
         self._write(put(held.record))
         self._passed("after-taken")
@@ -471,7 +473,7 @@
         held.record = msgspec.structs.replace(
             held.record,
             stage=Stage.TAKEN,
-            provider="",
+            worker="",
             may_have_run=held.record.may_have_run or held.unproven,
         )
         left = rules_of_claims.what(
@@ -479,16 +481,16 @@
         )
         if left is What.AGAIN:
             return self._take(now, held)
-        answer = _FAILED if left is What.FAILED else self._rejection()
+        answer = _FAILED if left is What.FAILED else self._refusal()
         return self.ended(now, held.record.id, answer)
 
-    def _rejection(self) -> Answer:
-        return Answer(Verdict.REJECTED, retry_after=self.rules.retry_after)
+    def _refusal(self) -> Answer:
+        return Answer(Verdict.REFUSED, retry_after=self.rules.retry_after)
 
-    def _go(self, now: int, held: Held, call: object, *, kept: bool) -> list[Action]:
-        self._calls.pop(call, None)
+    def _go(self, now: int, held: Held, attempt: object, *, kept: bool) -> list[Action]:
+        self._attempts.pop(attempt, None)
         if held.over or self.fenced or self.leaving:
-            return [Go(call, False)]
+            return [Go(attempt, False)]
         if kept:
             self._passed("after-intent")
         else:
@@ -497,7 +499,7 @@
         check("unsafe never sent twice", held.safe or not held.unproven, id=held.record.id)
         check("at most three attempts", held.record.attempts <= self.rules.most_attempts, id=held.record.id)
         held.unproven = True
-        return [Go(call, True)]
+        return [Go(attempt, True)]
 
     def may_send(self, job_id: str) -> bool:
         """Whether an attempt's intent is at a majority, or its class is served without one: looked at by who
@@ -508,21 +510,21 @@
         away = held.record.job_class in self.rules.turn_away
         return held.intent.seq <= self.kept or (held.unprotected and not away)
 
-    def _unkept(self, now: int, held: Held, call: object) -> list[Action]:
+    def _unkept(self, now: int, held: Held, attempt: object) -> list[Action]:
         """No majority has answered in time."""
         if held.over:
-            return [Go(call, False)]
+            return [Go(attempt, False)]
         if not self.fenced and held.record.job_class not in self.rules.turn_away:
-            return self._go(now, held, call, kept=False)
-        self._calls.pop(call, None)
+            return self._go(now, held, attempt, kept=False)
+        self._attempts.pop(attempt, None)
         if self.fenced:
-            return [Go(call, False)]
+            return [Go(attempt, False)]
         self.counts["turned away"] += 1
-        answer = self._rejection() if held.safe else _FAILED
-        return [Go(call, False), Withdraw(held.record.id), *self._finish(now, held, answer)]
+        answer = self._refusal() if held.safe else _FAILED
+        return [Go(attempt, False), Withdraw(held.record.id), *self._finish(now, held, answer)]
 
-    def _rejected(self, now: int, held: Held, answer: Answer) -> list[Action]:
-        self._passed("after-rejection")
+    def _refused(self, now: int, held: Held, answer: Answer) -> list[Action]:
+        self._passed("after-refusal")
         return self._finish(now, held, answer)
 
     def _finish(self, now: int, held: Held, answer: Answer) -> list[Action]:
@@ -532,10 +534,10 @@
         check("one answer", self.held.get(record.id) is held, id=record.id)
         held.over = True
         self.held.pop(record.id, None)
-        rejected = answer.verdict is Verdict.REJECTED
-        self.answers.keep(record.id, record.digest, answer, now, short=rejected and held.safe)
+        refused = answer.verdict is Verdict.REFUSED
+        self.answers.keep(record.id, record.digest, answer, now, short=refused and held.safe)
         self._write(drop(record.id))
-        if not held.safe and not rejected:
+        if not held.safe and not refused:
             self._write_answer(now, record.id, record.digest, answer)
         return self._tell_all(record.id, held.waiters, held.remote, answer)
 
@@ -545,13 +547,17 @@
         verdict, result = answer.verdict, answer.result
         if len(result) > _RESULT_WRITTEN:
             verdict, result = Verdict.FAILED, b""
-        self._write(put_answer(AnswerRecord(id=job_id, digest=digest, verdict=verdict.value, result=result)))
+        self._write(
+            put_answer(
+                AnswerRecord(id=job_id, digest=digest, verdict=ENCODED_VERDICTS[verdict], result=result)
+            )
+        )
         self._linger.append((now + LINGER, job_id))
 
     def _tell_all(
         self, job_id: str, waiters: Iterable[object], remote: Iterable[Incarnation], answer: Answer
     ) -> list[Action]:
-        told = Told(job_id, answer.verdict.value, answer.result, answer.retry_after)
+        told = Told(job_id, ENCODED_VERDICTS[answer.verdict], answer.result, answer.retry_after)
         return [
             *(Reply(waiter, answer) for waiter in waiters),
             *(Send(incarnation, told) for incarnation in remote),
@@ -618,7 +624,7 @@
             held.over = True
             actions.append(Forget(job_id))
             if held.waiters:
-                # its consumers still wait: they get the answer from whoever has it now, or, where it
+                # its clients still wait: they get the answer from whoever has it now, or, where it
                 # never went out from here and nobody has it, it is taken anew
                 self.asking[job_id] = Asking(
                     held.record, held.safe, held.waiters, now, may_take=not held.unproven
@@ -637,7 +643,7 @@
         )
 
     def _join(self, now: int, record: JobRecord, waiter: object) -> list[Action] | None:
-        """Joins a consumer to what is known of its id here; None if nothing is."""
+        """Joins a client to what is known of its id here; None if nothing is."""
         ended = self.answers.find(record.id, now)
         if ended is not None:
             self.counts["answered again"] += 1
@@ -673,7 +679,7 @@
         if now >= self._gives_up_at(asking):
             # danger: a repeat of a job that somebody may have, or has run
             self.counts["not all have answered"] += 1
-            answer = self._rejection() if asking.safe else _FAILED
+            answer = self._refusal() if asking.safe else _FAILED
             return self._end_asking(now, asking, answer)
         asking.new_round(now)
         if asking.holder is not None:
@@ -713,7 +719,7 @@
         if (lost and not asking.safe) or not asking.may_take:
             # nobody has it: it has ended and is forgotten, or nobody knows all that an ended incarnation had
             self.counts["not found"] += 1
-            return self._end_asking(now, asking, self._rejection() if asking.safe else _FAILED)
+            return self._end_asking(now, asking, self._refusal() if asking.safe else _FAILED)
         self.counts["repeats taken"] += 1
         return self._take_asked(now, asking)
 
@@ -746,7 +752,7 @@
             ask.id,
             ask.round,
             word,
-            answer.verdict.value if answer is not None else "",
+            ENCODED_VERDICTS[answer.verdict] if answer is not None else "",
             answer.result if answer is not None else b"",
             answer.retry_after if answer is not None else 0,
             (*self.open, *((self.me,) if ask.id in self.closing else ())),
@@ -786,7 +792,7 @@
         if asking is None or verdict not in _VERDICTS:
             return []
         answer = Answer(_VERDICTS[verdict], result, retry_after)
-        short = answer.verdict is Verdict.REJECTED and asking.safe
+        short = answer.verdict is Verdict.REFUSED and asking.safe
         self.answers.keep(job_id, asking.record.digest, answer, now, short=short)
         return self._end_asking(now, asking, answer)
 
@@ -967,8 +973,8 @@
             return [CallOff(record)]
         if what is What.KEEP:
             return [Keep(record, safe)]
-        if what is What.REJECTED:
-            return self._finish(now, held, self._rejection())
+        if what is What.REFUSED:
+            return self._finish(now, held, self._refusal())
         return self._finish(now, held, _FAILED)
 
     def _note_taken_over(self, now: int, incarnation: Incarnation, whole: bool) -> None:
--- a/ironbarrow/fleet/takeover/messages.py
+++ b/ironbarrow/fleet/takeover/messages.py
@@ -50,11 +50,11 @@
 
 
 class CallBack(Message, frozen=True, array_like=True):
-    """A provider's word on a job that the sender does not have. It is passed on once, never further."""
+    """A worker's word on a job that the sender does not have. It is passed on once, never further."""
 
     KIND = 43
     id: str
-    provider: str
+    worker: str
     state: str
     result: bytes = b""
 
--- a/ironbarrow/fleet/takeover/orders.py
+++ b/ironbarrow/fleet/takeover/orders.py
@@ -16,7 +16,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Keep(News):
-    """A provider may have the job: it waits for its call-back and is never sent beside it."""
+    """A worker may have the job: it waits for its call-back and is never sent beside it."""
 
     record: JobRecord
     safe: bool
@@ -24,14 +24,14 @@
 
 @dataclass(frozen=True, slots=True)
 class CallOff(News):
-    """The job's provider is told to stop; ``Takeover.called_off`` follows."""
+    """The job's worker is told to stop; ``Takeover.called_off`` follows."""
 
     record: JobRecord
 
 
 @dataclass(frozen=True, slots=True)
 class Reply(News):
-    """A consumer's one answer; None: another request is under that id."""
+    """A client's one answer; None: another request is under that id."""
 
     waiter: object
     answer: Answer | None
@@ -39,9 +39,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Go(News):
-    """A call's first byte may be written, or (``may`` False) never is."""
+    """An attempt's first byte may be written, or (``may`` False) never is."""
 
-    call: object
+    attempt: object
     may: bool
 
 
@@ -61,10 +61,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Heard(News):
-    """A provider's word that came to another member."""
+    """A worker's word that came to another member."""
 
     id: str
-    provider: str
+    worker: str
     state: str
     result: bytes
 
--- a/ironbarrow/fleet/takeover/process.py
+++ b/ironbarrow/fleet/takeover/process.py
@@ -65,7 +65,7 @@
             Rolling(loop, host, self.service, self.fleet.rollout, lambda: self.ledgers)
 
     def _begin(self, service: FleetService) -> None:
-        """Another incarnation: its machines, and what consumers of the last one still wait for."""
+        """Another incarnation: its machines, and what clients of the last one still wait for."""
         now = self._loop.now()
         earlier: Takeover | None = getattr(self.work, "machine", None)
         self.ledgers = LedgerMachine(service.incarnation, service.members, self.fleet.ledgers)
@@ -134,7 +134,7 @@
             self._loop.call_at(now + _LEAVING, self._wait_sent, until)
 
     def called_back(self, raw: Any) -> None:
-        """A provider's word on a call that is not out here."""
+        """A worker's word on a call that is not out here."""
         self.work.stray(raw)
 
     def close(self) -> None:
--- a/ironbarrow/fleet/takeover/repeats.py
+++ b/ironbarrow/fleet/takeover/repeats.py
@@ -1,4 +1,4 @@
-"""Consumers that come again: answers that are kept for them, promises not to take an id, who is asked for
+"""Clients that come again: answers that are kept for them, promises not to take an id, who is asked for
 one. No input or output."""
 
 from collections import OrderedDict
@@ -13,7 +13,7 @@
 POLL = 500 * MS  # a holder is asked again whether it has ended: its answer may be lost on the way
 _PROMISES = 8192
 _ANSWER_BYTES = 8 << 20  # of results that are kept
-_REJECTION_FOR = 1 * SECOND  # of a safe job: then a repeat under the same id is a new try
+_REFUSAL_FOR = 1 * SECOND  # of a safe job: then a repeat under the same id is a new try
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,9 +37,9 @@
         return len(self._kept)
 
     def keep(self, job_id: str, digest: bytes, answer: Answer, now: int, *, short: bool) -> None:
-        """``short``: the rejection of a safe job, which may soon be tried anew under its id."""
+        """``short``: the refusal of a safe job, which may soon be tried anew under its id."""
         self._forget(job_id)
-        last = min(self._keep_for, max(_REJECTION_FOR, answer.retry_after)) if short else self._keep_for
+        last = min(self._keep_for, max(_REFUSAL_FOR, answer.retry_after)) if short else self._keep_for
         self._kept[job_id] = Ended(digest, answer, now + last)
         self._bytes += len(answer.result)
         while len(self._kept) > self._most or self._bytes > _ANSWER_BYTES:
--- a/ironbarrow/fleet/takeover/work.py
+++ b/ironbarrow/fleet/takeover/work.py
@@ -1,7 +1,7 @@
-"""The machine of taking over beside the host: jobs come in through here, calls go out through here.
+"""The machine of taking over beside the host: jobs come in through here, attempts go out through here.
 
-It stands between the consumers' front and the host (``take``), and between the host and what carries its
-calls (``start``, ``give_up``). Works on any clock; the sockets are the front's and the back's.
+It stands between the clients' front and the host (``take``), and between the host and what carries its
+attempts (``start``, ``give_up``). Works on any clock; the sockets are the front's and the back's.
 """
 
 from collections.abc import Callable, Iterable
@@ -14,7 +14,7 @@
 
 from heathway import api
 from ironbarrow.core.endings import Ending
-from ironbarrow.core.host import Answer, Call, Host, Invoker, Job, Payload, Terms, Verdict, Watch
+from ironbarrow.core.host import Answer, Attempt, Host, Invoker, Job, Payload, Terms, Verdict, Watch
 from ironbarrow.fleet.api import Action, News
 from ironbarrow.fleet.file import Fleet
 from ironbarrow.fleet.invariants import check
@@ -46,19 +46,19 @@
 
 
 class Back(Invoker, Protocol):
-    """What carries calls, and can let go of them."""
+    """What carries attempts, and can let go of them."""
 
-    def call_off(self, job_id: str, provider: str, until: int, done: Callable[[bool], None]) -> None:
-        """Calls a job off that another had sent. ``done`` is told whether the provider has confirmed it, or
+    def call_off(self, job_id: str, worker: str, until: int, done: Callable[[bool], None]) -> None:
+        """Calls a job off that another had sent. ``done`` is told whether the worker has confirmed it, or
         False at ``until`` (ns)."""
 
     def called_back(self, raw: Any) -> bool:
-        """A provider's word on a call, and whether any is out that it is about; a ValueError if malformed."""
+        """A worker's word on an attempt, and whether any is out that it is about; a ValueError if malformed."""
 
 
 @dataclass(slots=True, eq=False)
 class _Waiter:
-    """A consumer that waits."""
+    """A client that waits."""
 
     id: str
     answered: Callable[[Answer | None], None]
@@ -106,7 +106,7 @@
         self._planned = False
         self._looking = False
         host.invoker = self
-        host.call_over = self._call_over
+        host.attempt_over = self._attempt_over
         self._orders: dict[type[News], Callable[[Any], None]] = {
             Take: self._take,
             Keep: self._keep,
@@ -146,7 +146,7 @@
         self, payload: Payload, answered: Callable[[Answer | None], None], **placed: Any
     ) -> Callable[[], None]:
         """As ``Host.take``; ``answered`` is told None where another request is under that id. Gives back what
-        is called when the consumer leaves or has its answer."""
+        is called when the client leaves or has its answer."""
         now = self._clock.now()
         text = f"{payload.method}\0{payload.target}\0".encode()
         terms: Terms | None = placed.get("terms")
@@ -257,9 +257,9 @@
         self.keeper.gone(news.id)
         job = self._jobs.pop(news.id, None)
         if job is not None:
-            for call in job.calls:
-                if not call.ended:
-                    self._back.let_go(call)
+            for attempt in job.attempts:
+                if not attempt.ended:
+                    self._back.let_go(attempt)
             self._host.let_go(job)
 
     def _adopted(self, news: Adopted) -> None:
@@ -268,7 +268,7 @@
         )
         self.adopted(news)
 
-    # Jobs that a provider has
+    # Jobs that a worker has
 
     def _keep(self, news: Keep) -> None:
         record, now = news.record, self._clock.now()
@@ -300,7 +300,7 @@
             self._look()
 
     def _call_off(self, news: CallOff) -> None:
-        """Danger: until the provider has confirmed it, the attempt may run: it is kept for its call-back."""
+        """Danger: until the worker has confirmed it, the attempt may run: it is kept for its call-back."""
         record, machine = news.record, self.machine
         self._keep(Keep(record, safe=True))
         kept = self.keeper.jobs.get(record.id)
@@ -313,10 +313,10 @@
                 self.keeper.gone(record.id)
                 self._do(machine.called_off(self._clock.now(), record.id))
 
-        self._back.call_off(record.id, record.provider, record.until, done)
+        self._back.call_off(record.id, record.worker, record.until, done)
 
     def stray(self, raw: dict[str, Any]) -> None:
-        """A call-back for no call of this process: for a job kept here, or for another member."""
+        """A call-back for no attempt of this process: for a job kept here, or for another member."""
         if not self._kept_called_back(raw) and raw["state"] in _FINAL:
             result = raw.get("result", "")
             data = result.encode() if isinstance(result, str) else b""
@@ -329,7 +329,7 @@
 
     def _heard(self, news: Heard) -> None:
         """Passed on by another. Danger: passed on again, what nobody knows would go round for ever."""
-        raw = {"id": news.id, "from": news.provider, "state": news.state}
+        raw = {"id": news.id, "from": news.worker, "state": news.state}
         raw["result"] = news.result.decode("utf-8", "replace")
         try:
             if not self._back.called_back(raw):
@@ -337,39 +337,39 @@
         except ValueError as error:
             log.error("forwarded call-back passed over", error=str(error))
 
-    # The host's calls
+    # The host's attempts
 
-    def start(self, call: Call) -> None:
+    def start(self, attempt: Attempt) -> None:
         now = self._clock.now()
-        self._do(self.machine.intent(now, call, call.job.payload.id, call.provider))
+        self._do(self.machine.intent(now, attempt, attempt.job.payload.id, attempt.worker))
 
     def _go(self, news: Go) -> None:
-        call = news.call
-        assert isinstance(call, Call)
-        if call.ended:
+        attempt = news.attempt
+        assert isinstance(attempt, Attempt)
+        if attempt.ended:
             return
         if news.may:
-            job_id = call.job.payload.id
-            check("intent before send", self.machine.may_send(job_id), id=job_id, provider=call.provider)
-            self._back.start(call)
+            job_id = attempt.job.payload.id
+            check("intent before send", self.machine.may_send(job_id), id=job_id, worker=attempt.worker)
+            self._back.start(attempt)
         else:
-            self._host.call_ended(call, Ending.NOT_SENT)
+            self._host.attempt_ended(attempt, Ending.NOT_SENT)
 
-    def give_up(self, call: Call, ending: Ending) -> None:
-        if self.machine.given_up(call):
-            self._host.call_ended(call, Ending.NOT_SENT)
+    def give_up(self, attempt: Attempt, ending: Ending) -> None:
+        if self.machine.given_up(attempt):
+            self._host.attempt_ended(attempt, Ending.NOT_SENT)
         else:
-            self._back.give_up(call, ending)
+            self._back.give_up(attempt, ending)
 
-    def let_go(self, call: Call) -> None:
-        self._back.let_go(call)
+    def let_go(self, attempt: Attempt) -> None:
+        self._back.let_go(attempt)
 
-    def _call_over(self, call: Call) -> None:
-        self.machine.call_over(call.job.payload.id, never_ran=call.never_ran)
+    def _attempt_over(self, attempt: Attempt) -> None:
+        self.machine.attempt_over(attempt.job.payload.id, never_ran=attempt.never_ran)
         self._do(())
 
-    def probe(self, provider: str) -> None:
-        self._back.probe(provider)
+    def probe(self, worker: str) -> None:
+        self._back.probe(worker)
 
-    def close_idle(self, provider: str) -> None:
-        self._back.close_idle(provider)
+    def close_idle(self, worker: str) -> None:
+        self._back.close_idle(worker)
--- a/ironbarrow/fronts/consumers.py
+++ b/ironbarrow/fronts/clients.py
@@ -1,4 +1,4 @@
-"""The listener: jobs in and final answers out, call-backs of providers, readiness."""
+"""The listener: jobs in and final answers out, call-backs of workers, readiness."""
 
 import json
 import socket
@@ -47,7 +47,7 @@
         self, payload: Payload, answered: "Callable[[Answer | None], None]", **placed: Any
     ) -> Callable[[], None]:
         """As ``Host.take``; ``answered`` may be told None: another request is under that id. Gives back what
-        is called when the consumer leaves, or has its answer."""
+        is called when the client leaves, or has its answer."""
 
     def readiness(self) -> str:
         """One line of text: who answers for whom at present."""
@@ -61,12 +61,13 @@
 _UNREAD_LIMIT = 120 * SECOND  # and no longer than this: one that reads nothing holds a place
 _PAUSE = 20 * MS  # before accepting again when no descriptor is left
 _FLOOD_PAUSE = 1 * MS  # between two reads from one that sends without end while its job is out
-_ACCEPTS_AT_ONCE = 16  # danger: a burst of connections would keep call-backs and the directory waiting
+# danger: a burst of connections would keep call-backs and the discovery service waiting
+_ACCEPTS_AT_ONCE = 16
 _REQUESTS_AT_ONCE = 32  # danger: in a turn that reads hundreds, their senders leave and are not noticed
 _FULL_ADVICE = 200 * MS  # for one that is turned away because all places have jobs
 
 
-class Consumers:
+class Clients:
     """Serves every connection that comes in at the listening address."""
 
     def __init__(
@@ -240,7 +241,7 @@
             path = request.target.partition("?")[0]
             if path == "/-/ready":
                 expect_method(request, "GET")
-                status, body = (200, b"ready") if self._host.listed else (503, b"no list of providers yet")
+                status, body = (200, b"ready") if self._host.listed else (503, b"no list of workers yet")
                 if self.shared is not None:
                     headers.append(("X-Fleet", self.shared.readiness()))
             elif path == "/callback":
@@ -264,7 +265,7 @@
             headers.append(("Connection", "close"))
         data = connection.response_bytes(status, headers, body)
         now = self._loop.now()
-        # danger: ended before its time, a consumer that reads slowly loses a whole answer
+        # danger: ended before its time, a client that reads slowly loses a whole answer
         until = max(now + _WRITE_LIMIT, min(due, now + _UNREAD_LIMIT))
         yield from connection.write(data, until)
         return keep
@@ -290,7 +291,7 @@
     def _job(
         self, connection: Connection, task: Task, request: Message, payload: Payload, placed: dict[str, Any]
     ) -> Coroutine[Answer | None]:
-        """Hands in a job and waits for its final answer; None if the consumer left first."""
+        """Hands in a job and waits for its final answer; None if the client left first."""
         # danger: in a burst, its sender may have left before its turn came
         if not connection.look_ahead(self._places.room_ahead()):
             return None
@@ -314,7 +315,7 @@
         return answers[0]
 
     def _wait(self, connection: Connection, answers: "list[Answer | None]") -> Coroutine[bool]:
-        """Waits for a job's answer; whether it came before the consumer left."""
+        """Waits for a job's answer; whether it came before the client left."""
         while not answers:
             now = self._loop.now()
             if not connection.floods:
@@ -333,8 +334,8 @@
     def adopt(
         self, sock: socket.socket, begin: Callable[[Callable[[Answer], None]], Callable[[], None]]
     ) -> Task:
-        """Answers a consumer whose request another process has read. ``begin`` is given where the one final
-        answer goes, and gives back what is called when the consumer leaves before it."""
+        """Answers a client whose request another process has read. ``begin`` is given where the one final
+        answer goes, and gives back what is called when the client leaves before it."""
         return self._loop.spawn(self._serve_adopted(adopt(sock), begin))
 
     def _serve_adopted(
@@ -376,7 +377,7 @@
         placed: dict[str, Any],
         answered: Callable[[Answer | None], None],
     ) -> Callable[[], None]:
-        """Hands in a job; gives back what is called at the end, or when the consumer leaves before it."""
+        """Hands in a job; gives back what is called at the end, or when the client leaves before it."""
         if self.shared is None and self._host.knows(payload.id):
             raise BadRequestError(409, "a job with this X-Request-ID is under way")
         if not self._places.has_room_for_job(len(payload.body)):
--- a/ironbarrow/fronts/places.py
+++ b/ironbarrow/fronts/places.py
@@ -90,7 +90,7 @@
         """Whether a place is free for one more, or could be made free: by a connection that has brought no
         whole request, else by the one that has been idle longest; its client opens another when it needs one.
 
-        Danger: hundreds that connect and say nothing would leave no place to the usual consumers.
+        Danger: hundreds that connect and say nothing would leave no place to the usual clients.
         """
         if self._open >= self._most and not self._drop_one():
             return False
@@ -101,8 +101,8 @@
     def free_descriptors(self) -> None:
         """Gives a quarter of the places back for a while, those of connections that carry no request.
 
-        Danger: one that is freed alone is taken by the next connection that comes in, and the directory and
-        the providers never get any.
+        Danger: one that is freed alone is taken by the next connection that comes in, and the discovery
+        service and the workers never get any.
         """
         self._most = min(self._most, max(_FEWEST, self.taken * 3 // 4))
         while self._open > self._most and self._drop_one():
--- a/ironbarrow/fronts/requests.py
+++ b/ironbarrow/fronts/requests.py
@@ -1,4 +1,4 @@
-"""What a consumer's request says, and what its answer says: no input or output."""
+"""What a client's request says, and what its answer says: no input or output."""
 
 import json
 import re
@@ -56,7 +56,7 @@
 
 
 def read_job(request: Message) -> tuple[Payload, dict[str, Any]]:
-    """What passes on to a provider, and what the host is told beside it; a BadRequestError says what is
+    """What passes on to a worker, and what the host is told beside it; a BadRequestError says what is
     wrong."""
     headers = request.headers
     if request.version != "1.1":
@@ -64,7 +64,7 @@
     if request.repeated & _ONCE:
         raise BadRequestError(400, f"repeated: {', '.join(sorted(request.repeated & _ONCE))}")
     job_id = headers.get("x-request-id", "").strip()
-    # danger: the id becomes a header and a path towards providers
+    # danger: the id becomes a header and a path towards workers
     if not 0 < len(job_id) <= _ID_MOST or not all(c.isalnum() or c in "-_.:~" for c in job_id):
         raise BadRequestError(400, "X-Request-ID is missing or malformed")
     if not job_id.isascii():
--- a/ironbarrow/handover/__init__.py
+++ b/ironbarrow/handover/__init__.py
@@ -1,1 +1,1 @@
-"""Replacing the process: jobs, their consumers' connections and stray call-backs pass to the next one."""
+"""Replacing the process: jobs, their clients' connections and stray call-backs pass to the next one."""
--- a/ironbarrow/handover/keeper.py
+++ b/ironbarrow/handover/keeper.py
@@ -1,4 +1,4 @@
-"""Jobs of the old process that a provider has: each waits here for its call-back. No input or output.
+"""Jobs of the old process that a worker has: each waits here for its call-back. No input or output.
 
 No decision is taken on them beyond the rules: what has ended without any doubt that it never ran may be
 taken anew, as may a safe job, and all else ends here with the one answer that is lawful.
@@ -32,7 +32,7 @@
 
 @dataclass(slots=True)
 class Kept:
-    """A job that is kept, what answers its consumer, and what takes it anew."""
+    """A job that is kept, what answers its client, and what takes it anew."""
 
     record: Record
     safe: bool  # its class may run any number of times
@@ -56,20 +56,20 @@
         self._most_attempts = most_attempts
         self._early_for, self._early_most = early_for, early_most
         self._early_bytes = 0
-        self._retry_after = retry_after  # ns; 0: consumers are not told
+        self._retry_after = retry_after  # ns; 0: clients are not told
         self.jobs: dict[str, Kept] = {}
         self._early: OrderedDict[tuple[str, str], tuple[int, str, bytes]] = OrderedDict()
 
     def keep(self, kept: Kept, now: int) -> None:
         """Keeps a job until its call-back or its time; a call-back that came before it counts."""
         self.jobs[kept.record.id] = kept
-        early = self.early(kept.record.id, kept.record.provider, now)
+        early = self.early(kept.record.id, kept.record.worker, now)
         if early is not None:
-            self.called_back(kept.record.id, kept.record.provider, *early, now)
+            self.called_back(kept.record.id, kept.record.worker, *early, now)
 
-    def early(self, job_id: str, provider: str, now: int) -> tuple[str, bytes] | None:
-        """Takes out what a provider has said of a job before it was here: state and result."""
-        found = self._forget_early((job_id, provider))
+    def early(self, job_id: str, worker: str, now: int) -> tuple[str, bytes] | None:
+        """Takes out what a worker has said of a job before it was here: state and result."""
+        found = self._forget_early((job_id, worker))
         return found[1:] if found is not None and found[0] + self._early_for >= now else None
 
     def _forget_early(self, key: tuple[str, str]) -> tuple[int, str, bytes] | None:
@@ -78,14 +78,14 @@
             self._early_bytes -= len(found[2])
         return found
 
-    def called_back(self, job_id: str, provider: str, state: str, result: bytes, now: int) -> bool:
-        """A provider's word; False if no job here waits for it, and then it is remembered for a while, since
+    def called_back(self, job_id: str, worker: str, state: str, result: bytes, now: int) -> bool:
+        """A worker's word; False if no job here waits for it, and then it is remembered for a while, since
         the job may be on its way from the other process."""
         kept = self.jobs.get(job_id)
-        if kept is None or kept.record.provider != provider:
+        if kept is None or kept.record.worker != worker:
             if state in _ENDS:
-                self._forget_early((job_id, provider))
-                self._early[job_id, provider] = (now, state, result)
+                self._forget_early((job_id, worker))
+                self._early[job_id, worker] = (now, state, result)
                 self._early_bytes += len(result)
                 while len(self._early) > self._early_most or self._early_bytes > _EARLY_BYTES:
                     self._forget_early(next(iter(self._early)))
@@ -100,7 +100,7 @@
             self._end(kept, End.TIME_OVER, b"", now)
 
     def gone(self, job_id: str) -> None:
-        """Its consumer has left: nothing more is owed."""
+        """Its client has left: nothing more is owed."""
         self.jobs.pop(job_id, None)
 
     def _end(self, kept: Kept, end: End, result: bytes, now: int) -> None:
@@ -110,10 +110,10 @@
             return
         never_ran = end is End.NEVER_RAN and not kept.record.may_have_run
         if not kept.safe and not never_ran:
-            kept.answer(Answer(Verdict.FAILED))  # danger: a rejection invites a repeat
+            kept.answer(Answer(Verdict.FAILED))  # danger: a refusal invites a repeat
         elif end is End.TIME_OVER or kept.record.attempts >= self._most_attempts:
-            kept.answer(Answer(Verdict.REJECTED, retry_after=self._retry_after))
+            kept.answer(Answer(Verdict.REFUSED, retry_after=self._retry_after))
         else:
             fields: dict[str, Any] = {n: getattr(kept.record, n) for n in Record.__slots__}
-            fields |= {"provider": "", "may_have_run": not never_ran, "time_left": kept.until - now}
+            fields |= {"worker": "", "may_have_run": not never_ran, "time_left": kept.until - now}
             kept.again(Record(**fields))
--- a/ironbarrow/handover/records.py
+++ b/ironbarrow/handover/records.py
@@ -1,7 +1,7 @@
 """What an old process tells the one that replaces it. No input or output.
 
 A job that waits is taken by the new process as if it had just come, with the attempts and the time that are
-left. One that a provider has is only kept: its call-back ends it, and it is never sent beside that attempt.
+left. One that a worker has is only kept: its call-back ends it, and it is never sent beside that attempt.
 """
 
 import json
@@ -10,6 +10,7 @@
 from typing import Any
 
 VERSION = 1
+_WORKER_KEY = "provider"  # in messages; processes of other versions read and write it
 
 
 class RecordError(ValueError):
@@ -28,7 +29,7 @@
     content_type: str
     time_left: int
     attempts: int  # written so far
-    provider: str = ""  # who has it; "": nobody
+    worker: str = ""  # who has it; "": nobody
     may_have_run: bool = False  # at an attempt before the one that is out
     key: int | None = None
     tenant: str | None = None
@@ -43,8 +44,9 @@
 
 
 def job_message(record: Record) -> bytes:
-    """A job as bytes; its consumer's connection goes beside them."""
+    """A job as bytes; its client's connection goes beside them."""
     fields = asdict(record)
+    fields[_WORKER_KEY] = fields.pop("worker")
     fields["body"] = b64encode(record.body).decode()
     return message("job", job=fields)
 
@@ -66,7 +68,8 @@
 
 def _record(fields: Any) -> Record:
     try:
-        record = Record(**{**fields, "body": b64decode(fields["body"], validate=True)})
+        values = {**fields, "body": b64decode(fields["body"], validate=True)}
+        record = Record(worker=values.pop(_WORKER_KEY, ""), **values)
     except (KeyError, TypeError, ValueError) as error:
         raise RecordError(f"job: {error}") from None
     if not record.id or record.time_left <= 0 or record.attempts < 0:
--- a/ironbarrow/handover/upgrade.py
+++ b/ironbarrow/handover/upgrade.py
@@ -10,7 +10,7 @@
 import structlog
 
 from heathway import api
-from ironbarrow.core.host import Answer, Call, Host, Job, Payload, Terms
+from ironbarrow.core.host import Answer, Attempt, Host, Job, Payload, Terms
 from ironbarrow.handover import records
 from ironbarrow.handover.channel import Channel
 from ironbarrow.handover.keeper import Keeper, Kept
@@ -27,27 +27,27 @@
 
 
 class Front(Protocol):
-    """What has the consumers' connections."""
+    """What has the clients' connections."""
 
     asking: dict[Job, tuple[Connection, Task]]
 
     def adopt(self, sock: socket.socket, begin: _Begin) -> Task:
-        """Answers a consumer whose request another process has read; ended early, the task lets go of it."""
+        """Answers a client whose request another process has read; ended early, the task lets go of it."""
 
 
 class Back(Protocol):
-    """What has the calls."""
+    """What has the attempts."""
 
-    def let_go(self, call: Call) -> None:
-        """Another process has the call now."""
+    def let_go(self, attempt: Attempt) -> None:
+        """Another process has the attempt now."""
 
     def called_back(self, raw: Any) -> bool:
-        """A provider's word on a call, and whether any is out that it is about; a ValueError if malformed."""
+        """A worker's word on an attempt, and whether any is out that it is about; a ValueError if malformed."""
 
 
 @dataclass(slots=True)
 class _Adopted:
-    """A job of the old process: its consumer, what was told of it, the host's job once taken anew."""
+    """A job of the old process: its client, what was told of it, the host's job once taken anew."""
 
     sock: socket.socket
     task: Task
@@ -98,7 +98,7 @@
         self._channel.close()
 
     def stray(self, raw: dict[str, Any]) -> None:
-        """A call-back for no call of this process: for a job kept here, or for the process beside it."""
+        """A call-back for no attempt of this process: for a job kept here, or for the process beside it."""
         if not self._kept_called_back(raw):
             data = records.message("call-back", call_back=raw)
             for other in self._channel.others():
@@ -146,8 +146,8 @@
             adopted.task.cancel()
 
     def _let_go(self, job: Job) -> None:
-        for call in job.calls:
-            self._back.let_go(call)
+        for attempt in job.attempts:
+            self._back.let_go(attempt)
         self._host.let_go(job)
 
     def _give(self, record: Record, sock: socket.socket) -> bool:
@@ -156,13 +156,13 @@
 
     def _record(self, job: Job, earlier: Record | None = None) -> Record | None:
         """What the successor has to know of a job, ``earlier`` being what this process was told of it; None
-        while it can't be moved: an attempt is on its way to a provider or being called off, or its repeats
+        while it can't be moved: an attempt is on its way to a worker or being called off, or its repeats
         are bound to where it may have run."""
         left = job.deadline - self._loop.now()
-        out = [call for call in job.calls if not call.ended]
+        out = [attempt for attempt in job.attempts if not attempt.ended]
         if job.over or left < _LEAST_LEFT or any(not c.accepted or c.given_up for c in out):
             return None
-        risky = any(call.ended and not call.never_ran for call in job.calls)
+        risky = any(attempt.ended and not attempt.never_ran for attempt in job.attempts)
         if risky and not self._safe.get(job.arrival.job_class, False):
             return None
         payload, arrival = job.payload, job.arrival
@@ -174,8 +174,8 @@
             body=payload.body,
             content_type=payload.content_type,
             time_left=left,
-            attempts=len(job.calls) + (earlier.attempts if earlier is not None else 0),
-            provider=out[0].provider if out else "",
+            attempts=len(job.attempts) + (earlier.attempts if earlier is not None else 0),
+            worker=out[0].worker if out else "",
             may_have_run=risky or (earlier is not None and earlier.may_have_run),
             key=arrival.key,
             tenant=arrival.tenant,
@@ -216,7 +216,7 @@
             log.error("job of the other process passed over", id=record.id)
             sock.close()
             return
-        begin = self._keep if record.provider else self._take
+        begin = self._keep if record.worker else self._take
         task = self._front.adopt(sock, lambda answer: begin(record, until, answer))
         self._adopted[record.id] = _Adopted(sock, task, record)
 
--- a/ironbarrow/lab/audit.py
+++ b/ironbarrow/lab/audit.py
@@ -1,8 +1,8 @@
 """Judges a run from outside by the rules of service. Sees what parties do, never what the host believes.
 
 The rules, each with a name of its own in ``Breach``: one final answer for each job taken, in time; no
-second copy; at most so many attempts; nothing new past the drain grace; no cold provider pushed over; a
-booking run at most once; a rejection only where a repeat is harmless; nothing served that nobody made.
+second copy; at most so many attempts; nothing new past the drain grace; no cold worker pushed over; a
+booking run at most once; a refusal only where a repeat is harmless; nothing served that nobody made.
 
 Where dispatchers share a fleet, one id may be asked for at several of them, one after another, and outlives
 the one that took it: the rules then hold for the id over all of them. Each asking may hear an answer, but all
@@ -13,8 +13,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from ironbarrow.lab.model.provider import Watcher
 from ironbarrow.lab.model.spec import World
+from ironbarrow.lab.model.worker import Watcher
 from ironbarrow.runtime.clock import MS, SECOND, Clock
 
 _KEPT_EXAMPLES = 5
@@ -29,29 +29,29 @@
     SECOND_COPY = "a second copy at the same time"
     TOO_MANY = "more attempts than allowed"
     PAST_DRAIN = "something new past the drain grace"
-    PUSHED_OVER = "a cold provider pushed over"
+    PUSHED_OVER = "a cold worker pushed over"
     RAN_TWICE = "a booking run twice"
     FALSE_PROOF = "sent again though it may have run"
-    UNLAWFUL = "a rejection of what may have run"
-    INVENTED = "served with what no provider made"
+    UNLAWFUL = "a refusal of what may have run"
+    INVENTED = "served with what no worker made"
 
 
 @dataclass(slots=True, eq=False)
 class _Try:
-    """A job as a dispatcher took it: one try of its consumer's."""
+    """A job as a dispatcher took it: one try of its client's."""
 
     root: int
     unsafe: bool
     dispatcher: int
     due: int  # when its answer is due at the latest, slack included
     attempts: int = 0
-    out: dict[str, int] = field(default_factory=dict)  # providers where an attempt is, and since when
+    out: dict[str, int] = field(default_factory=dict)  # workers where an attempt is, and since when
     may_have_run: bool = False
     ran: bool = False
     done: bool = False
     answered: bool = False
-    excused: bool = False  # its dispatcher died or was stopped, or its consumer left
-    heard: str = ""  # the first answer that a consumer heard
+    excused: bool = False  # its dispatcher died or was stopped, or its client left
+    heard: str = ""  # the first answer that a client heard
     askings: int = 1
     answers: int = 0
 
@@ -95,7 +95,7 @@
         if len(self._examples) < _KEPT_EXAMPLES:
             self._examples.append(f"{what.value}: {detail} at {self._clock.now() / SECOND:.3f} s")
 
-    # Dispatchers and consumers
+    # Dispatchers and clients
 
     def taken(self, job_id: str, root: int, dispatcher: int, time_left: int, *, unsafe: bool) -> None:
         """A dispatcher has the whole request."""
@@ -113,7 +113,7 @@
         job.excused = dispatcher in self._stopped
 
     def answered(self, job_id: str, verdict: str) -> None:
-        """A final answer left a dispatcher: served, rejected or failed."""
+        """A final answer left a dispatcher: served, refused or failed."""
         job = self._tries.get(job_id)
         if job is None or (job.excused and not self._shared):
             return
@@ -126,13 +126,13 @@
             self._breach(Breach.NO_ANSWER, f"{job_id} late by {(self._clock.now() - job.due) / MS:.1f} ms")
         if verdict == "served" and not job.done:
             self._breach(Breach.INVENTED, job_id)
-        if verdict == "rejected" and job.unsafe and (job.ran or job.may_have_run):
+        if verdict == "refused" and job.unsafe and (job.ran or job.may_have_run):
             self._breach(Breach.UNLAWFUL, job_id)
         job.answered = True
         self._finish(job_id, job)
 
     def left(self, job_id: str) -> None:
-        """The consumer has gone: no answer is owed any more, unless it was due before."""
+        """The client has gone: no answer is owed any more, unless it was due before."""
         job = self._tries.get(job_id)
         if job is not None and not job.answered:
             if self._clock.now() > job.due and not job.excused:
@@ -162,17 +162,17 @@
         """It runs again."""
         self._stopped.discard(dispatcher)
 
-    def told(self, dispatcher: int, provider: str, *, up: bool) -> None:
-        """A dispatcher was told of a provider's state."""
+    def told(self, dispatcher: int, worker: str, *, up: bool) -> None:
+        """A dispatcher was told of a worker's state."""
         if up:
-            self._told.pop((dispatcher, provider), None)
+            self._told.pop((dispatcher, worker), None)
         else:
-            self._told.setdefault((dispatcher, provider), self._clock.now())
+            self._told.setdefault((dispatcher, worker), self._clock.now())
 
     # Attempts
 
     def sent(
-        self, job_id: str, provider: str, first_byte: int | None = None, dispatcher: int | None = None
+        self, job_id: str, worker: str, first_byte: int | None = None, dispatcher: int | None = None
     ) -> None:
         """A dispatcher began to write an attempt (``first_byte``: when, if not now; ``dispatcher``:
         which, if not the one that was asked last)."""
@@ -186,43 +186,43 @@
         if job.attempts > self._most:
             self._breach(Breach.TOO_MANY, f"{job_id}: {job.attempts}")
         if job.out:
-            self._breach(Breach.SECOND_COPY, f"{job_id} at {provider} while at {', '.join(job.out)}")
+            self._breach(Breach.SECOND_COPY, f"{job_id} at {worker} while at {', '.join(job.out)}")
         if job.unsafe and job.may_have_run:
-            self._breach(Breach.FALSE_PROOF, f"{job_id} at {provider}")
+            self._breach(Breach.FALSE_PROOF, f"{job_id} at {worker}")
         sender = job.dispatcher if dispatcher is None else dispatcher
-        since = self._told.get((sender, provider))
+        since = self._told.get((sender, worker))
         if since is not None and at > since + self._grace:
-            self._breach(Breach.PAST_DRAIN, f"{job_id} to {provider} after {(at - since) / MS:.0f} ms")
-        job.out[provider] = at
+            self._breach(Breach.PAST_DRAIN, f"{job_id} to {worker} after {(at - since) / MS:.0f} ms")
+        job.out[worker] = at
 
-    def attempt_over(self, job_id: str, provider: str, *, never_ran: bool) -> None:
+    def attempt_over(self, job_id: str, worker: str, *, never_ran: bool) -> None:
         """The dispatcher heard how it ended, or gave it up; ``never_ran``: with proof."""
         job = self._tries.get(job_id)
-        if job is not None and job.out.pop(provider, None) is not None and not never_ran:
+        if job is not None and job.out.pop(worker, None) is not None and not never_ran:
             job.may_have_run = True
 
-    # Providers
+    # Workers
 
-    def job_started(self, provider: str, job_id: str) -> None:
+    def job_started(self, worker: str, job_id: str) -> None:
         job = self._tries.get(job_id)
         if job is None:
             return
         self._looked["starts"] += 1
         job.ran = True
         if job.unsafe:
-            if job.heard == "rejected":
-                self._breach(Breach.UNLAWFUL, f"{job_id} started at {provider} after its rejection")
+            if job.heard == "refused":
+                self._breach(Breach.UNLAWFUL, f"{job_id} started at {worker} after its refusal")
             starts = self._starts[job.root] = self._starts.get(job.root, 0) + 1
             if starts > 1:
-                self._breach(Breach.RAN_TWICE, f"{job_id} (order {job.root}) at {provider}")
+                self._breach(Breach.RAN_TWICE, f"{job_id} (order {job.root}) at {worker}")
 
-    def job_ended(self, provider: str, job_id: str, how: str) -> None:
+    def job_ended(self, worker: str, job_id: str, how: str) -> None:
         job = self._tries.get(job_id)
         if job is not None and how == "done":
             job.done = True
 
-    def fell(self, provider: str) -> None:
-        self._breach(Breach.PUSHED_OVER, provider)
+    def fell(self, worker: str) -> None:
+        self._breach(Breach.PUSHED_OVER, worker)
 
     # Its end
 
--- a/ironbarrow/lab/experiment/worker.py
+++ b/ironbarrow/lab/experiment/cell_process.py
@@ -1,4 +1,4 @@
-"""A worker's process: takes cells by lines of JSON on standard input, runs each, says how it went.
+"""A process that runs cells: takes cells by lines of JSON on standard input, runs each, says how it went.
 
 A process of its own for each variant: the decisions come from the folder that comes first on its
 path, and no cell can leave anything behind for one of another variant.
--- a/ironbarrow/lab/experiment/compare.py
+++ b/ironbarrow/lab/experiment/compare.py
@@ -7,7 +7,7 @@
 
 from ironbarrow.lab.experiment.store import Store
 
-METRICS = ("service", "p50_ms", "p99_ms", "in_time", "rejected", "failed", "no_answer", "tries")
+METRICS = ("service", "p50_ms", "p99_ms", "in_time", "refused", "failed", "no_answer", "tries")
 _DRAWS = 2000
 
 
--- a/ironbarrow/lab/experiment/plots.py
+++ b/ironbarrow/lab/experiment/plots.py
@@ -115,8 +115,8 @@
     return _png(figure)
 
 
-def load_by_provider(cell: dict[str, Any]) -> bytes:
-    """Jobs held by each provider over time, for one cell."""
+def load_by_worker(cell: dict[str, Any]) -> bytes:
+    """Jobs held by each worker over time, for one cell."""
     samples = cell["samples"]
     names = samples["names"]
     grid = np.full((len(names), len(samples["held"])), np.nan)
@@ -129,7 +129,7 @@
     )
     if len(names) <= 40:
         axes.set_yticks(np.arange(len(names)) + 0.5, names, fontsize=7)
-    axes.set(xlabel="s", ylabel="provider")
+    axes.set(xlabel="s", ylabel="worker")
     figure.colorbar(image, label="jobs held")
     return _png(figure)
 
@@ -138,7 +138,7 @@
     """Every plot that these cells allow."""
     drawn = {"latency": latency_ecdf(store, cells), "service-over-time": service_timeline(store, cells)}
     drawn["attempts-over-time"] = attempts_timeline(cells)
-    drawn["load-by-provider"] = load_by_provider(cells[0])
+    drawn["load-by-worker"] = load_by_worker(cells[0])
     for axis in cells[0]["axes"]:
         for metric in ("service", "p99_ms"):
             drawn[f"{metric}-by-{axis}"] = service_by_axis(cells, axis, metric)
--- a/ironbarrow/lab/experiment/report.py
+++ b/ironbarrow/lab/experiment/report.py
@@ -55,7 +55,7 @@
     for group in (*own[0]["classes"], "all"):
         parts = [s["all"] if group == "all" else s["classes"][group] for s in own]
         row: dict[str, Any] = {"name": f"{variant}, {group}"}
-        for key in ("asked", "in_time", "rejected", "failed", "no_answer"):
+        for key in ("asked", "in_time", "refused", "failed", "no_answer"):
             row[key] = sum(part[key] for part in parts)
         for key in ("p50_ms", "p99_ms", "service"):
             known = [part[key] for part in parts if part[key] == part[key]]
--- a/ironbarrow/lab/experiment/runner.py
+++ b/ironbarrow/lab/experiment/runner.py
@@ -27,7 +27,7 @@
 
 
 class Runner:
-    """A pool of worker processes, each for one variant at a time."""
+    """A pool of cell processes, each for one variant at a time."""
 
     def __init__(self, plan: Plan, store: Store, jobs: int) -> None:
         self._plan, self._store, self._jobs = plan, store, jobs
@@ -44,12 +44,12 @@
         return len(self._plan.cells)
 
     def pids(self) -> list[int]:
-        """The worker processes that run now."""
+        """The cell processes that run now."""
         with self._lock:
             return [process.pid for process in self._processes.values() if process.poll() is None]
 
     def run(self) -> Outcome:
-        """Runs what is missing. A KeyboardInterrupt ends the workers and passes on."""
+        """Runs what is missing. A KeyboardInterrupt ends the cell processes and passes on."""
         self._store.remember(
             {
                 "name": self._plan.experiment.name,
@@ -136,7 +136,7 @@
             [
                 sys.executable,
                 "-m",
-                "ironbarrow.lab.experiment.worker",
+                "ironbarrow.lab.experiment.cell_process",
                 str(self._store.folder.resolve()),
                 str(package),
             ],
@@ -153,7 +153,7 @@
         return process
 
     def _ask(self, process: subprocess.Popen[str], cell: Cell) -> dict[str, object] | None:
-        """The worker's answer, or None if it died."""
+        """The process's answer, or None if it died."""
         assert process.stdin is not None and process.stdout is not None
         try:
             process.stdin.write(json.dumps(asdict(cell)) + "\n")
--- a/ironbarrow/lab/experiment/spec.py
+++ b/ironbarrow/lab/experiment/spec.py
@@ -13,7 +13,16 @@
 import msgspec
 from msgspec import Meta
 
-from ironbarrow.lab.model.spec import Part, World, WorldError, convert, plain, read_toml
+from ironbarrow.lab.model.spec import (
+    Part,
+    World,
+    WorldError,
+    convert,
+    plain,
+    present_path,
+    read_toml,
+    with_present_names,
+)
 
 ROOT = Path(__file__).resolve().parents[3]
 _MOST_CELLS = 100_000
@@ -77,7 +86,7 @@
     if len(set(names)) != len(names):
         raise WorldError(f"{path}: `variants`: expected names that differ, got {names}")
     world_path = path.parent / experiment.world
-    base = read_toml(world_path)
+    base = with_present_names(read_toml(world_path), str(world_path))
     live = experiment.mode == "live"
     if fleet and not live:
         raise WorldError(f"{path}: `mode`: expected 'live' with --fleet, got {experiment.mode!r}")
@@ -111,7 +120,7 @@
 
 def _set(raw: dict[str, Any], key: str, value: Any, path: str) -> None:
     """Sets a key by its path; a part that is a list is searched by its entries' names."""
-    *way, last = key.split(".")
+    *way, last = present_path(key).split(".")
     place: Any = raw
     for part in way:
         if isinstance(place, list):
--- a/ironbarrow/lab/fleet/agents.py
+++ b/ironbarrow/lab/fleet/agents.py
@@ -18,7 +18,7 @@
     """A target's machine, as its agent uses it."""
 
     def drain(self) -> None:
-        """Wants nothing new any more; the directory says so."""
+        """Wants nothing new any more; the discovery service says so."""
 
     def end(self) -> None:
         """Ends the process."""
--- a/ironbarrow/lab/fleet/field.py
+++ b/ironbarrow/lab/fleet/field.py
@@ -140,7 +140,7 @@
         ledgers.field = self
         machine = Rollouts(members, ledgers, lambda now: now, None, self.classes)
         self.machines[seat.name] = machine
-        machine.providers(self.clock.now(), self._list())
+        machine.workers(self.clock.now(), self._list())
         node.add([members, ledgers, machine])
 
     def _agent(self, seat: Seat, node: Node) -> None:
@@ -169,7 +169,7 @@
     def _push(self) -> None:
         for name, machine in self.machines.items():
             if self.net.seats[name].node is not None:
-                machine.providers(self.clock.now(), self._list())
+                machine.workers(self.clock.now(), self._list())
 
     # What is done to it
 
--- a/ironbarrow/lab/fleet/random_work.py
+++ b/ironbarrow/lab/fleet/random_work.py
@@ -44,8 +44,8 @@
     cuts: int = 0
     lost: float = 0.0  # part of all messages between members
     doubled: float = 0.0
-    fails: float = 0.03  # part of the runs that providers say have failed
-    refuses: float = 0.05  # part of the requests that providers prove not to have run
+    fails: float = 0.03  # part of the runs that workers say have failed
+    refuses: float = 0.05  # part of the requests that workers prove not to have run
     dispatchers: int = 5
 
 
@@ -59,8 +59,8 @@
 
 
 def play(seed: int, faults: Faults, jobs: int = 80) -> WorkWorld:
-    """Plays one seed to its end: all consumers have their answers or are past their time."""
-    world = WorkWorld(SETTINGS, faults.dispatchers, seed=seed, providers=8)
+    """Plays one seed to its end: all clients have their answers or are past their time."""
+    world = WorkWorld(SETTINGS, faults.dispatchers, seed=seed, workers=8)
     world.net.usual = Way(lost=faults.lost, doubled=faults.doubled)
     world.fails, world.refuses = faults.fails, faults.refuses
     world.run(ms(1500))
@@ -70,7 +70,7 @@
         order = world.order(
             f"j{number}", random.choice(("map", "book")), ms(random.choice((3000, 6000, 9000)))
         )
-        if random.random() < 0.05:  # a consumer that loses patience with its connection
+        if random.random() < 0.05:  # a client that loses patience with its connection
             later(world.clock.now() + ms(random.uniform(5, 800)), world.again, order)
         if faults.kills and random.random() * faults.kills < 1 and len(world.up()) > 2:
             name = random.choice(world.up())
@@ -105,8 +105,8 @@
                 print(f"seed {seed} of {kind} breaks: {broken}; replay: {seed} {seed} {kind}")
                 return 1
             ends += world.ends()
-            copies += sum(world.providers.copies.values())
-            unheard += world.providers.unheard
+            copies += sum(world.workers.copies.values())
+            unheard += world.workers.unheard
             after += [news.after for _, news in world.adoptions]
             for process in world.processes.values():
                 counts += process.work.machine.counts
--- a/ironbarrow/lab/fleet/rollouts.py
+++ b/ironbarrow/lab/fleet/rollouts.py
@@ -1,5 +1,5 @@
 """Rollouts on a simulated world: real hosts and decisions, real members and ledgers, agents that replace
-providers, and a new runtime that may be bad.
+workers, and a new runtime that may be bad.
 """
 
 from collections.abc import Callable
@@ -10,7 +10,7 @@
 
 from heathway import api
 from ironbarrow.core.endings import Ending
-from ironbarrow.core.host import Call, Host
+from ironbarrow.core.host import Attempt, Host
 from ironbarrow.fleet.api import Card, Message, News
 from ironbarrow.fleet.codec import Codec
 from ironbarrow.fleet.file import LedgerRules, MemberRules
@@ -26,8 +26,8 @@
 from ironbarrow.lab.fleet.field import KINDS
 from ironbarrow.lab.fleet.net import Seat, SimulatedNet
 from ironbarrow.lab.model.fleet import Faults
-from ironbarrow.lab.model.provider import Held, Need, Provider, Reply, Report, State, Tell
 from ironbarrow.lab.model.spec import Fault, World
+from ironbarrow.lab.model.worker import Held, Need, Reply, Report, State, Tell, Worker
 from ironbarrow.lab.result import Result
 from ironbarrow.lab.settings import zone_of
 from ironbarrow.lab.sim.back import SimulatedBack, _Way
@@ -35,7 +35,7 @@
 from ironbarrow.lab.sim.run import Simulation
 from ironbarrow.runtime.clock import MS, SECOND
 
-START_TIME = SECOND  # of a provider's process, until it is listed
+START_TIME = SECOND  # of a worker's process, until it is listed
 _SYNC = 200 * MS
 _LEAK = 0.08  # chance of a job to leave its slots taken, where a runtime leaks
 OLD, NEW = "1.0", "2.0"
@@ -81,8 +81,8 @@
 }
 
 
-class NewProvider(Provider):
-    """A provider with the new runtime."""
+class NewWorker(Worker):
+    """A worker with the new runtime."""
 
     runtime = Runtime()
     failing_usual: float | None = None  # jobs of this usual work alone fail
@@ -119,40 +119,40 @@
     """Notes what becomes of a dispatcher's attempts."""
 
     signals: Signals
-    _noted: dict[Call, tuple[str, int, str, float, int]]
+    _noted: dict[Attempt, tuple[str, int, str, float, int]]
 
     def watch(self, signals: Signals) -> None:
         self.signals, self._noted = signals, {}
 
-    def _write(self, call: Call, way: _Way) -> None:
-        super()._write(call, way)
-        if call.written and not way.over and call not in self._noted:
-            job = call.job.arrival
-            since = way.provider.started_at // MS * MS
-            usual = self._needs[call.job.payload.id].usual
-            self._noted[call] = (call.provider, since, job.job_class, job.slots, 0)
-            self.signals.sent(call.provider, since, job.job_class, int(usual), job.slots)
-
-    def _told(self, call: Call, way: _Way, state: str, report: Report | None) -> None:
-        noted = self._noted.get(call)
+    def _write(self, attempt: Attempt, way: _Way) -> None:
+        super()._write(attempt, way)
+        if attempt.written and not way.over and attempt not in self._noted:
+            job = attempt.job.arrival
+            since = way.worker.started_at // MS * MS
+            usual = self._needs[attempt.job.payload.id].usual
+            self._noted[attempt] = (attempt.worker, since, job.job_class, job.slots, 0)
+            self.signals.sent(attempt.worker, since, job.job_class, int(usual), job.slots)
+
+    def _told(self, attempt: Attempt, way: _Way, state: str, report: Report | None) -> None:
+        noted = self._noted.get(attempt)
         if state == "started" and noted is not None:
-            self._noted[call] = (*noted[:4], self._clock.now())
-        super()._told(call, way, state, report)
+            self._noted[attempt] = (*noted[:4], self._clock.now())
+        super()._told(attempt, way, state, report)
 
     def _end(
-        self, call: Call, ending: Ending, report: api.LoadReport | None = None, result: bytes = b""
+        self, attempt: Attempt, ending: Ending, report: api.LoadReport | None = None, result: bytes = b""
     ) -> None:
-        noted = self._noted.pop(call, None)
+        noted = self._noted.pop(attempt, None)
         if noted is not None:
             worker, since, job_class, slots, started = noted
             elapsed = self._clock.now() - started if started else 0
             free = report.free_slots if report is not None else None
             self.signals.ended(worker, since, job_class, slots, _ENDS.get(ending), elapsed, free)
-        super()._end(call, ending, report, result)
+        super()._end(attempt, ending, report, result)
 
 
-class ProviderBox:
-    """A provider's machine, as its agent uses it: a ``Box``."""
+class WorkerBox:
+    """A worker's machine, as its agent uses it: a ``Box``."""
 
     def __init__(self, run: "RolloutRun", target: Target) -> None:
         self._run, self.target = run, target
@@ -179,33 +179,33 @@
         bad = run.bad if runtime == NEW else Runtime()
         if number != self._number or bad.no_start:
             return
-        old = fleet.providers[self.target.name]
+        old = fleet.workers[self.target.name]
         if bad.only_zone not in ("", old.zone):
             bad = Runtime()
         self.listed_as = f"{self.target.name}~{number}"
-        fleet.make = NewProvider
+        fleet.make = NewWorker
         made = fleet.add(old.group, self.listed_as, old.zone, run.clock.now())
-        fleet.make = Provider
-        assert isinstance(made, NewProvider)
+        fleet.make = Worker
+        assert isinstance(made, NewWorker)
         usual = next((float(c.work.mean) for c in run.world.classes if c.name == bad.failing_class), None)
         made.install(bad, usual)
-        fleet.directory.change(fleet.entry(made))
+        fleet.discovery.change(fleet.entry(made))
 
     def up(self) -> bool | None:
         if self._run.clock.now() <= self._up_at:
             return None
         if self._number and self.listed_as != f"{self.target.name}~{self._number}":
             return False
-        return self._run.fleet.providers[self.listed_as].state in (State.UP, State.DRAINING)
+        return self._run.fleet.workers[self.listed_as].state in (State.UP, State.DRAINING)
 
     def process(self) -> tuple[str, int]:
-        return self.listed_as, self._run.fleet.providers[self.listed_as].started_at // MS * MS
+        return self.listed_as, self._run.fleet.workers[self.listed_as].started_at // MS * MS
 
 
 class CurrentFaults(Faults):
     """Faults that strike whatever process a machine has at the time, the new runtime's too."""
 
-    boxes: dict[str, ProviderBox]
+    boxes: dict[str, WorkerBox]
 
     def _play(self, fault: Fault, who: list[str]) -> None:
         super()._play(fault, [self.boxes[name].listed_as for name in who])
@@ -242,7 +242,7 @@
         self.plan, self._start_at = plan, start_at
         self.signals = [Signals(zone_of(world, n)) for n in range(world.dispatchers.count)]
         self.machines: dict[str, Rollouts] = {}
-        self.boxes: dict[str, ProviderBox] = {}
+        self.boxes: dict[str, WorkerBox] = {}
         self.agents: dict[str, Agent] = {}
         self.changes: list[tuple[int, RolloutChanged]] = []
         self._verdict_given = False
@@ -253,13 +253,13 @@
         self.net = SimulatedNet(self.clock, Codec(kinds), seed)
         self.names = [f"d{n}" for n in range(world.dispatchers.count)]
         self._targets = {
-            p.name: Target(p.name, p.zone, p.group.kind, p.group.slots) for p in self.fleet.providers.values()
+            p.name: Target(p.name, p.zone, p.group.kind, p.group.slots) for p in self.fleet.workers.values()
         }
         for name in self.names:
             seat = self.net.add(name, zone_of(world, int(name[1:])), self._member)
             seat.on_news = lambda news, seat=seat: self._news(seat, news)
         for target in self._targets.values():
-            self.boxes[target.name] = ProviderBox(self, target)
+            self.boxes[target.name] = WorkerBox(self, target)
             self.agents[target.name] = Agent(target.name, OLD)
             self.net.add(AGENT + target.name, target.site, self._agent)
             self.net.start(AGENT + target.name)
@@ -288,7 +288,7 @@
         machine = Rollouts(members, ledgers, lambda now: now, settings)
         machine.signals = self.signals[number]
         self.machines[seat.name] = machine
-        machine.providers(self.clock.now(), self._listed(number))
+        machine.workers(self.clock.now(), self._listed(number))
         node.add([members, ledgers, machine])
 
     def _agent(self, seat: Seat, node: Node) -> None:
@@ -328,7 +328,7 @@
             elif not runs and seat.node is not None:
                 self.net.crash(name)
             if runs:
-                self.machines[name].providers(self.clock.now(), self._listed(number))
+                self.machines[name].workers(self.clock.now(), self._listed(number))
         if self.bad.starves and not self._verdict_given:
             since = [at for box in self.boxes.values() for at, runtime in box.starts if runtime == NEW]
             if since and self.clock.now() > min(since) + 12 * SECOND:
