--- a/ironbarrow/lab/fleet/work.py
+++ b/ironbarrow/lab/fleet/work.py
@@ -1,7 +1,7 @@
-"""Dispatchers of a fleet at work in virtual time: real hosts, decisions and machines; providers and consumers
+"""Dispatchers of a fleet at work in virtual time: real hosts, decisions and machines; workers and clients
 that only count.
 
-What providers ran and what consumers heard decides whether the rules hold: they know nothing of ledgers.
+What workers ran and what clients heard decides whether the rules hold: they know nothing of ledgers.
 """
 
 import random
@@ -13,7 +13,7 @@
 from heathway import api
 from ironbarrow.core.attempt import Progress
 from ironbarrow.core.endings import Ending
-from ironbarrow.core.host import Answer, Call, Host, Payload, Verdict
+from ironbarrow.core.host import Answer, Attempt, Host, Payload, Verdict
 from ironbarrow.fleet.api import Action, Card
 from ironbarrow.fleet.codec import Codec
 from ironbarrow.fleet.file import Fleet
@@ -27,7 +27,7 @@
 from ironbarrow.lab.sim.clock import SimulatedClock
 from ironbarrow.runtime.clock import MS, SECOND, Timer
 
-_TRIP = MS // 2  # between dispatcher and provider, one way
+_TRIP = MS // 2  # between dispatcher and worker, one way
 _CONNECT = 2 * MS
 _UNCONFIRMED_AFTER = 300 * MS  # where DELETEs are lost
 _CALL_BACK_TRIES = 12
@@ -65,19 +65,19 @@
 
 
 @dataclass(slots=True, eq=False)
-class Provider:
+class Worker:
     """Runs what it is sent, and counts it."""
 
     name: str
     running: dict[str, int] = field(default_factory=dict)  # by id: which start of it
 
 
-class Providers:
-    """All providers, and what they ran."""
+class Workers:
+    """All workers, and what they ran."""
 
     def __init__(self, world: "WorkWorld", n: int) -> None:
         self._world = world
-        self.all = {f"p{i}": Provider(f"p{i}") for i in range(n)}
+        self.all = {f"p{i}": Worker(f"p{i}") for i in range(n)}
         self.starts: Counter[str] = Counter()  # by id
         self.done: set[str] = set()  # ids that ran to their end, somewhere
         self.returned: Counter[str] = Counter()  # by id: taken and given back, without a run
@@ -86,8 +86,8 @@
 
     def arrive(self, name: str, job_id: str) -> bool:
         """A request comes; whether it is taken."""
-        provider, world = self.all[name], self._world
-        if job_id in provider.running:
+        worker, world = self.all[name], self._world
+        if job_id in worker.running:
             return True
         chance = world.random.random()
         if chance < world.refuses:
@@ -95,15 +95,15 @@
         if any(job_id in other.running for other in self.all.values()):
             self.copies[job_id] += 1
         self.starts[job_id] += 1
-        provider.running[job_id] = number = self.starts[job_id]
+        worker.running[job_id] = number = self.starts[job_id]
         lasts = int(world.random.uniform(*world.lasts))
-        world.clock.call_at(world.clock.now() + lasts, self._end, provider, job_id, number)
+        world.clock.call_at(world.clock.now() + lasts, self._end, worker, job_id, number)
         return True
 
-    def _end(self, provider: Provider, job_id: str, number: int) -> None:
-        if provider.running.get(job_id) != number:
+    def _end(self, worker: Worker, job_id: str, number: int) -> None:
+        if worker.running.get(job_id) != number:
             return
-        del provider.running[job_id]
+        del worker.running[job_id]
         world = self._world
         state = "done" if world.random.random() >= world.fails else "failed"
         if world.random.random() < world.returns:
@@ -112,7 +112,7 @@
             self.returned[job_id] += 1
         if state == "done":
             self.done.add(job_id)
-        self._call_back({"id": job_id, "from": provider.name, "state": state, "result": f"done {job_id}"}, 0)
+        self._call_back({"id": job_id, "from": worker.name, "state": state, "result": f"done {job_id}"}, 0)
 
     def _call_back(self, raw: dict[str, Any], tries: int) -> None:
         world = self._world
@@ -128,76 +128,76 @@
 
 
 class Back:
-    """One process's calls to providers."""
+    """One process's attempts to workers."""
 
     def __init__(self, world: "WorkWorld", clock: SeatClock) -> None:
         self.host: Host
         self._world, self._clock = world, clock
-        self._out: set[Call] = set()
+        self._out: set[Attempt] = set()
 
-    def start(self, call: Call) -> None:
-        self._out.add(call)
-        self._clock.call_at(self._clock.now() + _CONNECT, self._write, call)
+    def start(self, attempt: Attempt) -> None:
+        self._out.add(attempt)
+        self._clock.call_at(self._clock.now() + _CONNECT, self._write, attempt)
 
-    def _write(self, call: Call) -> None:
-        if call not in self._out:
+    def _write(self, attempt: Attempt) -> None:
+        if attempt not in self._out:
             return
-        self.host.call_written(call)
-        self._world.written[call.job.payload.id] += 1
-        clock, job_id = self._world.clock, call.job.payload.id
-        clock.call_at(clock.now() + _TRIP, self._arrive, call, job_id)
+        self.host.attempt_written(attempt)
+        self._world.written[attempt.job.payload.id] += 1
+        clock, job_id = self._world.clock, attempt.job.payload.id
+        clock.call_at(clock.now() + _TRIP, self._arrive, attempt, job_id)
 
-    def _arrive(self, call: Call, job_id: str) -> None:
-        taken = self._world.providers.arrive(call.provider, job_id)
-        self._clock.call_at(self._world.clock.now() + _TRIP, self._answered, call, taken)
+    def _arrive(self, attempt: Attempt, job_id: str) -> None:
+        taken = self._world.workers.arrive(attempt.worker, job_id)
+        self._clock.call_at(self._world.clock.now() + _TRIP, self._answered, attempt, taken)
 
-    def _answered(self, call: Call, taken: bool) -> None:
+    def _answered(self, attempt: Attempt, taken: bool) -> None:
         if taken:
-            call.reach(Progress.ACCEPTED)
-        elif call in self._out:
-            self._end(call, Ending.NOT_PROCESSED)
-
-    def _end(self, call: Call, ending: Ending, result: bytes = b"") -> None:
-        self._out.discard(call)
-        self.host.call_ended(call, ending, None, result)
-
-    def give_up(self, call: Call, ending: Ending) -> None:
-        if call not in self._out or not call.written:
-            self._out.discard(call)
-            self.host.call_ended(call, ending)
+            attempt.reach(Progress.ACCEPTED)
+        elif attempt in self._out:
+            self._end(attempt, Ending.NOT_PROCESSED)
+
+    def _end(self, attempt: Attempt, ending: Ending, result: bytes = b"") -> None:
+        self._out.discard(attempt)
+        self.host.attempt_ended(attempt, ending, None, result)
+
+    def give_up(self, attempt: Attempt, ending: Ending) -> None:
+        if attempt not in self._out or not attempt.written:
+            self._out.discard(attempt)
+            self.host.attempt_ended(attempt, ending)
             return
-        self._delete(call.provider, call.job.payload.id, lambda: self._end(call, ending))
+        self._delete(attempt.worker, attempt.job.payload.id, lambda: self._end(attempt, ending))
 
-    def _delete(self, provider: str, job_id: str, done: Callable[[], None]) -> None:
+    def _delete(self, worker: str, job_id: str, done: Callable[[], None]) -> None:
         def arrives() -> None:
-            self._world.providers.delete(provider, job_id)
+            self._world.workers.delete(worker, job_id)
             self._clock.call_at(self._world.clock.now() + _TRIP, done)
 
         clock = self._world.clock
         # a way of its own: slower than a request's, so that it does not overtake one
         clock.call_at(clock.now() + _CONNECT + _TRIP, arrives)
 
-    def let_go(self, call: Call) -> None:
-        self._out.discard(call)
+    def let_go(self, attempt: Attempt) -> None:
+        self._out.discard(attempt)
 
-    def call_off(self, job_id: str, provider: str, until: int, done: Callable[[bool], None]) -> None:
+    def call_off(self, job_id: str, worker: str, until: int, done: Callable[[bool], None]) -> None:
         if self._world.deletes_lost:
             self._clock.call_at(min(until, self._clock.now() + _UNCONFIRMED_AFTER), done, False)
         else:
-            self._delete(provider, job_id, lambda: done(True))
+            self._delete(worker, job_id, lambda: done(True))
 
     def called_back(self, raw: Any) -> bool:
-        call = self.host.call_out(raw["id"], raw["from"])
-        if call is None:
+        attempt = self.host.attempt_out(raw["id"], raw["from"])
+        if attempt is None:
             return False
-        self.host.call_written(call)
-        self._end(call, _ENDS[raw["state"]], raw.get("result", "").encode())
+        self.host.attempt_written(attempt)
+        self._end(attempt, _ENDS[raw["state"]], raw.get("result", "").encode())
         return True
 
-    def probe(self, provider: str) -> None:
-        self.host.probe_ended(provider, Ending.DONE, MS)
+    def probe(self, worker: str) -> None:
+        self.host.probe_ended(worker, Ending.DONE, MS)
 
-    def close_idle(self, provider: str) -> None:
+    def close_idle(self, worker: str) -> None:
         pass
 
 
@@ -216,7 +216,7 @@
 
 @dataclass(slots=True, eq=False)
 class Order:
-    """A job as its consumer wants it."""
+    """A job as its client wants it."""
 
     id: str
     job_class: str
@@ -228,7 +228,7 @@
 
 
 class WorkWorld:
-    """Dispatchers, providers and consumers on one clock."""
+    """Dispatchers, workers and clients on one clock."""
 
     def __init__(
         self,
@@ -238,7 +238,7 @@
         seed: int,
         fleet: Fleet | None = None,
         sites: int = 3,
-        providers: int = 4,
+        workers: int = 4,
     ) -> None:
         self.clock, self.random = SimulatedClock(), random.Random(seed)
         kinds = (*MemberMachine.handles, *LedgerMachine.handles, *Takeover.handles)
@@ -246,11 +246,11 @@
         self.settings, self.seed = settings, seed
         self.fleet = fleet or Fleet(listen="127.0.0.1:0")
         self.refuses = self.fails = self.returns = 0.0
-        self.deletes_lost = False  # providers can't be told to stop what another dispatcher sent
+        self.deletes_lost = False  # workers can't be told to stop what another dispatcher sent
         self.call_backs_to: str | None = None  # None: to any dispatcher
         self.lasts = (100 * MS, 600 * MS)
         self.written: Counter[str] = Counter()  # by id
-        self.providers = Providers(self, providers)
+        self.workers = Workers(self, workers)
         self.processes: dict[str, Process] = {}
         self.orders: dict[str, Order] = {}
         self.adoptions: list[tuple[str, Adopted]] = []
@@ -306,9 +306,9 @@
         work.adopted = lambda news: self.adoptions.append((seat.name, news))
         entries = tuple(
             api.WorkerEntry(worker=name, state=api.WorkerState.UP, zone=self.settings.zone)
-            for name in self.providers.all
+            for name in self.workers.all
         )
-        host.providers_listed(api.WorkerList(api.ListKind.FULL, entries, 1))
+        host.workers_listed(api.WorkerList(api.ListKind.FULL, entries, 1))
         self.processes[seat.name] = process = Process(seat, clock, host, back, work, members, ledgers)
         return process
 
@@ -321,7 +321,7 @@
         self._renewing.discard(name)
 
     def kill(self, name: str) -> None:
-        """Ends a process at once; its consumers see their connections end."""
+        """Ends a process at once; its clients see their connections end."""
         if self.net.seats[name].node is None:
             return
         self.net.crash(name)
@@ -340,7 +340,7 @@
             self.net.resume(name)
 
     def hears(self, raw: dict[str, Any]) -> bool:
-        """A provider's call-back reaches whoever is up, the front says whom; False if nobody is."""
+        """A worker's call-back reaches whoever is up, the front says whom; False if nobody is."""
         up = [name for name, seat in self.net.seats.items() if seat.node is not None and not seat.paused]
         if not up:
             return False
@@ -352,10 +352,10 @@
     def up(self) -> list[str]:
         return [name for name, seat in self.net.seats.items() if seat.node is not None]
 
-    # Consumers
+    # Clients
 
     def order(self, job_id: str, job_class: str, time_left: int, at: str | None = None) -> Order:
-        """A consumer sends a job, to any dispatcher or a named one."""
+        """A client sends a job, to any dispatcher or a named one."""
         order = self.orders[job_id] = Order(job_id, job_class, self.clock.now() + time_left)
         self._try(order, at)
         return order
@@ -401,7 +401,7 @@
         process.clock.soon(taken)
 
     def again(self, order: Order, at: str | None = None) -> None:
-        """The consumer leaves the connection and comes again."""
+        """The client leaves the connection and comes again."""
         process = self.processes[order.at]
         if order.left is not None and not process.clock.over:
             process.clock.soon(order.left)
@@ -413,7 +413,7 @@
         self.net.run(duration)
 
     def ends(self) -> Counter[str]:
-        """What consumers heard, by verdict; "nothing" where no answer came."""
+        """What clients heard, by verdict; "nothing" where no answer came."""
         found: Counter[str] = Counter()
         for order in self.orders.values():
             answer = order.heard[0] if order.heard else None
@@ -421,13 +421,13 @@
         return found
 
     def broken(self, unsafe: Iterable[str]) -> list[str]:
-        """Rules that the counts of providers and consumers show as broken."""
+        """Rules that the counts of workers and clients show as broken."""
         found = []
         wrong = set(unsafe)
         for order in self.orders.values():
             booked = order.job_class in wrong
-            runs = self.providers.starts[order.id]
-            attempts = runs + self.providers.returned[order.id]
+            runs = self.workers.starts[order.id]
+            attempts = runs + self.workers.returned[order.id]
             if booked and runs > 1:
                 found.append(f"{order.id}: a booking was run {runs} times")
             if attempts > self.settings.max_attempts:
@@ -437,8 +437,8 @@
             for answer in order.heard:
                 if answer is None:
                     found.append(f"{order.id}: refused as another request")
-                elif booked and answer.verdict is Verdict.REJECTED and runs:
-                    found.append(f"{order.id}: rejected though it may have run")
+                elif booked and answer.verdict is Verdict.REFUSED and runs:
+                    found.append(f"{order.id}: refused though it may have run")
                 elif answer.verdict is Verdict.SERVED and answer.result != f"done {order.id}".encode():
                     found.append(f"{order.id}: a result that nobody made")
         return found
--- a/ironbarrow/lab/follow.py
+++ b/ironbarrow/lab/follow.py
@@ -1,6 +1,6 @@
 """The way of one job through the traces of a whole fleet: arrival, sends, call-backs, final answer.
 
-Each send says what its dispatcher had been told of the provider: its state and weight on the last list, what
+Each send says what its dispatcher had been told of the worker: its state and weight on the last list, what
 the last report said, and how old both were. Times are seconds from the first line of all logs.
 """
 
@@ -27,7 +27,7 @@
 
 @dataclass(slots=True)
 class _Told:
-    """What one dispatcher had been told of a provider. Times in ns."""
+    """What one dispatcher had been told of a worker. Times in ns."""
 
     state: str = "not listed"
     weight: float = 0.0
--- a/ironbarrow/lab/live/consumers.py
+++ b/ironbarrow/lab/live/clients.py
@@ -1,4 +1,4 @@
-"""Consumers on sockets: an open loop over HTTP/1.1. Latency counts from when an order was due, not from when
+"""Clients on sockets: an open loop over HTTP/1.1. Latency counts from when an order was due, not from when
 it could be sent, so a generator or a dispatcher that falls behind can't hide it (coordinated omission)."""
 
 from collections.abc import Callable
@@ -6,8 +6,8 @@
 
 from ironbarrow.core.endings import ConnectionEndedError, Ending
 from ironbarrow.lab.audit import Auditor
-from ironbarrow.lab.live.wire import Client
-from ironbarrow.lab.model.consumer import Ended, Habits
+from ironbarrow.lab.live.wire import HttpClient
+from ironbarrow.lab.model.client import Ended, Habits
 from ironbarrow.lab.model.front import Front
 from ironbarrow.lab.model.network import Network
 from ironbarrow.lab.model.spec import World
@@ -18,18 +18,18 @@
 
 _BODY = b"x" * 200
 _LOOKS_ON = 100 * MS
-_NOBODY_THERE = ("refused", "broken")
+_NOBODY_THERE = ("unreachable", "broken")
 
 
 @dataclass(slots=True, eq=False)
-class _Consumer:
+class _Client:
     order: Order
     tries: int = 0  # jobs that it asked for, each under an id of its own
     askings: int = 0  # of the present one
     late_by: int = 0
 
 
-class Consumers:
+class Clients:
     """Sends each order when it is due and records its end."""
 
     def __init__(
@@ -39,12 +39,12 @@
         habits: Habits,
         network: Network,
         front: Front,
-        clients: list[Client],
+        http_clients: list[HttpClient],
         audit: Auditor,
         recorder: Recorder,
     ) -> None:
         self._loop, self._world, self._network, self._front = loop, world, network, front
-        self._clients, self._audit, self._recorder, self._habits = clients, audit, recorder, habits
+        self._http_clients, self._audit, self._recorder, self._habits = http_clients, audit, recorder, habits
         self.open = 0
         self.wrong_results = 0
         self.refused_connections = 0
@@ -55,32 +55,32 @@
     def take(self, order: Order) -> None:
         """An order is due now."""
         self.open += 1
-        self._loop.spawn(self._serve(_Consumer(order)))
+        self._loop.spawn(self._serve(_Client(order)))
 
-    def _serve(self, consumer: _Consumer) -> Coroutine[None]:
-        order = consumer.order
+    def _serve(self, client: _Client) -> Coroutine[None]:
+        order = client.order
         outcome = "failed"
         try:
-            outcome = yield from self._tries(consumer)
+            outcome = yield from self._tries(client)
         finally:
             self.open -= 1
-            self._recorder.add(order, outcome, self._loop.now(), max(1, consumer.tries), consumer.late_by)
-            self._habits.forget(order, consumer.tries)
+            self._recorder.add(order, outcome, self._loop.now(), max(1, client.tries), client.late_by)
+            self._habits.forget(order, client.tries)
             if self.heard is not None:
                 self.heard(order, outcome)
 
-    def _tries(self, consumer: _Consumer) -> Coroutine[str]:
-        order = consumer.order
+    def _tries(self, client: _Client) -> Coroutine[str]:
+        order = client.order
         until = order.due + order.patience
         while True:
-            consumer.tries += 1
-            consumer.askings = 0
-            how, retry_after = yield from self._ask(consumer, until)
+            client.tries += 1
+            client.askings = 0
+            how, retry_after = yield from self._ask(client, until)
             if how in ("no answer", "left"):
                 return how
             lost = how in _NOBODY_THERE
             step = self._habits.next_step(
-                order, "failed" if how == "broken" else how, consumer.tries, retry_after
+                order, "failed" if how == "broken" else how, client.tries, retry_after
             )
             if isinstance(step, Ended):
                 if lost:
@@ -88,39 +88,39 @@
                 return step.outcome
             yield from sleep(self._loop.now() + step.pause)
 
-    def _ask(self, consumer: _Consumer, until: int) -> Coroutine[tuple[str, int]]:
-        """One job, asked for until there is an answer, where consumers come again under the same id."""
+    def _ask(self, client: _Client, until: int) -> Coroutine[tuple[str, int]]:
+        """One job, asked for until there is an answer, where clients come again under the same id."""
         while True:
-            consumer.askings += 1
-            how, retry_after = yield from self._try(consumer, until)
-            again = self._habits.comes_again(consumer.order, how) if how in _NOBODY_THERE else None
+            client.askings += 1
+            how, retry_after = yield from self._try(client, until)
+            again = self._habits.comes_again(client.order, how) if how in _NOBODY_THERE else None
             if again is None:
                 return how, retry_after
             self.came_again += 1
             yield from sleep(self._loop.now() + again.pause)
 
-    def _try(self, consumer: _Consumer, until: int) -> Coroutine[tuple[str, int]]:
-        """How it went; ``refused``: no connection, ``broken``: it ended before an answer."""
-        order = consumer.order
+    def _try(self, client: _Client, until: int) -> Coroutine[tuple[str, int]]:
+        """How it went; ``unreachable``: no connection, ``broken``: it ended before an answer."""
+        order = client.order
         number = self._front.pick(order.zone)
         yield from sleep(self._loop.now() + self._network.client_latency("consumers"))
         if number is None:
-            return "refused", 0
+            return "unreachable", 0
         cls = self._world.classes[order.cls]
-        job_id = self._habits.new_try(order, consumer.tries)
+        job_id = self._habits.new_try(order, client.tries)
         left = (order.due + order.deadline - self._loop.now()) // MS
         if left < 1:
             return "no answer", 0
         headers = [("X-Request-ID", job_id), ("X-Timeout-Ms", str(left))]
-        if consumer.askings > 1:
+        if client.askings > 1:
             headers.append(("X-Retried", "1"))
         if order.session is not None:
             headers.append(("Cookie", f"sid={order.session}"))
         if order.slots > 1:
             headers.append(("X-Attrs", f"slots={order.slots}"))
-        if consumer.tries == 1 and consumer.askings == 1:
+        if client.tries == 1 and client.askings == 1:
             due = order.due + self._world.network.client
-            consumer.late_by = max(0, self._loop.now() - due)
+            client.late_by = max(0, self._loop.now() - due)
 
         def sent() -> None:
             self._audit.taken(job_id, order.number, number, left * MS, unsafe=cls.effect == "unsafe")
@@ -130,14 +130,16 @@
             # it has no use for an answer past its time, and still looks whether one comes in the slack
             until += self._world.dispatchers.answer_slack + _LOOKS_ON
         try:
-            answer = yield from self._clients[number].exchange("POST", target, headers, _BODY, until, sent)
+            answer = yield from self._http_clients[number].exchange(
+                "POST", target, headers, _BODY, until, sent
+            )
         except ConnectionEndedError as error:
             self._audit.left(job_id)
             if error.ending is Ending.STALLED:
                 return self._habits.gives_up(order), 0
             if error.ending in (Ending.CONNECT_REFUSED, Ending.CONNECT_TIMED_OUT):
                 self.refused_connections += 1
-                return "refused", 0
+                return "unreachable", 0
             return "broken", 0
         read = self._read(job_id, answer)
         return read if self._loop.now() <= order.due + order.deadline else ("no answer", 0)
@@ -149,10 +151,10 @@
             self._audit.answered(job_id, "served")
             return "served", 0
         if answer.status in (429, 503):
-            self._audit.answered(job_id, "rejected")
+            self._audit.answered(job_id, "refused")
             try:
-                return "rejected", int(float(answer.headers.get("retry-after", "0")) * SECOND)
+                return "refused", int(float(answer.headers.get("retry-after", "0")) * SECOND)
             except ValueError:
-                return "rejected", 0
+                return "refused", 0
         self._audit.answered(job_id, "failed")
         return "failed", 0
--- a/ironbarrow/lab/live/directory_server.py
+++ b/ironbarrow/lab/live/discovery_server.py
@@ -1,11 +1,11 @@
-"""The directory's agent on a dispatcher's machine: answers at once with what it has been sent."""
+"""The discovery service's agent on a dispatcher's machine: answers at once with what it has been sent."""
 
 import json
 from collections.abc import Callable
 from urllib.parse import parse_qs
 
 from ironbarrow.lab.live.wire import Server, next_message
-from ironbarrow.lab.model.directory import Directory, News
+from ironbarrow.lab.model.discovery import Discovery, News
 from ironbarrow.lab.settings import list_object
 from ironbarrow.runtime.loop import SECOND, Coroutine, Loop, Task, sleep
 from ironbarrow.runtime.sockets import Address, listen
@@ -22,7 +22,7 @@
     def __init__(
         self,
         loop: Loop,
-        directory: Directory,
+        discovery: Discovery,
         name: str,
         addresses: dict[str, str],
         told: Callable[[str, bool], None],
@@ -30,13 +30,13 @@
     ) -> None:
         self._loop, self._addresses, self._told = loop, addresses, told
         self._host = address[0]
-        self._known = directory.whole()
+        self._known = discovery.whole()
         self._news: list[News] = []
         self._watches: dict[Task, None] = {}
         listener = listen(address)
         self.address: Address = listener.getsockname()[:2]
         self._server = Server(loop, listener, self._serve)
-        directory.subscribe(name, self._hear)
+        discovery.subscribe(name, self._hear)
 
     def close(self) -> None:
         self._server.close()
@@ -51,7 +51,7 @@
         return self.address
 
     def known(self) -> dict[str, object]:
-        """The list as it has it now, in the directory's form."""
+        """The list as it has it now, in the discovery service's form."""
         return list_object(self._known, self._addresses)
 
     def _hear(self, news: News) -> None:
--- a/ironbarrow/lab/live/ports.py
+++ b/ironbarrow/lab/live/ports.py
@@ -61,7 +61,7 @@
         raise LoopbackError("no free loopback network for a live run")
 
     def dispatcher(self, number: int) -> Address:
-        """Where a dispatcher listens for consumers and call-backs."""
+        """Where a dispatcher listens for clients and call-backs."""
         return f"{self.prefix}.{_FIRST_DISPATCHER + number}", DISPATCHER_PORT
 
     def fleet_member(self, number: int) -> Address:
@@ -77,7 +77,7 @@
 
     @property
     def agents(self) -> Address:
-        """For the agents at the providers' machines, at any free port."""
+        """For the agents at the workers' machines, at any free port."""
         return f"{self.prefix}.{_AGENTS}", 0
 
     def close(self) -> None:
--- a/ironbarrow/lab/live/processes.py
+++ b/ironbarrow/lab/live/processes.py
@@ -12,7 +12,7 @@
 from typing import Any, Protocol
 
 from ironbarrow.core.endings import ConnectionEndedError
-from ironbarrow.lab.live.wire import Client
+from ironbarrow.lab.live.wire import HttpClient
 from ironbarrow.lab.model.spec import World
 from ironbarrow.lab.settings import settings_object
 from ironbarrow.runtime.loop import MS, SECOND, Coroutine, Loop, sleep
@@ -25,12 +25,12 @@
 
 
 class Agent(Protocol):
-    """The directory's agent beside a dispatcher, as far as its process depends on it."""
+    """The discovery service's agent beside a dispatcher, as far as its process depends on it."""
 
     address: Address
 
     def known(self) -> dict[str, object]:
-        """The list as it has it now, in the directory's form."""
+        """The list as it has it now, in the discovery service's form."""
 
     def move(self) -> Address:
         """Listens at another port from now on."""
@@ -78,7 +78,7 @@
         self.fault_once = False  # unless another has done so before
         self._starts = 0
         self._expected = False  # its end is wanted
-        self._client = Client(loop, address)
+        self._client = HttpClient(loop, address)
         self.ready_after: list[int] = []  # from start to ready, ns, one for each start
         self.ended_at: list[int] = []  # ns, one for each end
         self.peak_kb = 0
@@ -249,7 +249,7 @@
             process.kill()
 
     def reload(self) -> None:
-        """The directory moves, the file is replaced, and SIGHUP says so."""
+        """The discovery service moves, the file is replaced, and SIGHUP says so."""
         self._agent.move()
         self._write_config()
         self._signal(signal.SIGHUP)
--- a/ironbarrow/lab/live/rollouts.py
+++ b/ironbarrow/lab/live/rollouts.py
@@ -1,6 +1,6 @@
-"""A live run with a rollout: agents at the providers' machines, which the dispatchers command over links.
+"""A live run with a rollout: agents at the workers' machines, which the dispatchers command over links.
 
-A provider's process keeps its name over its restarts, as a machine does. Agents are reached straight, by
+A worker's process keeps its name over its restarts, as a machine does. Agents are reached straight, by
 ``[routes]``: a dispatcher that is cut off from the others still reaches them.
 """
 
@@ -16,8 +16,8 @@
 from ironbarrow.fleet.rollout.commands import AGENT, Agent, Answer, Command
 from ironbarrow.lab.fleet.agents import AgentMachine
 from ironbarrow.lab.live.run import LiveRun
-from ironbarrow.lab.model.provider import State
 from ironbarrow.lab.model.spec import World
+from ironbarrow.lab.model.worker import State
 from ironbarrow.lab.result import Result
 from ironbarrow.runtime import sockets
 from ironbarrow.runtime.loop import MS, Loop
@@ -28,7 +28,7 @@
 
 @dataclass(slots=True, eq=False)
 class LiveBox:
-    """A provider's machine, as its agent uses it: a ``Box``."""
+    """A worker's machine, as its agent uses it: a ``Box``."""
 
     run: "RolloutRun"
     name: str
@@ -50,16 +50,16 @@
     def _comes_up(self, runtime: str) -> None:
         self.starting = False
         fleet = self.run.fleet
-        old = fleet.providers[self.name]
+        old = fleet.workers[self.name]
         made = fleet.add(old.group, self.name, old.zone, self.run.loop.now() // MS * MS)
         made.fail_fast(self.run.failing.get(runtime, 0.0))
-        fleet.directory.change(fleet.entry(made))
+        fleet.discovery.change(fleet.entry(made))
 
     def up(self) -> bool | None:
-        return None if self.starting else self.run.fleet.providers[self.name].state is State.UP
+        return None if self.starting else self.run.fleet.workers[self.name].state is State.UP
 
     def process(self) -> tuple[str, int]:
-        return self.name, self.run.fleet.providers[self.name].started_at
+        return self.name, self.run.fleet.workers[self.name].started_at
 
 
 class AgentSeat:
@@ -130,7 +130,7 @@
 
     def _place_agents(self) -> None:
         peers = {f"d{n}": "{}:{}".format(*self._loopback.fleet_member(n)) for n in range(len(self._listen))}
-        for name in self.fleet.providers:
+        for name in self.fleet.workers:
             box = self.boxes[name] = LiveBox(self, name)
             self.seats[name] = AgentSeat(self.loop, name, self._loopback.agents, box, peers)
 
@@ -159,11 +159,11 @@
     def _watch(self) -> None:
         """What is in use, by the processes' own state."""
         for zone in self.world.network.zones:
-            here = [p for p in self.fleet.providers.values() if p.zone == zone]
+            here = [p for p in self.fleet.workers.values() if p.zone == zone]
             slots = sum(float(p.group.slots) for p in here if p.state is State.UP)
             self.low[zone] = min(slots, self.low.get(zone, slots))
         self.loop.call_at(self.loop.now() + 5 * MS, self._watch)
 
     def starts(self, runtime: str) -> dict[str, int]:
-        """How often each provider was started with a runtime."""
+        """How often each worker was started with a runtime."""
         return {n: sum(r == runtime for _, r in box.history) for n, box in self.boxes.items()}
--- a/ironbarrow/lab/live/run.py
+++ b/ironbarrow/lab/live/run.py
@@ -13,18 +13,18 @@
 from ironbarrow.lab.fleet.files import fleet_file
 from ironbarrow.lab.fleet.links import CALM, LinkStandIns, Trouble
 from ironbarrow.lab.fleet.logs import read_logs
-from ironbarrow.lab.live.consumers import Consumers
-from ironbarrow.lab.live.directory_server import Agent
+from ironbarrow.lab.live.clients import Clients
+from ironbarrow.lab.live.discovery_server import Agent
 from ironbarrow.lab.live.ports import LoopbackNetwork
 from ironbarrow.lab.live.processes import Instance, Program
-from ironbarrow.lab.live.provider_server import Door
-from ironbarrow.lab.live.wire import Client
-from ironbarrow.lab.model.consumer import Habits
+from ironbarrow.lab.live.wire import HttpClient
+from ironbarrow.lab.live.worker_server import Door
+from ironbarrow.lab.model.client import Habits
 from ironbarrow.lab.model.fleet import Faults, Fleet
 from ironbarrow.lab.model.front import Front
-from ironbarrow.lab.model.provider import Provider, State
 from ironbarrow.lab.model.randomness import Streams
 from ironbarrow.lab.model.spec import Fault, Group, World
+from ironbarrow.lab.model.worker import State, Worker
 from ironbarrow.lab.model.workload import Workload
 from ironbarrow.lab.record import Recorder, Sampler
 from ironbarrow.lab.result import Result
@@ -46,19 +46,19 @@
 
 
 class _LiveFleet(Fleet):
-    """Providers that open their doors when their processes start and shut them when these end."""
+    """Workers that open their doors when their processes start and shut them when these end."""
 
-    opened: Callable[[Provider], None] = staticmethod(lambda provider: None)
+    opened: Callable[[Worker], None] = staticmethod(lambda worker: None)
     ended: Callable[[str], None] = staticmethod(lambda name: None)
 
-    def add(self, group: Group, name: str, zone: str, started_at: int = 0) -> Provider:
+    def add(self, group: Group, name: str, zone: str, started_at: int = 0) -> Worker:
         made = super().add(group, name, zone, started_at)
         self.opened(made)
         return made
 
     def end(self, name: str, *, silent: bool = False) -> None:
         super().end(name, silent=silent)
-        if self.providers[name].state is State.DOWN:
+        if self.workers[name].state is State.DOWN:
             self.ended(name)
 
 
@@ -91,28 +91,28 @@
         count = world.dispatchers.count
         self._loopback = LoopbackNetwork.reserve(count)
         self._listen = [self._loopback.dispatcher(n) for n in range(count)]
-        self._call_backs = [Client(loop, address) for address in self._listen]
+        self._call_backs = [HttpClient(loop, address) for address in self._listen]
         self._addresses: list[dict[str, str]] = [{} for _ in range(count)]
-        self._directory_told: list[set[str]] = [set() for _ in range(count)]
-        self.front = Front(loop, [zone_of(world, n) for n in range(count)], world.consumers.notice)
-        for provider in self.fleet.providers.values():
-            self._open(provider)
+        self._discovery_told: list[set[str]] = [set() for _ in range(count)]
+        self.front = Front(loop, [zone_of(world, n) for n in range(count)], world.clients.notice)
+        for worker in self.fleet.workers.values():
+            self._open(worker)
         self.fleet.opened = self._open
         self.fleet.ended = self._shut
         self.recorder = Recorder(world)
         self.samples = Sampler(_SAMPLE_STEP, [], [])
-        clients = [Client(loop, address) for address in self._listen]
-        self.consumers = Consumers(
+        http_clients = [HttpClient(loop, address) for address in self._listen]
+        self.clients = Clients(
             loop,
             world,
             self._habits,
             self.fleet.network,
             self.front,
-            clients,
+            http_clients,
             self.audit,
             self.recorder,
         )
-        self.workload = Workload(loop, world, self.streams, self.consumers.take)
+        self.workload = Workload(loop, world, self.streams, self.clients.take)
         self.faults = Faults(loop, world, self.fleet, self.workload, self, self.streams)
         self._down: dict[int, int] = {}
         self._ready: set[int] = set()
@@ -158,7 +158,7 @@
 
         agent = Agent(
             self.loop,
-            self.fleet.directory,
+            self.fleet.discovery,
             f"d{number}",
             self._addresses[number],
             told,
@@ -180,12 +180,12 @@
         self._agents.append(agent)
         self.instances.append(instance)
 
-    def _open(self, provider: Provider) -> None:
+    def _open(self, worker: Worker) -> None:
         doors = []
         for number, client in enumerate(self._call_backs):
             zone = zone_of(self.world, number)
 
-            def elsewhere(own: int = number, zone: str = zone) -> Client | None:
+            def elsewhere(own: int = number, zone: str = zone) -> HttpClient | None:
                 """Another dispatcher, through the front of some zone, its own first."""
                 zones = [zone, *(z for z in self.world.network.zones if z != zone)]
                 picked = (self.front.pick(z) for z in zones)
@@ -194,7 +194,7 @@
 
             door = Door(
                 self.loop,
-                provider,
+                worker,
                 self._loopback.party(number),
                 zone=zone,
                 call_back=client,
@@ -204,9 +204,9 @@
                 number=number,
                 elsewhere=elsewhere if self.world.dispatchers.fleet is not None else None,
             )
-            self._addresses[number][provider.name] = "{}:{}".format(*door.address)
+            self._addresses[number][worker.name] = "{}:{}".format(*door.address)
             doors.append(door)
-        self._doors[provider.name] = doors
+        self._doors[worker.name] = doors
 
     def _shut(self, name: str) -> None:
         for door in self._doors.pop(name, ()):
@@ -356,7 +356,7 @@
         longest = max(cls.deadline for cls in self.world.classes)
         last = started_at + self.world.duration + longest + 3 * SECOND
         told = 0
-        while not (self.workload.ended and not self.consumers.open) and self.loop.now() < last:
+        while not (self.workload.ended and not self.clients.open) and self.loop.now() < last:
             self._turn(50 * MS)
             if self._progress is not None and self.loop.now() > told + 200 * MS:
                 told = self.loop.now()
@@ -381,14 +381,14 @@
                 "peak_mb": [round(instance.peak_kb / 1024, 1) for instance in self.instances],
                 "ready_after_ms": [round(value, 1) for value in starts],
                 "crashes": sum(instance.crashes for instance in self.instances),
-                "refused_connections": self.consumers.refused_connections,
-                "wrong_results": self.consumers.wrong_results,
+                "refused_connections": self.clients.refused_connections,
+                "wrong_results": self.clients.wrong_results,
                 "errors": self.errors,
                 "unheard_call_backs": sum(d.gave_up_calls for doors in self._doors.values() for d in doors),
                 "unheard_ends": sum(d.gave_up_ends for doors in self._doors.values() for d in doors),
-                "came_again": self.consumers.came_again,
+                "came_again": self.clients.came_again,
                 "without_dispatcher": {
-                    cls.name: sum(order.cls == n for order in self.consumers.without_dispatcher)
+                    cls.name: sum(order.cls == n for order in self.clients.without_dispatcher)
                     for n, cls in enumerate(self.world.classes)
                 },
                 "fleet": self._fleet_notes(),
@@ -406,8 +406,8 @@
         return {**told, "frames": dict(self.links.frames), "bytes": sum(self.links.bytes.values())}
 
     def _sample(self) -> None:
-        self.samples.held.append([provider.held for provider in self.fleet.providers.values()])
-        self.samples.names = list(self.fleet.providers)
+        self.samples.held.append([worker.held for worker in self.fleet.workers.values()])
+        self.samples.names = list(self.fleet.workers)
         if not self.workload.ended:
             self.loop.call_at(self.loop.now() + _SAMPLE_STEP, self._sample)
 
--- a/ironbarrow/lab/live/wire.py
+++ b/ironbarrow/lab/live/wire.py
@@ -14,7 +14,7 @@
 _KEPT = 64
 
 
-class Client:
+class HttpClient:
     """Requests to one address, over connections that are kept."""
 
     def __init__(self, loop: Loop, address: Address) -> None:
--- a/ironbarrow/lab/live/provider_server.py
+++ b/ironbarrow/lab/live/worker_server.py
@@ -1,4 +1,4 @@
-"""A provider of the model on sockets: takes jobs over HTTP/1.1 and tells of them by call-backs."""
+"""A worker of the model on sockets: takes jobs over HTTP/1.1 and tells of them by call-backs."""
 
 import json
 from collections import deque
@@ -7,9 +7,9 @@
 
 from ironbarrow.core.endings import ConnectionEndedError
 from ironbarrow.lab.audit import Auditor
-from ironbarrow.lab.live.wire import Client, Server, next_message
+from ironbarrow.lab.live.wire import HttpClient, Server, next_message
 from ironbarrow.lab.model.network import Network
-from ironbarrow.lab.model.provider import Need, Provider, Reply, Report, State
+from ironbarrow.lab.model.worker import Need, Reply, Report, State, Worker
 from ironbarrow.runtime.loop import HANGUP, MS, SECOND, Coroutine, Loop, Task, Wait, sleep
 from ironbarrow.runtime.sockets import Address, listen
 from ironbarrow.transport.http import Connection
@@ -30,30 +30,30 @@
     job_id: str
     states: deque[tuple[str, Report | None]] = field(default_factory=deque)
     telling: bool = False
-    waiter: Task | None = None  # whoever waits for a 202 while the provider hangs
+    waiter: Task | None = None  # whoever waits for a 202 while the worker hangs
     late_reply: str = ""
 
 
 class Door:
-    """One dispatcher's way to a provider: an address of its own, as a machine each would have."""
+    """One dispatcher's way to a worker: an address of its own, as a machine each would have."""
 
     def __init__(
         self,
         loop: Loop,
-        provider: Provider,
+        worker: Worker,
         address: Address,
         *,
         zone: str,
-        call_back: Client,
+        call_back: HttpClient,
         needs: Mapping[str, Need],
         audit: Auditor,
         network: Network,
         number: int = 0,
-        elsewhere: Callable[[], Client | None] | None = None,
+        elsewhere: Callable[[], HttpClient | None] | None = None,
     ) -> None:
         """``elsewhere``: who hears of a call-back that its own dispatcher does not take; where dispatchers
-        share a fleet, another one through the consumers' front."""
-        self._loop, self._provider, self._zone = loop, provider, zone
+        share a fleet, another one through the clients' front."""
+        self._loop, self._worker, self._zone = loop, worker, zone
         self._number, self._elsewhere = number, elsewhere
         self._call_back, self._needs, self._audit, self._network = call_back, needs, audit, network
         self._taken: dict[str, _Taken] = {}
@@ -71,15 +71,15 @@
         return self._server.connections
 
     def _silent(self) -> bool:
-        return self._provider.state is State.VANISHED or not self._network.reaches(
-            self._zone, self._provider.zone
+        return self._worker.state is State.VANISHED or not self._network.reaches(
+            self._zone, self._worker.zone
         )
 
     def _way(self) -> Coroutine[None]:
         """One way through the network; a cut holds everything back until it is mended."""
         while self._silent():
             yield from sleep(self._loop.now() + 50 * MS)
-        latency = self._network.latency(self._zone, self._provider.zone, self._provider.name)
+        latency = self._network.latency(self._zone, self._worker.zone, self._worker.name)
         yield from sleep(self._loop.now() + latency)
 
     # Requests
@@ -89,20 +89,20 @@
             first, request = yield from next_message(self._loop, connection, _IDLE, _WHOLE)
             path = request.target.partition("?")[0]
             arrives = request.headers.get("x-request-id", "") if request.method == "POST" else ""
-            self._provider.arriving.add(arrives)
+            self._worker.arriving.add(arrives)
             try:
                 yield from self._way()
             finally:
-                self._provider.arriving.discard(arrives)
-            if self._provider.state is State.DOWN:
+                self._worker.arriving.discard(arrives)
+            if self._worker.state is State.DOWN:
                 return
             if request.method == "DELETE" and path.startswith("/jobs/"):
                 # danger: where this process is late, a DELETE would overtake the job that it is about
-                while path.removeprefix("/jobs/") in self._provider.arriving:
+                while path.removeprefix("/jobs/") in self._worker.arriving:
                     yield from sleep(self._loop.now() + MS)
                 status, headers, body = self._delete(path.removeprefix("/jobs/"))
             elif request.method == "GET" and path in ("/-/healthy", "/-/load"):
-                text = _header(self._provider.report()).encode() if path == "/-/load" else b""
+                text = _header(self._worker.report()).encode() if path == "/-/load" else b""
                 status, headers, body = 200, [], text
             elif request.method == "POST":
                 answered = yield from self._job(connection, request, first)
@@ -111,7 +111,7 @@
                 status, headers, body = answered
             else:
                 status, headers, body = 404, [], b""
-            while self._provider.trouble.hung:  # it says nothing while it hangs
+            while self._worker.trouble.hung:  # it says nothing while it hangs
                 yield from sleep(self._loop.now() + 20 * MS)
             yield from self._way()
             data = connection.response_bytes(status, headers, body)
@@ -120,8 +120,8 @@
                 return
 
     def _delete(self, job_id: str) -> tuple[int, list[tuple[str, str]], bytes]:
-        self._audit.attempt_over(job_id, self._provider.name, never_ran=False)
-        self._provider.cancel(job_id)
+        self._audit.attempt_over(job_id, self._worker.name, never_ran=False)
+        self._worker.cancel(job_id)
         return 204, [], b""
 
     def _job(
@@ -131,14 +131,14 @@
         need = self._needs.get(job_id)
         if need is None:
             return (404 if not job_id else 400), [], b""
-        name = self._provider.name
+        name = self._worker.name
         self._audit.sent(job_id, name, first, self._number)
         taken = self._taken[job_id] = _Taken(job_id)
 
         def tell(state: str, report: Report | None) -> None:
             self._tell(taken, state, report)
 
-        reply = self._provider.arrive(job_id, need, tell)
+        reply = self._worker.arrive(job_id, need, tell)
         if reply is Reply.NOTHING:
             taken.waiter = self._loop.current
             while not taken.late_reply:
@@ -146,7 +146,7 @@
                 if not taken.late_reply and (not woken or connection.is_gone()):
                     # the dispatcher gave it up by closing the connection
                     self._audit.attempt_over(job_id, name, never_ran=False)
-                    self._provider.cancel(job_id)
+                    self._worker.cancel(job_id)
                     return None
             taken.waiter = None
             reply = Reply.TAKEN if taken.late_reply == "accepted" else Reply.FULL
@@ -155,7 +155,7 @@
         self._taken.pop(job_id, None)
         if reply is Reply.FULL:
             self._audit.attempt_over(job_id, name, never_ran=True)
-            load = ("X-Server-Load", _header(self._provider.report()))
+            load = ("X-Server-Load", _header(self._worker.report()))
             return 503, [("X-Not-Processed", "1"), load], b""
         self._audit.attempt_over(job_id, name, never_ran=False)
         return None
@@ -169,7 +169,7 @@
                 taken.waiter.wake()
             return
         if state in ("done", "failed", "returned", "lost"):
-            self._audit.attempt_over(taken.job_id, self._provider.name, never_ran=state == "returned")
+            self._audit.attempt_over(taken.job_id, self._worker.name, never_ran=state == "returned")
         taken.states.append((state, report))
         if not taken.telling:
             taken.telling = True
@@ -179,14 +179,14 @@
         """Tells one state after another, each until it is answered, at most ten times."""
         while taken.states:
             state, report = taken.states.popleft()
-            message: dict[str, object] = {"id": taken.job_id, "from": self._provider.name, "state": state}
+            message: dict[str, object] = {"id": taken.job_id, "from": self._worker.name, "state": state}
             if state == "done":
                 message["result"] = f"done {taken.job_id}"
             if report is not None:
                 message["load"] = report.fields()
             body = json.dumps(message).encode()
             headers = [("Content-Type", "application/json")]
-            client: Client | None = self._call_back
+            client: HttpClient | None = self._call_back
             for turn in range(_CALL_BACK_TRIES):
                 yield from self._way()
                 if turn and self._elsewhere is not None:
--- a/ironbarrow/lab/model/__init__.py
+++ b/ironbarrow/lab/model/__init__.py
@@ -1,1 +1,1 @@
-"""The model: providers, directory, consumers, network and faults, free of what drives time."""
+"""The model: workers, service discovery, clients, network and faults, free of what drives time."""
--- a/ironbarrow/lab/model/consumer.py
+++ b/ironbarrow/lab/model/client.py
@@ -1,10 +1,10 @@
-"""How consumers go on after an answer, and what each of their tries takes of a provider."""
+"""How clients go on after an answer, and what each of their tries takes of a worker."""
 
 from dataclasses import dataclass
 
-from ironbarrow.lab.model.provider import Need
 from ironbarrow.lab.model.randomness import Streams
 from ironbarrow.lab.model.spec import World
+from ironbarrow.lab.model.worker import Need
 from ironbarrow.lab.model.workload import Order
 from ironbarrow.runtime.clock import SECOND, Clock
 
@@ -13,20 +13,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Ended:
-    """The consumer goes no further."""
+    """The client goes no further."""
 
     outcome: str
 
 
 @dataclass(frozen=True, slots=True)
 class Again:
-    """The consumer tries again after a pause, ns."""
+    """The client tries again after a pause, ns."""
 
     pause: int
 
 
 class Habits:
-    """Retries, pauses and needs of all consumers of a world."""
+    """Retries, pauses and needs of all clients of a world."""
 
     def __init__(self, clock: Clock, world: World, streams: Streams) -> None:
         self._clock, self._world = clock, world
@@ -53,12 +53,12 @@
             self.needs.pop(f"{number:x}-{n}", None)
 
     def next_step(self, order: Order, how: str, tries: int, retry_after: int) -> Ended | Again:
-        """What a consumer does who heard ``how`` (served, rejected, failed, or refused: no connection)
+        """What a client does who heard ``how`` (served, refused, failed, or unreachable: no connection)
         after so many tries. What may have run and must not run twice is never tried again."""
-        people = self._world.consumers
+        people = self._world.clients
         unsafe = self._world.classes[order.cls].effect == "unsafe"
-        again = how in ("rejected", "refused") or (how == "failed" and not unsafe)
-        ended = Ended("failed" if how == "refused" else how)
+        again = how in ("refused", "unreachable") or (how == "failed" and not unsafe)
+        ended = Ended("failed" if how == "unreachable" else how)
         if not again or tries > people.retries:
             return ended
         pause: int = people.pause
@@ -70,16 +70,16 @@
         return ended if self._clock.now() + pause >= order.due + order.patience else Again(pause)
 
     def comes_again(self, order: Order, how: str) -> Again | None:
-        """What a consumer does whose connection was refused or broke before any answer, where the job may
+        """What a client does whose connection was refused or broke before any answer, where the job may
         have been taken over: it asks for the same job again, at once or, refused, after a pause. None if
         its time is over, or if it does not do so."""
-        people = self._world.consumers
+        people = self._world.clients
         if not people.same_id or self._world.dispatchers.fleet is None:
             return None
-        pause = int(people.pause * self._people.uniform(0.5, 1.5)) if how == "refused" else 0
+        pause = int(people.pause * self._people.uniform(0.5, 1.5)) if how == "unreachable" else 0
         return None if self._clock.now() + pause >= order.due + order.patience else Again(pause)
 
     @staticmethod
     def gives_up(order: Order) -> str:
-        """The outcome of an order whose consumer has waited long enough."""
+        """The outcome of an order whose client has waited long enough."""
         return "no answer" if order.patience >= order.deadline else "left"
--- a/ironbarrow/lab/model/directory.py
+++ b/ironbarrow/lab/model/discovery.py
@@ -1,4 +1,4 @@
-"""The directory: one true list of providers, pushed to each subscriber late and in order."""
+"""The discovery service: one true list of workers, pushed to each subscriber late and in order."""
 
 from collections.abc import Callable
 from dataclasses import dataclass, replace
@@ -10,7 +10,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Entry:
-    """A provider's line. ``since``: its last start, ns of Unix time; 0: long ago."""
+    """A worker's line. ``since``: its last start, ns of Unix time; 0: long ago."""
 
     name: str
     zone: str
@@ -39,10 +39,10 @@
         self.name, self.listener, self.last_at, self.open = name, listener, 0, True
 
 
-class Directory:
+class Discovery:
     """Keeps the list and tells of its changes."""
 
-    def __init__(self, clock: Clock, settings: spec.Directory, streams: Streams) -> None:
+    def __init__(self, clock: Clock, settings: spec.Discovery, streams: Streams) -> None:
         self._clock, self._set, self._streams = clock, settings, streams
         self.version = 1
         self.entries: dict[str, Entry] = {}
@@ -83,7 +83,7 @@
             self._tell(subscriber, news, int(stream.uniform(self._set.soonest, self._set.latest)))
 
     def mark(self, name: str, status: str) -> None:
-        """Changes a provider's status, if it is listed."""
+        """Changes a worker's status, if it is listed."""
         entry = self.entries.get(name)
         if entry is not None and entry.status != status:
             self.change(replace(entry, status=status))
--- a/ironbarrow/lab/model/front.py
+++ b/ironbarrow/lab/model/front.py
@@ -1,4 +1,4 @@
-"""The plain front layer: deals consumers out by zone, and notices a dead dispatcher late."""
+"""The plain front layer: deals clients out by zone, and notices a dead dispatcher late."""
 
 from ironbarrow.config.units import Duration
 from ironbarrow.runtime.clock import MS, Clock
@@ -7,7 +7,7 @@
 
 
 class Front:
-    """Which dispatcher a consumer's next try goes to. Dispatchers are told by number."""
+    """Which dispatcher a client's next try goes to. Dispatchers are told by number."""
 
     def __init__(self, clock: Clock, zones: list[str], notice: Duration) -> None:
         self._clock, self._zones, self._notice = clock, zones, notice  # zones: one for each dispatcher
@@ -35,7 +35,7 @@
             self._dealt.discard(number)
 
     def pick(self, zone: str) -> int | None:
-        """The next dispatcher for a consumer of this zone; one of another zone if it has none."""
+        """The next dispatcher for a client of this zone; one of another zone if it has none."""
         own = sorted(n for n in self._dealt if self._zones[n] == zone) or sorted(self._dealt)
         if not own:
             return None
--- a/ironbarrow/lab/model/network.py
+++ b/ironbarrow/lab/model/network.py
@@ -22,7 +22,7 @@
         return self._jittered(base, who)
 
     def client_latency(self, who: str) -> int:
-        """One way between a consumer and its front, ns."""
+        """One way between a client and its front, ns."""
         return self._jittered(self._set.client, who)
 
     def _jittered(self, base: int, who: str) -> int:
--- a/ironbarrow/lab/model/randomness.py
+++ b/ironbarrow/lab/model/randomness.py
@@ -64,7 +64,7 @@
 
 
 class Streams:
-    """All streams of one seed."""
+    """All streams of one seed. A stream's name is part of the seed: another name gives other draws."""
 
     def __init__(self, seed: int) -> None:
         self.seed = seed
--- a/ironbarrow/lab/model/spec.py
+++ b/ironbarrow/lab/model/spec.py
@@ -88,7 +88,7 @@
 
 
 class Group(Part, frozen=True):
-    """Providers of one generation. Speed 1 does one second of work in a second on one core."""
+    """Workers of one generation. Speed 1 does one second of work in a second on one core."""
 
     name: str
     count: Count
@@ -109,7 +109,7 @@
 
 
 class Cold(Part, frozen=True):
-    """Start of a provider: its part of capacity at first, the time to full, when it falls over."""
+    """Start of a worker: its part of capacity at first, the time to full, when it falls over."""
 
     time: Duration = ms(15_000)
     start: Annotated[float, Meta(gt=0, le=1)] = 0.25
@@ -118,7 +118,7 @@
 
 
 class Store(Part, frozen=True):
-    """What jobs need and providers keep for a while; fetched from one store of limited capacity."""
+    """What jobs need and workers keep for a while; fetched from one store of limited capacity."""
 
     fetch: Draw = Draw(mean=ms(200), kind="exp")
     at_once: Count = 8
@@ -126,8 +126,8 @@
     zipf: Number = 0.9
 
 
-class Directory(Part, frozen=True):
-    """The list of providers: pushed, and late by a uniform draw."""
+class Discovery(Part, frozen=True):
+    """The list of workers: pushed, and late by a uniform draw."""
 
     soonest: Duration = ms(500)
     latest: Duration = ms(2500)
@@ -170,8 +170,8 @@
     zipf: Number = 0.8
 
 
-class Consumers(Part, frozen=True):
-    """How consumers behave, and the front that deals them out."""
+class Clients(Part, frozen=True):
+    """How clients behave, and the front that deals them out."""
 
     retries: Annotated[int, Meta(ge=0)] = 1
     backoff: Literal["fixed", "exponential"] = "fixed"
@@ -183,7 +183,7 @@
 
 
 class Fault(Part, frozen=True):
-    """One thing that goes wrong. Who: ``providers`` by name, else ``part`` of them; or ``dispatcher``."""
+    """One thing that goes wrong. Who: ``workers`` by name, else ``part`` of them; or ``dispatcher``."""
 
     kind: Literal[
         "slow",
@@ -196,7 +196,7 @@
         "die",
         "vanish",
         "cut",
-        "directory outage",
+        "discovery outage",
         "dispatcher killed",
         "dispatcher restarted",
         "dispatcher stopped",
@@ -208,7 +208,7 @@
     at: Duration
     lasts: Duration = ms(0)
     part: Share = 0.2
-    providers: list[str] = msgspec.field(default_factory=list)
+    workers: list[str] = msgspec.field(default_factory=list)
     size: Positive = 4.0  # slow, flood: factor; fail fast: share that fails; late reports: seconds
     batch: Share = 0.2  # deploy: part of the fleet at a time
     drain: Duration = ms(4000)  # deploy, shrink, drain: from draining to the end of the process
@@ -232,16 +232,16 @@
     name: str
     duration: Duration
     classes: Annotated[list[Class], Meta(min_length=1)]
-    providers: Annotated[list[Group], Meta(min_length=1)]
+    workers: Annotated[list[Group], Meta(min_length=1)]
     arrivals: Arrivals
     network: Network = Network()
     dispatchers: Dispatchers = Dispatchers()
     reports: Reports = Reports()
     cold: Cold = Cold()
     store: Store = Store()
-    directory: Directory = Directory()
+    discovery: Discovery = Discovery()
     sessions: Sessions = Sessions()
-    consumers: Consumers = Consumers()
+    clients: Clients = Clients()
     faults: list[Fault] = msgspec.field(default_factory=list)
 
     def check(self) -> None:
@@ -250,7 +250,7 @@
             raise ValueError("arrivals: expected exactly one of rate and load")
         for what, names in (
             ("classes", [c.name for c in self.classes]),
-            ("providers", [g.name for g in self.providers]),
+            ("workers", [g.name for g in self.workers]),
             ("network.zones", self.network.zones),
         ):
             if len(set(names)) != len(names):
@@ -258,8 +258,8 @@
         for cls in self.classes:
             if not cls.slots or not sum(cls.slots) > 0:
                 raise ValueError(f"classes {cls.name!r}: slots: expected shares of which one is above 0")
-            if len(cls.slots) > max(g.slots for g in self.providers):
-                raise ValueError(f"classes {cls.name!r}: slots: expected no more than a provider has")
+            if len(cls.slots) > max(g.slots for g in self.workers):
+                raise ValueError(f"classes {cls.name!r}: slots: expected no more than a worker has")
         for number, fault in enumerate(self.faults):
             place = f"faults[{number}]"
             if fault.dispatcher >= self.dispatchers.count:
@@ -280,10 +280,10 @@
                 raise ValueError(f"{place}.zones: expected two zones or more, got {fault.zones}")
             if fault.farm is not None and fault.farm >= self.sessions.farms:
                 raise ValueError(f"{place}.farm: expected less than {self.sessions.farms}")
-            known = {f"{g.name}-{i}" for g in self.providers for i in range(g.count)}
-            if not set(fault.providers) <= known:
-                unknown = sorted(set(fault.providers) - known)
-                raise ValueError(f"{place}.providers: unknown: {unknown}; expected names such as gen1-0")
+            known = {f"{g.name}-{i}" for g in self.workers for i in range(g.count)}
+            if not set(fault.workers) <= known:
+                unknown = sorted(set(fault.workers) - known)
+                raise ValueError(f"{place}.workers: unknown: {unknown}; expected names such as gen1-0")
             if fault.kind == "fail fast" and fault.size > 1:
                 raise ValueError(f"{place}.size: expected a share of at most 1 for 'fail fast'")
 
@@ -293,8 +293,8 @@
         return sum(c.share * c.work.mean.seconds * _mean_slots(c) for c in self.classes) / shares
 
     def capacity(self) -> float:
-        """Core-seconds at speed 1 that the listed providers do in a second, keys aside."""
-        return sum(g.count * min(g.cores, g.slots) * g.speed for g in self.providers if g.listed)
+        """Core-seconds at speed 1 that the listed workers do in a second, keys aside."""
+        return sum(g.count * min(g.cores, g.slots) * g.speed for g in self.workers if g.listed)
 
     def rate(self) -> float:
         """Jobs a second, on average."""
@@ -324,11 +324,53 @@
     raise NotImplementedError(type(value))
 
 
+# Names that worlds used to have; they are still read
+_FORMER_KEYS = {"providers": "workers", "consumers": "clients", "directory": "discovery"}
+_FORMER_FAULT_KEYS = {"providers": "workers"}
+_FORMER_FAULT_KINDS = {"directory outage": "discovery outage"}
+
+
+def present_path(path: str) -> str:
+    """The path of a world's key, such as "workers.gen2.count", with a former name replaced."""
+    first, dot, rest = path.partition(".")
+    return _FORMER_KEYS.get(first, first) + dot + rest
+
+
+def with_present_names(raw: Any, where: str) -> Any:
+    """A world as plain data, with former names replaced; a WorldError if a key is there under both names."""
+    if not isinstance(raw, dict):
+        return raw
+    world = _renamed(raw, _FORMER_KEYS, where)
+    faults = world.get("faults")
+    if isinstance(faults, list):
+        world["faults"] = [_present_fault(fault, f"{where}: faults[{n}]") for n, fault in enumerate(faults)]
+    return world
+
+
+def _present_fault(raw: Any, where: str) -> Any:
+    if not isinstance(raw, dict):
+        return raw
+    fault = _renamed(raw, _FORMER_FAULT_KEYS, where)
+    kind = fault.get("kind")
+    if isinstance(kind, str):
+        fault["kind"] = _FORMER_FAULT_KINDS.get(kind, kind)
+    return fault
+
+
+def _renamed(table: dict[str, Any], names: dict[str, str], where: str) -> dict[str, Any]:
+    for former, present in names.items():
+        if former in table and present in table:
+            raise WorldError(f"{where}: `{former}`: the former name of `{present}`, which is there too")
+    return {names.get(key, key): value for key, value in table.items()}
+
+
 S = TypeVar("S")
 
 
 def convert(raw: Any, kind: type[S], where: str) -> S:
     """Plain data as a checked object; a WorldError names the key and what was expected."""
+    if kind is World:
+        raw = with_present_names(raw, where)
     try:
         made = msgspec.convert(raw, kind, dec_hook=_decode)
         if isinstance(made, World):
--- a/ironbarrow/lab/model/store.py
+++ b/ironbarrow/lab/model/store.py
@@ -1,4 +1,4 @@
-"""The shared store that providers fetch from: so many fetches at once, the others in order."""
+"""The shared store that workers fetch from: so many fetches at once, the others in order."""
 
 from collections import deque
 from collections.abc import Callable
@@ -18,7 +18,7 @@
 
 
 class Store:
-    """Fetches for all providers together."""
+    """Fetches for all workers together."""
 
     def __init__(self, clock: Clock, fetch: Draw, at_once: int, stream: Stream) -> None:
         self._clock, self._fetch, self._stream = clock, fetch, stream
--- a/ironbarrow/lab/model/provider.py
+++ b/ironbarrow/lab/model/worker.py
@@ -1,6 +1,6 @@
-"""A provider: slots that share cores, a bounded queue, keys, a cold start, reports, and its troubles.
+"""A worker: slots that share cores, a bounded queue, keys, a cold start, reports, and its troubles.
 
-All running jobs of a provider go at one rate, which changes whenever one starts or ends. Time in
+All running jobs of a worker go at one rate, which changes whenever one starts or ends. Time in
 units of work done a job (``_done``) makes the next end a heap's first entry, so that an event costs
 O(log n) whatever the number of jobs (processor sharing by virtual time).
 """
@@ -17,12 +17,12 @@
 from ironbarrow.lab.model.store import Store
 from ironbarrow.runtime.clock import MS, Clock, Timer
 
-_RAMP_STEPS = 40  # a cold provider's rate is renewed so often on its way to full
+_RAMP_STEPS = 40  # a cold worker's rate is renewed so often on its way to full
 _QUICK = 2 * MS  # how long a job takes that fails fast
 
 
 class State(Enum):
-    """What a provider's process is doing."""
+    """What a worker's process is doing."""
 
     UP = "up"
     DRAINING = "draining"
@@ -31,7 +31,7 @@
 
 
 class Reply(Enum):
-    """What becomes of a job at the provider's door."""
+    """What becomes of a job at the worker's door."""
 
     TAKEN = "taken"
     FULL = "full"
@@ -41,7 +41,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Report:
-    """A provider's own figures, late and noisy."""
+    """A worker's own figures, late and noisy."""
 
     free_slots: float
     waiting: float
@@ -56,7 +56,7 @@
 
 
 class _Stage(Enum):
-    INBOX = 0  # came while the provider hung
+    INBOX = 0  # came while the worker hung
     QUEUED = 1
     FETCHING = 2
     RUNNING = 3
@@ -65,7 +65,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Need:
-    """What a try takes of a provider: slots, a key that must be there, and work (ns on one core at
+    """What a try takes of a worker: slots, a key that must be there, and work (ns on one core at
     speed 1); ``usual`` is the mean work of its class."""
 
     work: float
@@ -76,7 +76,7 @@
 
 @dataclass(slots=True, eq=False)
 class Held:
-    """A job that a provider holds. ``work``: ns on one core at speed 1."""
+    """A job that a worker holds. ``work``: ns on one core at speed 1."""
 
     id: str
     work: float
@@ -89,16 +89,16 @@
 
 
 class Watcher:
-    """Who is told what a provider does; the auditor and the recorder. Does nothing itself."""
+    """Who is told what a worker does; the auditor and the recorder. Does nothing itself."""
 
-    def job_started(self, provider: str, job_id: str) -> None: ...
-    def job_ended(self, provider: str, job_id: str, how: str) -> None: ...
-    def fell(self, provider: str) -> None: ...
+    def job_started(self, worker: str, job_id: str) -> None: ...
+    def job_ended(self, worker: str, job_id: str, how: str) -> None: ...
+    def fell(self, worker: str) -> None: ...
 
 
 @dataclass(slots=True)
 class Trouble:
-    """What is wrong with a provider at present."""
+    """What is wrong with a worker at present."""
 
     slowed: float = 1.0
     failing: float = 0.0
@@ -107,8 +107,8 @@
     kept_back: list[tuple[Held, str]] = field(default_factory=list)
 
 
-class Provider:
-    """One process of a provider."""
+class Worker:
+    """One process of a worker."""
 
     def __init__(
         self,
@@ -372,7 +372,7 @@
     # Cold starts
 
     def _note_cold_work(self, work: float) -> None:
-        """Danger for whoever sends: over so much work in a window, a cold provider falls over. Counted by
+        """Danger for whoever sends: over so much work in a window, a cold worker falls over. Counted by
         what is usual for a class: nobody can tell a heavy job from a light one before it has run."""
         now = self._clock.now()
         if not self.started_at or now >= self.started_at + self._cold.time:
--- a/ironbarrow/lab/model/workload.py
+++ b/ironbarrow/lab/model/workload.py
@@ -1,4 +1,4 @@
-"""What consumers ask for, and when: arrivals as an open loop, classes, sizes, sessions, keys."""
+"""What clients ask for, and when: arrivals as an open loop, classes, sizes, sessions, keys."""
 
 import math
 from collections.abc import Callable
@@ -12,7 +12,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Order:
-    """A job as its consumer wants it, before any try. Times in ns; ``due`` on the run's clock."""
+    """A job as its client wants it, before any try. Times in ns; ``due`` on the run's clock."""
 
     number: int
     due: int
@@ -22,10 +22,10 @@
     slots: int
     session: int | None
     farm: int
-    key: int | None  # what a provider needs for it
+    key: int | None  # what a worker needs for it
     wanted: int  # from due
     deadline: int  # from due
-    patience: int  # from due; the deadline unless the consumer is impatient
+    patience: int  # from due; the deadline unless the client is impatient
     honours: bool  # whether it keeps to Retry-After
 
 
@@ -119,7 +119,7 @@
             session = farm + farms * self._flooding.below(max(1, world.sessions.count // farms))
         work = max(1.0, draw(cls.work, self._work[number]))
         patience: int = cls.deadline
-        if self._people.chance(world.consumers.impatient):
+        if self._people.chance(world.clients.impatient):
             patience = int(self._people.uniform(0.1, 1.0) * cls.deadline)
         return Order(
             self.made,
@@ -134,7 +134,7 @@
             int(cls.wanted + cls.stretch * work),
             cls.deadline,
             patience,
-            self._people.chance(world.consumers.honour),
+            self._people.chance(world.clients.honour),
         )
 
 
--- a/ironbarrow/lab/record.py
+++ b/ironbarrow/lab/record.py
@@ -10,7 +10,7 @@
 from ironbarrow.lab.model.workload import Order
 from ironbarrow.runtime.clock import SECOND
 
-OUTCOMES = ("served", "rejected", "failed", "no answer", "left")
+OUTCOMES = ("served", "refused", "failed", "no answer", "left")
 Column = np.ndarray[Any, np.dtype[Any]]
 
 
@@ -53,7 +53,7 @@
 
 @dataclass(slots=True)
 class Sampler:
-    """Load by provider over time: one row of held jobs each step."""
+    """Load by worker over time: one row of held jobs each step."""
 
     step: int
     names: list[str]
--- a/ironbarrow/lab/scale/directory.py
+++ b/ironbarrow/lab/scale/discovery.py
@@ -1,6 +1,7 @@
-"""The directory's agents of all dispatchers: one list of workers, told to each region with the addresses that
-count there. Each agent tells of a change after a time of its own, as a platform's agents do that are not in
-step; told at once, all dispatchers of a process would be busy in the same instant, and wait for each other.
+"""The discovery service's agents of all dispatchers: one list of workers, told to each region with the
+addresses that count there. Each agent tells of a change after a time of its own, as a platform's agents do
+that are not in step; told at once, all dispatchers of a process would be busy in the same instant, and wait
+for each other.
 """
 
 import json
@@ -9,7 +10,7 @@
 from urllib.parse import parse_qs
 
 from ironbarrow.lab.live.wire import Server, next_message
-from ironbarrow.lab.model.directory import Entry, News
+from ironbarrow.lab.model.discovery import Entry, News
 from ironbarrow.lab.scale.messages import Traffic
 from ironbarrow.lab.settings import list_object
 from ironbarrow.runtime.loop import SECOND, Coroutine, Loop, Task, sleep
@@ -69,7 +70,7 @@
         return self._workers.version
 
     def known(self) -> dict[str, object]:
-        """The list in the directory's form."""
+        """The list in the discovery service's form."""
         return list_object(self._workers.whole(), self._addresses)
 
     def whole_line(self) -> bytes:
@@ -108,7 +109,7 @@
         return self.address
 
     def known(self) -> dict[str, object]:
-        """The list in the directory's form."""
+        """The list in the discovery service's form."""
         return self._region.known()
 
     def hear(self, count: int) -> None:
--- a/ironbarrow/lab/scale/hollow_dispatchers.py
+++ b/ironbarrow/lab/scale/hollow_dispatchers.py
@@ -1,4 +1,4 @@
-"""A process with many hollow dispatchers: the whole program as an object each, without consumers of its own.
+"""A process with many hollow dispatchers: the whole program as an object each, without clients of its own.
 
 Each has a loop of its own, so that one can be stopped or ended as a process would be; one poll over all loops
 runs those that have something to do.
@@ -20,7 +20,7 @@
 from heathway import api
 from ironbarrow.config import Config, load
 from ironbarrow.daemon import Dispatcher
-from ironbarrow.fleet.api import Life, MemberChanged, Message, News, Send
+from ironbarrow.fleet.api import Incarnation, MemberChanged, Message, News, Send
 from ironbarrow.fleet.codec import Codec
 from ironbarrow.fleet.file import Fleet
 from ironbarrow.fleet.service import FleetService
@@ -83,13 +83,13 @@
         super().__init__(())
         self._counts = counts
 
-    def encode(self, sender: Life, to_start: int, message: Message) -> bytes:
+    def encode(self, sender: Incarnation, to_start: int, message: Message) -> bytes:
         """One frame, counted."""
         data = super().encode(sender, to_start, message)
         self._counts.note_sent(type(message), len(data))
         return data
 
-    def decode(self, frame: bytes) -> tuple[Life, int, Message] | None:
+    def decode(self, frame: bytes) -> tuple[Incarnation, int, Message] | None:
         """What a frame holds, counted."""
         found = super().decode(frame)
         if found is not None:
@@ -118,13 +118,13 @@
         if not self._is_cut_from(action.to.name):
             super()._send(action)
 
-    def _received(self, sender: Life, to_start: int, message: Message) -> None:
+    def _received(self, sender: Incarnation, to_start: int, message: Message) -> None:
         if not self._is_cut_from(sender.name):
             super()._received(sender, to_start, message)
 
     def _note(self, news: News) -> None:
         if isinstance(news, MemberChanged):
-            life, health = news.member.card.life, news.member.health.value
+            life, health = news.member.card.incarnation, news.member.health.value
             now = time.monotonic_ns()
             self._counts.member_news.append(MemberNews(now, self.name, life.name, life.start, health))
 
@@ -147,7 +147,7 @@
             self.listener.getsockname()[:2],
             make_service=partial(HollowMember, counts=self._counts),
         )
-        self.consumers.shared = self.fleet.work
+        self.clients.shared = self.fleet.work
 
     def _listed(self, news: api.WorkerList) -> None:
         super()._listed(news)
@@ -156,14 +156,14 @@
     def add_states(self, states: States) -> None:
         """Adds what this dispatcher holds."""
         members = len(self.fleet.service.members.alive())
-        keeper = self.fleet.ledgers.keeper
+        replica = self.fleet.ledgers.replica
         states.least_members = min(states.least_members, members) if states.dispatchers else members
         states.dispatchers += 1
         states.members += members
         states.workers += len(self.host.workers)
-        states.segments += len(keeper.segments)
-        states.segment_entries += sum(len(segment.table) for segment in keeper.segments.values())
-        states.segment_bytes += keeper.size
+        states.segments += len(replica.segments)
+        states.segment_entries += sum(len(segment.table) for segment in replica.segments.values())
+        states.segment_bytes += replica.size
 
 
 class LoopGroup:
--- a/ironbarrow/lab/scale/hollow_workers.py
+++ b/ironbarrow/lab/scale/hollow_workers.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from ironbarrow.core.endings import ConnectionEndedError
-from ironbarrow.lab.live.wire import Client, Server, next_message
+from ironbarrow.lab.live.wire import HttpClient, Server, next_message
 from ironbarrow.lab.scale.control import Control
 from ironbarrow.lab.scale.messages import (
     AnyCommand,
@@ -143,7 +143,7 @@
         self._workers: dict[str, HollowWorker] = {}
         self._call_backs = self._unheard = self._errors = 0
         self.loop = Loop(self._failed)
-        self._fronts = [Client(self.loop, parse_address(front)) for front in spec.fronts]
+        self._fronts = [HttpClient(self.loop, parse_address(front)) for front in spec.fronts]
         self._lateness = LatenessMeter(self.loop)
         for one in spec.workers:
             self._workers[one.name] = HollowWorker(self, one)
--- a/ironbarrow/lab/scale/layout.py
+++ b/ironbarrow/lab/scale/layout.py
@@ -7,7 +7,7 @@
 
 from ironbarrow.config.units import ms
 from ironbarrow.lab.model import spec
-from ironbarrow.lab.model.directory import Entry
+from ironbarrow.lab.model.discovery import Entry
 from ironbarrow.lab.scale.target import ACCELERATORS, REGIONS, RUNNING_TASKS, WORKERS, ZONES, Size, zone_of
 from ironbarrow.lab.settings import settings_object
 from ironbarrow.runtime.sockets import Address
@@ -54,10 +54,10 @@
             name="scale",
             duration=ms(1000),
             classes=[task, booking],
-            providers=[spec.Group(name="w", count=self.size.workers, slots=SLOTS, cores=CORES)],
+            workers=[spec.Group(name="w", count=self.size.workers, slots=SLOTS, cores=CORES)],
             arrivals=spec.Arrivals(rate=self.size.starts_per_second),
             network=spec.Network(zones=list(ZONES)),
-            directory=spec.Directory(weights="live"),
+            discovery=spec.Discovery(weights="live"),
             dispatchers=spec.Dispatchers(count=self.size.dispatchers, sockets=_SOCKETS, fleet=spec.Fleet()),
         )
 
@@ -101,13 +101,13 @@
         teams = [{"name": name, "share": share} for name in self.teams]
         return {**settings_object(self.world, number), "realms": teams}
 
-    def write_config(self, number: int, directory: Address, known: dict[str, object]) -> Path:
+    def write_config(self, number: int, discovery: Address, known: dict[str, object]) -> Path:
         """The configuration file of a hollow dispatcher."""
         path = self.folder / f"d{number}.json"
         said = {
             "name": f"d{number}",
             "listen": "{}:{}".format(*self.front(number)),
-            "discovery": "{}:{}".format(*directory),
+            "discovery": "{}:{}".format(*discovery),
             "seed": number,
             "limits": {"cores": 1.0, "memory_mb": self.world.dispatchers.memory_mb, "sockets": _SOCKETS},
             "known": known,
--- a/ironbarrow/lab/scale/load.py
+++ b/ironbarrow/lab/scale/load.py
@@ -5,8 +5,8 @@
 from dataclasses import replace
 
 from ironbarrow.core.endings import ConnectionEndedError
-from ironbarrow.lab.live.wire import Client
-from ironbarrow.lab.scale.directory import WorkerList
+from ironbarrow.lab.live.wire import HttpClient
+from ironbarrow.lab.scale.discovery import WorkerList
 from ironbarrow.lab.scale.layout import BOOKING_SHARE, CLASSES, CORES, SLOTS, Layout
 from ironbarrow.runtime.loop import SECOND, Coroutine, Loop, sleep
 
@@ -18,12 +18,12 @@
 
 
 class Load:
-    """The consumers. What becomes of jobs is counted in ``outcomes``."""
+    """The clients. What becomes of jobs is counted in ``outcomes``."""
 
     def __init__(self, loop: Loop, layout: Layout, seed: int) -> None:
         self._loop, self._layout = loop, layout
         self._random = random.Random(seed)
-        self._clients = [Client(loop, layout.front(number)) for number in layout.numbers]
+        self._clients = [HttpClient(loop, layout.front(number)) for number in layout.numbers]
         self._serial = 0
         self._stopped = False
         self.outcomes: Counter[str] = Counter()
@@ -73,7 +73,7 @@
         except ConnectionEndedError:
             self.outcomes["no answer"] += 1
             return
-        names = {200: "served", 503: "rejected", 500: "failed"}
+        names = {200: "served", 503: "refused", 500: "failed"}
         self.outcomes[names.get(answer.status, str(answer.status))] += 1
 
 
--- a/ironbarrow/lab/scale/measuring.py
+++ b/ironbarrow/lab/scale/measuring.py
@@ -56,7 +56,7 @@
             sent=_rates(_sum(report.sent for report in reports), running * seconds),
             received=_rates(_sum(report.received for report in reports), running * seconds),
             from_real=_rates(_sum(report.from_real for report in reports), size.real * seconds),
-            directory=_rates(self.collected.directory, all_dispatchers * seconds),
+            discovery=_rates(self.collected.discovery, all_dispatchers * seconds),
             probes=_rate("probes", probes, all_dispatchers * seconds),
             processes=self._processes(usages, seconds),
             told=[self._list_told(running, ended_at)],
--- a/ironbarrow/lab/scale/parties.py
+++ b/ironbarrow/lab/scale/parties.py
@@ -8,7 +8,7 @@
 from ironbarrow.lab.fleet.links import CALM, CUT, LinkStandIns
 from ironbarrow.lab.live.processes import Program
 from ironbarrow.lab.scale.children import Child, RealDispatcher
-from ironbarrow.lab.scale.directory import DispatcherAgent, RegionLines, WorkerList
+from ironbarrow.lab.scale.discovery import DispatcherAgent, RegionLines, WorkerList
 from ironbarrow.lab.scale.layout import JOB_S, SLOTS, Layout
 from ironbarrow.lab.scale.load import LiveWeights, Load
 from ironbarrow.lab.scale.messages import (
@@ -40,7 +40,7 @@
 
     dispatchers: list[DispatchersReport] = field(default_factory=list)
     workers: list[WorkersReport] = field(default_factory=list)
-    directory: dict[str, Traffic] = field(default_factory=dict)
+    discovery: dict[str, Traffic] = field(default_factory=dict)
     jobs: dict[str, int] = field(default_factory=dict)
 
 
@@ -199,7 +199,7 @@
             found.dispatchers.append((yield from dispatchers.report()))
         for workers in self.hollow_workers:
             found.workers.append((yield from workers.report()))
-        found.directory = dict(self._list_traffic)
+        found.discovery = dict(self._list_traffic)
         self._list_traffic.clear()
         found.jobs = self.load.take_outcomes()
         return found
--- a/ironbarrow/lab/scale/result.py
+++ b/ironbarrow/lab/scale/result.py
@@ -70,7 +70,7 @@
     sent: list[Rate]  # by a hollow dispatcher
     received: list[Rate]
     from_real: list[Rate]  # by a real dispatcher, as hollow ones received it
-    directory: list[Rate]  # to a dispatcher
+    discovery: list[Rate]  # to a dispatcher
     probes: Rate  # by a dispatcher, requests and answers
     processes: list[Process]
     told: list[Told]
@@ -168,7 +168,7 @@
         ("sent", lambda phase: phase.sent),
         ("received", lambda phase: phase.received),
         ("sent by a real one to hollow ones", lambda phase: phase.from_real),
-        ("list of workers", lambda phase: phase.directory),
+        ("list of workers", lambda phase: phase.discovery),
     ]
     for title, pick in picks:
         kinds = sorted({rate.kind for phase in calm if phase is not None for rate in pick(phase)})
@@ -211,7 +211,7 @@
 
 def control_bytes(phase: Phase) -> float:
     """Bytes a second that a dispatcher sends and receives for control: members, ledgers, lists, probes."""
-    rates = [*phase.sent, *phase.received, *phase.directory, phase.probes]
+    rates = [*phase.sent, *phase.received, *phase.discovery, phase.probes]
     return sum(rate.bytes for rate in rates)
 
 
@@ -277,7 +277,7 @@
     real = _role(phase, REAL)
     figures = [
         f"{sum(rate.bytes for rate in phase.sent):.0f}",
-        f"{sum(rate.bytes for rate in phase.directory):.0f}",
+        f"{sum(rate.bytes for rate in phase.discovery):.0f}",
         f"{real.cpu_percent_mean:.1f}" if real else "-",
         f"{real.resident_mb_most:.0f}" if real else "-",
         str(phase.false_deaths),
--- a/ironbarrow/lab/settings.py
+++ b/ironbarrow/lab/settings.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from ironbarrow.lab.model.directory import Entry, News
+from ironbarrow.lab.model.discovery import Entry, News
 from ironbarrow.lab.model.spec import World
 from ironbarrow.runtime.clock import MS
 
@@ -24,7 +24,7 @@
         "zones": list(world.network.zones),
         "round": int(rules.tick),
         "valueBy": "work" if rules.worth_by == "work" else "request",
-        "weightSource": "live" if world.directory.weights == "live" else "nominal",
+        "weightSource": "live" if world.discovery.weights == "live" else "nominal",
         "requestClasses": [
             {
                 "name": cls.name,
@@ -57,7 +57,7 @@
 
 
 def endpoint(entry: Entry, address: str) -> dict[str, Any]:
-    """A provider's line in the directory's form."""
+    """A worker's line in the discovery service's form."""
     return {
         "name": entry.name,
         "address": address,
@@ -70,6 +70,6 @@
 
 
 def list_object(news: News, address_of: dict[str, str]) -> dict[str, Any]:
-    """One object of the directory's; a provider without an address is left out."""
+    """One object of the discovery service's; a worker without an address is left out."""
     lines = [endpoint(e, address_of[e.name]) for e in news.entries if e.name in address_of]
     return {"index": news.version, "snapshot": news.whole, "endpoints": lines}
--- a/ironbarrow/lab/sim/back.py
+++ b/ironbarrow/lab/sim/back.py
@@ -1,7 +1,7 @@
-"""The back of a simulated dispatcher: invoker calls to providers of the model, as the HTTP back makes them.
+"""The back of a simulated dispatcher: attempts to workers of the model, as the HTTP back makes them.
 
-Connections are counted, not opened: a call without an idle one pays a round trip to connect, and a
-provider takes only so many. Endings are those that ``ironbarrow.backs.invoker`` finds on sockets.
+Connections are counted, not opened: an attempt without an idle one pays a round trip to connect, and a
+worker takes only so many. Endings are those that ``ironbarrow.backs.invoker`` finds on sockets.
 """
 
 from collections import deque
@@ -11,10 +11,10 @@
 from heathway import api
 from ironbarrow.core.attempt import Observation, Progress
 from ironbarrow.core.endings import Ending
-from ironbarrow.core.host import Call, Host
+from ironbarrow.core.host import Attempt, Host
 from ironbarrow.lab.audit import Auditor
 from ironbarrow.lab.model.fleet import Fleet
-from ironbarrow.lab.model.provider import Need, Provider, Reply, Report, State
+from ironbarrow.lab.model.worker import Need, Reply, Report, State, Worker
 from ironbarrow.lab.sim.clock import ProcessClock
 from ironbarrow.runtime.clock import MS, SECOND
 
@@ -40,16 +40,16 @@
 
 @dataclass(slots=True, eq=False)
 class _Way:
-    """A call's way to its provider."""
+    """An attempt's way to its worker."""
 
-    provider: Provider
+    worker: Worker
     connected: bool = False  # it holds a connection
-    answered: bool = False  # the provider's 202 is in
+    answered: bool = False  # the worker's 202 is in
     over: bool = False
 
 
 class SimulatedBack:
-    """Carries one dispatcher's calls."""
+    """Carries one dispatcher's attempts."""
 
     def __init__(
         self,
@@ -64,172 +64,172 @@
         self._clock, self._host, self._fleet, self._audit = clock, host, fleet, audit
         self._name, self._zone, self._needs = name, zone, needs
         self._idle: dict[str, deque[int]] = {}
-        self._ways: dict[Call, _Way] = {}
+        self._ways: dict[Attempt, _Way] = {}
 
     # What the host asks for
 
-    def start(self, call: Call) -> None:
-        provider = self._fleet.providers.get(call.provider)
-        if provider is None:
-            self._host.call_ended(call, Ending.DRAINED)
+    def start(self, attempt: Attempt) -> None:
+        worker = self._fleet.workers.get(attempt.worker)
+        if worker is None:
+            self._host.attempt_ended(attempt, Ending.DRAINED)
             return
-        way = self._ways[call] = _Way(provider)
-        if self._take_idle(provider):
+        way = self._ways[attempt] = _Way(worker)
+        if self._take_idle(worker):
             way.connected = True
-            self._write(call, way)
+            self._write(attempt, way)
         else:
-            self._connect(call, way)
+            self._connect(attempt, way)
 
-    def _connect(self, call: Call, way: _Way) -> None:
-        provider = way.provider
-        reaches = self._fleet.network.reaches(self._zone, provider.zone)
-        if provider.state is State.VANISHED or not reaches:
+    def _connect(self, attempt: Attempt, way: _Way) -> None:
+        worker = way.worker
+        reaches = self._fleet.network.reaches(self._zone, worker.zone)
+        if worker.state is State.VANISHED or not reaches:
             self._clock.call_at(
-                self._clock.now() + _CONNECT_TIMEOUT, self._end, call, Ending.CONNECT_TIMED_OUT
+                self._clock.now() + _CONNECT_TIMEOUT, self._end, attempt, Ending.CONNECT_TIMED_OUT
             )
             return
-        trip = self._latency(provider) + self._latency(provider)
-        if provider.state is State.DOWN or provider.connections >= provider.group.connections:
-            self._clock.call_at(self._clock.now() + trip, self._end, call, Ending.CONNECT_REFUSED)
+        trip = self._latency(worker) + self._latency(worker)
+        if worker.state is State.DOWN or worker.connections >= worker.group.connections:
+            self._clock.call_at(self._clock.now() + trip, self._end, attempt, Ending.CONNECT_REFUSED)
             return
-        provider.connections += 1
+        worker.connections += 1
         way.connected = True
-        self._clock.call_at(self._clock.now() + trip, self._write, call, way)
+        self._clock.call_at(self._clock.now() + trip, self._write, attempt, way)
 
-    def _latency(self, provider: Provider) -> int:
-        return self._fleet.network.latency(self._zone, provider.zone, provider.name)
+    def _latency(self, worker: Worker) -> int:
+        return self._fleet.network.latency(self._zone, worker.zone, worker.name)
 
-    def _write(self, call: Call, way: _Way) -> None:
+    def _write(self, attempt: Attempt, way: _Way) -> None:
         if way.over:
             return
-        if not self._host.may_send_to(call.provider):
+        if not self._host.may_send_to(attempt.worker):
             self._put_back(way)
-            self._end(call, Ending.DRAINED)
+            self._end(attempt, Ending.DRAINED)
             return
-        self._host.call_written(call)
-        self._audit.sent(call.job.payload.id, call.provider)
-        self._fleet.network.send(self._zone, way.provider.zone, way.provider.name, self._arrive, call, way)
+        self._host.attempt_written(attempt)
+        self._audit.sent(attempt.job.payload.id, attempt.worker)
+        self._fleet.network.send(self._zone, way.worker.zone, way.worker.name, self._arrive, attempt, way)
 
-    def _arrive(self, call: Call, way: _Way) -> None:
-        """At the provider, whatever has become of the dispatcher since."""
-        provider = way.provider
-        need = self._needs[call.job.payload.id]
+    def _arrive(self, attempt: Attempt, way: _Way) -> None:
+        """At the worker, whatever has become of the dispatcher since."""
+        worker = way.worker
+        need = self._needs[attempt.job.payload.id]
 
         def tell(state: str, report: Report | None) -> None:
-            self._send_back(provider, self._told, call, way, state, report)
+            self._send_back(worker, self._told, attempt, way, state, report)
 
-        if provider.holds(call.job.payload.id):
+        if worker.holds(attempt.job.payload.id):
             return
-        reply = provider.arrive(call.job.payload.id, need, tell)
+        reply = worker.arrive(attempt.job.payload.id, need, tell)
         if reply is Reply.TAKEN:
-            self._send_back(provider, self._accepted, call, way)
+            self._send_back(worker, self._accepted, attempt, way)
         elif reply is Reply.FULL:
-            self._send_back(provider, self._turned_away, call, way, provider.report())
-        elif reply is Reply.REFUSED and provider.state is State.DOWN:
-            self._send_back(provider, self._reset, call)
+            self._send_back(worker, self._turned_away, attempt, way, worker.report())
+        elif reply is Reply.REFUSED and worker.state is State.DOWN:
+            self._send_back(worker, self._reset, attempt)
 
-    def _send_back(self, provider: Provider, call: Callable[..., None], *args: object) -> None:
+    def _send_back(self, worker: Worker, call: Callable[..., None], *args: object) -> None:
         if not self._clock.over:
-            self._fleet.network.send(provider.zone, self._zone, provider.name, self._clock.run, call, args)
+            self._fleet.network.send(worker.zone, self._zone, worker.name, self._clock.run, call, args)
 
-    def _accepted(self, call: Call, way: _Way) -> None:
+    def _accepted(self, attempt: Attempt, way: _Way) -> None:
         if not way.answered:
             way.answered = True
-            call.reach(Progress.ACCEPTED)
+            attempt.reach(Progress.ACCEPTED)
             self._put_back(way)
 
-    def _turned_away(self, call: Call, way: _Way, report: Report) -> None:
+    def _turned_away(self, attempt: Attempt, way: _Way, report: Report) -> None:
         self._put_back(way)
-        self._end(call, Ending.NOT_PROCESSED, _read(report))
+        self._end(attempt, Ending.NOT_PROCESSED, _read(report))
 
-    def _reset(self, call: Call) -> None:
-        self._end(call, Ending.RESET)
+    def _reset(self, attempt: Attempt) -> None:
+        self._end(attempt, Ending.RESET)
 
-    def _told(self, call: Call, way: _Way, state: str, report: Report | None) -> None:
-        if call.ended:
+    def _told(self, attempt: Attempt, way: _Way, state: str, report: Report | None) -> None:
+        if attempt.ended:
             return
         if state == "accepted":
-            self._accepted(call, way)
+            self._accepted(attempt, way)
         elif state == "started":
-            self._host.call_started(call)
+            self._host.attempt_started(attempt)
         else:
-            self._end(call, _TOLD[state], _read(report), b"done" if state == "done" else b"")
+            self._end(attempt, _TOLD[state], _read(report), b"done" if state == "done" else b"")
 
     def _end(
-        self, call: Call, ending: Ending, report: api.LoadReport | None = None, result: bytes = b""
+        self, attempt: Attempt, ending: Ending, report: api.LoadReport | None = None, result: bytes = b""
     ) -> None:
-        way = self._ways.pop(call, None)
+        way = self._ways.pop(attempt, None)
         if way is not None:
             way.over = True
             self._drop_connection(way)
-        self._audit.attempt_over(call.job.payload.id, call.provider, never_ran=ending in _NEVER_RAN)
-        self._host.call_ended(call, ending, report, result)
+        self._audit.attempt_over(attempt.job.payload.id, attempt.worker, never_ran=ending in _NEVER_RAN)
+        self._host.attempt_ended(attempt, ending, report, result)
 
     # Giving up
 
-    def give_up(self, call: Call, ending: Ending) -> None:
-        way = self._ways.get(call)
-        if way is None or not call.written:
-            self._end(call, ending)
+    def give_up(self, attempt: Attempt, ending: Ending) -> None:
+        way = self._ways.get(attempt)
+        if way is None or not attempt.written:
+            self._end(attempt, ending)
             return
-        if call.is_over(Observation.CONNECTION_ENDED):
-            self._audit.attempt_over(call.job.payload.id, call.provider, never_ran=False)
-            self._clock.call_at(self._clock.now() + _DELETE_LIMIT, self._end, call, ending)
-        self._send_delete(call, way, ending)
+        if attempt.is_over(Observation.CONNECTION_ENDED):
+            self._audit.attempt_over(attempt.job.payload.id, attempt.worker, never_ran=False)
+            self._clock.call_at(self._clock.now() + _DELETE_LIMIT, self._end, attempt, ending)
+        self._send_delete(attempt, way, ending)
 
-    def let_go(self, call: Call) -> None:
-        way = self._ways.pop(call, None)
+    def let_go(self, attempt: Attempt) -> None:
+        way = self._ways.pop(attempt, None)
         if way is not None:
             way.over = True
             self._drop_connection(way)
-            self._audit.attempt_over(call.job.payload.id, call.provider, never_ran=False)
+            self._audit.attempt_over(attempt.job.payload.id, attempt.worker, never_ran=False)
 
-    def _send_delete(self, call: Call, way: _Way, ending: Ending) -> None:
-        """Sent again and again until it is answered, or the call has ended otherwise."""
-        if call.ended or way.over:
+    def _send_delete(self, attempt: Attempt, way: _Way, ending: Ending) -> None:
+        """Sent again and again until it is answered, or the attempt has ended otherwise."""
+        if attempt.ended or way.over:
             return
         self._fleet.network.send(
-            self._zone, way.provider.zone, way.provider.name, self._delete, call, way, ending
+            self._zone, way.worker.zone, way.worker.name, self._delete, attempt, way, ending
         )
-        self._clock.call_at(self._clock.now() + _DELETE_AGAIN, self._send_delete, call, way, ending)
+        self._clock.call_at(self._clock.now() + _DELETE_AGAIN, self._send_delete, attempt, way, ending)
 
-    def _delete(self, call: Call, way: _Way, ending: Ending) -> None:
-        provider = way.provider
-        if provider.trouble.hung or provider.state is State.VANISHED:
+    def _delete(self, attempt: Attempt, way: _Way, ending: Ending) -> None:
+        worker = way.worker
+        if worker.trouble.hung or worker.state is State.VANISHED:
             return
-        provider.cancel(call.job.payload.id)
-        self._audit.attempt_over(call.job.payload.id, call.provider, never_ran=False)
-        self._send_back(provider, self._end, call, ending)
+        worker.cancel(attempt.job.payload.id)
+        self._audit.attempt_over(attempt.job.payload.id, attempt.worker, never_ran=False)
+        self._send_back(worker, self._end, attempt, ending)
 
     # Probes and connections
 
-    def probe(self, provider: str) -> None:
-        found = self._fleet.providers.get(provider)
+    def probe(self, worker: str) -> None:
+        found = self._fleet.workers.get(worker)
         if found is None:
-            self._host.probe_ended(provider, Ending.CONNECT_REFUSED, 0)
+            self._host.probe_ended(worker, Ending.CONNECT_REFUSED, 0)
             return
         trip = self._latency(found) + self._latency(found)
         self._clock.call_at(self._clock.now() + trip, self._probed, found, self._clock.now())
 
-    def _probed(self, provider: Provider, since: int) -> None:
+    def _probed(self, worker: Worker, since: int) -> None:
         silent = (
-            provider.trouble.hung
-            or provider.state is State.VANISHED
-            or not self._fleet.network.reaches(self._zone, provider.zone)
+            worker.trouble.hung
+            or worker.state is State.VANISHED
+            or not self._fleet.network.reaches(self._zone, worker.zone)
         )
         elapsed = self._clock.now() - since
         if silent:
             self._clock.call_at(
-                since + _PROBE_LIMIT, self._host.probe_ended, provider.name, Ending.TIMED_OUT, _PROBE_LIMIT
+                since + _PROBE_LIMIT, self._host.probe_ended, worker.name, Ending.TIMED_OUT, _PROBE_LIMIT
             )
-        elif provider.state is State.DOWN:
-            self._host.probe_ended(provider.name, Ending.CONNECT_REFUSED, elapsed)
+        elif worker.state is State.DOWN:
+            self._host.probe_ended(worker.name, Ending.CONNECT_REFUSED, elapsed)
         else:
-            self._host.probe_ended(provider.name, Ending.DONE, elapsed, _read(provider.report()))
+            self._host.probe_ended(worker.name, Ending.DONE, elapsed, _read(worker.report()))
 
-    def close_idle(self, provider: str) -> None:
-        found = self._fleet.providers.get(provider)
-        closed = len(self._idle.pop(provider, ()))
+    def close_idle(self, worker: str) -> None:
+        found = self._fleet.workers.get(worker)
+        closed = len(self._idle.pop(worker, ()))
         if found is not None:
             found.connections -= closed
 
@@ -240,18 +240,18 @@
         for way in self._ways.values():
             self._drop_connection(way)
 
-    def _take_idle(self, provider: Provider) -> bool:
-        idle = self._idle.get(provider.name)
+    def _take_idle(self, worker: Worker) -> bool:
+        idle = self._idle.get(worker.name)
         oldest = self._clock.now() - _IDLE_LIMIT
         while idle:
-            if idle.pop() > oldest and provider.state in (State.UP, State.DRAINING):
+            if idle.pop() > oldest and worker.state in (State.UP, State.DRAINING):
                 return True
-            provider.connections -= 1
+            worker.connections -= 1
         return False
 
     def _put_back(self, way: _Way) -> None:
         if way.connected:
-            idle = self._idle.setdefault(way.provider.name, deque())
+            idle = self._idle.setdefault(way.worker.name, deque())
             if len(idle) < _POOL:
                 way.connected = False
                 idle.append(self._clock.now())
@@ -262,7 +262,7 @@
     def _drop_connection(way: _Way) -> None:
         if way.connected:
             way.connected = False
-            way.provider.connections -= 1
+            way.worker.connections -= 1
 
 
 def _read(report: Report | None) -> api.LoadReport | None:
--- a/ironbarrow/lab/sim/clock.py
+++ b/ironbarrow/lab/sim/clock.py
@@ -8,7 +8,7 @@
 
 from ironbarrow.runtime.clock import SECOND, Timer
 
-EPOCH = 1_700_000_000 * SECOND  # any Unix time: the directory tells starts in Unix time
+EPOCH = 1_700_000_000 * SECOND  # any Unix time: the discovery service tells starts in Unix time
 _SWEEP_AT = 4096
 
 
--- a/ironbarrow/lab/sim/run.py
+++ b/ironbarrow/lab/sim/run.py
@@ -1,4 +1,4 @@
-"""A run in simulated time: dispatchers, consumers, providers and faults of one world, audited."""
+"""A run in simulated time: dispatchers, clients, workers and faults of one world, audited."""
 
 import gc
 import time
@@ -11,13 +11,13 @@
 from ironbarrow.core.host import Answer, Host, Payload, Terms, Verdict
 from ironbarrow.core.host import Job as HostJob
 from ironbarrow.lab.audit import Auditor
-from ironbarrow.lab.model.consumer import Ended, Habits
-from ironbarrow.lab.model.directory import News
+from ironbarrow.lab.model.client import Ended, Habits
+from ironbarrow.lab.model.discovery import News
 from ironbarrow.lab.model.fleet import Faults, Fleet
 from ironbarrow.lab.model.front import Front
-from ironbarrow.lab.model.provider import Watcher
 from ironbarrow.lab.model.randomness import Streams
 from ironbarrow.lab.model.spec import Fault, World, WorldError
+from ironbarrow.lab.model.worker import Watcher
 from ironbarrow.lab.model.workload import Order, Workload
 from ironbarrow.lab.record import Recorder, Sampler
 from ironbarrow.lab.result import Result
@@ -47,23 +47,23 @@
     """A running hash over what happened, in order: equal for equal runs."""
 
     def __init__(self, clock: SimulatedClock, apart: frozenset[str]) -> None:
-        self._clock, self._apart = clock, apart  # apart: providers whose own events are left out
+        self._clock, self._apart = clock, apart  # apart: workers whose own events are left out
         self._hash = blake2b(digest_size=16)
         self._start = clock.now()
 
     def note(self, *words: object) -> None:
         self._hash.update(f"{self._clock.now() - self._start} {words}\n".encode())
 
-    def job_started(self, provider: str, job_id: str) -> None:
-        if provider not in self._apart:
-            self.note("start", provider, job_id)
+    def job_started(self, worker: str, job_id: str) -> None:
+        if worker not in self._apart:
+            self.note("start", worker, job_id)
 
-    def job_ended(self, provider: str, job_id: str, how: str) -> None:
-        if provider not in self._apart:
-            self.note(how, provider, job_id)
+    def job_ended(self, worker: str, job_id: str, how: str) -> None:
+        if worker not in self._apart:
+            self.note(how, worker, job_id)
 
-    def fell(self, provider: str) -> None:
-        self.note("fell", provider)
+    def fell(self, worker: str) -> None:
+        self.note("fell", worker)
 
     def hex(self) -> str:
         return self._hash.hexdigest()
@@ -75,17 +75,17 @@
     def __init__(self, *watchers: Watcher) -> None:
         self._all = watchers
 
-    def job_started(self, provider: str, job_id: str) -> None:
+    def job_started(self, worker: str, job_id: str) -> None:
         for watcher in self._all:
-            watcher.job_started(provider, job_id)
+            watcher.job_started(worker, job_id)
 
-    def job_ended(self, provider: str, job_id: str, how: str) -> None:
+    def job_ended(self, worker: str, job_id: str, how: str) -> None:
         for watcher in self._all:
-            watcher.job_ended(provider, job_id, how)
+            watcher.job_ended(worker, job_id, how)
 
-    def fell(self, provider: str) -> None:
+    def fell(self, worker: str) -> None:
         for watcher in self._all:
-            watcher.fell(provider)
+            watcher.fell(worker)
 
 
 @dataclass(slots=True, eq=False)
@@ -95,7 +95,7 @@
     clock: ProcessClock
     host: Host
     back: SimulatedBack
-    leave_directory: Any = None
+    leave_discovery: Any = None
     stopping_at: int | None = None
     router: Router | None = None
 
@@ -108,7 +108,7 @@
         self.zone = zone_of(run.world, number)
         self.settings = read_settings(settings_object(run.world, number))
         self.process: _Process | None = None
-        self._known: News = run.fleet.directory.whole()
+        self._known: News = run.fleet.discovery.whole()
         self._starts = 0
 
     def start(self) -> None:
@@ -123,14 +123,14 @@
         if run.world.dispatchers.routes:
             text = run.world.dispatchers.routes.encode()
             process.router = Router(Table(Loaded(parse(text, "routes"), {}, ("routes",)), self.settings))
-        host.providers_listed(_list(self._known, api.ListKind.LAST_KNOWN))
-        process.leave_directory = run.fleet.directory.subscribe(
+        host.workers_listed(_list(self._known, api.ListKind.LAST_KNOWN))
+        process.leave_discovery = run.fleet.discovery.subscribe(
             f"d{self.number}", lambda news: clock.run(self._listed, (process, news))
         )
         run.front.ready(self.number)
 
     def known(self) -> News:
-        """The list of providers as it knows it."""
+        """The list of workers as it knows it."""
         return self._known
 
     def _listed(self, process: _Process, news: News) -> None:
@@ -144,14 +144,14 @@
                 kept[entry.name] = entry
             self._known = News(news.version, True, tuple(e for e in kept.values() if e.status != "removed"))
         kind = api.ListKind.FULL if news.whole else api.ListKind.CHANGES
-        process.host.providers_listed(_list(news, kind))
+        process.host.workers_listed(_list(news, kind))
 
     def reload(self) -> None:
-        """Moves to another address of the directory: the whole list comes once more."""
+        """Moves to another address of the discovery service: the whole list comes once more."""
         process = self.process
         if process is not None:
-            process.leave_directory()
-            process.leave_directory = self._run.fleet.directory.subscribe(
+            process.leave_discovery()
+            process.leave_discovery = self._run.fleet.discovery.subscribe(
                 f"d{self.number}", lambda news: process.clock.run(self._listed, (process, news))
             )
 
@@ -162,11 +162,11 @@
             return
         self.process = None
         process.clock.over = True
-        process.leave_directory()
+        process.leave_discovery()
         process.back.close()
         if killed or process.host.owed:
             self._run.audit.dispatcher_died(self.number)
-        self._run.consumers_lost(self)
+        self._run.clients_lost(self)
         self._run.front.died(self.number)
         self._run.clock.call_at(self._run.clock.now() + down, self.start)
 
@@ -204,8 +204,8 @@
 
 
 @dataclass(slots=True, eq=False)
-class _Consumer:
-    """One order's consumer, over its tries."""
+class _Client:
+    """One order's client, over its tries."""
 
     order: Order
     tries: int = 0
@@ -232,13 +232,13 @@
         self.fleet = Fleet(self.clock, world, self.streams, _Watchers(self.audit, self.digest))
         self.habits = Habits(self.clock, world, self.streams)
         self.front = Front(
-            self.clock, [zone_of(world, n) for n in range(world.dispatchers.count)], world.consumers.notice
+            self.clock, [zone_of(world, n) for n in range(world.dispatchers.count)], world.clients.notice
         )
         self.dispatchers = [_Dispatcher(self, n) for n in range(world.dispatchers.count)]
         self.recorder = Recorder(world)
         self.workload = Workload(self.clock, world, self.streams, self._ordered)
         self.faults = Faults(self.clock, world, self.fleet, self.workload, self, self.streams)
-        self._waiting: dict[_Consumer, None] = {}  # with a job at a dispatcher
+        self._waiting: dict[_Client, None] = {}  # with a job at a dispatcher
         self._open = 0
         self._open_area, self._open_at = 0, 0  # orders under way, summed over time (ns)
         self.turned_away = 0  # by limits, before the decisions
@@ -285,7 +285,7 @@
             dispatcher.start()
         self.clock.run(self.clock.now() + _WARM_UP)
         self.recorder.started_at = started_at = self.clock.now()
-        self.samples.names = list(self.fleet.providers)
+        self.samples.names = list(self.fleet.workers)
         self.faults.start()
         self.workload.start()
         self._sample()
@@ -310,19 +310,19 @@
         )
 
     def _sample(self) -> None:
-        held = [self.fleet.providers[name].held for name in self.fleet.providers]
+        held = [self.fleet.workers[name].held for name in self.fleet.workers]
         self.samples.held.append(held)
-        self.samples.names = list(self.fleet.providers)
+        self.samples.names = list(self.fleet.workers)
         if not self.workload.ended:
             self.clock.call_at(self.clock.now() + _SAMPLE_STEP, self._sample)
 
-    # Consumers
+    # Clients
 
     def _ordered(self, order: Order) -> None:
-        consumer = _Consumer(order)
+        client = _Client(order)
         self._count_open(1)
-        self.clock.call_at(order.due + order.patience, self._gives_up, consumer)
-        self._try(consumer)
+        self.clock.call_at(order.due + order.patience, self._gives_up, client)
+        self._try(client)
 
     def _count_open(self, change: int) -> None:
         now = self.clock.now()
@@ -335,27 +335,27 @@
         latencies = sum(self.recorder.latency)
         return self._open_area / latencies if latencies else 1.0
 
-    def _try(self, consumer: _Consumer) -> None:
-        if consumer.over:
+    def _try(self, client: _Client) -> None:
+        if client.over:
             return
-        consumer.tries += 1
-        number = self.front.pick(consumer.order.zone)
+        client.tries += 1
+        number = self.front.pick(client.order.zone)
         delay = self.fleet.network.client_latency("consumers")
         if number is None:
-            self.clock.call_at(self.clock.now() + 2 * delay, self._heard, consumer, "refused", 0)
+            self.clock.call_at(self.clock.now() + 2 * delay, self._heard, client, "unreachable", 0)
         else:
-            self.clock.call_at(self.clock.now() + delay, self._arrives, consumer, self.dispatchers[number])
+            self.clock.call_at(self.clock.now() + delay, self._arrives, client, self.dispatchers[number])
 
-    def _arrives(self, consumer: _Consumer, dispatcher: _Dispatcher) -> None:
-        if consumer.over:
+    def _arrives(self, client: _Client, dispatcher: _Dispatcher) -> None:
+        if client.over:
             return
         process = dispatcher.process
-        order = consumer.order
+        order = client.order
         left = order.due + order.deadline - self.clock.now()
         if process is None or left < MS:
-            self._later(self._heard, consumer, "refused", 0)
+            self._later(self._heard, client, "unreachable", 0)
             return
-        consumer.job_id = job_id = self.habits.new_try(order, consumer.tries)
+        client.job_id = job_id = self.habits.new_try(order, client.tries)
         cls = self.world.classes[order.cls]
         terms = Terms()
         job_class, tenant = cls.name, None
@@ -370,75 +370,75 @@
             found = process.router.admit(seen, self.clock.now())
             if not isinstance(found, Ticket):
                 self.turned_away += 1
-                self._later(self._heard, consumer, "rejected", found.retry_after)
+                self._later(self._heard, client, "refused", found.retry_after)
                 return
             job_class, tenant = found.route.cls.name, found.tenant
             terms = Terms(**arrival(found, dispatcher.settings), watch=found)
         self.audit.taken(job_id, order.number, dispatcher.number, left, unsafe=cls.effect == "unsafe")
-        consumer.dispatcher = dispatcher
-        self._waiting[consumer] = None
+        client.dispatcher = dispatcher
+        self._waiting[client] = None
         # whole milliseconds pass on a socket, rounded down: no answer may come after its time
         left = left // MS * MS
-        consumer.job = process.host.take(
+        client.job = process.host.take(
             Payload(job_id, "POST", "/" + cls.name, b""),
-            lambda answer: self._answered(consumer, job_id, answer),
+            lambda answer: self._answered(client, job_id, answer),
             job_class=job_class,
             tenant=tenant,
             terms=terms,
             time_left=left,
             key=order.session,
             slots=float(order.slots),
-            repeat=consumer.tries > 1,
+            repeat=client.tries > 1,
         )
 
-    def _answered(self, consumer: _Consumer, job_id: str, answer: Answer) -> None:
+    def _answered(self, client: _Client, job_id: str, answer: Answer) -> None:
         self.audit.answered(job_id, answer.verdict.value)
         self.digest.note(answer.verdict.value, job_id)
-        self._waiting.pop(consumer, None)
-        consumer.job = None
-        retry_after = answer.retry_after if answer.verdict is Verdict.REJECTED else 0
-        self._later(self._heard, consumer, answer.verdict.value, retry_after)
+        self._waiting.pop(client, None)
+        client.job = None
+        retry_after = answer.retry_after if answer.verdict is Verdict.REFUSED else 0
+        self._later(self._heard, client, answer.verdict.value, retry_after)
 
     def _later(self, call: Any, *args: object) -> None:
         self.clock.call_at(self.clock.now() + self.fleet.network.client_latency("answers"), call, *args)
 
-    def _heard(self, consumer: _Consumer, how: str, retry_after: int) -> None:
-        if consumer.over:
+    def _heard(self, client: _Client, how: str, retry_after: int) -> None:
+        if client.over:
             return
-        step = self.habits.next_step(consumer.order, how, consumer.tries, retry_after)
+        step = self.habits.next_step(client.order, how, client.tries, retry_after)
         if isinstance(step, Ended):
-            self._ends(consumer, step.outcome)
+            self._ends(client, step.outcome)
         else:
-            self.clock.call_at(self.clock.now() + step.pause, self._try, consumer)
+            self.clock.call_at(self.clock.now() + step.pause, self._try, client)
 
-    def _gives_up(self, consumer: _Consumer) -> None:
-        if not consumer.over:
-            self._ends(consumer, self.habits.gives_up(consumer.order))
+    def _gives_up(self, client: _Client) -> None:
+        if not client.over:
+            self._ends(client, self.habits.gives_up(client.order))
 
-    def _ends(self, consumer: _Consumer, outcome: str) -> None:
-        consumer.over = True
+    def _ends(self, client: _Client, outcome: str) -> None:
+        client.over = True
         self._count_open(-1)
-        self.recorder.add(consumer.order, outcome, self.clock.now(), consumer.tries)
-        if consumer.job is not None and outcome == "no answer":
+        self.recorder.add(client.order, outcome, self.clock.now(), client.tries)
+        if client.job is not None and outcome == "no answer":
             # it has no use for an answer now, and still looks whether one comes by the end of the slack
             late = self.world.dispatchers.answer_slack + _LOOKS_ON
-            self.clock.call_at(self.clock.now() + late, self._hangs_up, consumer)
+            self.clock.call_at(self.clock.now() + late, self._hangs_up, client)
         else:
-            self._hangs_up(consumer)
-        self.habits.forget(consumer.order, consumer.tries)
+            self._hangs_up(client)
+        self.habits.forget(client.order, client.tries)
 
-    def _hangs_up(self, consumer: _Consumer) -> None:
-        job, process = consumer.job, consumer.dispatcher.process if consumer.dispatcher else None
+    def _hangs_up(self, client: _Client) -> None:
+        job, process = client.job, client.dispatcher.process if client.dispatcher else None
         if job is not None:
-            self._waiting.pop(consumer, None)
-            consumer.job = None
-            self.audit.left(consumer.job_id)
+            self._waiting.pop(client, None)
+            client.job = None
+            self.audit.left(client.job_id)
             if process is not None:
                 process.host.withdraw(job)
 
-    def consumers_lost(self, dispatcher: _Dispatcher) -> None:
+    def clients_lost(self, dispatcher: _Dispatcher) -> None:
         """Its connections are reset: whoever waited there hears so."""
-        for consumer in [c for c in self._waiting if c.dispatcher is dispatcher]:
-            self._waiting.pop(consumer, None)
-            consumer.job = None
-            self._later(self._heard, consumer, "failed", 0)
+        for client in [c for c in self._waiting if c.dispatcher is dispatcher]:
+            self._waiting.pop(client, None)
+            client.job = None
+            self._later(self._heard, client, "failed", 0)
--- a/ironbarrow/lab/tally.py
+++ b/ironbarrow/lab/tally.py
@@ -1,4 +1,4 @@
-"""Counts over the traces of a whole fleet: what each dispatcher does, added up by second and by provider.
+"""Counts over the traces of a whole fleet: what each dispatcher does, added up by second and by worker.
 
 A trace is a dispatcher's log with ``BALANCER_TRACE=1`` (see ``ironbarrow.core.trace``); text before a
 line's first brace, such as a time that whoever kept the log has put there, is passed over.
@@ -17,7 +17,7 @@
     "Send": "sends",
     "CancelAttempt": "recalls",
     "Probe": "probes",
-    "Refuse": "rejections",
+    "Refuse": "refusals",
     "Fail": "failures",
     "Subscribe": "list_calls",
     "WorkerList": "lists",
@@ -42,12 +42,12 @@
 
 @dataclass(slots=True)
 class Tally:
-    """What a fleet did, by ``COLUMNS``: in all, by second from the start, and by provider."""
+    """What a fleet did, by ``COLUMNS``: in all, by second from the start, and by worker."""
 
     dispatchers: int = 0
     total: Counter[str] = field(default_factory=Counter)
     seconds: dict[int, Counter[str]] = field(default_factory=dict)
-    providers: dict[str, Counter[str]] = field(default_factory=dict)
+    workers: dict[str, Counter[str]] = field(default_factory=dict)
     classes: dict[str, Counter[str]] = field(default_factory=dict)  # by end, see ``_end_of``
 
     def per_job(self, column: str) -> float:
@@ -61,7 +61,7 @@
             "total": {name: self.total[name] for name in COLUMNS},
             "per_job": {name: round(self.per_job(name), 4) for name in COLUMNS if name != "jobs"},
             "seconds": {str(at): dict(row) for at, row in sorted(self.seconds.items())},
-            "providers": {name: dict(row) for name, row in sorted(self.providers.items())},
+            "workers": {name: dict(row) for name, row in sorted(self.workers.items())},
             "classes": {name: dict(row) for name, row in sorted(self.classes.items())},
         }
 
@@ -151,17 +151,17 @@
         self._start = at if self._start is None else min(self._start, at)
 
     def count(self, line: dict[str, Any], told: dict[str, tuple[str, int]]) -> None:
-        """One line of a dispatcher; ``told``: the state and the start of each provider, as it knows them."""
+        """One line of a dispatcher; ``told``: the state and the start of each worker, as it knows them."""
         assert self._start is not None
         self._note_job(line)
         names = list(self._names(line, told))
         second = (line["at"] - self._start) // SECOND
-        provider = line.get("worker") or line.get("provider")
+        worker = line.get("worker")
         for name, number in names:
             self.tally.total[name] += number
             self.tally.seconds.setdefault(second, Counter())[name] += number
-            if provider:
-                self.tally.providers.setdefault(provider, Counter())[name] += number
+            if worker:
+                self.tally.workers.setdefault(worker, Counter())[name] += number
 
     def _names(self, line: dict[str, Any], told: dict[str, tuple[str, int]]) -> Iterator[tuple[str, int]]:
         what = line.get("what")
@@ -193,7 +193,7 @@
 def tally(folder: Path, cold_s: float = 20.0) -> Tally:
     """Counts a folder's logs, ``*.log``, one file a dispatcher; a LogsError says what is wrong with them.
 
-    ``cold_s``: how long a provider counts as cold after its start, s.
+    ``cold_s``: how long a worker counts as cold after its start, s.
     """
     paths = trace_files(folder)
     fleet = _Fleet(int(cold_s * SECOND))
--- a/ironbarrow/lab/validate.py
+++ b/ironbarrow/lab/validate.py
@@ -1,4 +1,4 @@
-"""Holds the provider's model against closed forms: one provider, one class, no dispatcher between."""
+"""Holds the worker's model against closed forms: one worker, one class, no dispatcher between."""
 
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -6,10 +6,10 @@
 
 from ironbarrow.config.units import Duration, ms
 from ironbarrow.lab import theory
-from ironbarrow.lab.model.provider import Need, Provider, Report, Watcher
 from ironbarrow.lab.model.randomness import Streams
 from ironbarrow.lab.model.spec import Cold, Draw, Group, Reports
 from ironbarrow.lab.model.store import Store, draw
+from ironbarrow.lab.model.worker import Need, Report, Watcher, Worker
 from ironbarrow.lab.sim.clock import SimulatedClock
 from ironbarrow.runtime.clock import SECOND
 
@@ -68,12 +68,12 @@
         self._clock = clock
         self.at: dict[str, int] = {}
 
-    def job_started(self, provider: str, job_id: str) -> None:
+    def job_started(self, worker: str, job_id: str) -> None:
         self.at[job_id] = self._clock.now()
 
 
 def run_case(case: Case, jobs: int, seed: int = 1) -> Found:
-    """Feeds so many jobs to one provider and takes the mean of their waits."""
+    """Feeds so many jobs to one worker and takes the mean of their waits."""
     clock = SimulatedClock()
     streams = Streams(seed)
     watcher = _Starts(clock)
@@ -82,7 +82,7 @@
     )
     store = Store(clock, Draw(mean=ms(1)), 1, streams["store"])
     reports = Reports(period=Duration(3600 * SECOND))
-    provider = Provider(clock, "p", group, Cold(), reports, store, streams["p"], watcher)
+    worker = Worker(clock, "p", group, Cold(), reports, store, streams["p"], watcher)
     service = Draw(mean=_SERVICE, kind=case.service)
     gap = SECOND * _SERVICE.seconds / (case.load * case.servers)
     waits: list[float] = []
@@ -110,7 +110,7 @@
                 if index >= first:
                     waits.append((clock.now() - arrived) / SECOND)
 
-        provider.arrive(str(index), Need(draw(service, streams["work"]), 1.0, None, _SERVICE), tell)
+        worker.arrive(str(index), Need(draw(service, streams["work"]), 1.0, None, _SERVICE), tell)
         plan(index + 1)
 
     def plan(index: int) -> None:
--- a/ironbarrow/routing/file.py
+++ b/ironbarrow/routing/file.py
@@ -64,7 +64,7 @@
     most_open: Count | None = None  # jobs that are owed their answer
     rate: Rate | None = None
     body_size: Size | None = None
-    retry_after: Duration | None = None  # the advice with a rejection by these limits
+    retry_after: Duration | None = None  # the advice with a refusal by these limits
     adaptive: Adapt | None = None
 
 
--- a/ironbarrow/routing/router.py
+++ b/ironbarrow/routing/router.py
@@ -1,6 +1,6 @@
 """Routes and limits at work: a request comes in, and goes on to the decisions or is turned away.
 
-Nothing here picks a provider, decides on a retry or sheds load for want of room: that stays with the module
+Nothing here picks a worker, decides on a retry or sheds load for want of room: that stays with the module
 of the decisions. Limits only keep from it what the operators' file does not let in.
 """
 
@@ -98,7 +98,7 @@
         return True
 
     def ended(self, now: int, *, in_time: bool) -> None:
-        """It has its final answer, or its consumer is gone."""
+        """It has its final answer, or its client is gone."""
         if self.over:
             return
         self.over = True
--- a/ironbarrow/wire/http.py
+++ b/ironbarrow/wire/http.py
@@ -146,5 +146,5 @@
 
 
 def _encoded(headers: Headers) -> list[tuple[bytes, bytes]]:
-    """Danger: a value that passes on from a consumer may hold bytes beyond ASCII."""
+    """Danger: a value that passes on from a client may hold bytes beyond ASCII."""
     return [(name.encode("ascii"), value.encode("latin-1")) for name, value in headers]
--- a/tests/decisions.py
+++ b/tests/decisions.py
@@ -9,13 +9,13 @@
 
 
 class Plain:
-    """Sends each job at once to the first provider of ``order``, after an end that was no success to the next
+    """Sends each job at once to the first worker of ``order``, after an end that was no success to the next
     one; at the last it refuses what is proven never to have run, and fails the rest."""
 
     def __init__(self, order: tuple[str, ...]) -> None:
         self.order = order
         self.timeout = 0
-        self.calls_off = False  # the attempts of consumers that leave
+        self.calls_off = False  # the attempts of clients that leave
         self.outcomes: list[Outcome] = []
         self._ended: dict[int, list[Outcome]] = {}
 
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -1,8 +1,8 @@
 """A small language for network tests: scripted peers that send, expect, close and wait.
 
 A scenario is text, one step a line. A line names its peer: ``c1 send ...`` and so on. ``c*`` are
-consumers and call-backs, which connect to the dispatcher, ``o*`` are operators at its own address
-for them; ``p*`` are providers, ``d`` is the directory and ``d2`` another one, which the dispatcher
+clients and call-backs, which connect to the dispatcher, ``o*`` are operators at its own address
+for them; ``p*`` are workers, ``d`` is the discovery service and ``d2`` another one, which the dispatcher
 connects to. In what is sent, ``\\r`` and ``\\n`` are written out.
 
     c1 send TEXT      write it, after connecting if need be
@@ -17,7 +17,7 @@
     p1 listen         take connections again, at the same address
     p1 full           let new connections wait: none comes up any more
     wait MS           let time pass
-    reload d2         give the dispatcher a configuration that names another directory
+    reload d2         give the dispatcher a configuration that names another discovery service
     stop              order the dispatcher to stop
     exits             its loop has ended
 
@@ -114,21 +114,21 @@
 class Stage:
     """A dispatcher and its peers, playing one scenario."""
 
-    def __init__(self, providers: int = 2, known: bool = True, **config: Any) -> None:
-        self.peers = {f"p{n}": Peer(None, many=True) for n in range(1, providers + 1)} | {
+    def __init__(self, workers: int = 2, known: bool = True, **config: Any) -> None:
+        self.peers = {f"p{n}": Peer(None, many=True) for n in range(1, workers + 1)} | {
             "d": Peer(None),
             "d2": Peer(None),
         }
         ports = {name: peer.listener.getsockname() for name, peer in self.peers.items() if peer.listener}
         self.names = {f"${name}": f"{host}:{port}" for name, (host, port) in ports.items()}
-        entries = [self.entry(f"p{n}") for n in range(1, providers + 1)]
+        entries = [self.entry(f"p{n}") for n in range(1, workers + 1)]
         listener = listen(("127.0.0.1", 0))
         self.address = listener.getsockname()
         config.setdefault("settings", read_settings(SETTINGS))
         self.config = Config(
             name="n1",
             listen=self.address,
-            directory=ports["d"],
+            discovery=ports["d"],
             seed=1,
             reports=ReportReader(SETTINGS),
             known={"index": 41, "snapshot": True, "endpoints": entries} if known else {},
@@ -173,7 +173,7 @@
         if name == "wait":
             self.pass_time(float(rest) / 1000)
         elif name == "reload":
-            self.dispatcher.reload(replace(self.config, directory=parse_address(self.names[f"${rest}"])))
+            self.dispatcher.reload(replace(self.config, discovery=parse_address(self.names[f"${rest}"])))
         elif name == "stop":
             self.dispatcher.stop()
         elif name == "exits":
--- a/tests/test_attempt.py
+++ b/tests/test_attempt.py
@@ -111,7 +111,7 @@
 
 
 def test_a_break_does_not_end_an_attempt_that_has_told_of_its_start() -> None:
-    # danger: its 202 may be lost with the connection, and the provider runs the job
+    # danger: its 202 may be lost with the connection, and the worker runs the job
     stage, decisions = begun("map", accepted=False)
     for line in (*STARTED.splitlines(), "p1 close", "p1 expect DELETE /jobs/j1 HTTP"):
         stage.step(line)
@@ -276,7 +276,7 @@
             most=100,
         )
         self.host.invoker = self.back
-        self.host.providers_listed(
+        self.host.workers_listed(
             api.WorkerList(api.ListKind.FULL, tuple(api.WorkerEntry(n, "a") for n in self.workers))
         )
 
@@ -310,7 +310,7 @@
         entry = api.WorkerEntry(name, "a", started_at=started_at)
         later = started_at + self.random.randrange(10, 2000) * MS
         news = api.WorkerList(api.ListKind.CHANGES, (entry,))
-        self.loop.call_at(later, self.host.providers_listed, news)
+        self.loop.call_at(later, self.host.workers_listed, news)
 
     # What the workers do
 
@@ -346,10 +346,10 @@
 
 
 class Addresses:
-    """The directory as the invoker knows it."""
+    """The discovery service as the invoker knows it."""
 
-    def address_of(self, provider: str) -> tuple[str, int]:
-        return provider, 1
+    def address_of(self, worker: str) -> tuple[str, int]:
+        return worker, 1
 
 
 class Lawful(Plain):
--- a/tests/test_consumers.py
+++ b/tests/test_clients.py
@@ -1,4 +1,4 @@
-"""Consumers' connections, each order of events forced: how they end, who leaves when, who has the places."""
+"""Clients' connections, each order of events forced: how they end, who leaves when, who has the places."""
 
 import socket
 from collections.abc import Callable, Iterator
@@ -9,7 +9,7 @@
 from heathway.settings import read_settings
 from ironbarrow.core.endings import Ending
 from ironbarrow.core.host import Call
-from ironbarrow.fronts import consumers
+from ironbarrow.fronts import clients
 from ironbarrow.runtime.loop import MS
 from ironbarrow.transport import http
 from ironbarrow.transport.http import Connection
@@ -21,7 +21,7 @@
 UPGRADE = "Connection: upgrade\\r\\nUpgrade: h2c\\r\\n"
 LAST = "GET /-/ready HTTP/1.1\\r\\nHost: b\\r\\nConnection: close\\r\\n\\r\\n"
 CRLF = "\\r\\n"
-WITHIN = 0.1  # seconds from a consumer's leaving to the end of its job
+WITHIN = 0.1  # seconds from a client's leaving to the end of its job
 
 
 class Sent:
@@ -59,7 +59,7 @@
         stage.step(line.strip())
 
 
-# A consumer that leaves
+# A client that leaves
 
 LEAVES = {
     "closes": "c1 close",
@@ -115,7 +115,7 @@
     # on one that has rested, the job is taken and its attempt sent in one turn of the loop
     steps(stage, f"c1 send {READY}\nc1 expect ready\nwait 20\nc1 send {job()}\n{LEAVES[leaves]}\nwait 50")
     assert sent.ids == []
-    assert stage.dispatcher.consumers.busy is False
+    assert stage.dispatcher.clients.busy is False
 
 
 def test_one_that_leaves_at_the_moment_of_the_answer_holds_nothing(stages: Callable[..., Stage]) -> None:
@@ -124,14 +124,14 @@
         stage, f"c1 send {job()}\np1 expect in$\np1 send {ACCEPTED}\nc2 send {call_back('done', result='x')}"
     )
     steps(stage, "c1 close\nc2 expect 204\nc2 close")
-    stage.until("all is closed", lambda: not stage.dispatcher.consumers.busy, 0.5)
+    stage.until("all is closed", lambda: not stage.dispatcher.clients.busy, 0.5)
     assert stage.dispatcher.host.held_in_memory == 0
 
 
 def test_requests_more_are_served_one_after_the_other_if_their_sender_stays(
     stages: Callable[..., Stage],
 ) -> None:
-    stage = stages(providers=1)
+    stage = stages(workers=1)
     steps(stage, f"c1 send {job('j1')}\np1 expect in$\nc1 send {job('j2')[:50]}\nwait 20\np1 send {ACCEPTED}")
     steps(stage, f"c1 send {job('j2')[50:]}\nwait 20\nc2 send {call_back('done', 'j1', result='a')}")
     steps(stage, f"c1 expect a$\np1 expect : j2.*in$\np1 send {ACCEPTED}")
@@ -153,32 +153,32 @@
 def test_what_comes_beyond_a_request_is_kept_up_to_a_limit(stages: Callable[..., Stage]) -> None:
     # danger: hundreds that send without end would together hold more memory than there is
     stage = stages(
-        providers=6, memory_mb=1
+        workers=6, memory_mb=1
     )  # half a megabyte for what is not whole, half of that for what comes early
     steps(stage, "".join(f"c{n} send {job(f'j{n}')}\n" for n in range(1, 7)) + "wait 50")
     for _ in range(10):
         steps(stage, "".join(f"c{n} fill {job('more')}\n" for n in range(1, 7)))
         stage.pass_time(0.01)
-    held = sum(connection.held for connection, _ in stage.dispatcher.consumers.asking.values())
-    assert len(stage.dispatcher.consumers.asking) == 6
+    held = sum(connection.held for connection, _ in stage.dispatcher.clients.asking.values())
+    assert len(stage.dispatcher.clients.asking) == 6
     assert 0 < held <= 256 * 1024
     for n in range(1, 7):
         stage.peers[f"c{n}"].close()
     stage.until("all have left", lambda: stage.dispatcher.host.owed == 0, 1.0)
-    stage.until("all is closed", lambda: not stage.dispatcher.consumers.busy, 2.0)
-    assert stage.dispatcher.consumers._places._buffered == 0
+    stage.until("all is closed", lambda: not stage.dispatcher.clients.busy, 2.0)
+    assert stage.dispatcher.clients._places._buffered == 0
 
 
 # The end of a connection
 
 
 def end_idle(stage: Stage, patch: pytest.MonkeyPatch) -> None:
-    stage.dispatcher.consumers.close_idle()
+    stage.dispatcher.clients.close_idle()
 
 
 def end_new(stage: Stage, patch: pytest.MonkeyPatch) -> None:
     stage.pass_time(0.25)
-    stage.dispatcher.consumers.close_idle()
+    stage.dispatcher.clients.close_idle()
 
 
 def make_room(stage: Stage, patch: pytest.MonkeyPatch) -> None:
@@ -210,20 +210,20 @@
     # danger: a close over unread bytes resets the connection, and with it goes the answer before it
     first, end = ENDS[name]
     if end is let_time_pass:
-        monkeypatch.setattr(consumers, "_IDLE_LIMIT", 100 * MS)
-        monkeypatch.setattr(consumers, "_FIRST_LIMIT", 100 * MS)
-    stage = stages(sockets=38)  # room for three consumers
+        monkeypatch.setattr(clients, "_IDLE_LIMIT", 100 * MS)
+        monkeypatch.setattr(clients, "_FIRST_LIMIT", 100 * MS)
+    stage = stages(sockets=38)  # room for three clients
     sent = Sent(stage)
-    consumer = socket.create_connection(stage.address)
+    client = socket.create_connection(stage.address)
     crossed: list[int] = []
 
     def crossing(name: str) -> None:
         real = getattr(Connection, name, None)
 
         def first_the_request(self: Connection) -> None:
-            if not crossed and self.sock.getpeername() == consumer.getsockname():
+            if not crossed and self.sock.getpeername() == client.getsockname():
                 crossed.append(1)
-                consumer.sendall(job("crossing").encode().decode("unicode_escape").encode("latin-1"))
+                client.sendall(job("crossing").encode().decode("unicode_escape").encode("latin-1"))
             assert real is not None
             real(self)
 
@@ -231,17 +231,17 @@
 
     crossing("shut_down")
     crossing("close")
-    consumer.sendall(first.replace("\\r", "\r").replace("\\n", "\n").encode())
+    client.sendall(first.replace("\\r", "\r").replace("\\n", "\n").encode())
     stage.pass_time(0.02)
     end(stage, monkeypatch)
     stage.until("the request has crossed the end", lambda: crossed, 3.0)
     stage.pass_time(0.05)
     seen = b""
-    while data := consumer.recv(65536):  # a reset is an error here
+    while data := client.recv(65536):  # a reset is an error here
         seen += data
-    assert consumer.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) == 0  # nor after the end of the other side
+    assert client.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) == 0  # nor after the end of the other side
     assert seen.count(b"HTTP/1.1") == bool(first)
-    consumer.close()
+    client.close()
     stage.pass_time(0.05)
     assert sent.ids == []
 
@@ -250,10 +250,10 @@
 def test_a_request_that_comes_in_the_turn_in_which_the_time_is_over_is_served(
     stages: Callable[..., Stage], monkeypatch: pytest.MonkeyPatch, limit: str
 ) -> None:
-    monkeypatch.setattr(consumers, limit, 100 * MS)
+    monkeypatch.setattr(clients, limit, 100 * MS)
     stage = stages()
     steps(stage, f"c1 send {READY}\nc1 expect 200\nwait 10" if limit == "_IDLE_LIMIT" else "c1 silent 10")
-    found = stage.dispatcher.consumers._places
+    found = stage.dispatcher.clients._places
     (connection,) = [*found.idle, *found.reading]
     loop = stage.dispatcher.loop
     # called between the poll that found nothing and the limit's own timer
@@ -263,7 +263,7 @@
 
 def test_a_connection_has_no_place_while_it_is_read_out(stages: Callable[..., Stage]) -> None:
     # danger: peers that never close their side would keep others out for a second each
-    stage = stages(sockets=38)  # room for three consumers
+    stage = stages(sockets=38)  # room for three clients
     begun = stage.dispatcher.loop.now()
     steps(stage, "".join(f"c{n} send {LAST}\nc{n} expect ready\n" for n in range(1, 13)))
     steps(stage, f"c20 send {job()}\np1 expect in$")
@@ -275,22 +275,22 @@
 
 def test_what_was_sent_at_once_before_the_end_is_answered_before_it(stages: Callable[..., Stage]) -> None:
     # danger: read before the shutdown it was taken; read after it, it must not be sent on
-    stage = stages(providers=1)
+    stage = stages(workers=1)
     steps(stage, f"c1 send {job('j1')}{job('j2')}\np1 expect : j1.*in$\np1 send {ACCEPTED}")
-    stage.dispatcher.consumers.close_idle()
+    stage.dispatcher.clients.close_idle()
     steps(stage, f"c2 send {call_back('done', 'j1', result='a')}\nc1 expect a$\np1 expect : j2.*in$")
     steps(stage, f"p1 send {ACCEPTED}\nc3 send {call_back('done', 'j2', result='b')}")
     steps(stage, "c1 expect 200 .*Connection: close.*b$\nc1 ended\nc1 close\nc2 close\nc3 close")
-    stage.until("all is closed", lambda: not stage.dispatcher.consumers.busy, 0.5)
+    stage.until("all is closed", lambda: not stage.dispatcher.clients.busy, 0.5)
 
 
 def test_one_that_always_has_another_in_is_ended_all_the_same(
     stages: Callable[..., Stage], monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(consumers, "LINGER_LIMIT", 200 * MS)
+    monkeypatch.setattr(clients, "LINGER_LIMIT", 200 * MS)
     stage = stages()
     steps(stage, f"c1 send {READY}\nc1 expect 200\nc1 fill {READY * 1000}")
-    stage.dispatcher.consumers.close_idle()
+    stage.dispatcher.clients.close_idle()
     stage.until("it is ended", lambda: stage.peers["c1"].over, 1.0)
     assert b"Connection: close" in stage.peers["c1"].seen
 
@@ -301,7 +301,7 @@
     # danger: a new connection that is closed with no answer is a refusal that nobody needed
     stage = stages()
     steps(stage, "c1 silent 20\nc2 silent 20")
-    stage.dispatcher.consumers.close_idle()
+    stage.dispatcher.clients.close_idle()
     steps(stage, f"c1 silent 20\nc1 send {job()}\np1 expect in$\nc2 ended")
 
 
@@ -309,47 +309,47 @@
 
 
 def slow_reader(stage: Stage, ms: int) -> socket.socket:
-    """A consumer whose answer of 60 KB can't be written before it reads."""
-    consumer = socket.socket()
-    consumer.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-    consumer.connect(stage.address)
-    consumer.sendall(job(ms=ms).replace("\\r", "\r").replace("\\n", "\n").encode())
+    """A client whose answer of 60 KB can't be written before it reads."""
+    client = socket.socket()
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    client.connect(stage.address)
+    client.sendall(job(ms=ms).replace("\\r", "\r").replace("\\n", "\n").encode())
     steps(stage, f"p1 expect in$\np1 send {ACCEPTED}")
-    ((connection, _),) = stage.dispatcher.consumers.asking.values()
+    ((connection, _),) = stage.dispatcher.clients.asking.values()
     connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
     steps(stage, f"c2 send {call_back('done', result='x' * 60_000)}\nc2 expect 204\nc2 close")
-    return consumer
+    return client
 
 
 def test_a_slow_reader_has_its_answer_up_to_its_time(
     stages: Callable[..., Stage], monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(consumers, "_WRITE_LIMIT", 50 * MS)
+    monkeypatch.setattr(clients, "_WRITE_LIMIT", 50 * MS)
     stage = stages()
-    consumer = slow_reader(stage, 9000)
+    client = slow_reader(stage, 9000)
     stage.pass_time(0.3)
-    consumer.setblocking(False)
+    client.setblocking(False)
     seen = bytearray()
 
     def whole() -> bool:
         with suppress(BlockingIOError):
-            seen.extend(consumer.recv(2048))
+            seen.extend(client.recv(2048))
         return seen.endswith(b"x" * 1000) and seen.count(b"x") >= 60_000
 
     stage.until("the whole answer", whole, 5.0)
-    consumer.close()
+    client.close()
 
 
 def test_one_that_reads_nothing_holds_its_place_up_to_its_time(
     stages: Callable[..., Stage], monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(consumers, "_WRITE_LIMIT", 50 * MS)
-    monkeypatch.setattr(consumers, "_AFTER_DEADLINE", 100 * MS)
+    monkeypatch.setattr(clients, "_WRITE_LIMIT", 50 * MS)
+    monkeypatch.setattr(clients, "_AFTER_DEADLINE", 100 * MS)
     stage = stages()
-    consumer = slow_reader(stage, 300)
-    assert stage.dispatcher.consumers.busy
-    stage.until("its place is free", lambda: not stage.dispatcher.consumers.busy, 1.0)
-    consumer.close()
+    client = slow_reader(stage, 300)
+    assert stage.dispatcher.clients.busy
+    stage.until("its place is free", lambda: not stage.dispatcher.clients.busy, 1.0)
+    client.close()
 
 
 # Places
@@ -357,7 +357,7 @@
 
 def test_jobs_leave_places_to_call_backs(stages: Callable[..., Stage]) -> None:
     # danger: with jobs in all places, no call-back comes in and each job waits for its time to be over
-    stage = stages(providers=12, sockets=48)  # ten places, nine of them for jobs
+    stage = stages(workers=12, sockets=48)  # ten places, nine of them for jobs
     steps(stage, "".join(f"c{n} send {job(f'j{n}')}\n" for n in range(1, 10)) + "wait 50")
     steps(stage, f"c10 send {job('j10')}\nc10 expect ^HTTP/1.1 503 .*Retry-After: 0.2.*many")
     steps(stage, f"p1 expect : j1.*in\np1 send {ACCEPTED}")
@@ -371,8 +371,8 @@
 def test_a_later_request_that_stops_half_way_makes_room_too(
     stages: Callable[..., Stage], monkeypatch: pytest.MonkeyPatch, half: str
 ) -> None:
-    monkeypatch.setattr(consumers, "_REQUEST_LIMIT", 60_000 * MS)
-    stage = stages(sockets=38)  # room for three consumers
+    monkeypatch.setattr(clients, "_REQUEST_LIMIT", 60_000 * MS)
+    stage = stages(sockets=38)  # room for three clients
     steps(
         stage, "".join(f"c{n} send {READY}\nc{n} expect 200\nc{n} send {half}\nwait 5\n" for n in (1, 2, 3))
     )
@@ -382,7 +382,7 @@
 def test_later_requests_that_stop_half_way_share_the_limit_on_memory(
     stages: Callable[..., Stage], monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(consumers, "_REQUEST_LIMIT", 60_000 * MS)
+    monkeypatch.setattr(clients, "_REQUEST_LIMIT", 60_000 * MS)
     stage = stages(sockets=1024, memory_mb=1)  # half a megabyte for all of them
     half = job().replace("Content-Length: 2", "Content-Length: 60000") + "x" * 50_000
     steps(
@@ -433,7 +433,7 @@
 
 def test_bodies_of_jobs_share_a_limit_on_memory(stages: Callable[..., Stage]) -> None:
     # danger: hundreds that are sent at once would together hold more memory than there is
-    stage = stages(providers=12, sockets=1024, memory_mb=1)  # half a megabyte for all of them
+    stage = stages(workers=12, sockets=1024, memory_mb=1)  # half a megabyte for all of them
     large = {n: job(f"j{n}", body="x" * 60_000) for n in range(1, 10)}
     steps(stage, "".join(f"c{n} send {large[n]}\nwait 10\n" for n in range(1, 10)))
     steps(stage, f"c9 expect ^HTTP/1.1 503 .*Retry-After: 0.2.*many\nc10 send {job('j10')}")
@@ -444,9 +444,9 @@
 def test_descriptors_that_run_out_are_left_to_others(
     stages: Callable[..., Stage], monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    # danger: each one that is freed goes to the next that connects, none to the directory or a provider
+    # danger: each one that is freed goes to the next that connects, none to the discovery service or a worker
     stage = stages(sockets=96)  # forty places
-    real, opened = socket.socket.accept, stage.dispatcher.consumers._places
+    real, opened = socket.socket.accept, stage.dispatcher.clients._places
 
     def accept(self: socket.socket) -> tuple[socket.socket, object]:
         if self is stage.dispatcher.listener and opened.taken >= 20:
@@ -462,7 +462,7 @@
 def test_no_small_write_is_held_back(stages: Callable[..., Stage]) -> None:
     stage = stages()
     steps(stage, f"c1 send {job()}\np1 expect in$")
-    ((connection, _),) = stage.dispatcher.consumers.asking.values()
+    ((connection, _),) = stage.dispatcher.clients.asking.values()
     assert connection.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
 
 
@@ -508,7 +508,7 @@
 def test_a_request_that_never_ends_is_answered_and_closed(
     stages: Callable[..., Stage], monkeypatch: pytest.MonkeyPatch, name: str, again: bool
 ) -> None:
-    monkeypatch.setattr(consumers, "_REQUEST_LIMIT", 150 * MS)
+    monkeypatch.setattr(clients, "_REQUEST_LIMIT", 150 * MS)
     stage = stages()
     sent = Sent(stage)
     steps(stage, f"c1 send {READY}\nc1 expect ready\n" if again else "c1 silent 1")
@@ -521,7 +521,7 @@
 def test_bytes_that_come_one_by_one_have_one_limit_together(
     stages: Callable[..., Stage], monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(consumers, "_REQUEST_LIMIT", 200 * MS)
+    monkeypatch.setattr(clients, "_REQUEST_LIMIT", 200 * MS)
     stage = stages()
     sent = Sent(stage)
     text = iter(job().replace("\\r", "\r").replace("\\n", "\n").encode())
@@ -551,7 +551,7 @@
 
 
 def test_an_offer_to_change_the_protocol_is_passed_over(stages: Callable[..., Stage]) -> None:
-    stage = stages(providers=1)
+    stage = stages(workers=1)
     steps(stage, f"c1 send {job(more=UPGRADE)}\np1 expect in$")
     steps(stage, f"p1 send {ACCEPTED}\nc2 send {call_back('done', result='x')}")
     steps(stage, "c1 expect ^HTTP/1.1 200 .*x$\nc1 ended")
@@ -562,7 +562,7 @@
 
 def test_an_id_is_under_way_until_its_last_call_is_called_off(stages: Callable[..., Stage]) -> None:
     # danger: taken beside a call that is being called off, its call-backs and its DELETE would meet both
-    stage = stages(providers=1)
+    stage = stages(workers=1)
     steps(stage, f"c1 send {job()}\np1 expect in$\np1 send {ACCEPTED}\nwait 20\nc1 close")
     steps(stage, "p1 expect DELETE /jobs/j1 HTTP")
     steps(stage, f"c2 send {job()}\nc2 expect ^HTTP/1.1 409\np1 send {answer(204)}\nwait 20")
@@ -571,7 +571,7 @@
 
 @pytest.mark.parametrize("who", ["c1", "c3"])
 def test_an_id_may_come_again_once_it_is_answered(stages: Callable[..., Stage], who: str) -> None:
-    stage = stages(providers=1)
+    stage = stages(workers=1)
     steps(stage, f"c1 send {job()}\np1 expect in$\n{who} send {job()}" if who == "c3" else f"c1 send {job()}")
     steps(stage, "c3 expect ^HTTP/1.1 409" if who == "c3" else "p1 expect in$")
     steps(stage, f"p1 send {ACCEPTED}\nc2 send {call_back('done', result='x')}\nc1 expect x$")
@@ -583,7 +583,7 @@
 
 def test_one_that_comes_ends_one_idle_connection_and_no_more(stages: Callable[..., Stage]) -> None:
     # danger: room made for nobody closed a connection on which the next request was on its way
-    stage = stages(providers=1, sockets=38)  # room for three consumers
+    stage = stages(workers=1, sockets=38)  # room for three clients
     for n in (1, 2, 3):
         steps(stage, f"c{n} send {READY}\nc{n} expect 200")
     steps(stage, f"c4 send {READY}\nc4 expect 200\nc1 ended\nc2 silent 50\nc3 silent 1")
@@ -613,7 +613,7 @@
 ) -> None:
     # danger: counted for nobody, the flood of one tenant is paid for by all
     realms = [{"name": "north", "share": 0.5, "allowancePerS": 10.0}]
-    stage = stages(providers=1, settings=read_settings({**SETTINGS, "realms": realms}))
+    stage = stages(workers=1, settings=read_settings({**SETTINGS, "realms": realms}))
     stage.dispatcher.host.waits = heard = Heard()
     for n, name in enumerate(("north", " north ", "south", "")):
         steps(stage, f"c{n} send {job(f'j{n}', more=f'X-Tenant-Id: {name}' + CRLF)}\nwait 20")
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -204,17 +204,18 @@
 
 
 def test_sighup_takes_the_replaced_file_and_keeps_what_runs_if_it_cannot(tmp_path: Path) -> None:
-    # danger: unhandled, the signal ends the program; and the environment still names the old directory
-    with serving(tmp_path, UNUSED) as process, listen(("127.0.0.1", 0)) as directory:
+    # danger: unhandled, the signal ends the program; and the environment still names the old discovery
+    # service
+    with serving(tmp_path, UNUSED) as process, listen(("127.0.0.1", 0)) as discovery:
         written(tmp_path, "{")
         process.send_signal(signal.SIGHUP)
         assert "not JSON" in logged(process, "the running one stays")
-        host, port = directory.getsockname()
+        host, port = discovery.getsockname()
         written(tmp_path, {**UNUSED, "discovery": f"{host}:{port}", "name": "other"})
         process.send_signal(signal.SIGHUP)
         assert '"waits_for_start": ["name"]' in logged(process, '"reloaded"')
-        directory.settimeout(20)
-        with directory.accept()[0] as connection:
+        discovery.settimeout(20)
+        with discovery.accept()[0] as connection:
             assert connection.recv(64).startswith(b"GET /api/targets HTTP")
             process.send_signal(signal.SIGHUP)
             process.send_signal(signal.SIGTERM)
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -27,7 +27,7 @@
 def test_the_lower_of_the_two_limits_counts(
     configured: int, given: int | OSError, counted: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    # danger: counted on beyond what the system gives, consumers take all, and the directory gets none
+    # danger: counted on beyond what the system gives, clients take all, and the discovery service gets none
     def getrlimit(which: int) -> tuple[int, int]:
         assert which == resource.RLIMIT_NOFILE
         if isinstance(given, OSError):
@@ -39,21 +39,23 @@
 
 
 @pytest.mark.parametrize("idle", [READY, job()[:40], ""])
-def test_service_comes_back_after_idle_consumers_took_all_while_the_directory_was_down(idle: str) -> None:
+def test_service_comes_back_after_idle_clients_took_all_while_the_discovery_service_was_down(
+    idle: str,
+) -> None:
     # danger: whoever waits for a descriptor that nobody gives back waits for ever
-    stage = Stage(sockets=38, known=False)  # room for three consumers
-    directory = stage.peers["d"]
-    assert directory.listener is not None
-    address = directory.listener.getsockname()
-    directory.listener.close()
-    directory.listener = None
+    stage = Stage(sockets=38, known=False)  # room for three clients
+    discovery = stage.peers["d"]
+    assert discovery.listener is not None
+    address = discovery.listener.getsockname()
+    discovery.listener.close()
+    discovery.listener = None
     try:
         for n in range(1, 9):
             if idle:
                 stage.step(f"c{n} send {idle}")
             stage.step("wait 1" if idle else f"c{n} silent 1")
         stage.step("wait 250")
-        directory.listener = listen(address)
+        discovery.listener = listen(address)
         news = stage.news(stage.entry("p1"), whole=True).split("\r\n")[1].strip()
         stage.play(
             f"""d expect GET /api/targets HTTP
--- a/tests/test_directory.py
+++ b/tests/test_discovery.py
@@ -1,4 +1,4 @@
-"""The list of providers and the watch on it: orders of bytes on sockets, limits and paces in virtual time."""
+"""The list of workers and the watch on it: orders of bytes on sockets, limits and paces in virtual time."""
 
 import heapq
 import json
@@ -16,7 +16,7 @@
 from heathway.pacing import CallPace
 from heathway.settings import read_settings
 from ironbarrow.core.endings import ConnectionEndedError, Ending
-from ironbarrow.directory import client as directory
+from ironbarrow.discovery import client as discovery
 from ironbarrow.runtime import sockets
 from ironbarrow.runtime.loop import MS, SECOND, Coroutine
 from tests.scenario import SETTINGS, Stage, answer, call_back, job
@@ -25,7 +25,7 @@
 
 ACCEPTED = answer(202)
 TOLD = 6 * SECOND  # after this a change counts as told
-GRACE = 1_050 * MS  # after this nothing new may go to a provider that was told to drain
+GRACE = 1_050 * MS  # after this nothing new may go to a worker that was told to drain
 NEVER = 1 << 62
 READY = "GET /-/ready HTTP/1.1\\r\\nHost: b\\r\\n\\r\\n"
 
@@ -42,13 +42,13 @@
 
 
 @pytest.mark.parametrize("status", ["draining", "removed", "in a state nobody knows"])
-def test_a_provider_that_is_not_up_gets_nothing_new(status: str) -> None:
+def test_a_worker_that_is_not_up_gets_nothing_new(status: str) -> None:
     stage = Stage()
     news = escaped(stage.news(stage.entry("p1", status)))
     watched(stage, f"d send {news}\nwait 50\nc1 send {job()}\np2 expect in$")
 
 
-def test_a_bad_directory_entry_does_not_hide_the_others() -> None:
+def test_a_bad_discovery_entry_does_not_hide_the_others() -> None:
     stage = Stage()
     bad = [{"name": "x"}, {"name": 7, "status": "up"}, {"name": "y", "status": "up", "address": "nowhere"}]
     news = escaped(stage.news(*bad, stage.entry("p1", "removed")))
@@ -61,9 +61,11 @@
     watched(stage, f"d send {news}\nwait 50\nd close\nd expect follow=1&since=57")
 
 
-def test_a_reload_moves_to_the_other_directory_and_drops_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_reload_moves_to_the_other_discovery_service_and_drops_nothing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     # danger: until the new one has told something, the list, the old one's news and jobs must stay
-    monkeypatch.setattr(directory, "_PUSHED_ANSWER_LIMIT", 20 * SECOND)
+    monkeypatch.setattr(discovery, "_PUSHED_ANSWER_LIMIT", 20 * SECOND)
     stage = Stage()
     draining = escaped(stage.news(stage.entry("p1", "draining"), index=57))
     later = stage.entry("p1") | {"since_ms": 1_000}  # a process that is not the one told of
@@ -91,7 +93,7 @@
     )
 
 
-def test_a_directory_that_is_left_is_not_asked_again_when_its_connection_ends() -> None:
+def test_a_discovery_service_that_is_left_is_not_asked_again_when_its_connection_ends() -> None:
     stage = Stage()
     for line in ("d expect GET", "reload d2", "d close", "d2 expect GET /api/targets HTTP", "wait 400"):
         stage.step(line)
@@ -99,12 +101,13 @@
     stage.close()
 
 
-def test_a_directory_that_sends_nonsense_is_asked_for_the_whole_list() -> None:
+def test_a_discovery_service_that_sends_nonsense_is_asked_for_the_whole_list() -> None:
     watched(Stage(), "d send 5\\r\\nnope\\n\\r\\n\nd ended\nd close\nd expect GET /api/targets HTTP")
 
 
-def test_a_directory_that_refuses_is_asked_for_the_changes_alone() -> None:
-    # danger: after each refusal a whole list, many times as dear, keeps a busy directory from answering
+def test_a_discovery_service_that_refuses_is_asked_for_the_changes_alone() -> None:
+    # danger: after each refusal a whole list, many times as dear, keeps a busy discovery service from
+    # answering
     watched(
         Stage(),
         f"d ended\nd close\nd expect follow=1&since=41\nd send {answer(503)}\nd ended\nd close\n"
@@ -112,7 +115,7 @@
     )
 
 
-def test_a_directory_that_must_be_asked_is_called_when_the_decisions_say() -> None:
+def test_a_discovery_service_that_must_be_asked_is_called_when_the_decisions_say() -> None:
     conf = {**SETTINGS, "discovery": "ask"}
     stage = Stage(settings=read_settings(conf))
     for line in ("wait 20", f"c1 send {READY}", "c1 expect 200"):
@@ -123,8 +126,8 @@
 
 
 def test_a_silent_watch_is_left_for_a_new_one(monkeypatch: pytest.MonkeyPatch) -> None:
-    # danger: a frozen directory keeps its connection open and says nothing
-    monkeypatch.setattr(directory, "_SILENCE_LIMIT", 200 * MS)
+    # danger: a frozen discovery service keeps its connection open and says nothing
+    monkeypatch.setattr(discovery, "_SILENCE_LIMIT", 200 * MS)
     watched(Stage(), "d ended\nd close\nd expect follow=1&since=41")
 
 
@@ -168,7 +171,7 @@
         False,
         f"{CHANGES}42",
     ),
-    "the same provider twice: the last word counts": (
+    "the same worker twice: the last word counts": (
         chunks(told(entry(status="up"), entry()) + "\n"),
         False,
         f"{CHANGES}42",
@@ -222,7 +225,7 @@
 def test_an_order_of_bytes_on_the_watch(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
     pieces, stays, call = ORDERS[name]
     if "empty lines" in name:
-        monkeypatch.setattr(directory, "_SILENCE_LIMIT", 300 * MS)
+        monkeypatch.setattr(discovery, "_SILENCE_LIMIT", 300 * MS)
     if "a byte" in name:
         text = "".join(pieces)
         pieces = [text[at : at + 5] for at in range(0, len(text), 5)]
@@ -263,7 +266,7 @@
 def test_a_whole_list_that_does_not_come_is_asked_for_again(
     said: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(directory, "_SILENCE_LIMIT", 300 * MS)
+    monkeypatch.setattr(discovery, "_SILENCE_LIMIT", 300 * MS)
     stage = Stage(known=False)
     body = told(stage.entry("p1"), whole=True, indent=1).replace("\n", "\\n")
     size = len(body.replace("\\n", "\n"))
@@ -280,7 +283,7 @@
     )
 
 
-def test_a_provider_is_called_where_the_directory_has_last_said() -> None:
+def test_a_worker_is_called_where_the_discovery_service_has_last_said() -> None:
     stage = Stage()
     moved = stage.entry("p1") | {"address": stage.names["$p2"]}
     watched(stage, f"d send {escaped(stage.news(moved))}\nwait 50\nc1 send {job()}\np2 expect in$")
@@ -303,12 +306,12 @@
 
 
 def test_without_a_free_descriptor_the_watch_takes_its_spare_one(monkeypatch: pytest.MonkeyPatch) -> None:
-    # danger: idle consumers and calls had them all, and no list came until one of them ended
+    # danger: idle clients and calls had them all, and no list came until one of them ended
     stage = Stage()
     real = sockets.stream_socket
 
     def none_free(address: sockets.Address) -> socket.socket:
-        if stage.dispatcher.directory._spare is not None:
+        if stage.dispatcher.discovery._spare is not None:
             raise OSError(24, "Too many open files")
         return real(address)
 
@@ -317,7 +320,7 @@
     watched(stage, again + again)
 
 
-# Two directories at once
+# Two discovery services at once
 
 
 def stage_moved(stage: Stage, *lines: str) -> None:
@@ -333,12 +336,12 @@
 
 
 @pytest.mark.parametrize("old", ["draining", "removed", "not in its whole list"])
-def test_a_new_directory_that_is_behind_does_not_undo_a_drain(
+def test_a_new_discovery_service_that_is_behind_does_not_undo_a_drain(
     old: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     # danger: both are fed from one truth, at different speeds
-    monkeypatch.setattr(directory, "_PUSHED_ANSWER_LIMIT", 20 * SECOND)
-    monkeypatch.setattr(directory, "_SETTLED", 1_500 * MS)
+    monkeypatch.setattr(discovery, "_PUSHED_ANSWER_LIMIT", 20 * SECOND)
+    monkeypatch.setattr(discovery, "_SETTLED", 1_500 * MS)
     stage = Stage()
     if old.startswith("not"):
         news = stage.news(stage.entry("p2"), index=57, whole=True)
@@ -361,11 +364,11 @@
         stage.close()
 
 
-def test_the_new_directory_has_the_last_word_on_a_drain_of_the_old_one(
+def test_the_new_discovery_service_has_the_last_word_on_a_drain_of_the_old_one(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(directory, "_PUSHED_ANSWER_LIMIT", 20 * SECOND)
-    monkeypatch.setattr(directory, "_SETTLED", 400 * MS)
+    monkeypatch.setattr(discovery, "_PUSHED_ANSWER_LIMIT", 20 * SECOND)
+    monkeypatch.setattr(discovery, "_SETTLED", 400 * MS)
     stage = Stage()
     may = stage.dispatcher.host.may_send_to
     try:
@@ -390,10 +393,10 @@
         stage.close()
 
 
-def test_there_and_back_the_first_directory_is_followed_on(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_there_and_back_the_first_discovery_service_is_followed_on(monkeypatch: pytest.MonkeyPatch) -> None:
     # danger: asked for the whole list anew while its own watch went on, it was listened to twice, and the
     # list of the one that was left in between replaced its news
-    monkeypatch.setattr(directory, "_PUSHED_ANSWER_LIMIT", 20 * SECOND)
+    monkeypatch.setattr(discovery, "_PUSHED_ANSWER_LIMIT", 20 * SECOND)
     stage = Stage()
     drains = escaped(stage.news(stage.entry("p1", "draining"), index=57))
     late = whole(stage, stage.entry("p1"), stage.entry("p2"))
@@ -416,8 +419,8 @@
 
 
 def test_of_two_reloads_in_a_row_the_last_one_counts(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(directory, "_PUSHED_ANSWER_LIMIT", 20 * SECOND)
-    stage = Stage(providers=3)  # p3 plays the third directory
+    monkeypatch.setattr(discovery, "_PUSHED_ANSWER_LIMIT", 20 * SECOND)
+    stage = Stage(workers=3)  # p3 plays the third discovery service
     may = stage.dispatcher.host.may_send_to
     try:
         stage_moved(
@@ -462,7 +465,7 @@
         stage.close()
 
 
-def test_a_fleet_told_to_move_does_not_ask_its_new_directory_all_at_once() -> None:
+def test_a_fleet_told_to_move_does_not_ask_its_new_discovery_service_all_at_once() -> None:
     conf = {**SETTINGS, "discovery": "ask", "replicasOfMe": 200}
     stage = Stage(settings=read_settings(conf))
     try:
@@ -488,7 +491,7 @@
     values: list[dict[str, Any]], indent: int | None, between: str, size: int
 ) -> None:
     data = between.join(json.dumps(value, indent=indent) for value in values).encode()
-    objects = directory._Objects()
+    objects = discovery._Objects()
     found = [o for at in range(0, len(data), size) for o in objects.feed(data[at : at + size])]
     assert [json.loads(one) for one in found] == values
     assert not objects.unfinished
@@ -497,7 +500,7 @@
 @pytest.mark.parametrize("indent", [None, 2])
 def test_what_is_looked_at_again_with_each_piece_does_not_grow_with_the_list(indent: int | None) -> None:
     data = told(*(entry(f"s-{n}") for n in range(2_000)), indent=indent).encode()
-    objects, again = directory._Objects(), 0
+    objects, again = discovery._Objects(), 0
     for at in range(0, len(data), 100):
         again = max(again, len(objects._text) - objects._scanned)
         objects.feed(data[at : at + 100])
@@ -506,10 +509,10 @@
 
 
 def test_an_object_too_large_ends_the_connection() -> None:
-    objects, piece = directory._Objects(), json.dumps([entry()]).encode()[1:-1] + b","
+    objects, piece = discovery._Objects(), json.dumps([entry()]).encode()[1:-1] + b","
     with pytest.raises(ConnectionEndedError) as ended:
         objects.feed(b'{"endpoints":[')
-        for _ in range(directory._SIZE_LIMIT // len(piece) + 1):
+        for _ in range(discovery._SIZE_LIMIT // len(piece) + 1):
             objects.feed(piece)
     assert ended.value.ending is Ending.TOO_LARGE
 
@@ -530,7 +533,8 @@
 
 
 class Agent:
-    """A directory that fails in one way between two times, and has one change from ``change_at`` on."""
+    """A discovery service that fails in one way between two times, and has one change from ``change_at``
+    on."""
 
     def __init__(self, loop: VirtualLoop, fails: str, down: int, up: int, change_at: int) -> None:
         self.loop, self.fails, self.down, self.up, self.change_at = loop, fails, down, up, change_at
@@ -554,7 +558,7 @@
 
 
 class AgentConnection:
-    """Danger: a connection that failed once stays so, also when the directory is back."""
+    """Danger: a connection that failed once stays so, also when the discovery service is back."""
 
     def __init__(self, agent: Agent, fails: str) -> None:
         self.agent, self.fails, self.loop = agent, fails, agent.loop
@@ -609,8 +613,8 @@
 def told_at(
     agent: Agent, loop: VirtualLoop, until: int, pace: CallPace | None, seed: int, known: bool = True
 ) -> int:
-    """When the directory's change arrives; ``pace``: it is asked for. Without a known list, as after a move,
-    the whole list comes first."""
+    """When the discovery service's change arrives; ``pace``: it is asked for. Without a known list, as after
+    a move, the whole list comes first."""
     found: list[int] = []
 
     def listed(news: api.WorkerList) -> None:
@@ -622,7 +626,7 @@
         elif pace is not None:
             pace.answered()
 
-    client = directory.Directory(loop, ("d", 1), listed, on_request=pace is not None, seed=seed)  # type: ignore[arg-type]
+    client = discovery.Discovery(loop, ("d", 1), listed, on_request=pace is not None, seed=seed)  # type: ignore[arg-type]
     client.start(json.loads(told(entry(status="up"), index=41, whole=True)) if known else {})
     if pace is not None:
         loop.call_at(loop.now() + pace.first(), client.ask)
@@ -636,14 +640,14 @@
 
 
 @given(st.sampled_from(FAILS), TIMES, st.integers(1, 20_000), TIMES, st.integers(0, 99), st.booleans())
-def test_what_a_directory_that_pushes_has_when_it_is_back_is_known_within_the_grace(
+def test_what_a_discovery_service_that_pushes_has_when_it_is_back_is_known_within_the_grace(
     fails: str, down: int, lasts: int, change: int, seed: int, known: bool
 ) -> None:
     with pytest.MonkeyPatch.context() as patch:
         loop = VirtualLoop()
         up = (down + lasts) * MS
         agent = Agent(loop, fails, down * MS, up, change * MS)
-        patch.setattr(directory, "connect", agent.connect)
+        patch.setattr(discovery, "connect", agent.connect)
         arrived = told_at(agent, loop, up + 10 * SECOND, None, seed, known)
         reached = max(agent.change_at, up if agent.change_at >= agent.down else 0)
         # a watch that was open, or had its head, when it fell silent has the clock of silences
@@ -664,14 +668,14 @@
     st.sampled_from([1, 10, 40]),
     st.integers(0, 99),
 )
-def test_what_a_directory_that_is_asked_has_is_known_before_it_counts_as_told(
+def test_what_a_discovery_service_that_is_asked_has_is_known_before_it_counts_as_told(
     fails: str, down: int, lasts: int, change: int, dispatchers: int, within: int, seed: int
 ) -> None:
     with pytest.MonkeyPatch.context() as patch:
         loop = VirtualLoop()
         up = (down + lasts) * MS
         agent = Agent(loop, fails, down * MS, up, max(0, down + change) * MS)
-        patch.setattr(directory, "connect", agent.connect)
+        patch.setattr(discovery, "connect", agent.connect)
         pace = CallPace(dispatchers, within * SECOND, random.Random(seed))
         arrived = told_at(agent, loop, up + 40 * SECOND, pace, seed)
         # where it was down at the first call, it could not be reached before it was back
@@ -688,7 +692,7 @@
     first = pace.first() if dispatchers <= ANSWERED_IN_TIME else 0
     pauses = [pace.failed() for _ in range(failures + 1)]
     answer_comes = 1 * SECOND
-    lost = max(directory._SILENCE_LIMIT, directory._ANSWER_LIMIT)
+    lost = max(discovery._SILENCE_LIMIT, discovery._ANSWER_LIMIT)
     assert all(lost + pause + answer_comes < TOLD for pause in pauses)
     # the first call may be refused, too
     assert first + pauses[0] <= TOLD - SECOND // 2
@@ -757,5 +761,5 @@
         return world.now - lost
 
     assert next_call(2 * SECOND, listed=False) > 2_100 * MS
-    for waited, listed in ((0, False), (directory._ANSWER_LIMIT, False), (2 * SECOND, True)):
+    for waited, listed in ((0, False), (discovery._ANSWER_LIMIT, False), (2 * SECOND, True)):
         assert next_call(waited, listed) <= pacing.AGAIN_WITHIN + 210 * MS
--- a/tests/test_fleet_frames.py
+++ b/tests/test_fleet_frames.py
@@ -43,7 +43,7 @@
     takeover.Ask("id", b"\x03", 2),
     takeover.Said("id", 2, takeover.Word.ENDED, "served", b"r", 5, (OTHER,), (THIRD,)),
     takeover.Told("id", "served", b"r", 5),
-    takeover.CallBack("id", "provider", "done", b"r"),
+    takeover.CallBack("id", "worker", "done", b"r"),
     takeover.TakenOver(OTHER, False),
 ]
 
--- a/tests/test_fleet_parts.py
+++ b/tests/test_fleet_parts.py
@@ -13,8 +13,8 @@
 from ironbarrow.lab.fleet.logs import lines_of
 from ironbarrow.lab.live.rollouts import RolloutRun
 from ironbarrow.lab.live.run import LiveError, LiveRun
-from ironbarrow.lab.model.provider import Need, Provider, Reply, Tell
 from ironbarrow.lab.model.spec import World, convert
+from ironbarrow.lab.model.worker import Need, Reply, Tell, Worker
 from ironbarrow.lab.model.workload import Order
 from ironbarrow.runtime.loop import MS, SECOND, Loop
 
@@ -23,7 +23,7 @@
 duration = "30 s"
 arrivals = { rate = 25.0, shape = "even" }
 network = { zones = ["north", "south"] }
-consumers = { retries = 0, notice = "500 ms", same_id = true }
+clients = { retries = 0, notice = "500 ms", same_id = true }
 cold = { time = "300 ms", start = 0.8 }
 [dispatchers]
 count = 3
@@ -39,7 +39,7 @@
 work = { mean = "60 ms", kind = "fixed" }
 wanted = "4 s"
 deadline = "6 s"
-[[providers]]
+[[workers]]
 name = "p"
 count = 6
 cores = 10
@@ -216,7 +216,7 @@
 duration = "40 s"
 arrivals = { rate = 60.0, shape = "even" }
 network = { zones = ["north", "south"] }
-consumers = { retries = 0 }
+clients = { retries = 0 }
 sessions = { count = 3, farms = 3, zipf = 0.0 }
 [dispatchers]
 count = 3
@@ -250,7 +250,7 @@
 work = { mean = "50 ms", kind = "fixed" }
 wanted = "6 s"
 deadline = "9 s"
-[[providers]]
+[[workers]]
 name = "p"
 count = 6
 cores = 10
@@ -261,18 +261,18 @@
 
 
 class PutsBack:
-    """A provider as one dispatcher's door sees it: a tenant's jobs start late."""
+    """A worker as one dispatcher's door sees it: a tenant's jobs start late."""
 
-    def __init__(self, provider: Provider, loop: Loop, late: Callable[[str], bool]) -> None:
-        self._provider, self._loop, self._late = provider, loop, late
+    def __init__(self, worker: Worker, loop: Loop, late: Callable[[str], bool]) -> None:
+        self._worker, self._loop, self._late = worker, loop, late
         self._waiting: set[str] = set()
 
     def __getattr__(self, name: str) -> Any:
-        return getattr(self._provider, name)
+        return getattr(self._worker, name)
 
     def arrive(self, job_id: str, need: Need, tell: Tell) -> Reply:
         if not self._late(job_id):
-            return self._provider.arrive(job_id, need, tell)
+            return self._worker.arrive(job_id, need, tell)
         self._waiting.add(job_id)
         self._loop.call_at(self._loop.now() + LATE, self._now, job_id, need, tell)
         return Reply.TAKEN
@@ -280,14 +280,14 @@
     def _now(self, job_id: str, need: Need, tell: Tell) -> None:
         if job_id in self._waiting:
             self._waiting.discard(job_id)
-            if self._provider.arrive(job_id, need, tell) is not Reply.TAKEN:
+            if self._worker.arrive(job_id, need, tell) is not Reply.TAKEN:
                 tell("returned", None)
 
     def cancel(self, job_id: str) -> bool:
         if job_id in self._waiting:
             self._waiting.discard(job_id)
             return True
-        return self._provider.cancel(job_id)
+        return self._worker.cancel(job_id)
 
 
 class StarvingRun(LiveRun):
@@ -305,10 +305,10 @@
 
         self._habits.new_try = new_try
 
-    def _open(self, provider: Provider) -> None:
-        super()._open(provider)
-        door = self._doors[provider.name][0]
-        door._provider = PutsBack(provider, self.loop, lambda job: self.tenants.get(job) == self.who)
+    def _open(self, worker: Worker) -> None:
+        super()._open(worker)
+        door = self._doors[worker.name][0]
+        door._worker = PutsBack(worker, self.loop, lambda job: self.tenants.get(job) == self.who)
 
 
 def starve(who: str, folder: Path) -> dict[str, Any]:
--- a/tests/test_fleet_rig.py
+++ b/tests/test_fleet_rig.py
@@ -264,11 +264,11 @@
         None,
     ),
     "two answers that differ": (
-        [TAKEN, ("answered", "rejected"), AGAIN, ("answered", "failed")],
+        [TAKEN, ("answered", "refused"), AGAIN, ("answered", "failed")],
         Breach.TWO_ANSWERS,
     ),
-    "run after its rejection": (
-        [TAKEN, ("answered", "rejected"), ("job_started", "p", "j")],
+    "run after its refusal": (
+        [TAKEN, ("answered", "refused"), ("job_started", "p", "j")],
         Breach.UNLAWFUL,
     ),
 }
@@ -337,14 +337,14 @@
     assert len(fleet.at("m1").replicas) == 3
 
 
-# Whole runs: several dispatchers' processes with faults between them; the providers' counts decide
+# Whole runs: several dispatchers' processes with faults between them; the workers' counts decide
 
 TRIED = """
 name = "tried"
 duration = "4 s"
 arrivals = { rate = 30.0, shape = "even" }
 network = { zones = ["north", "middle", "south"] }
-consumers = { retries = 0, notice = "500 ms", same_id = true }
+clients = { retries = 0, notice = "500 ms", same_id = true }
 [dispatchers]
 count = 5
 tells_start = false
@@ -367,7 +367,7 @@
 wanted = "4 s"
 deadline = "6 s"
 effect = "unsafe"
-[[providers]]
+[[workers]]
 name = "p"
 count = 6
 cores = 10
--- a/tests/test_fleet_takeover.py
+++ b/tests/test_fleet_takeover.py
@@ -68,12 +68,12 @@
 def test_what_becomes_of_a_job_that_another_has_left(record: JobRecord, safe: bool, whole: bool) -> None:
     what = claims.what(record, safe=safe, whole=whole, most_attempts=3, now=5)
     may_run = record.may_have_run or record.stage is Come.INTENT
-    if record.stage is Come.REJECTED:
-        assert what is What.REJECTED
+    if record.stage is Come.REFUSED:
+        assert what is What.REFUSED
     elif what is What.AGAIN:  # with attempts and time left, and for a job that may not run twice a proof
         assert record.attempts < 3 and record.until > 5
         assert record.stage is Come.TAKEN and (safe or (whole and not may_run))
-    elif what is What.REJECTED:
+    elif what is What.REFUSED:
         assert safe or not may_run  # a repeat is harmless
     elif what is What.KEEP:
         assert not safe and record.stage is Come.INTENT
@@ -118,7 +118,7 @@
 
 
 def world(n: int = 5, seed: int = 1, **fleet: Any) -> WorkWorld:
-    found = WorkWorld(SETTINGS, n, seed=seed, fleet=Fleet(listen="127.0.0.1:0", **fleet), providers=8)
+    found = WorkWorld(SETTINGS, n, seed=seed, fleet=Fleet(listen="127.0.0.1:0", **fleet), workers=8)
     found.run(ms(1500))
     return found
 
@@ -133,17 +133,17 @@
     played.lasts = (ms(1700), ms(1700))
     order = played.order("j", job_class, ms(9000), "d0")
     played.run(ms(300))
-    assert played.providers.starts["j"] == 1
+    assert played.workers.starts["j"] == 1
     played.kill("d0")
     played.run(ms(9000))
     assert [a and a.verdict for a in order.heard] == [Verdict.SERVED]
-    assert played.providers.starts["j"] == (1 if job_class == "book" else 2)
-    assert not played.providers.copies and not played.broken(UNSAFE) and not played.providers.unheard
+    assert played.workers.starts["j"] == (1 if job_class == "book" else 2)
+    assert not played.workers.copies and not played.broken(UNSAFE) and not played.workers.unheard
 
 
-@pytest.mark.parametrize(("lasts", "verdict"), [(1700, Verdict.SERVED), (20_000, Verdict.REJECTED)])
+@pytest.mark.parametrize(("lasts", "verdict"), [(1700, Verdict.SERVED), (20_000, Verdict.REFUSED)])
 def test_what_could_not_be_called_off_is_not_sent_again(lasts: int, verdict: Verdict) -> None:
-    # danger: its provider may be cut off from the heir alone, and runs on
+    # danger: its worker may be cut off from the heir alone, and runs on
     played = world()
     played.lasts = (ms(lasts), ms(lasts))
     played.deletes_lost = True
@@ -152,7 +152,7 @@
     played.kill("d0")
     played.run(ms(9000))
     assert [a and a.verdict for a in order.heard] == [verdict]
-    assert played.providers.starts["j"] == 1 and not played.providers.copies
+    assert played.workers.starts["j"] == 1 and not played.workers.copies
 
 
 def test_stopped_between_the_look_and_the_write_nothing_is_sent_twice() -> None:
@@ -164,11 +164,11 @@
     assert counts(played, "ledgers taken over") == 1
     played.again(order, "d1")
     played.run(ms(1500))
-    assert played.providers.starts["j"] == 1
+    assert played.workers.starts["j"] == 1
     played.resume("d0")  # reads the first request now, as a dispatcher that believes itself alive
     played.run(ms(6000))
     assert played.counts["renewed"] == 1
-    assert played.providers.starts["j"] == 1 and [a and a.verdict for a in order.heard] == [Verdict.SERVED]
+    assert played.workers.starts["j"] == 1 and [a and a.verdict for a in order.heard] == [Verdict.SERVED]
 
 
 def test_an_old_holder_answers_by_the_new_one() -> None:
@@ -178,11 +178,11 @@
     played.run(ms(300))
     played.net.pause("d0")
     played.run(ms(3000))
-    played.resume("d0")  # its consumer still waits there
+    played.resume("d0")  # its client still waits there
     played.run(ms(6000))
     assert played.counts["renewed"] == 1 and order.tries == 1
     assert [a and a.verdict for a in order.heard] == [Verdict.SERVED]
-    assert played.providers.starts["j"] == 1
+    assert played.workers.starts["j"] == 1
 
 
 def test_a_repeat_joins_hears_the_answer_again_and_another_request_is_refused() -> None:
@@ -191,7 +191,7 @@
     played.run(ms(50))
     played.again(order, "d1")
     played.run(ms(3000))
-    assert played.providers.starts["j"] == 1 and [a and a.verdict for a in order.heard] == [Verdict.SERVED]
+    assert played.workers.starts["j"] == 1 and [a and a.verdict for a in order.heard] == [Verdict.SERVED]
     late = played.order("other", "book", ms(9000), "d2")
     late.id, late.job_class, late.tries = "j", "map", 1
     played.again(late, "d3")
@@ -199,23 +199,23 @@
     played.again(order, "d4")
     played.run(ms(1000))
     assert late.heard[-1] is None and [a and a.verdict for a in order.heard] == [Verdict.SERVED]
-    assert played.providers.starts["j"] == 1
+    assert played.workers.starts["j"] == 1
 
 
-def test_a_rejection_of_a_booking_waits_for_a_majority_or_is_a_failure() -> None:
+def test_a_refusal_of_a_booking_waits_for_a_majority_or_is_a_failure() -> None:
     heard = {}
     for cut in (False, True):
         played = world()
         played.returns, played.lasts, played.call_backs_to = 1.0, (ms(200), ms(200)), "d0"
         order = played.order("j", "book", ms(4000), "d0")
         played.run(ms(300))
-        assert played.providers.returned["j"] == 1 and not order.heard
+        assert played.workers.returned["j"] == 1 and not order.heard
         if cut:
             for other in ("d1", "d2", "d3", "d4"):
                 played.net.cut("d0", other)
         played.run(ms(2000))
         heard[cut] = [a and a.verdict for a in order.heard]
-    assert heard == {False: [Verdict.REJECTED], True: [Verdict.FAILED]}
+    assert heard == {False: [Verdict.REFUSED], True: [Verdict.FAILED]}
 
 
 @pytest.mark.parametrize("rule", ["turn away", "serve unprotected"])
@@ -243,7 +243,7 @@
     played.run(ms(22_000))
     assert not played.broken(UNSAFE) and counts(played, "ledgers lost") > 0
     served = sum(bool(o.heard and o.heard[0] and o.heard[0].verdict is Verdict.SERVED) for o in orders)
-    # what a replica that is left had is saved, the rest is told its consumers and counted
+    # what a replica that is left had is saved, the rest is told its clients and counted
     assert 5 <= served < 20 and all(order.heard for order in orders)
     assert counts(played, "taken over: keep") > 0 and counts(played, "taken over: call off") > 0
 
@@ -264,7 +264,7 @@
     played.kill("d0")
     played.run(ms(9000))
     assert [a and a.verdict for o in orders for a in o.heard] == [Verdict.SERVED] * 6
-    assert all(played.providers.starts[f"j{n}"] == 1 for n in (1, 3, 5)) and not played.broken(UNSAFE)
+    assert all(played.workers.starts[f"j{n}"] == 1 for n in (1, 3, 5)) and not played.broken(UNSAFE)
 
 
 # Which rules may be broken where, so that a random play ends in one verdict; more seeds by
@@ -275,23 +275,23 @@
     assert not played.broken(UNSAFE), (
         f"replay: python -m ironbarrow.lab.fleet.random_work {seed} {seed} {kind}"
     )
-    assert played.ends()["served"] > 20 and played.providers.unheard == 0
+    assert played.ends()["served"] > 20 and played.workers.unheard == 0
 
 
 # Mutants: each invariant catches the fault that it is there for
 
 
-def _sent_before_kept(self: Takeover, now: int, call: Any, job_id: str, provider: str) -> list[Any]:
-    return [*_INTENT(self, now, call, job_id, provider), Go(call, True)]
+def _sent_before_kept(self: Takeover, now: int, call: Any, job_id: str, worker: str) -> list[Any]:
+    return [*_INTENT(self, now, call, job_id, worker), Go(call, True)]
 
 
-def _any_number(self: Takeover, now: int, call: Any, job_id: str, provider: str) -> list[Any]:
+def _any_number(self: Takeover, now: int, call: Any, job_id: str, worker: str) -> list[Any]:
     held = self.held[job_id]
     held.record = _with(
         **{n: getattr(held.record, n) for n in held.record.__struct_fields__} | {"attempts": 3}
     )
     self.rules = replace(self.rules, most_attempts=9)
-    actions = _INTENT(self, now, call, job_id, provider)
+    actions = _INTENT(self, now, call, job_id, worker)
     self.rules = replace(self.rules, most_attempts=3)
     return actions
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -225,7 +225,7 @@
         assert end == Answer(Verdict.SERVED, b"out")
     elif isinstance(end, Record):
         assert attempts < 3 and state is not None and (safe or (state == "returned" and not may_have_run))
-    elif end.verdict is Verdict.REJECTED:
+    elif end.verdict is Verdict.REFUSED:
         assert safe or (state == "returned" and not may_have_run)
     else:
         assert not safe
--- a/tests/test_invoker.py
+++ b/tests/test_invoker.py
@@ -1,4 +1,4 @@
-"""Invoker calls: what may come in a bad order between the dispatcher and a provider, each order forced.
+"""Invoker calls: what may come in a bad order between the dispatcher and a worker, each order forced.
 
 The decisions here are the plainest ones, so that each case says where a job goes and sees each outcome."""
 
@@ -75,7 +75,7 @@
 
 SHORT = replace(
     read_settings(SETTINGS),
-    may_cancel=False,  # then the module calls nothing off when a consumer leaves
+    may_cancel=False,  # then the module calls nothing off when a client leaves
     classes=(
         *read_settings(SETTINGS).classes,
         api.JobClass("charge", api.Effect.KEYED, 1 * SECOND, 25 * SECOND, window=500 * MS),
@@ -114,10 +114,10 @@
             monkeypatch.setattr(socket.socket, "send", send)
 
 
-# The job, the providers it goes to, what happens while a call is held, the outcomes, what the consumer gets
+# The job, the workers it goes to, what happens while a call is held, the outcomes, what the client gets
 HELD = {
-    "the consumer leaves": (booking(), ("p1",), "c1 close", [Outcome.MOOT], ""),
-    "the provider drains": (booking(), ("p1",), "d send $drained", [Outcome.FULL], "503"),
+    "the client leaves": (booking(), ("p1",), "c1 close", [Outcome.MOOT], ""),
+    "the worker drains": (booking(), ("p1",), "d send $drained", [Outcome.FULL], "503"),
     "the job's time ends": (booking(ms=300), ("p1",), "c1 expect 503", [Outcome.MOOT], ""),
     "the attempt's time ends": (booking(), ("p1",), "time", [Outcome.CONNECT_FAILED], "503"),
     "the window for a repeat ends": (
@@ -179,7 +179,7 @@
 def test_a_call_called_off_before_its_last_byte_never_ran(
     effect: str, outcome: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    # a safe job may go elsewhere anyway, and its provider need not be set aside
+    # a safe job may go elsewhere anyway, and its worker need not be set aside
     gate = Gate(monkeypatch, "connecting")
     gate.open = False
     stage, decisions = plain("p1")
@@ -213,12 +213,12 @@
 # Between the first byte and the last one: half of the request is out, and the rest can't be written
 
 HALF = {
-    "the provider closes": (booking(), "p1 close", [Outcome.CONNECT_FAILED], "503"),
+    "the worker closes": (booking(), "p1 close", [Outcome.CONNECT_FAILED], "503"),
     "the job's time ends": (booking(ms=300), "wait 350", [Outcome.MOOT], "503"),
     "the attempt's time ends": (booking(), "time", [Outcome.CONNECT_FAILED], "503"),
-    "the consumer leaves": (booking(), "c1 close", [Outcome.CONNECT_FAILED], ""),
+    "the client leaves": (booking(), "c1 close", [Outcome.CONNECT_FAILED], ""),
     # it was begun before, and is not broken off: that would be lost work
-    "the provider drains": (booking(), "d send $drained", [Outcome.OK], "200"),
+    "the worker drains": (booking(), "d send $drained", [Outcome.OK], "200"),
 }
 
 
@@ -228,7 +228,7 @@
 ) -> None:
     sent, happens, outcomes, status = HALF[name]
     stage, decisions = plain("p1")
-    decisions.calls_off = name == "the consumer leaves"
+    decisions.calls_off = name == "the client leaves"
     if happens == "time":
         decisions.timeout, happens = 150 * MS, "wait 200"
     real, free, halves = socket.socket.send, [False], []
@@ -315,7 +315,7 @@
     stage.play(f"p2 send {ACCEPTED}\nc9 send {call_back('done', source='p2', result='out')}\nc1 expect out$")
 
 
-# danger: the provider has the job; sent elsewhere, it would run twice
+# danger: the worker has the job; sent elsewhere, it would run twice
 ACCEPTED_IN_PART = {
     "breaks off": (HEAD.format(202, ""), True),
     "never ends": (HEAD.format(202, ""), False),
@@ -354,7 +354,7 @@
 
 
 # Call-backs, each in an order that is not the usual one: the steps after p1 has the request, the outcomes,
-# and what the consumer gets. A job goes to p1 and then to p2.
+# and what the client gets. A job goes to p1 and then to p2.
 STARTED = f"c9 send {call_back('started')}\nc9 expect 204"
 DONE = f"c9 send {call_back('done', result='out')}\nc9 expect 204"
 CALL_BACKS = {
@@ -380,12 +380,12 @@
         [Outcome.RESET, Outcome.FULL],
         "500",
     ),
-    "done of the earlier provider while the later one has it": (
+    "done of the earlier worker while the later one has it": (
         f"p1 send {answer(500)}\np2 expect in$\n{DONE}\nc1 silent 20\np2 send {NOT_PROCESSED}",
         [Outcome.ERROR, Outcome.FULL],
         "500",
     ),
-    "for another id and another provider": (
+    "for another id and another worker": (
         f"p1 send {ACCEPTED}\nc9 send {call_back('done', 'j2')}\nc9 expect 204\n"
         f"c9 send {call_back('done', source='p2')}\nc9 expect 204\nc1 silent 20\n{DONE}",
         [Outcome.OK],
@@ -443,7 +443,7 @@
 # DELETE
 
 
-def test_deletes_to_a_provider_that_is_cut_off_take_few_descriptors_and_end(
+def test_deletes_to_a_worker_that_is_cut_off_take_few_descriptors_and_end(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     gate = Gate(monkeypatch, "connecting")
@@ -479,7 +479,7 @@
     stage.play(f"c1 send {job('j2')}\np2 expect X-Request-ID: j2\np1 ended")
 
 
-def test_no_further_attempt_leaves_before_the_provider_is_told_or_can_not_be() -> None:
+def test_no_further_attempt_leaves_before_the_worker_is_told_or_can_not_be() -> None:
     # it has taken the job and cuts each DELETE off: until it is told, p2 gets nothing
     stage, decisions = plain("p1", "p2")
     host = stage.dispatcher.host
@@ -514,7 +514,7 @@
 
 
 def test_a_delete_that_breaks_off_before_the_202_is_sent_again() -> None:
-    # danger: the 202 may have been on its way as the connection was closed, and the provider runs the job
+    # danger: the 202 may have been on its way as the connection was closed, and the worker runs the job
     stage, _ = plain("p1", "p2")
     host = stage.dispatcher.host
     for line in (f"c1 send {job()}", "p1 expect in$"):
@@ -528,7 +528,7 @@
 
 
 @pytest.mark.parametrize(("took", "waits"), [(10, 0.1), (40, 0.24)])
-def test_a_delete_has_the_time_that_a_far_provider_takes(
+def test_a_delete_has_the_time_that_a_far_worker_takes(
     took: int, waits: float, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     # danger: with 20 ms to and fro, a handshake and the DELETE take more than what is enough nearby
@@ -554,11 +554,11 @@
     assert to_p2 - delete >= waits + took / 1000
 
 
-def test_calls_to_hung_providers_leave_descriptors_to_others(monkeypatch: pytest.MonkeyPatch) -> None:
-    # danger: consumers, call-backs and the directory would find none
+def test_calls_to_hung_workers_leave_descriptors_to_others(monkeypatch: pytest.MonkeyPatch) -> None:
+    # danger: clients, call-backs and the discovery service would find none
     gate = Gate(monkeypatch, "connecting")
     gate.open = False
-    stage, decisions = plain("p1", sockets=256)  # 140 places for consumers, 100 connections to providers
+    stage, decisions = plain("p1", sockets=256)  # 140 places for clients, 100 connections to workers
     for n in range(110):
         stage.step(f"c{n} send {job(f'j{n}')}")
     stage.until("the others refused, as never sent", lambda: len(decisions.outcomes) == 110 - gate.waiting)
@@ -644,20 +644,20 @@
     def start(self, call: core.Call) -> None:
         assert all(earlier.ended for earlier in self.sent)
         if self.host.barred(call) is not None:
-            self.host.call_ended(call, Ending.NOT_SENT)
+            self.host.attempt_ended(call, Ending.NOT_SENT)
             return
         ending, written = self.script[len(self.sent) % len(self.script)]
         self.sent.append(call)
         if written:
-            self.host.call_written(call)
-        self.host.loop.call_at(self.host.loop.now() + 20 * MS, self.host.call_ended, call, ending)
+            self.host.attempt_written(call)
+        self.host.loop.call_at(self.host.loop.now() + 20 * MS, self.host.attempt_ended, call, ending)
 
     def give_up(self, call: core.Call, ending: Ending) -> None:
-        self.host.call_ended(call, ending)
+        self.host.attempt_ended(call, ending)
 
-    def probe(self, provider: str) -> None: ...
+    def probe(self, worker: str) -> None: ...
 
-    def close_idle(self, provider: str) -> None: ...
+    def close_idle(self, worker: str) -> None: ...
 
 
 SCRIPT = [
@@ -689,7 +689,7 @@
         host = core.Host(clock, settings, 1)
         back = host.invoker = Scripted(host, script)
         entries = tuple(api.WorkerEntry(f"p{n}", "a") for n in range(5))
-        host.providers_listed(api.WorkerList(api.ListKind.FULL, entries))
+        host.workers_listed(api.WorkerList(api.ListKind.FULL, entries))
         payload = core.Payload("j1", "POST", "/x", b"")
         host.take(payload, answers.append, job_class="x", time_left=2 * SECOND)
         clock.run(4 * SECOND)
@@ -702,7 +702,7 @@
         if effect is api.Effect.KEYED and risky:
             first = back.sent[risky[0]].sent_at
             assert all(call.sent_at < first + window for call in back.sent[risky[0] :]), script
-        if answers[0].verdict is core.Verdict.REJECTED and effect is api.Effect.UNSAFE:
+        if answers[0].verdict is core.Verdict.REFUSED and effect is api.Effect.UNSAFE:
             assert not risky, script
         served = ended[-1][0] is Ending.DONE if ended else False
         assert (answers[0].verdict is core.Verdict.SERVED) is served, script
