--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -62,7 +62,7 @@
 
 
 @pytest.mark.parametrize("case", [c for c in CASES if c.load < 0.9], ids=lambda c: c.name)
-def test_the_provider_waits_as_the_formula_says(case: Any) -> None:
+def test_the_worker_waits_as_the_formula_says(case: Any) -> None:
     found = run_case(case, 60_000, seed=2)
     assert abs(found.error) < 0.03 + found.half_width / found.wait
     assert found.number_waiting == pytest.approx(found.rate_times_wait, rel=0.01)
@@ -95,10 +95,10 @@
     assert digest(world(), 1) != digest(world(), 2)
 
 
-def test_one_more_provider_shifts_nobody_elses_draws() -> None:
+def test_one_more_worker_shifts_nobody_elses_draws() -> None:
     plain = world(6, Fault(kind="slow", at=ms(1000), lasts=ms(2000), part=0.3))
-    spare = msgspec.structs.replace(plain.providers[0], name="spare", count=1, listed=False)
-    more = msgspec.structs.replace(plain, providers=[*plain.providers, spare])
+    spare = msgspec.structs.replace(plain.workers[0], name="spare", count=1, listed=False)
+    more = msgspec.structs.replace(plain, workers=[*plain.workers, spare])
     assert digest(plain, 3) == digest(more, 3, frozenset({"spare-0"}))
 
 
@@ -155,7 +155,7 @@
 
 
 real_conclude, real_send = core.Host._conclude, core.Host._send
-real_listed, real_outcome = core.Host.providers_listed, core.outcome_of
+real_listed, real_outcome = core.Host.workers_listed, core.outcome_of
 real_settings = sim.settings_object
 
 MUTANTS: dict[Breach, tuple[Any, str, Any, list[Fault], float]] = {
@@ -163,7 +163,7 @@
     Breach.TWO_ANSWERS: (core.Host, "_conclude", answers_twice, [], 0.5),
     Breach.SECOND_COPY: (core.Host, "_send", sends_twice, [], 0.5),
     Breach.TOO_MANY: (sim, "settings_object", settings_with(limits__mostTries=9), [FAILING], 0.3),
-    Breach.PAST_DRAIN: (core.Host, "providers_listed", hears_no_drain, [DRAINS], 0.5),
+    Breach.PAST_DRAIN: (core.Host, "workers_listed", hears_no_drain, [DRAINS], 0.5),
     Breach.PUSHED_OVER: (sim, "settings_object", settings_with(guarantees__cold=0), [DEPLOY], 0.9),
     Breach.RAN_TWICE: (core, "outcome_of", takes_all_for_unstarted, DYING, 0.7),
     Breach.FALSE_PROOF: (core, "outcome_of", takes_all_for_unstarted, DYING, 0.7),
@@ -189,7 +189,7 @@
     result = sim.Simulation(load_world(EXPERIMENTS / "hard-day.toml"), seed).run()
     assert not result.verdicts.breaches, result.verdicts.examples
     asked = result.summary()["all"]
-    parts = ("served", "rejected", "failed", "no_answer", "left")
+    parts = ("served", "refused", "failed", "no_answer", "left")
     assert asked["asked"] == sum(asked[name] for name in parts) > 1000
     assert asked["service"] > 0.6
     assert result.notes["little"] == pytest.approx(1, abs=1e-9)  # every order counted once in, once out
@@ -199,7 +199,7 @@
     run = sim.Simulation(world(8, arrivals=busy(3.0)), 1)
     result = run.run()
     assert not result.verdicts.breaches, result.verdicts.examples
-    assert result.summary()["all"]["rejected"] > 100
+    assert result.summary()["all"]["refused"] > 100
     # what is kept grows with the jobs of the last half minute, not with all that ever came
     assert run.clock.pending < 20 * len(result.rows["due"])
     assert sum(d.process.host.held_in_memory for d in run.dispatchers if d.process) < 50
@@ -229,12 +229,12 @@
     "rate and load": ("load = 0.55", "load = 0.55\nrate = 3", "exactly one of rate and load"),
     "share over 1": ("swing = 0.25", "swing = 1.25", "arrivals.swing"),
     "no such shape": ('shape = "bursty"', 'shape = "square"', "arrivals.shape"),
-    "names twice": ('name = "gen1"', 'name = "gen2"', "providers"),
+    "names twice": ('name = "gen1"', 'name = "gen2"', "workers"),
     "no slots": ("slots = [0.8, 0.2]", "slots = []", "slots"),
     "no count": ("count = 4", "count = 0", "count"),
     "a fault of none": (
         "[network]",
-        '[[faults]]\nkind = "hang"\nat = "1 s"\nproviders = ["x"]\n[network]',
+        '[[faults]]\nkind = "hang"\nat = "1 s"\nworkers = ["x"]\n[network]',
         "x",
     ),
 }
@@ -297,7 +297,7 @@
     return runner
 
 
-def test_a_sweep_runs_once_survives_killed_workers_and_mixes_nothing(sweep: Path) -> None:
+def test_a_sweep_runs_once_survives_killed_cell_processes_and_mixes_nothing(sweep: Path) -> None:
     killed: list[int] = []
 
     def kill_one(runner: Runner) -> None:
@@ -422,10 +422,10 @@
 ROUGH = [
     Fault(kind="cut", at=ms(1000), lasts=ms(3000), zones=["north", "south"]),
     Fault(kind="vanish", at=ms(2000), part=0.1),
-    Fault(kind="directory outage", at=ms(2500), lasts=ms(4000)),
+    Fault(kind="discovery outage", at=ms(2500), lasts=ms(4000)),
     Fault(kind="flood", at=ms(3000), lasts=ms(2000), size=2.0, farm=3),
     Fault(kind="shrink", at=ms(4000), lasts=ms(3000), part=0.3, drain=ms(2000)),
-    Fault(kind="drain", at=ms(1500), lasts=ms(3000), providers=["gen2-0"]),
+    Fault(kind="drain", at=ms(1500), lasts=ms(3000), workers=["gen2-0"]),
 ]
 
 
@@ -450,8 +450,8 @@
     by = {name: [] for name in ("present", "head", "shut")}  # type: ignore[var-annotated]
     for cell in cells_of(Store(sweep.parent / "out")):
         by[cell["variant"]].append(cell)
-    rejected = {name: sum(c["summary"]["all"]["rejected"] for c in cells) for name, cells in by.items()}
-    assert rejected["shut"] > rejected["head"] + 20
+    refused = {name: sum(c["summary"]["all"]["refused"] for c in cells) for name, cells in by.items()}
+    assert refused["shut"] > refused["head"] + 20
 
 
 def trace(folder: Path, name: str, *lines: dict[str, object]) -> None:
@@ -470,9 +470,9 @@
             {"event": "told", "at": start, "what": "JobArrived", "job": 1, "job_class": "map"},
             {"event": "told", "at": start, "what": "JobArrived", "job": 2, "job_class": "decode"},
             {"event": "done", "at": start, "what": "Refuse", "job": 2, "reason": "not_admitted"},
-            {"event": "answered", "at": start, "job": 2, "verdict": "rejected"},
+            {"event": "answered", "at": start, "job": 2, "verdict": "refused"},
             {"event": "done", "at": start + 1, "what": "Send", "job": 1, "worker": "w1"},
-            {"event": "connect", "at": start + 2, "provider": "w1", "purpose": "call"},
+            {"event": "connect", "at": start + 2, "worker": "w1", "purpose": "call"},
             {"event": "done", "at": start + 3 * 10**9, "what": "Send", "job": 1, "worker": "w2"},
             {
                 "event": "told",
@@ -485,15 +485,15 @@
     found = tally(tmp_path, cold_s=2.0)
     assert found.dispatchers == 2
     assert found.classes["map"] == {"asked": 2, "no answer": 2}
-    assert found.classes["decode"] == {"asked": 2, "rejected unsent: not_admitted": 2}
+    assert found.classes["decode"] == {"asked": 2, "refused unsent: not_admitted": 2}
     expected = {"jobs": 4, "sends": 4, "cold": 2, "not_up": 2, "connects": 2, "never_ran": 2, "lines": 4}
     assert {name: found.total[name] for name in expected} == expected
     assert found.per_job("sends") == 1.0
     assert found.seconds[3]["sends"] == 2
-    assert found.providers["w2"]["never_ran"] == 2
+    assert found.workers["w2"]["never_ran"] == 2
 
 
-def test_a_job_is_followed_through_all_logs_with_what_was_known_of_its_providers(tmp_path: Path) -> None:
+def test_a_job_is_followed_through_all_logs_with_what_was_known_of_its_workers(tmp_path: Path) -> None:
     listed = {"what": "WorkerList", "kind": "full", "lines": [["w1", "up", 2.5, 0], ["w2", "up", 5.0, 0]]}
     report = {"what": "ProbeEnded", "worker": "w1", "outcome": "ok", "report": {"free_slots": 3.0}}
     taken = {"event": "taken", "job": 1, "id": "abc"}
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -1,4 +1,4 @@
-"""The dispatcher on real sockets, against scripted consumers, providers and a directory."""
+"""The dispatcher on real sockets, against scripted clients, workers and a discovery service."""
 
 import socket
 from collections.abc import Iterable
@@ -8,7 +8,7 @@
 
 from heathway import api
 from heathway.logic import Dispatcher
-from ironbarrow.fronts import consumers
+from ironbarrow.fronts import clients
 from ironbarrow.runtime.loop import MS
 from ironbarrow.wire.http import BODY_LIMIT
 from tests.scenario import Peer, Stage, answer, call_back, job, post
@@ -58,8 +58,8 @@
         c2 expect HTTP/1.1 204
         c1 silent 30
         """,
-    # danger: a provider that lost the job must not end another provider's call
-    "call-back from a provider that does not have the call": f"""
+    # danger: a worker that lost the job must not end another worker's call
+    "call-back from a worker that does not have the call": f"""
         c1 send {job()}
         p1 expect in$
         p1 send {ACCEPTED}
@@ -117,7 +117,7 @@
         c1 send {job(path="book/x")}
         p2 expect X-Request-ID: j1
         """,
-    # danger: a hung provider says nothing; the consumer is answered at its deadline all the same
+    # danger: a hung worker says nothing; the client is answered at its deadline all the same
     "silence to the deadline": f"""
         c1 send {job(path="book/x", ms=1500)}
         p1 expect in$
@@ -130,7 +130,7 @@
         c1 expect HTTP/1.1 503 .*Retry-After: 0.2
         p1 expect DELETE /jobs/j1 HTTP
         """,
-    "a consumer that leaves has its call given up": f"""
+    "a client that leaves has its call given up": f"""
         c1 send {job()}
         p1 expect in$
         p1 send {ACCEPTED}
@@ -141,7 +141,7 @@
         c2 send {call_back("done", result="late")}
         c2 expect HTTP/1.1 204
         """,
-    # danger: until the provider knows that a call is given up, a repeat would be a second copy
+    # danger: until the worker knows that a call is given up, a repeat would be a second copy
     "a DELETE that did not get through is sent again": f"""
         c1 send {job()}
         p1 expect in$
@@ -157,7 +157,7 @@
         p1 send {answer(404)}
         p1 silent 200
         """,
-    # danger: a connection the provider has closed would swallow the next request
+    # danger: a connection the worker has closed would swallow the next request
     "a closed pooled connection is not used again": f"""
         c1 send {job()}
         p1 expect in$
@@ -177,7 +177,7 @@
         p1 send {answer(202, CLOSE)}
         p1 ended
         """,
-    # danger: a provider that answers with garbage may have run the job
+    # danger: a worker that answers with garbage may have run the job
     "garbage instead of an answer": f"""
         c1 send {job(path="book/x")}
         p1 expect in$
@@ -194,8 +194,8 @@
         c1 send {job(more=CONTENT_TYPE)}
         p1 expect Content-Type: text/\\xe9\\r\\n.*in$
         """,
-    # danger: without it, a provider can't know the repeat of a keyed job that has run
-    "an idempotency key passes on, also to the next provider": f"""
+    # danger: without it, a worker can't know the repeat of a keyed job that has run
+    "an idempotency key passes on, also to the next worker": f"""
         c1 send {job(more=IDEMPOTENT)}
         p1 expect Idempotency-Key: 6d18-fb\\r\\n.*in$
         p1 send {answer(500)}
@@ -319,26 +319,26 @@
 
 
 def test_connections_over_the_limit_wait_until_idle_ones_are_closed() -> None:
-    stage = Stage(sockets=38)  # room for three consumers
+    stage = Stage(sockets=38)  # room for three clients
     idle = "".join(f"c{n} send {get('/-/ready')}\nc{n} expect 200\n" for n in range(1, 9))
     stage.play(idle + f"c1 ended\nc9 send {job()}\np1 expect in$")
 
 
 def test_a_request_that_stops_half_way_is_answered(monkeypatch: pytest.MonkeyPatch) -> None:
-    # danger: a consumer that freezes would keep its connection for ever
-    monkeypatch.setattr(consumers, "_REQUEST_LIMIT", 200 * MS)
+    # danger: a client that freezes would keep its connection for ever
+    monkeypatch.setattr(clients, "_REQUEST_LIMIT", 200 * MS)
     Stage().play(f"c1 send {job()[:40]}\nc1 expect ^HTTP/1.1 408\nc1 ended")
 
 
 def test_a_connection_that_brings_no_request_is_closed(monkeypatch: pytest.MonkeyPatch) -> None:
-    # danger: hundreds that say nothing would hold the places of usual consumers
-    monkeypatch.setattr(consumers, "_FIRST_LIMIT", 200 * MS)
+    # danger: hundreds that say nothing would hold the places of usual clients
+    monkeypatch.setattr(clients, "_FIRST_LIMIT", 200 * MS)
     Stage().play("c1 silent 100\nc1 ended")
 
 
 def test_silent_connections_make_room_for_one_that_asks(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(consumers, "_FIRST_LIMIT", 60_000 * MS)
-    stage = Stage(sockets=38)  # room for three consumers
+    monkeypatch.setattr(clients, "_FIRST_LIMIT", 60_000 * MS)
+    stage = Stage(sockets=38)  # room for three clients
     silent = "".join(f"c{n} silent 1\n" for n in range(1, 6))
     stage.play(f"{silent}c6 send {job()[:40]}\nc9 send {job()}\np1 expect in$\nc1 ended\nc6 ended")
 
@@ -364,7 +364,7 @@
 
 
 def test_requests_that_stop_half_way_share_a_limit_on_memory(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(consumers, "_REQUEST_LIMIT", 60_000 * MS)
+    monkeypatch.setattr(clients, "_REQUEST_LIMIT", 60_000 * MS)
     stage = Stage(sockets=1024, memory_mb=1)  # half a megabyte for all of them
     half = job().replace("Content-Length: 2", "Content-Length: 60000") + "x" * 50_000
     stage.play(
@@ -373,20 +373,20 @@
 
 
 def test_an_idle_connection_is_closed_in_the_end(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(consumers, "_IDLE_LIMIT", 200 * MS)
+    monkeypatch.setattr(clients, "_IDLE_LIMIT", 200 * MS)
     Stage().play(f"c1 send {get('/-/ready')}\nc1 expect 200\nc1 ended")
 
 
-def served(job_id: str, provider: str, more: str = "") -> str:
+def served(job_id: str, worker: str, more: str = "") -> str:
     return (
-        f"c1 send {job(job_id, more=more)}\n{provider} expect in$\n{provider} send {ACCEPTED}\n"
-        f"c9 send {call_back('done', job_id, provider, result='out')}\nc1 expect out$\n"
+        f"c1 send {job(job_id, more=more)}\n{worker} expect in$\n{worker} send {ACCEPTED}\n"
+        f"c9 send {call_back('done', job_id, worker, result='out')}\nc1 expect out$\n"
     )
 
 
 def test_the_pool_gives_up_its_oldest_connection_when_it_is_full() -> None:
-    # danger: with few sockets, idle connections to quiet providers kept out those to busy ones
-    stage = Stage(sockets=36)  # room for one idle connection to providers
+    # danger: with few sockets, idle connections to quiet workers kept out those to busy ones
+    stage = Stage(sockets=36)  # room for one idle connection to workers
     stage.play(served("j1", "p1") + served("j2", "p2", KEYED) + "p1 ended")
 
 
@@ -421,7 +421,7 @@
 
 def test_nothing_stays_of_finished_jobs() -> None:
     # danger: a job withdrawn while held, or one whose call was given up, would stay for ever
-    stage = Stage(providers=0)
+    stage = Stage(workers=0)
     rounds = "".join(f"c1 send {job(f'j{n}')}\nwait 10\nc1 close\nwait 10\n" for n in range(3))
     stage.play(rounds)
     assert stage.dispatcher.host.owed == 0
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -21,9 +21,9 @@
 from ironbarrow.fleet.members.messages import Ping
 from ironbarrow.fleet.starvation.tables import Waits
 from ironbarrow.fleet.takeover.messages import Told as TakeoverTold
-from ironbarrow.lab.live.wire import Client
-from ironbarrow.lab.model.directory import Entry
-from ironbarrow.lab.scale.directory import DispatcherAgent, RegionLines, WorkerList
+from ironbarrow.lab.live.wire import HttpClient
+from ironbarrow.lab.model.discovery import Entry
+from ironbarrow.lab.scale.discovery import DispatcherAgent, RegionLines, WorkerList
 from ironbarrow.lab.scale.hollow_dispatchers import Counts, HollowMember, LoopGroup
 from ironbarrow.lab.scale.hollow_workers import Party, dispatcher_of
 from ironbarrow.lab.scale.kinds import KINDS, kind_of
@@ -210,13 +210,13 @@
         self.party = Party(WorkersSpec([spec], [address], 2, 0.05, 10.0))
         self.loop = self.party.loop
         self.fronts = Fronts(self.loop)
-        self.party._fronts = [Client(self.loop, self.fronts.address)]
+        self.party._fronts = [HttpClient(self.loop, self.fronts.address)]
         self.answers: list[tuple[int, dict[str, str], bytes]] = []
 
     def ask(self, *requests: tuple[str, str, str], region: int = 0, lasts: int = 400 * MS) -> None:
         """Sends requests (method, target, job id) one after another, then lets time pass."""
         host, _, port = self.addresses[region].rpartition(":")
-        client = Client(self.loop, (host, int(port)))
+        client = HttpClient(self.loop, (host, int(port)))
 
         def talk() -> Coroutine[None]:
             for method, target, job_id in requests:
@@ -307,7 +307,7 @@
         until = loop.now() + 2 * SECOND
         connection = yield from connect(agent.address, until)
         client_connection.append(connection)
-        headers = [("Host", "directory")]
+        headers = [("Host", "discovery")]
         target = "/api/targets?follow=1&since=1"
         yield from connection.write(connection.request_bytes("GET", target, headers), until)
         yield from connection.event(until)  # the head
@@ -347,7 +347,7 @@
         members[name] = HollowMember(loop, fleet, name, zone_of(int(name[1:])), "", counts=counts)
 
     def alive(name: str) -> list[str]:
-        return [member.card.life.name for member in members[name].members.alive()]
+        return [member.card.incarnation.name for member in members[name].members.alive()]
 
     def turn_until(holds: Callable[[], bool]) -> bool:
         limit = loop.now() + 30 * SECOND
@@ -445,7 +445,7 @@
         processes,
         [Told("changes of the list of workers", 5.0, 20.0, 33.0, 10, 10)],
         Held(29.0, 29, 104.0, 3.0, 8.0, 6000.0),
-        {"served": 12, "rejected": 1},
+        {"served": 12, "refused": 1},
         0,
         0,
     )
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -20,7 +20,7 @@
 
 from heathway.settings import read_settings
 from ironbarrow.daemon.dispatcher import Pace
-from ironbarrow.fronts.consumers import Consumers
+from ironbarrow.fronts.clients import Clients
 from ironbarrow.runtime.loop import MS, SECOND
 from tests.scenario import SETTINGS, Peer, Stage, answer, call_back, job
 from tests.test_config import ROOT, UNUSED, logged, written
@@ -35,15 +35,15 @@
     return stage
 
 
-def served(job_id: str, provider: str = "p1", consumer: str = "c1", caller: str = "c9") -> str:
+def served(job_id: str, worker: str = "p1", client: str = "c1", caller: str = "c9") -> str:
     return f"""
-        {provider} expect : {job_id}.*in$
-        {provider} send {ACCEPTED}
-        {caller} send {call_back("done", job_id, provider, result="out")}
+        {worker} expect : {job_id}.*in$
+        {worker} send {ACCEPTED}
+        {caller} send {call_back("done", job_id, worker, result="out")}
         {caller} expect HTTP/1.1 204
-        {consumer} expect HTTP/1.1 200 .*Connection: close.*out$
-        {consumer} ended
-        {consumer} close
+        {client} expect HTTP/1.1 200 .*Connection: close.*out$
+        {client} ended
+        {client} close
         {caller} close
         """
 
@@ -119,7 +119,7 @@
         closing
         c1 ended
         c1 close""",
-    "a consumer that is gone": f"""
+    "a client that is gone": f"""
         c1 send {READY}
         c1 expect 200 OK
         c1 close
@@ -232,16 +232,16 @@
 
 def test_who_connects_before_the_last_look_is_served(monkeypatch: pytest.MonkeyPatch) -> None:
     stage = paced(still_coming=0)
-    real = Consumers.busy
+    real = Clients.busy
     sent = iter((f"c1 send {job()}",))
 
-    def busy(self: Consumers) -> bool:
+    def busy(self: Clients) -> bool:
         for step in sent:
             stage.step(step)
         assert real.fget is not None
         return bool(real.fget(self))
 
-    monkeypatch.setattr(Consumers, "busy", property(busy))
+    monkeypatch.setattr(Clients, "busy", property(busy))
     stage.play(f"stop\n{served('j1').strip()}\nexits")
 
 
@@ -274,7 +274,7 @@
     if part == "the hand-over":
         stage.dispatcher._upgrade = SimpleNamespace(hand_over=fail, owed=0, close=lambda: None)
     elif part == "the closing":
-        monkeypatch.setattr(Consumers, "close_idle", fail)
+        monkeypatch.setattr(Clients, "close_idle", fail)
     else:
         monkeypatch.setattr("ironbarrow.daemon.dispatcher.log", SimpleNamespace(info=fail, error=fail))
     stage.dispatcher.loop.soon(stage.dispatcher.stop)
--- a/tests/test_sizes.py
+++ b/tests/test_sizes.py
@@ -23,7 +23,7 @@
 @pytest.mark.parametrize("count", [1_024, 2_000])
 def test_lists_of_thousands_are_taken_whole_and_as_changes_in_pieces_of_any_size(count: int) -> None:
     stage, draw = Stage(known=False), random.Random(count)
-    directory = stage.peers["d"]
+    discovery = stage.peers["d"]
     try:
         stage.step("d expect GET /api/targets HTTP")
         body = list_line(stage, count, 41, whole=True)
@@ -33,9 +33,9 @@
         for data, expected in zip(chunks, (api.WorkerState.UP, api.WorkerState.DRAINING), strict=True):
             while data:
                 size = draw.choice((1, 700, 9_000, 60_000))
-                directory.sock.setblocking(True)
-                directory.sock.sendall(data[:size])
-                directory.sock.setblocking(False)
+                discovery.sock.setblocking(True)
+                discovery.sock.sendall(data[:size])
+                discovery.sock.setblocking(False)
                 data = data[size:]
                 stage.pass_time(0.001)
             known = stage.dispatcher.host._dispatcher._workers
@@ -59,7 +59,7 @@
     stage = Stage(known=False)
     found = json.loads(list_line(stage, 1_000, 41, whole=True))
     found["endpoints"][500] |= wrong
-    stage.dispatcher.directory.start(found)
+    stage.dispatcher.discovery.start(found)
     assert len(stage.dispatcher.host._dispatcher._workers) == 999
     stage.close()
 
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -134,7 +134,7 @@
         ("unsafe", False, 0.0, False),
     ],
 )
-def test_a_safe_job_that_waits_past_any_start_in_time_is_called_off_and_rejected(
+def test_a_safe_job_that_waits_past_any_start_in_time_is_called_off_and_refused(
     cls, starts, late_worth, given_up
 ):
     # danger: in overload, jobs that nobody wants any more take the slots of those that could be in time
