--- a/ironbarrow/lab/scale/measuring.py
+++ b/ironbarrow/lab/scale/measuring.py
@@ -66,7 +66,7 @@
             false_deaths=sum(
                 news.subject not in ended and news.observer not in ended for news in self.deaths()
             ),
-            replaced_lives=len(self._replaced_lives()),
+            replaced_incarnations=len(self._replaced_incarnations()),
             sent_by_type=_rates(_sum(report.sent_by_type for report in reports), running * seconds),
         )
 
@@ -76,25 +76,25 @@
             yield from report.member_news
 
     def deaths(self) -> list[MemberNews]:
-        """News of deaths, but for those of lives that a later one of the same member has followed."""
-        latest = self._latest_lives()
+        """News of deaths, but for those of incarnations that a later one of the same member has followed."""
+        latest = self._latest_incarnations()
         return [
             news
             for news in self.member_news()
             if news.health == "dead" and news.start >= latest.get((news.observer, news.subject), 0)
         ]
 
-    def _replaced_lives(self) -> set[tuple[str, int]]:
+    def _replaced_incarnations(self) -> set[tuple[str, int]]:
         """Lives that have been followed by a later one, by name and start."""
-        latest = self._latest_lives()
+        latest = self._latest_incarnations()
         return {
             (news.subject, news.start)
             for news in self.member_news()
             if news.start < latest.get((news.observer, news.subject), 0)
         }
 
-    def _latest_lives(self) -> dict[tuple[str, str], int]:
-        """The latest life that each observer holds alive, by member."""
+    def _latest_incarnations(self) -> dict[tuple[str, str], int]:
+        """The latest incarnation that each observer holds alive, by member."""
         found: dict[tuple[str, str], int] = {}
         for news in self.member_news():
             if news.health == "alive":
--- a/ironbarrow/lab/scale/messages.py
+++ b/ironbarrow/lab/scale/messages.py
@@ -77,7 +77,7 @@
     at: int  # ns on the machine's monotonic clock
     observer: str
     subject: str
-    start: int  # of the life that is meant
+    start: int  # of the incarnation that is meant
     health: str
 
 
--- a/ironbarrow/lab/scale/result.py
+++ b/ironbarrow/lab/scale/result.py
@@ -77,7 +77,8 @@
     held: Held
     jobs: dict[str, int]
     false_deaths: int  # told of members that ran and could be reached
-    replaced_lives: int  # lives that were given up for a later one of the same process, or followed by it
+    # incarnations that were given up for a later one of the same process, or followed by it
+    replaced_incarnations: int = msgspec.field(name="replaced_lives")  # the key of results that are kept
     late_p99_by_role_ms: dict[str, float] = {}
     notes: list[str] = []
     sent_by_type: list[Rate] = []  # by a hollow dispatcher, by type of message
@@ -268,7 +269,14 @@
 
 def _phases_table(results: list[ScaleResult]) -> str:
     head = ["size", "phase", "s", "members and ledgers, bytes/s sent", "lists, bytes/s", "real: CPU %"]
-    head += ["real: MB", "false deaths", "lives replaced", "jobs", "late by p50 / p99, ms", "load average"]
+    head += [
+        "real: MB",
+        "false deaths",
+        "incarnations replaced",
+        "jobs",
+        "late by p50 / p99, ms",
+        "load average",
+    ]
     rows = [_phase_row(result, phase) for result in results for phase in result.phases]
     return _table(head, rows)
 
@@ -281,7 +289,7 @@
         f"{real.cpu_percent_mean:.1f}" if real else "-",
         f"{real.resident_mb_most:.0f}" if real else "-",
         str(phase.false_deaths),
-        str(phase.replaced_lives),
+        str(phase.replaced_incarnations),
         ", ".join(f"{count} {how}" for how, count in sorted(phase.jobs.items())) or "-",
     ]
     return [
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -402,11 +402,11 @@
     news = [
         MemberNews(1, "d0", "d1", 10, "alive"),
         MemberNews(2, "d0", "d1", 10, "dead"),
-        MemberNews(3, "d0", "d1", 20, "alive"),  # a later life of the same member
+        MemberNews(3, "d0", "d1", 20, "alive"),  # a later incarnation of the same member
         MemberNews(4, "d0", "d2", 10, "suspect"),
         MemberNews(5, "d0", "d2", 10, "dead"),
         MemberNews(6, "d3", "d2", 10, "dead"),
-        MemberNews(7, "d3", "d2", 10, "alive"),  # held dead, and back in the same life
+        MemberNews(7, "d3", "d2", 10, "alive"),  # held dead, and back in the same incarnation
     ]
     measured = Measurement(None, None, "calm")  # type: ignore[arg-type]
     report = DispatchersReport(Lateness(0, 0, 0), member_news=news)
