--- a/ironbarrow/backs/__init__.py
+++ b/ironbarrow/backs/__init__.py
@@ -1,1 +1,1 @@
-"""What carries invoker calls to providers."""
+"""What carries attempts to workers."""
--- a/ironbarrow/fleet/takeover/machine.py
+++ b/ironbarrow/fleet/takeover/machine.py
@@ -1,6 +1,6 @@
 """Jobs written down before they are done, and what others have left taken over. No input or output.
 
-The process tells it what comes (``arrive``, ``intent``, ``call_over``, ``ended``, ``left``, ``stray``) and
+The process tells it what comes (``arrive``, ``intent``, ``attempt_over``, ``ended``, ``left``, ``stray``) and
 carries out what it answers (``orders``). Changes of one turn are gathered; ``flush`` appends them together.
 """
 
@@ -19,10 +19,10 @@
     ClaimLost,
     Fenced,
     Health,
+    Incarnation,
     Kept,
     LedgerAt,
     Ledgers,
-    Life,
     MemberChanged,
     Members,
     Message,
@@ -68,17 +68,20 @@
 LINGER = 10 * SECOND  # the answer of a job that must not run twice stays in the ledger so long after its end
 _LINGERING = 1024  # such answers at the most
 _RESULT_WRITTEN = 4096  # bytes; a longer result is not written down, and a repeat elsewhere hears "failed"
-_SAFE_WAITS = 5 * SECOND  # at most, and half of its time: then a safe job that is asked for is rejected
+_SAFE_WAITS = 5 * SECOND  # at most, and half of its time: then a safe job that is asked for is refused
 _SETTLED = 1 * SECOND  # so long after its start a member does not yet know all others
 _REMOTE = 64  # others that are told a job's answer unasked
 _TELL_AGAIN = (200 * MS, 1 * SECOND, 3 * SECOND)  # after a ledger is taken over, since messages are lost
 _RETRY = 1 * SECOND  # a claim that has no end yet is looked at again
-_TRIES = 3  # of a claim, while a majority of the keepers seems to be there
-_GONE_FOR = 2 * SECOND  # without a majority of keepers, until this life is given up for one that has them
+_TRIES = 3  # of a claim, while a majority of the replicas seems to be there
+# without a majority of replicas, until this incarnation is given up for one that has them
+_GONE_FOR = 2 * SECOND
 _GONE_AT_MOST = 15 * SECOND  # while a job that may not run twice is out
-_REMEMBERED = 1024  # lives taken over
+_REMEMBERED = 1024  # incarnations taken over
 
-_VERDICTS = {verdict.value: verdict for verdict in Verdict}
+# as ledgers and messages have them: members of other versions read and write the same words
+ENCODED_VERDICTS = {Verdict.SERVED: "served", Verdict.REFUSED: "rejected", Verdict.FAILED: "failed"}
+_VERDICTS = {encoded: verdict for verdict, encoded in ENCODED_VERDICTS.items()}
 _FAILED = Answer(Verdict.FAILED)
 
 
@@ -104,23 +107,23 @@
     record: JobRecord
     safe: bool
     waiters: list[object]
-    remote: dict[Life, None] = field(default_factory=dict)
+    remote: dict[Incarnation, None] = field(default_factory=dict)
     adopted: bool = False
     intent: "_Wait | None" = None  # the present attempt's
     unprotected: bool = False  # it goes out though no majority knows
     unproven: bool = False  # an attempt may have run
-    answering: bool = False  # its rejection is being written
+    answering: bool = False  # its refusal is being written
     over: bool = False
 
 
 @dataclass(slots=True, eq=False)
 class _Wait:
-    """What waits for a majority. ``call``: the call that an intent is about."""
+    """What waits for a majority. ``attempt``: the attempt that an intent is about."""
 
     until: int
     kept: Callable[[int], list[Action]]
     failed: Callable[[int], list[Action]]
-    call: object = None
+    attempt: object = None
     off: bool = False
     again: bool = False  # its time was given once more
     seq: int = NEVER  # the append's that has to be kept
@@ -130,23 +133,23 @@
 class _Open:
     """A ledger that somebody has to take over."""
 
-    life: Life
+    incarnation: Incarnation
     at: LedgerAt
     since: int
     due: int
-    by: Life | None = None  # who has claimed it; it has ended too
+    by: Incarnation | None = None  # who has claimed it; it has ended too
     claiming: bool = False
-    heir_of: Life | None = None  # the claim was found in that one's ledger, which is this member's now
+    heir_of: Incarnation | None = None  # the claim was found in that one's ledger, which is this member's now
     adopting: bool = False
     tries: int = 0
 
 
 class Takeover:
-    """One life's machine; ``succeed`` moves on what outlives a life."""
+    """One incarnation's machine; ``succeed`` moves on what outlives an incarnation."""
 
     handles: tuple[type[Message], ...] = KINDS
 
-    def __init__(self, now: int, me: Life, members: Members, ledgers: Ledgers, rules: Rules) -> None:
+    def __init__(self, now: int, me: Incarnation, members: Members, ledgers: Ledgers, rules: Rules) -> None:
         self.me, self.members, self.ledgers, self.rules = me, members, ledgers, rules
         self.ledger = job_ledger(me)
         self.begun = now
@@ -158,30 +161,31 @@
         self.asking: dict[str, Asking] = {}
         self.answers = Answers(rules.keep_for, rules.most_answers)
         self.promises = Promises(rules.keep_for)
-        self.open: dict[Life, _Open] = {}
-        self.left_open: list[_Open] = []  # by a life that is over
-        self.taken_over: OrderedDict[Life, bool] = OrderedDict()  # whether whole
+        self.open: dict[Incarnation, _Open] = {}
+        self.left_open: list[_Open] = []  # by an incarnation that is over
+        self.taken_over: OrderedDict[Incarnation, bool] = OrderedDict()  # whether whole
         self.counts: Counter[str] = Counter()
         self._changes: dict[str, Change] = {}
         self._gathered: list[_Wait] = []
         self._waits: deque[tuple[int, list[_Wait]]] = deque()
-        self._calls: dict[object, _Wait] = {}
-        self.closing: set[str] = set()  # ids whose consumers have left, being called off
+        self._attempts: dict[object, _Wait] = {}
+        self.closing: set[str] = set()  # ids whose clients have left, being called off
         self._look_at = now
         self._gone_since = NEVER
         self._linger: deque[tuple[int, str]] = deque()
-        self._tell: list[tuple[int, Life, bool]] = []
-        self._lost: dict[Life, int] = {}  # until when a repeat may be about a job of it
+        self._tell: list[tuple[int, Incarnation, bool]] = []
+        self._lost: dict[Incarnation, int] = {}  # until when a repeat may be about a job of it
 
     # What the process tells
 
     def begin(self, now: int) -> list[Action]:
-        """Opens this life's ledger."""
+        """Opens this incarnation's ledger."""
         return self.ledgers.create(now, self.ledger)
 
     def succeed(self, now: int, earlier: "Takeover") -> list[Action]:
-        """Takes on the consumers, answers and promises of an earlier life, which others have taken over.
-        Their jobs are asked for first, and those that may have gone out from here are not taken anew."""
+        """Takes on the clients, answers and promises of an earlier incarnation, which others have taken
+        over. Their jobs are asked for first, and those that may have gone out from here are not taken
+        anew."""
         self.answers, self.promises, self.counts = earlier.answers, earlier.promises, earlier.counts
         self._lost, self.taken_over = earlier._lost, earlier.taken_over
         actions: list[Action] = []
@@ -193,17 +197,17 @@
             actions += self._ask(now, asking)
         earlier.asking = {}
         for opened in earlier.left_open:
-            if opened.life not in self.open and opened.life not in self.taken_over:
-                self._open(now, opened.life, opened.at, None)
+            if opened.incarnation not in self.open and opened.incarnation not in self.taken_over:
+                self._open(now, opened.incarnation, opened.at, None)
         return actions
 
     def arrive(self, now: int, record: JobRecord, marked: bool, waiter: object) -> list[Action]:
-        """A consumer's request. ``marked``: it says that it comes again."""
+        """A client's request. ``marked``: it says that it comes again."""
         if (known := self._join(now, record, waiter)) is not None:
             return known
         safe = self.rules.safe.get(record.job_class, False)
         if self.fenced:
-            # the next life asks for it, as for all that came when this one was over
+            # the next incarnation asks for it, as for all that came when this one was over
             self.asking[record.id] = Asking(record, safe, [waiter], now, next_at=NEVER)
             return []
         seen = record.id in self.closing or self.promises.given(record.id, now)
@@ -214,47 +218,47 @@
         if self.alone and record.job_class in self.rules.turn_away:
             # nothing of it was written, nobody can do it: a repeat is harmless
             self.counts["turned away"] += 1
-            return [Reply(waiter, Answer(Verdict.REJECTED, retry_after=self.rules.retry_after))]
+            return [Reply(waiter, Answer(Verdict.REFUSED, retry_after=self.rules.retry_after))]
         return self._take(now, Held(record, safe, [waiter]))
 
-    def intent(self, now: int, call: object, job_id: str, provider: str) -> list[Action]:
+    def intent(self, now: int, attempt: object, job_id: str, worker: str) -> list[Action]:
         """An attempt is about to go out; ``Go`` follows, at once or once a majority knows."""
         held = self.held.get(job_id)
         if held is None or self.fenced or self.leaving:
-            return [Go(call, False)]
+            return [Go(attempt, False)]
         old = held.record
         held.record = msgspec.structs.replace(
             old,
             stage=Stage.INTENT,
             attempts=old.attempts + 1,
-            provider=provider,
+            worker=worker,
             may_have_run=old.may_have_run or held.unproven,
         )
         if held.record.attempts > self.rules.most_attempts:
             held.record = old
-            return [Go(call, False)]
+            return [Go(attempt, False)]
         wait = _Wait(
             now + self.rules.wait,
-            lambda at: self._go(at, held, call, kept=True),
-            lambda at: self._unkept(at, held, call),
-            call,
+            lambda at: self._go(at, held, attempt, kept=True),
+            lambda at: self._unkept(at, held, attempt),
+            attempt,
         )
         held.intent, held.unprotected = wait, False
         self._write(put(held.record), wait)
         if self.alone:
             return self._fail(now, wait)
-        self._calls[call] = wait
+        self._attempts[attempt] = wait
         return []
 
-    def given_up(self, call: object) -> bool:
-        """A call is called off; whether it had no leave to go yet, and now never gets it."""
-        wait = self._calls.pop(call, None)
+    def given_up(self, attempt: object) -> bool:
+        """An attempt is called off; whether it had no leave to go yet, and now never gets it."""
+        wait = self._attempts.pop(attempt, None)
         if wait is None:
             return False
         wait.off = True
         return True
 
-    def call_over(self, job_id: str, *, never_ran: bool) -> None:
+    def attempt_over(self, job_id: str, *, never_ran: bool) -> None:
         """An attempt has ended, its job may have not."""
         self.closing.discard(job_id)
         held = self.held.get(job_id)
@@ -264,32 +268,32 @@
             held.unproven = held.record.may_have_run
         if never_ran or held.safe:
             held.record = msgspec.structs.replace(
-                held.record, stage=Stage.TAKEN, provider="", may_have_run=held.unproven
+                held.record, stage=Stage.TAKEN, worker="", may_have_run=held.unproven
             )
             self._write(put(held.record))
 
     def ended(self, now: int, job_id: str, answer: Answer) -> list[Action]:
-        """The host, or the keeper, has a job's final answer."""
+        """The host, or the keeper of jobs handed over, has a job's final answer."""
         held = self.held.get(job_id)
         if held is None or held.answering:
             return []
-        if answer.verdict is not Verdict.REJECTED or held.safe:
+        if answer.verdict is not Verdict.REFUSED or held.safe:
             return self._finish(now, held, answer)
         if self.fenced or self.alone:
             return self._finish(now, held, _FAILED)
-        self._passed("before-rejection")
+        self._passed("before-refusal")
         held.answering = True
-        held.record = msgspec.structs.replace(held.record, stage=Stage.REJECTED)
+        held.record = msgspec.structs.replace(held.record, stage=Stage.REFUSED)
         wait = _Wait(
             now + self.rules.wait,
-            lambda at: self._rejected(at, held, answer),
+            lambda at: self._refused(at, held, answer),
             lambda at: self._finish(at, held, _FAILED),
         )
         self._write(put(held.record), wait)
         return []
 
     def left(self, now: int, job_id: str, waiter: object) -> list[Action]:
-        """A consumer has gone before its answer."""
+        """A client has gone before its answer."""
         asking = self.asking.get(job_id)
         if asking is not None and waiter in asking.waiters:
             asking.waiters.remove(waiter)
@@ -303,20 +307,20 @@
         if held.waiters or held.remote or held.adopted or held.answering:
             return []
         if not held.safe and held.record.stage is not Stage.TAKEN:
-            return []  # it may have run: it goes on, for the consumer that comes again
+            return []  # it may have run: it goes on, for the client that comes again
         del self.held[job_id]
         if held.record.stage is Stage.INTENT:
             self.closing.add(job_id)
         self._write(drop(job_id))
         return [Withdraw(job_id)]
 
-    def stray(self, job_id: str, provider: str, state: str, result: bytes) -> list[Action]:
-        """A provider's word on a job that is not here: all others hear it."""
+    def stray(self, job_id: str, worker: str, state: str, result: bytes) -> list[Action]:
+        """A worker's word on a job that is not here: all others hear it."""
         self.counts["call-backs passed on"] += 1
-        return self._to_all(CallBack(job_id, provider, state, result))
+        return self._to_all(CallBack(job_id, worker, state, result))
 
     def called_off(self, now: int, job_id: str) -> list[Action]:
-        """A job that was taken over is called off at the provider that had it."""
+        """A job that was taken over is called off at the worker that had it."""
         held = self.held.get(job_id)
         if held is None or held.answering:
             return []
@@ -334,11 +338,11 @@
         """From now on nothing is sent; what is owed stays in the ledger, for the others."""
         self.leaving = True
         actions: list[Action] = []
-        for wait in list(self._calls.values()):
+        for wait in list(self._attempts.values()):
             if not wait.off:
                 wait.off = True
-                actions.append(Go(wait.call, False))
-        self._calls.clear()
+                actions.append(Go(wait.attempt, False))
+        self._attempts.clear()
         return actions + self.flush(now)
 
     @property
@@ -387,9 +391,9 @@
         for asking in [a for a in waiting if min(a.next_at, self._gives_up_at(a)) <= now]:
             if self.asking.get(asking.record.id) is asking:
                 actions += self._ask(now, asking)
-        for due, life, whole in [told for told in self._tell if told[0] <= now]:
-            self._tell.remove((due, life, whole))
-            actions += self._to_all(TakenOver(life, whole))
+        for due, incarnation, whole in [told for told in self._tell if told[0] <= now]:
+            self._tell.remove((due, incarnation, whole))
+            actions += self._to_all(TakenOver(incarnation, whole))
         for opened in [o for o in self.open.values() if o.due <= now]:
             actions += self._claim(now, opened)
         return actions + self.flush(now)
@@ -405,7 +409,7 @@
             times.append(self._look_at)
         return min(times, default=NEVER)
 
-    def received(self, now: int, sender: Life, message: Message) -> list[Action]:
+    def received(self, now: int, sender: Incarnation, message: Message) -> list[Action]:
         actions: list[Action] = []
         if isinstance(message, Ask):
             actions = self._asked(now, sender, message)
@@ -414,9 +418,9 @@
         elif isinstance(message, Told):
             actions = self._told(now, message.id, message.verdict, message.result, message.retry_after)
         elif isinstance(message, CallBack):
-            actions = [Heard(message.id, message.provider, message.state, message.result)]
-        elif isinstance(message, TakenOver) and message.life != self.me:
-            self._note_taken_over(now, message.life, message.whole)
+            actions = [Heard(message.id, message.worker, message.state, message.result)]
+        elif isinstance(message, TakenOver) and message.incarnation != self.me:
+            self._note_taken_over(now, message.incarnation, message.whole)
         return actions + self.flush(now)
 
     def told(self, now: int, news: News) -> list[Action]:
@@ -458,7 +462,7 @@
             self._gathered.append(wait)
 
     def _take(self, now: int, held: Held) -> list[Action]:
-        held.record = msgspec.structs.replace(held.record, stage=Stage.TAKEN, provider="")
+        held.record = msgspec.structs.replace(held.record, stage=Stage.TAKEN, worker="")
         self.held[held.record.id] = held
         self._write(put(held.record))
         self._passed("after-taken")
@@ -469,7 +473,7 @@
         held.record = msgspec.structs.replace(
             held.record,
             stage=Stage.TAKEN,
-            provider="",
+            worker="",
             may_have_run=held.record.may_have_run or held.unproven,
         )
         left = rules_of_claims.what(
@@ -477,16 +481,16 @@
         )
         if left is What.AGAIN:
             return self._take(now, held)
-        answer = _FAILED if left is What.FAILED else self._rejection()
+        answer = _FAILED if left is What.FAILED else self._refusal()
         return self.ended(now, held.record.id, answer)
 
-    def _rejection(self) -> Answer:
-        return Answer(Verdict.REJECTED, retry_after=self.rules.retry_after)
+    def _refusal(self) -> Answer:
+        return Answer(Verdict.REFUSED, retry_after=self.rules.retry_after)
 
-    def _go(self, now: int, held: Held, call: object, *, kept: bool) -> list[Action]:
-        self._calls.pop(call, None)
+    def _go(self, now: int, held: Held, attempt: object, *, kept: bool) -> list[Action]:
+        self._attempts.pop(attempt, None)
         if held.over or self.fenced or self.leaving:
-            return [Go(call, False)]
+            return [Go(attempt, False)]
         if kept:
             self._passed("after-intent")
         else:
@@ -495,7 +499,7 @@
         check("unsafe never sent twice", held.safe or not held.unproven, id=held.record.id)
         check("at most three attempts", held.record.attempts <= self.rules.most_attempts, id=held.record.id)
         held.unproven = True
-        return [Go(call, True)]
+        return [Go(attempt, True)]
 
     def may_send(self, job_id: str) -> bool:
         """Whether an attempt's intent is at a majority, or its class is served without one: looked at by who
@@ -506,21 +510,21 @@
         away = held.record.job_class in self.rules.turn_away
         return held.intent.seq <= self.kept or (held.unprotected and not away)
 
-    def _unkept(self, now: int, held: Held, call: object) -> list[Action]:
+    def _unkept(self, now: int, held: Held, attempt: object) -> list[Action]:
         """No majority has answered in time."""
         if held.over:
-            return [Go(call, False)]
+            return [Go(attempt, False)]
         if not self.fenced and held.record.job_class not in self.rules.turn_away:
-            return self._go(now, held, call, kept=False)
-        self._calls.pop(call, None)
+            return self._go(now, held, attempt, kept=False)
+        self._attempts.pop(attempt, None)
         if self.fenced:
-            return [Go(call, False)]
+            return [Go(attempt, False)]
         self.counts["turned away"] += 1
-        answer = self._rejection() if held.safe else _FAILED
-        return [Go(call, False), Withdraw(held.record.id), *self._finish(now, held, answer)]
+        answer = self._refusal() if held.safe else _FAILED
+        return [Go(attempt, False), Withdraw(held.record.id), *self._finish(now, held, answer)]
 
-    def _rejected(self, now: int, held: Held, answer: Answer) -> list[Action]:
-        self._passed("after-rejection")
+    def _refused(self, now: int, held: Held, answer: Answer) -> list[Action]:
+        self._passed("after-refusal")
         return self._finish(now, held, answer)
 
     def _finish(self, now: int, held: Held, answer: Answer) -> list[Action]:
@@ -530,10 +534,10 @@
         check("one answer", self.held.get(record.id) is held, id=record.id)
         held.over = True
         self.held.pop(record.id, None)
-        rejected = answer.verdict is Verdict.REJECTED
-        self.answers.keep(record.id, record.digest, answer, now, short=rejected and held.safe)
+        refused = answer.verdict is Verdict.REFUSED
+        self.answers.keep(record.id, record.digest, answer, now, short=refused and held.safe)
         self._write(drop(record.id))
-        if not held.safe and not rejected:
+        if not held.safe and not refused:
             self._write_answer(now, record.id, record.digest, answer)
         return self._tell_all(record.id, held.waiters, held.remote, answer)
 
@@ -543,14 +547,21 @@
         verdict, result = answer.verdict, answer.result
         if len(result) > _RESULT_WRITTEN:
             verdict, result = Verdict.FAILED, b""
-        self._write(put_answer(AnswerRecord(id=job_id, digest=digest, verdict=verdict.value, result=result)))
+        self._write(
+            put_answer(
+                AnswerRecord(id=job_id, digest=digest, verdict=ENCODED_VERDICTS[verdict], result=result)
+            )
+        )
         self._linger.append((now + LINGER, job_id))
 
     def _tell_all(
-        self, job_id: str, waiters: Iterable[object], remote: Iterable[Life], answer: Answer
+        self, job_id: str, waiters: Iterable[object], remote: Iterable[Incarnation], answer: Answer
     ) -> list[Action]:
-        told = Told(job_id, answer.verdict.value, answer.result, answer.retry_after)
-        return [*(Reply(waiter, answer) for waiter in waiters), *(Send(life, told) for life in remote)]
+        told = Told(job_id, ENCODED_VERDICTS[answer.verdict], answer.result, answer.retry_after)
+        return [
+            *(Reply(waiter, answer) for waiter in waiters),
+            *(Send(incarnation, told) for incarnation in remote),
+        ]
 
     def _kept(self, now: int, seq: int) -> list[Action]:
         self.alone = False
@@ -573,21 +584,21 @@
         return [action for wait in waits for action in self._fail(now, wait)]
 
     def supersede(self, now: int) -> list[Action]:
-        """This life is over by a word from elsewhere: as if its ledger had been sealed."""
+        """This incarnation is over by a word from elsewhere: as if its ledger had been sealed."""
         return [action for action in self._fence(now) if not isinstance(action, Superseded)]
 
     def _give_up_ledger(self, now: int) -> list[Action]:
-        """Where a majority of its keepers is gone for good no ledger comes back: this life ends, as if
-        another had sealed it, and the next one has new keepers. Jobs that may not run twice and are out are
-        waited for, up to a bound."""
+        """Where a majority of its replicas is gone for good no ledger comes back: this incarnation ends, as
+        if another had sealed it, and the next one has new replicas. Jobs that may not run twice and are out
+        are waited for, up to a bound."""
         if now < self._look_at:
             return []
         self._look_at = now + _RETRY
         at = next((at for at in self.members.me.ledgers if at.ledger == self.ledger), None)
         if at is None or self.leaving:
             return []
-        gone = sum(self.members.health(k) in (Health.DEAD, Health.LEFT) for k in at.keepers)
-        if 2 * (len(at.keepers) - gone) > len(at.keepers):
+        gone = sum(self.members.health(k) in (Health.DEAD, Health.LEFT) for k in at.replicas)
+        if 2 * (len(at.replicas) - gone) > len(at.replicas):
             self._gone_since = NEVER
             return []
         self._gone_since = min(self._gone_since, now)
@@ -601,7 +612,7 @@
         return self._fence(now)
 
     def _fence(self, now: int) -> list[Action]:
-        """Danger: from here on another may do whatever this life owes."""
+        """Danger: from here on another may do whatever this incarnation owes."""
         self.fenced = True
         self.counts["fenced"] += 1
         waits = [w for _, group in self._waits for w in group] + self._gathered
@@ -613,7 +624,7 @@
             held.over = True
             actions.append(Forget(job_id))
             if held.waiters:
-                # its consumers still wait: they get the answer from whoever has it now, or, where it
+                # its clients still wait: they get the answer from whoever has it now, or, where it
                 # never went out from here and nobody has it, it is taken anew
                 self.asking[job_id] = Asking(
                     held.record, held.safe, held.waiters, now, may_take=not held.unproven
@@ -632,7 +643,7 @@
         )
 
     def _join(self, now: int, record: JobRecord, waiter: object) -> list[Action] | None:
-        """Joins a consumer to what is known of its id here; None if nothing is."""
+        """Joins a client to what is known of its id here; None if nothing is."""
         ended = self.answers.find(record.id, now)
         if ended is not None:
             self.counts["answered again"] += 1
@@ -668,7 +679,7 @@
         if now >= self._gives_up_at(asking):
             # danger: a repeat of a job that somebody may have, or has run
             self.counts["not all have answered"] += 1
-            answer = self._rejection() if asking.safe else _FAILED
+            answer = self._refusal() if asking.safe else _FAILED
             return self._end_asking(now, asking, answer)
         asking.new_round(now)
         if asking.holder is not None:
@@ -698,21 +709,25 @@
             or now < self.begun + _SETTLED
         ):
             return []
-        if any(m.card.life not in asking.heard for m in self.members.alive() if m.card.life != self.me):
+        if any(
+            m.card.incarnation not in asking.heard
+            for m in self.members.alive()
+            if m.card.incarnation != self.me
+        ):
             return []
         lost = asking.lost or self._has_lost(now)
         if (lost and not asking.safe) or not asking.may_take:
-            # nobody has it: it has ended and is forgotten, or was with a life of which nobody knows all
+            # nobody has it: it has ended and is forgotten, or nobody knows all that an ended incarnation had
             self.counts["not found"] += 1
-            return self._end_asking(now, asking, self._rejection() if asking.safe else _FAILED)
+            return self._end_asking(now, asking, self._refusal() if asking.safe else _FAILED)
         self.counts["repeats taken"] += 1
         return self._take_asked(now, asking)
 
     def _has_lost(self, now: int) -> bool:
-        self._lost = {life: until for life, until in self._lost.items() if until > now}
+        self._lost = {incarnation: until for incarnation, until in self._lost.items() if until > now}
         return bool(self._lost)
 
-    def _asked(self, now: int, sender: Life, ask: Ask) -> list[Action]:
+    def _asked(self, now: int, sender: Incarnation, ask: Ask) -> list[Action]:
         word, answer = Word.NONE, None
         ended = self.answers.find(ask.id, now)
         held, asking = self.held.get(ask.id), self.asking.get(ask.id)
@@ -737,7 +752,7 @@
             ask.id,
             ask.round,
             word,
-            answer.verdict.value if answer is not None else "",
+            ENCODED_VERDICTS[answer.verdict] if answer is not None else "",
             answer.result if answer is not None else b"",
             answer.retry_after if answer is not None else 0,
             (*self.open, *((self.me,) if ask.id in self.closing else ())),
@@ -745,7 +760,7 @@
         )
         return [*actions, Send(sender, said)]
 
-    def _said(self, now: int, sender: Life, said: Said) -> list[Action]:
+    def _said(self, now: int, sender: Incarnation, said: Said) -> list[Action]:
         asking = self.asking.get(said.id)
         if asking is None:
             return []
@@ -777,41 +792,43 @@
         if asking is None or verdict not in _VERDICTS:
             return []
         answer = Answer(_VERDICTS[verdict], result, retry_after)
-        short = answer.verdict is Verdict.REJECTED and asking.safe
+        short = answer.verdict is Verdict.REFUSED and asking.safe
         self.answers.keep(job_id, asking.record.digest, answer, now, short=short)
         return self._end_asking(now, asking, answer)
 
     def _to_all(self, message: Message) -> list[Action]:
-        return [Send(m.card.life, message) for m in self.members.alive() if m.card.life != self.me]
+        return [
+            Send(m.card.incarnation, message) for m in self.members.alive() if m.card.incarnation != self.me
+        ]
 
     # Taking over
 
     def _member(self, now: int, news: MemberChanged) -> None:
-        card, life = news.member.card, news.member.card.life
-        if life == self.me:
+        card, incarnation = news.member.card, news.member.card.incarnation
+        if incarnation == self.me:
             return
         if news.member.health not in (Health.DEAD, Health.LEFT):
-            opened = self.open.get(life)
+            opened = self.open.get(incarnation)
             if opened is not None and not opened.claiming and opened.heir_of is None:
-                del self.open[life]
+                del self.open[incarnation]
             return
         for asking in self.asking.values():
-            asking.remote.pop(life, None)
-            if asking.holder == life:
+            asking.remote.pop(incarnation, None)
+            if asking.holder == incarnation:
                 asking.lost_holder(now)
         for held in self.held.values():
-            held.remote.pop(life, None)
-        if life in self.open or life in self.taken_over or self.leaving or self.fenced:
+            held.remote.pop(incarnation, None)
+        if incarnation in self.open or incarnation in self.taken_over or self.leaving or self.fenced:
             return
-        ledger = job_ledger(life)
+        ledger = job_ledger(incarnation)
         at = next((at for at in card.ledgers if at.ledger == ledger), None)
         if at is not None:
-            self._open(now, life, at, None)
+            self._open(now, incarnation, at, None)
 
-    def _open(self, now: int, life: Life, at: LedgerAt, heir_of: Life | None) -> None:
-        names = [m.card.life.name for m in self.members.alive()]
+    def _open(self, now: int, incarnation: Incarnation, at: LedgerAt, heir_of: Incarnation | None) -> None:
+        names = [m.card.incarnation.name for m in self.members.alive()]
         before = 0 if heir_of is not None else turn(at.ledger, self.me.name, names)
-        self.open[life] = _Open(life, at, now, now + before * STAND, heir_of=heir_of)
+        self.open[incarnation] = _Open(incarnation, at, now, now + before * STAND, heir_of=heir_of)
 
     def _claim(self, now: int, opened: _Open) -> list[Action]:
         """This member's turn has come: the claim is written down, then the ledger sealed."""
@@ -819,7 +836,7 @@
         if opened.by is not None and opened.by not in self.open:
             opened.by = None  # whoever had it has been taken over: with it, this
             if opened.heir_of is None:
-                del self.open[opened.life]
+                del self.open[opened.incarnation]
                 return []
         if opened.claiming or opened.adopting or opened.by is not None or self.leaving:
             return []
@@ -837,15 +854,15 @@
         if opened is None:
             return []
         if news.by is None:
-            keepers = opened.at.keepers
-            there = sum(self.members.health(k) in (Health.ALIVE, Health.SUSPECT) for k in keepers)
-            if 2 * there > len(keepers) and opened.tries < _TRIES:
+            replicas = opened.at.replicas
+            there = sum(self.members.health(k) in (Health.ALIVE, Health.SUSPECT) for k in replicas)
+            if 2 * there > len(replicas) and opened.tries < _TRIES:
                 opened.claiming, opened.due = False, now + _RETRY
                 return []
             self.counts["ledgers lost"] += 1
-            if opened.life in self.taken_over:
+            if opened.incarnation in self.taken_over:
                 # danger: nothing but its word keeps whoever read a part first from doing the same jobs
-                del self.open[opened.life]
+                del self.open[opened.incarnation]
                 return []
             return self._claimed(now, news.ledger, news.partial, whole=False)
         if news.by == self.me or news.by == opened.heir_of:
@@ -853,8 +870,8 @@
         opened.claiming = False
         if self.members.health(news.by) in (Health.ALIVE, Health.SUSPECT):
             # it tells itself that the ledger is open until all of it is its own
-            del self.open[opened.life]
-            self._remember(now, opened.life, True)
+            del self.open[opened.incarnation]
+            self._remember(now, opened.incarnation, True)
         else:
             opened.by = news.by
         return []
@@ -866,7 +883,7 @@
             return []
         self._passed("after-seal")
         opened.adopting = True
-        check("one holder", not whole or not self.taken_over.get(opened.life), ledger=ledger)
+        check("one holder", not whole or not self.taken_over.get(opened.incarnation), ledger=ledger)
         records = jobs(content)
         kept_answers = answers(content)
         further = [at for at in claims(content) if at.ledger != self.ledger]
@@ -901,7 +918,7 @@
         whole: bool,
     ) -> list[Action]:
         self._passed("after-adoption")
-        life = opened.life
+        incarnation = opened.incarnation
         actions: list[Action] = []
         for answer in kept_answers:
             verdict = _VERDICTS.get(answer.verdict, Verdict.FAILED)
@@ -910,9 +927,9 @@
             self._linger.append((now + LINGER, answer.id))
         for record in records:
             actions += self._adopt(now, record, whole=whole)
-        del self.open[life]
+        del self.open[incarnation]
         for at in further:
-            other = _life_of(at.ledger)
+            other = _incarnation_of(at.ledger)
             if other is None or other == self.me:
                 continue
             # danger: it counts as taken over since the one that is taken over here won it, but that one has
@@ -920,19 +937,19 @@
             self.taken_over.pop(other, None)
             known = self.open.get(other)
             if known is None:
-                self._open(now, other, at, life)
+                self._open(now, other, at, incarnation)
             elif not known.adopting:
-                known.heir_of, known.by, known.due = life, None, now
-        self._note_taken_over(now, life, whole)
-        self._tell += [(now + later, life, whole) for later in _TELL_AGAIN]
+                known.heir_of, known.by, known.due = incarnation, None, now
+        self._note_taken_over(now, incarnation, whole)
+        self._tell += [(now + later, incarnation, whole) for later in _TELL_AGAIN]
         self.counts["ledgers taken over"] += 1
         self.counts["jobs taken over"] += len(records)
         # what waits here for an answer may be among these
         for asking in list(self.asking.values()):
             actions += self._ask(now, asking)
         return [
-            *self._to_all(TakenOver(life, whole)),
-            Adopted(life, len(records), whole, now - opened.since),
+            *self._to_all(TakenOver(incarnation, whole)),
+            Adopted(incarnation, len(records), whole, now - opened.since),
             *actions,
         ]
 
@@ -956,31 +973,31 @@
             return [CallOff(record)]
         if what is What.KEEP:
             return [Keep(record, safe)]
-        if what is What.REJECTED:
-            return self._finish(now, held, self._rejection())
+        if what is What.REFUSED:
+            return self._finish(now, held, self._refusal())
         return self._finish(now, held, _FAILED)
 
-    def _note_taken_over(self, now: int, life: Life, whole: bool) -> None:
-        self._remember(now, life, whole)
-        opened = self.open.get(life)
+    def _note_taken_over(self, now: int, incarnation: Incarnation, whole: bool) -> None:
+        self._remember(now, incarnation, whole)
+        opened = self.open.get(incarnation)
         # danger: what another could still read in part is no end of a claim that may bring all of it
         if opened is not None and not opened.adopting and (whole or not opened.claiming):
-            del self.open[life]
+            del self.open[incarnation]
         for other in list(self.open.values()):
-            if other.by == life and other.heir_of is None and not other.adopting:
-                del self.open[other.life]
+            if other.by == incarnation and other.heir_of is None and not other.adopting:
+                del self.open[other.incarnation]
 
-    def _remember(self, now: int, life: Life, whole: bool) -> None:
-        self.taken_over[life] = whole
+    def _remember(self, now: int, incarnation: Incarnation, whole: bool) -> None:
+        self.taken_over[incarnation] = whole
         if not whole:
-            self._lost[life] = now + self.rules.keep_for
+            self._lost[incarnation] = now + self.rules.keep_for
         while len(self.taken_over) > _REMEMBERED:
             self.taken_over.popitem(last=False)
 
 
-def _life_of(ledger: str) -> Life | None:
+def _incarnation_of(ledger: str) -> Incarnation | None:
     """Whose jobs are in a ledger of that name; None for another kind of ledger."""
     name, _, start = ledger.removeprefix("jobs/").rpartition("/")
     if not ledger.startswith("jobs/") or not name or not start.isdigit():
         return None
-    return Life(name, int(start))
+    return Incarnation(name, int(start))
--- a/ironbarrow/fleet/takeover/orders.py
+++ b/ironbarrow/fleet/takeover/orders.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from ironbarrow.core.host import Answer
-from ironbarrow.fleet.api import Life, News
+from ironbarrow.fleet.api import Incarnation, News
 from ironbarrow.fleet.records import JobRecord
 
 
@@ -16,7 +16,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Keep(News):
-    """A provider may have the job: it waits for its call-back and is never sent beside it."""
+    """A worker may have the job: it waits for its call-back and is never sent beside it."""
 
     record: JobRecord
     safe: bool
@@ -24,14 +24,14 @@
 
 @dataclass(frozen=True, slots=True)
 class CallOff(News):
-    """The job's provider is told to stop; ``Takeover.called_off`` follows."""
+    """The job's worker is told to stop; ``Takeover.called_off`` follows."""
 
     record: JobRecord
 
 
 @dataclass(frozen=True, slots=True)
 class Reply(News):
-    """A consumer's one answer; None: another request is under that id."""
+    """A client's one answer; None: another request is under that id."""
 
     waiter: object
     answer: Answer | None
@@ -39,9 +39,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Go(News):
-    """A call's first byte may be written, or (``may`` False) never is."""
+    """An attempt's first byte may be written, or (``may`` False) never is."""
 
-    call: object
+    attempt: object
     may: bool
 
 
@@ -61,25 +61,25 @@
 
 @dataclass(frozen=True, slots=True)
 class Heard(News):
-    """A provider's word that came to another member."""
+    """A worker's word that came to another member."""
 
     id: str
-    provider: str
+    worker: str
     state: str
     result: bytes
 
 
 @dataclass(frozen=True, slots=True)
 class Adopted(News):
-    """All that a life owed is in this member's ledger, and what is to be done with it has begun. ``whole``
-    False: what could still be read of it."""
+    """All that an incarnation owed is in this member's ledger, and what is to be done with it has begun.
+    ``whole`` False: what could still be read of it."""
 
-    life: Life
+    incarnation: Incarnation
     jobs: int
     whole: bool
-    after: int  # ns since this member held that life for ended
+    after: int  # ns since this member held that incarnation for ended
 
 
 @dataclass(frozen=True, slots=True)
 class Superseded(News):
-    """Another has sealed this member's ledger: it goes on as a new life or not at all."""
+    """Another has sealed this member's ledger: it goes on as a new incarnation or not at all."""
--- a/ironbarrow/fleet/takeover/repeats.py
+++ b/ironbarrow/fleet/takeover/repeats.py
@@ -1,11 +1,11 @@
-"""Consumers that come again: answers that are kept for them, promises not to take an id, who is asked for
+"""Clients that come again: answers that are kept for them, promises not to take an id, who is asked for
 one. No input or output."""
 
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
 from ironbarrow.core.host import Answer
-from ironbarrow.fleet.api import Life
+from ironbarrow.fleet.api import Incarnation
 from ironbarrow.fleet.records import JobRecord
 from ironbarrow.runtime.clock import MS, SECOND
 
@@ -13,7 +13,7 @@
 POLL = 500 * MS  # a holder is asked again whether it has ended: its answer may be lost on the way
 _PROMISES = 8192
 _ANSWER_BYTES = 8 << 20  # of results that are kept
-_REJECTION_FOR = 1 * SECOND  # of a safe job: then a repeat under the same id is a new try
+_REFUSAL_FOR = 1 * SECOND  # of a safe job: then a repeat under the same id is a new try
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,9 +37,9 @@
         return len(self._kept)
 
     def keep(self, job_id: str, digest: bytes, answer: Answer, now: int, *, short: bool) -> None:
-        """``short``: the rejection of a safe job, which may soon be tried anew under its id."""
+        """``short``: the refusal of a safe job, which may soon be tried anew under its id."""
         self._forget(job_id)
-        last = min(self._keep_for, max(_REJECTION_FOR, answer.retry_after)) if short else self._keep_for
+        last = min(self._keep_for, max(_REFUSAL_FOR, answer.retry_after)) if short else self._keep_for
         self._kept[job_id] = Ended(digest, answer, now + last)
         self._bytes += len(answer.result)
         while len(self._kept) > self._most or self._bytes > _ANSWER_BYTES:
@@ -76,20 +76,20 @@
 
 @dataclass(slots=True, eq=False)
 class Asking:
-    """A job that comes again, while all are asked who has it. A round is over once every member that lives
+    """A job that comes again, while all are asked who has it. A round is over once every member that is alive
     has answered in it, and it decides only where none of them knows of an open ledger."""
 
     record: JobRecord
     safe: bool
     waiters: list[object]
     begun: int  # ns, when it was asked for first, or lost its holder
-    may_take: bool = True  # False: it was sent from here in an earlier life
-    remote: dict[Life, None] = field(default_factory=dict)
+    may_take: bool = True  # False: it was sent from here in an earlier incarnation
+    remote: dict[Incarnation, None] = field(default_factory=dict)
     round: int = 0
-    heard: set[Life] = field(default_factory=set)
+    heard: set[Incarnation] = field(default_factory=set)
     clean: bool = True
-    lost: bool = False  # a life is lost of which nobody knows all that it had
-    holder: Life | None = None
+    lost: bool = False  # an incarnation is lost of which nobody knows all that it had
+    holder: Incarnation | None = None
     next_at: int = 0
 
     def new_round(self, now: int) -> None:
--- a/ironbarrow/lab/fleet/field.py
+++ b/ironbarrow/lab/fleet/field.py
@@ -134,13 +134,13 @@
 
     def _member(self, seat: Seat, node: Node) -> None:
         seeds = [name for name in self.names if name != seat.name]
-        card = Card(node.life, "", seat.site, version=1)
+        card = Card(node.incarnation, "", seat.site, version=1)
         members = MemberMachine(card, MemberRules(), seeds, self.clock.now())
-        ledgers = self.ledgers[seat.name] = WatchedLedgers(node.life, members, LedgerRules())
+        ledgers = self.ledgers[seat.name] = WatchedLedgers(node.incarnation, members, LedgerRules())
         ledgers.field = self
         machine = Rollouts(members, ledgers, lambda now: now, None, self.classes)
         self.machines[seat.name] = machine
-        machine.providers(self.clock.now(), self._list())
+        machine.workers(self.clock.now(), self._list())
         node.add([members, ledgers, machine])
 
     def _agent(self, seat: Seat, node: Node) -> None:
@@ -169,7 +169,7 @@
     def _push(self) -> None:
         for name, machine in self.machines.items():
             if self.net.seats[name].node is not None:
-                machine.providers(self.clock.now(), self._list())
+                machine.workers(self.clock.now(), self._list())
 
     # What is done to it
 
--- a/ironbarrow/lab/live/rollouts.py
+++ b/ironbarrow/lab/live/rollouts.py
@@ -1,6 +1,6 @@
-"""A live run with a rollout: agents at the providers' machines, which the dispatchers command over links.
+"""A live run with a rollout: agents at the workers' machines, which the dispatchers command over links.
 
-A provider's process keeps its name over its restarts, as a machine does. Agents are reached straight, by
+A worker's process keeps its name over its restarts, as a machine does. Agents are reached straight, by
 ``[routes]``: a dispatcher that is cut off from the others still reaches them.
 """
 
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from ironbarrow.fleet.api import NEVER, Life, Message, News, Send
+from ironbarrow.fleet.api import NEVER, Incarnation, Message, News, Send
 from ironbarrow.fleet.codec import Codec
 from ironbarrow.fleet.file import LinkRules
 from ironbarrow.fleet.links import Links
@@ -16,8 +16,8 @@
 from ironbarrow.fleet.rollout.commands import AGENT, Agent, Answer, Command
 from ironbarrow.lab.fleet.agents import AgentMachine
 from ironbarrow.lab.live.run import LiveRun
-from ironbarrow.lab.model.provider import State
 from ironbarrow.lab.model.spec import World
+from ironbarrow.lab.model.worker import State
 from ironbarrow.lab.result import Result
 from ironbarrow.runtime import sockets
 from ironbarrow.runtime.loop import MS, Loop
@@ -28,7 +28,7 @@
 
 @dataclass(slots=True, eq=False)
 class LiveBox:
-    """A provider's machine, as its agent uses it: a ``Box``."""
+    """A worker's machine, as its agent uses it: a ``Box``."""
 
     run: "RolloutRun"
     name: str
@@ -50,27 +50,27 @@
     def _comes_up(self, runtime: str) -> None:
         self.starting = False
         fleet = self.run.fleet
-        old = fleet.providers[self.name]
+        old = fleet.workers[self.name]
         made = fleet.add(old.group, self.name, old.zone, self.run.loop.now() // MS * MS)
         made.fail_fast(self.run.failing.get(runtime, 0.0))
-        fleet.directory.change(fleet.entry(made))
+        fleet.discovery.change(fleet.entry(made))
 
     def up(self) -> bool | None:
-        return None if self.starting else self.run.fleet.providers[self.name].state is State.UP
+        return None if self.starting else self.run.fleet.workers[self.name].state is State.UP
 
     def process(self) -> tuple[str, int]:
-        return self.name, self.run.fleet.providers[self.name].started_at
+        return self.name, self.run.fleet.workers[self.name].started_at
 
 
 class AgentSeat:
     """An agent on the loop, with links of its own. It answers to whoever commands."""
 
     def __init__(self, loop: Loop, name: str, listen: Address, box: LiveBox, peers: dict[str, str]) -> None:
-        life = Life(AGENT + name, loop.now())
+        incarnation = Incarnation(AGENT + name, loop.now())
         self.agent = Agent(name, "1.0")
         self._loop, self._closed = loop, False
         kinds: tuple[type[Message], ...] = (Command, Answer)
-        self._node = Node(life, self._send, self._told)
+        self._node = Node(incarnation, self._send, self._told)
         self._node.add([AgentMachine(self.agent, box)])
         listener = sockets.listen(listen)
         self.address: Address = listener.getsockname()[:2]
@@ -78,7 +78,7 @@
             loop,
             listener,
             Codec(kinds),
-            life,
+            incarnation,
             LinkRules(),
             lambda other: peers.get(other, ""),
             self._received,
@@ -92,7 +92,7 @@
     def _told(self, news: News) -> None:
         return
 
-    def _received(self, sender: Life, to_start: int, message: Message) -> None:
+    def _received(self, sender: Incarnation, to_start: int, message: Message) -> None:
         self._node.received(self._loop.now(), sender, to_start, message)
 
     def _tick(self) -> None:
@@ -129,10 +129,10 @@
         self._watch()
 
     def _place_agents(self) -> None:
-        peers = {f"d{n}": "{}:{}".format(*self._fleet_address(n)) for n in range(len(self._listen))}
-        for name in self.fleet.providers:
+        peers = {f"d{n}": "{}:{}".format(*self._loopback.fleet_member(n)) for n in range(len(self._listen))}
+        for name in self.fleet.workers:
             box = self.boxes[name] = LiveBox(self, name)
-            self.seats[name] = AgentSeat(self.loop, name, (f"{self._host}.99", 0), box, peers)
+            self.seats[name] = AgentSeat(self.loop, name, self._loopback.agents, box, peers)
 
     def _fleet_file(self, number: int) -> str | None:
         """With the agents' addresses, and the plan at the one that starts it."""
@@ -159,11 +159,11 @@
     def _watch(self) -> None:
         """What is in use, by the processes' own state."""
         for zone in self.world.network.zones:
-            here = [p for p in self.fleet.providers.values() if p.zone == zone]
+            here = [p for p in self.fleet.workers.values() if p.zone == zone]
             slots = sum(float(p.group.slots) for p in here if p.state is State.UP)
             self.low[zone] = min(slots, self.low.get(zone, slots))
         self.loop.call_at(self.loop.now() + 5 * MS, self._watch)
 
     def starts(self, runtime: str) -> dict[str, int]:
-        """How often each provider was started with a runtime."""
+        """How often each worker was started with a runtime."""
         return {n: sum(r == runtime for _, r in box.history) for n, box in self.boxes.items()}
--- a/ironbarrow/lab/live/run.py
+++ b/ironbarrow/lab/live/run.py
@@ -1,6 +1,5 @@
 """A live run: the model's parties in this process, dispatchers in processes of their own, on loopback."""
 
-import os
 import tempfile
 import time
 from collections.abc import Callable
@@ -14,33 +13,32 @@
 from ironbarrow.lab.fleet.files import fleet_file
 from ironbarrow.lab.fleet.links import CALM, LinkStandIns, Trouble
 from ironbarrow.lab.fleet.logs import read_logs
-from ironbarrow.lab.live.consumers import Consumers
-from ironbarrow.lab.live.directory_server import Agent
+from ironbarrow.lab.live.clients import Clients
+from ironbarrow.lab.live.discovery_server import Agent
+from ironbarrow.lab.live.ports import LoopbackNetwork
 from ironbarrow.lab.live.processes import Instance, Program
-from ironbarrow.lab.live.provider_server import Door
-from ironbarrow.lab.live.wire import Client
-from ironbarrow.lab.model.consumer import Habits
+from ironbarrow.lab.live.wire import HttpClient
+from ironbarrow.lab.live.worker_server import Door
+from ironbarrow.lab.model.client import Habits
 from ironbarrow.lab.model.fleet import Faults, Fleet
 from ironbarrow.lab.model.front import Front
-from ironbarrow.lab.model.provider import Provider, State
 from ironbarrow.lab.model.randomness import Streams
 from ironbarrow.lab.model.spec import Fault, Group, World
+from ironbarrow.lab.model.worker import State, Worker
 from ironbarrow.lab.model.workload import Workload
 from ironbarrow.lab.record import Recorder, Sampler
 from ironbarrow.lab.result import Result
 from ironbarrow.lab.settings import zone_of
 from ironbarrow.runtime.clock import MS, SECOND
 from ironbarrow.runtime.loop import Coroutine, Loop, sleep
-from ironbarrow.runtime.sockets import Address
 
 log = structlog.get_logger()
 
 SOCKETS_SLACK = 50 * MS  # each time limit is so much longer on sockets
 LATE = 20 * MS  # a generator whose 99th percentile of lateness is over this marks its result
 _SAMPLE_STEP = 250 * MS
-_PORT = 9000
-_FLEET_PORT = 9100
 _SEES_STOP = 20 * MS
+_START_LIMIT_S = 30
 
 
 class LiveError(Exception):
@@ -48,19 +46,19 @@
 
 
 class _LiveFleet(Fleet):
-    """Providers that open their doors when their processes start and shut them when these end."""
+    """Workers that open their doors when their processes start and shut them when these end."""
 
-    opened: Callable[[Provider], None] = staticmethod(lambda provider: None)
+    opened: Callable[[Worker], None] = staticmethod(lambda worker: None)
     ended: Callable[[str], None] = staticmethod(lambda name: None)
 
-    def add(self, group: Group, name: str, zone: str, started_at: int = 0) -> Provider:
+    def add(self, group: Group, name: str, zone: str, started_at: int = 0) -> Worker:
         made = super().add(group, name, zone, started_at)
         self.opened(made)
         return made
 
     def end(self, name: str, *, silent: bool = False) -> None:
         super().end(name, silent=silent)
-        if self.providers[name].state is State.DOWN:
+        if self.workers[name].state is State.DOWN:
             self.ended(name)
 
 
@@ -85,38 +83,36 @@
         self._progress = progress
         self.loop = loop = Loop(self._failed)
         self.errors = 0
-        # addresses of this run's own on the loopback net; ports of outgoing connections are elsewhere
-        net = 1 + os.getpid() % 200
-        self._host = f"127.{64 + os.getpid() // 200 % 100}.{net}"
         self.streams = Streams(seed)
         self.audit = Auditor(loop, world, sockets_slack=SOCKETS_SLACK)
         self.fleet = _LiveFleet(loop, world, self.streams, self.audit)
         self._habits = Habits(loop, world, self.streams)
         self._doors: dict[str, list[Door]] = {}
         count = world.dispatchers.count
-        self._listen = [(f"{self._host}.{n + 1}", _PORT) for n in range(count)]
-        self._call_backs = [Client(loop, address) for address in self._listen]
+        self._loopback = LoopbackNetwork.reserve(count)
+        self._listen = [self._loopback.dispatcher(n) for n in range(count)]
+        self._call_backs = [HttpClient(loop, address) for address in self._listen]
         self._addresses: list[dict[str, str]] = [{} for _ in range(count)]
-        self._directory_told: list[set[str]] = [set() for _ in range(count)]
-        self.front = Front(loop, [zone_of(world, n) for n in range(count)], world.consumers.notice)
-        for provider in self.fleet.providers.values():
-            self._open(provider)
+        self._discovery_told: list[set[str]] = [set() for _ in range(count)]
+        self.front = Front(loop, [zone_of(world, n) for n in range(count)], world.clients.notice)
+        for worker in self.fleet.workers.values():
+            self._open(worker)
         self.fleet.opened = self._open
         self.fleet.ended = self._shut
         self.recorder = Recorder(world)
         self.samples = Sampler(_SAMPLE_STEP, [], [])
-        clients = [Client(loop, address) for address in self._listen]
-        self.consumers = Consumers(
+        http_clients = [HttpClient(loop, address) for address in self._listen]
+        self.clients = Clients(
             loop,
             world,
             self._habits,
             self.fleet.network,
             self.front,
-            clients,
+            http_clients,
             self.audit,
             self.recorder,
         )
-        self.workload = Workload(loop, world, self.streams, self.consumers.take)
+        self.workload = Workload(loop, world, self.streams, self.clients.take)
         self.faults = Faults(loop, world, self.fleet, self.workload, self, self.streams)
         self._down: dict[int, int] = {}
         self._ready: set[int] = set()
@@ -128,7 +124,7 @@
         if world.dispatchers.fleet is not None and stand_ins:
             self._routes = {
                 (n, other): self.links.add(
-                    f"d{n}", f"d{other}", (f"{self._host}.{1 + n}", 0), self._fleet_address(other)
+                    f"d{n}", f"d{other}", self._loopback.party(n), self._loopback.fleet_member(other)
                 )
                 for n in range(count)
                 for other in range(count)
@@ -141,9 +137,6 @@
         self.errors += 1
         log.error("a party of the laboratory failed", exc_info=error)
 
-    def _fleet_address(self, number: int) -> Address:
-        return self._listen[number][0], _FLEET_PORT
-
     def _fleet_file(self, number: int) -> str | None:
         """Of one dispatcher: it finds each other one at the stand-in of that way."""
         rules = self.world.dispatchers.fleet
@@ -152,9 +145,11 @@
         others = {}
         for other in range(len(self._listen)):
             if other != number:
-                address = self._routes[number, other] if self._stand_ins else self._fleet_address(other)
+                address = (
+                    self._routes[number, other] if self._stand_ins else self._loopback.fleet_member(other)
+                )
                 others[f"d{other}"] = "{}:{}".format(*address)
-        listen = "{}:{}".format(*self._fleet_address(number))
+        listen = "{}:{}".format(*self._loopback.fleet_member(number))
         return fleet_file(rules, listen, zone_of(self.world, number), others)
 
     def _add_instance(self, number: int) -> None:
@@ -163,11 +158,11 @@
 
         agent = Agent(
             self.loop,
-            self.fleet.directory,
+            self.fleet.discovery,
             f"d{number}",
             self._addresses[number],
             told,
-            (self._listen[number][0], 0),
+            self._loopback.party(number),
         )
         instance = Instance(
             self.loop,
@@ -185,12 +180,12 @@
         self._agents.append(agent)
         self.instances.append(instance)
 
-    def _open(self, provider: Provider) -> None:
+    def _open(self, worker: Worker) -> None:
         doors = []
         for number, client in enumerate(self._call_backs):
             zone = zone_of(self.world, number)
 
-            def elsewhere(own: int = number, zone: str = zone) -> Client | None:
+            def elsewhere(own: int = number, zone: str = zone) -> HttpClient | None:
                 """Another dispatcher, through the front of some zone, its own first."""
                 zones = [zone, *(z for z in self.world.network.zones if z != zone)]
                 picked = (self.front.pick(z) for z in zones)
@@ -199,8 +194,8 @@
 
             door = Door(
                 self.loop,
-                provider,
-                (f"{self._host}.{101 + number}", 0),
+                worker,
+                self._loopback.party(number),
                 zone=zone,
                 call_back=client,
                 needs=self._habits.needs,
@@ -209,9 +204,9 @@
                 number=number,
                 elsewhere=elsewhere if self.world.dispatchers.fleet is not None else None,
             )
-            self._addresses[number][provider.name] = "{}:{}".format(*door.address)
+            self._addresses[number][worker.name] = "{}:{}".format(*door.address)
             doors.append(door)
-        self._doors[provider.name] = doors
+        self._doors[worker.name] = doors
 
     def _shut(self, name: str) -> None:
         for door in self._doors.pop(name, ()):
@@ -264,14 +259,14 @@
             instance.fault_once = True
 
     def end_at(self, number: int, point: str, down: int) -> None:
-        """A dispatcher's first life ends by itself at a named point ("POINT:N"), and starts again so many ns
-        later. Before ``run``."""
+        """A dispatcher's first incarnation ends by itself at a named point ("POINT:N"), and starts again so
+        many ns later. Before ``run``."""
         self.instances[number].fault = point
         self._down[number] = down
 
     def stop_at(self, number: int, point: str, lasts: int) -> None:
-        """A dispatcher's first life stops by itself at a named point, and goes on so many ns later. Before
-        ``run``."""
+        """A dispatcher's first incarnation stops by itself at a named point, and goes on so many ns later.
+        Before ``run``."""
         self.instances[number].fault = f"{point}:stop"
         self.loop.spawn(self._watch_for_stop(number, lasts))
 
@@ -309,32 +304,46 @@
         """Plays it in real time; a LiveError if the dispatchers do not come up."""
         begun = time.perf_counter()
         try:
-            for instance in self.instances:
-                instance.start()
-            self._until_ready()
+            self.start()
             result = self._play()
         finally:
-            for instance in self.instances:
-                instance.close()
-            for doors in self._doors.values():
-                for door in doors:
-                    door.close()
-            for agent in self._agents:
-                agent.close()
-            self.links.close()
-            self.loop.close()
+            self.close()
         result.wall_s = time.perf_counter() - begun
         return result
 
+    def start(self) -> None:
+        """Starts the dispatchers; a LiveError unless all of them become ready."""
+        for instance in self.instances:
+            instance.start()
+        self._until_ready()
+
+    def close(self) -> None:
+        """Ends the dispatchers' processes and lets go of every socket."""
+        for instance in self.instances:
+            instance.close()
+        for doors in self._doors.values():
+            for door in doors:
+                door.close()
+        for agent in self._agents:
+            agent.close()
+        self.links.close()
+        self.loop.close()
+        self._loopback.close()
+
     def _until_ready(self) -> None:
-        limit = time.monotonic() + 30
+        limit = time.monotonic() + _START_LIMIT_S
         while len(self._ready) < len(self.instances):
             if time.monotonic() > limit:
-                raise LiveError(f"not all dispatchers are ready after 30 s; see their logs in {self._folder}")
-            if any(instance.crashes for instance in self.instances):
-                raise LiveError(f"a dispatcher ended at its start; see its log in {self._folder}")
+                late = [one for one in self.instances if one.number not in self._ready]
+                raise self._failed_start(f"not all dispatchers are ready after {_START_LIMIT_S} s", late)
+            if ended := [instance for instance in self.instances if instance.crashes]:
+                raise self._failed_start("a dispatcher ended at its start", ended)
             self._turn(100 * MS)
 
+    def _failed_start(self, what: str, concerned: list[Instance]) -> LiveError:
+        logs = "\n".join(instance.last_words for instance in concerned)
+        return LiveError(f"{what}; logs are in {self._folder}\n{logs}")
+
     def _turn(self, most: int) -> None:
         self.loop.call_at(self.loop.now() + most, _nothing)
         self.loop.turn()
@@ -347,7 +356,7 @@
         longest = max(cls.deadline for cls in self.world.classes)
         last = started_at + self.world.duration + longest + 3 * SECOND
         told = 0
-        while not (self.workload.ended and not self.consumers.open) and self.loop.now() < last:
+        while not (self.workload.ended and not self.clients.open) and self.loop.now() < last:
             self._turn(50 * MS)
             if self._progress is not None and self.loop.now() > told + 200 * MS:
                 told = self.loop.now()
@@ -372,14 +381,14 @@
                 "peak_mb": [round(instance.peak_kb / 1024, 1) for instance in self.instances],
                 "ready_after_ms": [round(value, 1) for value in starts],
                 "crashes": sum(instance.crashes for instance in self.instances),
-                "refused_connections": self.consumers.refused_connections,
-                "wrong_results": self.consumers.wrong_results,
+                "refused_connections": self.clients.refused_connections,
+                "wrong_results": self.clients.wrong_results,
                 "errors": self.errors,
                 "unheard_call_backs": sum(d.gave_up_calls for doors in self._doors.values() for d in doors),
                 "unheard_ends": sum(d.gave_up_ends for doors in self._doors.values() for d in doors),
-                "came_again": self.consumers.came_again,
+                "came_again": self.clients.came_again,
                 "without_dispatcher": {
-                    cls.name: sum(order.cls == n for order in self.consumers.without_dispatcher)
+                    cls.name: sum(order.cls == n for order in self.clients.without_dispatcher)
                     for n, cls in enumerate(self.world.classes)
                 },
                 "fleet": self._fleet_notes(),
@@ -397,8 +406,8 @@
         return {**told, "frames": dict(self.links.frames), "bytes": sum(self.links.bytes.values())}
 
     def _sample(self) -> None:
-        self.samples.held.append([provider.held for provider in self.fleet.providers.values()])
-        self.samples.names = list(self.fleet.providers)
+        self.samples.held.append([worker.held for worker in self.fleet.workers.values()])
+        self.samples.names = list(self.fleet.workers)
         if not self.workload.ended:
             self.loop.call_at(self.loop.now() + _SAMPLE_STEP, self._sample)
 
--- a/ironbarrow/lab/scale/layout.py
+++ b/ironbarrow/lab/scale/layout.py
@@ -7,12 +7,13 @@
 
 from ironbarrow.config.units import ms
 from ironbarrow.lab.model import spec
-from ironbarrow.lab.model.directory import Entry
+from ironbarrow.lab.model.discovery import Entry
 from ironbarrow.lab.scale.target import ACCELERATORS, REGIONS, RUNNING_TASKS, WORKERS, ZONES, Size, zone_of
 from ironbarrow.lab.settings import settings_object
 from ironbarrow.runtime.sockets import Address
 
 FRONT_PORT, FLEET_PORT = 9000, 9100
+_DISPATCHERS_FROM, _WORKERS_FROM, _SECOND_BYTES = 16, 176, 40  # second bytes of 127.0.0.0/8
 _FIRST_WORKER_PORT = 10_000
 _SEEDS_A_ZONE = 2
 _SOCKETS = 1024
@@ -29,9 +30,11 @@
 
     def __init__(self, size: Size, folder: Path) -> None:
         self.size, self.folder = size, folder
-        # addresses of this run's own on the loopback net; ports of outgoing connections are elsewhere
-        self._net = f"127.{64 + os.getpid() // 200 % 100}.{1 + os.getpid() % 200}"
-        self._worker_net = f"127.{164 + os.getpid() // 200 % 80}.{1 + os.getpid() % 200}"
+        # addresses of this run's own on the loopback net, outside of those that live runs reserve
+        # (``lab.live.ports``); ports of outgoing connections are elsewhere
+        third = 1 + os.getpid() % 200
+        self._net = f"127.{_DISPATCHERS_FROM + os.getpid() // 200 % _SECOND_BYTES}.{third}"
+        self._worker_net = f"127.{_WORKERS_FROM + os.getpid() // 200 % _SECOND_BYTES}.{third}"
         self.world = self._world()
 
     def _world(self) -> spec.World:
@@ -54,10 +57,10 @@
             name="scale",
             duration=ms(1000),
             classes=[task, booking],
-            providers=[spec.Group(name="w", count=self.size.workers, slots=SLOTS, cores=CORES)],
+            workers=[spec.Group(name="w", count=self.size.workers, slots=SLOTS, cores=CORES)],
             arrivals=spec.Arrivals(rate=self.size.starts_per_second),
             network=spec.Network(zones=list(ZONES)),
-            directory=spec.Directory(weights="live"),
+            discovery=spec.Discovery(weights="live"),
             dispatchers=spec.Dispatchers(count=self.size.dispatchers, sockets=_SOCKETS, fleet=spec.Fleet()),
         )
 
@@ -101,13 +104,13 @@
         teams = [{"name": name, "share": share} for name in self.teams]
         return {**settings_object(self.world, number), "realms": teams}
 
-    def write_config(self, number: int, directory: Address, known: dict[str, object]) -> Path:
+    def write_config(self, number: int, discovery: Address, known: dict[str, object]) -> Path:
         """The configuration file of a hollow dispatcher."""
         path = self.folder / f"d{number}.json"
         said = {
             "name": f"d{number}",
             "listen": "{}:{}".format(*self.front(number)),
-            "discovery": "{}:{}".format(*directory),
+            "discovery": "{}:{}".format(*discovery),
             "seed": number,
             "limits": {"cores": 1.0, "memory_mb": self.world.dispatchers.memory_mb, "sockets": _SOCKETS},
             "known": known,
--- a/ironbarrow/lab/scale/result.py
+++ b/ironbarrow/lab/scale/result.py
@@ -70,14 +70,15 @@
     sent: list[Rate]  # by a hollow dispatcher
     received: list[Rate]
     from_real: list[Rate]  # by a real dispatcher, as hollow ones received it
-    directory: list[Rate]  # to a dispatcher
+    discovery: list[Rate]  # to a dispatcher
     probes: Rate  # by a dispatcher, requests and answers
     processes: list[Process]
     told: list[Told]
     held: Held
     jobs: dict[str, int]
     false_deaths: int  # told of members that ran and could be reached
-    replaced_lives: int  # lives that were given up for a later one of the same process, or followed by it
+    # incarnations that were given up for a later one of the same process, or followed by it
+    replaced_incarnations: int = msgspec.field(name="replaced_lives")  # the key of results that are kept
     late_p99_by_role_ms: dict[str, float] = {}
     notes: list[str] = []
     sent_by_type: list[Rate] = []  # by a hollow dispatcher, by type of message
@@ -168,7 +169,7 @@
         ("sent", lambda phase: phase.sent),
         ("received", lambda phase: phase.received),
         ("sent by a real one to hollow ones", lambda phase: phase.from_real),
-        ("list of workers", lambda phase: phase.directory),
+        ("list of workers", lambda phase: phase.discovery),
     ]
     for title, pick in picks:
         kinds = sorted({rate.kind for phase in calm if phase is not None for rate in pick(phase)})
@@ -211,7 +212,7 @@
 
 def control_bytes(phase: Phase) -> float:
     """Bytes a second that a dispatcher sends and receives for control: members, ledgers, lists, probes."""
-    rates = [*phase.sent, *phase.received, *phase.directory, phase.probes]
+    rates = [*phase.sent, *phase.received, *phase.discovery, phase.probes]
     return sum(rate.bytes for rate in rates)
 
 
@@ -268,7 +269,14 @@
 
 def _phases_table(results: list[ScaleResult]) -> str:
     head = ["size", "phase", "s", "members and ledgers, bytes/s sent", "lists, bytes/s", "real: CPU %"]
-    head += ["real: MB", "false deaths", "lives replaced", "jobs", "late by p50 / p99, ms", "load average"]
+    head += [
+        "real: MB",
+        "false deaths",
+        "incarnations replaced",
+        "jobs",
+        "late by p50 / p99, ms",
+        "load average",
+    ]
     rows = [_phase_row(result, phase) for result in results for phase in result.phases]
     return _table(head, rows)
 
@@ -277,11 +285,11 @@
     real = _role(phase, REAL)
     figures = [
         f"{sum(rate.bytes for rate in phase.sent):.0f}",
-        f"{sum(rate.bytes for rate in phase.directory):.0f}",
+        f"{sum(rate.bytes for rate in phase.discovery):.0f}",
         f"{real.cpu_percent_mean:.1f}" if real else "-",
         f"{real.resident_mb_most:.0f}" if real else "-",
         str(phase.false_deaths),
-        str(phase.replaced_lives),
+        str(phase.replaced_incarnations),
         ", ".join(f"{count} {how}" for how, count in sorted(phase.jobs.items())) or "-",
     ]
     return [
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -1,8 +1,8 @@
 """A small language for network tests: scripted peers that send, expect, close and wait.
 
 A scenario is text, one step a line. A line names its peer: ``c1 send ...`` and so on. ``c*`` are
-consumers and call-backs, which connect to the dispatcher, ``o*`` are operators at its own address
-for them; ``p*`` are providers, ``d`` is the directory and ``d2`` another one, which the dispatcher
+clients and call-backs, which connect to the dispatcher, ``o*`` are operators at its own address
+for them; ``p*`` are workers, ``d`` is the discovery service and ``d2`` another one, which the dispatcher
 connects to. In what is sent, ``\\r`` and ``\\n`` are written out.
 
     c1 send TEXT      write it, after connecting if need be
@@ -14,9 +14,10 @@
     c1 reset          close the connection with a reset
     c1 fill TEXT      write it over and over until the buffers on the way take no more
     p1 refuse         take no more connections
+    p1 listen         take connections again, at the same address
     p1 full           let new connections wait: none comes up any more
     wait MS           let time pass
-    reload d2         give the dispatcher a configuration that names another directory
+    reload d2         give the dispatcher a configuration that names another discovery service
     stop              order the dispatcher to stop
     exits             its loop has ended
 
@@ -38,6 +39,7 @@
 from ironbarrow.daemon.dispatcher import Dispatcher
 from ironbarrow.runtime.sockets import listen, parse_address, stream_socket
 
+FILL_CHUNK = 64 * 1024  # bytes of one write of ``fill``
 LIMIT = 20.0  # seconds; only a failing step ever waits so long
 SETTINGS: dict[str, Any] = {
     "me": 0,
@@ -59,12 +61,14 @@
 class Peer:
     """One scripted end of a connection."""
 
-    def __init__(self, address: tuple[str, int] | None, *, many: bool = False) -> None:
+    def __init__(
+        self, address: tuple[str, int] | None, *, many: bool = False, host: str = "127.0.0.1"
+    ) -> None:
         self.address = address  # of the dispatcher; None: the peer listens itself
         self.many = many  # once it has answered on a connection, it takes the next one that waits
         self.answered = False
         self.older: list[socket.socket] = []  # connections answered before; steps go to where a request came
-        self.listener = None if address else listen(("127.0.0.1", 0))
+        self.listener = None if address else listen((host, 0))
         self.sock: socket.socket | None = None
         self.seen = b""
         self.over = False
@@ -112,21 +116,24 @@
 class Stage:
     """A dispatcher and its peers, playing one scenario."""
 
-    def __init__(self, providers: int = 2, known: bool = True, **config: Any) -> None:
-        self.peers = {f"p{n}": Peer(None, many=True) for n in range(1, providers + 1)} | {
-            "d": Peer(None),
+    def __init__(
+        self, workers: int = 2, known: bool = True, discovery_host: str = "127.0.0.1", **config: Any
+    ) -> None:
+        """``discovery_host``: where the discovery service listens, at a port of the kernel's choice."""
+        self.peers = {f"p{n}": Peer(None, many=True) for n in range(1, workers + 1)} | {
+            "d": Peer(None, host=discovery_host),
             "d2": Peer(None),
         }
         ports = {name: peer.listener.getsockname() for name, peer in self.peers.items() if peer.listener}
         self.names = {f"${name}": f"{host}:{port}" for name, (host, port) in ports.items()}
-        entries = [self.entry(f"p{n}") for n in range(1, providers + 1)]
+        entries = [self.entry(f"p{n}") for n in range(1, workers + 1)]
         listener = listen(("127.0.0.1", 0))
         self.address = listener.getsockname()
         config.setdefault("settings", read_settings(SETTINGS))
         self.config = Config(
             name="n1",
             listen=self.address,
-            directory=ports["d"],
+            discovery=ports["d"],
             seed=1,
             reports=ReportReader(SETTINGS),
             known={"index": 41, "snapshot": True, "endpoints": entries} if known else {},
@@ -171,7 +178,7 @@
         if name == "wait":
             self.pass_time(float(rest) / 1000)
         elif name == "reload":
-            self.dispatcher.reload(replace(self.config, directory=parse_address(self.names[f"${rest}"])))
+            self.dispatcher.reload(replace(self.config, discovery=parse_address(self.names[f"${rest}"])))
         elif name == "stop":
             self.dispatcher.stop()
         elif name == "exits":
@@ -218,6 +225,8 @@
         elif verb == "fill":
             assert peer.sock is not None
             data = text.replace("\\r", "\r").replace("\\n", "\n").encode("latin-1")
+            # danger: megabytes in writes of a hundred bytes take longer on a busy machine than a job may last
+            data *= max(1, FILL_CHUNK // len(data))
             with suppress(BlockingIOError):
                 while peer.sock.send(data) == len(data):
                     pass
@@ -231,6 +240,9 @@
             assert peer.listener is not None
             peer.listener.close()
             peer.listener = None
+        elif verb == "listen":
+            name = line.partition(" ")[0]
+            peer.listener = listen(parse_address(self.names[f"${name}"]))
         else:
             raise AssertionError(f"no such step: {line}")
 
