--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -398,7 +398,7 @@
 # What is made of counts
 
 
-def test_deaths_are_told_from_lives_that_a_later_one_follows():
+def test_deaths_are_told_from_incarnations_that_a_later_one_follows():
     news = [
         MemberNews(1, "d0", "d1", 10, "alive"),
         MemberNews(2, "d0", "d1", 10, "dead"),
@@ -412,7 +412,7 @@
     report = DispatchersReport(Lateness(0, 0, 0), member_news=news)
     measured.collected = Collected(dispatchers=[report])
     assert [(one.observer, one.subject) for one in measured.deaths()] == [("d0", "d2"), ("d3", "d2")]
-    assert measured._replaced_lives() == {("d1", 10)}
+    assert measured._replaced_incarnations() == {("d1", 10)}
 
 
 def test_news_count_once_for_each_pair_of_members():
