Part the sending of one DELETE from the attempts' invoker

Change: backs/delete.py sends one DELETE and tells what came of it; when to send one again, and whether the attempt is over, stays with the invoker. No behaviour is changed. Measured: test_attempt.py and test_invoker.py passed.

--- a/ironbarrow/backs/invoker.py
+++ b/ironbarrow/backs/invoker.py
@@ -1,6 +1,5 @@
 """Attempts over HTTP: requests to workers and their call-backs, DELETE, probes."""
 
-from collections import Counter
 from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -9,9 +8,10 @@
 
 from heathway import api
 from heathway.settings import ReportReader
+from ironbarrow.backs.delete import TOLD_LIMIT, DeleteSender
 from ironbarrow.backs.pool import Pools
 from ironbarrow.core import trace
-from ironbarrow.core.attempt import Observation, Progress, delete_answered, is_unreachable, proves_over
+from ironbarrow.core.attempt import Observation, Progress, is_unreachable, proves_over
 from ironbarrow.core.endings import ConnectionEndedError, Ending
 from ironbarrow.core.host import Attempt, Host
 from ironbarrow.discovery.client import Discovery
@@ -22,16 +22,12 @@
 
 log = structlog.get_logger()
 
-# for the answer to a DELETE on a connection that had been idle, or of which no proof is needed
-_TOLD_LIMIT = 100 * MS
-_DELETE_LIMIT = 500 * MS  # else, in the first try
+_DELETE_LIMIT = 500 * MS  # for the answer to a DELETE of which a proof is needed, in its first try
 _DELETE_LIMIT_MOST = 2 * SECOND  # and in later ones: each try costs a hung worker a connection
-_ROUND_TRIPS = 6  # at least so many times what connecting took: handshakes, the request and its answer
 _DELETE_TRIES = 3  # for an attempt that is over already: it may run on, but nothing waits for it
 _DELETE_PAUSE = 50 * MS  # after the first try; doubled with each one
 _DELETE_PAUSE_MOST = 400 * MS
 _LAST_WORD = 1 * SECOND  # for DELETEs of an attempt at its deadline, where others go first
-_DELETES_AT_ONCE = 32  # to one worker. Danger: hundreds to one that is cut off would take all descriptors
 _PROBE_LIMIT = 1 * SECOND
 _REST_LIMIT = 500 * MS  # for the rest of an answer whose head is in, or of one whose attempt is over already
 _ACCEPTED = 202
@@ -72,7 +68,7 @@
         self._connect_timeout = connect_timeout
         self._pools = Pools(loop, idle_limit=idle_limit, most=most_idle)
         self._exchanges: dict[Attempt, _Exchange] = {}
-        self._deleting: Counter[Address] = Counter()
+        self._deletes = DeleteSender(loop, self._pools, self._connect)
         self._most = most
         self._open = 0  # connections, those that come up and idle ones included
 
@@ -263,8 +259,8 @@
         for tries, pause in enumerate(_pauses()):
             # danger: a 202 may have crossed the close; so it is told, but its arrival need not be proven
             only_told = attempt.is_over(Observation.CONNECTION_ENDED) or over_before
-            limit = _TOLD_LIMIT if only_told else min(_DELETE_LIMIT << tries, _DELETE_LIMIT_MOST)
-            observation = yield from self._tell_to_stop(
+            limit = TOLD_LIMIT if only_told else min(_DELETE_LIMIT << tries, _DELETE_LIMIT_MOST)
+            observation = yield from self._deletes.send(
                 exchange.address, attempt.job.payload.id, attempt.worker, limit, until
             )
             if self._host.traced:
@@ -284,64 +280,13 @@
         for pause in _pauses():
             address = self._discovery.address_of(worker)
             if address is not None:
-                observation = yield from self._tell_to_stop(address, job_id, worker, _DELETE_LIMIT, until)
+                observation = yield from self._deletes.send(address, job_id, worker, _DELETE_LIMIT, until)
                 stopped = proves_over(observation, Progress.ACCEPTED)
             if stopped or self._loop.now() >= until:
                 break
             yield from sleep(self._loop.now() + pause)
         done(stopped)
 
-    def _tell_to_stop(
-        self, address: Address, job_id: str, worker: str, limit: int, until: int
-    ) -> Coroutine[Observation]:
-        """One DELETE, and what came of it. ``limit``: ns, to its answer on a new connection; ``until``: when
-        it need not be sent any more, ns."""
-        while self._deleting[address] >= _DELETES_AT_ONCE:
-            if self._loop.now() >= until:
-                return Observation.DELETE_UNSENT
-            yield from sleep(self._loop.now() + _DELETE_PAUSE)
-        self._deleting[address] += 1
-        connection = self._pools.take(address, settled=False)
-        try:
-            if connection is not None:
-                observation = yield from self._send_delete(connection, address, job_id, _TOLD_LIMIT)
-                if observation is Observation.DELETE_ANSWERED:
-                    return observation
-                # it may be cut off behind a connection that looks open, or have closed it meanwhile
-            try:
-                asked_at = self._loop.now()
-                connection = yield from self._connect(address, worker, "delete")
-            except ConnectionEndedError as error:
-                none_here = error.ending is Ending.NO_DESCRIPTOR
-                return Observation.DELETE_BROKEN if none_here else Observation.DELETE_UNSENT
-            limit = max(limit, _ROUND_TRIPS * (self._loop.now() - asked_at))
-            return (yield from self._send_delete(connection, address, job_id, limit))
-        finally:
-            self._deleting[address] -= 1
-            if not self._deleting[address]:
-                del self._deleting[address]
-
-    def _send_delete(
-        self, connection: Connection, address: Address, job_id: str, limit: int
-    ) -> Coroutine[Observation]:
-        """On that connection, which is kept for further use or closed."""
-        until = self._loop.now() + limit
-        headers = [("Host", "{}:{}".format(*address))]
-        kept = False
-        try:
-            request = connection.request_bytes("DELETE", f"/jobs/{job_id}", headers)
-            yield from connection.write(request, until)
-            answer = yield from connection.read_message(until)
-            self._pools.put_back(address, connection)
-            kept = True
-        except ConnectionEndedError as error:
-            silent = error.ending is Ending.STALLED
-            return Observation.DELETE_UNANSWERED if silent else Observation.DELETE_BROKEN
-        finally:
-            if not kept:
-                connection.close()
-        return delete_answered(answer.status)
-
     def _probe(self, worker: str) -> Coroutine[None]:
         started_at = self._loop.now()
         until = started_at + _PROBE_LIMIT
--- a/tests/test_attempt.py
+++ b/tests/test_attempt.py
@@ -82,7 +82,7 @@
     assert decisions.outcomes == [api.Outcome.TIMEOUT, api.Outcome.MOOT]
     assert stage.peers["p2"].sock is None
     stage.until("forgotten", lambda: not stage.dispatcher.host.held_in_memory)
-    stage.until("no more DELETEs", lambda: not stage.dispatcher.invoker._deleting)
+    stage.until("no more DELETEs", lambda: not stage.dispatcher.invoker._deletes.under_way)
     assert not stage.dispatcher.invoker._exchanges
     stage.close()
 
@@ -483,7 +483,7 @@
         assert len(world.answers) == 1, seed
         assert len(world.attempts) <= 3, seed
         assert not world.host.held_in_memory, seed
-        assert not world.back._exchanges and not world.back._deleting, seed
+        assert not world.back._exchanges and not world.back._deletes.under_way, seed
         seen[len(world.attempts)] += 1
     assert min(seen[1], seen[2]) > 20  # the orders that matter did come up
 
--- a/tests/test_invoker.py
+++ b/tests/test_invoker.py
@@ -458,7 +458,7 @@
     gate.open = True
     stage.until("all told or given up", lambda: len(done) == 200)
     assert not any(done)  # nobody has confirmed anything
-    assert not back._deleting
+    assert not back._deletes.under_way
     stage.close()
 
 
