--- /dev/null
+++ b/ironbarrow/lab/capacity/ledgers.py
@@ -0,0 +1,236 @@
+"""Counts of the replicated ledgers: by job start, by running job, by dispatcher, and in a region cut."""
+
+from dataclasses import dataclass
+
+from heathway import api
+from ironbarrow.fleet.api import job_ledger
+from ironbarrow.fleet.file import Fleet
+from ironbarrow.fleet.ledgers import LedgerMachine
+from ironbarrow.fleet.ledgers.messages import Append, Appended
+from ironbarrow.fleet.ledgers.proposal import majority
+from ironbarrow.fleet.members import MemberMachine
+from ironbarrow.fleet.records import JobRecord, Stage, drop, put
+from ironbarrow.fleet.takeover.machine import Takeover
+from ironbarrow.lab.capacity.counting import ZONES, Sent, metered, region_of, zone_of
+from ironbarrow.lab.fleet.losses import LedgerFleet
+from ironbarrow.lab.fleet.work import WorkWorld
+from ironbarrow.runtime.clock import MS, SECOND
+
+_MEMBERS = 9  # of a fleet in which one writer is looked at
+_PAUSE = 20 * MS  # between two turns of a writer
+_BODY = 200  # bytes of a job's body
+_WORK_KINDS = (*LedgerMachine.handles, *Takeover.handles)
+_CLASS = api.JobClass("task", api.Effect.UNSAFE, aim=10 * SECOND, deadline=60 * SECOND)
+
+
+def record(number: int, stage: Stage = Stage.TAKEN, body: int = _BODY) -> JobRecord:
+    """A job as a dispatcher's ledger has it, with a body of so many bytes."""
+    return JobRecord(
+        id=f"job-{number:012d}",
+        job_class="task",
+        method="POST",
+        target="/task",
+        body=b"x" * body,
+        content_type="application/json",
+        taken_at=1_700_000_000 * SECOND,
+        until=1_700_003_600 * SECOND,
+        stage=stage,
+        attempts=int(stage is Stage.INTENT),
+        worker="worker-0123" if stage is Stage.INTENT else "",
+        tenant="team-123",
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class WriterCount:
+    """What one writer and its replicas send for so many jobs, and what is held at the end."""
+
+    jobs: int
+    appends: Sent  # writer to replicas
+    acknowledgements: Sent  # replicas to writer
+    replica_bytes: int  # of a replica's tables
+    replica_rows: int
+
+
+def count_writer(jobs: int, *, keep: bool = False, replicas: int = 3, body: int = _BODY) -> WriterCount:
+    """Counts jobs one after another at one writer: taken, sent and ended, or (``keep``) left running."""
+    fleet = LedgerFleet(_MEMBERS, replicas)
+    traffic = metered(fleet.net, LedgerMachine.handles)
+    fleet.create()
+    fleet.net.run(SECOND)
+    ledger = job_ledger(fleet.machines["m0"].me)
+    traffic.clear()
+    for number in range(jobs):
+        changes = [put(record(number, stage, body)) for stage in (Stage.TAKEN, Stage.INTENT)]
+        if not keep:
+            changes.append(drop(record(number).id))
+        for change in changes:
+            fleet.append("m0", ledger, [change])
+            fleet.net.run(_PAUSE)
+    fleet.net.run(SECOND)
+    writer = fleet.machines["m0"].writers[ledger]
+    segment = fleet.machines[writer.at.replicas[0].name].replica.segments[ledger, writer.at.segment]
+    return WriterCount(
+        jobs, traffic.of_kinds(Append), traffic.of_kinds(Appended), segment.size, len(segment.table)
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class StartCount:
+    """What whole dispatchers send for the jobs that they take, start and end."""
+
+    dispatchers: int
+    jobs: int
+    ledgers: Sent
+    acknowledged: int  # messages
+    changes: int
+    takeover: Sent
+    members: Sent
+
+
+def count_starts(jobs: int, dispatchers: int = 7, *, seconds: int = 10, seed: int = 1) -> StartCount:
+    """Counts so many jobs over so many seconds, by real hosts, decisions and machines."""
+    settings = api.Settings(
+        me=0, dispatchers=dispatchers, zone="a", zones=("a",), classes=(_CLASS,), tells_start=True
+    )
+    world = WorkWorld(settings, dispatchers, seed=seed, fleet=Fleet(listen="127.0.0.1:0"), workers=8)
+    traffic = metered(world.net, (*MemberMachine.handles, *_WORK_KINDS))
+    world.run(3 * SECOND)
+    traffic.clear()
+    for number in range(jobs):
+        world.order(f"job-{number:012d}", "task", 30 * SECOND)
+        world.run(seconds * SECOND // jobs)
+    world.run(2 * SECOND)
+    appends = traffic.of_kinds(Append)
+    return StartCount(
+        dispatchers,
+        jobs,
+        traffic.of_kinds(*LedgerMachine.handles),
+        traffic.of_kinds(Appended).messages,
+        appends.items,
+        traffic.of_kinds(*Takeover.handles),
+        traffic.of_kinds(*MemberMachine.handles),
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class MoveCount:
+    """What it takes to replace one replica of a ledger with so many running jobs."""
+
+    running: int
+    sent: Sent
+    seconds: float  # until the ledger is open at its new replicas
+
+
+def count_move(running: int) -> MoveCount:
+    """Counts the loss of one replica."""
+    fleet = LedgerFleet(_MEMBERS)
+    fleet.create()
+    ledger = job_ledger(fleet.machines["m0"].me)
+    for number in range(running):
+        fleet.append("m0", ledger, [put(record(number, Stage.INTENT))])
+    fleet.net.run(SECOND)
+    writer = fleet.machines["m0"].writers[ledger]
+    segment = writer.at.segment
+    traffic = metered(fleet.net, LedgerMachine.handles)
+    began = fleet.net.clock.now()
+    fleet.kill(writer.at.replicas[0].name)
+    while writer.at.segment == segment or not writer.opened:
+        fleet.net.run(MS)
+        if fleet.net.clock.now() - began > 30 * SECOND:
+            raise RuntimeError("the ledger did not move")
+    took = (fleet.net.clock.now() - began) / SECOND
+    fleet.net.run(SECOND)
+    return MoveCount(running, traffic.total(), took)
+
+
+@dataclass(frozen=True, slots=True)
+class CutShare:
+    """Ledgers whose writer can't reach a majority of its replicas once the regions are apart."""
+
+    dispatchers: int
+    ledgers: int
+    without_majority: int
+
+
+def share_without_majority(dispatchers: int, replicas: int = 3) -> CutShare:
+    """By the replicas that the real machines choose over the target's zones."""
+    fleet = LedgerFleet(0, replicas)
+    fleet.names = [f"dispatcher-{number}" for number in range(dispatchers)]
+    for number, name in enumerate(fleet.names):
+        fleet.net.add(name, zone_of(number), fleet._build)
+        fleet.net.start(name)
+    zones = {name: zone_of(number) for number, name in enumerate(fleet.names)}
+    lost = 0
+    for name in fleet.names:
+        chosen = fleet.machines[name].choose(job_ledger(fleet.machines[name].me))
+        near = sum(region_of(zones[replica.name]) == region_of(zones[name]) for replica in chosen)
+        lost += near < majority(chosen)
+    return CutShare(dispatchers, dispatchers, lost)
+
+
+@dataclass(frozen=True, slots=True)
+class CutWork:
+    """What becomes of running jobs when regions lose each other. Workers are reached by all."""
+
+    dispatchers: int
+    effect: str
+    running: int  # jobs out when the cut began
+    cut_s: int  # 0: there was none
+    second_copies: int  # runs of a job that another copy was out of
+    ends: dict[str, int]  # what clients heard
+    renewed: int  # dispatchers that began a new incarnation
+    ledgers: Sent
+    takeover: Sent
+
+
+def count_cut_work(
+    effect: api.Effect,
+    dispatchers: int = 14,
+    *,
+    cut: bool = True,
+    running: int = 56,
+    cut_s: int = 30,
+    seed: int = 1,
+) -> CutWork:
+    """Counts jobs that run for longer than the cut lasts; or (``cut`` False) the same without one, for
+    comparison."""
+    long = api.JobClass("long", effect, aim=60 * SECOND, deadline=200 * SECOND, stretch=2.0)
+    settings = api.Settings(me=0, dispatchers=dispatchers, zone="a", zones=("a",), classes=(long,))
+    world = WorkWorld(
+        settings,
+        dispatchers,
+        seed=seed,
+        fleet=Fleet(listen="127.0.0.1:0"),
+        sites=len(ZONES),
+        workers=4 * running,
+    )
+    traffic = metered(world.net, (*MemberMachine.handles, *_WORK_KINDS))
+    world.run(5 * SECOND)
+    world.lasts = ((cut_s + 10) * SECOND, (cut_s + 20) * SECOND)
+    for number in range(running):
+        world.order(f"long-{number:06d}", "long", 150 * SECOND, at=f"d{number % dispatchers}")
+        world.run(2 * MS)  # together: of workers whose size is not known, few sessions enter later
+    world.run(2 * SECOND)
+    out = sum(len(worker.running) for worker in world.workers.all.values())
+    traffic.clear()
+    zones = {name: zone_of(number) for number, name in enumerate(world.net.seats)}
+    for one in zones:
+        for other in zones:
+            if cut and region_of(zones[one]) != region_of(zones[other]):
+                world.net.cut(one, other, both=False)
+    world.run(cut_s * SECOND)
+    ledgers, takeover = traffic.of_kinds(*LedgerMachine.handles), traffic.of_kinds(*Takeover.handles)
+    world.net.mend()
+    world.run(80 * SECOND)
+    return CutWork(
+        dispatchers,
+        effect.name,
+        out,
+        cut_s if cut else 0,
+        sum(world.workers.copies.values()),
+        dict(world.ends()),
+        world.counts["renewed"],
+        ledgers,
+        takeover,
+    )
--- a/ironbarrow/lab/live/processes.py
+++ b/ironbarrow/lab/live/processes.py
@@ -9,10 +9,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import Any, Protocol
 
 from ironbarrow.core.endings import ConnectionEndedError
-from ironbarrow.lab.live.discovery_server import Agent
 from ironbarrow.lab.live.wire import HttpClient
 from ironbarrow.lab.model.spec import World
 from ironbarrow.lab.settings import settings_object
@@ -25,6 +24,18 @@
 _LINE_LENGTH = 500  # of each, at most
 
 
+class Agent(Protocol):
+    """Discovery's agent beside a dispatcher, as far as its process depends on it."""
+
+    address: Address
+
+    def known(self) -> dict[str, object]:
+        """The list as it has it now, in discovery's form."""
+
+    def move(self) -> Address:
+        """Listens at another port from now on."""
+
+
 @dataclass(slots=True)
 class Program:
     """The command and folder of the dispatcher that is tried."""
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -5,6 +5,7 @@
 import pytest
 
 from ironbarrow.daemon.dispatcher import _descriptors
+from ironbarrow.lab.live.ports import LoopbackNetwork
 from ironbarrow.runtime.sockets import listen
 from tests.scenario import Stage, job
 
@@ -43,7 +44,8 @@
     idle: str,
 ) -> None:
     # danger: whoever waits for a descriptor that nobody gives back waits for ever
-    stage = Stage(sockets=38, known=False)  # room for three clients
+    network = LoopbackNetwork.reserve(1)  # nobody else is given the discovery port meanwhile
+    stage = Stage(sockets=38, known=False, discovery_host=network.party(0)[0])  # room for three clients
     discovery = stage.peers["d"]
     assert discovery.listener is not None
     address = discovery.listener.getsockname()
@@ -65,3 +67,4 @@
         )
     finally:
         stage.close()
+        network.close()
