Serve with system calls that fail by a plan, for live runs

Change: ironbarrow.lab.faults replaces the calls of its own process (accept, socket, connect, send, recv, sendmsg, recvmsg, epoll_ctl, writes, fsync, rename, the wall clock) and then serves. A live run's program takes an environment. The live worker takes a close before its 202 as giving up, as the protocol has it.

--- /dev/null
+++ b/ironbarrow/lab/faults/rules.py
@@ -0,0 +1,119 @@
+"""Which system calls fail, when, and how. No input or output.
+
+A plan is a JSON object: ``seed``, ``clock_offset_s`` and ``clock_steps`` of the wall clock, and ``rules``.
+Each rule names one call and the error that it shows, as Linux documents it for that call.
+"""
+
+import errno
+import json
+from dataclasses import dataclass, field
+from enum import Enum
+from random import Random
+from typing import Any
+
+PLAN_VARIABLE = "IRONBARROW_FAULTS"  # of the environment: the plan of a process, as JSON
+
+
+class Call(Enum):
+    """The calls that can be made to fail."""
+
+    ACCEPT = "accept"
+    SOCKET = "socket"
+    CONNECT = "connect"
+    SEND = "send"
+    RECV = "recv"
+    SENDMSG = "sendmsg"
+    RECVMSG = "recvmsg"
+    WATCH = "watch"  # epoll_ctl that adds
+    WRITE = "write"  # to a file
+    FSYNC = "fsync"
+    REPLACE = "replace"  # rename over a file
+    OPEN = "open"  # a file for writing
+
+
+class Side(Enum):
+    """Whose connections a rule is about."""
+
+    ANY = "any"
+    WORKERS = "workers"  # those that this process opened
+    CLIENTS = "clients"  # those that it accepted
+
+
+class FaultPlanError(ValueError):
+    """A plan that can't be used; the text names the key."""
+
+
+@dataclass(slots=True)
+class FaultRule:
+    """One kind of failure. Times in s from the start of the process."""
+
+    call: Call
+    error: int = 0  # errno; 0: the call is only cut short
+    side: Side = Side.ANY
+    chance: float = 1.0
+    after_s: float = 0.0
+    for_s: float = 1e9
+    every_s: float = 0.0  # the window comes again with this period; 0: once
+    most: int = 0  # failures in all; 0: any number
+    skip: int = 0  # so many calls go well first
+    breaks: bool = False  # the connection stays broken, and shows the same error from then on
+    count: int = field(default=0, compare=False)
+    seen: int = field(default=0, compare=False)
+
+    def is_due(self, at_s: float, random: Random) -> bool:
+        """Whether a call at that time fails; counts it."""
+        since = at_s - self.after_s
+        if since < 0 or (since % self.every_s if self.every_s else since) >= self.for_s:
+            return False
+        self.seen += 1
+        if self.seen <= self.skip or (self.most and self.count >= self.most):
+            return False
+        if self.chance < 1.0 and random.random() >= self.chance:
+            return False
+        self.count += 1
+        return True
+
+
+@dataclass(frozen=True, slots=True)
+class ClockStep:
+    """The wall clock jumps by ``by_s`` at ``at_s`` after the start of the process."""
+
+    at_s: float
+    by_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class FaultPlan:
+    """All that goes wrong in one process."""
+
+    seed: int = 0
+    clock_offset_s: float = 0.0  # of the wall clock, before the process starts
+    clock_steps: tuple[ClockStep, ...] = ()
+    rules: tuple[FaultRule, ...] = ()
+
+    @staticmethod
+    def parse(text: str) -> "FaultPlan":
+        """A plan from JSON; a FaultPlanError names what is wrong."""
+        try:
+            raw = json.loads(text)
+        except ValueError as error:
+            raise FaultPlanError(f"not JSON: {error}") from None
+        if not isinstance(raw, dict):
+            raise FaultPlanError("expected an object")
+        steps = tuple(ClockStep(float(s["at_s"]), float(s["by_s"])) for s in raw.get("clock_steps", ()))
+        rules = tuple(_rule(item, f"rules[{n}]") for n, item in enumerate(raw.get("rules", ())))
+        return FaultPlan(int(raw.get("seed", 0)), float(raw.get("clock_offset_s", 0.0)), steps, rules)
+
+
+def _rule(raw: Any, place: str) -> FaultRule:
+    if not isinstance(raw, dict):
+        raise FaultPlanError(f"{place}: expected an object")
+    fields = dict(raw)
+    try:
+        fields["call"] = Call(fields.get("call"))
+        fields["side"] = Side(fields.get("side", Side.ANY.value))
+        name = fields.get("error", "")
+        fields["error"] = getattr(errno, name) if name else 0
+        return FaultRule(**fields)
+    except (ValueError, TypeError, AttributeError) as error:
+        raise FaultPlanError(f"{place}: {error}") from None
--- a/ironbarrow/lab/live/processes.py
+++ b/ironbarrow/lab/live/processes.py
@@ -7,11 +7,12 @@
 import subprocess
 import sys
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any, Protocol
 
 from ironbarrow.core.endings import ConnectionEndedError
+from ironbarrow.lab.faults.rules import PLAN_VARIABLE
 from ironbarrow.lab.live.wire import HttpClient
 from ironbarrow.lab.model.spec import World
 from ironbarrow.lab.settings import settings_object
@@ -42,6 +43,7 @@
 
     command: list[str]
     folder: Path
+    environment: dict[str, str] = field(default_factory=dict)  # beside what each dispatcher is told
 
     @classmethod
     def own(cls) -> "Program":
@@ -53,6 +55,13 @@
         """The program whose packages lie in a folder."""
         return cls([sys.executable, "-m", "ironbarrow", "serve"], folder)
 
+    @classmethod
+    def with_faults(cls, plan: str) -> "Program":
+        """This very program with system calls that fail by a plan, as JSON (``ironbarrow.lab.faults``)."""
+        own = cls.own()
+        command = [sys.executable, "-m", "ironbarrow.lab.faults"]
+        return cls(command, own.folder, {PLAN_VARIABLE: plan})
+
 
 class Instance:
     """One dispatcher's process, over all its incarnations."""
@@ -122,6 +131,7 @@
             resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
 
         environment = {
+            **self._program.environment,
             "PATH": os.environ.get("PATH", ""),
             "PYTHONDONTWRITEBYTECODE": "1",
             "BALANCER_NAME": f"d{self.number}",
--- a/ironbarrow/lab/live/worker_server.py
+++ b/ironbarrow/lab/live/worker_server.py
@@ -18,6 +18,7 @@
 _IDLE = 15 * SECOND
 _WHOLE = 5 * SECOND
 _WRITE = 5 * SECOND
+_ACCEPTED = 202
 _CALL_BACK_LIMIT = 2 * SECOND
 _CALL_BACK_TRIES = 10
 _CALL_BACK_PAUSE = 100 * MS
@@ -114,15 +115,23 @@
             while self._worker.trouble.hung:  # it says nothing while it hangs
                 yield from sleep(self._loop.now() + 20 * MS)
             yield from self._way()
+            if status == _ACCEPTED and connection.is_gone():
+                # the dispatcher gave it up by closing the connection before the 202
+                self._give_up(request.headers.get("x-request-id", ""))
+                return
             data = connection.response_bytes(status, headers, body)
             yield from connection.write(data, self._loop.now() + _WRITE)
             if not connection.next_cycle():
                 return
 
     def _delete(self, job_id: str) -> tuple[int, list[tuple[str, str]], bytes]:
+        self._give_up(job_id)
+        return 204, [], b""
+
+    def _give_up(self, job_id: str) -> None:
+        """Its dispatcher has given the job up."""
         self._audit.attempt_over(job_id, self._worker.name, never_ran=False)
         self._worker.cancel(job_id)
-        return 204, [], b""
 
     def _job(
         self, connection: Connection, request: Message, first: int
@@ -145,13 +154,12 @@
                 woken = yield Wait(connection.sock.fileno(), HANGUP, self._loop.now() + 600 * SECOND)
                 if not taken.late_reply and (not woken or connection.is_gone()):
                     # the dispatcher gave it up by closing the connection
-                    self._audit.attempt_over(job_id, name, never_ran=False)
-                    self._worker.cancel(job_id)
+                    self._give_up(job_id)
                     return None
             taken.waiter = None
             reply = Reply.TAKEN if taken.late_reply == "accepted" else Reply.FULL
         if reply is Reply.TAKEN:
-            return 202, [], b""
+            return _ACCEPTED, [], b""
         self._taken.pop(job_id, None)
         if reply is Reply.FULL:
             self._audit.attempt_over(job_id, name, never_ran=True)
