--- /dev/null
+++ b/tests/test_failing_calls.py
@@ -0,0 +1,101 @@
+"""System calls of the dispatcher that fail for a moment, each bad order forced: nothing of it is a proof."""
+
+import errno
+import os
+import socket
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import pytest
+
+from heathway import api
+from tests.decisions import plain
+from tests.scenario import Stage, answer, call_back, job
+
+ACCEPTED = answer(202)
+Fails = Callable[[str, str, int], None]
+
+
+class FailingCalls:
+    """Lets one call on the dispatcher's connections to a worker fail with an error, so many times."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self._patch = monkeypatch
+        self.failed = 0
+
+    def on(self, stage: Stage, worker: str, call: str, error: int, times: int = 1) -> None:
+        """``call``: a method of ``socket.socket``; looks at what is there without taking it go well."""
+        real = getattr(socket.socket, call)
+        listener = stage.peers[worker].listener
+        assert listener is not None
+        address = listener.getsockname()
+        ends = self.failed + times
+
+        def failing(sock: socket.socket, *args: Any) -> Any:
+            if self.failed < ends and address in (_peer_of(sock), *args) and socket.MSG_PEEK not in args:
+                self.failed += 1
+                if call == "connect_ex":
+                    return error
+                raise OSError(error, os.strerror(error))
+            return real(sock, *args)
+
+        self._patch.setattr(socket.socket, call, failing)
+
+
+def _peer_of(sock: socket.socket) -> Any:
+    try:
+        return sock.getpeername()
+    except OSError:
+        return None
+
+
+@pytest.fixture
+def calls(monkeypatch: pytest.MonkeyPatch) -> Iterator[FailingCalls]:
+    yield FailingCalls(monkeypatch)
+
+
+# The connection of an attempt fails here, while its worker has accepted the job
+
+
+@pytest.mark.parametrize("error", ["ETIMEDOUT", "EHOSTUNREACH", "ENETUNREACH", "EIO"])
+def test_a_read_that_fails_is_no_proof_that_the_attempt_is_over(calls: FailingCalls, error: str) -> None:
+    """Guards against a second attempt after a failed read with the 202 in the receive buffer (bcef66)."""
+    stage, decisions = plain("p1", "p2")
+    for line in (f"c1 send {job()}", "p1 expect in$"):
+        stage.step(line)
+    calls.on(stage, "p1", "recv", getattr(errno, error))
+    for line in (f"p1 send {ACCEPTED}", "p1 expect DELETE /jobs/j1 HTTP"):
+        stage.step(line)
+    assert calls.failed == 1
+    assert decisions.outcomes == []
+    assert stage.peers["p2"].sock is None
+    stage.play(f"p1 send {answer(204)}\np2 expect in$")
+    assert decisions.outcomes == [api.Outcome.RESET]
+
+
+def test_a_delete_that_can_not_be_sent_here_is_sent_again(calls: FailingCalls) -> None:
+    """Guards against a second attempt where the DELETE's own connect failed for a moment (bcef66)."""
+    stage, decisions = plain("p1", "p2")
+    for line in (f"c1 send {job()}", "p1 expect in$", "p1 close"):
+        stage.step(line)
+    calls.on(stage, "p1", "connect_ex", errno.EADDRNOTAVAIL, times=3)
+    host = stage.dispatcher.host
+    host._cancel(api.CancelAttempt(next(iter(host._jobs)), 0))
+    stage.step("p1 expect DELETE /jobs/j1 HTTP")
+    assert calls.failed == 3
+    assert decisions.outcomes == []
+    assert stage.peers["p2"].sock is None
+    stage.play(f"p1 send {answer(204)}\np2 expect in$")
+
+
+@pytest.mark.parametrize("error", ["ENOMEM", "ENOBUFS"])
+def test_a_read_that_lacks_memory_for_a_moment_goes_on(calls: FailingCalls, error: str) -> None:
+    """Guards against a connection that is given up though nothing is wrong with it (bcef66)."""
+    stage, decisions = plain("p1", "p2")
+    for line in (f"c1 send {job()}", "p1 expect in$"):
+        stage.step(line)
+    calls.on(stage, "p1", "recv", getattr(errno, error), times=2)
+    done = call_back("done", result="out")
+    stage.play(f"p1 send {ACCEPTED}\nwait 50\nc9 send {done}\nc9 expect 204\nc1 expect HTTP/1.1 200 .*out$")
+    assert calls.failed == 2
+    assert decisions.outcomes == [api.Outcome.OK]
