Tell an own failed system call from the peer's word

Cause: each OSError of a connect was a refusal by the peer, each one of a read a reset by it. So a DELETE that could not be sent from here (EADDRNOTAVAIL) counted as 'nobody is there', and a read that lacked memory (ENOMEM) as the end. Class: a local failure taken for a fact about the peer. Reads and writes that lack something go on; a DELETE that fails here is sent again; a connection that fails with no word of the peer's is UNREACHABLE. TCP_NODELAY that can't be set ends no connection. NO_DESCRIPTOR is renamed FAILED_HERE, since it now covers addresses and memory, too.

--- a/ironbarrow/backs/delete.py
+++ b/ironbarrow/backs/delete.py
@@ -15,6 +15,11 @@
 _ROUND_TRIPS = 6  # at least so many times what connecting took: handshakes, the request and its answer
 _AT_ONCE = 32  # to one worker. Danger: hundreds to one that is cut off would take all descriptors
 _PAUSE = 50 * MS  # between two looks whether there are fewer
+# what no connection for a DELETE says; whatever else ended it is this machine's own trouble
+_UNSENT = {
+    Ending.CONNECT_REFUSED: Observation.DELETE_UNSENT,
+    Ending.CONNECT_TIMED_OUT: Observation.DELETE_UNSENT,
+}
 
 
 class DeleteSender:
@@ -47,8 +52,7 @@
                 asked_at = self._loop.now()
                 connection = yield from self._connect(address, worker, "delete")
             except ConnectionEndedError as error:
-                none_here = error.ending is Ending.NO_DESCRIPTOR
-                return Observation.DELETE_BROKEN if none_here else Observation.DELETE_UNSENT
+                return _UNSENT.get(error.ending, Observation.DELETE_FAILED_HERE)
             limit = max(limit, _ROUND_TRIPS * (self._loop.now() - asked_at))
             return (yield from self._send_on(connection, address, job_id, limit))
         finally:
--- a/ironbarrow/backs/invoker.py
+++ b/ironbarrow/backs/invoker.py
@@ -343,14 +343,14 @@
         # danger: hundreds of attempts to hung workers would take clients' and the discovery service's
         # descriptors
         if self._open >= self._most and not self._pools.drop_oldest():
-            raise ConnectionEndedError(Ending.NO_DESCRIPTOR, "all connections to workers are in use")
+            raise ConnectionEndedError(Ending.FAILED_HERE, "all connections to workers are in use")
         self._open += 1
         try:
             try:
                 connection = yield from connect(address, self._loop.now() + self._connect_timeout)
             except ConnectionEndedError as error:
                 # danger: with idle connections holding the last descriptors, a DELETE could not be sent
-                if error.ending is not Ending.NO_DESCRIPTOR or not self._pools.drop_oldest():
+                if error.ending is not Ending.FAILED_HERE or not self._pools.drop_oldest():
                     raise
                 connection = yield from connect(address, self._loop.now() + self._connect_timeout)
         except BaseException:
--- a/ironbarrow/core/attempt.py
+++ b/ironbarrow/core/attempt.py
@@ -14,10 +14,12 @@
     CALL_BACK           yes         yes      yes      yes       yes      the worker says how it ended
     NO_CONNECTION       yes         -        -        -         -        nothing of the request has left
     CONNECTION_ENDED    yes         yes      yes      no        no       what is not accepted is dropped
+    CONNECTION_FAILED   yes         yes      no       no        no       the worker may know nothing of it
     FINAL_ANSWER        -           yes      yes      yes       yes      the worker's word, as by call-back
     DELETE_ANSWERED     -           yes      yes      yes       yes      it has stopped, or never was there
     RESTARTED           -           no       no       no        no       a reason to send a DELETE: see below
     DELETE_UNSENT       -           no       no       no        no       refused, or not connected: see below
+    DELETE_FAILED_HERE  -           no       no       no        no       an own system call failed
     DELETE_UNANSWERED   -           no       no       no        no       a hung process, or one cut off
     DELETE_BROKEN       -           no       no       no        no       it may not have been read
     DELISTED            -           no       no       no        no       discovery may have lost sight of it
@@ -29,9 +31,12 @@
 an attempt by a later start, so that is only a reason to give the attempt up at once: the new process answers
 the DELETE, and that answer is the proof.
 
-``CONNECTION_ENDED`` is either side's close, or a reset, of the attempt's own connection. Closing it before
-the 202 gives the attempt up; a DELETE is sent all the same where the request was written whole, since the 202
-may have crossed the close, but its arrival need not be proven.
+``CONNECTION_ENDED`` is either side's close of the attempt's own connection, or a reset by the worker. Closing
+it before the 202 gives the attempt up; a DELETE is sent all the same where the request was written whole,
+since the 202 may have crossed the close, but its arrival need not be proven.
+
+``CONNECTION_FAILED`` is an error of the own calls (``ETIMEDOUT``, ``EHOSTUNREACH``), or a close over an
+answer that was not read: the worker may have accepted the job, so the proof has to come from it.
 
 The deadline proves nothing. It only ends the wait: the job gets its final answer, so that no attempt can
 follow.
@@ -56,10 +61,12 @@
     CALL_BACK = auto()
     NO_CONNECTION = auto()
     CONNECTION_ENDED = auto()
+    CONNECTION_FAILED = auto()
     FINAL_ANSWER = auto()  # 500, or 503 or 504 with the proof that it was not processed
     DELETE_ANSWERED = auto()
     RESTARTED = auto()
     DELETE_UNSENT = auto()
+    DELETE_FAILED_HERE = auto()
     DELETE_UNANSWERED = auto()
     DELETE_BROKEN = auto()
     DELISTED = auto()
@@ -73,10 +80,12 @@
     Observation.CALL_BACK: _ALL,
     Observation.NO_CONNECTION: frozenset((Progress.CONNECTING,)),
     Observation.CONNECTION_ENDED: _UNACCEPTED,
+    Observation.CONNECTION_FAILED: frozenset((Progress.CONNECTING, Progress.WRITING)),
     Observation.FINAL_ANSWER: _BEGUN,
     Observation.DELETE_ANSWERED: _BEGUN,
     Observation.RESTARTED: frozenset(),
     Observation.DELETE_UNSENT: frozenset(),
+    Observation.DELETE_FAILED_HERE: frozenset(),
     Observation.DELETE_UNANSWERED: frozenset(),
     Observation.DELETE_BROKEN: frozenset(),
     Observation.DELISTED: frozenset(),
--- a/ironbarrow/core/endings.py
+++ b/ironbarrow/core/endings.py
@@ -16,13 +16,16 @@
     ERROR_ANSWER = auto()  # an answer that is neither 202 nor a proof of "never ran"
     NOT_PROCESSED = auto()  # 503 or 504 with the proof
     # on the way there
-    NO_DESCRIPTOR = auto()  # this process has no socket left
+    FAILED_HERE = (
+        auto()
+    )  # this machine lacked a descriptor, an address or memory: it says nothing of the peer
     CONNECT_REFUSED = auto()
     CONNECT_TIMED_OUT = auto()
     DRAINED = auto()  # the worker was listed as draining or gone before the first byte went out
     # the connection itself
     CLOSED = auto()  # the peer closed it
-    RESET = auto()  # it broke
+    RESET = auto()  # the peer reset it
+    UNREACHABLE = auto()  # it failed with no word of the peer's, who may know nothing of that
     STALLED = auto()  # a time limit passed in silence
     MALFORMED = auto()  # not HTTP
     TOO_LARGE = auto()  # over a size limit
@@ -41,7 +44,16 @@
         self.status = status  # what to answer, if the peer can still be answered
 
 
-_BREAKS = frozenset((Ending.CLOSED, Ending.RESET, Ending.STALLED, Ending.MALFORMED, Ending.TOO_LARGE))
+_BREAKS = frozenset(
+    (
+        Ending.CLOSED,
+        Ending.RESET,
+        Ending.UNREACHABLE,
+        Ending.STALLED,
+        Ending.MALFORMED,
+        Ending.TOO_LARGE,
+    )
+)
 # before the last byte each of them closes the connection; GIVEN_UP does too, but there the worker may be
 # well, and as a failed connection it would be set aside (``Host`` tells the two apart)
 _UNSENT = _BREAKS | {Ending.TIMED_OUT}
@@ -55,12 +67,13 @@
     # danger: reported as a failed connection, a drain or a lack of own sockets would count as the
     # worker's failure and set it aside
     Ending.DRAINED: Outcome.FULL,
-    Ending.NO_DESCRIPTOR: Outcome.FULL,
+    Ending.FAILED_HERE: Outcome.FULL,
     Ending.CONNECT_REFUSED: Outcome.CONNECT_FAILED,
     Ending.CONNECT_TIMED_OUT: Outcome.CONNECT_FAILED,
     Ending.LOST: Outcome.RESET,
     Ending.CLOSED: Outcome.RESET,
     Ending.RESET: Outcome.RESET,
+    Ending.UNREACHABLE: Outcome.RESET,
     Ending.STALLED: Outcome.RESET,
     Ending.MALFORMED: Outcome.RESET,
     Ending.TOO_LARGE: Outcome.RESET,
--- a/ironbarrow/discovery/client.py
+++ b/ironbarrow/discovery/client.py
@@ -329,7 +329,7 @@
         try:
             return (yield from connect(address, until))
         except ConnectionEndedError as error:
-            if error.ending is not Ending.NO_DESCRIPTOR or self._spare is None:
+            if error.ending is not Ending.FAILED_HERE or self._spare is None:
                 raise
         self._spare.close()
         self._spare = None
--- a/ironbarrow/lab/sim/back.py
+++ b/ironbarrow/lab/sim/back.py
@@ -32,7 +32,7 @@
         Ending.DRAINED,
         Ending.CONNECT_REFUSED,
         Ending.CONNECT_TIMED_OUT,
-        Ending.NO_DESCRIPTOR,
+        Ending.FAILED_HERE,
         Ending.NOT_SENT,
     )
 )
--- a/ironbarrow/runtime/sockets.py
+++ b/ironbarrow/runtime/sockets.py
@@ -3,6 +3,7 @@
 import errno
 import select
 import socket
+from contextlib import suppress
 
 Address = tuple[str, int]
 _BACKLOG = 1024
@@ -62,6 +63,12 @@
     return sock
 
 
+def send_at_once(sock: socket.socket) -> None:
+    """Small writes are not held back. A connection that can't have this is used all the same."""
+    with suppress(OSError):
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+
 def has_waiting(listener: socket.socket) -> bool:
     """Whether a connection waits to be accepted."""
     poll = select.poll()  # select() knows no descriptor of 1,024 or more
@@ -85,11 +92,7 @@
             if error.errno not in _BROKEN:
                 raise
             continue
-        try:
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        except OSError:
-            sock.close()
-            continue
+        sock.setblocking(False)
+        send_at_once(sock)
         return sock
     return None
--- a/ironbarrow/transport/http.py
+++ b/ironbarrow/transport/http.py
@@ -10,6 +10,7 @@
 
 from ironbarrow.core.endings import ConnectionEndedError, Ending
 from ironbarrow.runtime import sockets
+from ironbarrow.runtime.errors import Meaning, meaning_of
 from ironbarrow.runtime.loop import READ, WRITE, Coroutine, Wait
 from ironbarrow.runtime.sockets import Address
 from ironbarrow.wire.http import (
@@ -29,6 +30,24 @@
 _FLOOD_BYTES = 8 << 20  # more than a peer that has gone can leave in the buffers on the way
 
 
+def _failed(error: OSError) -> ConnectionEndedError:
+    """How a connection has ended whose read or write failed."""
+    by_peer = meaning_of(error) is Meaning.PEER
+    return ConnectionEndedError(Ending.RESET if by_peer else Ending.UNREACHABLE, str(error))
+
+
+def _not_connected(number: int) -> ConnectionEndedError:
+    """Why no connection came up, by its errno."""
+    if number == errno.ETIMEDOUT:
+        return ConnectionEndedError(Ending.CONNECT_TIMED_OUT)
+    ending = {
+        Meaning.PEER: Ending.CONNECT_REFUSED,
+        Meaning.WAY: Ending.UNREACHABLE,
+        Meaning.HERE: Ending.FAILED_HERE,
+    }[meaning_of(OSError(number, ""))]
+    return ConnectionEndedError(ending, errno.errorcode.get(number, str(number)))
+
+
 def _malformed(error: MalformedError) -> ConnectionEndedError:
     return ConnectionEndedError(Ending.MALFORMED, str(error), error.status)
 
@@ -60,10 +79,8 @@
         """Whether the peer has closed it and nothing more can be read."""
         try:
             return not self.sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
+        except OSError as error:
+            return meaning_of(error) is not Meaning.HERE
 
     def is_silent(self) -> bool:
         """Whether the idle connection is still open with nothing to read."""
@@ -98,10 +115,8 @@
         for _ in range(_READS_AT_ONCE):
             try:
                 data = self.sock.recv(_CHUNK)
-            except (BlockingIOError, InterruptedError):
-                return True
-            except OSError:
-                return False
+            except OSError as error:
+                return meaning_of(error) is Meaning.HERE
             if not data:
                 return False
             if self.thrown_away or len(data) > min(room, _AHEAD_MOST - len(self._ahead)):
@@ -159,10 +174,9 @@
                 self._reads += 1
                 try:
                     return self.sock.recv(_CHUNK)
-                except (BlockingIOError, InterruptedError):
-                    pass
                 except OSError as error:
-                    raise ConnectionEndedError(Ending.RESET, str(error)) from None
+                    if meaning_of(error) is not Meaning.HERE:
+                        raise _failed(error) from None
             self._reads = 0
             if not (yield Wait(self.sock.fileno(), READ, until)):
                 raise ConnectionEndedError(Ending.STALLED, status=408)
@@ -250,10 +264,9 @@
             try:
                 rest = rest[self.sock.send(rest) :]
                 continue
-            except (BlockingIOError, InterruptedError):
-                pass
             except OSError as error:
-                raise ConnectionEndedError(Ending.RESET, str(error)) from None
+                if meaning_of(error) is not Meaning.HERE:
+                    raise _failed(error) from None
             if not (yield Wait(self.sock.fileno(), WRITE, until)):
                 raise ConnectionEndedError(Ending.STALLED)
             if before_first is not None and self.is_gone():
@@ -303,9 +316,9 @@
     try:
         sock = sockets.stream_socket(address)
     except OSError as error:
-        raise ConnectionEndedError(Ending.NO_DESCRIPTOR, str(error)) from None
+        raise ConnectionEndedError(Ending.FAILED_HERE, str(error)) from None
     try:
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sockets.send_at_once(sock)
         number = sock.connect_ex(address)
         if number == errno.EINPROGRESS:
             poll = select.poll()
@@ -319,7 +332,7 @@
                 waiting = not poll.poll(0)
             number = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if number:
-            raise ConnectionEndedError(Ending.CONNECT_REFUSED, errno.errorcode.get(number, str(number)))
+            raise _not_connected(number)
     except BaseException:
         sock.close()
         raise
--- a/tests/test_attempt.py
+++ b/tests/test_attempt.py
@@ -184,6 +184,7 @@
 
 NEVER_PROOFS = {
     Observation.DELETE_UNSENT,
+    Observation.DELETE_FAILED_HERE,
     Observation.DELETE_UNANSWERED,
     Observation.DELETE_BROKEN,
     Observation.RESTARTED,
@@ -201,6 +202,8 @@
         assert proves
     if observation is Observation.CONNECTION_ENDED:
         assert proves is (progress < Progress.ACCEPTED)
+    if observation is Observation.CONNECTION_FAILED:
+        assert proves is (progress < Progress.WRITTEN)
     if observation is Observation.NO_CONNECTION:
         assert proves is (progress is Progress.CONNECTING)
 
@@ -381,6 +384,7 @@
         self.on_close: Any = None
         self.closed = False
         self.has_unread = False
+        self.started = False
 
     def request_bytes(self, method: str, target: str, headers: Any, body: bytes = b"") -> bytes:
         self.method = method
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -550,7 +550,7 @@
         if self.failing() and self.fails == "refused":
             raise ConnectionEndedError(Ending.CONNECT_REFUSED)
         if self.failing() and self.fails == "no descriptor":
-            raise ConnectionEndedError(Ending.NO_DESCRIPTOR)
+            raise ConnectionEndedError(Ending.FAILED_HERE)
         if self.failing() and self.fails == "never up":
             yield from wait(until)
             raise ConnectionEndedError(Ending.CONNECT_TIMED_OUT)
--- a/tests/test_invoker.py
+++ b/tests/test_invoker.py
@@ -583,11 +583,11 @@
 
 # Sequences of endings, with the decisions of the program
 
-NEVER_RAN_UNWRITTEN = {"CLOSED", "RESET", "STALLED", "MALFORMED", "TOO_LARGE", "TIMED_OUT"}
+NEVER_RAN_UNWRITTEN = {"CLOSED", "RESET", "UNREACHABLE", "STALLED", "MALFORMED", "TOO_LARGE", "TIMED_OUT"}
 NEVER_RAN_ALWAYS = {
     "RETURNED",
     "NOT_PROCESSED",
-    "NO_DESCRIPTOR",
+    "FAILED_HERE",
     "CONNECT_REFUSED",
     "CONNECT_TIMED_OUT",
     "DRAINED",
