Ask for a proof where an attempt's connection has failed on this side

Cause: the end of an attempt's connection before the 202 was its proven end, whoever ended it. A failed read is no word of the worker's, and a close over an unread 202 comes after it. Class: a local failure taken for a fact about the peer. Change: CONNECTION_FAILED proves nothing once the request is written whole: DELETEs go out until one is answered, or the job's time is over. A close over an answer that was not looked at counts the same.

--- a/ironbarrow/backs/invoker.py
+++ b/ironbarrow/backs/invoker.py
@@ -42,6 +42,13 @@
     task: Task | None = None
     answered: bool = False  # the worker's 202 is in, or the connection has ended
     stopping: bool = False  # DELETEs go out until its end is proven
+    connection: Connection | None = None  # the one that the request goes out on
+    closed_by: Observation = Observation.CONNECTION_ENDED  # what the end of that connection is
+
+    @property
+    def has_unread_answer(self) -> bool:
+        """Whether some of the worker's answer is in and was not looked at: it may be a 202."""
+        return self.connection is not None and (self.connection.started or not self.connection.is_silent())
 
 
 class HttpInvoker:
@@ -89,6 +96,9 @@
             self._end(attempt, ending)
             return
         if not exchange.answered and exchange.task is not None:
+            if exchange.has_unread_answer:
+                # danger: closed over a 202, the job is not given up by the close
+                exchange.closed_by = Observation.CONNECTION_FAILED
             exchange.task.cancel()  # and with it goes its connection
         self._stop(attempt, exchange, ending)
 
@@ -99,7 +109,7 @@
         if attempt.written and self._host.settings.may_cancel:
             exchange.stopping = True
             self._loop.spawn(self._delete(attempt, exchange, ending))
-        elif attempt.ended or attempt.is_over(Observation.CONNECTION_ENDED):
+        elif attempt.ended or attempt.is_over(exchange.closed_by):
             self._end(attempt, ending)
 
     def let_go(self, attempt: Attempt) -> None:
@@ -186,6 +196,7 @@
         connection: Connection | None = None
         try:
             connection = yield from self._connection(exchange.address, attempt.worker, "attempt")
+            exchange.connection = connection
             request = self._request(connection, attempt, exchange.address)
             yield from connection.write(
                 request, self._host.send_by(attempt), lambda: self._may_begin(attempt)
@@ -203,13 +214,14 @@
             else:
                 # danger: no answer of the protocol's, so the job may run; closed before a 202, it is given up
                 connection.close()
-            connection = None
+            connection = exchange.connection = None
             self._answered(attempt, exchange, answer)
         except ConnectionEndedError as error:
             if connection is not None:
                 connection.close()  # before the job may go elsewhere
             self._broke(attempt, exchange, error.ending)
         finally:
+            exchange.connection = None
             if connection is not None:
                 connection.close()
 
@@ -225,13 +237,15 @@
         if accepted_there or (ending is Ending.STALLED and self._loop.now() >= attempt.until):
             return  # a call-back tells, or the host's own time-out
         exchange.answered = True
-        if attempt.is_over(Observation.CONNECTION_ENDED):
+        if ending is Ending.UNREACHABLE:
+            exchange.closed_by = Observation.CONNECTION_FAILED
+        if attempt.is_over(exchange.closed_by):
             if ending is Ending.STALLED and not attempt.written:
                 # the window for a repeat ended: no fault of the worker's
                 ending = self._host.barred(attempt) or ending
             self._end(attempt, ending)
         else:
-            # danger: it has called back that it runs the job, so the break is no proof that this has ended
+            # danger: it may have accepted the job, or has called back that it runs it
             self._stop(attempt, exchange, ending)
 
     def _answered(self, attempt: Attempt, exchange: _Exchange, answer: Message) -> None:
@@ -258,7 +272,7 @@
         until = max(attempt.until, self._loop.now() + _LAST_WORD)
         for tries, pause in enumerate(_pauses()):
             # danger: a 202 may have crossed the close; so it is told, but its arrival need not be proven
-            only_told = attempt.is_over(Observation.CONNECTION_ENDED) or over_before
+            only_told = attempt.is_over(exchange.closed_by) or over_before
             limit = TOLD_LIMIT if only_told else min(_DELETE_LIMIT << tries, _DELETE_LIMIT_MOST)
             observation = yield from self._deletes.send(
                 exchange.address, attempt.job.payload.id, attempt.worker, limit, until
@@ -267,7 +281,7 @@
                 trace.told_to_stop(self._loop.now(), attempt.job.number, attempt.worker, observation)
             if attempt.is_over(observation) or (attempt.ended and not over_before):
                 break
-            only_told = attempt.is_over(Observation.CONNECTION_ENDED) or over_before
+            only_told = attempt.is_over(exchange.closed_by) or over_before
             if only_told and (tries + 1 >= _DELETE_TRIES or is_unreachable(observation)):
                 break
             yield from sleep(self._loop.now() + pause)
