Count a DELETE as told only where it has left this machine

It forces five failures now and closes nothing before. Change: tries are those that have left this machine; the wait ends with the job's time.

--- a/ironbarrow/backs/invoker.py
+++ b/ironbarrow/backs/invoker.py
@@ -270,7 +270,8 @@
         at the job's deadline."""
         over_before = attempt.ended
         until = max(attempt.until, self._loop.now() + _LAST_WORD)
-        for tries, pause in enumerate(_pauses()):
+        tries = 0
+        for pause in _pauses():
             # danger: a 202 may have crossed the close; so it is told, but its arrival need not be proven
             only_told = attempt.is_over(exchange.closed_by) or over_before
             limit = TOLD_LIMIT if only_told else min(_DELETE_LIMIT << tries, _DELETE_LIMIT_MOST)
@@ -282,7 +283,11 @@
             if attempt.is_over(observation) or (attempt.ended and not over_before):
                 break
             only_told = attempt.is_over(exchange.closed_by) or over_before
-            if only_told and (tries + 1 >= _DELETE_TRIES or is_unreachable(observation)):
+            # danger: one that has not left this machine has told nobody
+            tries += observation is not Observation.DELETE_FAILED_HERE
+            if only_told and (
+                tries >= _DELETE_TRIES or is_unreachable(observation) or self._loop.now() >= until
+            ):
                 break
             yield from sleep(self._loop.now() + pause)
         self._end(attempt, ending)
--- a/tests/test_failing_calls.py
+++ b/tests/test_failing_calls.py
@@ -76,13 +76,14 @@
 def test_a_delete_that_can_not_be_sent_here_is_sent_again(calls: FailingCalls) -> None:
     """Guards against a second attempt where the DELETE's own connect failed for a moment (bcef66)."""
     stage, decisions = plain("p1", "p2")
-    for line in (f"c1 send {job()}", "p1 expect in$", "p1 close"):
+    for line in (f"c1 send {job()}", "p1 expect in$"):
         stage.step(line)
-    calls.on(stage, "p1", "connect_ex", errno.EADDRNOTAVAIL, times=3)
+    calls.on(stage, "p1", "connect_ex", errno.EADDRNOTAVAIL, times=5)
     host = stage.dispatcher.host
     host._cancel(api.CancelAttempt(next(iter(host._jobs)), 0))
-    stage.step("p1 expect DELETE /jobs/j1 HTTP")
-    assert calls.failed == 3
+    for line in ("p1 close", "p1 expect DELETE /jobs/j1 HTTP"):
+        stage.step(line)
+    assert calls.failed == 5
     assert decisions.outcomes == []
     assert stage.peers["p2"].sock is None
     stage.play(f"p1 send {answer(204)}\np2 expect in$")
