Watch a descriptor again where the system lacked memory for it

Cause: a wait that could not be registered ended its task for good, whatever the error. Change: where the error tells of this machine alone the wait is registered again 5 ms later; a listener of which it can't be told whether somebody waits is tried.

--- a/ironbarrow/runtime/loop.py
+++ b/ironbarrow/runtime/loop.py
@@ -16,6 +16,7 @@
 from typing import Any, NamedTuple, TypeVar
 
 from ironbarrow.runtime.clock import MS, SECOND, Timer
+from ironbarrow.runtime.errors import Meaning, meaning_of
 
 __all__ = ["HANGUP", "MS", "READ", "SECOND", "WRITE", "Coroutine", "Loop", "Task", "Timer", "Wait", "sleep"]
 
@@ -23,6 +24,7 @@
 WRITE = select.EPOLLOUT
 HANGUP = select.EPOLLRDHUP
 _LONGEST_POLL_S = 3600.0
+_WATCH_AGAIN = 5 * MS  # where the system lacked memory for watching a descriptor
 _SWEEP_AT = 1024  # timers in the heap at which cancelled ones are taken out
 
 
@@ -96,15 +98,24 @@
             return
         finally:
             self._loop.current = None
-        if wait.fd >= 0:
-            try:
-                self._loop.watch(wait.fd, wait.mask, self._resume, self.turn)
-            except OSError as error:
-                # danger: nothing would ever resume it, and what it holds would stay taken
-                self._end(error)
-                return
         self._wait = wait
         self._timer = self._loop.call_at(wait.until, self._resume, self.turn, False)
+        if wait.fd >= 0:
+            self._watch(wait, self.turn)
+
+    def _watch(self, wait: Wait, turn: int) -> None:
+        if self.done or turn != self.turn:
+            return
+        try:
+            self._loop.watch(wait.fd, wait.mask, self._resume, turn)
+        except OSError as error:
+            if meaning_of(error) is Meaning.HERE:
+                # danger: ended for a moment's lack, a listener would never take anybody in again
+                self._loop.call_at(self._loop.now() + _WATCH_AGAIN, self._watch, wait, turn)
+                return
+            # danger: nothing would ever resume it, and what it holds would stay taken
+            self._leave()
+            self._end(error)
 
 
 class _Watch(NamedTuple):
--- a/ironbarrow/runtime/sockets.py
+++ b/ironbarrow/runtime/sockets.py
@@ -70,10 +70,13 @@
 
 
 def has_waiting(listener: socket.socket) -> bool:
-    """Whether a connection waits to be accepted."""
+    """Whether a connection waits to be accepted; True where that can't be told."""
     poll = select.poll()  # select() knows no descriptor of 1,024 or more
     poll.register(listener, select.POLLIN)
-    return bool(poll.poll(0))
+    try:
+        return bool(poll.poll(0))
+    except OSError:
+        return True
 
 
 def accept(listener: socket.socket) -> socket.socket | None:
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -1,10 +1,12 @@
 """The loop: its clock, timers and tasks."""
 
+import errno
 import os
 import socket
 import time
 from collections.abc import Callable
 from itertools import pairwise
+from typing import Any
 
 import pytest
 
@@ -313,3 +315,32 @@
     assert broken, "the loop has its turn in between"
     client.close()
     listener.close()
+
+
+def test_a_wait_outlasts_a_descriptor_that_can_not_be_watched_for_a_moment(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a listener that ends for good when epoll_ctl lacks memory once (bcef66)."""
+    loop = Loop(lambda error: pytest.fail(str(error)))
+    ours, theirs = socket.socketpair()
+    real, failures, seen = loop.watch, [errno.ENOMEM, errno.ENOSPC], []
+
+    def watch(*args: Any) -> None:
+        if failures:
+            raise OSError(failures.pop(), "for a moment")
+        real(*args)
+
+    def reader() -> Coroutine[None]:
+        ready = yield Wait(ours.fileno(), READ, loop.now() + 5 * SECOND)
+        seen.append((ready, ours.recv(10)))
+
+    monkeypatch.setattr(loop, "watch", watch)
+    loop.spawn(reader())
+    loop.turn(wait=False)
+    theirs.send(b"here")
+    while not seen:
+        loop.turn()
+    assert seen == [(True, b"here")] and failures == []
+    loop.close()
+    ours.close()
+    theirs.close()
