Record a booking run twice across a hand-over as a known failure

Seen on the unchanged program: a booking that p1 hands back to the new process goes to p1 again, as the new process does not know where it has been; a copy of that call-back (its 204 was lost) then ends the second attempt as 'never ran', and p2 gets the booking while p1 runs it. A call-back 'returned' after 'started' counts as 'never ran' for a job that was handed over. One failed sendmsg or recvmsg loses a call-back that was answered, or all that follow.

--- a/tests/test_failing_calls.py
+++ b/tests/test_failing_calls.py
@@ -89,6 +89,18 @@
     stage.play(f"p1 send {answer(204)}\np2 expect in$")
 
 
+def test_a_call_back_does_not_end_an_attempt_that_is_not_written_yet() -> None:
+    """Guards against a copy of an earlier call-back that is taken for the present attempt's (bcef66)."""
+    stage, decisions = plain("p1", "p2")
+    stage.step("p1 full")
+    for line in (f"c1 send {job(path='book/x')}", "wait 20", f"c9 send {call_back('returned')}"):
+        stage.step(line)
+    for line in ("c9 expect 204", "c1 silent 50"):
+        stage.step(line)
+    assert decisions.outcomes == []
+    stage.close()
+
+
 @pytest.mark.parametrize("error", ["ENOMEM", "ENOBUFS"])
 def test_a_read_that_lacks_memory_for_a_moment_goes_on(calls: FailingCalls, error: str) -> None:
     """Guards against a connection that is given up though nothing is wrong with it (bcef66)."""
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -1,5 +1,6 @@
 """Replacing the process: two dispatchers at one address in one thread, and what passes between them."""
 
+import errno
 import itertools
 import json
 import socket
@@ -162,6 +163,56 @@
 }
 
 
+# What crosses a hand-over while calls fail, each one a way to run a booking twice
+
+COPIES = {
+    # the 204 to the first one was lost, so the worker tells it again
+    "a copy of the call-back that ended the attempt before": f"""
+        {BOOKED}
+        new
+        stop
+        exits
+        n1 send {call_back("returned")}
+        n1 expect HTTP/1.1 204
+        p2 expect X-Request-ID: j1
+        p2 send {ACCEPTED}
+        n2 send {call_back("returned")}
+        n2 expect HTTP/1.1 204
+        c1 silent 200
+        n3 send {call_back("done", source="p2", result="out")}
+        c1 expect HTTP/1.1 200 .*out$
+        """,
+    "handed back after it has told of its start to the new process": f"""
+        {BOOKED}
+        new
+        stop
+        exits
+        n1 send {call_back("started")}
+        n1 expect HTTP/1.1 204
+        n2 send {call_back("returned")}
+        n2 expect HTTP/1.1 204
+        c1 expect HTTP/1.1 500
+        """,
+    "handed back after it has told of its start to the old process": f"""
+        {BOOKED}
+        c2 send {call_back("started")}
+        c2 expect HTTP/1.1 204
+        new
+        stop
+        exits
+        n2 send {call_back("returned")}
+        n2 expect HTTP/1.1 204
+        c1 expect HTTP/1.1 500
+        """,
+}
+
+
+@pytest.mark.parametrize("name", COPIES)
+def test_a_booking_handed_over_is_not_run_twice(tmp_path: Path, name: str) -> None:
+    """Guards against a booking sent again on a call-back that is no proof of its last attempt (bcef66)."""
+    Pair(tmp_path).play(COPIES[name])
+
+
 @pytest.mark.parametrize("name", PLAYS)
 def test_an_old_process_and_its_successor(tmp_path: Path, name: str) -> None:
     Pair(tmp_path).play(PLAYS[name])
@@ -239,6 +290,65 @@
     assert ends == [Answer(Verdict.SERVED, b"out")]
 
 
+class FailingSocket:
+    """A channel's socket whose calls fail with the errors in ``errors``, in turn, and then go well."""
+
+    def __init__(self, sock: socket.socket, *errors: int) -> None:
+        self._sock, self.errors = sock, list(errors)
+
+    def sendmsg(self, *args: Any) -> int:
+        self._fail()
+        return self._sock.sendmsg(*args)
+
+    def sendto(self, *args: Any) -> int:
+        self._fail()
+        return self._sock.sendto(*args)
+
+    def recvmsg(self, *args: Any) -> Any:
+        self._fail()
+        return self._sock.recvmsg(*args)
+
+    def _fail(self) -> None:
+        if self.errors:
+            raise OSError(self.errors.pop(0), "for a moment")
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._sock, name)
+
+
+def test_a_message_between_processes_outlasts_sends_that_fail(tmp_path: Path) -> None:
+    """Guards against a call-back that one process has answered and the other never hears of (bcef66)."""
+    pair = Pair(tmp_path)
+    for line in [line.strip() for line in BOOKED.splitlines()]:
+        pair.step(line)
+    for line in ("new", "stop", "exits"):
+        pair.step(line)
+    again = Dispatcher(pair.config, listen(("127.0.0.1", 0)))
+    channel = again._upgrade._channel
+    channel._sock = FailingSocket(channel._sock, errno.ENOBUFS, errno.ENOMEM, errno.ENOBUFS)
+    again._upgrade.stray({"id": "j1", "from": "p1", "state": "done", "result": "out"})
+    for _ in range(8):
+        again.loop.turn(wait=False)
+        pair.pass_time(0.01)
+    pair.step("c1 expect HTTP/1.1 200 .*out$")
+    again.close()
+    pair.close()
+
+
+def test_the_channel_outlasts_reads_that_fail(tmp_path: Path) -> None:
+    """Guards against a process that is deaf to its neighbour after one failed read (bcef66)."""
+    pair = Pair(tmp_path)
+    for line in [line.strip() for line in BOOKED.splitlines()]:
+        pair.step(line)
+    pair.step("new")
+    assert pair.new is not None
+    channel = pair.new._upgrade._channel
+    channel._sock = FailingSocket(channel._sock, errno.ENOMEM, errno.EIO)
+    for line in ("stop", "exits", f"n1 send {call_back('done', result='out')}", "c1 expect 200 .*out$"):
+        pair.step(line)
+    pair.close()
+
+
 def test_descriptors_of_a_foreign_message_are_closed(tmp_path: Path) -> None:
     played = Stage(admin=("127.0.0.1", 0), folder=tmp_path)
     here, there = socket.socketpair()
