Let the channel between processes outlast calls that fail

Cause: any error of a send but EAGAIN dropped the message, and in the queue even unlinked the other one's socket; any error of a read ended the task that reads. Class: a local failure taken for a fact about the peer. Change: only a refusal or a missing socket says that the other one is gone; what this machine lacks for a moment is tried again; a failed read is logged and read again.

--- a/ironbarrow/handover/channel.py
+++ b/ironbarrow/handover/channel.py
@@ -14,7 +14,8 @@
 
 import structlog
 
-from ironbarrow.runtime.loop import MS, READ, SECOND, Coroutine, Loop, Wait
+from ironbarrow.runtime.errors import Meaning, meaning_of
+from ironbarrow.runtime.loop import MS, READ, SECOND, Coroutine, Loop, Wait, sleep
 
 log = structlog.get_logger()
 
@@ -59,12 +60,12 @@
         try:
             ancillary = [] if fd is None else [(socket.SOL_SOCKET, socket.SCM_RIGHTS, array.array("i", [fd]))]
             self._sock.sendmsg([data], ancillary, 0, to)
-        except BlockingIOError:
-            return fd is None and self._keep(to, data)
         except (ConnectionRefusedError, FileNotFoundError):
             self._forget(to)
             return False
         except OSError as error:
+            if meaning_of(error) is Meaning.HERE:
+                return fd is None and self._keep(to, data)
             log.warning("message to the other process failed", error=str(error))
             return False
         return True
@@ -88,26 +89,34 @@
             to, data = self._waiting[0]
             try:
                 self._sock.sendto(data, to)
-            except BlockingIOError:
-                self._loop.call_at(self._loop.now() + _AGAIN, self._flush)
-                return
-            except OSError:
+            except (ConnectionRefusedError, FileNotFoundError):
                 self._forget(to)
+            except OSError as error:
+                if meaning_of(error) is Meaning.HERE:
+                    self._loop.call_at(self._loop.now() + _AGAIN, self._flush)
+                    return
+                log.warning("message to the other process failed", error=str(error))
             self._waiting.popleft()
 
     def _read(self) -> Coroutine[None]:
         while True:
             yield Wait(self._sock.fileno(), READ, self._loop.now() + 3600 * SECOND)
-            self.take_in()
+            if not self.take_in():
+                yield from sleep(self._loop.now() + _AGAIN)
 
-    def take_in(self) -> None:
-        """Takes in what has come, some of it if it is much."""
+    def take_in(self) -> bool:
+        """Takes in what has come, some of it if it is much; False where a read has failed."""
         for _ in range(_READS_AT_ONCE):
             try:
                 data, fds, _, sender = socket.recv_fds(self._sock, _SIZE_MOST, 4)
-            except (BlockingIOError, InterruptedError):
-                return
+            except BlockingIOError:
+                return True
+            except OSError as error:
+                # danger: ended by one failed read, it would be deaf to all that still comes
+                log.warning("message of the other process not read", error=str(error))
+                return False
             self._received(str(sender), data, list(fds))
+        return True
 
     def close(self) -> None:
         self._sock.close()
