Hear no call-back as telling of an attempt that is not written

Callers saw: nothing yet; found beside the incident. Cause: a call-back for an attempt out at that worker was taken as the proof that its last byte was written. Change: before the last byte is written nothing can be told of an attempt; such a call-back is answered and passed on as one for another process.

--- a/ironbarrow/backs/invoker.py
+++ b/ironbarrow/backs/invoker.py
@@ -156,10 +156,8 @@
             raise ValueError("share must be a number")
         report = self._report(raw.get("load"))
         attempt = self._host.attempt_out(job_id, worker)
-        if attempt is None:
+        if attempt is None or not attempt.written:
             return False  # late, sent again, for an attempt that was never made, or for another process
-        # danger: the call-back may come before the 202, even before the own write is seen to be whole
-        self._host.attempt_written(attempt)
         if state == "started":
             self._host.attempt_started(attempt)
         elif state == "running":
