Take a request whose connection is closed before it is read as given up in live runs

Cause, as inferred: the laboratory's own worker began a request that its dispatcher had closed long before, where its process came to it after the next attempt. By the protocol a close before the 202 gives the attempt up. Change: the live worker looks whether the connection is closed before it begins; the attempt still counts.

--- a/ironbarrow/lab/audit.py
+++ b/ironbarrow/lab/audit.py
@@ -172,10 +172,17 @@
     # Attempts
 
     def sent(
-        self, job_id: str, worker: str, first_byte: int | None = None, dispatcher: int | None = None
+        self,
+        job_id: str,
+        worker: str,
+        first_byte: int | None = None,
+        dispatcher: int | None = None,
+        *,
+        given_up: bool = False,
     ) -> None:
         """A dispatcher began to write an attempt (``first_byte``: when, if not now; ``dispatcher``:
-        which, if not the one that was asked last)."""
+        which, if not the one that was asked last; ``given_up``: it has closed the connection since, so that
+        the worker does not begin the job)."""
         job = self._tries.get(job_id)
         if job is None:
             return
@@ -185,7 +192,7 @@
         job.attempts += 1
         if job.attempts > self._most:
             self._breach(Breach.TOO_MANY, f"{job_id}: {job.attempts}")
-        if job.out:
+        if job.out and not given_up:
             self._breach(Breach.SECOND_COPY, f"{job_id} at {worker} while at {', '.join(job.out)}")
         if job.unsafe and job.may_have_run:
             self._breach(Breach.FALSE_PROOF, f"{job_id} at {worker}")
@@ -193,7 +200,8 @@
         since = self._told.get((sender, worker))
         if since is not None and at > since + self._grace:
             self._breach(Breach.PAST_DRAIN, f"{job_id} to {worker} after {(at - since) / MS:.0f} ms")
-        job.out[worker] = at
+        if not given_up:
+            job.out[worker] = at
 
     def attempt_over(self, job_id: str, worker: str, *, never_ran: bool) -> None:
         """The dispatcher heard how it ended, or gave it up; ``never_ran``: with proof."""
--- a/ironbarrow/lab/live/worker_server.py
+++ b/ironbarrow/lab/live/worker_server.py
@@ -141,7 +141,10 @@
         if need is None:
             return (404 if not job_id else 400), [], b""
         name = self._worker.name
-        self._audit.sent(job_id, name, first, self._number)
+        given_up = connection.is_gone()  # closed before the 202, though this process sees it only now
+        self._audit.sent(job_id, name, first, self._number, given_up=given_up)
+        if given_up:
+            return None
         taken = self._taken[job_id] = _Taken(job_id)
 
         def tell(state: str, report: Report | None) -> None:
