Keep in a fleet's ledger the workers at which a job has been

A dispatcher that takes a job over sent it to a worker that had it before, whose copy of a call-back could end that attempt. Change: a job's record names the workers of its intents; the host never sends it there again. The field comes last, so that records of both versions are read.

--- a/ironbarrow/fleet/records.py
+++ b/ironbarrow/fleet/records.py
@@ -52,6 +52,7 @@
     memory: float = 0.0
     digest: bytes = b""  # of method, target and body: another request under the same id is not the same job
     idempotency_key: str = ""
+    tried: tuple[str, ...] = ()  # workers that may still tell of an earlier attempt, over all holders
 
 
 class AnswerRecord(Struct, frozen=True, array_like=True, kw_only=True):
--- a/ironbarrow/fleet/rolling.py
+++ b/ironbarrow/fleet/rolling.py
@@ -8,7 +8,8 @@
 
 from heathway import api
 from ironbarrow.core.endings import Ending, outcome_of
-from ironbarrow.core.host import Attempt, Host
+from ironbarrow.core.host import Host
+from ironbarrow.core.jobs import Attempt
 from ironbarrow.fleet.api import Ledgers, MemberChanged, News
 from ironbarrow.fleet.file import FleetError, RolloutRules
 from ironbarrow.fleet.rollout.commands import StarvationSeen
--- a/ironbarrow/fleet/takeover/machine.py
+++ b/ironbarrow/fleet/takeover/machine.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from ironbarrow.core.host import Answer, Verdict
+from ironbarrow.core.jobs import Answer, Verdict
 from ironbarrow.fleet.api import (
     NEVER,
     Action,
@@ -233,6 +233,7 @@
             attempts=old.attempts + 1,
             worker=worker,
             may_have_run=old.may_have_run or held.unproven,
+            tried=(*old.tried, worker),
         )
         if held.record.attempts > self.rules.most_attempts:
             held.record = old
--- a/ironbarrow/fleet/takeover/orders.py
+++ b/ironbarrow/fleet/takeover/orders.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from ironbarrow.core.host import Answer
+from ironbarrow.core.jobs import Answer
 from ironbarrow.fleet.api import Incarnation, News
 from ironbarrow.fleet.records import JobRecord
 
--- a/ironbarrow/fleet/takeover/repeats.py
+++ b/ironbarrow/fleet/takeover/repeats.py
@@ -4,7 +4,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
-from ironbarrow.core.host import Answer
+from ironbarrow.core.jobs import Answer
 from ironbarrow.fleet.api import Incarnation
 from ironbarrow.fleet.records import JobRecord
 from ironbarrow.runtime.clock import MS, SECOND
--- a/ironbarrow/fleet/takeover/work.py
+++ b/ironbarrow/fleet/takeover/work.py
@@ -14,7 +14,8 @@
 
 from heathway import api
 from ironbarrow.core.endings import Ending
-from ironbarrow.core.host import Answer, Attempt, Host, Invoker, Job, Payload, Terms, Verdict, Watch
+from ironbarrow.core.host import Host, Invoker
+from ironbarrow.core.jobs import Answer, Attempt, Job, Payload, Terms, Verdict, Watch
 from ironbarrow.fleet.api import Action, News
 from ironbarrow.fleet.file import Fleet
 from ironbarrow.fleet.invariants import check
@@ -242,6 +243,7 @@
             memory=record.memory,
             repeat=bool(placed.get("repeat")) or record.may_have_run,
             terms=replace(terms, wanted=wanted, most_attempts=min(terms.most_attempts or left, left)),
+            tried=record.tried,
         )
 
     def _ended(self, job_id: str, answer: Answer) -> None:
