--- a/ironbarrow/backs/invoker.py
+++ b/ironbarrow/backs/invoker.py
@@ -13,7 +13,8 @@
 from ironbarrow.core import trace
 from ironbarrow.core.attempt import Observation, Progress, is_unreachable, proves_over
 from ironbarrow.core.endings import ConnectionEndedError, Ending
-from ironbarrow.core.host import Attempt, Host
+from ironbarrow.core.host import Host
+from ironbarrow.core.jobs import Attempt
 from ironbarrow.discovery.client import Discovery
 from ironbarrow.runtime.loop import MS, SECOND, Coroutine, Loop, Task, sleep
 from ironbarrow.runtime.sockets import Address
--- a/ironbarrow/core/host.py
+++ b/ironbarrow/core/host.py
@@ -6,68 +6,27 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
-from enum import Enum
 from typing import Protocol
 
 import structlog
 
 from heathway import api
 from heathway.logic import Dispatcher
-from ironbarrow.core import trace
-from ironbarrow.core.attempt import Observation, Progress, proves_over, restarted
+from ironbarrow.core import rules, trace
+from ironbarrow.core.attempt import Progress, restarted
 from ironbarrow.core.endings import Ending, outcome_of
+from ironbarrow.core.event_log import EventLog
 from ironbarrow.core.figures import Figures
-from ironbarrow.runtime.clock import Clock, Timer
+from ironbarrow.core.jobs import NO_TERMS, Answer, Attempt, Job, Payload, Terms, Verdict
+from ironbarrow.runtime.clock import Clock
 
 log = structlog.get_logger()
 
-
-class Verdict(Enum):
-    """The kinds of final answer."""
-
-    SERVED = "served"
-    REFUSED = "refused"
-    FAILED = "failed"
-
-
+# endings that are logged: those that no party tells of
+_NOTEWORTHY = frozenset((Ending.UNREACHABLE, Ending.FAILED_HERE, Ending.LOST, Ending.MALFORMED))
 _COUNTED_AS = {Verdict.SERVED: "served", Verdict.REFUSED: "refused", Verdict.FAILED: "failed"}
 
 
-@dataclass(frozen=True, slots=True)
-class Answer:
-    """A job's one final answer."""
-
-    verdict: Verdict
-    result: bytes = b""
-    retry_after: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class Payload:
-    """What passes on to a worker unchanged. The host looks at the id alone."""
-
-    id: str
-    method: str
-    target: str
-    body: bytes
-    content_type: str = ""
-    idempotency_key: str = ""  # by which workers know a repeat of a keyed job
-
-
-class Watch(Protocol):
-    """Who counts jobs for limits. All are told on the loop's thread; times in ns."""
-
-    def first_attempt(self, now: int) -> None:
-        """The job's first attempt goes out."""
-
-    def may_retry(self, now: int) -> bool:
-        """Whether a budget is left for one more attempt; takes it out."""
-
-    def ended(self, now: int, *, in_time: bool) -> None:
-        """The job has its final answer, or its client is gone."""
-
-
 class Waits(Protocol):
     """Who follows how long each job waits, from taken to started. All are told on the loop's thread, and may
     be told again what they know; times in ns."""
@@ -97,77 +56,6 @@
         """It is over, once."""
 
 
-@dataclass(frozen=True, slots=True)
-class Terms:
-    """What a job was taken under beyond its class. Times in ns; 0: as the settings have it."""
-
-    wanted: int = 0
-    most_attempts: int = 0
-    resend: bool = True
-    pause: int = 0
-    timeout: int = 0  # of one attempt
-    watch: Watch | None = None
-
-
-_NO_TERMS = Terms()
-
-
-@dataclass(slots=True, eq=False)
-class Job:
-    """A job that was taken and is owed its final answer."""
-
-    number: int
-    payload: Payload
-    arrival: api.JobArrived
-    arrived_at: int
-    deadline: int
-    answer: Callable[[Answer], None]
-    attempts: "list[Attempt]" = field(default_factory=list)
-    over: bool = False
-    overdue: Timer | None = None
-    terms: Terms = _NO_TERMS
-
-
-@dataclass(slots=True, eq=False)
-class Attempt:
-    """One try of a job at a worker."""
-
-    job: Job
-    number: int
-    worker: str
-    sent_at: int
-    until: int  # when this side stops waiting for it
-    progress: Progress = Progress.CONNECTING
-    written_at: int = 0  # when the request's last byte was known to be written; 0: it is not
-    ended: bool = False
-    given_up: bool = False  # it is stopping: only a proof ends it, or the job's deadline
-    never_ran: bool = False  # it ended, and that is proven
-    timer: Timer | None = None
-
-    @property
-    def written(self) -> bool:
-        """Whether the request's last byte is written."""
-        return self.progress >= Progress.WRITTEN
-
-    @property
-    def accepted(self) -> bool:
-        """Whether the worker has told that it has the job."""
-        return self.progress >= Progress.ACCEPTED
-
-    @property
-    def started(self) -> bool:
-        """Whether the worker has told that it runs the job."""
-        return self.progress >= Progress.STARTED
-
-    def reach(self, progress: Progress) -> None:
-        """Notes that it has come so far; what came out of order does not set it back."""
-        self.progress = max(self.progress, progress)
-
-    def is_over(self, observation: Observation) -> bool:
-        """Whether that observation proves that it is over."""
-        return proves_over(observation, self.progress)
-
-
 class Invoker(Protocol):
     """What carries attempts to workers."""
 
@@ -204,6 +92,7 @@
         self.attempt_observer: AttemptObserver | None = None
         self.on_listed: Callable[[], None] | None = None  # ``workers`` has news
         self._dispatcher = Dispatcher(settings, seed)
+        self.events = EventLog(loop)
         self.figures = Figures(tuple(cls.name for cls in settings.classes))
         self._jobs: dict[int, Job] = {}
         self._by_id: dict[str, Job] = {}
@@ -280,7 +169,7 @@
         memory: float = 0.0,
         repeat: bool = False,
         tenant: str | None = None,
-        terms: Terms = _NO_TERMS,
+        terms: Terms = NO_TERMS,
         tried: tuple[str, ...] = (),
     ) -> Job:
         """Takes a job; ``answer`` is called once, unless it is withdrawn before. ``tried``: workers that an
@@ -387,7 +276,7 @@
         cls = self._classes.get(attempt.job.arrival.job_class)
         if cls is None or cls.effect is not api.Effect.KEYED:
             return attempt.until
-        risky = next((c for c in attempt.job.attempts if c is not attempt and not c.never_ran), None)
+        risky = rules.first_risky(attempt.job, but=attempt)
         if risky is None:
             return attempt.until
         return min(attempt.until, risky.sent_at + cls.window - self.settings.tick)
@@ -439,6 +328,7 @@
             # danger: one of the two words is wrong, and if it is this one, a booking would run twice
             ending = Ending.LOST
         attempt.never_ran = outcome_of(ending, attempt.written) in api.NEVER_RAN
+        self._note_end(attempt, ending)
         if self.attempt_over is not None:
             self.attempt_over(attempt)
         if self.attempt_observer is not None:
@@ -470,6 +360,21 @@
         )
         self._forget_if_done(job)
 
+    def _note_end(self, attempt: Attempt, ending: Ending) -> None:
+        kind = f"{ending.name} at {attempt.progress.name}"
+        if ending in _NOTEWORTHY:
+            self.events.note(
+                "attempt ended",
+                kind,
+                id=attempt.job.payload.id,
+                attempt=attempt.number,
+                worker=attempt.worker,
+                given_up=attempt.given_up,
+                never_ran=attempt.never_ran,
+            )
+        else:
+            self.events.count("attempt ended", kind)
+
     def probe_ended(
         self, worker: str, ending: Ending, elapsed: int, report: api.LoadReport | None = None
     ) -> None:
@@ -526,9 +431,13 @@
         if not job.attempts and job.terms.watch is not None:
             job.terms.watch.first_attempt(now)
         attempt = Attempt(job, len(job.attempts), action.worker, now, until)
-        out = any(not earlier.ended for earlier in job.attempts)  # danger: this one would be a second copy
+        rule = rules.broken_by_attempt(
+            job, action.worker, self._classes[job.arrival.job_class], self.settings.max_attempts, now
+        )
         job.attempts.append(attempt)
-        if out or job.over or until <= now or len(job.attempts) > self.settings.max_attempts:
+        if rule is not None:
+            self._violated(rule, job, action.worker)
+        if rule is not None or job.over or until <= now:
             self.attempt_ended(attempt, Ending.NOT_SENT)
             return
         attempt.timer = self.loop.call_at(until, self._timed_out, attempt)
@@ -585,11 +494,25 @@
     # Final answers
 
     def _refuse(self, action: api.Refuse) -> None:
-        self._answer(action.job, Answer(Verdict.REFUSED, retry_after=action.retry_after))
+        job = self._jobs.get(action.job)
+        if job is None or job.over:
+            return
+        self.events.count("refused", _kind(action.reason))
+        rule = rules.broken_by_refusal(job, self._classes.get(job.arrival.job_class))
+        if rule is not None:
+            self._violated(rule, job)
+            self._answer(action.job, Answer(Verdict.FAILED))
+        else:
+            self._answer(action.job, Answer(Verdict.REFUSED, retry_after=action.retry_after))
 
     def _fail(self, action: api.Fail) -> None:
+        self.events.count("failed", _kind(action.reason))
         self._answer(action.job, Answer(Verdict.FAILED))
 
+    def _violated(self, rule: rules.Rule, job: Job, worker: str = "") -> None:
+        """A decision that would break a rule is not carried out."""
+        self.events.note("decision not carried out", rule.value, id=job.payload.id, worker=worker)
+
     def _answer(self, number: int, answer: Answer) -> None:
         job = self._jobs.get(number)
         if job is not None and not job.over:
@@ -633,3 +556,7 @@
         if job.over and all(attempt.ended for attempt in job.attempts):
             self._jobs.pop(job.number, None)
             self._by_id.pop(job.payload.id, None)
+
+
+def _kind(reason: api.Reason | None) -> str:
+    return "" if reason is None else reason.value
--- a/ironbarrow/daemon/dispatcher.py
+++ b/ironbarrow/daemon/dispatcher.py
@@ -180,7 +180,7 @@
         log.info("serving", address="{}:{}".format(*self.listener.getsockname()[:2]))
         self.loop.run()
         self.close()
-        log.info("stopped")
+        log.info("stopped", events=self.host.events.totals())
 
     def stop_on_signals(self) -> None:
         """SIGTERM and SIGINT mean ``stop``. For programs that are nothing else; main thread only."""
--- a/ironbarrow/fronts/clients.py
+++ b/ironbarrow/fronts/clients.py
@@ -10,7 +10,8 @@
 import structlog
 
 from ironbarrow.core.endings import ConnectionEndedError, Ending
-from ironbarrow.core.host import Answer, Host, Job, Payload, Terms
+from ironbarrow.core.host import Host
+from ironbarrow.core.jobs import Answer, Job, Payload, Terms
 from ironbarrow.fronts.places import FRESH, LINGER_LIMIT, Places
 from ironbarrow.fronts.requests import (
     JSON,
--- a/ironbarrow/fronts/requests.py
+++ b/ironbarrow/fronts/requests.py
@@ -6,7 +6,7 @@
 from typing import Any
 from urllib.parse import unquote
 
-from ironbarrow.core.host import Answer, Payload, Verdict
+from ironbarrow.core.jobs import Answer, Payload, Verdict
 from ironbarrow.runtime.clock import MS, SECOND
 from ironbarrow.wire.http import Headers, Message
 
--- a/ironbarrow/handover/keeper.py
+++ b/ironbarrow/handover/keeper.py
@@ -10,7 +10,7 @@
 from enum import Enum, auto
 from typing import Any
 
-from ironbarrow.core.host import Answer, Verdict
+from ironbarrow.core.jobs import Answer, Verdict
 from ironbarrow.handover.records import Record
 
 _EARLY_MOST = 1024  # call-backs that are remembered for a job still on its way here
--- a/ironbarrow/handover/upgrade.py
+++ b/ironbarrow/handover/upgrade.py
@@ -10,7 +10,8 @@
 import structlog
 
 from heathway import api
-from ironbarrow.core.host import Answer, Attempt, Host, Job, Payload, Terms
+from ironbarrow.core.host import Host
+from ironbarrow.core.jobs import Answer, Attempt, Job, Payload, Terms
 from ironbarrow.handover import records
 from ironbarrow.handover.channel import Channel
 from ironbarrow.handover.keeper import Keeper, Kept
--- a/ironbarrow/lab/fleet/rollouts.py
+++ b/ironbarrow/lab/fleet/rollouts.py
@@ -10,7 +10,8 @@
 
 from heathway import api
 from ironbarrow.core.endings import Ending
-from ironbarrow.core.host import Attempt, Host
+from ironbarrow.core.host import Host
+from ironbarrow.core.jobs import Attempt
 from ironbarrow.fleet.api import Card, Message, News
 from ironbarrow.fleet.codec import Codec
 from ironbarrow.fleet.file import LedgerRules, MemberRules
--- a/ironbarrow/lab/fleet/work.py
+++ b/ironbarrow/lab/fleet/work.py
@@ -13,7 +13,8 @@
 from heathway import api
 from ironbarrow.core.attempt import Progress
 from ironbarrow.core.endings import Ending
-from ironbarrow.core.host import Answer, Attempt, Host, Payload, Verdict
+from ironbarrow.core.host import Host
+from ironbarrow.core.jobs import Answer, Attempt, Payload, Verdict
 from ironbarrow.fleet.api import Action, Card
 from ironbarrow.fleet.codec import Codec
 from ironbarrow.fleet.file import Fleet
--- a/ironbarrow/lab/sim/back.py
+++ b/ironbarrow/lab/sim/back.py
@@ -11,7 +11,8 @@
 from heathway import api
 from ironbarrow.core.attempt import Observation, Progress
 from ironbarrow.core.endings import Ending
-from ironbarrow.core.host import Attempt, Host
+from ironbarrow.core.host import Host
+from ironbarrow.core.jobs import Attempt
 from ironbarrow.lab.audit import Auditor
 from ironbarrow.lab.model.fleet import Fleet
 from ironbarrow.lab.model.worker import Need, Reply, Report, State, Worker
--- a/ironbarrow/lab/sim/run.py
+++ b/ironbarrow/lab/sim/run.py
@@ -8,8 +8,9 @@
 
 from heathway import api
 from heathway.settings import read_settings
-from ironbarrow.core.host import Answer, Host, Payload, Terms, Verdict
-from ironbarrow.core.host import Job as HostJob
+from ironbarrow.core.host import Host
+from ironbarrow.core.jobs import Answer, Payload, Terms, Verdict
+from ironbarrow.core.jobs import Job as HostJob
 from ironbarrow.lab.audit import Auditor
 from ironbarrow.lab.model.client import Ended, Habits
 from ironbarrow.lab.model.discovery import News
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -8,7 +8,7 @@
 
 from heathway.settings import read_settings
 from ironbarrow.core.endings import Ending
-from ironbarrow.core.host import Attempt
+from ironbarrow.core.jobs import Attempt
 from ironbarrow.fronts import clients
 from ironbarrow.runtime.loop import MS
 from ironbarrow.transport import http
--- a/tests/test_fleet_takeover.py
+++ b/tests/test_fleet_takeover.py
@@ -13,7 +13,7 @@
 from hypothesis import strategies as st
 
 from ironbarrow.config import ConfigError
-from ironbarrow.core.host import Answer, Verdict
+from ironbarrow.core.jobs import Answer, Verdict
 from ironbarrow.daemon.dispatcher import Dispatcher
 from ironbarrow.fleet.file import Fleet
 from ironbarrow.fleet.invariants import INVARIANTS, InvariantError
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from ironbarrow.core.host import Answer, Verdict
+from ironbarrow.core.jobs import Answer, Verdict
 from ironbarrow.daemon.dispatcher import Dispatcher
 from ironbarrow.handover import records
 from ironbarrow.handover.keeper import Keeper, Kept
--- a/tests/test_kept_names.py
+++ b/tests/test_kept_names.py
@@ -6,7 +6,7 @@
 import msgspec
 import pytest
 
-from ironbarrow.core.host import Verdict
+from ironbarrow.core.jobs import Verdict
 from ironbarrow.fleet.rollout.plan import Plan
 from ironbarrow.fleet.takeover import machine
 from ironbarrow.handover import records
