Say yes to an operator only for what is stored, and never wipe what can't be read

An operator's ban that was answered 200 while the write had failed was forgotten by the next process, which then sent to the banned worker. A failed read (EIO) of the file made a process start without any ban, never look again, and replace the file without them at the next change. Class: a local failure taken for a fact, here about a file. Change: 500 until the change is stored, with fsync; it is in force at once all the same. A read that fails is tried again, and nothing is written over a file that was not read. The draft of a failed write is removed.

--- a/ironbarrow/admin/door.py
+++ b/ironbarrow/admin/door.py
@@ -44,6 +44,10 @@
     def worker_up(self, worker: str) -> bool:
         """Lets a worker be used again; False for an id that was never on the list."""
 
+    @property
+    def is_stored(self) -> bool:
+        """Whether all changes outlast this process; those that do not are in force all the same."""
+
 
 @dataclass(frozen=True, slots=True)
 class _Reply:
@@ -143,4 +147,7 @@
             return _Reply(400, f"the body is not one worker's id of 1 to {_ID_MOST} characters\n")
         if not change(worker):
             return _Reply(404, f"no worker {worker} was ever on the list\n")
+        if not self._operations.is_stored:
+            # danger: a yes is a promise that a kill must not break
+            return _Reply(500, "in force in this process, but not stored yet; call again\n")
         return _Reply(200, "done\n")
--- a/ironbarrow/admin/keep.py
+++ b/ironbarrow/admin/keep.py
@@ -9,6 +9,7 @@
 import fcntl
 import json
 import os
+from contextlib import suppress
 from pathlib import Path
 from zlib import crc32
 
@@ -26,6 +27,7 @@
     def __init__(self, folder: Path | None, name: str) -> None:
         self._path = None if folder is None else folder / f"ironbarrow-bans-{crc32(name.encode()):08x}.json"
         self._seen: tuple[int, int, int] | None = None  # of the file as it was read last
+        self._unread = False  # the last try to read it failed
         self._known: frozenset[str] = frozenset()
         self._unwritten: dict[str, bool] = {}  # workers and whether they are banned: not in the file yet
         if folder is None:
@@ -33,38 +35,57 @@
 
     def changed(self) -> bool:
         """Whether the file is another one than when it was read last."""
-        return self._path is not None and self._mark() != self._seen
+        try:
+            return self._path is not None and (self._unread or self._mark() != self._seen)
+        except OSError:
+            return True
 
     def _mark(self) -> tuple[int, int, int] | None:
         assert self._path is not None
         try:
             found = os.stat(self._path)
-        except OSError:
+        except FileNotFoundError:
             return None
         return found.st_ino, found.st_size, found.st_mtime_ns
 
     def read(self) -> frozenset[str]:
-        """The bans; the last ones known where the file can't be read."""
+        """The bans; the last ones known where the file can't be read, which is then tried again."""
         if self._path is None:
             return self._known
-        self._seen = self._mark()
-        if self._seen is None:
-            return self._known
         try:
-            self._known = self._joined(_parsed(self._path))
-        except (OSError, ValueError) as error:
-            log.error("file of bans passed over", file=str(self._path), error=str(error))
+            self._load()
+        except OSError as error:
+            self._unread = True
+            log.error("file of bans not read yet", file=str(self._path), error=str(error))
         return self._known
 
+    def _load(self) -> None:
+        """Takes in the file. Danger: an OSError may be a moment's; taken for an empty file, the next change
+        would replace it without the bans that it holds."""
+        assert self._path is not None
+        self._seen = self._mark()
+        if self._seen is not None:
+            try:
+                self._known = self._joined(_parsed(self._path))
+            except ValueError as error:
+                log.error("file of bans passed over", file=str(self._path), error=str(error))
+        self._unread = False
+
     def change(self, worker: str, banned: bool) -> frozenset[str]:
         """Bans a worker or takes that back, on top of what the file holds now, and writes it; the bans after
-        it. What can't be written holds in this process, and ``settle`` tries again."""
+        it. What can't be written holds in this process, ``is_stored`` tells of it, and ``settle`` tries
+        again."""
         self._unwritten[worker] = banned
         self._known = self._joined(self._known)
         if not self.settle():
             log.error("bans do not outlast this process yet", file=str(self._path))
         return self._known
 
+    @property
+    def is_stored(self) -> bool:
+        """Whether nothing waits to be written."""
+        return not self._unwritten
+
     def settle(self) -> bool:
         """Writes what is not written yet; whether nothing is left of it.
 
@@ -79,7 +100,8 @@
         try:
             with open(self._path.with_suffix(".lock"), "w") as lock:
                 fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-                self._write(self.read())
+                self._load()
+                self._write(self._known)
         except OSError:
             return False
         self._unwritten.clear()
@@ -95,11 +117,27 @@
         names = sorted(banned)
         text = json.dumps({"version": VERSION, "banned": names, "crc": _sum(names)})
         draft = self._path.with_suffix(f".{os.getpid()}")
-        draft.write_text(text, encoding="utf-8")
-        os.replace(draft, self._path)
+        try:
+            _write_whole(draft, text.encode())
+            os.replace(draft, self._path)
+        except OSError:
+            with suppress(OSError):
+                os.unlink(draft)
+            raise
         self._seen = self._mark()
 
 
+def _write_whole(path: Path, data: bytes) -> None:
+    """Writes a file and has it on the disk; an OSError if any of that fails."""
+    file = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+    try:
+        while data:
+            data = data[os.write(file, data) :]
+        os.fsync(file)
+    finally:
+        os.close(file)
+
+
 def _sum(names: list[str]) -> int:
     return crc32("\n".join(names).encode("utf-8", "surrogatepass"))
 
--- a/ironbarrow/admin/operations.py
+++ b/ironbarrow/admin/operations.py
@@ -59,6 +59,11 @@
         log.info("worker back in use", worker=worker)
         return True
 
+    @property
+    def is_stored(self) -> bool:
+        """Whether every change of bans outlasts this process, as far as anything does here."""
+        return self._file.is_stored
+
     def _look(self) -> None:
         self._file.settle()
         if self._file.changed():
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -1,7 +1,9 @@
 """The operators' door: calls, figures, bans, callers that stall, and what outlasts the process."""
 
+import errno
 import fcntl
 import json
+import os
 from pathlib import Path
 from typing import Any
 
@@ -194,6 +196,74 @@
     assert json.loads(path.read_text())["banned"] == ["p1"]
 
 
+def failing(monkeypatch: pytest.MonkeyPatch, call: str, *errors: int) -> list[int]:
+    """Lets a call of ``os`` fail with these errors, in turn; those that are still to come."""
+    real, left = getattr(os, call), list(errors)
+
+    def call_or_fail(*args: Any, **more: Any) -> Any:
+        if left:
+            number = left.pop(0)
+            raise OSError(number, os.strerror(number))
+        return real(*args, **more)
+
+    monkeypatch.setattr(os, call, call_or_fail)
+    return left
+
+
+@pytest.mark.parametrize("call", ["open", "write", "fsync", "replace"])
+@pytest.mark.parametrize("error", [errno.ENOSPC, errno.EIO])
+def test_a_yes_to_an_operator_is_stored(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, call: str, error: int
+) -> None:
+    """Guards against a ban that was said yes to and is forgotten by the next process (bcef66)."""
+    played = stage(folder=tmp_path)
+    left = failing(monkeypatch, call, error)
+    for line in (f"o1 send {change('down', 'p1')}", "o1 expect HTTP/1.1 500 .*not stored yet"):
+        played.step(line)
+    assert left == []
+    played.step(f"c1 send {job()}")
+    played.step("p2 expect in$")  # it is in force all the same
+    for line in (f"o2 send {change('down', 'p1')}", "o2 expect HTTP/1.1 200"):
+        played.step(line)
+    assert BanFile(tmp_path, "n1").read() == {"p1"}
+    played.close()
+    assert not [path for path in tmp_path.iterdir() if path.suffix not in (".json", ".lock")]
+
+
+def test_a_file_that_can_not_be_read_for_a_moment_keeps_its_bans(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a failed read that makes a process forget bans, and wipe them (bcef66)."""
+    BanFile(tmp_path, "n1").change("p1", True)
+    left = failing(monkeypatch, "stat", errno.EIO, errno.EIO)
+    kept = BanFile(tmp_path, "n1")
+    assert kept.read() == frozenset()
+    kept.change("p2", True)
+    assert left == [] and not kept.is_stored
+    assert kept.changed()
+    assert kept.read() == {"p1", "p2"}
+    assert kept.settle()
+    assert BanFile(tmp_path, "n1").read() == {"p1", "p2"}
+
+
+def test_a_write_that_a_kill_cut_off_leaves_the_file_whole(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a torn file that hides the bans before it (bcef66)."""
+    BanFile(tmp_path, "n1").change("p1", True)
+    real = os.write
+
+    def torn(file: int, data: bytes) -> int:
+        real(file, data[: len(data) // 2])
+        raise KeyboardInterrupt  # the process ends here
+
+    monkeypatch.setattr(os, "write", torn)
+    with pytest.raises(KeyboardInterrupt):
+        BanFile(tmp_path, "n1").change("p2", True)
+    monkeypatch.undo()
+    assert BanFile(tmp_path, "n1").read() == {"p1"}
+
+
 def test_where_nothing_can_be_written_bans_hold_in_the_process(tmp_path: Path) -> None:
     for folder in (None, tmp_path / "missing"):
         kept = BanFile(folder, "n1")
