Send a DELETE after a reset that may have taken the 202 with it

Cause: a reset of an attempt's connection drops what is unread; the worker's 202 may be in that, and its job ran on while the next attempt left. The other way to end it, the own close before the 202, was followed by a DELETE already. Change: a close or a reset by the worker after the last byte is followed by a DELETE, too; it need not be answered.

--- a/ironbarrow/backs/invoker.py
+++ b/ironbarrow/backs/invoker.py
@@ -32,6 +32,7 @@
 _PROBE_LIMIT = 1 * SECOND
 _REST_LIMIT = 500 * MS  # for the rest of an answer whose head is in, or of one whose attempt is over already
 _ACCEPTED = 202
+_BY_PEER = frozenset((Ending.CLOSED, Ending.RESET))
 _STATES = {"done": Ending.DONE, "failed": Ending.FAILED, "returned": Ending.RETURNED, "lost": Ending.LOST}
 
 
@@ -238,7 +239,10 @@
         exchange.answered = True
         if ending is Ending.UNREACHABLE:
             exchange.closed_by = Observation.CONNECTION_FAILED
-        if attempt.is_over(exchange.closed_by):
+        if ending in _BY_PEER and attempt.written:
+            # danger: its 202 may have been lost with the connection; so it is told, as after an own close
+            self._stop(attempt, exchange, ending)
+        elif attempt.is_over(exchange.closed_by):
             if ending is Ending.STALLED and not attempt.written:
                 # the window for a repeat ended: no fault of the worker's
                 ending = self._host.barred(attempt) or ending
--- a/tests/test_failing_calls.py
+++ b/tests/test_failing_calls.py
@@ -73,6 +73,20 @@
     assert decisions.outcomes == [api.Outcome.RESET]
 
 
+def test_a_reset_that_takes_the_202_with_it_is_followed_by_a_delete(calls: FailingCalls) -> None:
+    """Guards against a second attempt after a reset that has dropped an unread 202 (bcef66)."""
+    stage, decisions = plain("p1", "p2")
+    for line in (f"c1 send {job()}", "p1 expect in$"):
+        stage.step(line)
+    calls.on(stage, "p1", "recv", errno.ECONNRESET)
+    for line in (f"p1 send {ACCEPTED}", "p1 expect DELETE /jobs/j1 HTTP"):
+        stage.step(line)
+    assert decisions.outcomes == []
+    assert stage.peers["p2"].sock is None
+    stage.play(f"p1 send {answer(204)}\np2 expect in$")
+    assert decisions.outcomes == [api.Outcome.RESET]
+
+
 def test_a_delete_that_can_not_be_sent_here_is_sent_again(calls: FailingCalls) -> None:
     """Guards against a second attempt where the DELETE's own connect failed for a moment (bcef66)."""
     stage, decisions = plain("p1", "p2")
