Doubt wall clocks by which a worker that has just started looks warm

A process that starts with its wall clock an hour ahead, or is told of a worker whose machine's clock is an hour behind, takes a worker that has just started for a warm one, and sends it all that a warm one takes (rule on cold workers). Class: a local clock taken for a fact about a worker. Change: heathway/starts.py turns listed starts into ages on the own clock. A start told while the list is followed that looks older than the cold time counts as 6 s old; where all workers of a first list look warm, the newest one counts as just started, up to an hour's step. The hash of a worker's start, which the fleet shares, stays the listed one.

--- a/heathway/logic.py
+++ b/heathway/logic.py
@@ -60,7 +60,7 @@
         self._worths = state.Worths(settings.worth_by_work)
         self._rates: deque[float] = deque(maxlen=LOOKBACK)  # l / |C| of past periods
         self._workers: dict[str, Worker] = {}
-        self.ring = state.Ring()
+        self.ring = state.Ring(settings.cold_time)
         self._keys = state.KeyShares(settings.me % settings.dispatchers / settings.dispatchers)
         self._probes = probing.ProbeBudget(settings.probe_price)
         self._calls = CallPace(settings.dispatchers, settings.ask_within, self._random)
@@ -144,7 +144,6 @@
         job.most = min(event.most_attempts or self._set.max_attempts, self._set.max_attempts)
         job.resend, job.pause, self._jobs[job.id] = event.resend, event.pause, job
         job.foretold = event.work_hint is not None or event.wanted > 0
-        # danger: a worker that tells once more of an attempt there would be heard as telling of the next one
         job.tried_before = tuple(self._workers[name] for name in event.tried if name in self._workers)
         self._probes.job_arrived()
         self._worths.job_arrived(cls, self._service[cls.name].mean)
@@ -236,16 +235,16 @@
         size = self.ring.size_when_warm(worker, self._usual[0], self._set.live_weights)
         runs = (None, worker.entry.kind)
         means = (self._service[c.name].mean for c in self._set.classes if c.worker_kind in runs)
-        return warming.part_of(self._set, worker.entry, self._now, size, means)
+        return warming.part_of(self._set, worker.entry, self._now - worker.started_at, size, means)
 
     def _cold_allows(self, worker: Worker, job: Job) -> bool:
         """Danger: all dispatchers together push a cold worker over. Each keeps to its part of the budget."""
-        capacity = warming.likely_capacity(self._set, worker.entry.started_at, self._now)
+        capacity = warming.likely_capacity(self._set, worker.started_at, self._now)
         mean = self._service[job.cls.name].mean
         if self._now + mean / capacity > job.aim_at and self.ring.open & ~self.ring.cold:
             return False
         begun, window = self._gathered_at - SESSION_IDLE, self._set.fall_window
-        if worker.entry.started_at < begun and self._now < begun + window:
+        if worker.started_at < begun and self._now < begun + window:
             return False  # danger: killed and restarted, it has forgotten that its part is spent
         sent = worker.sent_since(self._now - window)
         return self._cold_part(worker).holds(sent, mean * max(1.0, job.slots))
@@ -533,6 +532,7 @@
             for worker in self._workers.values():
                 if worker.id not in listed:
                     worker.entry = replace(worker.entry, state=WorkerState.GONE)
+        self.ring.starts.take(event.entries, self._now, whole=event.kind is ListKind.FULL)
         for entry in event.entries:
             self._take_entry(entry)
         self.ring.sort(self._workers)
@@ -542,7 +542,7 @@
 
     def _take_entry(self, entry: api.WorkerEntry) -> None:
         worker = self._workers.setdefault(entry.worker, Worker(entry.worker, entry))
-        if worker.relist(entry, self._set.cold_time, self._now):  # what was known of it is void
+        if worker.relist(entry, self._set.cold_time, self.ring.starts.of(worker.id)):
             worker.forget()
             self._alive(worker)
         full = self.ring.full_weight(entry)
--- a/heathway/state.py
+++ b/heathway/state.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from heathway import api
+from heathway.starts import StartTimes
 
 FEW = 10  # of so many dispatchers one's own jobs are a fair sample: a tenth or more
 SessionName = tuple[str | None, int | None] | int
@@ -19,6 +20,7 @@
 
     id: str
     entry: api.WorkerEntry
+    started_at: int = 0  # on the own clock, at the latest; 0: long ago
     place: int = -1  # index in the ring; -1: not in it yet
     others: float = 0.0  # slots that others' jobs had, when it was last told of
     told_at: int = 0  # when that was; 0: never
@@ -105,16 +107,17 @@
         to half at one job a core; others stay the same."""
         return 2 * self.entry.weight > self.best_weight or self.best_weight <= 0
 
-    def relist(self, entry: api.WorkerEntry, cold_time: int, now: int) -> bool:
-        """Takes in its line of the list and tells whether that shows a new process."""
+    def relist(self, entry: api.WorkerEntry, cold_time: int, started_at: int) -> bool:
+        """Takes in its line of the list and tells whether that shows a new process. ``started_at``: when it
+        started at the latest on the own clock, ns; 0: long ago."""
         old, until = self.entry, self.cold_until
         if entry.state is api.WorkerState.GONE:
             entry = replace(old, state=api.WorkerState.GONE)
         if entry.started_at < old.started_at:  # danger: by a list that comes late, a cold worker looks warm
             entry = replace(entry, started_at=old.started_at)
         self.entry = entry
-        # danger: started in the future, by another clock, it would be cold for as long as that is off
-        self.cold_until = min(entry.started_at, now) + cold_time if entry.started_at else 0
+        self.started_at = started_at
+        self.cold_until = started_at + cold_time if started_at else 0
         if until and entry.started_at == old.started_at:
             self.cold_until = min(until, self.cold_until)
         return entry.started_at != old.started_at
@@ -164,7 +167,9 @@
     resend: bool = True  # also if it may have run, where its class allows that
     pause: int = 0  # before another attempt
     foretold: bool = False  # its own work or wanted time was told
-    tried_before: tuple[Worker, ...] = ()  # by an earlier process
+    # by an earlier process. Danger: one that tells once more of an attempt there would be heard as telling of
+    # the next one
+    tried_before: tuple[Worker, ...] = ()
 
     def latest_start(self, mean: float) -> int:
         """The latest start that still makes an answer in time, ns, for a job of a class of that mean service
@@ -410,7 +415,8 @@
 class Ring:
     """The workers in order of id. A set of workers is a number whose bit i stands for workers[i]."""
 
-    def __init__(self) -> None:
+    def __init__(self, cold_time: int) -> None:
+        self.starts = StartTimes(cold_time)
         self.workers: list[Worker] = []
         self.open = 0  # takes new jobs, as far as is known
         self.cold = 0
--- a/heathway/warming.py
+++ b/heathway/warming.py
@@ -126,17 +126,17 @@
 
 
 def part_of(
-    rules: api.Settings, entry: api.WorkerEntry, now: int, size: float, means: Iterable[float]
+    rules: api.Settings, entry: api.WorkerEntry, age: int, size: float, means: Iterable[float]
 ) -> Part:
     """This dispatcher's part of the budget for a cold worker within any ``rules.fall_window``. The work of
     all parts of the fleet is at most the budget, in any mix of classes and slots.
 
-    ``entry``: its line of the list; ``size``: its slots, of mean speed; ``means``: of the service times, ns,
-    of the classes that it runs.
+    ``entry``: its line of the list; ``age``: ns since its start, at least; ``size``: its slots, of mean
+    speed; ``means``: of the service times, ns, of the classes that it runs.
     """
     if rules.me >= rules.dispatchers:  # danger: the fleet is larger than told, its first ones have all of it
         return NOTHING
-    budget = rules.fall_multiple * capacity(rules, entry.started_at, now) * rules.fall_window * size
+    budget = rules.fall_multiple * capacity(rules, 0, age) * rules.fall_window * size
     if not 1 <= budget < math.inf:
         return NOTHING
     budget_step = math.floor(math.log2(budget) * STEPS)
--- a/ironbarrow/lab/capacity/decisions.py
+++ b/ironbarrow/lab/capacity/decisions.py
@@ -187,7 +187,7 @@
     for me in range(dispatchers):
         settings = fleet_settings(dispatchers, me)
         for number in range(workers):
-            part = warming.part_of(settings, entry(number, started_at=_START), _START, _SLOTS, [mean])
+            part = warming.part_of(settings, entry(number, started_at=_START), 0, _SLOTS, [mean])
             found += part.holds([], mean)
     return ColdShare(dispatchers, mean_s, found / workers, 0)
 
--- a/tests/test_warming.py
+++ b/tests/test_warming.py
@@ -446,3 +446,25 @@
             world.arrive("safe")
         sent |= {worker for _, _, worker in world.sends}
     assert len(sent) > 30
+
+
+HOUR = 3_600 * S
+
+
+@pytest.mark.parametrize("ahead", [0, HOUR, -HOUR, 60 * S])
+@pytest.mark.parametrize("told", ["in the first list", "in changes"])
+def test_a_wall_clock_that_was_stepped_makes_no_cold_worker_warm(ahead: int, told: str) -> None:
+    """Guards against a cold worker pushed over by a process that started after its clock was set (bcef66)."""
+    rules = make_settings(cold_time=22 * S)
+    decisions = Dispatcher(rules, 1)
+    true = 10 * HOUR
+    old = api.WorkerEntry("w1", started_at=true - 2 * HOUR)
+    fresh = api.WorkerEntry("w2", started_at=true - 2 * S)
+    first = (old, fresh) if told == "in the first list" else (old,)
+    decisions.handle(true + ahead, [api.WorkerList(api.ListKind.FULL, first, 1)])
+    if told == "in changes":
+        decisions.handle(true + ahead, [api.WorkerList(api.ListKind.CHANGES, (fresh,), 2)])
+    now = true + ahead
+    assert decisions._workers["w2"].cold_until >= now + 15 * S
+    if ahead >= 0:
+        assert decisions._workers["w1"].cold_until <= now
