Connect again where this machine lacked something for a moment

Class: a local failure taken for a fact about the peer. Change: within the limit for a connection it is tried again every 20 ms; idle connections make room once.

--- a/ironbarrow/backs/invoker.py
+++ b/ironbarrow/backs/invoker.py
@@ -32,6 +32,8 @@
 _PROBE_LIMIT = 1 * SECOND
 _REST_LIMIT = 500 * MS  # for the rest of an answer whose head is in, or of one whose attempt is over already
 _ACCEPTED = 202
+_CONNECT_AGAIN = 20 * MS
+_NO_WORD = frozenset((Ending.FAILED_HERE, Ending.UNREACHABLE))
 _BY_PEER = frozenset((Ending.CLOSED, Ending.RESET))
 _STATES = {"done": Ending.DONE, "failed": Ending.FAILED, "returned": Ending.RETURNED, "lost": Ending.LOST}
 
@@ -368,19 +370,30 @@
             raise ConnectionEndedError(Ending.FAILED_HERE, "all connections to workers are in use")
         self._open += 1
         try:
-            try:
-                connection = yield from connect(address, self._loop.now() + self._connect_timeout)
-            except ConnectionEndedError as error:
-                # danger: with idle connections holding the last descriptors, a DELETE could not be sent
-                if error.ending is not Ending.FAILED_HERE or not self._pools.drop_oldest():
-                    raise
-                connection = yield from connect(address, self._loop.now() + self._connect_timeout)
+            connection = yield from self._connect_in_time(address)
         except BaseException:
             self._open -= 1
             raise
         connection.on_close = self._closed
         return connection
 
+    def _connect_in_time(self, address: Address) -> Coroutine[Connection]:
+        """Tries again, within the limit for a connection, what failed with no word of the worker's. Danger:
+        a moment's lack of addresses would set aside every worker that it met."""
+        until = self._loop.now() + self._connect_timeout
+        dropped = False
+        while True:
+            try:
+                return (yield from connect(address, until))
+            except ConnectionEndedError as error:
+                if error.ending not in _NO_WORD or self._loop.now() + _CONNECT_AGAIN >= until:
+                    raise
+                # danger: with idle connections holding the last descriptors, a DELETE could not be sent
+                if error.ending is Ending.FAILED_HERE and not dropped and self._pools.drop_oldest():
+                    dropped = True
+                    continue
+            yield from sleep(self._loop.now() + _CONNECT_AGAIN)
+
     def _closed(self) -> None:
         self._open -= 1
 
--- a/tests/test_failing_calls.py
+++ b/tests/test_failing_calls.py
@@ -126,3 +126,15 @@
     stage.play(f"p1 send {ACCEPTED}\nwait 50\nc9 send {done}\nc9 expect 204\nc1 expect HTTP/1.1 200 .*out$")
     assert calls.failed == 2
     assert decisions.outcomes == [api.Outcome.OK]
+
+
+@pytest.mark.parametrize("error", ["EADDRNOTAVAIL", "ENETUNREACH", "ENOBUFS", "EINTR"])
+def test_a_connect_that_fails_for_a_moment_says_nothing_of_the_worker(
+    calls: FailingCalls, error: str
+) -> None:
+    """Guards against workers set aside for a lack of this machine's (bcef66)."""
+    stage, decisions = plain("p1", "p2")
+    calls.on(stage, "p1", "connect_ex", getattr(errno, error), times=4)
+    stage.play(f"c1 send {job()}\np1 expect in$")
+    assert calls.failed == 4
+    assert decisions.outcomes == []
