End before the earliest SIGKILL whoever keeps a connection open

What is written to such a connection then is lost with SIGKILL. Cause: a connection whose own side is shut is read out for up to 1 s, whatever the deadlines; the end waits for it. Change: Pace.gone, a third of the way from the last answer to the earliest SIGKILL: connections alone are not waited for after it.

--- a/ironbarrow/daemon/dispatcher.py
+++ b/ironbarrow/daemon/dispatcher.py
@@ -42,6 +42,7 @@
 
     still_coming: int  # idle connections are kept for so long
     last_answer: int  # what has come since has its answer by then
+    gone: int  # connections that others keep open are not waited for any more
     leaving: int  # a fleet takes over what is still owed from then on
     leave_limit: int  # for telling it so, after that
 
@@ -57,9 +58,11 @@
         longest = min(_LONGEST_COUNTED, max(cls.deadline for cls in settings.classes))
         last_answer = longest + _KILLED_AFTER - max(150 * MS, min(500 * MS, longest // 2))
         leave_limit = min(700 * MS, last_answer // 2)
+        killed = longest + _KILLED_AFTER
         return Pace(
             still_coming=max(500 * MS, min(1500 * MS, last_answer // 2)),
             last_answer=last_answer,
+            gone=last_answer + (killed - last_answer) // 3,
             leaving=last_answer - leave_limit,
             leave_limit=leave_limit,
         )
@@ -71,6 +74,7 @@
     def __init__(self, config: Config, listener: socket.socket | None = None) -> None:
         self.loop = Loop(_task_failed)
         self._stopping = False
+        self._gone_at = 0  # ns, once it is told to stop
         self._signals = False  # they write to the loop
         self.pace = Pace.of(config.settings)
         self._config = config
@@ -280,6 +284,7 @@
             return
         self._stopping = True
         now = self.loop.now()
+        self._gone_at = now + self.pace.gone
         if self._hands_over():
             # the next process serves already, and takes what still comes here
             self.loop.call_at(now + _HANDING_OVER, self._close_idle)
@@ -327,7 +332,9 @@
         # danger: the listener stays to the end, since call-backs come in through it
         kept = self._upgrade.owed if self._upgrade is not None else 0
         kept += self.fleet.work.owed if self.fleet is not None else 0
-        if self.host.owed or kept or self.clients.busy:
+        # danger: one whose peer never closes its side would hold up the end beyond SIGKILL
+        waited_for = self.clients.busy and self.loop.now() < self._gone_at
+        if self.host.owed or kept or waited_for:
             self.loop.call_at(self.loop.now() + _DONE_CHECKED, self._stop_when_done)
         elif self.fleet is None:
             self._end()
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -445,3 +445,29 @@
         process.send_signal(signal.SIGHUP)
         process.send_signal(signal.SIGTERM)
         assert process.wait(60) == 0
+
+
+@pytest.mark.parametrize("deadline_ms", [300, 1000, 3000])
+@pytest.mark.parametrize("answered", [False, True])
+def test_who_keeps_a_connection_open_does_not_hold_up_the_end(deadline_ms: int, answered: bool) -> None:
+    """Guards against a process that SIGKILL finds with connections open under short deadlines (bcef66)."""
+    classes = tuple(
+        replace(cls, aim=deadline_ms * MS // 2, deadline=deadline_ms * MS)
+        for cls in read_settings(SETTINGS).classes
+    )
+    stage = Stage(settings=replace(read_settings(SETTINGS), classes=classes))
+    stage.step(f"c1 send {READY}")
+    stage.step("c1 expect 200 OK")
+    loop = stage.dispatcher.loop
+    told_at = loop.now()
+    stage.step("stop")
+    if answered:
+        # its answer comes at the last moment, and it does not close either
+        stage.pass_time(min(deadline_ms, 500) / 2000)
+        stage.step(f"c2 send {job(ms=9000)}")
+        stage.step("p1 expect in$")
+        stage.step("c2 expect HTTP/1.1 50")
+    stage.step("exits")
+    took = loop.now() - told_at
+    stage.close()
+    assert took < (deadline_ms + 700) * MS  # the earliest SIGKILL
