--- a/ironbarrow/cli/lab.py
+++ b/ironbarrow/cli/lab.py
@@ -12,6 +12,7 @@
 import typer
 
 from ironbarrow.cli.scale import scale
+from ironbarrow.cli.soak import soak
 
 app = typer.Typer(
     no_args_is_help=True,
@@ -21,6 +22,7 @@
 )
 
 app.command()(scale)
+app.command()(soak)
 
 WorldFile = Annotated[Path, typer.Argument(help="A world, in TOML.", show_default=False)]
 Seed = Annotated[int, typer.Option(help="Equal seeds give equal worlds.", min=0)]
--- /dev/null
+++ b/ironbarrow/cli/soak.py
@@ -0,0 +1,43 @@
+"""``ironbarrow lab soak``: real dispatchers under random faults, judged by the rules."""
+
+import json
+from dataclasses import asdict
+from importlib.util import find_spec
+from typing import Annotated
+
+import typer
+
+
+def soak(
+    seeds: Annotated[int, typer.Option(help="How many runs, each of its own seed.", min=1)] = 50,
+    first: Annotated[int, typer.Option(help="The first seed.", min=0)] = 1,
+    dispatchers: Annotated[int, typer.Option(help="Processes in each run.", min=2, max=120)] = 24,
+    seconds: Annotated[float, typer.Option(help="Length of each run.", min=4)] = 12.0,
+    as_json: Annotated[bool, typer.Option("--json", help="Print one JSON object a run.")] = False,
+) -> None:
+    """Play soak runs: overlapping faults of workers, discovery, clocks and system calls, signals in series,
+    SIGKILL at the earliest. Exit status 1 if any rule was broken."""
+    if find_spec("msgspec") is None or find_spec("numpy") is None:
+        typer.echo("ironbarrow: a soak needs the packages of requirements-lab.txt", err=True)
+        raise typer.Exit(2)
+    from ironbarrow.lab.soak.plan import draw
+    from ironbarrow.lab.soak.run import play
+
+    bad = []
+    for seed in range(first, first + seeds):
+        result = play(draw(seed, dispatchers, seconds))
+        if result.problems:
+            bad.append(seed)
+        if as_json:
+            typer.echo(json.dumps(asdict(result)))
+            continue
+        verdict = "BAD" if result.problems else "kept"
+        typer.echo(
+            f"seed {seed}: {verdict}, {result.jobs} jobs, {result.attempts} attempts, {result.stops} stops,"
+            f" generator late by {result.late_p99_ms:.0f} ms at p99, logs in {result.folder}"
+        )
+        for problem in result.problems:
+            typer.echo(f"  {problem}")
+    typer.echo(f"{seeds - len(bad)} of {seeds} runs kept the rules" + (f"; not: {bad}" if bad else ""))
+    if bad:
+        raise typer.Exit(1)
--- a/ironbarrow/lab/audit.py
+++ b/ironbarrow/lab/audit.py
@@ -72,11 +72,15 @@
 class Auditor(Watcher):
     """Is told what happens and finds what must not."""
 
-    def __init__(self, clock: Clock, world: World, *, sockets_slack: int = 0) -> None:
+    def __init__(
+        self, clock: Clock, world: World, *, sockets_slack: int = 0, lost_after: int | None = None
+    ) -> None:
+        """``lost_after``: how long after its time (ns) a job without an answer is lost; None: as the settings
+        have it."""
         rules = world.dispatchers
         self._clock = clock
         self._most = rules.max_attempts
-        self._slack = rules.answer_slack + sockets_slack
+        self._slack = rules.answer_slack + sockets_slack if lost_after is None else lost_after
         self._grace = rules.drain_grace + sockets_slack
         self._tries: dict[str, _Try] = {}
         self._over: deque[tuple[int, str]] = deque()
--- a/ironbarrow/lab/live/processes.py
+++ b/ironbarrow/lab/live/processes.py
@@ -80,7 +80,7 @@
     ) -> None:
         """``fleet_file``: the text of its fleet file, if it shares a fleet."""
         self._loop, self._world, self.number, self.address = loop, world, number, address
-        self._agent, self._folder, self._program, self._seed = agent, folder, program, seed
+        self._agent, self._folder, self.program, self._seed = agent, folder, program, seed
         self._fleet_file = fleet_file
         self._process: subprocess.Popen[bytes] | None = None
         self.fault = ""  # a point at which its next incarnation ends by itself, "POINT:N"
@@ -131,7 +131,7 @@
             resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
 
         environment = {
-            **self._program.environment,
+            **self.program.environment,
             "PATH": os.environ.get("PATH", ""),
             "PYTHONDONTWRITEBYTECODE": "1",
             "BALANCER_NAME": f"d{self.number}",
@@ -150,8 +150,8 @@
             self._expected = True
         with self.log_path.open("ab") as log:
             self._process = subprocess.Popen(
-                self._program.command,
-                cwd=self._program.folder,
+                self.program.command,
+                cwd=self.program.folder,
                 env=environment,
                 stdin=subprocess.DEVNULL,
                 stdout=log,
@@ -196,20 +196,21 @@
         except (OSError, ValueError):
             return
 
-    def _signal(self, number: signal.Signals) -> None:
+    def send_signal(self, number: signal.Signals) -> None:
+        """Sends a signal to the process that runs now, if one does."""
         if self._process is not None and self._process.poll() is None:
             self._process.send_signal(number)
 
     def kill(self) -> None:
         self._expected = True
-        self._signal(signal.SIGKILL)
+        self.send_signal(signal.SIGKILL)
 
     def pause(self) -> None:
         """SIGSTOP: it stands still where it is."""
-        self._signal(signal.SIGSTOP)
+        self.send_signal(signal.SIGSTOP)
 
     def go_on(self) -> None:
-        self._signal(signal.SIGCONT)
+        self.send_signal(signal.SIGCONT)
 
     @property
     def cpu_s(self) -> float:
@@ -250,7 +251,7 @@
         """SIGTERM; SIGKILL if it has not ended when its stop time is over."""
         self._expected = True
         process = self._process
-        self._signal(signal.SIGTERM)
+        self.send_signal(signal.SIGTERM)
         stop_time = self._world.dispatchers.stop_time
         self._loop.call_at(self._loop.now() + stop_time, self._end, process)
 
@@ -262,7 +263,7 @@
         """The discovery service moves, the file is replaced, and SIGHUP says so."""
         self._agent.move()
         self._write_config()
-        self._signal(signal.SIGHUP)
+        self.send_signal(signal.SIGHUP)
 
     def close(self) -> None:
         """Ends it at once and waits for that."""
--- a/ironbarrow/lab/live/run.py
+++ b/ironbarrow/lab/live/run.py
@@ -65,6 +65,8 @@
 class LiveRun:
     """One world and one seed on sockets. ``folder`` takes the dispatchers' configurations and logs."""
 
+    lost_after: int | None = None  # see ``Auditor``
+
     def __init__(
         self,
         world: World,
@@ -84,7 +86,7 @@
         self.loop = loop = Loop(self._failed)
         self.errors = 0
         self.streams = Streams(seed)
-        self.audit = Auditor(loop, world, sockets_slack=SOCKETS_SLACK)
+        self.audit = Auditor(loop, world, sockets_slack=SOCKETS_SLACK, lost_after=self.lost_after)
         self.fleet = _LiveFleet(loop, world, self.streams, self.audit)
         self._habits = Habits(loop, world, self.streams)
         self._doors: dict[str, list[Door]] = {}
