Take a job back that the next process has no descriptor for

A process that lacks a descriptor (EMFILE) gets a job's message without its client's connection (MSG_CTRUNC); the old one had let go, and nobody answered the client. Change: the next process says 'not taken'; for 0.5 s the old one keeps a copy of the connection, and goes on with the job as one that was handed to it. Older processes pass the message over, as before.

--- a/ironbarrow/handover/records.py
+++ b/ironbarrow/handover/records.py
@@ -10,6 +10,8 @@
 from typing import Any
 
 VERSION = 1
+NOT_TAKEN = "not taken"  # the answer to a job that came without its client's connection, or can't be kept
+KINDS = ("ready", "job", "call-back", NOT_TAKEN)
 _WORKER_KEY = "provider"  # in messages; processes of other versions read and write it
 
 
@@ -62,8 +64,10 @@
         raise RecordError(f"not JSON: {error}") from None
     if not isinstance(found, dict) or found.get("version") != VERSION:
         raise RecordError(f"expected an object of version {VERSION}")
-    if found.get("kind") not in ("ready", "job", "call-back"):
-        raise RecordError(f"kind: expected ready, job or call-back, got {found.get('kind')!r}")
+    if found.get("kind") not in KINDS:
+        raise RecordError(f"kind: expected one of {', '.join(KINDS)}, got {found.get('kind')!r}")
+    if found["kind"] == NOT_TAKEN and not isinstance(found.get("id"), str):
+        raise RecordError("id: expected that of the job which was not taken")
     if found["kind"] == "job":
         found["job"] = _record(found.get("job"))
     return found
--- a/ironbarrow/handover/upgrade.py
+++ b/ironbarrow/handover/upgrade.py
@@ -22,6 +22,7 @@
 log = structlog.get_logger()
 
 _STEP = 20 * MS  # between two looks at what can be handed over, or at what has run out
+_TAKEN_WITHIN = 500 * MS  # the next process says by then that it could not take a job
 _LEAST_LEFT = 50 * MS  # a job with less time left is not worth moving
 
 _Begin = Callable[[Callable[[Answer], None]], Callable[[], None]]
@@ -57,6 +58,15 @@
     job: Job | None = None
 
 
+@dataclass(slots=True)
+class _Lent:
+    """A job that was given to the next process, which may still say that it could not take it."""
+
+    record: Record
+    sock: socket.socket  # a copy of its client's connection
+    at: int  # ns
+
+
 class Upgrade:
     """The channel, the kept jobs, and the handing over. An OSError if the folder can't hold a socket."""
 
@@ -69,6 +79,7 @@
         self.keeper = Keeper(rules.max_attempts, advice)
         self.successor: str | None = None
         self._adopted: dict[str, _Adopted] = {}  # by id
+        self._lent: dict[str, _Lent] = {}  # by id
         self._handing = False
         self._told_ready = False
         self._channel = Channel(loop, folder, name, self._received)
@@ -79,6 +90,11 @@
         """Jobs of the other process that wait here for their answer."""
         return len(self.keeper.jobs)
 
+    @property
+    def lent(self) -> int:
+        """Jobs that were given to the next process and may still come back."""
+        return len(self._lent)
+
     def announce(self) -> bool:
         """Tells the process beside this one, once, that this one can serve; whether it has been told.
         Danger: told only after whoever waits for the readiness has seen it, the old one may be ordered to
@@ -97,6 +113,9 @@
         return self._handing
 
     def close(self) -> None:
+        for lent in self._lent.values():
+            lent.sock.close()
+        self._lent.clear()
         self._channel.close()
 
     def stray(self, raw: dict[str, Any]) -> None:
@@ -116,6 +135,7 @@
         self._adopted = {
             job_id: adopted for job_id, adopted in self._adopted.items() if not adopted.task.done
         }
+        self._end_loans(self._loop.now() - _TAKEN_WITHIN)
         self.announce()
         if self._handing:
             self._pass_on()
@@ -154,7 +174,29 @@
 
     def _give(self, record: Record, sock: socket.socket) -> bool:
         assert self.successor is not None
-        return self._channel.send(self.successor, records.job_message(record), sock.fileno())
+        try:
+            copy = sock.dup()
+        except OSError:
+            return False  # no descriptor left: it stays here for now
+        if not self._channel.send(self.successor, records.job_message(record), sock.fileno()):
+            copy.close()
+            return False
+        self._lent[record.id] = _Lent(record, copy, self._loop.now())
+        return True
+
+    def _end_loans(self, since: int) -> None:
+        for job_id in [job_id for job_id, lent in self._lent.items() if lent.at <= since]:
+            self._lent.pop(job_id).sock.close()
+
+    def _not_taken(self, job_id: str) -> None:
+        """Danger: a process without a free descriptor gets the job's message, but not the connection; nobody
+        would answer its client."""
+        lent = self._lent.pop(job_id, None)
+        if lent is None:
+            log.error("a job that was given away came back too late", id=job_id)
+            return
+        left = max(1, lent.record.time_left - (self._loop.now() - lent.at))
+        self._adopt(replace(lent.record, time_left=left), lent.sock)
 
     def _record(self, job: Job, earlier: Record | None = None) -> Record | None:
         """What the successor has to know of a job, ``earlier`` being what this process was told of it; None
@@ -205,8 +247,13 @@
             self.successor = sender
         elif found["kind"] == "call-back":
             self._forwarded(found.get("call_back"))
-        elif found["kind"] == "job" and socks:
+        elif found["kind"] == records.NOT_TAKEN:
+            self._not_taken(found["id"])
+        elif found["kind"] == "job" and socks and self._can_adopt(found["job"]):
             self._adopt(found["job"], socks.pop())
+        elif found["kind"] == "job":
+            log.error("job of the other process not taken", id=found["job"].id, connections=len(socks))
+            self._channel.send(sender, records.message(records.NOT_TAKEN, id=found["job"].id))
         for sock in socks:
             sock.close()
 
@@ -218,12 +265,11 @@
         except ValueError as error:
             log.error("forwarded call-back passed over", error=str(error))
 
+    def _can_adopt(self, record: Record) -> bool:
+        return record.job_class in self._classes and not self._host.knows(record.id)
+
     def _adopt(self, record: Record, sock: socket.socket) -> None:
         until = self._loop.now() + record.time_left
-        if record.job_class not in self._classes or self._host.knows(record.id):
-            log.error("job of the other process passed over", id=record.id)
-            sock.close()
-            return
         begin = self._keep if record.worker else self._take
         task = self._front.adopt(sock, lambda answer: begin(record, until, answer))
         self._adopted[record.id] = _Adopted(sock, task, record)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -3,7 +3,9 @@
 import errno
 import itertools
 import json
+import os
 import socket
+import struct
 from pathlib import Path
 from typing import Any
 
@@ -345,6 +347,49 @@
     pair.close()
 
 
+class WithoutDescriptors:
+    """A channel's socket that loses the descriptors of the first ``lost`` messages that bring one."""
+
+    def __init__(self, sock: socket.socket, lost: int) -> None:
+        self._sock, self.lost = sock, lost
+
+    def recvmsg(self, *args: Any) -> Any:
+        data, ancillary, flags, sender = self._sock.recvmsg(*args)
+        if ancillary and self.lost:
+            self.lost -= 1
+            for _, _, raw in ancillary:
+                os.close(struct.unpack("i", raw[:4])[0])
+            return data, [], flags | socket.MSG_CTRUNC, sender
+        return data, ancillary, flags, sender
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._sock, name)
+
+
+@pytest.mark.parametrize("state", ["done", "returned"])
+def test_a_job_that_comes_without_its_connection_stays_with_the_old_process(
+    tmp_path: Path, state: str
+) -> None:
+    """Guards against a job that neither process has, where the new one lacked a descriptor (bcef66)."""
+    pair = Pair(tmp_path)
+    for line in [line.strip() for line in BOOKED.splitlines()]:
+        pair.step(line)
+    pair.step("new")
+    assert pair.new is not None
+    channel = pair.new._upgrade._channel
+    channel._sock = WithoutDescriptors(channel._sock, 2)
+    for line in ("stop", "wait 100", f"n1 send {call_back(state, result='out')}", "n1 expect 204"):
+        pair.step(line)
+    if state == "returned":
+        for line in ("p2 expect X-Request-ID: j1", f"p2 send {ACCEPTED}"):
+            pair.step(line)
+        pair.step(f"n2 send {call_back('done', source='p2', result='out')}")
+    for line in ("c1 expect HTTP/1.1 200 .*out$", "exits"):
+        pair.step(line)
+    assert not channel._sock.lost
+    pair.close()
+
+
 def test_the_channel_outlasts_reads_that_fail(tmp_path: Path) -> None:
     """Guards against a process that is deaf to its neighbour after one failed read (bcef66)."""
     pair = Pair(tmp_path)
