Tell a worker the time that is left when its request leaves

Cause: the time was written when the request was made up; with writes that fail for a moment (ENOBUFS) or a worker that takes it slowly it left later, and told too much. Change: the time is put in right before the first byte, and the last byte has to follow within 0.1 s, else the attempt has not been sent.

--- a/ironbarrow/backs/invoker.py
+++ b/ironbarrow/backs/invoker.py
@@ -1,5 +1,6 @@
 """Attempts over HTTP: requests to workers and their call-backs, DELETE, probes."""
 
+import re
 from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -31,6 +32,8 @@
 _LAST_WORD = 1 * SECOND  # for DELETEs of an attempt at its deadline, where others go first
 _PROBE_LIMIT = 1 * SECOND
 _REST_LIMIT = 500 * MS  # for the rest of an answer whose head is in, or of one whose attempt is over already
+_WHOLE_WITHIN = 100 * MS  # from a request's first byte to its last
+_TIME_LEFT = re.compile(rb"X-Timeout-Ms: \d+\r\n")
 _ACCEPTED = 202
 _CONNECT_AGAIN = 20 * MS
 _NO_WORD = frozenset((Ending.FAILED_HERE, Ending.UNREACHABLE))
@@ -201,7 +204,7 @@
             exchange.connection = connection
             request = self._request(connection, attempt, exchange.address)
             yield from connection.write(
-                request, self._host.send_by(attempt), lambda: self._may_begin(attempt)
+                request, self._host.send_by(attempt), lambda: self._begin(attempt, request)
             )
             self._host.attempt_written(attempt)
             answer = yield from connection.read_head(attempt.until)
@@ -227,11 +230,18 @@
             if connection is not None:
                 connection.close()
 
-    def _may_begin(self, attempt: Attempt) -> None:
-        """Asked right before the first byte goes out."""
+    def _begin(self, attempt: Attempt, request: bytes) -> tuple[bytes, int]:
+        """Asked right before the first byte goes out: the request with the time that is left now, and until
+        when all of it has to be out. Danger: a worker that takes it slowly would be told more time than the
+        client has."""
         if (ending := self._host.barred(attempt)) is not None:
             raise ConnectionEndedError(ending)
         attempt.reach(Progress.WRITING)
+        left = b"X-Timeout-Ms: %d\r\n" % self._milliseconds_left(attempt)
+        return _TIME_LEFT.sub(left, request, count=1), self._loop.now() + _WHOLE_WITHIN
+
+    def _milliseconds_left(self, attempt: Attempt) -> int:
+        return max(1, (attempt.until - self._loop.now()) // MS)
 
     def _broke(self, attempt: Attempt, exchange: _Exchange, ending: Ending) -> None:
         """An attempt's connection has ended, or none came up."""
@@ -339,11 +349,10 @@
 
     def _request(self, connection: Connection, attempt: Attempt, address: Address) -> bytes:
         payload = attempt.job.payload
-        left = max(1, (attempt.until - self._loop.now()) // MS)
         headers = [
             ("Host", "{}:{}".format(*address)),
             ("X-Request-ID", payload.id),
-            ("X-Timeout-Ms", str(left)),
+            ("X-Timeout-Ms", str(self._milliseconds_left(attempt))),
         ]
         if payload.content_type:
             headers.append(("Content-Type", payload.content_type))
--- a/ironbarrow/transport/http.py
+++ b/ironbarrow/transport/http.py
@@ -59,6 +59,7 @@
         self.sock = sock
         self._codec = HttpCodec(server=server)
         self.used_at = 0  # when its owner last put it down
+        self.waited = 0  # ns, up to its acceptance: its first request may be so old
         self.started = False  # part of a message is in
         self._reads = 0  # since it last waited
         self.size = 0  # bytes of the message that is being read; its owner resets it
@@ -252,21 +253,28 @@
         return self._codec.chunk_bytes(data)
 
     def write(
-        self, data: bytes, until: int, before_first: Callable[[], None] | None = None
+        self, data: bytes, until: int, before_first: Callable[[], tuple[bytes, int]] | None = None
     ) -> Coroutine[None]:
         """Writes all of it; ConnectionEndedError if the last byte could not be written by ``until``.
         ``before_first`` is called right before the first byte goes out, again after each wait with none
-        gone; what it raises ends the write."""
+        gone. It gives back what to write instead, and until when the last byte has to follow the first one;
+        what it raises ends the write."""
         rest = memoryview(data)
+        begun = before_first is None
         while rest:
-            if before_first is not None and len(rest) == len(data):
-                before_first()
+            if before_first is not None and not begun:
+                data, whole_by = before_first()
+                rest = memoryview(data)
             try:
-                rest = rest[self.sock.send(rest) :]
-                continue
+                sent = self.sock.send(rest)
             except OSError as error:
                 if meaning_of(error) is not Meaning.HERE:
                     raise _failed(error) from None
+            else:
+                rest = rest[sent:]
+                if not begun:
+                    begun, until = True, min(until, whole_by)
+                continue
             if not (yield Wait(self.sock.fileno(), WRITE, until)):
                 raise ConnectionEndedError(Ending.STALLED)
             if before_first is not None and self.is_gone():
--- a/tests/test_failing_calls.py
+++ b/tests/test_failing_calls.py
@@ -3,6 +3,7 @@
 import errno
 import os
 import socket
+import time
 from collections.abc import Callable, Iterator
 from typing import Any
 
@@ -138,3 +139,21 @@
     stage.play(f"c1 send {job()}\np1 expect in$")
     assert calls.failed == 4
     assert decisions.outcomes == []
+
+
+def test_a_worker_is_told_the_time_that_is_left_when_the_request_leaves(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a worker told more time than its client has, after writes have failed (bcef66)."""
+    stage, _ = plain("p1")
+    listener = stage.peers["p1"].listener
+    assert listener is not None
+    address, until, real = listener.getsockname(), time.monotonic() + 0.4, socket.socket.send
+
+    def failing(sock: socket.socket, *args: Any) -> int:
+        if time.monotonic() < until and _peer_of(sock) == address:
+            raise OSError(errno.ENOBUFS, "for a moment")
+        return real(sock, *args)
+
+    monkeypatch.setattr(socket.socket, "send", failing)
+    stage.play(f"c1 send {job(ms=2000)}\np1 expect X-Timeout-Ms: 1[0-6][0-9][0-9]\\r.*in$")
