Take the wait for accept off a job's time, and no booking under an id that ran

First: while accept fails (ENFILE) a connection waits, and its job's time was counted from its acceptance, so that a worker was told more time than the client had. The wait comes off the first request's time now. Second: an id could be taken again once its job was over, also for a booking that had run, where its client had lost the answer and asked again.

--- a/ironbarrow/core/host.py
+++ b/ironbarrow/core/host.py
@@ -18,6 +18,7 @@
 from ironbarrow.core.event_log import EventLog
 from ironbarrow.core.figures import Figures
 from ironbarrow.core.jobs import NO_TERMS, Answer, Attempt, Job, Payload, Terms, Verdict
+from ironbarrow.core.recent_ids import RecentIds
 from ironbarrow.runtime.clock import Clock
 
 log = structlog.get_logger()
@@ -96,6 +97,7 @@
         self.figures = Figures(tuple(cls.name for cls in settings.classes))
         self._jobs: dict[int, Job] = {}
         self._by_id: dict[str, Job] = {}
+        self._may_have_run = RecentIds()
         self._numbers = 0
         self.end_by: int | None = None  # jobs that still come are answered by then
         self._owed = 0
@@ -157,6 +159,10 @@
     def knows(self, job_id: str) -> bool:
         return job_id in self._by_id
 
+    def must_not_run_again(self, job_id: str) -> bool:
+        """Whether a job of that id is over that may have run and must not run twice."""
+        return self._may_have_run.has(job_id, self.loop.now())
+
     def take(
         self,
         payload: Payload,
@@ -554,6 +560,9 @@
     def _forget_if_done(self, job: Job) -> None:
         """Danger: memory is bounded; nothing of a finished job stays."""
         if job.over and all(attempt.ended for attempt in job.attempts):
+            cls = self._classes.get(job.arrival.job_class)
+            if cls is not None and cls.effect is api.Effect.UNSAFE and rules.first_risky(job) is not None:
+                self._may_have_run.add(job.payload.id, self.loop.now())
             self._jobs.pop(job.number, None)
             self._by_id.pop(job.payload.id, None)
 
--- a/ironbarrow/fronts/clients.py
+++ b/ironbarrow/fronts/clients.py
@@ -93,6 +93,7 @@
         self._read_now = 0  # requests in this turn of the loop
         self._in_line: deque[Task] = deque()  # who has a request to be read in a later turn
         self._next_planned = False  # their next ones are woken at this turn's end
+        self._not_accepted_since = 0  # ns; from then on connections have waited that could not be accepted
         self._closing_at: int | None = None  # from when on no connection is kept
         self.asking: dict[Job, tuple[Connection, Task]] = {}  # who waits for a job's answer
         self.router: Router | None = (
@@ -126,22 +127,30 @@
             for _ in range(_ACCEPTS_AT_ONCE):
                 # danger: room made for nobody ends a connection on which the next request is on its way
                 if not sockets.has_waiting(self._listener):
+                    self._not_accepted_since = 0
                     break
                 if not self._places.make_room():
+                    self._note_not_accepted()
                     yield from sleep(self._loop.now() + _PAUSE)
                     continue
                 try:
                     connection = accept(self._listener)
                 except OSError as error:
+                    self._note_not_accepted()
                     yield from self._out_of_descriptors(error)
                     continue
                 if connection is None:
                     break
+                if self._not_accepted_since:
+                    connection.waited = self._loop.now() - self._not_accepted_since
                 self._places.take(connection)
                 # danger: noted only by its own first line, it could be ended before that line has run;
                 # the lines at its end would not run either, and its place would stay taken
                 self._loop.spawn(self._serve(connection))
 
+    def _note_not_accepted(self) -> None:
+        self._not_accepted_since = self._not_accepted_since or self._loop.now()
+
     def _out_of_descriptors(self, error: OSError) -> Coroutine[None]:
         """Danger: with no descriptor left, accept fails at once for ever and the loop would spin."""
         log.warning("no descriptor left", error=str(error), connections=self._places.taken)
@@ -251,6 +260,9 @@
             elif self._is_job(path):
                 expect_method(request, "POST")
                 payload, placed = read_job(request)
+                # danger: the client's time ran on while nobody could accept its connection
+                placed["time_left"] = max(MS, placed["time_left"] - connection.waited)
+                connection.waited = 0
                 due = self._loop.now() + placed["time_left"] + _AFTER_DEADLINE
                 answer = yield from self._job(connection, task, request, payload, placed)
                 if answer is None:
@@ -381,6 +393,9 @@
         """Hands in a job; gives back what is called at the end, or when the client leaves before it."""
         if self.shared is None and self._host.knows(payload.id):
             raise BadRequestError(409, "a job with this X-Request-ID is under way")
+        if self._host.must_not_run_again(payload.id):
+            # danger: its client may not have read the answer, and asks once more
+            raise BadRequestError(500, "a job with this X-Request-ID may have run")
         if not self._places.has_room_for_job(len(payload.body)):
             # nothing of it was sent: another try is harmless
             raise BadRequestError(503, "too many jobs wait here", self._advice(_FULL_ADVICE))
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -1,8 +1,11 @@
 """Clients' connections, each order of events forced: how they end, who leaves when, who has the places."""
 
+import errno
 import socket
+import time
 from collections.abc import Callable, Iterator
 from contextlib import suppress
+from typing import Any
 
 import pytest
 
@@ -578,6 +581,38 @@
     steps(stage, f"{who} send {job()}\np1 expect : j1.*in$")
 
 
+def test_the_id_of_a_booking_that_ran_is_not_taken_again(stages: Callable[..., Stage]) -> None:
+    """Guards against a booking run twice for a client that lost its answer and asks again (bcef66)."""
+    stage = stages(workers=1)
+    booked = job(path="book/x")
+    steps(stage, f"c1 send {booked}\np1 expect in$\np1 send {ACCEPTED}")
+    steps(stage, f"c2 send {call_back('done', result='x')}\nc1 expect x$")
+    steps(stage, f"c3 send {booked}\nc3 expect ^HTTP/1.1 500")
+    assert not stage.peers["p1"].seen
+    # one that never ran may come again
+    steps(stage, f"c1 send {job('j2', 'book/x', 1000)}\np1 expect : j2.*in$")
+    steps(stage, f"p1 send {NOT_PROCESSED}\nc1 expect 503")
+    steps(stage, f"c3 send {job('j2', 'book/x')}\np1 expect : j2.*in$")
+
+
+def test_a_job_that_waited_to_be_accepted_has_less_time_left(
+    stages: Callable[..., Stage], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a worker told more time than its client has, after accept has failed (bcef66)."""
+    stage = stages(workers=1)
+    accept, until = clients.accept, time.monotonic() + 0.3
+
+    def failing(listener: socket.socket) -> Any:
+        if time.monotonic() < until:
+            raise OSError(errno.ENFILE, "for a moment")
+        return accept(listener)
+
+    monkeypatch.setattr(clients, "accept", failing)
+    steps(stage, f"c1 send {job(ms=2000)}\np1 expect X-Timeout-Ms: 1[0-7][0-9][0-9]\\r.*in$")
+    steps(stage, f"p1 send {ACCEPTED}\nc2 send {call_back('done', result='x')}\nc1 expect x$")
+    steps(stage, f"c1 send {job('j2', ms=2000)}\np1 expect X-Timeout-Ms: (2000|19[0-9][0-9])\\r.*in$")
+
+
 # Room
 
 
