Doubt the wall clocks once, at the first word of discovery

With changes alone after the known list, as a watch that goes on gives them, each list made the newest worker as good as just started again, so that its budget did not grow. Change: after the discovery service's first word only new starts count.

--- a/heathway/logic.py
+++ b/heathway/logic.py
@@ -532,7 +532,7 @@
             for worker in self._workers.values():
                 if worker.id not in listed:
                     worker.entry = replace(worker.entry, state=WorkerState.GONE)
-        self.ring.starts.take(event.entries, self._now, whole=event.kind is ListKind.FULL)
+        self.ring.starts.take(event.entries, self._now, event.kind)
         for entry in event.entries:
             self._take_entry(entry)
         self.ring.sort(self._workers)
--- a/heathway/starts.py
+++ b/heathway/starts.py
@@ -23,15 +23,16 @@
         self._cold_time = cold_time
         self._listed: dict[str, int] = {}  # by worker, as the list tells it
         self._started: dict[str, int] = {}  # by worker, on the own clock
-        self._followed = False  # a whole list of this process's own has come
+        self._followed = False  # the discovery service has told something to this process
 
     def of(self, worker: str) -> int:
         """When that worker started at the latest; 0: long ago."""
         return self._started.get(worker, 0)
 
-    def take(self, entries: Iterable[api.WorkerEntry], now: int, *, whole: bool) -> None:
-        """Takes in lines of the list at ``now`` (ns). ``whole``: the discovery service's list, not changes
-        and not what an earlier process knew."""
+    def take(self, entries: Iterable[api.WorkerEntry], now: int, kind: api.ListKind) -> None:
+        """Takes in lines of a list of that kind at ``now`` (ns). Danger: looked at again with each list, the
+        newest worker would never get warm; after the first word of the discovery service only new starts
+        count."""
         new = [entry for entry in entries if entry.started_at > self._listed.get(entry.worker, 0)]
         self._listed.update((entry.worker, entry.started_at) for entry in new)
         if self._followed:
@@ -39,7 +40,7 @@
                 looks_warm = now - entry.started_at > self._cold_time
                 self._started[entry.worker] = now - TOLD_WITHIN if looks_warm else min(entry.started_at, now)
             return
-        self._followed = whole
+        self._followed = kind is not api.ListKind.LAST_KNOWN
         past = [started_at for started_at in self._listed.values() if started_at <= now]
         ahead = now - max(past, default=now)
         if not self._cold_time < ahead < LONGEST_STEP:
--- a/tests/test_warming.py
+++ b/tests/test_warming.py
@@ -468,3 +468,17 @@
     assert decisions._workers["w2"].cold_until >= now + 15 * S
     if ahead >= 0:
         assert decisions._workers["w1"].cold_until <= now
+
+
+@pytest.mark.parametrize("kind", [api.ListKind.FULL, api.ListKind.CHANGES])
+def test_a_worker_gets_warm_whatever_lists_come_meanwhile(kind: api.ListKind) -> None:
+    rules = make_settings(cold_time=22 * S)
+    decisions = Dispatcher(rules, 1)
+    now = 10 * HOUR
+    entry = api.WorkerEntry("w1", started_at=now - 60 * S)
+    decisions.handle(now, [api.WorkerList(api.ListKind.LAST_KNOWN, (entry,), 1)])
+    for second in range(40):
+        lines = (replace(entry, weight=1 + second / 100),)
+        decisions.handle(now + second * S, [api.WorkerList(kind, lines, 2 + second)])
+    assert decisions._workers["w1"].cold_until <= now + 22 * S
+    assert decisions._workers["w1"].started_at <= now  # its budget grows with its age
