Count only failing accepts as a wait before acceptance

Callers saw: nothing; found by reading again. Where all places are taken, as in a crowd, the time since then came off the time of each job that was let in next, however short it had waited. Change: only an accept that fails begins the wait. What the queue holds while places are full is bounded as before.

--- a/ironbarrow/fronts/clients.py
+++ b/ironbarrow/fronts/clients.py
@@ -130,13 +130,12 @@
                     self._not_accepted_since = 0
                     break
                 if not self._places.make_room():
-                    self._note_not_accepted()
                     yield from sleep(self._loop.now() + _PAUSE)
                     continue
                 try:
                     connection = accept(self._listener)
                 except OSError as error:
-                    self._note_not_accepted()
+                    self._not_accepted_since = self._not_accepted_since or self._loop.now()
                     yield from self._out_of_descriptors(error)
                     continue
                 if connection is None:
@@ -148,9 +147,6 @@
                 # the lines at its end would not run either, and its place would stay taken
                 self._loop.spawn(self._serve(connection))
 
-    def _note_not_accepted(self) -> None:
-        self._not_accepted_since = self._not_accepted_since or self._loop.now()
-
     def _out_of_descriptors(self, error: OSError) -> Coroutine[None]:
         """Danger: with no descriptor left, accept fails at once for ever and the loop would spin."""
         log.warning("no descriptor left", error=str(error), connections=self._places.taken)
