Lose no job to a poll or a close that fails

Callers saw: nothing yet; found by reading for the class of the incident. A poll that fails (ENOMEM) while a connection comes up or a client is looked at ended the task with no word to whoever waited; a close that reports an error kept its place taken. Change: such a look is made again, or says nothing; the descriptor of a close is free whatever it says.

--- a/ironbarrow/transport/http.py
+++ b/ironbarrow/transport/http.py
@@ -71,7 +71,9 @@
         self.on_close: Callable[[], None] | None = None  # called once
 
     def close(self) -> None:
-        self.sock.close()
+        # danger: the descriptor is free whatever close says, and whoever counts it has to be told
+        with suppress(OSError):
+            self.sock.close()
         if self.on_close is not None:
             told, self.on_close = self.on_close, None
             told()
@@ -97,7 +99,10 @@
         """Whether the peer has ended its side, with or without bytes still to be read."""
         poll = select.poll()
         poll.register(self.sock, select.POLLRDHUP | select.POLLHUP | select.POLLERR)
-        return bool(poll.poll(0))
+        try:
+            return bool(poll.poll(0))
+        except OSError:
+            return False  # it can't be told now; a read will
 
     @property
     def held(self) -> int:
@@ -337,10 +342,15 @@
                     raise ConnectionEndedError(Ending.CONNECT_TIMED_OUT)
                 # danger: a wake-up meant for another socket of the same number says nothing of this one, and
                 # SO_ERROR is 0 also while it still connects
-                waiting = not poll.poll(0)
+                with suppress(OSError):  # a look that fails is made again
+                    waiting = not poll.poll(0)
             number = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if number:
             raise _not_connected(number)
+    except OSError as error:
+        # danger: as no ending of a connection, it would end the task with no word to whoever waits for it
+        sock.close()
+        raise ConnectionEndedError(Ending.FAILED_HERE, str(error)) from None
     except BaseException:
         sock.close()
         raise
--- a/tests/test_failing_calls.py
+++ b/tests/test_failing_calls.py
@@ -2,6 +2,7 @@
 
 import errno
 import os
+import select
 import socket
 import time
 from collections.abc import Callable, Iterator
@@ -10,10 +11,12 @@
 import pytest
 
 from heathway import api
+from ironbarrow.transport import http
 from tests.decisions import plain
 from tests.scenario import Stage, answer, call_back, job
 
 ACCEPTED = answer(202)
+REAL_POLL = select.poll
 Fails = Callable[[str, str, int], None]
 
 
@@ -157,3 +160,53 @@
 
     monkeypatch.setattr(socket.socket, "send", failing)
     stage.play(f"c1 send {job(ms=2000)}\np1 expect X-Timeout-Ms: 1[0-6][0-9][0-9]\\r.*in$")
+
+
+class FailingPoll:
+    """As ``select.poll``, with looks that fail ``left`` times in all."""
+
+    left = 0
+
+    def __init__(self) -> None:
+        self._poll = REAL_POLL()
+        self.register = self._poll.register
+
+    def poll(self, timeout: float) -> list[tuple[int, int]]:
+        if FailingPoll.left:
+            FailingPoll.left -= 1
+            raise OSError(errno.ENOMEM, "for a moment")
+        return self._poll.poll(timeout)
+
+
+@pytest.mark.parametrize("fails", [1, 2, 3, 6])
+def test_a_look_at_a_descriptor_that_fails_loses_no_job(monkeypatch: pytest.MonkeyPatch, fails: int) -> None:
+    """Guards against a job or an attempt whose task ends with the error of a poll (bcef66)."""
+    stage, decisions = plain("p1", "p2")
+    monkeypatch.setattr(select, "poll", FailingPoll)
+    monkeypatch.setattr(FailingPoll, "left", fails)
+    done = call_back("done", result="out")
+    stage.play(
+        f"c1 send {job()}\np1 expect in$\np1 send {ACCEPTED}\nc9 send {done}\nc1 expect HTTP/1.1 200 .*out$"
+    )
+    assert FailingPoll.left == 0
+    assert decisions.outcomes == [api.Outcome.OK]
+
+
+def test_a_close_that_fails_gives_its_place_back(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against places that are lost with each close that reports an error (bcef66)."""
+    stage, _ = plain("p1")
+    real = socket.socket.close
+
+    def failing(sock: socket.socket) -> None:
+        real(sock)
+        raise OSError(errno.EIO, "for a moment")
+
+    monkeypatch.setattr(http.socket.socket, "close", failing)
+    for line in (f"c1 send {job()}", "p1 expect in$", f"p1 send {answer(500)}", "c1 expect HTTP/1.1 500"):
+        stage.step(line)
+    stage.dispatcher.clients.close_idle()
+    stage.until("all places are free", lambda: not stage.dispatcher.clients.busy)
+    stage.dispatcher.invoker.free_descriptors()
+    assert stage.dispatcher.invoker._open == 0
+    monkeypatch.undo()
+    stage.close()
