--- a/ironbarrow/handover/keeper.py
+++ b/ironbarrow/handover/keeper.py
@@ -6,11 +6,11 @@
 
 from collections import OrderedDict
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum, auto
 from typing import Any
 
-from ironbarrow.core.host import Answer, Verdict
+from ironbarrow.core.jobs import Answer, Verdict
 from ironbarrow.handover.records import Record
 
 _EARLY_MOST = 1024  # call-backs that are remembered for a job still on its way here
@@ -92,6 +92,9 @@
             return False
         if state in _ENDS:
             self._end(kept, _ENDS[state], result, now)
+        else:
+            # danger: of one that has told of its start, "returned" is no proof any more
+            kept.record = replace(kept.record, may_have_run=True)
         return True
 
     def run_out(self, now: int) -> None:
@@ -115,5 +118,11 @@
             kept.answer(Answer(Verdict.REFUSED, retry_after=self._retry_after))
         else:
             fields: dict[str, Any] = {n: getattr(kept.record, n) for n in Record.__slots__}
-            fields |= {"worker": "", "may_have_run": not never_ran, "time_left": kept.until - now}
+            tried = (*kept.record.tried, kept.record.worker)
+            fields |= {
+                "worker": "",
+                "may_have_run": not never_ran,
+                "time_left": kept.until - now,
+                "tried": tried,
+            }
             kept.again(Record(**fields))
--- a/ironbarrow/handover/upgrade.py
+++ b/ironbarrow/handover/upgrade.py
@@ -10,7 +10,8 @@
 import structlog
 
 from heathway import api
-from ironbarrow.core.host import Answer, Attempt, Host, Job, Payload, Terms
+from ironbarrow.core.host import Host
+from ironbarrow.core.jobs import Answer, Attempt, Job, Payload, Terms
 from ironbarrow.handover import records
 from ironbarrow.handover.channel import Channel
 from ironbarrow.handover.keeper import Keeper, Kept
@@ -177,12 +178,18 @@
             time_left=left,
             attempts=len(job.attempts) + (earlier.attempts if earlier is not None else 0),
             worker=out[0].worker if out else "",
-            may_have_run=risky or (earlier is not None and earlier.may_have_run),
+            may_have_run=risky
+            or any(attempt.started for attempt in out)
+            or (earlier is not None and earlier.may_have_run),
             key=arrival.key,
             tenant=arrival.tenant,
             slots=arrival.slots,
             memory=arrival.memory,
             idempotency_key=payload.idempotency_key,
+            tried=(
+                *(earlier.tried if earlier is not None else ()),
+                *(attempt.worker for attempt in job.attempts if attempt.ended and attempt.written),
+            ),
         )
 
     # The new process
@@ -254,6 +261,7 @@
             slots=record.slots,
             memory=record.memory,
             terms=Terms(most_attempts=max(1, self._host.settings.max_attempts - record.attempts)),
+            tried=record.tried,
         )
         if (adopted := self._adopted.get(record.id)) is not None:
             adopted.job, adopted.record = job, record
