--- a/tests/test_failing_calls.py
+++ b/tests/test_failing_calls.py
@@ -73,6 +73,20 @@
     assert decisions.outcomes == [api.Outcome.RESET]
 
 
+def test_a_reset_that_takes_the_202_with_it_is_followed_by_a_delete(calls: FailingCalls) -> None:
+    """Guards against a second attempt after a reset that has dropped an unread 202 (bcef66)."""
+    stage, decisions = plain("p1", "p2")
+    for line in (f"c1 send {job()}", "p1 expect in$"):
+        stage.step(line)
+    calls.on(stage, "p1", "recv", errno.ECONNRESET)
+    for line in (f"p1 send {ACCEPTED}", "p1 expect DELETE /jobs/j1 HTTP"):
+        stage.step(line)
+    assert decisions.outcomes == []
+    assert stage.peers["p2"].sock is None
+    stage.play(f"p1 send {answer(204)}\np2 expect in$")
+    assert decisions.outcomes == [api.Outcome.RESET]
+
+
 def test_a_delete_that_can_not_be_sent_here_is_sent_again(calls: FailingCalls) -> None:
     """Guards against a second attempt where the DELETE's own connect failed for a moment (bcef66)."""
     stage, decisions = plain("p1", "p2")
@@ -112,3 +126,15 @@
     stage.play(f"p1 send {ACCEPTED}\nwait 50\nc9 send {done}\nc9 expect 204\nc1 expect HTTP/1.1 200 .*out$")
     assert calls.failed == 2
     assert decisions.outcomes == [api.Outcome.OK]
+
+
+@pytest.mark.parametrize("error", ["EADDRNOTAVAIL", "ENETUNREACH", "ENOBUFS", "EINTR"])
+def test_a_connect_that_fails_for_a_moment_says_nothing_of_the_worker(
+    calls: FailingCalls, error: str
+) -> None:
+    """Guards against workers set aside for a lack of this machine's (bcef66)."""
+    stage, decisions = plain("p1", "p2")
+    calls.on(stage, "p1", "connect_ex", getattr(errno, error), times=4)
+    stage.play(f"c1 send {job()}\np1 expect in$")
+    assert calls.failed == 4
+    assert decisions.outcomes == []
