--- a/ironbarrow/lab/faults/__init__.py
+++ b/ironbarrow/lab/faults/__init__.py
@@ -1,1 +1,1 @@
-"""System calls that fail in a dispatcher's own process; ``python -m ironbarrow.lab.faults`` serves so."""
+"""System calls that fail in a dispatcher's own process; ``ironbarrow.cli.serve_with_faults`` serves so."""
--- a/ironbarrow/lab/live/processes.py
+++ b/ironbarrow/lab/live/processes.py
@@ -59,7 +59,7 @@
     def with_faults(cls, plan: str) -> "Program":
         """This very program with system calls that fail by a plan, as JSON (``ironbarrow.lab.faults``)."""
         own = cls.own()
-        command = [sys.executable, "-m", "ironbarrow.lab.faults"]
+        command = [sys.executable, "-m", "ironbarrow.cli.serve_with_faults"]
         return cls(command, own.folder, {PLAN_VARIABLE: plan})
 
 
