Outlast a moment's lack of memory at the start

Class: a local failure taken for a lasting fact. A soak whose dispatchers do not come up tells it as a problem.

--- a/ironbarrow/daemon/dispatcher.py
+++ b/ironbarrow/daemon/dispatcher.py
@@ -19,6 +19,7 @@
 from ironbarrow.discovery.client import Discovery
 from ironbarrow.fronts.clients import Clients
 from ironbarrow.runtime.loop import MS, SECOND, Loop
+from ironbarrow.runtime.retry import until_it_goes
 from ironbarrow.runtime.sockets import listen
 
 log = structlog.get_logger()
@@ -72,13 +73,16 @@
     """Listens, serves and stops."""
 
     def __init__(self, config: Config, listener: socket.socket | None = None) -> None:
-        self.loop = Loop(_task_failed)
+        # danger: a start that fails for a moment's lack of something is a crash to whoever waits for it
+        self.loop = until_it_goes(lambda: Loop(_task_failed))
         self._stopping = False
         self._gone_at = 0  # ns, once it is told to stop
         self._signals = False  # they write to the loop
         self.pace = Pace.of(config.settings)
         self._config = config
-        self.listener = listener or listen(config.listen, shared=config.admin is not None)
+        self.listener = listener or until_it_goes(
+            lambda: listen(config.listen, shared=config.admin is not None)
+        )
         self.host = Host(self.loop, config.settings, config.seed, traced=config.traced)
         self._operations: Any = None
         self.admin: socket.socket | None = None
@@ -130,7 +134,8 @@
             if self.fleet is None:
                 # with a fleet, what a process leaves is taken over by the others
                 self._open_channel(config)
-            self.admin = listen(config.admin)
+            admin = config.admin
+            self.admin = until_it_goes(lambda: listen(admin))
             Door(self.loop, self.admin, self._operations)
 
     def _join(self, config: Config, path: Path) -> None:
@@ -159,8 +164,9 @@
         from ironbarrow.handover.upgrade import Upgrade
 
         try:
-            self._upgrade = Upgrade(
-                self.loop, self.host, self.clients, self.invoker, config.folder, config.name
+            folder = config.folder
+            self._upgrade = until_it_goes(
+                lambda: Upgrade(self.loop, self.host, self.clients, self.invoker, folder, config.name)
             )
         except OSError as error:
             log.warning("no hand-over to a next process", folder=str(config.folder), error=str(error))
--- a/ironbarrow/lab/soak/run.py
+++ b/ironbarrow/lab/soak/run.py
@@ -10,7 +10,7 @@
 from random import Random
 
 from ironbarrow.lab.live.processes import Program
-from ironbarrow.lab.live.run import LiveRun
+from ironbarrow.lab.live.run import LiveError, LiveRun
 from ironbarrow.lab.model.workload import Order
 from ironbarrow.lab.soak.lingering import LingeringClient
 from ironbarrow.lab.soak.plan import SoakPlan
@@ -123,9 +123,12 @@
 
 
 def play(plan: SoakPlan, folder: Path | None = None) -> SoakResult:
-    """Plays one run; a LiveError if its dispatchers do not come up."""
+    """Plays one run; that its dispatchers do not come up is a problem of its own."""
     run = SoakRun(plan, folder)
-    outcome = run.run()
+    try:
+        outcome = run.run()
+    except LiveError as error:
+        return SoakResult(plan.seed, [str(error)])
     result = SoakResult(plan.seed, folder=str(outcome.notes["folder"]), stops=run.stops_in_order)
     result.jobs = outcome.verdicts.looked_at["jobs taken"]
     result.attempts = outcome.verdicts.looked_at["attempts"]
--- a/ironbarrow/runtime/loop.py
+++ b/ironbarrow/runtime/loop.py
@@ -147,7 +147,12 @@
         self._wake_read, self._wake_write = os.pipe()
         os.set_blocking(self._wake_read, False)
         os.set_blocking(self._wake_write, False)
-        self._epoll.register(self._wake_read, select.EPOLLIN)
+        try:
+            self._epoll.register(self._wake_read, select.EPOLLIN)
+        except OSError:
+            os.close(self._wake_read)
+            os.close(self._wake_write)
+            raise
 
     @property
     def wake_fd(self) -> int:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,6 +11,7 @@
 from ironbarrow.lab.live.processes import Program
 from ironbarrow.lab.soak.plan import draw
 from ironbarrow.lab.soak.run import play
+from tests.test_live import routed_run
 
 DISPATCHERS = 6
 SECONDS = 8.0
@@ -24,6 +25,19 @@
     assert result.jobs > 100
 
 
+def test_a_start_outlasts_calls_that_fail(tmp_path: Path) -> None:
+    """Guards against a process that ends at its start for a moment's lack of memory (bcef66)."""
+    rules = [
+        {"call": "socket", "error": "ENOMEM", "most": 4},
+        {"call": "watch", "error": "ENOSPC", "most": 2},
+    ]
+    run = routed_run(tmp_path, Program.with_faults(json.dumps({"rules": rules})))
+    try:
+        run.start()
+    finally:
+        run.close()
+
+
 def test_equal_seeds_draw_equal_runs() -> None:
     assert draw(7, 4, 10.0) == draw(7, 4, 10.0)
     assert draw(7, 4, 10.0).fault_plans != draw(8, 4, 10.0).fault_plans
