Name the jobs handed over plainly, and set up the channel's tests in one place

Need: a word of our own stood where the field has one, and two tests wrote the same setup. No behaviour changes.

--- a/ironbarrow/daemon/dispatcher.py
+++ b/ironbarrow/daemon/dispatcher.py
@@ -336,7 +336,7 @@
 
     def _stop_when_done(self) -> None:
         # danger: the listener stays to the end, since call-backs come in through it
-        kept = self._upgrade.owed + self._upgrade.lent if self._upgrade is not None else 0
+        kept = self._upgrade.owed + self._upgrade.handed_over if self._upgrade is not None else 0
         kept += self.fleet.work.owed if self.fleet is not None else 0
         # danger: one whose peer never closes its side would hold up the end beyond SIGKILL
         waited_for = self.clients.busy and self.loop.now() < self._gone_at
--- a/ironbarrow/handover/upgrade.py
+++ b/ironbarrow/handover/upgrade.py
@@ -59,7 +59,7 @@
 
 
 @dataclass(slots=True)
-class _Lent:
+class _HandedOver:
     """A job that was given to the next process, which may still say that it could not take it."""
 
     record: Record
@@ -79,7 +79,7 @@
         self.keeper = Keeper(rules.max_attempts, advice)
         self.successor: str | None = None
         self._adopted: dict[str, _Adopted] = {}  # by id
-        self._lent: dict[str, _Lent] = {}  # by id
+        self._handed_over: dict[str, _HandedOver] = {}  # by id
         self._handing = False
         self._told_ready = False
         self._channel = Channel(loop, folder, name, self._received)
@@ -91,9 +91,9 @@
         return len(self.keeper.jobs)
 
     @property
-    def lent(self) -> int:
+    def handed_over(self) -> int:
         """Jobs that were given to the next process and may still come back."""
-        return len(self._lent)
+        return len(self._handed_over)
 
     def announce(self) -> bool:
         """Tells the process beside this one, once, that this one can serve; whether it has been told.
@@ -113,9 +113,9 @@
         return self._handing
 
     def close(self) -> None:
-        for lent in self._lent.values():
-            lent.sock.close()
-        self._lent.clear()
+        for handed_over in self._handed_over.values():
+            handed_over.sock.close()
+        self._handed_over.clear()
         self._channel.close()
 
     def stray(self, raw: dict[str, Any]) -> None:
@@ -135,7 +135,7 @@
         self._adopted = {
             job_id: adopted for job_id, adopted in self._adopted.items() if not adopted.task.done
         }
-        self._end_loans(self._loop.now() - _TAKEN_WITHIN)
+        self._forget_handed_over(self._loop.now() - _TAKEN_WITHIN)
         self.announce()
         if self._handing:
             self._pass_on()
@@ -181,22 +181,24 @@
         if not self._channel.send(self.successor, records.job_message(record), sock.fileno()):
             copy.close()
             return False
-        self._lent[record.id] = _Lent(record, copy, self._loop.now())
+        self._handed_over[record.id] = _HandedOver(record, copy, self._loop.now())
         return True
 
-    def _end_loans(self, since: int) -> None:
-        for job_id in [job_id for job_id, lent in self._lent.items() if lent.at <= since]:
-            self._lent.pop(job_id).sock.close()
+    def _forget_handed_over(self, since: int) -> None:
+        for job_id in [
+            job_id for job_id, handed_over in self._handed_over.items() if handed_over.at <= since
+        ]:
+            self._handed_over.pop(job_id).sock.close()
 
     def _not_taken(self, job_id: str) -> None:
         """Danger: a process without a free descriptor gets the job's message, but not the connection; nobody
         would answer its client."""
-        lent = self._lent.pop(job_id, None)
-        if lent is None:
-            log.error("a job that was given away came back too late", id=job_id)
+        handed_over = self._handed_over.pop(job_id, None)
+        if handed_over is None:
+            log.error("a job handed over came back too late", id=job_id)
             return
-        left = max(1, lent.record.time_left - (self._loop.now() - lent.at))
-        self._adopt(replace(lent.record, time_left=left), lent.sock)
+        left = max(1, handed_over.record.time_left - (self._loop.now() - handed_over.at))
+        self._adopt(replace(handed_over.record, time_left=left), handed_over.sock)
 
     def _record(self, job: Job, earlier: Record | None = None) -> Record | None:
         """What the successor has to know of a job, ``earlier`` being what this process was told of it; None
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -366,17 +366,22 @@
         return getattr(self._sock, name)
 
 
+def booked_beside_a_new_process(folder: Path) -> tuple[Pair, Any]:
+    """An old process with a booking at p1, and the channel of the new process beside it."""
+    pair = Pair(folder)
+    for line in [line.strip() for line in BOOKED.splitlines()]:
+        pair.step(line)
+    pair.step("new")
+    assert pair.new is not None
+    return pair, pair.new._upgrade._channel
+
+
 @pytest.mark.parametrize("state", ["done", "returned"])
 def test_a_job_that_comes_without_its_connection_stays_with_the_old_process(
     tmp_path: Path, state: str
 ) -> None:
     """Guards against a job that neither process has, where the new one lacked a descriptor (bcef66)."""
-    pair = Pair(tmp_path)
-    for line in [line.strip() for line in BOOKED.splitlines()]:
-        pair.step(line)
-    pair.step("new")
-    assert pair.new is not None
-    channel = pair.new._upgrade._channel
+    pair, channel = booked_beside_a_new_process(tmp_path)
     channel._sock = WithoutDescriptors(channel._sock, 2)
     for line in ("stop", "wait 100", f"n1 send {call_back(state, result='out')}", "n1 expect 204"):
         pair.step(line)
@@ -392,12 +397,7 @@
 
 def test_the_channel_outlasts_reads_that_fail(tmp_path: Path) -> None:
     """Guards against a process that is deaf to its neighbour after one failed read (bcef66)."""
-    pair = Pair(tmp_path)
-    for line in [line.strip() for line in BOOKED.splitlines()]:
-        pair.step(line)
-    pair.step("new")
-    assert pair.new is not None
-    channel = pair.new._upgrade._channel
+    pair, channel = booked_beside_a_new_process(tmp_path)
     channel._sock = FailingSocket(channel._sock, errno.ENOMEM, errno.EIO)
     for line in ("stop", "exits", f"n1 send {call_back('done', result='out')}", "c1 expect 200 .*out$"):
         pair.step(line)
