Log the steps of take-overs and the reasons why lookups end

Callers saw bookings run twice after a take-over, and the logs could not tell why: begin, seal, adoption and abandonment of a claim, lost replicas, and what a lookup had waited for were not logged. Each is now reported when it happens, before the next fault point, and logged at a limited rate. The decision on a looked-up job is one function (fleet/takeover/lookup_rules.py), checked again where a booking is started (invariant 'ledgers accounted for'). No decision changes: the conditions and their order are the same.

--- a/ironbarrow/fleet/takeover/adapter.py
+++ b/ironbarrow/fleet/takeover/adapter.py
@@ -14,6 +14,7 @@
 
 from heathway import api
 from ironbarrow.core.endings import Ending
+from ironbarrow.core.event_log import EventLog
 from ironbarrow.core.host import Host, Invoker
 from ironbarrow.core.jobs import Answer, Attempt, Job, JobLimiter, JobOptions, Payload, Verdict
 from ironbarrow.fleet.api import Action, FleetEvent
@@ -33,6 +34,7 @@
     WithdrawJob,
 )
 from ironbarrow.fleet.takeover.machine import Takeover, TakeoverRules
+from ironbarrow.fleet.takeover.steps import LedgerReport, StepObserver, StepReport, ignore_steps
 from ironbarrow.handover.pending import PendingJob, PendingJobs
 from ironbarrow.handover.records import Record
 from ironbarrow.runtime.clock import MS, SECOND, Clock
@@ -70,7 +72,10 @@
 
 
 def takeover_rules(
-    settings: api.Settings, fleet: Fleet, on_fault_point: Callable[[str], None] | None = None
+    settings: api.Settings,
+    fleet: Fleet,
+    on_fault_point: Callable[[str], None] | None = None,
+    observe: StepObserver = ignore_steps,
 ) -> TakeoverRules:
     """The machine's settings from those of the dispatcher and the fleet file.
 
@@ -92,9 +97,31 @@
         retry_after=min(200 * MS, settings.max_retry_after) if settings.gives_retry_after else 0,
         query_all=fleet.answers.ask == "all",
         on_fault_point=on_fault_point,
+        observe=observe,
     )
 
 
+def log_steps(events: EventLog) -> StepObserver:
+    """An observer that counts the steps by kind and logs them at the limited rate of ``events``."""
+
+    def observe(report: StepReport) -> None:
+        if isinstance(report, LedgerReport):
+            details = {"by": report.by, "records": report.records, "whole": report.whole}
+            shown = {key: str(value) for key, value in details.items() if value is not None}
+            events.record("ledger step", report.step.value, of=str(report.incarnation), **shown)
+        else:
+            events.record(
+                "lookup ended",
+                report.result,
+                id=report.id,
+                reason=report.reason,
+                rounds=report.rounds,
+                waited=report.waited,
+            )
+
+    return observe
+
+
 class TakeoverAdapter:
     """Connects a dispatcher's server for clients, its host and its invoker with its take-over machine.
 
--- a/ironbarrow/fleet/takeover/deduplication.py
+++ b/ironbarrow/fleet/takeover/deduplication.py
@@ -9,6 +9,7 @@
 from ironbarrow.core.jobs import Answer
 from ironbarrow.fleet.api import Incarnation
 from ironbarrow.fleet.records import JobRecord
+from ironbarrow.fleet.takeover.lookup_rules import LookupDecision
 from ironbarrow.runtime.clock import MS, SECOND
 
 ROUND_INTERVAL = 100 * MS  # between two rounds of queries to all members
@@ -104,6 +105,7 @@
     may_be_lost: bool = False  # a member knows of a lost ledger, which may have held the job
     holder: Incarnation | None = None  # the member that has replied that it owns the job
     next_at: int = 0
+    decision: LookupDecision | None = None  # the last one
 
     def new_round(self, now: int) -> None:
         """Begins a round. Earlier replies no longer count: a member may have started the job since."""
--- a/ironbarrow/fleet/takeover/machine.py
+++ b/ironbarrow/fleet/takeover/machine.py
@@ -68,6 +68,7 @@
     DisclaimedIds,
     JobLookup,
 )
+from ironbarrow.fleet.takeover.lookup_rules import LookupDecision, LookupEvidence, decide
 from ironbarrow.fleet.takeover.messages import (
     KINDS,
     ForwardedCallBack,
@@ -78,6 +79,13 @@
     TakeoverNotice,
 )
 from ironbarrow.fleet.takeover.recovery import CLAIM_STAGGER, RecoveryAction, claim_position
+from ironbarrow.fleet.takeover.steps import (
+    LedgerReport,
+    LedgerStep,
+    LookupReport,
+    StepObserver,
+    ignore_steps,
+)
 from ironbarrow.runtime.clock import MS, SECOND
 
 LEDGER_ANSWER_RETENTION = 10 * SECOND  # how long the answer of a booking stays in the ledger after its end
@@ -115,6 +123,7 @@
     retry_after: int = 0
     query_all: bool = False  # look up every new booking at all members, not only those marked as retries
     on_fault_point: Callable[[str], None] | None = None  # called at the points named in ``faults``
+    observe: StepObserver = ignore_steps  # told of each step of take-overs and lookups
 
 
 @dataclass(slots=True, eq=False)
@@ -729,11 +738,13 @@
             return []
         if (job := self.owned.get(record.id)) is not None:
             del self.lookups[record.id]
+            self._report_lookup(now, lookup, "joined")
             job.waiters += lookup.waiters
             job.remote_waiters |= lookup.remote_waiters
             return []
         if (ended := self.answers.find(record.id, now)) is not None:
             del self.lookups[record.id]
+            self._report_lookup(now, lookup, ended.answer.verdict.value)
             return self._reply_all(record.id, lookup.waiters, lookup.remote_waiters, ended.answer)
         if now >= self._lookup_deadline(lookup):
             # another member may own the job or have run it, so it must not be started here
@@ -748,39 +759,54 @@
 
     def _end_lookup(self, now: int, lookup: JobLookup, answer: Answer) -> list[Action]:
         self.lookups.pop(lookup.record.id, None)
+        self._report_lookup(now, lookup, answer.verdict.value)
         return self._reply_all(lookup.record.id, lookup.waiters, lookup.remote_waiters, answer)
 
+    def _report_lookup(self, now: int, lookup: JobLookup, result: str) -> None:
+        reason = lookup.decision.value if lookup.decision is not None else ""
+        self.rules.observe(
+            LookupReport(lookup.record.id, result, reason, lookup.round, now - lookup.started_at)
+        )
+
     def _take_looked_up(self, now: int, lookup: JobLookup) -> list[Action]:
+        check(
+            "ledgers accounted for",
+            lookup.safe or decide(self._evidence(now, lookup)) is LookupDecision.START,
+            id=lookup.record.id,
+        )
         del self.lookups[lookup.record.id]
+        self._report_lookup(now, lookup, "started")
         job = OwnedJob(lookup.record, lookup.safe, lookup.waiters, lookup.remote_waiters)
         if self.no_majority and lookup.record.job_class in self.rules.turn_away:
             return self._reply_all(lookup.record.id, lookup.waiters, lookup.remote_waiters, _FAILED_ANSWER)
         return self._take(now, job)
 
+    def _evidence(self, now: int, lookup: JobLookup) -> LookupEvidence:
+        others = [m.card.incarnation for m in self.members.alive() if m.card.incarnation != self.me]
+        return LookupEvidence(
+            safe=lookup.safe,
+            fenced=self.fenced,
+            has_holder=lookup.holder is not None,
+            cancelling=lookup.record.id in self.cancelling,
+            open_here=self.open_ledgers.keys(),
+            open_elsewhere=not lookup.no_open_ledger,
+            settled=now >= self.started_at + _SETTLING_TIME,
+            unanswered=[incarnation for incarnation in others if incarnation not in lookup.answered],
+            lost=lookup.may_be_lost or self._has_lost_ledgers(now),
+            sent_before=not lookup.may_take,
+        )
+
     def _decide(self, now: int, lookup: JobLookup) -> list[Action]:
-        """Starts the job once all live members have replied in one round that they don't know it."""
-        if (
-            self.fenced
-            or lookup.holder is not None
-            or lookup.record.id in self.cancelling
-            or not lookup.no_open_ledger
-            or self.open_ledgers
-            or now < self.started_at + _SETTLING_TIME
-        ):
-            return []
-        if any(
-            m.card.incarnation not in lookup.answered
-            for m in self.members.alive()
-            if m.card.incarnation != self.me
-        ):
-            return []
-        lost = lookup.may_be_lost or self._has_lost_ledgers(now)
-        if (lost and not lookup.safe) or not lookup.may_take:
-            # no member knows the job: it may have ended long ago, or have been in a ledger that was lost
+        """Acts on what this round of queries has shown so far."""
+        lookup.decision = decide(self._evidence(now, lookup))
+        if lookup.decision is LookupDecision.START:
+            self.counts["repeats taken"] += 1
+            return self._take_looked_up(now, lookup)
+        if lookup.decision is LookupDecision.ANSWER_NOT_FOUND:
+            # it may have ended long ago, or have been in a ledger that was lost
             self.counts["not found"] += 1
             return self._end_lookup(now, lookup, self._refusal() if lookup.safe else _FAILED_ANSWER)
-        self.counts["repeats taken"] += 1
-        return self._take_looked_up(now, lookup)
+        return []
 
     def _has_lost_ledgers(self, now: int) -> bool:
         self._lost_until = {
@@ -878,7 +904,7 @@
         if event.member.health not in (Health.DEAD, Health.LEFT):
             open_ledger = self.open_ledgers.get(incarnation)
             if open_ledger is not None and not open_ledger.claiming and open_ledger.inherited_from is None:
-                del self.open_ledgers[incarnation]
+                self._close_ledger(incarnation, LedgerStep.CLOSED_MEMBER_ALIVE)
             return
         for lookup in self.lookups.values():
             lookup.remote_waiters.pop(incarnation, None)
@@ -901,20 +927,44 @@
         self.open_ledgers[incarnation] = _OpenLedger(
             incarnation, at, now, now + position * CLAIM_STAGGER, inherited_from=inherited_from
         )
+        step = LedgerStep.OPENED if inherited_from is None else LedgerStep.INHERITED
+        self._report_ledger(incarnation, step, by=inherited_from)
+
+    def _report_ledger(
+        self,
+        incarnation: Incarnation,
+        step: LedgerStep,
+        *,
+        by: Incarnation | None = None,
+        records: int | None = None,
+        whole: bool | None = None,
+    ) -> None:
+        self.rules.observe(LedgerReport(incarnation, step, by, records, whole))
+
+    def _close_ledger(
+        self, incarnation: Incarnation, reason: LedgerStep, by: Incarnation | None = None
+    ) -> None:
+        """Forgets an open ledger. ``reason``: why no job in it can be unknown to all members."""
+        del self.open_ledgers[incarnation]
+        self._report_ledger(incarnation, reason, by=by)
 
     def _claim(self, now: int, open_ledger: _OpenLedger) -> list[Action]:
         """Claims a ledger, unless another member has it: records the claim, then seals the ledger."""
         open_ledger.due = now + _CLAIM_RETRY_INTERVAL
         if open_ledger.claimed_by is not None and open_ledger.claimed_by not in self.open_ledgers:
-            open_ledger.claimed_by = None  # the claimant's own ledger was taken over, and this claim with it
+            claimant, open_ledger.claimed_by = open_ledger.claimed_by, None
             if open_ledger.inherited_from is None:
-                del self.open_ledgers[open_ledger.incarnation]
+                # the claimant's own ledger was taken over, and this claim with it
+                self._close_ledger(
+                    open_ledger.incarnation, LedgerStep.CLOSED_CLAIMANT_TAKEN_OVER, by=claimant
+                )
                 return []
         if open_ledger.claiming or open_ledger.adopting or open_ledger.claimed_by is not None or self.leaving:
             return []
         open_ledger.claiming = True
         open_ledger.tries += 1
         self.counts["claims"] += 1
+        self._report_ledger(open_ledger.incarnation, LedgerStep.CLAIM_BEGUN, by=open_ledger.inherited_from)
         self._fault_point("before-claim")
         return self.ledgers.claim(now, open_ledger.location)
 
@@ -932,12 +982,14 @@
             )
             if 2 * alive > len(replicas) and open_ledger.tries < _MAX_CLAIM_TRIES:
                 open_ledger.claiming, open_ledger.due = False, now + _CLAIM_RETRY_INTERVAL
+                self._report_ledger(open_ledger.incarnation, LedgerStep.CLAIM_REPEATED)
                 return []
             self.counts["ledgers lost"] += 1
+            self._report_ledger(open_ledger.incarnation, LedgerStep.REPLICAS_LOST, records=len(event.partial))
             if open_ledger.incarnation in self.taken_over:
                 # Another member has adopted what it could read of this ledger. A partial reading excludes no
                 # second reader: only the first one's notice prevents two members from running the same jobs.
-                del self.open_ledgers[open_ledger.incarnation]
+                self._close_ledger(open_ledger.incarnation, LedgerStep.CLOSED_READ_IN_PART)
                 return []
             return self._on_claimed(now, event.ledger, event.partial, whole=False)
         if event.by == self.me or event.by == open_ledger.inherited_from:
@@ -945,10 +997,11 @@
         open_ledger.claiming = False
         if self.members.health(event.by) in (Health.ALIVE, Health.SUSPECT):
             # the claimant itself reports the ledger as open, in its replies, until it has adopted all of it
-            del self.open_ledgers[open_ledger.incarnation]
+            self._close_ledger(open_ledger.incarnation, LedgerStep.CLAIMED_BY_MEMBER, by=event.by)
             self._remember_taken_over(now, open_ledger.incarnation, True)
         else:
             open_ledger.claimed_by = event.by
+            self._report_ledger(open_ledger.incarnation, LedgerStep.CLAIMED_BY_ENDED, by=event.by)
         return []
 
     def _on_claimed(self, now: int, ledger: str, content: dict[str, bytes], *, whole: bool) -> list[Action]:
@@ -958,6 +1011,7 @@
         open_ledger = self._find_open_ledger(ledger)
         if open_ledger is None or open_ledger.adopting:
             return []
+        self._report_ledger(open_ledger.incarnation, LedgerStep.SEALED, records=len(content), whole=whole)
         self._fault_point("after-seal")
         open_ledger.adopting = True
         check("one holder", not whole or not self.taken_over.get(open_ledger.incarnation), ledger=ledger)
@@ -1009,6 +1063,7 @@
         for record in records:
             actions += self._adopt_job(now, record, whole=whole)
         del self.open_ledgers[incarnation]
+        self._report_ledger(incarnation, LedgerStep.ADOPTED, records=len(records), whole=whole)
         for at in inherited_claims:
             other = _incarnation_of(at.ledger)
             if other is None or other == self.me:
@@ -1021,6 +1076,7 @@
                 self._add_open_ledger(now, other, at, incarnation)
             elif not known.adopting:
                 known.inherited_from, known.claimed_by, known.due = incarnation, None, now
+                self._report_ledger(other, LedgerStep.INHERITED, by=incarnation)
         self._note_taken_over(now, incarnation, whole)
         self._notices += [(now + later, incarnation, whole) for later in _NOTICE_DELAYS]
         self.counts["ledgers taken over"] += 1
@@ -1063,10 +1119,10 @@
         open_ledger = self.open_ledgers.get(incarnation)
         # a partial take-over by another member doesn't end a running claim here, which may get all of it
         if open_ledger is not None and not open_ledger.adopting and (whole or not open_ledger.claiming):
-            del self.open_ledgers[incarnation]
+            self._close_ledger(incarnation, LedgerStep.CLOSED_ADOPTED_ELSEWHERE)
         for other in list(self.open_ledgers.values()):
             if other.claimed_by == incarnation and other.inherited_from is None and not other.adopting:
-                del self.open_ledgers[other.incarnation]
+                self._close_ledger(other.incarnation, LedgerStep.CLOSED_CLAIMANT_TAKEN_OVER, by=incarnation)
 
     def _remember_taken_over(self, now: int, incarnation: Incarnation, whole: bool) -> None:
         self.taken_over[incarnation] = whole
--- a/ironbarrow/fleet/takeover/participant.py
+++ b/ironbarrow/fleet/takeover/participant.py
@@ -17,7 +17,7 @@
 from ironbarrow.fleet.ledgers import LedgerMachine
 from ironbarrow.fleet.service import FleetService
 from ironbarrow.fleet.takeover import faults
-from ironbarrow.fleet.takeover.adapter import CancellingInvoker, TakeoverAdapter, takeover_rules
+from ironbarrow.fleet.takeover.adapter import CancellingInvoker, TakeoverAdapter, log_steps, takeover_rules
 from ironbarrow.fleet.takeover.machine import Takeover
 from ironbarrow.runtime.loop import MS, Loop
 from ironbarrow.runtime.sockets import Address
@@ -53,7 +53,7 @@
         on_fault_point = faults.from_environment(os.environ)
         self._loop, self._host, self._stopping = loop, host, False
         self.waits: StarvationMachine | None = None
-        self._rules = takeover_rules(host.settings, self.fleet, on_fault_point)
+        self._rules = takeover_rules(host.settings, self.fleet, on_fault_point, log_steps(host.event_log))
         self.service = make_service(loop, self.fleet, name, site, "{}:{}".format(*front))
         self.adapter = TakeoverAdapter(loop, host, invoker, self.service.carry_out)
         self.adapter.on_superseded = lambda: loop.call_soon(self._on_superseded)
--- a/ironbarrow/lab/fleet/net.py
+++ b/ironbarrow/lab/fleet/net.py
@@ -8,6 +8,7 @@
 import random
 from collections import Counter
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 
 from ironbarrow.fleet.api import NEVER, FleetEvent, Incarnation, Send
@@ -17,6 +18,10 @@
 from ironbarrow.runtime.clock import MS
 
 
+class ProcessCrashedError(Exception):
+    """Raised inside a simulated process that ends in the middle of a call, after ``SimulatedNet.crash``."""
+
+
 @dataclass(slots=True)
 class LinkConditions:
     """What happens to messages from one peer to another. Probabilities from 0 to 1, times in ns."""
@@ -117,14 +122,16 @@
         peer.paused = False
         deferred, peer.deferred = peer.deferred, []
         for call in deferred:
-            call()
+            with suppress(ProcessCrashedError):
+                call()
         self._schedule_tick(peer)
 
     def run_on(self, name: str, call: Callable[[Node, int], None]) -> None:
         """Calls a function with a peer's node and the time, if the peer runs and is not paused."""
         peer = self.peers[name]
         if peer.node is not None and not peer.paused:
-            call(peer.node, self.clock.now())
+            with suppress(ProcessCrashedError):
+                call(peer.node, self.clock.now())
             self._schedule_tick(peer)
 
     def run(self, duration: int) -> None:
@@ -143,7 +150,8 @@
         if peer.tick_due_at == due:
             peer.tick_due_at = NEVER
         if peer.node is node and not peer.paused:
-            node.ticked(self.clock.now())
+            with suppress(ProcessCrashedError):
+                node.ticked(self.clock.now())
             self._schedule_tick(peer)
 
     def _send(self, peer: SimulatedPeer, node: Node, action: Send) -> None:
@@ -170,5 +178,6 @@
             return
         found = self.codec.decode(frame)
         if found is not None:
-            peer.node.received(self.clock.now(), *found)
+            with suppress(ProcessCrashedError):
+                peer.node.received(self.clock.now(), *found)
             self._schedule_tick(peer)
--- a/ironbarrow/lab/fleet/takeover_simulation.py
+++ b/ironbarrow/lab/fleet/takeover_simulation.py
@@ -7,7 +7,9 @@
 import random
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable
+from contextlib import suppress
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any
 
 from heathway import api
@@ -24,8 +26,9 @@
 from ironbarrow.fleet.takeover.actions import LedgerAdopted
 from ironbarrow.fleet.takeover.adapter import TakeoverAdapter, takeover_rules
 from ironbarrow.fleet.takeover.machine import Takeover
-from ironbarrow.lab.fleet.net import SimulatedNet, SimulatedPeer
-from ironbarrow.lab.sim.clock import SimulatedClock
+from ironbarrow.fleet.takeover.steps import StepReport
+from ironbarrow.lab.fleet.net import ProcessCrashedError, SimulatedNet, SimulatedPeer
+from ironbarrow.lab.sim.clock import EPOCH, SimulatedClock
 from ironbarrow.runtime.clock import MS, SECOND, Timer
 
 _ONE_WAY_LATENCY = MS // 2  # between dispatcher and worker
@@ -62,7 +65,8 @@
         if self._peer.paused:
             self._peer.deferred.append(lambda: self._run(call, args))
         else:
-            call(*args)
+            with suppress(ProcessCrashedError):
+                call(*args)
 
 
 @dataclass(slots=True, eq=False)
@@ -241,8 +245,10 @@
         fleet: Fleet | None = None,
         sites: int = 3,
         workers: int = 4,
+        start: int = EPOCH,
     ) -> None:
-        self.clock, self.random = SimulatedClock(), random.Random(seed)
+        """``start``: Unix ns; ranks of claimants and replicas follow from the start times of incarnations."""
+        self.clock, self.random = SimulatedClock(start), random.Random(seed)
         kinds = (*MemberMachine.handles, *LedgerMachine.handles, *Takeover.handles)
         self.net = SimulatedNet(self.clock, Codec(kinds), seed)
         self.settings, self.seed = settings, seed
@@ -257,7 +263,10 @@
         self.requests: dict[str, ClientRequest] = {}
         self.adoptions: list[tuple[str, LedgerAdopted]] = []
         self.counts: Counter[str] = Counter()
-        self.faults: dict[str, Callable[[str], None]] = {}  # by dispatcher: fault points of its next start
+        self.first_crash_point = ""  # the first dispatcher that reaches this fault point crashes there
+        self.crashed_down_time = 500 * MS  # until that dispatcher starts again
+        self.crashed: list[str] = []  # dispatchers that crashed at a fault point
+        self.observers: list[Callable[[str, StepReport], None]] = []  # told of each dispatcher's steps
         self._renewing: set[str] = set()
         self._connected: dict[str, list[ClientRequest]] = defaultdict(list)
         for i in range(n):
@@ -284,7 +293,12 @@
         process.members, process.ledgers = members, ledgers
         adapter = process.adapter
         previous = None if new else adapter.machine
-        rules = takeover_rules(self.settings, self.fleet, self.faults.get(peer.name))
+        rules = takeover_rules(
+            self.settings,
+            self.fleet,
+            partial(self._on_fault_point, peer),
+            partial(self._on_step, peer.name),
+        )
         machine = Takeover(now, node.incarnation, members, ledgers, rules)
         adapter.machine = machine
         node.add((members, ledgers, machine))
@@ -335,6 +349,19 @@
             if not request.answers:
                 self.clock.call_at(self.clock.now() + self._retry_delay(), self._send, request)
 
+    def _on_step(self, name: str, report: StepReport) -> None:
+        for observer in self.observers:
+            observer(name, report)
+
+    def _on_fault_point(self, peer: SimulatedPeer, point: str) -> None:
+        if point != self.first_crash_point:
+            return
+        self.first_crash_point = ""
+        self.crashed.append(peer.name)
+        self.kill(peer.name)
+        self.clock.call_at(self.clock.now() + self.crashed_down_time, self.restart, peer.name)
+        raise ProcessCrashedError(peer.name)
+
     def restart(self, name: str) -> None:
         """Starts a new process of a dispatcher that was killed."""
         self.net.start(name)
