Claim a ledger again where its claim was inherited while another one ran

Callers saw: bookings run twice, and refusals of bookings that may have run, after a dispatcher was killed, its claimant crashed between seal and adoption, and another member stood still.

Cause: the next member had begun to claim the dead one's ledger and waited for the one that stood still. Then it took over the crashed claimant's ledger and inherited that one's claim. The running claim, which did not continue the inherited one, ended with 'owned by the claimant' and no content; _on_claim_failed took that for the ledger's whole content. Nothing was adopted, everybody heard 'taken over', and the clients' retries were run as new jobs.

Such a claim is now begun again; it continues the inherited one and reads the content. Where the claimant's ledger was read in part, nobody may act on what it had claimed: that ledger counts as lost, with the rule of keep_for.

--- a/ironbarrow/fleet/takeover/machine.py
+++ b/ironbarrow/fleet/takeover/machine.py
@@ -992,8 +992,10 @@
                 self._close_ledger(open_ledger.incarnation, LedgerStep.CLOSED_READ_IN_PART)
                 return []
             return self._on_claimed(now, event.ledger, event.partial, whole=False)
-        if event.by == self.me or event.by == open_ledger.inherited_from:
+        if event.by == self.me:
             return self._on_claimed(now, event.ledger, event.partial, whole=True)
+        if event.by == open_ledger.inherited_from:
+            return self._on_inherited_claim_failed(now, open_ledger)
         open_ledger.claiming = False
         if self.members.health(event.by) in (Health.ALIVE, Health.SUSPECT):
             # the claimant itself reports the ledger as open, in its replies, until it has adopted all of it
@@ -1004,6 +1006,19 @@
             self._report_ledger(open_ledger.incarnation, LedgerStep.CLAIMED_BY_ENDED, by=event.by)
         return []
 
+    def _on_inherited_claim_failed(self, now: int, open_ledger: _OpenLedger) -> list[Action]:
+        """A claim has found the ledger to be owned by the member whose ledger was taken over here.
+
+        It was begun before that take-over, so it did not continue that member's claim and read nothing."""
+        if self.taken_over.get(open_ledger.inherited_from or self.me):
+            open_ledger.claiming, open_ledger.due = False, now
+            self._report_ledger(open_ledger.incarnation, LedgerStep.CLAIM_REPEATED)
+            return []
+        # the owner's ledger was read in part, which excludes no second reader: nobody may act on this one
+        self.counts["ledgers lost"] += 1
+        self._report_ledger(open_ledger.incarnation, LedgerStep.REPLICAS_LOST)
+        return self._on_claimed(now, open_ledger.location.ledger, {}, whole=False)
+
     def _on_claimed(self, now: int, ledger: str, content: dict[str, bytes], *, whole: bool) -> list[Action]:
         """Appends the content of a claimed ledger to the own one before acting on any of it.
 
@@ -1052,8 +1067,9 @@
         whole: bool,
     ) -> list[Action]:
         """Acts on the records of a ledger that are now in the own one, and tells all members."""
-        self._fault_point("after-adoption")
         incarnation = open_ledger.incarnation
+        self._report_ledger(incarnation, LedgerStep.ADOPTED, records=len(records), whole=whole)
+        self._fault_point("after-adoption")
         actions: list[Action] = []
         for answer in answer_records:
             verdict = _VERDICTS.get(answer.verdict, Verdict.FAILED)
@@ -1063,7 +1079,6 @@
         for record in records:
             actions += self._adopt_job(now, record, whole=whole)
         del self.open_ledgers[incarnation]
-        self._report_ledger(incarnation, LedgerStep.ADOPTED, records=len(records), whole=whole)
         for at in inherited_claims:
             other = _incarnation_of(at.ledger)
             if other is None or other == self.me:
--- a/ironbarrow/lab/fleet/takeover_simulation.py
+++ b/ironbarrow/lab/fleet/takeover_simulation.py
@@ -17,7 +17,7 @@
 from ironbarrow.core.endings import Ending
 from ironbarrow.core.host import Host
 from ironbarrow.core.jobs import Answer, Attempt, Payload, Verdict
-from ironbarrow.fleet.api import Action, Card
+from ironbarrow.fleet.api import Action, Card, Incarnation
 from ironbarrow.fleet.codec import Codec
 from ironbarrow.fleet.file import Fleet
 from ironbarrow.fleet.ledgers import LedgerMachine
@@ -266,6 +266,7 @@
         self.first_crash_point = ""  # the first dispatcher that reaches this fault point crashes there
         self.crashed_down_time = 500 * MS  # until that dispatcher starts again
         self.crashed: list[str] = []  # dispatchers that crashed at a fault point
+        self.ended: dict[Incarnation, int] = {}  # killed or superseded incarnations, and when, ns
         self.observers: list[Callable[[str, StepReport], None]] = []  # told of each dispatcher's steps
         self._renewing: set[str] = set()
         self._connected: dict[str, list[ClientRequest]] = defaultdict(list)
@@ -332,6 +333,7 @@
         """Starts a new incarnation of a process's member; the process itself and its deferred calls are
         kept."""
         self.counts["renewed"] += 1
+        self._note_end(name)
         self._renewing.add(name)
         deferred = self.net.peers[name].deferred
         self.net.start(name)
@@ -342,6 +344,7 @@
         """Ends a process at once; its clients see their connections end and retry."""
         if self.net.peers[name].node is None:
             return
+        self._note_end(name)
         self.net.crash(name)
         self.processes[name].clock.ended = True
         requests, self._connected[name] = self._connected[name], []
@@ -349,6 +352,11 @@
             if not request.answers:
                 self.clock.call_at(self.clock.now() + self._retry_delay(), self._send, request)
 
+    def _note_end(self, name: str) -> None:
+        node = self.net.peers[name].node
+        assert node is not None
+        self.ended[node.incarnation] = self.clock.now()
+
     def _on_step(self, name: str, report: StepReport) -> None:
         for observer in self.observers:
             observer(name, report)
--- /dev/null
+++ b/ironbarrow/lab/fleet/takeover_sweep.py
@@ -0,0 +1,150 @@
+"""All combinations of a crash during a take-over with a pause of other members, in virtual time.
+
+A dispatcher is killed, the first one that reaches a fault point of the take-over crashes there, and others
+stand still for a while. ``python -m ironbarrow.lab.fleet.takeover_sweep [START ...]`` plays every combination
+for each start time and exits with 1 if one breaks a rule.
+"""
+
+import itertools
+import logging
+import multiprocessing
+import sys
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+import structlog
+
+from ironbarrow.config.units import Duration
+from ironbarrow.fleet.api import Incarnation
+from ironbarrow.fleet.file import Fleet, LedgerRules
+from ironbarrow.fleet.invariants import INVARIANTS, InvariantError
+from ironbarrow.fleet.takeover.steps import LedgerReport, LedgerStep, StepReport
+from ironbarrow.lab.fleet.random_takeovers import SETTINGS, UNSAFE
+from ironbarrow.lab.fleet.takeover_simulation import TakeoverSimulation
+from ironbarrow.lab.sim.clock import EPOCH
+from ironbarrow.runtime.clock import MS, SECOND
+
+CRASH_POINTS = ("", "before-claim", "after-seal", "after-adoption")  # "": no crash
+PAUSE_STARTS = (700 * MS, 1200 * MS, 1600 * MS, 2000 * MS)  # the kill is at 1.5 s
+PAUSE_LENGTHS = (800 * MS, 1500 * MS, 2500 * MS, 3500 * MS)
+MAJORITY_TIMEOUTS = (250 * MS, 2 * SECOND)
+DISPATCHERS = tuple(f"d{number}" for number in range(5))
+_WARM_UP = 1500 * MS
+_KILLED_AT = 1500 * MS  # after the warm-up, as all times of a play
+_DOWN_TIME = 500 * MS
+_JOBS = 120
+_JOB_INTERVAL = 33 * MS
+_JOB_DEADLINE = 6 * SECOND
+_SERVICE_TIMES = (400 * MS, 1300 * MS)
+_PLAY_TIME = 14 * SECOND
+_LEAST_LIFE = 1 * SECOND  # a shorter-lived incarnation may be unknown to all others
+_DETECTION_TIME = 4 * SECOND  # after this time all members know of an end
+
+
+@dataclass(frozen=True, slots=True)
+class Play:
+    """One combination of faults. Times in ns; ``start``: offset in ns of the first clock reading, from which
+    the ranks of claimants and replicas follow."""
+
+    crash_point: str = ""
+    paused: tuple[str, ...] = ()
+    pause_at: int = 0
+    pause_for: int = 0
+    majority_timeout: int = MAJORITY_TIMEOUTS[0]
+    start: int = 0
+    seed: int = 1
+    killed: tuple[str, ...] = ("d0",)
+    kill_interval: int = 0  # between two of the kills
+
+
+@dataclass(slots=True)
+class Accounts:
+    """Which ended incarnations' ledgers have been adopted, or adopted in part as lost, by any member."""
+
+    settled: set[Incarnation] = field(default_factory=set)
+
+    def observe(self, name: str, report: StepReport) -> None:
+        if isinstance(report, LedgerReport) and report.step is LedgerStep.ADOPTED:
+            self.settled.add(report.incarnation)
+
+
+def run_play(play: Play) -> tuple[TakeoverSimulation, list[str]]:
+    """Plays one combination until all its jobs are over; returns the world and the rules that it broke."""
+    fleet = Fleet(listen="127.0.0.1:0", ledgers=LedgerRules(wait=Duration(play.majority_timeout)))
+    world = TakeoverSimulation(
+        SETTINGS, len(DISPATCHERS), seed=play.seed, fleet=fleet, workers=6, start=EPOCH + play.start
+    )
+    accounts = Accounts()
+    world.observers.append(accounts.observe)
+    world.run(_WARM_UP)
+    world.service_times = _SERVICE_TIMES
+    begin, later = world.clock.now(), world.clock.call_at
+    for number in range(_JOBS):
+        job_class = "book" if world.random.random() < 0.5 else "map"
+        later(begin + number * _JOB_INTERVAL, _submit, world, f"j{number}", job_class)
+    world.first_crash_point = play.crash_point
+    for number, name in enumerate(play.killed):
+        killed_at = begin + _KILLED_AT + number * play.kill_interval
+        later(killed_at, world.kill, name)
+        later(killed_at + _DOWN_TIME, world.restart, name)
+    for name in play.paused:
+        later(begin + play.pause_at, world.net.pause, name)
+        later(begin + play.pause_at + play.pause_for, world.resume, name)
+    try:
+        world.run(_PLAY_TIME)
+    except InvariantError as error:
+        return world, [str(error)]
+    return world, [*world.violations(UNSAFE), *forgotten_ledgers(world, accounts)]
+
+
+def _submit(world: TakeoverSimulation, job_id: str, job_class: str) -> None:
+    world.submit(job_id, job_class, _JOB_DEADLINE)
+
+
+def forgotten_ledgers(world: TakeoverSimulation, accounts: Accounts) -> list[str]:
+    """Ledgers of ended incarnations that no member has adopted or given up as lost, or is to take over."""
+    now = world.clock.now()
+    open_ledgers: set[Incarnation] = set()
+    for name in world.up():
+        open_ledgers |= world.processes[name].adapter.machine.open_ledgers.keys()
+    return [
+        f"the ledger of {incarnation} was forgotten"
+        for incarnation, ended_at in world.ended.items()
+        if incarnation not in accounts.settled | open_ledgers
+        and ended_at - incarnation.start >= _LEAST_LIFE
+        and now - ended_at >= _DETECTION_TIME
+    ]
+
+
+def combinations(start: int) -> Iterator[Play]:
+    """Every combination of crash point, paused members, begin and length of the pause, and time-out."""
+    others = [name for name in DISPATCHERS if name != "d0"]
+    pauses: list[tuple[str, ...]] = [(name,) for name in others]
+    pauses += itertools.combinations(others, 2)
+    for point, timeout in itertools.product(CRASH_POINTS, MAJORITY_TIMEOUTS):
+        yield Play(point, majority_timeout=timeout, start=start, seed=start)
+        for paused, at, lasts in itertools.product(pauses, PAUSE_STARTS, PAUSE_LENGTHS):
+            yield Play(point, paused, at, lasts, timeout, start, start)
+
+
+def _violations(play: Play) -> tuple[Play, list[str]]:
+    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
+    INVARIANTS.fatal = True
+    return play, run_play(play)[1]
+
+
+def main() -> int:
+    """Plays all combinations for the start times of the command line; returns the exit status."""
+    plays = [play for start in sys.argv[1:] or ("0",) for play in combinations(int(start))]
+    broken = 0
+    with multiprocessing.get_context("spawn").Pool() as pool:
+        for play, violations in pool.imap_unordered(_violations, plays, chunksize=8):
+            if violations:
+                broken += 1
+                print(play, violations[:3], flush=True)
+    print(f"{len(plays)} plays, {broken} broke a rule")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
