--- a/heathway/logic.py
+++ b/heathway/logic.py
@@ -244,7 +244,7 @@
         if self._now + mean / capacity > job.aim_at and self.ring.available & ~self.ring.cold:
             return False  # it would be late there, and warm workers may get free
         begun, window = self._sessions_settled_at - SESSION_IDLE, self._settings.fall_window
-        if worker.started_at < begun and self._now < begun + window:
+        if self._now < begun + window and self.ring.start_times.may_precede(worker.id, begun):
             return False  # an earlier process may have used the share just before
         recent = worker.work_sent_since(self._now - window)
         return self._cold_share(worker).allows(recent, mean * max(1.0, job.slots))
--- a/heathway/start_times.py
+++ b/heathway/start_times.py
@@ -24,12 +24,21 @@
         self._cold_time = cold_time
         self._listed: dict[str, int] = {}  # by worker, as the list gives it
         self._started: dict[str, int] = {}  # by worker, on the own clock
+        self._listed_at_first: dict[str, int] = {}  # as listed up to the first list of the service
         self._followed = False  # whether the discovery service has sent this process a list or changes
 
     def latest(self, worker: str) -> int:
         """When that worker started at the latest; 0: long ago."""
         return self._started.get(worker, 0)
 
+    def may_precede(self, worker: str, process_start: int) -> bool:
+        """Whether that worker may have started before this process did, at ``process_start`` (ns).
+
+        A start in the first list may be older than this process, whatever time is listed: no two clocks are
+        compared. A start that is listed later is new to this machine, so no earlier process knew of it."""
+        known_at_first = self._listed.get(worker, 0) == self._listed_at_first.get(worker)
+        return known_at_first or self.latest(worker) < process_start
+
     def apply_list(self, entries: Iterable[api.WorkerEntry], now: int, kind: api.ListKind) -> None:
         """Applies entries of a list of that kind, received at ``now`` (ns).
 
@@ -46,6 +55,7 @@
                 )
             return
         self._followed = kind is not api.ListKind.LAST_KNOWN
+        self._listed_at_first = dict(self._listed)
         past = [started_at for started_at in self._listed.values() if started_at <= now]
         ahead = now - max(past, default=now)
         # a worker that looks cold shows that the clock is hardly ahead; beyond the error all are warm anyhow
