--- a/tests/test_warming.py
+++ b/tests/test_warming.py
@@ -274,6 +274,20 @@
     assert spent and sum(fleet.offer(dispatcher, Offer((0, 1))) for dispatcher in fleet.dispatchers)
 
 
+def test_a_process_and_its_successor_beside_it_spend_one_share_together():
+    # guards against a hand-over in which both processes spend the share of the one dispatcher that they are
+    fleet = Fleet(fleet_settings(1, fall_multiple=4.0), CLASS_MEANS[1:], 6.0)
+    fleet.now += S
+    fleet.tell_all()
+    fleet.offer(fleet.dispatchers[0], Offer((0, 1)))
+    successor = fleet.start(0)
+    fleet.now += fleet.rules.fall_window
+    for process in (fleet.dispatchers[0], successor):
+        fleet.tell(process)
+        fleet.offer(process, Offer((0, 1)))
+    fleet.check()
+
+
 def test_a_fleet_that_starts_with_cold_workers_serves_after_one_window():
     fleet = Fleet(fleet_settings(3), CLASS_MEANS[1:], 5.0)
     fleet.now += 5 * S
