Run no loop of a group that another one has removed in the same pass

Seen: in the laboratory's scale runs a loop ran once more after its removal, where its timer was due in the same pass. No caller is concerned.

Cause: LoopGroup.run went through a copy of its loops. It now looks whether a loop is still in the group right before it runs it; a descriptor that a new loop has reused is not taken for the old one's.

The program's own loop was read for the same (timers, ready descriptors, wake-ups of what has ended in the pass): nothing found.

--- a/ironbarrow/lab/scale/hollow_dispatchers.py
+++ b/ironbarrow/lab/scale/hollow_dispatchers.py
@@ -195,6 +195,8 @@
             wait = min(loop.poll_timeout_s() for loop in self._loops.values())
             ready = {fd for fd, _ in self._epoll.poll(wait)}
             for fd, loop in list(self._loops.items()):
+                if self._loops.get(fd) is not loop:
+                    continue  # removed by a loop that ran before it in this pass
                 if fd in ready or loop.poll_timeout_s() <= 0:
                     loop.run_once(wait=False)
 
