Record a take-over's claim in the ledger that others take over

Cause: a claimant that had no majority of the replicas of its own job ledger wrote the claim into a further ledger (jobs/NAME/START+c1). Members that take over an ended incarnation look in its job ledger alone. When the claimant ended, and a stopped replica had gone on, they read the job ledger whole, found no claim, and nobody took over what the claimant had claimed.

Evidence: the trace in virtual time shows append_own with '...+c1', the owner's ledger read whole without a claim, and each member closing the claimed ledger.

The claim now names the job ledger. One that can't be recorded tells nothing of the ledger that it is for, and is tried again.

--- a/ironbarrow/fleet/api.py
+++ b/ironbarrow/fleet/api.py
@@ -252,9 +252,11 @@
         """Appends changes. Returns the number that ``Committed`` has to reach; 0 and no actions if this
         member is not the ledger's writer."""
 
-    def claim(self, now: int, at: LedgerLocation) -> list[Action]:
+    def claim(self, now: int, at: LedgerLocation, into: str = "") -> list[Action]:
         """Seals a ledger, following it from ``at`` to its current segment, and takes over its content for
-        good. The result is ``Claimed`` or ``ClaimFailed``."""
+        good. The result is ``Claimed`` or ``ClaimFailed``.
+
+        ``into``: the own ledger that records the claim; empty: whichever has a majority of its replicas."""
 
     def lead(self, now: int, at: LedgerLocation) -> list[Action]:
         """Seals a ledger and becomes its writer in the next segment. The result is ``Moved`` with the
--- a/ironbarrow/fleet/ledgers/machine.py
+++ b/ironbarrow/fleet/ledgers/machine.py
@@ -72,9 +72,9 @@
         seq, actions = self._append(now, ledger, changes)
         return seq, self._deliver_local(now, actions)
 
-    def claim(self, now: int, at: LedgerLocation) -> list[Action]:
-        inherited_from, into = self._inherited_claims.get(at.ledger, (frozenset(), ""))
-        return self._deliver_local(now, self.recovery.start(now, at, False, inherited_from, into))
+    def claim(self, now: int, at: LedgerLocation, into: str = "") -> list[Action]:
+        inherited_from, recorded_in = self._inherited_claims.get(at.ledger, (frozenset(), into))
+        return self._deliver_local(now, self.recovery.start(now, at, False, inherited_from, recorded_in))
 
     def lead(self, now: int, at: LedgerLocation) -> list[Action]:
         writer = self.writers.get(at.ledger)
--- a/ironbarrow/fleet/takeover/machine.py
+++ b/ironbarrow/fleet/takeover/machine.py
@@ -654,11 +654,7 @@
         if now < self._next_majority_check:
             return []
         self._next_majority_check = now + _CLAIM_RETRY_INTERVAL
-        at = next((at for at in self.members.me.ledgers if at.ledger == self.ledger), None)
-        if at is None or self.leaving:
-            return []
-        gone = sum(self.members.health(replica) in (Health.DEAD, Health.LEFT) for replica in at.replicas)
-        if 2 * (len(at.replicas) - gone) > len(at.replicas):
+        if self.leaving or not self._own_replicas_gone():
             self._majority_gone_since = NEVER
             return []
         self._majority_gone_since = min(self._majority_gone_since, now)
@@ -674,6 +670,14 @@
         self.counts["own ledger given up"] += 1
         return self._fence(now)
 
+    def _own_replicas_gone(self) -> bool:
+        """Whether so many replicas of the own ledger have ended that the others are no majority."""
+        at = next((at for at in self.members.me.ledgers if at.ledger == self.ledger), None)
+        if at is None:
+            return False
+        gone = sum(self.members.health(replica) in (Health.DEAD, Health.LEFT) for replica in at.replicas)
+        return 2 * (len(at.replicas) - gone) <= len(at.replicas)
+
     def _fence(self, now: int) -> list[Action]:
         """Ends this incarnation: another member may run its jobs from now on, so all are released here."""
         self.fenced = True
@@ -966,7 +970,8 @@
         self.counts["claims"] += 1
         self._report_ledger(open_ledger.incarnation, LedgerStep.CLAIM_BEGUN, by=open_ledger.inherited_from)
         self._fault_point("before-claim")
-        return self.ledgers.claim(now, open_ledger.location)
+        # recorded where the jobs go: members that take over this ledger look in no other one for the claim
+        return self.ledgers.claim(now, open_ledger.location, self.ledger)
 
     def _find_open_ledger(self, ledger: str) -> _OpenLedger | None:
         return next((o for o in self.open_ledgers.values() if o.location.ledger == ledger), None)
@@ -980,6 +985,10 @@
             alive = sum(
                 self.members.health(replica) in (Health.ALIVE, Health.SUSPECT) for replica in replicas
             )
+            if self._own_replicas_gone():
+                open_ledger.tries = (
+                    0  # the claim could not be recorded here, which tells nothing of its replicas
+                )
             if 2 * alive > len(replicas) and open_ledger.tries < _MAX_CLAIM_TRIES:
                 open_ledger.claiming, open_ledger.due = False, now + _CLAIM_RETRY_INTERVAL
                 self._report_ledger(open_ledger.incarnation, LedgerStep.CLAIM_REPEATED)
@@ -1050,7 +1059,9 @@
         # last in the append: a member that reads only a part of it still finds the claim
         if whole:
             self._add_change(drop_claim(ledger), _PendingCommit(NEVER, start_adopted, lambda later: []))
-            return self.flush(now)
+            actions = self.flush(now)
+            self._report_ledger(open_ledger.incarnation, LedgerStep.COPIED, by=self.me)
+            return actions
         # A partial reading doesn't prove that no other member has these jobs, and a commit of it would not
         # either: there is nothing to wait for.
         self._add_change(drop_claim(ledger))
--- a/ironbarrow/fleet/takeover/steps.py
+++ b/ironbarrow/fleet/takeover/steps.py
@@ -18,11 +18,13 @@
     INHERITED = "inherited"  # its claim was found in the ledger of a claimant that has ended
     CLAIM_BEGUN = "claim begun"
     SEALED = "sealed"  # it belongs to this member; nothing of it is adopted yet
-    ADOPTED = "adopted"
+    COPIED = "copied"  # its content is appended to the claimant's own ledger, in place of the claim
+    ADOPTED = "adopted"  # that append is at a majority of the replicas, or the ledger was read in part
     CLAIMED_BY_MEMBER = "claimed by a live member"
     CLAIMED_BY_ENDED = "claimed by an ended member"
     CLAIM_REPEATED = "claim repeated"
     REPLICAS_LOST = "replicas lost"
+    LOST_WITH_CLAIMANT = "lost with its claimant"  # the claimant's ledger is lost, or nobody tells of it
     # the reasons for which a ledger is no longer open here, beside its adoption
     CLOSED_MEMBER_ALIVE = "closed: its member is alive"
     CLOSED_ADOPTED_ELSEWHERE = "closed: adopted by another member"
--- a/ironbarrow/lab/fleet/starvation.py
+++ b/ironbarrow/lab/fleet/starvation.py
@@ -305,7 +305,7 @@
     def create(self, now: int, ledger: str) -> list[Action]:
         return []
 
-    def claim(self, now: int, at: LedgerLocation) -> list[Action]:
+    def claim(self, now: int, at: LedgerLocation, into: str = "") -> list[Action]:
         return []
 
     def lead(self, now: int, at: LedgerLocation) -> list[Action]:
--- a/ironbarrow/lab/fleet/takeover_sweep.py
+++ b/ironbarrow/lab/fleet/takeover_sweep.py
@@ -9,7 +9,7 @@
 import logging
 import multiprocessing
 import sys
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from dataclasses import dataclass, field
 
 import structlog
@@ -59,13 +59,61 @@
 
 @dataclass(slots=True)
 class Accounts:
-    """Which ended incarnations' ledgers have been adopted, or adopted in part as lost, by any member."""
+    """What has become of the ledgers of ended incarnations, as any member has reported it."""
 
-    settled: set[Incarnation] = field(default_factory=set)
+    adopted: set[Incarnation] = field(default_factory=set)
+    lost: set[Incarnation] = field(default_factory=set)
+    claimants: dict[Incarnation, Incarnation] = field(default_factory=dict)
+    copied: set[tuple[Incarnation, Incarnation]] = field(default_factory=set)  # ledger of, claimant
+    # ledgers that members have closed for their claimant's sake: ledger of, claimant
+    closed_with_claimant: set[tuple[Incarnation, Incarnation]] = field(default_factory=set)
+    known_claimed: set[tuple[str, Incarnation]] = field(default_factory=set)  # at a member, ledger of
+    closed_as_alive: list[str] = field(default_factory=list)  # although known to be claimed
 
     def observe(self, name: str, report: StepReport) -> None:
-        if isinstance(report, LedgerReport) and report.step is LedgerStep.ADOPTED:
-            self.settled.add(report.incarnation)
+        """Notes a step; to be called for all steps of all members."""
+        if not isinstance(report, LedgerReport):
+            return
+        self._note_closing(name, report)
+        if report.step is LedgerStep.ADOPTED:
+            (self.adopted if report.whole else self.lost).add(report.incarnation)
+        elif report.step is LedgerStep.LOST_WITH_CLAIMANT:
+            self.lost.add(report.incarnation)
+        elif report.step is LedgerStep.COPIED and report.by is not None:
+            self.copied.add((report.incarnation, report.by))
+        elif report.by is not None:
+            self.claimants[report.incarnation] = report.by
+
+    def _note_closing(self, name: str, report: LedgerReport) -> None:
+        known = (name, report.incarnation)
+        if report.step is LedgerStep.CLAIMED_BY_ENDED:
+            self.known_claimed.add(known)
+        elif report.step is LedgerStep.CLOSED_MEMBER_ALIVE and known in self.known_claimed:
+            self.closed_as_alive.append(f"{name} closed the claimed ledger of {report.incarnation}")
+        elif report.step is LedgerStep.CLOSED_CLAIMANT_TAKEN_OVER and report.by is not None:
+            self.closed_with_claimant.add((report.incarnation, report.by))
+
+    def wrongly_closed(self) -> list[str]:
+        """Ledgers that a member has closed without a proof that another one has their content."""
+        return self.closed_as_alive + [
+            f"the ledger of {ended} was closed with that of {claimant}, which nobody has adopted"
+            for ended, claimant in sorted(self.closed_with_claimant)
+            if claimant not in self.adopted
+        ]
+
+    def has(self, incarnation: Incarnation, open_ledgers: Collection[Incarnation]) -> bool:
+        """Whether a ledger is adopted, or it or the ledger of its claimant is lost or open at a member."""
+        copies = {claimant for ended, claimant in self.copied if ended == incarnation}
+        if incarnation in self.adopted or copies & self.adopted:
+            return True
+        seen: set[Incarnation] = set()
+        owner: Incarnation | None = incarnation
+        while owner is not None and owner not in seen:
+            if owner in self.lost or owner in open_ledgers:
+                return True
+            seen.add(owner)
+            owner = self.claimants.get(owner)
+        return False
 
 
 def run_play(play: Play) -> tuple[TakeoverSimulation, list[str]]:
@@ -94,7 +142,8 @@
         world.run(_PLAY_TIME)
     except InvariantError as error:
         return world, [str(error)]
-    return world, [*world.violations(UNSAFE), *forgotten_ledgers(world, accounts)]
+    violations = [*world.violations(UNSAFE), *forgotten_ledgers(world, accounts)]
+    return world, violations + accounts.wrongly_closed()
 
 
 def _submit(world: TakeoverSimulation, job_id: str, job_class: str) -> None:
@@ -110,7 +159,7 @@
     return [
         f"the ledger of {incarnation} was forgotten"
         for incarnation, ended_at in world.ended.items()
-        if incarnation not in accounts.settled | open_ledgers
+        if not accounts.has(incarnation, open_ledgers)
         and ended_at - incarnation.start >= _LEAST_LIFE
         and now - ended_at >= _DETECTION_TIME
     ]
--- a/tests/test_fleet_takeover_faults.py
+++ b/tests/test_fleet_takeover_faults.py
@@ -7,7 +7,7 @@
 
 from ironbarrow.fleet.invariants import INVARIANTS
 from ironbarrow.lab.fleet.takeover_sweep import Play, run_play
-from ironbarrow.runtime.clock import MS
+from ironbarrow.runtime.clock import MS, SECOND
 
 
 @pytest.fixture(autouse=True)
@@ -22,8 +22,19 @@
 CLAIM_RUNS_WHILE_INHERITED = Play("after-seal", ("d3",), pause_at=2000 * MS, pause_for=1500 * MS)
 
 
+# d1 stands still while d0 is killed: both keep the ledger of the member that claims theirs.
+CLAIMANT_WITHOUT_MAJORITY = Play(paused=("d1",), pause_at=700 * MS, pause_for=2500 * MS, start=6, seed=6)
+
+
 @pytest.mark.parametrize("seed", [35, 38, 61])
 def test_a_claim_that_ran_while_it_was_inherited_still_reads_the_ledger(seed: int) -> None:
     # guards against a ledger adopted as empty: its bookings were run again on their clients' retries
     _, violations = run_play(replace(CLAIM_RUNS_WHILE_INHERITED, seed=seed))
     assert not violations
+
+
+@pytest.mark.parametrize("majority_timeout", [250 * MS, 2 * SECOND])
+def test_a_claim_is_recorded_in_the_ledger_that_others_take_over(majority_timeout: int) -> None:
+    # guards against a ledger that nobody takes over, as its claim was recorded where no member looks for it
+    _, violations = run_play(replace(CLAIMANT_WITHOUT_MAJORITY, majority_timeout=majority_timeout))
+    assert not violations
