Count a ledger as lost whose ended claimant's ledger was lost

Callers could see: a booking run again after a take-over, at a member that had closed the ledger which held it.

Cause: where a ledger was claimed by a member that had ended, it was closed once the claimant's own ledger was no longer open here: as taken over with it, though that ledger had been lost, or this member had never heard what had become of it (its own earlier incarnation, for one).

--- a/ironbarrow/fleet/takeover/machine.py
+++ b/ironbarrow/fleet/takeover/machine.py
@@ -957,11 +957,7 @@
         open_ledger.due = now + _CLAIM_RETRY_INTERVAL
         if open_ledger.claimed_by is not None and open_ledger.claimed_by not in self.open_ledgers:
             claimant, open_ledger.claimed_by = open_ledger.claimed_by, None
-            if open_ledger.inherited_from is None:
-                # the claimant's own ledger was taken over, and this claim with it
-                self._close_ledger(
-                    open_ledger.incarnation, LedgerStep.CLOSED_CLAIMANT_TAKEN_OVER, by=claimant
-                )
+            if open_ledger.inherited_from is None and self._has_ended_with(now, open_ledger, claimant):
                 return []
         if open_ledger.claiming or open_ledger.adopting or open_ledger.claimed_by is not None or self.leaving:
             return []
@@ -973,6 +969,21 @@
         # recorded where the jobs go: members that take over this ledger look in no other one for the claim
         return self.ledgers.claim(now, open_ledger.location, self.ledger)
 
+    def _has_ended_with(self, now: int, open_ledger: _OpenLedger, claimant: Incarnation) -> bool:
+        """Whether nothing is left to do for a ledger, as the ledger of its ended claimant is taken over, or
+        lost, or nobody tells what has become of it."""
+        incarnation = open_ledger.incarnation
+        whole = self.taken_over.get(claimant)
+        if whole:  # and this claim with it
+            self._close_ledger(incarnation, LedgerStep.CLOSED_CLAIMANT_TAKEN_OVER, by=claimant)
+            return True
+        if whole is None and open_ledger.tries < _MAX_CLAIM_TRIES:
+            return False
+        self.counts["ledgers lost"] += 1
+        self._close_ledger(incarnation, LedgerStep.LOST_WITH_CLAIMANT, by=claimant)
+        self._remember_taken_over(now, incarnation, False)
+        return True
+
     def _find_open_ledger(self, ledger: str) -> _OpenLedger | None:
         return next((o for o in self.open_ledgers.values() if o.location.ledger == ledger), None)
 
@@ -1148,7 +1159,7 @@
             self._close_ledger(incarnation, LedgerStep.CLOSED_ADOPTED_ELSEWHERE)
         for other in list(self.open_ledgers.values()):
             if other.claimed_by == incarnation and other.inherited_from is None and not other.adopting:
-                self._close_ledger(other.incarnation, LedgerStep.CLOSED_CLAIMANT_TAKEN_OVER, by=incarnation)
+                self._has_ended_with(now, other, incarnation)
 
     def _remember_taken_over(self, now: int, incarnation: Incarnation, whole: bool) -> None:
         self.taken_over[incarnation] = whole
--- a/tests/test_fleet_takeover_faults.py
+++ b/tests/test_fleet_takeover_faults.py
@@ -24,6 +24,8 @@
 
 # d1 stands still while d0 is killed: both keep the ledger of the member that claims theirs.
 CLAIMANT_WITHOUT_MAJORITY = Play(paused=("d1",), pause_at=700 * MS, pause_for=2500 * MS, start=6, seed=6)
+# the claimant of d0's ledger gives its own one up, since a majority of its replicas has ended
+CLAIMANT_LOST = Play(paused=("d1",), pause_at=1200 * MS, pause_for=3500 * MS, start=6, seed=6)
 
 
 @pytest.mark.parametrize("seed", [35, 38, 61])
@@ -38,3 +40,9 @@
     # guards against a ledger that nobody takes over, as its claim was recorded where no member looks for it
     _, violations = run_play(replace(CLAIMANT_WITHOUT_MAJORITY, majority_timeout=majority_timeout))
     assert not violations
+
+
+def test_a_ledger_whose_claimant_is_lost_counts_as_lost() -> None:
+    # guards against bookings run again: the ledger was closed as if it had been taken over by another member
+    _, violations = run_play(CLAIMANT_LOST)
+    assert not violations
