Keep a claimed ledger open when its former writer is seen alive again

Callers could see: a booking run again after a take-over, at a fleet in which nobody held the ledger open.

Cause: a member that knew a ledger to be claimed by one that had ended forgot it when its stopped writer went on, alive for the moment until it learnt that it was fenced. The fenced writer then told no longer where its ledger was, so that its death did not open the ledger again.

A claimed ledger now stays open, and a fenced writer goes on publishing its job ledger. Both tests failed before ('d2 closed the claimed ledger of d1'; an empty card) and pass.

--- a/ironbarrow/fleet/ledgers/machine.py
+++ b/ironbarrow/fleet/ledgers/machine.py
@@ -62,6 +62,7 @@
         self._notices: dict[tuple[Incarnation, str, int, bool], list[Any]] = {}
         self._extra_ledgers = 0  # opened for claim keys
         self._published: tuple[LedgerLocation, ...] = ()
+        self._fenced_location: tuple[LedgerLocation, ...] = ()  # of the job ledger, once another sealed it
 
     # api.Ledgers
 
@@ -250,7 +251,7 @@
             if isinstance(action, Committed):
                 queue += self._on_committed(now, action)
             elif isinstance(action, Fenced):
-                self.writers.pop(action.ledger, None)
+                self._remove_fenced_writer(action.ledger)
                 self._inherited_claims = {
                     k: v for k, v in self._inherited_claims.items() if v[1] != action.ledger
                 }
@@ -259,6 +260,12 @@
                 self._inherit_claims(action)
         return out + self._publish_locations()
 
+    def _remove_fenced_writer(self, ledger: str) -> None:
+        """A job ledger stays published: not all members may have heard of a claimant that then ended."""
+        writer = self.writers.pop(ledger, None)
+        if writer is not None and writer.last_opened is not None and ledger == api.job_ledger(self.me):
+            self._fenced_location = (writer.last_opened,)
+
     def _on_committed(self, now: int, event: Committed) -> list[Action]:
         """Continues what waited for a commit: claims whose keys were written, and releases after a key was
         dropped."""
@@ -311,6 +318,7 @@
         """Publishes to all members where this member's ledgers are, if that has changed."""
         # the last opened segment, so that a ledger can be recovered while it moves to the next one
         at = tuple(w.last_opened for w in self.writers.values() if w.last_opened is not None)
+        at += self._fenced_location
         if at == self._published:
             return []
         self._published = at
--- a/ironbarrow/fleet/takeover/machine.py
+++ b/ironbarrow/fleet/takeover/machine.py
@@ -172,6 +172,11 @@
     adopting: bool = False
     tries: int = 0
 
+    @property
+    def is_untouched(self) -> bool:
+        """Whether no claim of the ledger is known: its member may go on writing it."""
+        return not self.claiming and self.claimed_by is None and self.inherited_from is None
+
 
 class Takeover:
     """The take-over machine of one incarnation; ``inherit`` carries state over to the next one."""
@@ -907,7 +912,7 @@
             return
         if event.member.health not in (Health.DEAD, Health.LEFT):
             open_ledger = self.open_ledgers.get(incarnation)
-            if open_ledger is not None and not open_ledger.claiming and open_ledger.inherited_from is None:
+            if open_ledger is not None and open_ledger.is_untouched:
                 self._close_ledger(incarnation, LedgerStep.CLOSED_MEMBER_ALIVE)
             return
         for lookup in self.lookups.values():
--- a/tests/test_fleet_ledgers.py
+++ b/tests/test_fleet_ledgers.py
@@ -120,6 +120,19 @@
     assert fleet.call("m0", "append", ledger, puts(1))[0] == 0
 
 
+def test_a_fenced_writer_still_tells_where_its_job_ledger_is() -> None:
+    # guards against a ledger that nobody can open again once its claimant has ended before its decision
+    fleet = open_fleet(5)
+    at = fleet.location("m0")
+    fleet.net.pause("m0")
+    fleet.call("m1", "claim", at)
+    fleet.run(100)
+    fleet.net.resume("m0")
+    fleet.run(100)
+    assert fleet.events("m0", Fenced)
+    assert fleet.location("m0") == at
+
+
 def test_a_lost_replica_is_replaced_without_losing_changes() -> None:
     fleet = open_fleet(6)
     ledger, at = job_ledger(fleet, "m0"), fleet.location("m0")
--- a/tests/test_fleet_takeover_faults.py
+++ b/tests/test_fleet_takeover_faults.py
@@ -26,6 +26,16 @@
 CLAIMANT_WITHOUT_MAJORITY = Play(paused=("d1",), pause_at=700 * MS, pause_for=2500 * MS, start=6, seed=6)
 # the claimant of d0's ledger gives its own one up, since a majority of its replicas has ended
 CLAIMANT_LOST = Play(paused=("d1",), pause_at=1200 * MS, pause_for=3500 * MS, start=6, seed=6)
+# d1 stands still, the claimant of its ledger crashes, and d1 goes on
+CLAIMED_MEMBER_RETURNS = Play(
+    "after-seal",
+    ("d1",),
+    pause_at=1600 * MS,
+    pause_for=3500 * MS,
+    majority_timeout=2 * SECOND,
+    start=6,
+    seed=6,
+)
 
 
 @pytest.mark.parametrize("seed", [35, 38, 61])
@@ -46,3 +56,9 @@
     # guards against bookings run again: the ledger was closed as if it had been taken over by another member
     _, violations = run_play(CLAIMANT_LOST)
     assert not violations
+
+
+def test_a_claimed_ledger_stays_open_when_its_member_returns() -> None:
+    # guards against a claimed ledger that a member forgets at the sight of its former writer
+    _, violations = run_play(CLAIMED_MEMBER_RETURNS)
+    assert not violations
