Release no attempt in the tick in which its incarnation gives itself up

Callers could see: a second copy of a job that is served without a majority, sent by a dispatcher whose next incarnation, or another member, starts it too.

Cause: one tick released the attempts whose intents had waited too long, and then ended the incarnation.

The tick now ends the incarnation first; attempts that still wait hear that they are not sent. The test failed before for its three plays and passes.

--- a/ironbarrow/fleet/takeover/machine.py
+++ b/ironbarrow/fleet/takeover/machine.py
@@ -431,13 +431,14 @@
         if late:
             self.no_majority = True
             self.counts["waits without a majority"] += len(late)
-            actions += self._fail_all(now, late)
+        if self.no_majority and not self.fenced:
+            # before late attempts are released: an incarnation that ends here must send none of them
+            actions += self._end_if_replicas_lost(now)
+        actions += self._fail_all(now, late)
         while self._answer_expiries and (
             self._answer_expiries[0][0] <= now or len(self._answer_expiries) > _MAX_LEDGER_ANSWERS
         ):
             self._add_change(drop_answer(self._answer_expiries.popleft()[1]))
-        if self.no_majority and not self.fenced:
-            actions += self._end_if_replicas_lost(now)
         waiting = [] if self.fenced else list(self.lookups.values())
         for lookup in [w for w in waiting if min(w.next_at, self._lookup_deadline(w)) <= now]:
             if self.lookups.get(lookup.record.id) is lookup:
--- a/tests/test_fleet_takeover_faults.py
+++ b/tests/test_fleet_takeover_faults.py
@@ -62,3 +62,17 @@
     # guards against a claimed ledger that a member forgets at the sight of its former writer
     _, violations = run_play(CLAIMED_MEMBER_RETURNS)
     assert not violations
+
+
+@pytest.mark.parametrize(
+    "play",
+    [
+        Play("before-claim", ("d2", "d3"), 1600 * MS, 2500 * MS, 2 * SECOND, start=6, seed=6),
+        Play("before-claim", ("d3", "d4"), 2000 * MS, 2500 * MS, 2 * SECOND, start=6, seed=6),
+        Play("after-seal", ("d3",), 1200 * MS, 3500 * MS, 2 * SECOND, start=6, seed=6),
+    ],
+)
+def test_an_ended_incarnation_sends_no_attempt(play: Play) -> None:
+    # guards against attempts released in the tick in which their incarnation gives itself up
+    _, violations = run_play(play)
+    assert not violations
