Fail a booking that nobody knows where no member has followed the fleet for long

Cause: the new incarnations ask each other for a booking that comes again. None knows it nor an open ledger, since every process that knew has ended; that was taken for 'nobody has it'.

Each answer to such a question now says for how long its sender has known of every member's end (a duration, a new last field with a default). Where no member of a round has followed the fleet for keep_for, a booking that nobody knows is failed, as after the loss of a ledger. A process that was stopped does not count for a second. Readiness shows followed= until then, the log the reason of each such answer. The price: for keep_for after the start of a whole fleet, a booking that comes again and that nobody knows is failed instead of run.

--- a/ironbarrow/fleet/takeover/adapter.py
+++ b/ironbarrow/fleet/takeover/adapter.py
@@ -227,10 +227,14 @@
         machine = self.machine
         state = "leaving" if machine.leaving else "no majority" if machine.no_majority else "majority"
         turned_away = ",".join(sorted(machine.rules.turn_away)) if machine.no_majority else ""
-        return (
+        text = (
             f"{state}; turned-away={turned_away or '-'}; members={len(machine.members.alive())}; "
             f"taking-over={len(machine.open_ledgers)}; lost={machine.counts['ledgers lost']}"
         )
+        followed = machine.followed(self._clock.now())
+        if followed >= machine.rules.answer_retention:
+            return text
+        return f"{text}; followed={followed // SECOND}s"
 
     @property
     def unanswered(self) -> int:
--- a/ironbarrow/fleet/takeover/lookup_rules.py
+++ b/ironbarrow/fleet/takeover/lookup_rules.py
@@ -1,7 +1,8 @@
 """Rules of lookups: when a job that a client has sent again may be started here. Does no input or output.
 
 A booking must not be started while any ledger that may hold its id is neither adopted nor known to be lost.
-Once one is lost, an id that no member knows counts as possibly run, for as long as answers are kept.
+Once one is lost, an id that no member knows counts as possibly run, for as long as answers are kept. The same
+holds where no member has followed the fleet for that long: all that knew of an earlier ledger may have ended.
 """
 
 import enum
@@ -16,6 +17,7 @@
 
     START = "start the job"
     ANSWER_NOT_FOUND = "no member knows it, and it may have run"
+    ANSWER_HISTORY_UNKNOWN = "no member has followed the fleet for long enough to know it"
     WAIT_NEXT_INCARNATION = "this incarnation has ended"
     WAIT_HOLDER = "a member owns it"
     WAIT_CANCELLATION = "an attempt of it is being cancelled here"
@@ -38,6 +40,7 @@
     settled: bool  # this member has run long enough to know all others
     unanswered: Collection[Incarnation]  # live members that have not answered in this round
     lost: bool  # a member of this round knows of a lost ledger
+    history_known: bool  # a member of this round has followed the fleet for as long as answers are kept
     sent_before: bool  # an earlier incarnation of this process may have sent it
 
 
@@ -59,4 +62,6 @@
         return LookupDecision.WAIT_ANSWERS
     if evidence.sent_before or (evidence.lost and not evidence.safe):
         return LookupDecision.ANSWER_NOT_FOUND
+    if not evidence.history_known and not evidence.safe:
+        return LookupDecision.ANSWER_HISTORY_UNKNOWN
     return LookupDecision.START
--- a/ironbarrow/fleet/takeover/machine.py
+++ b/ironbarrow/fleet/takeover/machine.py
@@ -93,7 +93,9 @@
 # bytes; a longer result is not stored in the ledger: after a take-over a retry of its job gets "failed"
 _MAX_LEDGER_RESULT_BYTES = 4096
 _SAFE_LOOKUP_LIMIT = 5 * SECOND  # longest lookup of a safe job; half of its remaining time if that is shorter
-_SETTLING_TIME = 1 * SECOND  # after its start a member may not know all other members yet
+_SETTLING_TIME = 1 * SECOND  # after its start or a stop a member may not know all other members yet
+_ACTIVITY_INTERVAL = 250 * MS  # between two signs that this process runs
+_LONGEST_STALL = 500 * MS  # without such a sign it was stopped, and may not know who has ended meanwhile
 _MAX_REMOTE_WAITERS = 64  # members per job that are sent its answer without asking again
 _NOTICE_DELAYS = (200 * MS, 1 * SECOND, 3 * SECOND)  # a TakeoverNotice is repeated, as messages may be lost
 _CLAIM_RETRY_INTERVAL = 1 * SECOND  # between two checks of a claim that has not ended
@@ -184,11 +186,21 @@
     handles: tuple[type[Message], ...] = KINDS
 
     def __init__(
-        self, now: int, me: Incarnation, members: Members, ledgers: Ledgers, rules: TakeoverRules
+        self,
+        now: int,
+        me: Incarnation,
+        members: Members,
+        ledgers: Ledgers,
+        rules: TakeoverRules,
+        followed_since: int | None = None,
     ) -> None:
+        """``followed_since``: ns, since when this process has known of every member's end; None: ``now``."""
         self.me, self.members, self.ledgers, self.rules = me, members, ledgers, rules
         self.ledger = job_ledger(me)
         self.started_at = now
+        self.followed_since = now if followed_since is None else followed_since
+        self._settled_at = now + _SETTLING_TIME
+        self._last_active = now
         self.fenced = False
         self.no_majority = False  # no majority of the own ledger's replicas answers
         self.committed_seq = 0  # appends up to this number are stored at a majority
@@ -227,6 +239,7 @@
         those that may have been sent from here are not started again."""
         self.answers, self.disclaimed, self.counts = earlier.answers, earlier.disclaimed, earlier.counts
         self._lost_until, self.taken_over = earlier._lost_until, earlier.taken_over
+        self.followed_since = earlier.followed_since
         actions: list[Action] = []
         for lookup in earlier.lookups.values():
             lookup.holder = None
@@ -391,6 +404,16 @@
         self._attempt_commits.clear()
         return actions + self.flush(now)
 
+    def followed(self, now: int) -> int:
+        """ns for which this process has known of every member's end; 0 while it may have missed some."""
+        return now - self.followed_since if now >= self._settled_at else 0
+
+    def _note_activity(self, now: int) -> None:
+        """Detects that this process was stopped: it may not know yet which members have ended meanwhile."""
+        if now - self._last_active > _LONGEST_STALL:
+            self._settled_at = now + _SETTLING_TIME
+        self._last_active = now
+
     @property
     def has_unflushed(self) -> bool:
         """Whether ``flush`` has changes to append."""
@@ -421,6 +444,7 @@
 
     def ticked(self, now: int) -> list[Action]:
         """Fails late commits, repeats queries and notices, and claims the ledgers whose time has come."""
+        self._note_activity(now)
         actions: list[Action] = []
         late = [c for _, commits in self._commits for c in commits if c.deadline <= now and not c.resolved]
         if late and now - late[0].deadline > self.rules.majority_timeout:
@@ -452,7 +476,8 @@
 
     def next_at(self) -> int:
         """When ``ticked`` is due next, ns; NEVER if nothing is planned."""
-        times = [c.deadline for _, commits in self._commits for c in commits if not c.resolved]
+        times = [self._last_active + _ACTIVITY_INTERVAL]
+        times += [c.deadline for _, commits in self._commits for c in commits if not c.resolved]
         times += [min(a.next_at, self._lookup_deadline(a)) for a in self.lookups.values() if not self.fenced]
         times += [o.due for o in self.open_ledgers.values()]
         times += [due for due, _, _ in self._notices]
@@ -464,6 +489,7 @@
 
     def received(self, now: int, sender: Incarnation, message: Message) -> list[Action]:
         """Handles a message from another member."""
+        self._note_activity(now)
         actions: list[Action] = []
         if isinstance(message, JobQuery):
             actions = self._on_query(now, sender, message)
@@ -479,6 +505,7 @@
 
     def on_event(self, now: int, event: FleetEvent) -> list[Action]:
         """Handles an event of this member's other machines: its ledgers and its list of members."""
+        self._note_activity(now)
         actions: list[Action] = []
         if isinstance(event, Committed):
             if event.ledger == self.ledger:
@@ -800,9 +827,10 @@
             cancelling=lookup.record.id in self.cancelling,
             open_here=self.open_ledgers.keys(),
             open_elsewhere=not lookup.no_open_ledger,
-            settled=now >= self.started_at + _SETTLING_TIME,
+            settled=now >= self._settled_at,
             unanswered=[incarnation for incarnation in others if incarnation not in lookup.answered],
             lost=lookup.may_be_lost or self._has_lost_ledgers(now),
+            history_known=max(lookup.longest_followed, self.followed(now)) >= self.rules.answer_retention,
             sent_before=not lookup.may_take,
         )
 
@@ -812,7 +840,7 @@
         if lookup.decision is LookupDecision.START:
             self.counts["repeats taken"] += 1
             return self._take_looked_up(now, lookup)
-        if lookup.decision is LookupDecision.ANSWER_NOT_FOUND:
+        if lookup.decision in (LookupDecision.ANSWER_NOT_FOUND, LookupDecision.ANSWER_HISTORY_UNKNOWN):
             # it may have ended long ago, or have been in a ledger that was lost
             self.counts["not found"] += 1
             return self._end_lookup(now, lookup, self._refusal() if lookup.safe else _FAILED_ANSWER)
@@ -859,6 +887,7 @@
             answer.retry_after if answer is not None else 0,
             (*self.open_ledgers, *((self.me,) if query.id in self.cancelling else ())),
             tuple(self._lost_until) if self._has_lost_ledgers(now) else (),
+            self.followed(now),
         )
         return [*actions, Send(sender, reply)]
 
@@ -884,6 +913,8 @@
         lookup.answered.add(sender)
         lookup.no_open_ledger = lookup.no_open_ledger and not reply.open_incarnations
         lookup.may_be_lost = lookup.may_be_lost or bool(reply.lost_incarnations)
+        followed = self.rules.answer_retention if reply.followed is None else reply.followed
+        lookup.longest_followed = max(lookup.longest_followed, followed)
         return self._decide(now, lookup)
 
     def _drop_lookup(self, lookup: JobLookup) -> None:
--- a/ironbarrow/fleet/takeover/messages.py
+++ b/ironbarrow/fleet/takeover/messages.py
@@ -27,7 +27,8 @@
     """What the sender knows of a job; ``verdict``, ``result`` and ``retry_after`` (ns) if it has ended.
 
     ``open_incarnations``: ended ones whose ledgers are not known to be taken over yet. ``lost_incarnations``:
-    ended ones whose ledgers no majority of replicas remembers, so that some of their jobs may be unknown."""
+    ended ones whose ledgers no majority of replicas remembers, so that some of their jobs may be unknown.
+    ``followed``: ns for which the sender has known of every member's end; None: its version does not tell."""
 
     KIND = 41
     id: str
@@ -38,6 +39,7 @@
     retry_after: int = 0
     open_incarnations: tuple[Incarnation, ...] = ()
     lost_incarnations: tuple[Incarnation, ...] = ()
+    followed: int | None = None
 
 
 class JobAnswer(Message, frozen=True, array_like=True):
--- a/ironbarrow/lab/fleet/takeover_simulation.py
+++ b/ironbarrow/lab/fleet/takeover_simulation.py
@@ -248,6 +248,7 @@
         start: int = EPOCH,
     ) -> None:
         """``start``: Unix ns; ranks of claimants and replicas follow from the start times of incarnations."""
+        self._start = start
         self.clock, self.random = SimulatedClock(start), random.Random(seed)
         kinds = (*MemberMachine.handles, *LedgerMachine.handles, *Takeover.handles)
         self.net = SimulatedNet(self.clock, Codec(kinds), seed)
@@ -300,7 +301,9 @@
             partial(self._on_fault_point, peer),
             partial(self._on_step, peer.name),
         )
-        machine = Takeover(now, node.incarnation, members, ledgers, rules)
+        # the dispatchers that a world begins with have followed their fleet for long
+        followed_since = now - rules.answer_retention if now == self._start else None
+        machine = Takeover(now, node.incarnation, members, ledgers, rules, followed_since)
         adapter.machine = machine
         node.add((members, ledgers, machine))
         peer.on_event = adapter.on_event
--- a/ironbarrow/lab/fleet/takeover_sweep.py
+++ b/ironbarrow/lab/fleet/takeover_sweep.py
@@ -55,6 +55,7 @@
     seed: int = 1
     killed: tuple[str, ...] = ("d0",)
     kill_interval: int = 0  # between two of the kills
+    down_time: int = _DOWN_TIME  # of a killed dispatcher
 
 
 @dataclass(slots=True)
@@ -134,7 +135,7 @@
     for number, name in enumerate(play.killed):
         killed_at = begin + _KILLED_AT + number * play.kill_interval
         later(killed_at, world.kill, name)
-        later(killed_at + _DOWN_TIME, world.restart, name)
+        later(killed_at + play.down_time, world.restart, name)
     for name in play.paused:
         later(begin + play.pause_at, world.net.pause, name)
         later(begin + play.pause_at + play.pause_for, world.resume, name)
--- a/tests/test_fleet_lookups.py
+++ b/tests/test_fleet_lookups.py
@@ -9,8 +9,10 @@
 from ironbarrow.core.event_log import EventLog
 from ironbarrow.core.jobs import Verdict
 from ironbarrow.fleet.api import Incarnation
+from ironbarrow.fleet.invariants import INVARIANTS, InvariantError
 from ironbarrow.fleet.takeover.adapter import log_steps
 from ironbarrow.fleet.takeover.lookup_rules import LookupDecision, LookupEvidence, decide
+from ironbarrow.fleet.takeover.machine import Takeover
 from ironbarrow.fleet.takeover.steps import LedgerReport, LedgerStep, LookupReport, StepReport
 from ironbarrow.lab.fleet.random_takeovers import SETTINGS
 from ironbarrow.lab.fleet.takeover_simulation import TakeoverSimulation, ms
@@ -27,6 +29,7 @@
     settled=True,
     unanswered=(),
     lost=False,
+    history_known=True,
     sent_before=False,
 )
 INCARNATIONS = st.sampled_from(((), (ENDED,)))
@@ -41,6 +44,7 @@
     settled=st.booleans(),
     unanswered=INCARNATIONS,
     lost=st.booleans(),
+    history_known=st.booleans(),
     sent_before=st.booleans(),
 )
 
@@ -52,9 +56,11 @@
     if decision is LookupDecision.START:
         assert not (evidence.open_here or evidence.open_elsewhere or evidence.unanswered)
         assert evidence.settled and not (evidence.fenced or evidence.has_holder or evidence.cancelling)
-        assert not evidence.sent_before and (evidence.safe or not evidence.lost)
+        assert not evidence.sent_before
+        assert evidence.safe or (evidence.history_known and not evidence.lost)
     if decision is LookupDecision.ANSWER_NOT_FOUND:
-        assert decide(replace(evidence, lost=False, sent_before=False)) is LookupDecision.START
+        known = replace(evidence, lost=False, history_known=True, sent_before=False)
+        assert decide(known) is LookupDecision.START
 
 
 @pytest.mark.parametrize(
@@ -66,6 +72,9 @@
         ({"unanswered": (ENDED,)}, LookupDecision.WAIT_ANSWERS),
         ({"lost": True}, LookupDecision.ANSWER_NOT_FOUND),
         ({"lost": True, "safe": True}, LookupDecision.START),
+        ({"history_known": False}, LookupDecision.ANSWER_HISTORY_UNKNOWN),
+        ({"history_known": False, "safe": True}, LookupDecision.START),
+        ({"history_known": False, "open_here": (ENDED,)}, LookupDecision.WAIT_OPEN_LEDGER_HERE),
         ({"sent_before": True, "safe": True}, LookupDecision.ANSWER_NOT_FOUND),
     ],
 )
@@ -97,3 +106,18 @@
     observe(LedgerReport(ENDED, LedgerStep.SEALED, records=3, whole=True))
     observe(LookupReport("j", "started", LookupDecision.START.value, rounds=2, waited=5))
     assert events.totals() == {"ledger step: sealed": 1, "lookup ended: started": 1}
+
+
+def test_the_invariant_detects_a_booking_started_while_a_ledger_is_open(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(Takeover, "_decide", Takeover._take_looked_up)
+    monkeypatch.setattr(INVARIANTS, "fatal", True)
+    world = TakeoverSimulation(SETTINGS, 5, seed=1, workers=8)
+    world.run(ms(1500))
+    world.service_times = (ms(3000), ms(3000))
+    world.submit("j", "book", ms(9000), "d0")
+    world.run(ms(300))
+    world.kill("d0")
+    with pytest.raises(InvariantError, match="ledgers accounted for"):
+        world.run(ms(4000))
--- a/tests/test_fleet_takeover_faults.py
+++ b/tests/test_fleet_takeover_faults.py
@@ -6,7 +6,7 @@
 import pytest
 
 from ironbarrow.fleet.invariants import INVARIANTS
-from ironbarrow.lab.fleet.takeover_sweep import Play, run_play
+from ironbarrow.lab.fleet.takeover_sweep import DISPATCHERS, Play, run_play
 from ironbarrow.runtime.clock import MS, SECOND
 
 
@@ -76,3 +76,14 @@
     # guards against attempts released in the tick in which their incarnation gives itself up
     _, violations = run_play(play)
     assert not violations
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("kill_interval", [0, 100 * MS, 200 * MS, 375 * MS])
+@pytest.mark.parametrize("down_time", [300 * MS, 1000 * MS, 3000 * MS])
+def test_a_fleet_killed_at_once_runs_no_booking_twice(seed: int, kill_interval: int, down_time: int) -> None:
+    # guards against bookings run again where nobody is left who knows what was owed
+    play = Play(killed=DISPATCHERS, kill_interval=kill_interval, down_time=down_time, seed=seed)
+    world, violations = run_play(play)
+    assert not [text for text in violations if "forgotten" not in text]
+    assert sum(answer is not None for r in world.requests.values() for answer in r.answers) > 60
