--- a/ironbarrow/fleet/takeover/adapter.py
+++ b/ironbarrow/fleet/takeover/adapter.py
@@ -33,7 +33,8 @@
     Superseded,
     WithdrawJob,
 )
-from ironbarrow.fleet.takeover.machine import Takeover, TakeoverRules
+from ironbarrow.fleet.takeover.machine import Takeover
+from ironbarrow.fleet.takeover.state import TakeoverRules
 from ironbarrow.fleet.takeover.steps import LedgerReport, StepObserver, StepReport, ignore_steps
 from ironbarrow.handover.pending import PendingJob, PendingJobs
 from ironbarrow.handover.records import Record
--- a/ironbarrow/fleet/takeover/machine.py
+++ b/ironbarrow/fleet/takeover/machine.py
@@ -7,8 +7,7 @@
 """
 
 from collections import Counter, OrderedDict, deque
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from collections.abc import Iterable
 
 import msgspec
 
@@ -79,13 +78,14 @@
     TakeoverNotice,
 )
 from ironbarrow.fleet.takeover.recovery import CLAIM_STAGGER, RecoveryAction, claim_position
-from ironbarrow.fleet.takeover.steps import (
-    LedgerReport,
-    LedgerStep,
-    LookupReport,
-    StepObserver,
-    ignore_steps,
+from ironbarrow.fleet.takeover.state import (
+    OpenLedger,
+    OwnedJob,
+    PendingCommit,
+    TakeoverRules,
+    incarnation_of,
 )
+from ironbarrow.fleet.takeover.steps import LedgerReport, LedgerStep, LookupReport
 from ironbarrow.runtime.clock import MS, SECOND
 
 LEDGER_ANSWER_RETENTION = 10 * SECOND  # how long the answer of a booking stays in the ledger after its end
@@ -112,74 +112,6 @@
 _FAILED_ANSWER = Answer(Verdict.FAILED)
 
 
-@dataclass(frozen=True, slots=True)
-class TakeoverRules:
-    """Settings of the machine. Times in ns."""
-
-    safe: dict[str, bool]  # by job class: whether a job may run twice
-    turn_away: frozenset[str]  # job classes that are not served without a majority of the ledger's replicas
-    most_attempts: int
-    majority_timeout: int
-    answer_retention: int
-    max_answers: int
-    retry_after: int = 0
-    query_all: bool = False  # look up every new booking at all members, not only those marked as retries
-    on_fault_point: Callable[[str], None] | None = None  # called at the points named in ``faults``
-    observe: StepObserver = ignore_steps  # told of each step of take-overs and lookups
-
-
-@dataclass(slots=True, eq=False)
-class OwnedJob:
-    """A job that this member has to answer."""
-
-    record: JobRecord
-    safe: bool
-    waiters: list[object]
-    remote_waiters: dict[Incarnation, None] = field(default_factory=dict)
-    adopted: bool = False
-    intent_commit: "_PendingCommit | None" = None  # of the current attempt's intent
-    unprotected: bool = False  # its attempt is sent although the intent is not committed
-    attempt_may_have_run: bool = False
-    refusal_pending: bool = False  # its refusal is not committed yet
-    ended: bool = False
-
-
-@dataclass(slots=True, eq=False)
-class _PendingCommit:
-    """Callbacks that wait until an append is committed at a majority of the replicas.
-
-    ``attempt``: the attempt whose intent is appended, if any."""
-
-    deadline: int
-    on_commit: Callable[[int], list[Action]]
-    on_failure: Callable[[int], list[Action]]
-    attempt: object = None
-    resolved: bool = False
-    extended: bool = False  # the deadline was extended once, after a stop of this process
-    seq: int = NEVER  # number of the append that has to be committed
-
-
-@dataclass(slots=True, eq=False)
-class _OpenLedger:
-    """The ledger of an ended incarnation, while it is not known to be taken over."""
-
-    incarnation: Incarnation
-    location: LedgerLocation
-    since: int
-    due: int
-    claimed_by: Incarnation | None = None  # the member that has claimed it, and has ended too
-    claiming: bool = False
-    # set if the claim was found in the ledger of that incarnation, which this member has taken over
-    inherited_from: Incarnation | None = None
-    adopting: bool = False
-    tries: int = 0
-
-    @property
-    def is_untouched(self) -> bool:
-        """Whether no claim of the ledger is known: its member may go on writing it."""
-        return not self.claiming and self.claimed_by is None and self.inherited_from is None
-
-
 class Takeover:
     """The take-over machine of one incarnation; ``inherit`` carries state over to the next one."""
 
@@ -209,15 +141,15 @@
         self.lookups: dict[str, JobLookup] = {}  # by job id
         self.answers = AnswerCache(rules.answer_retention, rules.max_answers)
         self.disclaimed = DisclaimedIds(rules.answer_retention)
-        self.open_ledgers: dict[Incarnation, _OpenLedger] = {}
-        self.unfinished_ledgers: list[_OpenLedger] = []  # left by this incarnation when it was fenced
+        self.open_ledgers: dict[Incarnation, OpenLedger] = {}
+        self.unfinished_ledgers: list[OpenLedger] = []  # left by this incarnation when it was fenced
         # ended incarnations whose ledgers are taken over, and whether each ledger was read completely
         self.taken_over: OrderedDict[Incarnation, bool] = OrderedDict()
         self.counts: Counter[str] = Counter()
         self._changes: dict[str, Change] = {}
-        self._pending: list[_PendingCommit] = []  # of changes that are not appended yet
-        self._commits: deque[tuple[int, list[_PendingCommit]]] = deque()  # of appends, by number
-        self._attempt_commits: dict[object, _PendingCommit] = {}  # of intents, by attempt
+        self._pending: list[PendingCommit] = []  # of changes that are not appended yet
+        self._commits: deque[tuple[int, list[PendingCommit]]] = deque()  # of appends, by number
+        self._attempt_commits: dict[object, PendingCommit] = {}  # of intents, by attempt
         self.cancelling: set[str] = set()  # ids of jobs being cancelled as their clients have disconnected
         self._next_majority_check = now
         self._majority_gone_since = NEVER
@@ -293,7 +225,7 @@
         if job.record.attempts > self.rules.most_attempts:
             job.record = old
             return [AttemptDecision(attempt, False)]
-        commit = _PendingCommit(
+        commit = PendingCommit(
             now + self.rules.majority_timeout,
             lambda later: self._release_attempt(later, job, attempt, committed=True),
             lambda later: self._intent_failed(later, job, attempt),
@@ -343,7 +275,7 @@
         self._fault_point("before-refusal")
         job.refusal_pending = True
         job.record = msgspec.structs.replace(job.record, stage=Stage.REFUSED)
-        commit = _PendingCommit(
+        commit = PendingCommit(
             now + self.rules.majority_timeout,
             lambda later: self._refusal_committed(later, job, answer),
             lambda later: self._finish(later, job, _FAILED_ANSWER),
@@ -540,7 +472,7 @@
         if self.rules.on_fault_point is not None:
             self.rules.on_fault_point(point)
 
-    def _add_change(self, change: Change, commit: _PendingCommit | None = None) -> None:
+    def _add_change(self, change: Change, commit: PendingCommit | None = None) -> None:
         # A later change of a key replaces the earlier one and moves to the end of the append: left in the
         # earlier place it would overtake changes that were made before it.
         self._changes.pop(change.key, None)
@@ -666,13 +598,13 @@
                     actions += commit.on_commit(now)
         return actions
 
-    def _fail(self, now: int, commit: _PendingCommit) -> list[Action]:
+    def _fail(self, now: int, commit: PendingCommit) -> list[Action]:
         if commit.resolved:
             return []
         commit.resolved = True
         return commit.on_failure(now)
 
-    def _fail_all(self, now: int, commits: Iterable[_PendingCommit]) -> list[Action]:
+    def _fail_all(self, now: int, commits: Iterable[PendingCommit]) -> list[Action]:
         return [action for commit in commits for action in self._fail(now, commit)]
 
     def supersede(self, now: int) -> list[Action]:
@@ -965,7 +897,7 @@
     ) -> None:
         names = [m.card.incarnation.name for m in self.members.alive()]
         position = 0 if inherited_from is not None else claim_position(at.ledger, self.me.name, names)
-        self.open_ledgers[incarnation] = _OpenLedger(
+        self.open_ledgers[incarnation] = OpenLedger(
             incarnation, at, now, now + position * CLAIM_STAGGER, inherited_from=inherited_from
         )
         step = LedgerStep.OPENED if inherited_from is None else LedgerStep.INHERITED
@@ -989,7 +921,7 @@
         del self.open_ledgers[incarnation]
         self._report_ledger(incarnation, reason, by=by)
 
-    def _claim(self, now: int, open_ledger: _OpenLedger) -> list[Action]:
+    def _claim(self, now: int, open_ledger: OpenLedger) -> list[Action]:
         """Claims a ledger, unless another member has it: records the claim, then seals the ledger."""
         open_ledger.due = now + _CLAIM_RETRY_INTERVAL
         if open_ledger.claimed_by is not None and open_ledger.claimed_by not in self.open_ledgers:
@@ -1006,7 +938,7 @@
         # recorded where the jobs go: members that take over this ledger look in no other one for the claim
         return self.ledgers.claim(now, open_ledger.location, self.ledger)
 
-    def _has_ended_with(self, now: int, open_ledger: _OpenLedger, claimant: Incarnation) -> bool:
+    def _has_ended_with(self, now: int, open_ledger: OpenLedger, claimant: Incarnation) -> bool:
         """Whether nothing is left to do for a ledger, as the ledger of its ended claimant is taken over, or
         lost, or nobody tells what has become of it."""
         incarnation = open_ledger.incarnation
@@ -1021,7 +953,7 @@
         self._remember_taken_over(now, incarnation, False)
         return True
 
-    def _find_open_ledger(self, ledger: str) -> _OpenLedger | None:
+    def _find_open_ledger(self, ledger: str) -> OpenLedger | None:
         return next((o for o in self.open_ledgers.values() if o.location.ledger == ledger), None)
 
     def _on_claim_failed(self, now: int, event: ClaimFailed) -> list[Action]:
@@ -1063,7 +995,7 @@
             self._report_ledger(open_ledger.incarnation, LedgerStep.CLAIMED_BY_ENDED, by=event.by)
         return []
 
-    def _on_inherited_claim_failed(self, now: int, open_ledger: _OpenLedger) -> list[Action]:
+    def _on_inherited_claim_failed(self, now: int, open_ledger: OpenLedger) -> list[Action]:
         """A claim has found the ledger to be owned by the member whose ledger was taken over here.
 
         It was begun before that take-over, so it did not continue that member's claim and read nothing."""
@@ -1106,7 +1038,7 @@
 
         # last in the append: a member that reads only a part of it still finds the claim
         if whole:
-            self._add_change(drop_claim(ledger), _PendingCommit(NEVER, start_adopted, lambda later: []))
+            self._add_change(drop_claim(ledger), PendingCommit(NEVER, start_adopted, lambda later: []))
             actions = self.flush(now)
             self._report_ledger(open_ledger.incarnation, LedgerStep.COPIED, by=self.me)
             return actions
@@ -1118,7 +1050,7 @@
     def _start_adopted(
         self,
         now: int,
-        open_ledger: _OpenLedger,
+        open_ledger: OpenLedger,
         records: list[JobRecord],
         answer_records: list[AnswerRecord],
         inherited_claims: list[LedgerLocation],
@@ -1139,7 +1071,7 @@
             actions += self._adopt_job(now, record, whole=whole)
         del self.open_ledgers[incarnation]
         for at in inherited_claims:
-            other = _incarnation_of(at.ledger)
+            other = incarnation_of(at.ledger)
             if other is None or other == self.me:
                 continue
             # The incarnation taken over here had won the claim of this ledger, so the ledger was remembered
@@ -1204,11 +1136,3 @@
             self._lost_until[incarnation] = now + self.rules.answer_retention
         while len(self.taken_over) > _MAX_REMEMBERED:
             self.taken_over.popitem(last=False)
-
-
-def _incarnation_of(ledger: str) -> Incarnation | None:
-    """The incarnation whose jobs are in a ledger of that name; None for another kind of ledger."""
-    name, _, start = ledger.removeprefix("jobs/").rpartition("/")
-    if not ledger.startswith("jobs/") or not name or not start.isdigit():
-        return None
-    return Incarnation(name, int(start))
