--- a/ironbarrow/core/jobs.py
+++ b/ironbarrow/core/jobs.py
@@ -7,7 +7,9 @@
 
 from heathway import api
 from ironbarrow.core.attempt import Observation, Progress, proves_end
-from ironbarrow.runtime.clock import Timer
+from ironbarrow.runtime.clock import MS, Timer
+
+_DEFAULT_RETRY_AFTER = 200 * MS
 
 
 class Verdict(Enum):
@@ -27,6 +29,11 @@
     retry_after: int = 0
 
 
+def default_retry_after(settings: api.Settings) -> int:
+    """The pause (ns) that a refusal names where the decisions name none; 0 if refusals name none here."""
+    return min(_DEFAULT_RETRY_AFTER, settings.max_retry_after) if settings.gives_retry_after else 0
+
+
 @dataclass(frozen=True, slots=True)
 class Payload:
     """The part of a request that is passed on to a worker unchanged. The host reads only the id."""
--- a/ironbarrow/fleet/takeover/adapter.py
+++ b/ironbarrow/fleet/takeover/adapter.py
@@ -16,7 +16,16 @@
 from ironbarrow.core.endings import Ending
 from ironbarrow.core.event_log import EventLog
 from ironbarrow.core.host import Host, Invoker
-from ironbarrow.core.jobs import Answer, Attempt, Job, JobLimiter, JobOptions, Payload, Verdict
+from ironbarrow.core.jobs import (
+    Answer,
+    Attempt,
+    Job,
+    JobLimiter,
+    JobOptions,
+    Payload,
+    Verdict,
+    default_retry_after,
+)
 from ironbarrow.fleet.api import Action, FleetEvent
 from ironbarrow.fleet.file import Fleet
 from ironbarrow.fleet.invariants import check
@@ -95,7 +104,7 @@
         majority_timeout=fleet.ledgers.wait,
         answer_retention=fleet.answers.keep_for,
         max_answers=fleet.answers.most,
-        retry_after=min(200 * MS, settings.max_retry_after) if settings.gives_retry_after else 0,
+        retry_after=default_retry_after(settings),
         query_all=fleet.answers.ask == "all",
         on_fault_point=on_fault_point,
         observe=observe,
@@ -140,7 +149,7 @@
         self._clock, self._host, self._invoker, self._carry_out = clock, host, invoker, carry_out
         self._classes = {cls.name: cls for cls in host.settings.classes}
         settings = host.settings
-        retry_after = min(200 * MS, settings.max_retry_after) if settings.gives_retry_after else 0
+        retry_after = default_retry_after(settings)
         self.pending_jobs = PendingJobs(
             settings.max_attempts,
             retry_after,
--- a/ironbarrow/handover/upgrade.py
+++ b/ironbarrow/handover/upgrade.py
@@ -11,7 +11,7 @@
 
 from heathway import api
 from ironbarrow.core.host import Host
-from ironbarrow.core.jobs import Answer, Attempt, Job, JobOptions, Payload
+from ironbarrow.core.jobs import Answer, Attempt, Job, JobOptions, Payload, default_retry_after
 from ironbarrow.handover import records
 from ironbarrow.handover.channel import Channel
 from ironbarrow.handover.pending import PendingJob, PendingJobs
@@ -82,7 +82,7 @@
         host_settings = host.settings
         self._safe = {cls.name: cls.effect is api.Effect.SAFE for cls in host_settings.classes}
         self._classes = {cls.name: cls for cls in host_settings.classes}
-        retry_after = min(200 * MS, host_settings.max_retry_after) if host_settings.gives_retry_after else 0
+        retry_after = default_retry_after(host_settings)
         self.pending = PendingJobs(host_settings.max_attempts, retry_after)
         self.successor: str | None = None
         self._adopted: dict[str, _AdoptedJob] = {}  # by id
