End the process right after it has logged that it stopped

Cause: the interpreter's own clean-up came after that line.

serve() now flushes its two streams and ends the process there. Nothing else is left: sockets and the loop are closed before the line, and there are no threads.

--- a/ironbarrow/cli/serve.py
+++ b/ironbarrow/cli/serve.py
@@ -3,9 +3,10 @@
 import os
 import signal
 import sys
+from contextlib import suppress
 from functools import partial
 from types import ModuleType
-from typing import TextIO, cast
+from typing import NoReturn, TextIO, cast
 
 _SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
@@ -30,7 +31,8 @@
 
 
 def serve() -> int:
-    """Serves until SIGTERM, configured by the environment. Returns the exit status."""
+    """Serves until SIGTERM, configured by the environment, and then ends the process with status 0. Returns
+    the exit status if it can't start."""
     # A signal to stop or to reload during the start must neither be lost nor end the program, which would
     # reset the connections that the kernel has accepted for the listener.
     signal.pthread_sigmask(signal.SIG_BLOCK, _SIGNALS)
@@ -63,10 +65,18 @@
     dispatcher.stop_on_signals()
     dispatcher.reload_on_signal(partial(load, os.environ, prefer_file=True))
     dispatcher.run()
-    # Python removes its signal handlers before the process exits. A second signal to stop would then end it
-    # with a status other than 0.
-    signal.pthread_sigmask(signal.SIG_BLOCK, _SIGNALS)
-    return 0
+    return _end_process()
+
+
+def _end_process() -> NoReturn:
+    """Ends the process with status 0, without the clean-up of the interpreter.
+
+    SIGKILL may come soon after the last answer, and that clean-up takes long on a busy machine. During it a
+    second signal would also end the process with another status, as its handlers are removed by then."""
+    for stream in (sys.stdout, sys.stderr):
+        with suppress(OSError, ValueError):
+            stream.flush()
+    os._exit(0)
 
 
 def _import_structlog() -> ModuleType:
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -446,6 +446,15 @@
         log_until_exit(process)
 
 
+def test_nothing_is_left_to_do_after_stopped_is_logged(tmp_path: Path) -> None:
+    # guards against a process that SIGKILL still finds, in the clean-up of the interpreter, after its end
+    before = 'import atexit\natexit.register(os.write, 2, b"clean-up of the interpreter")\n'
+    with serve_process(tmp_path, before) as process:
+        wait_for_log(process, '"serving"')
+        process.send_signal(signal.SIGTERM)
+        assert "clean-up" not in log_until_exit(process)
+
+
 def test_a_log_without_a_reader_does_not_change_the_exit_status(tmp_path: Path) -> None:
     with serve_process(tmp_path) as process:
         wait_for_log(process, '"serving"')
