Let a new incarnation keep what it knew of claimed ledgers

The claimant passes on with the ledger; a claim inherited by the ended incarnation stands in that one's own ledger. test_a_new_incarnation_knows_which_ledgers_are_claimed failed before and passes.

--- a/ironbarrow/fleet/takeover/machine.py
+++ b/ironbarrow/fleet/takeover/machine.py
@@ -186,6 +186,9 @@
                 and open_ledger.incarnation not in self.taken_over
             ):
                 self._add_open_ledger(now, open_ledger.incarnation, open_ledger.location, None)
+                # an inherited claim stands in the earlier incarnation's ledger
+                claimant = open_ledger.claimed_by or (open_ledger.inherited_from and earlier.me)
+                self.open_ledgers[open_ledger.incarnation].claimed_by = claimant
         return actions
 
     def on_request(self, now: int, record: JobRecord, retried: bool, waiter: object) -> list[Action]:
--- a/tests/test_fleet_takeover_faults.py
+++ b/tests/test_fleet_takeover_faults.py
@@ -87,3 +87,9 @@
     world, violations = run_play(play)
     assert not [text for text in violations if "forgotten" not in text]
     assert sum(answer is not None for r in world.requests.values() for answer in r.answers) > 60
+
+
+def test_a_new_incarnation_knows_which_ledgers_are_claimed() -> None:
+    # guards against a claimed ledger that a member forgets as it begins a new incarnation
+    _, violations = run_play(replace(CLAIMED_MEMBER_RETURNS, majority_timeout=250 * MS))
+    assert not violations
