Run first requests for bookings in a fleet that has just started

The rule for bookings that nobody knows, where no member has followed the fleet for keep_for, also met first requests that are looked up as a precaution: with answers.ask = all every booking of the first minute after the start of a whole fleet would have failed. It now holds for requests that are marked as retries alone; a job that was first taken here can't be older than what this process knows.

test_a_young_fleet_runs_first_bookings_and_fails_only_marked_repeats failed for first requests before.

--- a/ironbarrow/fleet/takeover/deduplication.py
+++ b/ironbarrow/fleet/takeover/deduplication.py
@@ -97,6 +97,9 @@
     safe: bool
     waiters: list[object]
     started_at: int  # ns, when the lookup began, or the job's holder was lost
+    # The client has marked the request as a retry: the job may be older than what any member knows. One that
+    # was taken here first is not.
+    retried: bool = False
     may_take: bool = True  # False: an earlier incarnation of this process may have sent it
     remote_waiters: dict[Incarnation, None] = field(default_factory=dict)
     round: int = 0
--- a/ironbarrow/fleet/takeover/lookup_rules.py
+++ b/ironbarrow/fleet/takeover/lookup_rules.py
@@ -2,7 +2,8 @@
 
 A booking must not be started while any ledger that may hold its id is neither adopted nor known to be lost.
 Once one is lost, an id that no member knows counts as possibly run, for as long as answers are kept. The same
-holds where no member has followed the fleet for that long: all that knew of an earlier ledger may have ended.
+holds for a marked retry where no member has followed the fleet for that long: all that knew of an earlier
+ledger may have ended.
 """
 
 import enum
@@ -40,7 +41,8 @@
     settled: bool  # this member has run long enough to know all others
     unanswered: Collection[Incarnation]  # live members that have not answered in this round
     lost: bool  # a member of this round knows of a lost ledger
-    history_known: bool  # a member of this round has followed the fleet for as long as answers are kept
+    # it is no marked retry, or a member of this round has followed the fleet for as long as answers are kept
+    history_known: bool
     sent_before: bool  # an earlier incarnation of this process may have sent it
 
 
--- a/ironbarrow/fleet/takeover/machine.py
+++ b/ironbarrow/fleet/takeover/machine.py
@@ -194,15 +194,17 @@
     def on_request(self, now: int, record: JobRecord, retried: bool, waiter: object) -> list[Action]:
         """Handles a client's request. ``retried``: the client has marked it as a retry."""
         if (known := self._join(now, record, waiter)) is not None:
+            if (running := self.lookups.get(record.id)) is not None:
+                running.retried = running.retried or retried
             return known
         safe = self.rules.safe.get(record.job_class, False)
         if self.fenced:
             # the next incarnation looks it up, like all other requests that arrive after the fencing
-            self.lookups[record.id] = JobLookup(record, safe, [waiter], now, next_at=NEVER)
+            self.lookups[record.id] = JobLookup(record, safe, [waiter], now, retried=retried, next_at=NEVER)
             return []
         seen = record.id in self.cancelling or self.disclaimed.contains(record.id, now)
         if retried or seen or (not safe and self._queries_first_tries(now)):
-            lookup = JobLookup(record, safe, [waiter], now)
+            lookup = JobLookup(record, safe, [waiter], now, retried=retried)
             self.lookups[record.id] = lookup
             return self._query(now, lookup)
         if self.no_majority and record.job_class in self.rules.turn_away:
@@ -765,7 +767,8 @@
             settled=now >= self._settled_at,
             unanswered=[incarnation for incarnation in others if incarnation not in lookup.answered],
             lost=lookup.may_be_lost or self._has_lost_ledgers(now),
-            history_known=max(lookup.longest_followed, self.followed(now)) >= self.rules.answer_retention,
+            history_known=not lookup.retried
+            or max(lookup.longest_followed, self.followed(now)) >= self.rules.answer_retention,
             sent_before=not lookup.may_take,
         )
 
--- a/tests/test_fleet_takeover_faults.py
+++ b/tests/test_fleet_takeover_faults.py
@@ -5,7 +5,11 @@
 
 import pytest
 
+from ironbarrow.core.jobs import Verdict
+from ironbarrow.fleet.file import AnswerRules, Fleet
 from ironbarrow.fleet.invariants import INVARIANTS
+from ironbarrow.lab.fleet.random_takeovers import SETTINGS
+from ironbarrow.lab.fleet.takeover_simulation import TakeoverSimulation
 from ironbarrow.lab.fleet.takeover_sweep import DISPATCHERS, Play, run_play
 from ironbarrow.runtime.clock import MS, SECOND
 
@@ -93,3 +97,20 @@
     # guards against a claimed ledger that a member forgets as it begins a new incarnation
     _, violations = run_play(replace(CLAIMED_MEMBER_RETURNS, majority_timeout=250 * MS))
     assert not violations
+
+
+@pytest.mark.parametrize("marked", [False, True])
+def test_a_young_fleet_runs_first_bookings_and_fails_only_marked_repeats(marked: bool) -> None:
+    # guards against a rule for repeats that turns first requests away after the start of a whole fleet
+    fleet = Fleet(listen="127.0.0.1:0", answers=AnswerRules(ask="all"))
+    world = TakeoverSimulation(SETTINGS, 5, seed=1, fleet=fleet, workers=8)
+    world.run(1500 * MS)
+    for process in world.processes.values():
+        process.adapter.machine.followed_since = world.clock.now() - 1500 * MS
+    request = world.submit("j", "book", 6 * SECOND, "d0")
+    if marked:
+        world.kill("d0")  # before it has read the request; the client comes again
+    world.run(8 * SECOND)
+    verdict = Verdict.FAILED if marked else Verdict.SERVED
+    assert [answer and answer.verdict for answer in request.answers] == [verdict]
+    assert world.workers.starts["j"] == (0 if marked else 1)
