Tell a short history of the fleet without a new field in the frame

A member that has not followed the fleet for keep_for now names itself among the lost, which no live member can be otherwise; a member of an earlier version that hears it fails a booking that nobody knows, which is safe.

--- a/ironbarrow/fleet/takeover/deduplication.py
+++ b/ironbarrow/fleet/takeover/deduplication.py
@@ -106,7 +106,9 @@
     answered: set[Incarnation] = field(default_factory=set)
     no_open_ledger: bool = True
     may_be_lost: bool = False  # a member knows of a lost ledger, which may have held the job
-    longest_followed: int = 0  # ns, the longest time for which a member of this round has followed the fleet
+    history_known: bool = (
+        False  # a member has replied that has followed the fleet as long as answers are kept
+    )
     holder: Incarnation | None = None  # the member that has replied that it owns the job
     next_at: int = 0
     decision: LookupDecision | None = None  # the last one
@@ -115,7 +117,7 @@
         """Begins a round. Earlier replies no longer count: a member may have started the job since."""
         self.round += 1
         self.answered.clear()
-        self.no_open_ledger, self.may_be_lost, self.longest_followed = True, False, 0
+        self.no_open_ledger, self.may_be_lost, self.history_known = True, False, False
         self.next_at = now + (ROUND_INTERVAL if self.holder is None else HOLDER_POLL_INTERVAL)
 
     def holder_lost(self, now: int) -> None:
--- a/ironbarrow/fleet/takeover/machine.py
+++ b/ironbarrow/fleet/takeover/machine.py
@@ -345,6 +345,9 @@
         """ns for which this process has known of every member's end; 0 while it may have missed some."""
         return now - self.followed_since if now >= self._settled_at else 0
 
+    def _knows_history(self, now: int) -> bool:
+        return self.followed(now) >= self.rules.answer_retention
+
     def _note_activity(self, now: int) -> None:
         """Detects that this process was stopped: it may not know yet which members have ended meanwhile."""
         if now - self._last_active > _LONGEST_STALL:
@@ -767,8 +770,7 @@
             settled=now >= self._settled_at,
             unanswered=[incarnation for incarnation in others if incarnation not in lookup.answered],
             lost=lookup.may_be_lost or self._has_lost_ledgers(now),
-            history_known=not lookup.retried
-            or max(lookup.longest_followed, self.followed(now)) >= self.rules.answer_retention,
+            history_known=not lookup.retried or lookup.history_known or self._knows_history(now),
             sent_before=not lookup.may_take,
         )
 
@@ -824,8 +826,10 @@
             answer.result if answer is not None else b"",
             answer.retry_after if answer is not None else 0,
             (*self.open_ledgers, *((self.me,) if query.id in self.cancelling else ())),
-            tuple(self._lost_until) if self._has_lost_ledgers(now) else (),
-            self.followed(now),
+            (
+                *(self._lost_until if self._has_lost_ledgers(now) else ()),
+                *(() if self._knows_history(now) else (self.me,)),
+            ),
         )
         return [*actions, Send(sender, reply)]
 
@@ -850,9 +854,8 @@
             return []
         lookup.answered.add(sender)
         lookup.no_open_ledger = lookup.no_open_ledger and not reply.open_incarnations
-        lookup.may_be_lost = lookup.may_be_lost or bool(reply.lost_incarnations)
-        followed = self.rules.answer_retention if reply.followed is None else reply.followed
-        lookup.longest_followed = max(lookup.longest_followed, followed)
+        lookup.may_be_lost = lookup.may_be_lost or any(lost != sender for lost in reply.lost_incarnations)
+        lookup.history_known = lookup.history_known or sender not in reply.lost_incarnations
         return self._decide(now, lookup)
 
     def _drop_lookup(self, lookup: JobLookup) -> None:
--- a/ironbarrow/fleet/takeover/messages.py
+++ b/ironbarrow/fleet/takeover/messages.py
@@ -28,7 +28,7 @@
 
     ``open_incarnations``: ended ones whose ledgers are not known to be taken over yet. ``lost_incarnations``:
     ended ones whose ledgers no majority of replicas remembers, so that some of their jobs may be unknown.
-    ``followed``: ns for which the sender has known of every member's end; None: its version does not tell."""
+    The sender itself among the latter: it has not followed the fleet for as long as answers are kept."""
 
     KIND = 41
     id: str
@@ -39,7 +39,6 @@
     retry_after: int = 0
     open_incarnations: tuple[Incarnation, ...] = ()
     lost_incarnations: tuple[Incarnation, ...] = ()
-    followed: int | None = None
 
 
 class JobAnswer(Message, frozen=True, array_like=True):
