Keep the checks of a hand-over running when the shared folder can't be read

Callers saw: where listing TMPDIR failed once (EIO, EMFILE) while a new process announced itself, its readiness call failed, and the old process was never told of its successor: bookings in hand ended with the old process. The new one also never expired the jobs that it kept for the old one.

Cause: Upgrade._run_checks set its next timer as its last statement, so any exception ended the checks for good; and announce marked itself as done before it had listed the other processes.

Evidence: test_a_successor_whose_folder_cannot_be_read_at_first_is_announced_later (a listing that fails with EIO for 0.1 s) failed before (OSError out of announce, no booking handed over) and passes.

--- a/ironbarrow/handover/upgrade.py
+++ b/ironbarrow/handover/upgrade.py
@@ -108,8 +108,12 @@
         It has to come before this process reports itself as ready. The old process is stopped once that is
         seen, and must know its successor by then."""
         if not self._ready_announced and self._host.has_worker_list:
+            try:
+                others = self._channel.others()
+            except OSError:
+                return False  # for lack of a descriptor, for example; the next check tries again
             self._ready_announced = True
-            for other in self._channel.others():
+            for other in others:
                 self._channel.send(other, records.message("ready", process=os.getpid()))
         return self._ready_announced
 
@@ -141,6 +145,8 @@
         return self.pending.on_call_back(raw["id"], raw["from"], raw["state"], data, self._loop.now())
 
     def _run_checks(self) -> None:
+        # first, so that no error below ends the checks for good
+        self._loop.call_at(self._loop.now() + _CHECK_INTERVAL, self._run_checks)
         self.pending.expire(self._loop.now())
         self._adopted = {
             job_id: adopted for job_id, adopted in self._adopted.items() if not adopted.task.done
@@ -149,7 +155,6 @@
         self.announce()
         if self._handing_over:
             self._hand_over_jobs()
-        self._loop.call_at(self._loop.now() + _CHECK_INTERVAL, self._run_checks)
 
     # The old process
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -408,6 +408,30 @@
     pair.close()
 
 
+def test_a_successor_whose_folder_cannot_be_read_at_first_is_announced_later(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against hand-over checks that end for good at an error: the old process would never be told of
+    its successor, and the booking would end with it."""
+    pair = Pair(tmp_path)
+    for line in BOOKED.splitlines():
+        pair.step(line.strip())
+    pair.new = Dispatcher(pair.config, listen(("127.0.0.1", 0)))
+    monkeypatch.setattr(pair.new._upgrade._channel, "others", failing_listing)
+    for _ in range(10):
+        pair.run_for(0.01)
+        assert not pair.new._operations.is_ready()
+    monkeypatch.undo()
+    pair.run_until("announced", pair.new._operations.is_ready)
+    for line in ("stop", "exits", f"n1 send {call_back('done', result='out')}", "c1 expect 200 .*out$"):
+        pair.step(line)
+    pair.close()
+
+
+def failing_listing() -> list[str]:
+    raise OSError(errno.EIO, "error of the test")
+
+
 def test_descriptors_of_an_invalid_message_are_closed(tmp_path: Path) -> None:
     scenario = Harness(admin=("127.0.0.1", 0), folder=tmp_path)
     own_end, sent_end = socket.socketpair()
