Hand no jobs over to a successor that has ended

Callers could see: a job that came to a stopped dispatcher more than 0.7 s after SIGTERM, and that SIGKILL found unanswered, where a successor had announced itself and then ended. The listener also closed 0.3 s after SIGTERM instead of 1.5 s where nothing was owed.

Cause: Upgrade.hand_over took the successor's announcement for its presence, so the process stopped as in a hand-over, without a time by which later jobs have to be answered.

Evidence: test_a_job_that_comes_after_the_stop_is_answered_where_the_successor_has_ended, the successor ended before SIGTERM, a job 1 s after it, failed before (no answer until the job's deadline of 9 s) and passes (answered before the earliest SIGKILL, 3.7 s).

Why it works: the kernel tells whether a process still has the successor's socket open (connect is refused once none has), whatever was said before and also of a process that is stopped. Where that can't be told, the hand-over goes on as before. A successor that ends after SIGTERM is not looked for: such jobs end as at any crash.

--- a/ironbarrow/handover/channel.py
+++ b/ironbarrow/handover/channel.py
@@ -55,6 +55,20 @@
         paths = (str(path) for path in self._folder.glob(f"{prefix}[0-9]*") if path.is_socket())
         return sorted(path for path in paths if path != self.path)
 
+    @staticmethod
+    def may_run(path: str) -> bool:
+        """Whether the process with the socket at ``path`` may run, also if it is stopped or busy.
+
+        False only if the system says that no process has this socket open."""
+        try:
+            with socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM) as sock:
+                sock.connect(path)
+        except (ConnectionRefusedError, FileNotFoundError):
+            return False
+        except OSError:
+            return True  # that can't be told now, for example for lack of a descriptor
+        return True
+
     def send(self, to: str, data: bytes, fd: int | None = None) -> bool:
         """Sends a message or queues it; False if neither is possible.
 
--- a/ironbarrow/handover/upgrade.py
+++ b/ironbarrow/handover/upgrade.py
@@ -118,10 +118,10 @@
         return self._ready_announced
 
     def hand_over(self) -> bool:
-        """Starts to hand over all jobs that can be; False if there is no successor."""
+        """Starts to hand over all jobs that can be; False if no successor runs."""
         # the stop signal may arrive before the successor's announcement has been read
         self._channel.receive()
-        self._handing_over = self.successor is not None
+        self._handing_over = self.successor is not None and self._channel.may_run(self.successor)
         return self._handing_over
 
     def close(self) -> None:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -6,6 +6,7 @@
 import os
 import socket
 import struct
+import time
 from pathlib import Path
 from typing import Any
 
@@ -20,6 +21,7 @@
 from tests.scenario import Harness, answer, call_back, job
 
 ACCEPTED = answer(202)
+EARLIEST_SIGKILL_S = 3.7  # after SIGTERM, for deadlines of 3 s or more
 
 
 class Pair(Harness):
@@ -408,6 +410,20 @@
     pair.close()
 
 
+def test_a_job_that_comes_after_the_stop_is_answered_where_the_successor_has_ended(tmp_path: Path) -> None:
+    """Guards against a hand-over to a process that has ended: SIGKILL would find the job unanswered."""
+    pair = Pair(tmp_path)
+    for line in BOOKED.splitlines():
+        pair.step(line.strip())
+    for line in ("new", "new dies", "stop"):
+        pair.step(line)
+    stopped_at = time.monotonic()
+    for line in ("wait 1000", f"c2 send {job('j2', 'book/x')}", "c2 expect HTTP/1.1 50[03]"):
+        pair.step(line)
+    assert time.monotonic() - stopped_at < EARLIEST_SIGKILL_S
+    pair.close()
+
+
 def test_a_successor_whose_folder_cannot_be_read_at_first_is_announced_later(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
