Let the old process of a hand-over leave its address to the new one after 0.3 s

Callers could see: jobs lost at SIGKILL, and a hand-over that lasts until then, where clients keep coming.

Cause: both processes listen with SO_REUSEPORT, so the kernel gives the old one its part of the new connections for as long as it listens, and it listened until nothing was owed. Each job that it passed on kept it for another 0.5 s.

Evidence: test_the_old_process_ends_while_clients_keep_connecting, a connection with a job every 50 ms, failed before (not ended at 3.7 s, the earliest SIGKILL) and passes; each client got its answer.

Why it works: 0.3 s after SIGTERM, as long as the successor runs, the old process accepts what waits at its listener and closes it; all later connections reach the successor, call-backs included, which it passes on as before. The race between the last look and the close is the one that the exit has always had (docs/race-conditions.md).

--- a/ironbarrow/daemon/dispatcher.py
+++ b/ironbarrow/daemon/dispatcher.py
@@ -322,7 +322,7 @@
         self._connection_deadline = now + self.shutdown_times.connection_limit
         if self._begin_hand_over():
             # the new process serves already and takes over the jobs that still arrive here
-            self.loop.call_at(now + _HAND_OVER_DELAY, self._close_idle)
+            self.loop.call_at(now + _HAND_OVER_DELAY, self._leave_address)
         else:
             if self.fleet is not None:
                 self.loop.call_at(now + self.shutdown_times.leave_delay, self._leave_fleet)
@@ -343,6 +343,12 @@
             log.warning("hand-over to the new process failed", error=str(error))
             return False
 
+    def _leave_address(self) -> None:
+        """Leaves new connections to the new process. While jobs arrived here, this one would not end."""
+        if self._upgrade.successor_runs:
+            self.server.stop_accepting()
+        self._close_idle()
+
     def _leave_fleet(self) -> None:
         """Leaves the unanswered jobs to the other members, where their clients ask again.
 
--- a/ironbarrow/frontend/server.py
+++ b/ironbarrow/frontend/server.py
@@ -100,12 +100,21 @@
         # the operators' routes; without them, the first segment of the path is the job's class
         self.router: Router | None = None
         self.fleet_jobs: FleetJobs | None = None  # without a fleet, jobs go to the host
-        loop.spawn(self._accept_loop())
+        self._accepting = True
+        self._accept_task = loop.spawn(self._accept_loop())
 
     @property
     def has_connections(self) -> bool:
         """Whether any connection is open or waits to be accepted."""
-        return self._slots.in_use > 0 or sockets.has_pending_connection(self._listener)
+        if self._slots.in_use > 0:
+            return True
+        return not self._accept_task.done and sockets.has_pending_connection(self._listener)
+
+    def stop_accepting(self) -> None:
+        """Accepts the connections that wait, then closes the listener. Later ones reach the other processes
+        that listen on the address."""
+        self._accepting = False
+        self._accept_task.wake()
 
     def close_idle(self) -> None:
         """Stops keep-alive: closes idle connections now, new ones that send no request soon, and the others
@@ -129,6 +138,9 @@
                 # request that is on its way on it would be lost
                 if not sockets.has_pending_connection(self._listener):
                     self._accept_failing_since = 0
+                    if not self._accepting:
+                        self._listener.close()
+                        return
                     break
                 if not self._slots.make_room():
                     yield from sleep(self._loop.now() + _ACCEPT_RETRY_DELAY)
--- a/ironbarrow/handover/upgrade.py
+++ b/ironbarrow/handover/upgrade.py
@@ -102,6 +102,11 @@
         """Number of jobs sent to the successor that it may still reject."""
         return len(self._handed_over)
 
+    @property
+    def successor_runs(self) -> bool:
+        """Whether a process has announced itself as the successor of this one and has not ended since."""
+        return self.successor is not None and self._channel.may_run(self.successor)
+
     def announce(self) -> bool:
         """Announces to the old process, once, that this one can serve; returns whether that is done.
 
@@ -121,7 +126,7 @@
         """Starts to hand over all jobs that can be; False if no successor runs."""
         # the stop signal may arrive before the successor's announcement has been read
         self._channel.receive()
-        self._handing_over = self.successor is not None and self._channel.may_run(self.successor)
+        self._handing_over = self.successor_runs
         return self._handing_over
 
     def close(self) -> None:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -30,10 +30,15 @@
     ``new`` starts it; ``c*`` then still talk to the old one and ``n*`` to the new one.
     """
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, status: str = "up") -> None:
+        """``status``: of the workers, in the list."""
+        self.status = status
         super().__init__(admin=("127.0.0.1", 0), folder=folder)
         self.new: Dispatcher | None = None
 
+    def entry(self, name: str, status: str = "") -> dict[str, Any]:
+        return super().entry(name, status or self.status)
+
     def step(self, line: str) -> None:
         if line == "new":
             # it has an address of its own here, so that the scenario says which process is addressed
@@ -424,6 +429,29 @@
     pair.close()
 
 
+def test_the_old_process_ends_while_clients_keep_connecting(tmp_path: Path) -> None:
+    """Guards against an old process that accepts connections until SIGKILL, which finds jobs unanswered."""
+    pair = Pair(tmp_path, status="draining")  # jobs wait, and are handed over at once
+    for line in ("new", "stop"):
+        pair.step(line)
+    stopped_at = time.monotonic()
+    clients: list[str] = []
+    prefix = "c"  # once the old process accepts no more connections, they reach the new one
+    while not pair.dispatcher.loop.stopped:
+        assert time.monotonic() - stopped_at < EARLIEST_SIGKILL_S
+        name = f"{prefix}{len(clients)}"
+        try:
+            pair.step(f"{name} send {job(f'j-{name}', 'book/x')}")
+            clients.append(name)
+        except ConnectionRefusedError:
+            prefix = "n"
+        pair.run_for(0.05)
+    assert {"c0", f"n{len(clients) - 1}"} <= set(clients)
+    for name in clients:
+        pair.step(f"{name} expect HTTP/1.1 503")
+    pair.close()
+
+
 def test_a_successor_whose_folder_cannot_be_read_at_first_is_announced_later(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
