Use a cold worker's share once where two processes of one dispatcher run

Cause: the share belongs to the dispatcher, and each of its two processes took it for its own. The new one held it back for one window from its start, as after a restart, whether or not the old one had ended; nothing told the two cases apart.

Fix: the process that was there first keeps the share until it has ended. A process whose channel (handover/) finds older ones that run tells its decisions so (api.PredecessorState); they send nothing to cold workers until these have ended and one window has passed. No message is needed for that: the kernel says at once, and whatever was said, lost or late, whether any process has a socket open, also one that is stopped; where it can't be asked the process counts as running. So the old one goes on if its successor ends, and a socket left by a killed process delays nothing. What the old one sent last counts as the whole share for a window, since lists may reach it first. Where the folder fails for a while, nobody can be seen: the share is held back and the channel opened again each second. Without a usable TMPDIR a second process can't be seen at all, as before.

Ruled out: passing the share on with a message. It would have to come back when the successor ends, and a word that is late, lost or from a dead process would decide whether two spend.

--- a/heathway/api.py
+++ b/heathway/api.py
@@ -288,6 +288,15 @@
     name: str
 
 
+@dataclass(frozen=True, slots=True)
+class PredecessorState:
+    """Whether an older process of this dispatcher runs, or may run, beside this one.
+
+    Without such an event, the older ones had ended before this one started."""
+
+    running: bool
+
+
 Event = (
     WorkerList
     | JobArrived
@@ -298,6 +307,7 @@
     | ProbeEnded
     | PeerMessage
     | TimerFired
+    | PredecessorState
 )
 
 
--- a/heathway/logic.py
+++ b/heathway/logic.py
@@ -15,6 +15,7 @@
 from heathway import api, probing, slow_start, state
 from heathway.api import Effect, Group, ListKind, Outcome, Reason, WorkerState
 from heathway.backoff import ListCallBackoff
+from heathway.cold_shares import ColdShares
 from heathway.state import Attempt, Job, Quota, Worker
 
 MS = 1_000_000
@@ -61,6 +62,7 @@
         self._load_per_session: deque[float] = deque(maxlen=LOAD_PERIODS)  # r: l / |C| of past periods
         self._workers: dict[str, Worker] = {}
         self.ring = state.Ring(settings.cold_time)
+        self._cold_shares = ColdShares(settings, self.ring.start_times)
         self._keys = state.KeyShares(settings.me % settings.dispatchers / settings.dispatchers)
         self._probes = probing.ProbeBudget(settings.probe_price)
         self._list_backoff = ListCallBackoff(settings.dispatchers, settings.ask_within, self._random)
@@ -77,6 +79,7 @@
             api.AttemptNote: self._on_attempt_note,
             api.StreamStarted: self._on_stream_started,
             api.ProbeEnded: self._on_probe_ended,
+            api.PredecessorState: lambda event: self._cold_shares.predecessor_state(event, self._now),
         }
 
     def handle(self, now: int, events: Iterable[api.Event]) -> list[api.Action]:
@@ -85,6 +88,7 @@
         if not self._timer_at:
             # at first every session has a job open, so the load per session would be far too high
             self._sessions_settled_at = now + SESSION_IDLE
+            self._cold_shares.process_started(now)
             if self._settings.asks_for_list:
                 self._schedule_list_call(self._list_backoff.first_delay())
         for event in events:
@@ -231,23 +235,18 @@
         memory = worker.memory is None or worker.memory >= job.memory
         return slots and memory and (worker.cold_until <= self._now or self._cold_share_allows(worker, job))
 
-    def _cold_share(self, worker: Worker) -> slow_start.BudgetShare:
-        size = self.ring.size_when_warm(worker, self._typical[0], self._settings.live_weights)
-        runs = (None, worker.entry.kind)
-        means = (self._service_time[c.name].mean for c in self._settings.classes if c.worker_kind in runs)
-        return slow_start.share_of(self._settings, worker.entry, self._now - worker.started_at, size, means)
-
     def _cold_share_allows(self, worker: Worker, job: Job) -> bool:
         """Whether a job fits this dispatcher's share of what a cold worker can take from the whole fleet."""
         capacity = slow_start.expected_capacity(self._settings, worker.started_at, self._now)
         mean = self._service_time[job.cls.name].mean
         if self._now + mean / capacity > job.aim_at and self.ring.available & ~self.ring.cold:
             return False  # it would be late there, and warm workers may get free
-        begun, window = self._sessions_settled_at - SESSION_IDLE, self._settings.fall_window
-        if self._now < begun + window and self.ring.start_times.may_precede(worker.id, begun):
-            return False  # an earlier process may have used the share just before
-        recent = worker.work_sent_since(self._now - window)
-        return self._cold_share(worker).allows(recent, mean * max(1.0, job.slots))
+        if self._cold_shares.earlier_processes_may_use(worker, self._now):
+            return False
+        size = self.ring.size_when_warm(worker, self._typical[0], self._settings.live_weights)
+        runs = (None, worker.entry.kind)
+        means = (self._service_time[c.name].mean for c in self._settings.classes if c.worker_kind in runs)
+        return self._cold_shares.allows(worker, mean * max(1.0, job.slots), size, means, self._now)
 
     def _send(self, job: Job, worker: Worker) -> None:
         self._held.remove(job)
--- a/ironbarrow/core/host.py
+++ b/ironbarrow/core/host.py
@@ -249,6 +249,12 @@
         if self.on_worker_list is not None:
             self.on_worker_list()
 
+    def set_predecessor_running(self, running: bool) -> None:
+        """Reports to the decision module whether an older process of this dispatcher runs beside this one.
+
+        True also if that can't be told."""
+        self._post_event(api.PredecessorState(running))
+
     def _give_up_restarted(self, entries: tuple[api.WorkerEntry, ...]) -> None:
         """Gives up the attempts that were live at a worker's earlier process, as nobody else may report their
         end. The list alone does not prove that they are over; the new process's answer to the DELETE does."""
--- a/ironbarrow/daemon/dispatcher.py
+++ b/ironbarrow/daemon/dispatcher.py
@@ -5,6 +5,7 @@
 the orderly shutdown.
 """
 
+import errno
 import resource
 import signal
 import socket
@@ -33,6 +34,19 @@
 _KILL_MARGIN = 700 * MS  # from the end of the longest deadline to SIGKILL
 _HAND_OVER_DELAY = 300 * MS  # clients and workers that are still connecting reach this process
 _DONE_CHECK_INTERVAL = 10 * MS
+_CHANNEL_RETRY_PAUSE = SECOND  # after the shared folder has failed
+# no process of this dispatcher can have a channel in such a folder
+_UNUSABLE_FOLDER_ERRORS = frozenset(
+    (
+        errno.ENOENT,
+        errno.ENOTDIR,
+        errno.EACCES,
+        errno.EPERM,
+        errno.EROFS,
+        errno.EAFNOSUPPORT,
+        None,  # the socket's path would be too long
+    )
+)
 _MB = 1 << 20
 _PROGRAM_MB = 28  # memory of the program itself under low load
 _ADMIN_DESCRIPTORS = 32  # for the operators' listener, its connections and the file of bans
@@ -177,23 +191,41 @@
     def _open_hand_over(self, config: Config) -> None:
         """Opens the channel over which this process hands its jobs over to the one that replaces it.
 
-        Without a folder, or if the channel can't be opened, it logs a warning and serves without."""
+        Without a folder, or if the channel can't be opened, it logs a warning and serves without. If the
+        folder may fail only for a while, it tries again later."""
         if config.folder is None:
             log.warning("hand-over to a new process is off: TMPDIR is not set")
             return
-        from ironbarrow.handover.upgrade import Upgrade
-
+        folder = config.folder
         try:
-            folder = config.folder
-            self._upgrade = retry_transient(
-                lambda: Upgrade(self.loop, self.host, self.server, self.invoker, folder, config.name)
-            )
+            retry_transient(lambda: self._open_channel(folder, config.name))
         except OSError as error:
-            log.warning("hand-over to a new process is off", folder=str(config.folder), error=str(error))
-            return
+            log.warning("hand-over to a new process is off", folder=str(folder), error=str(error))
+            if error.errno not in _UNUSABLE_FOLDER_ERRORS:
+                # an older process may run beside this one that can't be seen now
+                self.host.set_predecessor_running(True)
+                self._open_channel_later(folder, config.name)
+
+    def _open_channel(self, folder: Path, name: str) -> None:
+        from ironbarrow.handover.upgrade import Upgrade
+
+        self._upgrade = Upgrade(self.loop, self.host, self.server, self.invoker, folder, name)
         self._operations.announce_ready = self._upgrade.announce
         self._operations.pending_jobs = lambda: self._upgrade.jobs_pending
 
+    def _open_channel_later(self, folder: Path, name: str) -> None:
+        self.loop.call_at(self.loop.now() + _CHANNEL_RETRY_PAUSE, self._retry_channel, folder, name)
+
+    def _retry_channel(self, folder: Path, name: str) -> None:
+        if self._stopping:
+            return  # it would announce itself to other processes as their successor
+        try:
+            self._open_channel(folder, name)
+        except OSError:
+            self._open_channel_later(folder, name)
+        else:
+            log.info("hand-over to a new process is on", folder=str(folder))
+
     def _on_call_back(self, raw: Any) -> None:
         if self.invoker.handle_call_back(raw):
             return
--- a/ironbarrow/handover/channel.py
+++ b/ironbarrow/handover/channel.py
@@ -46,14 +46,25 @@
         except OSError:
             self._sock.close()
             raise
-        os.chmod(self.path, 0o600)
+        try:
+            os.chmod(self.path, 0o600)
+            self.older = self.others()  # processes that open their channel later find this one
+        except OSError:
+            self.close()
+            raise
         loop.spawn(self._read())
 
     def others(self) -> list[str]:
-        """Returns the socket paths of this dispatcher's other processes; some may be dead."""
-        prefix = Path(self._path_prefix).name
-        paths = (str(path) for path in self._folder.glob(f"{prefix}[0-9]*") if path.is_socket())
-        return sorted(path for path in paths if path != self.path)
+        """Returns the socket paths of this dispatcher's other processes; some may have ended.
+
+        Raises an OSError if the folder can't be read."""
+        # not Path.glob, which takes a folder that must not be read for an empty one
+        paths = (self._folder / name for name in os.listdir(self._folder))
+        return sorted(
+            str(path)
+            for path in paths
+            if str(path).startswith(self._path_prefix) and str(path) != self.path and path.is_socket()
+        )
 
     @staticmethod
     def may_run(path: str) -> bool:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -30,10 +30,10 @@
     ``new`` starts it; ``c*`` then still talk to the old one and ``n*`` to the new one.
     """
 
-    def __init__(self, folder: Path, status: str = "up") -> None:
+    def __init__(self, folder: Path, status: str = "up", **config: Any) -> None:
         """``status``: of the workers, in the list."""
         self.status = status
-        super().__init__(admin=("127.0.0.1", 0), folder=folder)
+        super().__init__(admin=("127.0.0.1", 0), folder=folder, **config)
         self.new: Dispatcher | None = None
 
     def entry(self, name: str, status: str = "") -> dict[str, Any]:
--- a/tests/test_warming.py
+++ b/tests/test_warming.py
@@ -53,11 +53,15 @@
         self.now = 100 * S
         self.job = 0
         self.sends: list[tuple[int, float]] = []  # when, work in ns
+        self.dispatchers: list[AdmitsAll] = []
+        self.older: dict[AdmitsAll, AdmitsAll] = {}  # by process: the one that ran when it was started
         # started long before the worker
         self.dispatchers = [self.start(me, 10 * S) for me in range(number or rules.dispatchers)]
 
     def start(self, me: int, now: int | None = None) -> AdmitsAll:
         dispatcher = AdmitsAll(replace(self.rules, me=me), me)
+        if me < len(self.dispatchers):
+            self.older[dispatcher] = self.dispatchers[me]
         self.prepare(dispatcher)
         self.tell(dispatcher, now)
         return dispatcher
@@ -73,12 +77,18 @@
         entries_then = (self.entry,) if at >= self.entry.started_at else ()
         dispatcher.handle(at, [api.WorkerList(ListKind.FULL, entries_then)])
 
+    def tell_of_older_process(self, dispatcher: AdmitsAll) -> None:
+        """As the host does where the older process serves on: after a restart it is not listed any more."""
+        if dispatcher not in self.dispatchers and self.older.get(dispatcher) in self.dispatchers:
+            dispatcher.handle(self.now, [api.PredecessorState(running=True)])
+
     def tell_all(self) -> None:
         for dispatcher in self.dispatchers:
             self.tell(dispatcher)
 
     def offer(self, dispatcher: AdmitsAll, offer: Offer, most: int = 10_000) -> int:
         """Offers one job after another of each class until one is not sent; returns how many were sent."""
+        self.tell_of_older_process(dispatcher)
         sent = 0
         if self.now >= self.entry.started_at + self.rules.cold_time:
             return 0  # the worker is warm
