Move the shutdown's times and the descriptors' division out of the daemon's object

ShutdownTimes is a module of its own, as are the functions that divide the descriptors; their three results have a type (DescriptorBudget) instead of arithmetic at each use. The values are the same: spare * 5 // 8 for clients, the rest and half of the reserve for workers, a quarter idle. No behaviour changes; two tests import from the new modules, one name lost its underscore.

--- a/ironbarrow/daemon/dispatcher.py
+++ b/ironbarrow/daemon/dispatcher.py
@@ -6,12 +6,10 @@
 """
 
 import errno
-import resource
 import signal
 import socket
 from collections.abc import Callable
 from contextlib import suppress
-from dataclasses import dataclass
 from pathlib import Path
 from types import FrameType
 from typing import Any
@@ -22,6 +20,8 @@
 from ironbarrow.backend.invoker import HttpInvoker
 from ironbarrow.config.loader import Config, ConfigError
 from ironbarrow.core.host import Host
+from ironbarrow.daemon.descriptors import DescriptorBudget
+from ironbarrow.daemon.shutdown_times import ShutdownTimes
 from ironbarrow.discovery.client import DiscoveryClient
 from ironbarrow.frontend.server import HttpServer
 from ironbarrow.runtime.loop import MS, SECOND, Loop
@@ -30,8 +30,6 @@
 
 log = structlog.get_logger()
 
-_MAX_COUNTED_DEADLINE = 3 * SECOND  # a longer deadline does not delay SIGKILL any further
-_KILL_MARGIN = 700 * MS  # from the end of the longest deadline to SIGKILL
 _HAND_OVER_DELAY = 300 * MS  # clients and workers that are still connecting reach this process
 _DONE_CHECK_INTERVAL = 10 * MS
 _CHANNEL_RETRY_PAUSE = SECOND  # after the shared folder has failed
@@ -49,46 +47,6 @@
 )
 _MB = 1 << 20
 _PROGRAM_MB = 28  # memory of the program itself under low load
-_ADMIN_DESCRIPTORS = 32  # for the operators' listener, its connections and the file of bans
-_MIN_SPARE = 8  # descriptors; with fewer, the share of clients or workers would round down to 0
-_MIN_SPARE_IN_FLEET = 32  # descriptors that clients and workers need beside the fleet's links
-# descriptors for the program itself, the listener, epoll and the discovery service; connections to workers
-# may use half of them
-_RESERVED_DESCRIPTORS = 32
-
-
-@dataclass(frozen=True, slots=True)
-class ShutdownTimes:
-    """The times of an orderly shutdown: ns from the call of ``stop``, unless a field says otherwise."""
-
-    idle_close_delay: int  # idle client connections are closed
-    answer_limit: int  # jobs that arrive during the shutdown are answered by this time
-    connection_limit: int  # connections that clients have not closed no longer delay the exit
-    leave_delay: int  # in a fleet: the other members are told to take over the unanswered jobs
-    leave_timeout: int  # ns from ``leave_delay``: the replicas are waited for this long
-
-    @staticmethod
-    def of(settings: api.Settings) -> "ShutdownTimes":
-        """Returns the times for the longest deadline of these settings.
-
-        SIGKILL may come 0.7 s after the longest deadline, of which at most 3 s count. Jobs that arrive more
-        than 0.7 s after SIGTERM must be answered before it. Clients go on sending for 0.2 to 0.4 s.
-
-        If idle connections were closed at once, their clients would have no dispatcher to connect to while
-        another one restarts. If they were kept for the same time where deadlines are short, jobs could
-        arrive on them that SIGKILL interrupts.
-        """
-        longest = min(_MAX_COUNTED_DEADLINE, max(cls.deadline for cls in settings.classes))
-        answer_limit = longest + _KILL_MARGIN - max(150 * MS, min(500 * MS, longest // 2))
-        leave_timeout = min(700 * MS, answer_limit // 2)
-        kill_delay = longest + _KILL_MARGIN
-        return ShutdownTimes(
-            idle_close_delay=max(500 * MS, min(1500 * MS, answer_limit // 2)),
-            answer_limit=answer_limit,
-            connection_limit=answer_limit + (kill_delay - answer_limit) // 3,
-            leave_delay=answer_limit - leave_timeout,
-            leave_timeout=leave_timeout,
-        )
 
 
 class Dispatcher:
@@ -124,13 +82,7 @@
         )
         if list_on_request:
             self.host.set_subscribed = self.discovery.subscribe
-        spare = (
-            _available_descriptors(config.sockets)
-            - _RESERVED_DESCRIPTORS
-            - (_ADMIN_DESCRIPTORS if config.admin is not None else 0)
-        )
-        if config.fleet is not None:
-            spare = _without_fleet_links(config, config.fleet, spare)
+        descriptors = DescriptorBudget.of(config)
         self.invoker = HttpInvoker(
             self.loop,
             self.host,
@@ -138,8 +90,8 @@
             config.reports,
             connect_timeout=config.connect_timeout,
             idle_limit=config.idle_limit,
-            max_idle=spare // 4,
-            max_connections=spare - spare * 5 // 8 + _RESERVED_DESCRIPTORS // 2,
+            max_idle=descriptors.idle,
+            max_connections=descriptors.workers,
         )
         self.host.invoker = self.invoker
         self.server = HttpServer(
@@ -148,7 +100,7 @@
             self.listener,
             self._on_call_back,
             self.invoker.free_descriptors,
-            max_connections=spare * 5 // 8,
+            max_connections=descriptors.clients,
             max_buffered_bytes=max(1, config.memory_mb - _PROGRAM_MB) * _MB // 2,
         )
         self._router: Any = None
@@ -422,44 +374,5 @@
             self._finish_when_left()
 
 
-def _available_descriptors(configured: int) -> int:
-    """Returns how many descriptors this process may use: the lower of limits.sockets and the system's limit.
-
-    With a number above the system's limit, clients could take all descriptors and leave none for the
-    discovery service and workers."""
-    try:
-        system_limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
-    except (OSError, ValueError):
-        return configured
-    if system_limit == resource.RLIM_INFINITY or system_limit >= configured:
-        return configured
-    log.warning("the system's descriptor limit is below limits.sockets", given=system_limit, limit=configured)
-    return max(_RESERVED_DESCRIPTORS + _ADMIN_DESCRIPTORS + _MIN_SPARE, system_limit)
-
-
-def _without_fleet_links(config: Config, path: Path, spare: int) -> int:
-    """Returns the number of spare descriptors without those of the fleet's links.
-
-    Raises a ConfigError if the fleet file can't be used or too few are left.
-
-    If clients could take the links' descriptors, this process could not connect to the members that store the
-    records of its jobs.
-    """
-    try:
-        from ironbarrow.fleet.file import FleetError, load
-    except ImportError as error:
-        raise ConfigError(f"fleet: {path}: needs msgspec: {error}") from None
-    try:
-        links = load(path, config.name).descriptors
-    except FleetError as error:
-        raise ConfigError(str(error)) from None
-    if spare - links < _MIN_SPARE_IN_FLEET:
-        raise ConfigError(
-            f"{path}: links: {links} descriptors leave {spare - links} of limits.sockets = {config.sockets}"
-            f" to clients and workers, expected {_MIN_SPARE_IN_FLEET} or more"
-        )
-    return spare - links
-
-
 def _log_task_failure(error: Exception) -> None:
     log.error("task failed", exc_info=error)
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from ironbarrow.daemon.dispatcher import _available_descriptors
+from ironbarrow.daemon.descriptors import available_descriptors
 from ironbarrow.lab.live.ports import LoopbackNetwork
 from ironbarrow.runtime.sockets import listen
 from tests.scenario import Harness, job
@@ -37,7 +37,7 @@
         return system_limit, UNLIMITED
 
     monkeypatch.setattr(resource, "getrlimit", getrlimit)
-    assert _available_descriptors(configured) == usable
+    assert available_descriptors(configured) == usable
 
 
 @pytest.mark.parametrize("idle", [READY, job()[:40], ""])
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -19,7 +19,7 @@
 import pytest
 
 from heathway.settings import read_settings
-from ironbarrow.daemon.dispatcher import ShutdownTimes
+from ironbarrow.daemon.shutdown_times import ShutdownTimes
 from ironbarrow.frontend.server import HttpServer
 from ironbarrow.runtime.loop import MS, SECOND
 from tests.scenario import SETTINGS, Harness, Peer, answer, call_back, job
