Name the older processes of a dispatcher alike on both sides of the hand-over

Need: three terms had come in with one fix (earlier processes, older processes, predecessor) for the counterpart of the successor. It is "predecessor" in all names now: heathway/predecessors.py, handover/predecessors.py, Channel.predecessors; log lines keep their words. No statement changes.

--- a/heathway/api.py
+++ b/heathway/api.py
@@ -292,7 +292,7 @@
 class PredecessorState:
     """Whether an older process of this dispatcher runs, or may run, beside this one.
 
-    Without such an event, the older ones had ended before this one started."""
+    Without such an event, all of them had ended before this one started."""
 
     running: bool
 
--- a/heathway/cold_shares.py
+++ b/heathway/cold_shares.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 
 from heathway import api, slow_start
-from heathway.earlier_processes import EarlierProcesses
+from heathway.predecessors import Predecessors
 from heathway.start_times import StartTimes
 from heathway.state import Worker
 
@@ -16,19 +16,19 @@
     def __init__(self, settings: api.Settings, start_times: StartTimes) -> None:
         self._settings = settings
         self._start_times = start_times
-        self._earlier_processes = EarlierProcesses(settings.fall_window)
+        self._predecessors = Predecessors(settings.fall_window)
 
     def process_started(self, now: int) -> None:
         """Notes the start of this process."""
-        self._earlier_processes.own_process_started(now)
+        self._predecessors.own_process_started(now)
 
     def predecessor_state(self, event: api.PredecessorState, now: int) -> None:
-        """Applies what the host tells of older processes."""
-        self._earlier_processes.set_running(event.running, now)
+        """Applies what the host tells of predecessors."""
+        self._predecessors.set_running(event.running, now)
 
-    def earlier_processes_may_use(self, worker: Worker, now: int) -> bool:
-        """Whether an earlier process may use the share, or may have used it within the window."""
-        return self._earlier_processes.may_use_share(worker.id, self._start_times, now)
+    def predecessors_may_use(self, worker: Worker, now: int) -> bool:
+        """Whether a predecessor may use the share, or may have used it within the window."""
+        return self._predecessors.may_use_share(worker.id, self._start_times, now)
 
     def allows(self, worker: Worker, work: float, size: float, means: Iterable[float], now: int) -> bool:
         """Whether a job of that work fits the share in addition to what this process sent within the window.
--- a/heathway/logic.py
+++ b/heathway/logic.py
@@ -241,7 +241,7 @@
         mean = self._service_time[job.cls.name].mean
         if self._now + mean / capacity > job.aim_at and self.ring.available & ~self.ring.cold:
             return False  # it would be late there, and warm workers may get free
-        if self._cold_shares.earlier_processes_may_use(worker, self._now):
+        if self._cold_shares.predecessors_may_use(worker, self._now):
             return False
         size = self.ring.size_when_warm(worker, self._typical[0], self._settings.live_weights)
         runs = (None, worker.entry.kind)
--- a/heathway/earlier_processes.py
+++ b/heathway/predecessors.py
@@ -1,15 +1,15 @@
-"""Whether earlier processes of this dispatcher may just have sent to cold workers. No input or output.
+"""Whether predecessors of this process may just have sent to cold workers. No input or output.
 
 A dispatcher's share of a cold worker's budget (``slow_start.py``) belongs to all of its processes together:
 to one that ended just before a restart, and to one that serves on beside its successor. What they have sent
-is not known here. So a process takes the whole share as used until the earlier ones have ended and one window
+is not known here. So a process takes the whole share as used until its predecessors have ended and one window
 has passed.
 """
 
 from heathway.start_times import StartTimes
 
 
-class EarlierProcesses:
+class Predecessors:
     """The processes of this dispatcher that were started before this one. Times are in ns."""
 
     def __init__(self, window: int) -> None:
--- a/ironbarrow/handover/channel.py
+++ b/ironbarrow/handover/channel.py
@@ -48,7 +48,7 @@
             raise
         try:
             os.chmod(self.path, 0o600)
-            self.older = self.others()  # processes that open their channel later find this one
+            self.predecessors = self.others()  # processes that open their channel later find this one
         except OSError:
             self.close()
             raise
--- a/ironbarrow/handover/older_processes.py
+++ b/ironbarrow/handover/predecessors.py
@@ -7,7 +7,7 @@
 log = structlog.get_logger()
 
 
-class OlderProcesses:
+class RunningPredecessors:
     """The processes that had opened their channel before this one did, until all of them have ended.
 
     Nothing that they send is needed to know of their end, so that no lost, late or outdated message can hide
--- a/ironbarrow/handover/upgrade.py
+++ b/ironbarrow/handover/upgrade.py
@@ -14,8 +14,8 @@
 from ironbarrow.core.jobs import Answer, Attempt, Job, JobOptions, Payload, default_retry_after
 from ironbarrow.handover import records
 from ironbarrow.handover.channel import Channel
-from ironbarrow.handover.older_processes import OlderProcesses
 from ironbarrow.handover.pending import PendingJob, PendingJobs
+from ironbarrow.handover.predecessors import RunningPredecessors
 from ironbarrow.handover.records import Record
 from ironbarrow.runtime.loop import MS, Loop, Task
 from ironbarrow.transport.http import Connection
@@ -91,8 +91,8 @@
         self._handing_over = False
         self._ready_announced = False
         self._channel = Channel(loop, folder, name, self._on_message)
-        self._older_processes = OlderProcesses(
-            self._channel.older, self._channel.may_run, host.set_predecessor_running
+        self._predecessors = RunningPredecessors(
+            self._channel.predecessors, self._channel.may_run, host.set_predecessor_running
         )
         loop.call_at(loop.now() + _CHECK_INTERVAL, self._run_checks)
 
@@ -156,7 +156,7 @@
     def _run_checks(self) -> None:
         # first, so that no error below ends the checks for good
         self._loop.call_at(self._loop.now() + _CHECK_INTERVAL, self._run_checks)
-        self._older_processes.check()
+        self._predecessors.check()
         self.pending.expire(self._loop.now())
         self._adopted = {
             job_id: adopted for job_id, adopted in self._adopted.items() if not adopted.task.done
--- a/tests/test_older_processes.py
+++ b/tests/test_predecessors.py
@@ -21,7 +21,7 @@
 from heathway.settings import read_settings
 from ironbarrow.handover import channel as channel_module
 from ironbarrow.handover.channel import Channel
-from ironbarrow.handover.older_processes import OlderProcesses
+from ironbarrow.handover.predecessors import RunningPredecessors
 from tests.dispatcher_harness import MS, S
 from tests.process_rig import SHARE, WINDOW, DispatcherProcess, ProcessRig, most_within_window
 from tests.scenario import SETTINGS, job
@@ -291,7 +291,7 @@
 
 def test_the_end_of_the_last_older_process_is_reported_once() -> None:
     running, reports = {"a", "b"}, list[bool]()
-    older = OlderProcesses(["a", "b", "ended"], running.__contains__, reports.append)
+    older = RunningPredecessors(["a", "b", "ended"], running.__contains__, reports.append)
     older.check()
     running.discard("a")
     older.check()
@@ -301,7 +301,7 @@
     running.add("a")
     older.check()
     assert reports == [True, False]
-    OlderProcesses([], running.__contains__, reports.append).check()
+    RunningPredecessors([], running.__contains__, reports.append).check()
     assert reports == [True, False, False]
 
 
