--- a/review/rig.py
+++ b/review/rig.py
@@ -251,10 +251,17 @@
 
 
 class Discovery:
-    """The agent that pushes the list of workers: it answers at once, and says an empty line every 2 s."""
+    """The agent that pushes the list of workers: it answers at once, and says an empty line every 2 s.
+
+    While discovery is down it is silent, also on open connections. A call or a watch that it has left silent
+    stays so."""
 
     def __init__(self, entries: list[dict[str, Any]]) -> None:
         self._entries = entries
+        self._index = 41
+        self._watches: set[asyncio.StreamWriter] = set()
+        self.down = False
+        self.calls = 0  # that came so far
         self.address = ""
 
     async def start(self) -> None:
@@ -262,22 +269,48 @@
         self.address = "{}:{}".format(*server.sockets[0].getsockname()[:2])
 
     def list(self) -> dict[str, Any]:
-        return {"index": 41, "snapshot": True, "endpoints": self._entries}
+        return {"index": self._index, "snapshot": True, "endpoints": self._entries}
+
+    def go_down(self) -> None:
+        self.down = True
+        self._watches.clear()
+
+    def change(self, entry: dict[str, Any]) -> None:
+        """Changes an entry, and tells all open watches."""
+        self._index += 1
+        self._entries = [entry if old["name"] == entry["name"] else old for old in self._entries]
+        for writer in self._watches:
+            self._tell(writer, {"index": self._index, "snapshot": False, "endpoints": [entry]})
+
+    @staticmethod
+    def _tell(writer: asyncio.StreamWriter, value: dict[str, Any] | None) -> None:
+        line = (json.dumps(value) if value is not None else "").encode() + b"\n"
+        writer.write(b"%x\r\n%s\r\n" % (len(line), line))
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with suppress(ConnectionError):
             while (request := await read_message(reader)) is not None:
-                if "follow=1" not in request.first_line:
+                self.calls += 1
+                if self.down:
+                    await reader.read()  # until the caller closes
+                elif "follow=1" not in request.first_line:
                     writer.write(answer_bytes(200, json.dumps(self.list()).encode()))
                     await writer.drain()
-                    continue
-                writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-                while True:
-                    writer.write(b"1\r\n\n\r\n")
-                    await writer.drain()
-                    await asyncio.sleep(2.0)
+                else:
+                    await self._watch(request, writer)
         writer.close()
 
+    async def _watch(self, request: Message, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        if f"since={self._index} " not in request.first_line:
+            self._tell(writer, self.list())
+        self._watches.add(writer)
+        while writer in self._watches:
+            self._tell(writer, None)
+            await writer.drain()
+            await asyncio.sleep(2.0)
+        await asyncio.sleep(RUN_LIMIT_S)
+
 
 class Dispatcher:
     """One process of a dispatcher, started with the ``run`` command of the deploy file."""
