Review, case 2: a worker restarted with its clock set back falls over

Seen: a worker whose machine's wall clock was stepped back by an hour is removed and comes back cold. Its listed start is earlier than the one listed before, so StartTimes and Worker.apply_entry keep the old start and the worker counts as warm. One dispatcher sends it 9 bookings within 10 ms of the list, 15 requests of mean work where 8.1 are allowed in 3 s; it falls over and the 9 bookings are answered 500.

--- a/review/rig.py
+++ b/review/rig.py
@@ -395,10 +395,11 @@
         self.workers: list[Worker] = []
         self.discovery = Discovery([])
         self.dispatchers: list[Dispatcher] = []
+        self.worker_type: type[Worker] = Worker
 
     async def start(self, workers: int) -> None:
         for number in range(workers):
-            worker = Worker(f"w{number + 1}", self.record, self.listen)
+            worker = self.worker_type(f"w{number + 1}", self.record, self.listen)
             await worker.start()
             self.workers.append(worker)
         self.discovery = Discovery([worker.entry() for worker in self.workers])
