--- a/review/rig.py
+++ b/review/rig.py
@@ -388,7 +388,8 @@
 
     def __init__(self, record: Record, settings: dict[str, Any]) -> None:
         self.record, self.settings = record, settings
-        self.folder = Path(tempfile.mkdtemp(prefix="case-"))
+        # a short path: the dispatchers' Unix sockets are in this folder
+        self.folder = Path(tempfile.mkdtemp(prefix="case-", dir="/tmp"))
         self.shared = self.folder / "shared"
         self.shared.mkdir()
         self.listen = (HOST, free_port())
@@ -439,11 +440,15 @@
     record("case", "with the disruption" if trouble else "without the disruption (TROUBLE=0)")
 
     async def run() -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         rig = Rig(record, {**SETTINGS, **changes})
         try:
             async with asyncio.timeout(RUN_LIMIT_S):
                 breaks = await body(rig, trouble)
-        except (CannotRunError, OSError, TimeoutError) as error:
+        except (CannotRunError, OSError, TimeoutError, asyncio.CancelledError) as error:
             rig.close()
             _end(record, COULD_NOT_RUN, [f"could not run: {error!r}"])
         finally:
