Refuse an id that another process of the dispatcher has in use or retains

What callers saw: a booking was out at its worker when the process was replaced. A request with its id, sent to the new process, went to the worker as a new job.

Cause: the front end asked its own process's host alone whether an id may be used. Jobs that wait for a call-back after a hand-over, jobs of the other process while both serve, bookings answered by the old process or at the new one without its host, and jobs whose client left or whose time ended there without a call-back were all missing.

Fix: core/job_ids.py is the one place that says whether a new request may use an id. Between processes it holds kernel locks on bytes of files in TMPDIR: the kernel decides between two claims of one instant, a stopped process keeps its locks, a killed one loses them with its jobs. While a job passes on both processes share the lock, so there is no gap. Retained ids are told to the successor from SIGTERM on, the last ones before the locks end. A job whose client left or whose time ended is called off at its worker, and its id stays in use until that is confirmed. Where a lock fails beside another process, the answer is 500 and nothing is sent.

--- a/ironbarrow/core/host.py
+++ b/ironbarrow/core/host.py
@@ -17,9 +17,9 @@
 from ironbarrow.core.attempt import Progress, restarted_after_write
 from ironbarrow.core.endings import Ending, outcome_of
 from ironbarrow.core.event_log import EventLog
+from ironbarrow.core.job_ids import JobIds
 from ironbarrow.core.jobs import DEFAULT_OPTIONS, Answer, Attempt, Job, JobOptions, Payload, Verdict
 from ironbarrow.core.metrics import Metrics
-from ironbarrow.core.recent_ids import RecentIds
 from ironbarrow.runtime.clock import Clock
 
 log = structlog.get_logger()
@@ -99,7 +99,7 @@
         self.metrics = Metrics(tuple(job_class.name for job_class in settings.classes))
         self._jobs: dict[int, Job] = {}
         self._jobs_by_id: dict[str, Job] = {}
-        self._possibly_run_ids = RecentIds()
+        self.job_ids = JobIds(loop)  # of this host's jobs, and those that other processes pass on
         self._last_job_number = 0
         self.answer_deadline: int | None = None  # ns; jobs that arrive from now on are answered by then
         self._unanswered = 0
@@ -158,14 +158,6 @@
         """Whether a worker list has been received."""
         return bool(self._worker_states)
 
-    def has_job(self, job_id: str) -> bool:
-        """Whether a job with this id is in memory."""
-        return job_id in self._jobs_by_id
-
-    def must_not_run_again(self, job_id: str) -> bool:
-        """Whether a job with this id has finished that may have run and must not run twice."""
-        return self._possibly_run_ids.has(job_id, self.loop.now())
-
     def submit(
         self,
         payload: Payload,
@@ -182,7 +174,9 @@
         tried: tuple[str, ...] = (),
     ) -> Job:
         """Accepts a job. ``on_answer`` is called once with the final answer, unless the job is withdrawn
-        before. ``time_left``: ns; ``tried``: workers that an earlier process has sent the job to."""
+        before. ``time_left``: ns; ``tried``: workers that an earlier process has sent the job to.
+
+        A front end claims the id first (``job_ids``). Here it is in use until the job is out of memory."""
         now = self.loop.now()
         if self.answer_deadline is not None:
             time_left = max(self.settings.tick, min(time_left, self.answer_deadline - now))
@@ -205,6 +199,7 @@
         job = Job(self._last_job_number, payload, arrival, now, now + time_left, on_answer, options=options)
         self._jobs[job.number] = job
         self._jobs_by_id[payload.id] = job
+        self.job_ids.hold(payload.id)
         self._unanswered += 1
         if self.traced:
             trace.log_job_taken(now, job.number, payload.id)
@@ -223,14 +218,19 @@
             self._post_event(api.JobWithdrawn(job.number))
             self._remove_if_done(job)
 
-    def detach(self, job: Job) -> None:
+    def detach(self, job: Job, *, keep_id: bool = False) -> None:
         """Drops a job that another process has taken over, with its client and its live attempt. No answer is
-        given and no attempt is cancelled."""
+        given and no attempt is cancelled. ``keep_id``: the caller releases the id."""
         for attempt in job.attempts:
             attempt.ended = True
             if attempt.timer is not None:
                 attempt.timer.cancel()
-        self.withdraw(job)
+        if keep_id and not job.finished:
+            self._finish_job(job)
+            self._post_event(api.JobWithdrawn(job.number))
+            self._forget(job)
+        else:
+            self.withdraw(job)
 
     def update_workers(self, update: api.WorkerList) -> None:
         """Applies an update of the worker list. The decision module handles it at once, so that nothing is
@@ -592,14 +592,17 @@
         of an unsafe job that may have run is retained for a while."""
         if job.finished and all(attempt.ended for attempt in job.attempts):
             class_config = self._classes.get(job.arrival.job_class)
-            if (
+            must_not_run_again = (
                 class_config is not None
                 and class_config.effect is api.Effect.UNSAFE
                 and rules.first_possibly_run(job) is not None
-            ):
-                self._possibly_run_ids.add(job.payload.id, self.loop.now())
-            self._jobs.pop(job.number, None)
-            self._jobs_by_id.pop(job.payload.id, None)
+            )
+            self._forget(job)
+            self.job_ids.release(job.payload.id, may_have_run=must_not_run_again)
+
+    def _forget(self, job: Job) -> None:
+        self._jobs.pop(job.number, None)
+        self._jobs_by_id.pop(job.payload.id, None)
 
 
 def _reason_text(reason: api.Reason | None) -> str:
--- a/ironbarrow/daemon/descriptors.py
+++ b/ironbarrow/daemon/descriptors.py
@@ -10,7 +10,8 @@
 
 log = structlog.get_logger()
 
-_ADMIN_DESCRIPTORS = 32  # for the operators' listener, its connections and the file of bans
+# for the operators' listener, its connections, the file of bans, the hand-over's channel and its locks on ids
+_ADMIN_DESCRIPTORS = 32
 _MIN_SPARE = 8  # with fewer, the share of clients or workers would round down to 0
 _MIN_SPARE_IN_FLEET = 32  # that clients and workers need beside the fleet's links
 # for the program itself, the listener, epoll and the discovery service; connections to workers may use half
--- a/ironbarrow/frontend/server.py
+++ b/ironbarrow/frontend/server.py
@@ -11,6 +11,7 @@
 
 from ironbarrow.core.endings import ConnectionEndedError, Ending
 from ironbarrow.core.host import Host
+from ironbarrow.core.job_ids import IdState
 from ironbarrow.core.jobs import Answer, Job, JobOptions, Payload
 from ironbarrow.frontend.connection_slots import LINGER_TIMEOUT, NEW_CONNECTION_GRACE, ConnectionSlots
 from ironbarrow.frontend.requests import (
@@ -420,32 +421,42 @@
     ) -> Callable[[], None]:
         """Submits a job. Returns the function to call when the client disconnects or has its answer; raises
         RequestRejectedError if the job is not accepted."""
-        if self.fleet_jobs is None and self._host.has_job(payload.id):
-            raise RequestRejectedError(409, "a job with this X-Request-ID is under way")
-        if self._host.must_not_run_again(payload.id):
-            # the client may have lost the answer and sent the request again
-            raise RequestRejectedError(500, "a job with this X-Request-ID may have run")
+        if self.fleet_jobs is not None:
+            # the fleet decides about ids of live jobs
+            if self._host.job_ids.state(payload.id) is IdState.MAY_HAVE_RUN:
+                raise _taken_id_error(IdState.MAY_HAVE_RUN)
+            placement |= self._placement(request, payload, placement["time_left"])
+            self._slots.begin_job(connection, len(payload.body))
+            return self.fleet_jobs.submit(payload, on_answer, **placement)
+        state = self._host.job_ids.claim(payload.id)
+        if state is not IdState.FREE:
+            raise _taken_id_error(state)
+        try:
+            placement |= self._placement(request, payload, placement["time_left"])
+        except BaseException:
+            self._host.job_ids.release(payload.id, may_have_run=False)
+            raise
+        self._slots.begin_job(connection, len(payload.body))
+        job = self._host.submit(payload, on_answer, **placement)
+        self.awaiting_answer[job] = connection, task
+        return partial(self._withdraw, job)
+
+    def _placement(self, request: Message, payload: Payload, time_left: int) -> dict[str, Any]:
+        """Class, key, tenant and options of a job, or RequestRejectedError."""
         if not self._slots.has_room_for_job(len(payload.body)):
             # nothing was sent to a worker, so a retry is harmless
             raise RequestRejectedError(
                 503, "too many jobs wait here", self._retry_after_headers(_FULL_RETRY_AFTER)
             )
         if self.router is not None:
-            placement |= self._route(request, placement["time_left"])
-        else:
-            path = request.target.partition("?")[0]
-            placement |= {
-                "job_class": class_from_path(path),
-                "key": key_from_cookie(request.headers.get("cookie", "")),
-            }
-            if (tenant := request.headers.get("x-tenant-id", "").strip()) in self._tenants:
-                placement["tenant"] = tenant
-        self._slots.begin_job(connection, len(payload.body))
-        if self.fleet_jobs is not None:
-            return self.fleet_jobs.submit(payload, on_answer, **placement)
-        job = self._host.submit(payload, on_answer, **placement)
-        self.awaiting_answer[job] = connection, task
-        return partial(self._withdraw, job)
+            return self._route(request, time_left)
+        placement: dict[str, Any] = {
+            "job_class": class_from_path(request.target.partition("?")[0]),
+            "key": key_from_cookie(request.headers.get("cookie", "")),
+        }
+        if (tenant := request.headers.get("x-tenant-id", "").strip()) in self._tenants:
+            placement["tenant"] = tenant
+        return placement
 
     def _retry_after_headers(self, delay: int) -> list[tuple[str, str]]:
         settings = self._host.settings
@@ -484,3 +495,14 @@
             "tenant": ticket.tenant or None,
             "options": JobOptions(**job_options(ticket, settings), limiter=ticket),
         }
+
+
+def _taken_id_error(state: IdState) -> RequestRejectedError:
+    """The response to a request whose id is not free."""
+    if state is IdState.IN_USE:
+        return RequestRejectedError(409, "a job with this X-Request-ID is under way")
+    if state is IdState.MAY_HAVE_RUN:
+        # the client may have lost the answer and sent the request again
+        return RequestRejectedError(500, "a job with this X-Request-ID may have run")
+    # 503 would tell the client that another try is harmless
+    return RequestRejectedError(500, "a job with this X-Request-ID may be under way")
--- a/ironbarrow/handover/channel.py
+++ b/ironbarrow/handover/channel.py
@@ -133,9 +133,9 @@
             if not self.receive():
                 yield from sleep(self._loop.now() + _RETRY_DELAY)
 
-    def receive(self) -> bool:
-        """Handles the messages that have arrived, at most a batch; False if a read failed."""
-        for _ in range(_READ_BATCH):
+    def receive(self, limit: int = _READ_BATCH) -> bool:
+        """Handles the messages that have arrived, ``limit`` at most; False if a read failed."""
+        for _ in range(limit):
             try:
                 data, fds, _, sender = socket.recv_fds(self._sock, _MAX_MESSAGE_BYTES, 4)
             except BlockingIOError:
--- a/ironbarrow/handover/pending.py
+++ b/ironbarrow/handover/pending.py
@@ -37,13 +37,17 @@
 
 @dataclass(slots=True)
 class PendingJob:
-    """A job that waits for its call-back: ``answer`` answers its client, ``retry`` starts it again."""
+    """A job that waits for its call-back: ``answer`` answers its client, ``retry`` starts it again.
+
+    ``on_end`` is called before the answer, but not before a retry, with how the attempt ended and whether it
+    is proven that the job never ran."""
 
     record: Record
     safe: bool  # its class may run any number of times
     deadline: int  # ns, on this process's clock
     answer: Callable[[Answer], None]
     retry: Callable[[Record], None]
+    on_end: Callable[[AttemptEnd, bool], None] = lambda end, never_ran: None
 
 
 class PendingJobs:
@@ -127,15 +131,14 @@
 
     def _end(self, pending: PendingJob, end: AttemptEnd, result: bytes, now: int) -> None:
         del self.jobs[pending.record.id]
-        if end is AttemptEnd.DONE:
-            pending.answer(Answer(Verdict.SERVED, result))
-            return
         never_ran = end is AttemptEnd.NEVER_RAN and not pending.record.may_have_run
-        if not pending.safe and not never_ran:
+        if end is AttemptEnd.DONE:
+            answer = Answer(Verdict.SERVED, result)
+        elif not pending.safe and not never_ran:
             # not refused: after a refusal the client may send the job again, though it may have run
-            pending.answer(Answer(Verdict.FAILED))
+            answer = Answer(Verdict.FAILED)
         elif end is AttemptEnd.EXPIRED or pending.record.attempts >= self._max_attempts:
-            pending.answer(Answer(Verdict.REFUSED, retry_after=self._retry_after))
+            answer = Answer(Verdict.REFUSED, retry_after=self._retry_after)
         else:
             fields: dict[str, Any] = {name: getattr(pending.record, name) for name in Record.__slots__}
             tried = (*pending.record.tried, pending.record.worker)
@@ -146,3 +149,6 @@
                 "tried": tried,
             }
             pending.retry(Record(**fields))
+            return
+        pending.on_end(end, never_ran)
+        pending.answer(answer)
--- a/ironbarrow/handover/records.py
+++ b/ironbarrow/handover/records.py
@@ -6,12 +6,15 @@
 
 import json
 from base64 import b64decode, b64encode
+from collections.abc import Iterator
 from dataclasses import asdict, dataclass
 from typing import Any
 
 VERSION = 1
 NOT_TAKEN = "not taken"  # the reply to a job that came without its client's connection, or can't be adopted
-KINDS = ("ready", "job", "call-back", NOT_TAKEN)
+RETAINED_IDS = "retained ids"  # of jobs that may have run; older versions ignore this kind
+KINDS = ("ready", "job", "call-back", NOT_TAKEN, RETAINED_IDS)
+_MAX_IDS_BYTES = 64 * 1024  # of the ids in one message
 _WORKER_KEY = (
     "provider"  # the field `worker` in messages: processes of other versions read and write this name
 )
@@ -58,6 +61,20 @@
     return message("job", job=fields)
 
 
+def retained_ids_messages(retentions: dict[str, int]) -> Iterator[tuple[list[str], bytes]]:
+    """Encodes ids and how long each is still retained (ns). Yields each message with its ids."""
+    batch: dict[str, int] = {}
+    size = 0
+    for job_id, retention in retentions.items():
+        if batch and size + len(job_id) > _MAX_IDS_BYTES:
+            yield list(batch), message(RETAINED_IDS, ids=batch)
+            batch, size = {}, 0
+        batch[job_id] = retention
+        size += len(job_id)
+    if batch:
+        yield list(batch), message(RETAINED_IDS, ids=batch)
+
+
 def parse(data: bytes) -> dict[str, Any]:
     """Decodes a message: its fields, ``job`` as a Record. Raises a RecordError for an invalid message."""
     try:
@@ -70,11 +87,19 @@
         raise RecordError(f"kind: expected one of {', '.join(KINDS)}, got {fields.get('kind')!r}")
     if fields["kind"] == NOT_TAKEN and not isinstance(fields.get("id"), str):
         raise RecordError("id: expected the id of the job that was not taken")
+    if fields["kind"] == RETAINED_IDS and not _are_retentions(fields.get("ids")):
+        raise RecordError("ids: expected an object of ids and positive durations")
     if fields["kind"] == "job":
         fields["job"] = _parse_record(fields.get("job"))
     return fields
 
 
+def _are_retentions(ids: Any) -> bool:
+    return isinstance(ids, dict) and all(
+        type(retention) is int and retention > 0 for retention in ids.values()
+    )
+
+
 def _parse_record(fields: Any) -> Record:
     try:
         values = {**fields, "body": b64decode(fields["body"], validate=True)}
--- a/ironbarrow/handover/upgrade.py
+++ b/ironbarrow/handover/upgrade.py
@@ -11,13 +11,16 @@
 
 from heathway import api
 from ironbarrow.core.host import Host
+from ironbarrow.core.job_ids import IdState
 from ironbarrow.core.jobs import Answer, Attempt, Job, JobOptions, Payload, default_retry_after
+from ironbarrow.core.recent_ids import RETENTION
 from ironbarrow.handover import records
 from ironbarrow.handover.channel import Channel
-from ironbarrow.handover.pending import PendingJob, PendingJobs
+from ironbarrow.handover.id_locks import FileIdLocks
+from ironbarrow.handover.pending import AttemptEnd, PendingJob, PendingJobs
 from ironbarrow.handover.predecessors import RunningPredecessors
 from ironbarrow.handover.records import Record
-from ironbarrow.runtime.loop import MS, Loop, Task
+from ironbarrow.runtime.loop import MS, SECOND, Loop, Task
 from ironbarrow.transport.http import Connection
 
 log = structlog.get_logger()
@@ -25,6 +28,8 @@
 _CHECK_INTERVAL = 20 * MS  # for jobs that can be handed over or have expired
 _REJECTION_TIMEOUT = 500 * MS  # by then the successor has reported a job that it could not adopt
 _MIN_TIME_LEFT = 50 * MS  # jobs with less time left are not handed over
+_CANCEL_TIME_AT_DEADLINE = 1 * SECOND  # for the DELETEs of an attempt that is still out at its deadline
+_MAX_MESSAGES_BEFORE_CLAIM = 4096  # more than one process can have sent in its last moments
 
 # gets the callback for the final answer; returns what is called when the client disconnects before it
 _StartJob = Callable[[Callable[[Answer], None]], Callable[[], None]]
@@ -50,6 +55,10 @@
         """Handles a worker's call-back; False if it is for no running attempt. Raises a ValueError if it is
         malformed."""
 
+    def cancel_job(self, job_id: str, worker: str, until: int, done: Callable[[bool], None]) -> None:
+        """Cancels a job that another process has sent. ``done`` is called once, with whether the worker has
+        confirmed that it does not run the job, at ``until`` (ns) at the latest."""
+
 
 @dataclass(slots=True)
 class _AdoptedJob:
@@ -81,7 +90,6 @@
     ) -> None:
         self._loop, self._host, self._front, self._invoker = loop, host, front, invoker
         host_settings = host.settings
-        self._safe = {cls.name: cls.effect is api.Effect.SAFE for cls in host_settings.classes}
         self._classes = {cls.name: cls for cls in host_settings.classes}
         retry_after = default_retry_after(host_settings)
         self.pending = PendingJobs(host_settings.max_attempts, retry_after)
@@ -90,7 +98,14 @@
         self._handed_over: dict[str, _HandedOverJob] = {}  # by id
         self._handing_over = False
         self._ready_announced = False
-        self._channel = Channel(loop, folder, name, self._on_message)
+        self._retained_ids_sent: set[str] = set()
+        self._id_locks = FileIdLocks(folder, name, self._others_may_run, self._receive_from_predecessors)
+        try:
+            self._channel = Channel(loop, folder, name, self._on_message)
+        except OSError:
+            self._id_locks.close()
+            raise
+        host.job_ids.set_locks(self._id_locks)
         self._predecessors = RunningPredecessors(
             self._channel.predecessors, self._channel.may_run, host.set_predecessor_running
         )
@@ -131,14 +146,18 @@
         # the stop signal may arrive before the successor's announcement has been read
         self._channel.receive()
         self._handing_over = self.successor_runs
+        self._send_retained_ids()
         return self._handing_over
 
     def close(self) -> None:
-        """Closes the channel and the connections of jobs handed over."""
+        """Closes the channel and the connections of jobs handed over, and removes the locks on ids."""
+        self._send_retained_ids()  # before the locks are removed: see FileIdLocks
+        self._handing_over = False
         for handed_over in self._handed_over.values():
             handed_over.sock.close()
         self._handed_over.clear()
         self._channel.close()
+        self._id_locks.close()
 
     def on_unmatched_call_back(self, raw: dict[str, Any]) -> None:
         """Handles a call-back for no attempt of this process: for a pending job here, or for another
@@ -162,6 +181,8 @@
             job_id: adopted for job_id, adopted in self._adopted.items() if not adopted.task.done
         }
         self._drop_handed_over(self._loop.now() - _REJECTION_TIMEOUT)
+        self._host.job_ids.drop_expired()
+        self._send_retained_ids()
         self.announce()
         if self._handing_over:
             self._hand_over_jobs()
@@ -173,7 +194,7 @@
             record = self._make_record(job) if not connection.has_unread else None
             if record is None or not self._send_job(record, connection.sock):
                 continue
-            self._release(job)
+            self._detach(job)
             task.cancel()
         self._hand_over_adopted()
 
@@ -190,14 +211,28 @@
             if record is None or not self._send_job(record, adopted.sock):
                 continue
             del self._adopted[job_id]
+            self.pending.discard(job_id)
             if host_job is not None:
-                self._release(host_job)
+                self._detach(host_job)
             adopted.task.cancel()
 
-    def _release(self, job: Job) -> None:
+    def _detach(self, job: Job) -> None:
+        """Drops a job that was handed over. Its id stays in use here: this process ends soon, and until then
+        the successor may report that it could not adopt the job."""
         for attempt in job.attempts:
             self._invoker.detach(attempt)
-        self._host.detach(job)
+        self._host.detach(job, keep_id=True)
+
+    def _send_retained_ids(self) -> None:
+        """Tells the successor, while jobs are handed over, of the ids that must not run again."""
+        if not self._handing_over or self.successor is None:
+            return
+        retained = self._host.job_ids.retained()
+        unsent = {job_id: left for job_id, left in retained.items() if job_id not in self._retained_ids_sent}
+        for ids, data in records.retained_ids_messages(unsent):
+            if not self._channel.send(self.successor, data):
+                return
+            self._retained_ids_sent.update(ids)
 
     def _send_job(self, record: Record, sock: socket.socket) -> bool:
         assert self.successor is not None
@@ -205,6 +240,7 @@
             copy = sock.dup()
         except OSError:
             return False  # no descriptor left: the job stays here for now
+        self._host.job_ids.share(record.id)
         if not self._channel.send(self.successor, records.job_message(record), sock.fileno()):
             copy.close()
             return False
@@ -241,7 +277,7 @@
         ):
             return None
         may_have_run_before = any(attempt.ended and not attempt.never_ran for attempt in job.attempts)
-        if may_have_run_before and not self._safe.get(job.arrival.job_class, False):
+        if may_have_run_before and not self._has_effect(job.arrival.job_class, api.Effect.SAFE):
             return None
         payload, arrival = job.payload, job.arrival
         return Record(
@@ -283,6 +319,9 @@
             self._on_forwarded_call_back(fields.get("call_back"))
         elif fields["kind"] == records.NOT_TAKEN:
             self._on_not_taken(fields["id"])
+        elif fields["kind"] == records.RETAINED_IDS:
+            for job_id, retention in fields["ids"].items():
+                self._host.job_ids.retain(job_id, min(retention, RETENTION))
         elif fields["kind"] == "job" and socks and self._can_adopt(fields["job"]):
             self._adopt(fields["job"], socks.pop())
         elif fields["kind"] == "job":
@@ -301,9 +340,10 @@
             log.error("malformed forwarded call-back ignored", error=str(error))
 
     def _can_adopt(self, record: Record) -> bool:
-        return record.job_class in self._classes and not self._host.has_job(record.id)
+        return record.job_class in self._classes and self._host.job_ids.state(record.id) is not IdState.IN_USE
 
     def _adopt(self, record: Record, sock: socket.socket) -> None:
+        self._host.job_ids.hold(record.id)
         deadline = self._loop.now() + record.time_left
         start_job = self._await_call_back if record.worker else self._start_job
         task = self._front.adopt(sock, lambda answer: start_job(record, deadline, answer))
@@ -312,7 +352,7 @@
     def _await_call_back(
         self, record: Record, deadline: int, answer: Callable[[Answer], None]
     ) -> Callable[[], None]:
-        on_disconnect: list[Callable[[], None]] = [lambda: self.pending.discard(record.id)]
+        on_disconnect: list[Callable[[], None]] = [lambda: self._abandon(record.id)]
 
         def count_and_answer(final: Answer) -> None:
             self._host.count_answer(record.job_class, final.verdict)
@@ -321,10 +361,59 @@
         def retry(retry_record: Record) -> None:
             on_disconnect[0] = self._start_job(retry_record, deadline, answer)
 
-        safe = self._safe[record.job_class]
-        self.pending.add(PendingJob(record, safe, deadline, count_and_answer, retry), self._loop.now())
+        def on_end(end: AttemptEnd, never_ran: bool) -> None:
+            self._on_pending_job_ended(record, end, never_ran)
+
+        safe = self._has_effect(record.job_class, api.Effect.SAFE)
+        self.pending.add(
+            PendingJob(record, safe, deadline, count_and_answer, retry, on_end), self._loop.now()
+        )
         return lambda: on_disconnect[0]()
 
+    def _on_pending_job_ended(self, record: Record, end: AttemptEnd, never_ran: bool) -> None:
+        """Frees or retains the id of a job that gets its answer now."""
+        if end is AttemptEnd.EXPIRED:
+            self._cancel_at_worker(record, self._loop.now() + _CANCEL_TIME_AT_DEADLINE)
+        else:
+            unsafe = self._has_effect(record.job_class, api.Effect.UNSAFE)
+            self._host.job_ids.release(record.id, may_have_run=unsafe and not never_ran)
+
+    def _abandon(self, job_id: str) -> None:
+        """Cancels a pending job, as its client has disconnected."""
+        pending_job = self.pending.jobs.get(job_id)
+        if pending_job is not None:
+            self.pending.discard(job_id)
+            self._cancel_at_worker(pending_job.record, pending_job.deadline)
+
+    def _cancel_at_worker(self, record: Record, until: int) -> None:
+        """Cancels an attempt that has not ended. Its id stays in use until the worker has confirmed that, or
+        until ``until`` (ns)."""
+        unsafe = self._has_effect(record.job_class, api.Effect.UNSAFE)
+
+        def release(confirmed: bool = False) -> None:
+            self._host.job_ids.release(record.id, may_have_run=unsafe)
+
+        if unsafe:
+            release()  # retained at once, so that a successor is told of it
+        if self._host.settings.may_cancel:
+            self._invoker.cancel_job(record.id, record.worker, until, release)
+        else:
+            self._loop.call_at(until, release)
+
+    def _has_effect(self, job_class: str, effect: api.Effect) -> bool:
+        known = self._classes.get(job_class)
+        return known is not None and known.effect is effect
+
+    def _others_may_run(self) -> bool:
+        try:
+            return any(self._channel.may_run(path) for path in self._channel.others())
+        except OSError:
+            return True
+
+    def _receive_from_predecessors(self) -> None:
+        if self._channel.predecessors:
+            self._channel.receive(_MAX_MESSAGES_BEFORE_CLAIM)
+
     def _start_job(
         self, record: Record, deadline: int, answer: Callable[[Answer], None]
     ) -> Callable[[], None]:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -52,6 +52,10 @@
             self.dispatcher, self.address = self.new, self.new.listener.getsockname()
             self.new = None
             self.peers = {name: peer for name, peer in self.peers.items() if name[0] != "n"}
+        elif line == "gone":
+            # as "exits", and its channel and locks are closed, as at the end of a process
+            self.run_until(line, lambda: self.dispatcher.loop.stopped)
+            self.dispatcher._upgrade.close()
         elif line == "new dies":
             assert self.new is not None
             self.new.close()
