Take a start that was not listed before for a new process, whatever the clocks say

What callers saw: a worker was removed and came back cold, on a machine whose clock had been set back an hour. Within 10 ms of the list one dispatcher sent it 9 bookings, about 15 requests of mean work where 8.1 are allowed in 3 s.

Cause: the decisions knew a new process of a worker by a listed start that is later than any before, and its age by that reading. Both compare readings of a clock that may be stepped. An earlier start was taken for a delayed list. A start that is later, but listed with a clock that was set back by seconds, made the new process look that much warmer; one that was listed more than 22 s after its reading counted as 6 s old.

Fix: a listed start only identifies a process. One that was not listed before for this worker is a new process, and it counts as started when it is first listed, since no list tells a later moment in which it cannot have started. One that was listed before comes from a delayed list and changes nothing (the last 8 of a worker are kept). Entries of workers that are gone and a start of 0 tell of no process. In the first list of discovery starts count as listed, as before; there, too, a start that is earlier than in the configuration's list shows a step and counts as new.

Tests changed: Fleet in test_warming.py listed a worker up to 22 s late and let its reading alone tell its age. It now tells dispatchers that run of a start when it happens; a test that lists late on purpose still does. The test of an entry of an earlier start showed a start that had never been listed and called it a delayed list; it now shows starts that were, and a new test says what the other case must give. What they demand is as before.

--- a/heathway/logic.py
+++ b/heathway/logic.py
@@ -541,7 +541,7 @@
 
     def _apply_entry(self, entry: api.WorkerEntry) -> None:
         worker = self._workers.setdefault(entry.worker, Worker(entry.worker, entry))
-        if worker.apply_entry(entry, self._settings.cold_time, self.ring.start_times.latest(worker.id)):
+        if worker.apply_entry(entry, self._settings.cold_time, self.ring.start_times):
             worker.reset_load()
             self._mark_alive(worker)
         idle_weight = self.ring.update_idle_weight(entry)
--- a/heathway/start_times.py
+++ b/heathway/start_times.py
@@ -1,28 +1,35 @@
 """When workers started, on this process's clock. No input or output.
 
-The list gives each start time by the wall clock of the worker's machine, and this process's clock was set
-from its own wall clock when it started. Either may be off by seconds or an hour. If the own clock is ahead, a
-worker that has just started looks warm and is sent too much. So a start that is first listed while this
-process follows the list counts as recent whatever the clocks say. And if every worker of a first list looks
-warm, the newest one is taken to have just started, since the own clock can't be ahead by more than that
-worker's age.
+The list gives each start time by the wall clock of the worker's machine. Any wall clock may be stepped by
+seconds or an hour, so a listed start only identifies a process of the worker. A start that was not listed for
+the worker before is that of a new process, also if it is earlier than the last one. A start that was listed
+before comes from a delayed list. A new process may have started at the moment in which it is first listed: if
+it were taken to be older, it would look warmer than it is and be sent too much.
+
+The first list of the discovery service is different, as most of its workers have run for long. Its starts are
+taken as listed, corrected for an own clock that is ahead: if every worker looks warm, the newest one is taken
+to have just started, since the own clock can't be ahead by more than that worker's age.
 """
 
+from collections import deque
 from collections.abc import Iterable
 
 from heathway import api
 
 _SECOND = 1_000_000_000
-LISTED_WITHIN = 6 * _SECOND  # a start is listed within this time
 MAX_CLOCK_ERROR = 3_700 * _SECOND  # an hour and some seconds
+_MAX_EARLIER_STARTS = 8  # remembered for each worker
 
 
 class StartTimes:
-    """Start times in ns on the own clock, none earlier than the worker can have started."""
+    """The latest possible start of each worker, in ns on the own clock."""
 
     def __init__(self, cold_time: int) -> None:
         self._cold_time = cold_time
-        self._listed: dict[str, int] = {}  # by worker, as the list gives it
+        self._listed: dict[str, int] = {}  # by worker, of its latest process, as the list gives it
+        self._earlier: dict[
+            str, deque[int]
+        ] = {}  # by worker, of its earlier processes, as the list gave them
         self._started: dict[str, int] = {}  # by worker, on the own clock
         self._listed_at_first: dict[str, int] = {}  # as listed up to the first list of the service
         self._followed = False  # whether the discovery service has sent this process a list or changes
@@ -31,6 +38,10 @@
         """When that worker started at the latest; 0: long ago."""
         return self._started.get(worker, 0)
 
+    def listed(self, worker: str) -> int:
+        """The start of that worker's latest process as the list gives it; 0: long ago, or not listed."""
+        return self._listed.get(worker, 0)
+
     def may_precede(self, worker: str, process_start: int) -> bool:
         """Whether that worker may have started before this process did, at ``process_start`` (ns).
 
@@ -45,20 +56,35 @@
         The own clock is corrected until the discovery service has answered for the first time. Corrected
         again with each list, the newest worker would never become warm, so later only new starts count.
         """
-        new = [entry for entry in entries if entry.started_at > self._listed.get(entry.worker, 0)]
-        self._listed.update((entry.worker, entry.started_at) for entry in new)
+        new = {entry.worker: entry.started_at for entry in entries if self._is_new_process(entry)}
+        # the two clocks, or one of them before and after a step, can't be compared
+        step_shown = {worker for worker, listed in new.items() if listed < self.listed(worker)}
+        for worker, listed in new.items():
+            self._remember(worker, listed)
         if self._followed:
-            for entry in new:
-                looks_warm = now - entry.started_at > self._cold_time
-                self._started[entry.worker] = (
-                    now - LISTED_WITHIN if looks_warm else min(entry.started_at, now)
-                )
+            self._started.update(dict.fromkeys(new, now))
             return
         self._followed = kind is not api.ListKind.LAST_KNOWN
         self._listed_at_first = dict(self._listed)
-        past = [started_at for started_at in self._listed.values() if started_at <= now]
+        past = [listed for listed in self._listed.values() if listed <= now]
         ahead = now - max(past, default=now)
         # a worker that looks cold shows that the clock is hardly ahead; beyond the error all are warm anyhow
         if not self._cold_time < ahead < MAX_CLOCK_ERROR:
             ahead = 0
-        self._started = {worker: min(now, at + ahead) for worker, at in self._listed.items()}
+        self._started = {worker: min(now, listed + ahead) for worker, listed in self._listed.items()}
+        self._started.update(dict.fromkeys(step_shown, now))
+
+    def _is_new_process(self, entry: api.WorkerEntry) -> bool:
+        """Whether an entry shows a process of the worker that was not listed before.
+
+        A start of 0 tells of no process, and the entry of a worker that is gone of none that runs."""
+        listed = entry.started_at
+        if listed <= 0 or entry.state is api.WorkerState.GONE:
+            return False
+        return listed != self.listed(entry.worker) and listed not in self._earlier.get(entry.worker, ())
+
+    def _remember(self, worker: str, listed: int) -> None:
+        previous = self._listed.get(worker)
+        if previous is not None:
+            self._earlier.setdefault(worker, deque(maxlen=_MAX_EARLIER_STARTS)).append(previous)
+        self._listed[worker] = listed
--- a/heathway/state.py
+++ b/heathway/state.py
@@ -121,19 +121,19 @@
         """
         return 2 * self.entry.weight > self.max_weight or self.max_weight <= 0
 
-    def apply_entry(self, entry: api.WorkerEntry, cold_time: int, started_at: int) -> bool:
+    def apply_entry(self, entry: api.WorkerEntry, cold_time: int, start_times: StartTimes) -> bool:
         """Applies its entry of the list; returns whether the entry shows a new process.
 
-        ``started_at``: its latest possible start on the own clock; 0: long ago.
+        ``start_times`` has the list already, and tells which process of the worker is the latest one.
         """
         old, until = self.entry, self.cold_until
         if entry.state is api.WorkerState.GONE:
             entry = replace(old, state=api.WorkerState.GONE)
-        if entry.started_at < old.started_at:  # a delayed list must not make a cold worker look warm
-            entry = replace(entry, started_at=old.started_at)
+        # a delayed list must not make a cold worker look warm
+        entry = replace(entry, started_at=start_times.listed(self.id))
         self.entry = entry
-        self.started_at = started_at
-        self.cold_until = started_at + cold_time if started_at else 0
+        self.started_at = start_times.latest(self.id)
+        self.cold_until = self.started_at + cold_time if self.started_at else 0
         if until and entry.started_at == old.started_at:
             self.cold_until = min(until, self.cold_until)
         return entry.started_at != old.started_at
--- a/tests/test_warming.py
+++ b/tests/test_warming.py
@@ -73,6 +73,9 @@
 
     def tell(self, dispatcher: AdmitsAll, now: int | None = None) -> None:
         at = self.now if now is None else now
+        if 0 < dispatcher._now < self.entry.started_at < at:
+            # it ran at the worker's start, and discovery told it then
+            dispatcher.handle(self.entry.started_at, [api.WorkerList(ListKind.FULL, (self.entry,))])
         # a dispatcher that starts before the worker gets a list without it first
         entries_then = (self.entry,) if at >= self.entry.started_at else ()
         dispatcher.handle(at, [api.WorkerList(ListKind.FULL, entries_then)])
@@ -381,7 +384,7 @@
     fleet = Fleet(fleet_settings(1), CLASS_MEANS[2:], 5.0)
     dispatcher = fleet.dispatchers[0]
     restarted, fleet.entry = fleet.entry, replace(fleet.entry, started_at=1)
-    fleet.tell(dispatcher)
+    fleet.tell(dispatcher, 50 * S)
     fleet.entry = restarted
     fleet.now += S
     before = fleet.offer(dispatcher, Offer((0,)), most=12)
@@ -417,11 +420,18 @@
 
 
 def test_an_entry_of_an_earlier_start_does_not_make_a_cold_worker_warm():
-    worker = relisted((0, 7 * S, WorkerState.UP), (S, 0, WorkerState.UP), (2 * S, 3, WorkerState.UP))
+    up = WorkerState.UP
+    worker = relisted((0, 3, up), (0, 7 * S, up), (S, 0, up), (2 * S, 3, up))
     assert worker.entry.started_at == 7 * S
     assert worker.cold_until == 27 * S
 
 
+def test_an_earlier_start_that_was_not_listed_before_is_that_of_a_new_process():
+    worker = relisted((0, 7 * S, WorkerState.UP), (2 * S, 3, WorkerState.UP))
+    assert worker.entry.started_at == 3
+    assert worker.cold_until == 29 * S
+
+
 def test_a_worker_that_was_gone_for_a_while_stays_cold():
     worker = relisted((0, 7 * S, WorkerState.UP), (S, 0, WorkerState.GONE), (2 * S, 7 * S, WorkerState.UP))
     assert worker.cold_until == 27 * S
