Make the records of handed-over jobs in a module of their own

Need: handover/upgrade.py had grown to 442 lines and held both the exchange with the other process and the mapping between jobs and records. Change: job_records.py has the mapping, pure; a retried record is made by dataclasses.replace instead of a table of its fields. No behaviour is changed.

--- a/ironbarrow/handover/pending.py
+++ b/ironbarrow/handover/pending.py
@@ -8,7 +8,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from enum import Enum, auto
-from typing import Any
 
 from ironbarrow.core.jobs import Answer, Verdict
 from ironbarrow.handover.records import Record
@@ -140,15 +139,13 @@
         elif end is AttemptEnd.EXPIRED or pending.record.attempts >= self._max_attempts:
             answer = Answer(Verdict.REFUSED, retry_after=self._retry_after)
         else:
-            fields: dict[str, Any] = {name: getattr(pending.record, name) for name in Record.__slots__}
             tried = (*pending.record.tried, pending.record.worker)
-            fields |= {
-                "worker": "",
-                "may_have_run": not never_ran,
-                "time_left": pending.deadline - now,
-                "tried": tried,
-            }
-            pending.retry(Record(**fields))
+            time_left = pending.deadline - now
+            pending.retry(
+                replace(
+                    pending.record, worker="", may_have_run=not never_ran, time_left=time_left, tried=tried
+                )
+            )
             return
         pending.on_end(end, never_ran)
         pending.answer(answer)
--- a/ironbarrow/handover/upgrade.py
+++ b/ironbarrow/handover/upgrade.py
@@ -12,11 +12,12 @@
 from heathway import api
 from ironbarrow.core.host import Host
 from ironbarrow.core.job_ids import IdState
-from ironbarrow.core.jobs import Answer, Attempt, Job, JobOptions, Payload, default_retry_after
+from ironbarrow.core.jobs import Answer, Attempt, Job, JobOptions, default_retry_after
 from ironbarrow.core.recent_ids import RETENTION
 from ironbarrow.handover import records
 from ironbarrow.handover.channel import Channel
 from ironbarrow.handover.id_locks import FileIdLocks
+from ironbarrow.handover.job_records import payload_of, record_of
 from ironbarrow.handover.pending import AttemptEnd, PendingJob, PendingJobs
 from ironbarrow.handover.predecessors import RunningPredecessors
 from ironbarrow.handover.records import Record
@@ -27,7 +28,6 @@
 
 _CHECK_INTERVAL = 20 * MS  # for jobs that can be handed over or have expired
 _REJECTION_TIMEOUT = 500 * MS  # by then the successor has reported a job that it could not adopt
-_MIN_TIME_LEFT = 50 * MS  # jobs with less time left are not handed over
 _CANCEL_TIME_AT_DEADLINE = 1 * SECOND  # for the DELETEs of an attempt that is still out at its deadline
 _MAX_MESSAGES_BEFORE_CLAIM = 4096  # more than one process can have sent in its last moments
 
@@ -263,46 +263,9 @@
         remaining = max(1, handed_over.record.time_left - (self._loop.now() - handed_over.sent_at))
         self._adopt(replace(handed_over.record, time_left=remaining), handed_over.sock)
 
-    def _make_record(self, job: Job, received_record: Record | None = None) -> Record | None:
-        """Makes the record of a job for the successor; ``received_record``: the one that this process got.
-
-        None while the job can't be handed over: an attempt is being sent or cancelled, or the job may have
-        run and its class is not safe."""
-        remaining = job.deadline - self._loop.now()
-        running = [attempt for attempt in job.attempts if not attempt.ended]
-        if (
-            job.finished
-            or remaining < _MIN_TIME_LEFT
-            or any(not sent.accepted or sent.given_up for sent in running)
-        ):
-            return None
-        may_have_run_before = any(attempt.ended and not attempt.never_ran for attempt in job.attempts)
-        if may_have_run_before and not self._has_effect(job.arrival.job_class, api.Effect.SAFE):
-            return None
-        payload, arrival = job.payload, job.arrival
-        return Record(
-            id=payload.id,
-            job_class=arrival.job_class,
-            method=payload.method,
-            target=payload.target,
-            body=payload.body,
-            content_type=payload.content_type,
-            time_left=remaining,
-            attempts=len(job.attempts) + (received_record.attempts if received_record is not None else 0),
-            worker=running[0].worker if running else "",
-            may_have_run=may_have_run_before
-            or any(attempt.started for attempt in running)
-            or (received_record is not None and received_record.may_have_run),
-            key=arrival.key,
-            tenant=arrival.tenant,
-            slots=arrival.slots,
-            memory=arrival.memory,
-            idempotency_key=payload.idempotency_key,
-            tried=(
-                *(received_record.tried if received_record is not None else ()),
-                *(attempt.worker for attempt in job.attempts if attempt.ended and attempt.written),
-            ),
-        )
+    def _make_record(self, job: Job, received: Record | None = None) -> Record | None:
+        safe = self._has_effect(job.arrival.job_class, api.Effect.SAFE)
+        return record_of(job, self._loop.now(), safe=safe, received=received)
 
     # The new process
 
@@ -419,14 +382,7 @@
     ) -> Callable[[], None]:
         """Starts a job as if it had just arrived, with the remaining attempts and time."""
         job = self._host.submit(
-            Payload(
-                record.id,
-                record.method,
-                record.target,
-                record.body,
-                record.content_type,
-                record.idempotency_key,
-            ),
+            payload_of(record),
             answer,
             job_class=record.job_class,
             time_left=max(1, deadline - self._loop.now()),
