--- a/ironbarrow/handover/job_records.py
+++ b/ironbarrow/handover/job_records.py
@@ -10,9 +10,9 @@
 def record_of(job: Job, now: int, *, safe: bool, received: Record | None = None) -> Record | None:
     """Makes the record of a job at ``now`` (ns) for the successor.
 
-    ``safe``: its class may run any number of times; ``received``: the record of the job that this process got
-    itself. None while the job can't be handed over: an attempt is being sent or cancelled, or the job may have
-    run and its class is not safe."""
+    ``safe``: its class may run any number of times; ``received``: the record that this process got of it.
+    None while it can't be handed over: an attempt is being sent or cancelled, or the job may have run and
+    its class is not safe."""
     remaining = job.deadline - now
     running = [attempt for attempt in job.attempts if not attempt.ended]
     if (
