--- a/heathway/start_times.py
+++ b/heathway/start_times.py
@@ -26,10 +26,9 @@
 
     def __init__(self, cold_time: int) -> None:
         self._cold_time = cold_time
-        self._listed: dict[str, int] = {}  # by worker, of its latest process, as the list gives it
-        self._earlier: dict[
-            str, deque[int]
-        ] = {}  # by worker, of its earlier processes, as the list gave them
+        # by worker, as the list gives them: the start of its latest process, and those of earlier ones
+        self._listed: dict[str, int] = {}
+        self._earlier: dict[str, deque[int]] = {}
         self._started: dict[str, int] = {}  # by worker, on the own clock
         self._listed_at_first: dict[str, int] = {}  # as listed up to the first list of the service
         self._followed = False  # whether the discovery service has sent this process a list or changes
@@ -57,7 +56,7 @@
         again with each list, the newest worker would never become warm, so later only new starts count.
         """
         new = {entry.worker: entry.started_at for entry in entries if self._is_new_process(entry)}
-        # the two clocks, or one of them before and after a step, can't be compared
+        # an earlier start shows that a clock was stepped, so that it doesn't tell the worker's age
         step_shown = {worker for worker, listed in new.items() if listed < self.listed(worker)}
         for worker, listed in new.items():
             self._remember(worker, listed)
