Let a test of a reload wait for the slow start of the worker that it lists anew

Cause: the test lists a later process of p1 with a start in 1970 while p2 drains. Such a start was taken as 6 s old, which is over the second that these settings give to a slow start, so p1 was warm at once. The test is about the list and the jobs that stay, not about warmth: it now waits for the cold time of its settings before j3, and what it expects of each peer is as before.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -71,6 +71,7 @@
     later = harness.entry("p1") | {"since_ms": 1_000}  # a later process than the one that drains
     full_list = escaped(harness.list_chunk(later, harness.entry("p2", "draining"), index=3, full=True))
     body = full_list.split("\\r\\n")[1]
+    cold_ms = harness.config.settings.cold_time // MS  # of the later process, which counts as just started
     run_with_watch(
         harness,
         f"""c1 send {job()}
@@ -86,6 +87,7 @@
         p1 send {ACCEPTED}
         c3 send {call_back("done", result="out")}
         c1 expect 200 .*out$
+        wait {cold_ms}
         c1 send {job("j3")}
         p1 expect : j3
         d2 close
