Log shutdown phases, answers not given and jobs not handed over

Now logged: each transition of the shutdown with the jobs owed and the time since it began; each answer that is not given, with id, waiting time, and whether its job came after the signal; counted: how answers end, and why a job could not be handed over at a check. core/shutdown.py, frontend/owed_answers.py. Behaviour is unchanged.

--- a/ironbarrow/core/host.py
+++ b/ironbarrow/core/host.py
@@ -20,6 +20,7 @@
 from ironbarrow.core.job_ids import JobIds
 from ironbarrow.core.jobs import DEFAULT_OPTIONS, Answer, Attempt, Job, JobOptions, Payload, Verdict
 from ironbarrow.core.metrics import Metrics
+from ironbarrow.core.shutdown import Shutdown
 from ironbarrow.runtime.clock import Clock
 
 log = structlog.get_logger()
@@ -96,6 +97,7 @@
         self.on_worker_list: Callable[[], None] | None = None  # ``workers`` has changed
         self._dispatcher = Dispatcher(settings, seed)
         self.event_log = EventLog(loop)
+        self.shutdown = Shutdown(loop, self.event_log)
         self.metrics = Metrics(tuple(job_class.name for job_class in settings.classes))
         self._jobs: dict[int, Job] = {}
         self._jobs_by_id: dict[str, Job] = {}
--- a/ironbarrow/daemon/dispatcher.py
+++ b/ironbarrow/daemon/dispatcher.py
@@ -20,6 +20,7 @@
 from ironbarrow.backend.invoker import HttpInvoker
 from ironbarrow.config.loader import Config, ConfigError
 from ironbarrow.core.host import Host
+from ironbarrow.core.shutdown import Phase
 from ironbarrow.daemon.descriptors import DescriptorBudget
 from ironbarrow.daemon.shutdown_times import ShutdownTimes
 from ironbarrow.discovery.client import DiscoveryClient
@@ -304,10 +305,13 @@
         self._stopping = True
         now = self.loop.now()
         self._connection_deadline = now + self.shutdown_times.connection_limit
+        self.host.shutdown.begin(now)
         if self._begin_hand_over():
+            self._enter(Phase.HANDING_OVER)
             # the new process serves already and takes over the jobs that still arrive here
             self.loop.call_at(now + _HAND_OVER_DELAY, self._leave_address)
         else:
+            self._enter(Phase.FINISHING)
             if self.fleet is not None:
                 self.loop.call_at(now + self.shutdown_times.leave_delay, self._leave_fleet)
             else:
@@ -317,6 +321,9 @@
             self._operations.stopping = True
         log.info("stopping", owed=self.host.unanswered)
 
+    def _enter(self, phase: Phase) -> None:
+        self.host.shutdown.enter(phase, self.host.unanswered)
+
     def _begin_hand_over(self) -> bool:
         """Starts to hand jobs over to the new process; False if there is none or the channel fails.
 
@@ -331,12 +338,15 @@
         """Leaves new connections to the new process. While jobs arrived here, this one would not end."""
         if self._upgrade.successor_runs:
             self.server.stop_accepting()
+        else:
+            self._enter(Phase.SUCCESSOR_GONE)
         self._close_idle()
 
     def _leave_fleet(self) -> None:
         """Leaves the unanswered jobs to the other members, where their clients ask again.
 
         From now on this process must not send, answer or cancel any of them."""
+        self._enter(Phase.LEAVING_FLEET)
         self.fleet.leave(self.loop.now() + self.shutdown_times.leave_timeout)
         self._finish_when_left()
 
@@ -347,6 +357,7 @@
             self.loop.call_at(self.loop.now() + _DONE_CHECK_INTERVAL, self._finish_when_left)
 
     def _finish(self) -> None:
+        self._enter(Phase.ENDING)
         # From here on new connections are refused, so that clients go to another dispatcher. If the listener
         # stayed open until this turn of the loop ends, they would be accepted and dropped without an answer.
         self.listener.close()
@@ -355,6 +366,7 @@
     def _close_idle(self) -> None:
         # before close_idle, because the program must end even if that raises
         self.loop.call_soon(self._finish_when_done)
+        self._enter(Phase.CLOSING_IDLE)
         self.server.close_idle()
 
     def _finish_when_done(self) -> None:
--- a/ironbarrow/frontend/server.py
+++ b/ironbarrow/frontend/server.py
@@ -14,6 +14,7 @@
 from ironbarrow.core.job_ids import IdState
 from ironbarrow.core.jobs import Answer, Job, JobOptions, Payload
 from ironbarrow.frontend.connection_slots import LINGER_TIMEOUT, NEW_CONNECTION_GRACE, ConnectionSlots
+from ironbarrow.frontend.owed_answers import AnswerEnd, OwedAnswers
 from ironbarrow.frontend.requests import (
     JSON_HEADER,
     RequestRejectedError,
@@ -67,6 +68,7 @@
 _ACCEPTS_PER_TURN = 16
 # in a turn that reads hundreds of requests, disconnects of their senders would go unnoticed
 _REQUESTS_PER_TURN = 32
+_CLIENT_LEFT = frozenset((Ending.CLOSED, Ending.RESET))  # endings of a connection while it is written to
 _FULL_RETRY_AFTER = 200 * MS  # for a job that is rejected because no slot is left for jobs
 
 
@@ -98,6 +100,7 @@
         self._accept_failing_since = 0  # ns; since when connections wait that can't be accepted; 0 if none
         self._closing_since: int | None = None  # ns; from then on no connection is kept alive
         self.awaiting_answer: dict[Job, tuple[Connection, Task]] = {}  # clients that wait
+        self._owed = OwedAnswers(loop, host.event_log, host.shutdown)
         # the operators' routes; without them, the first segment of the path is the job's class
         self.router: Router | None = None
         self.fleet_jobs: FleetJobs | None = None  # without a fleet, jobs go to the host
@@ -190,8 +193,11 @@
                     yield from sleep(self._loop.now())
             connection.shutdown_write()
         except ConnectionEndedError as error:
+            if error.ending in _CLIENT_LEFT:
+                self._owed.end(task, AnswerEnd.CLIENT_LEFT)
             yield from self._answer_malformed(connection, error)
         finally:
+            self._owed.connection_closed(task)
             self._slots.release(connection)
 
     def _next_request(self, connection: Connection, task: Task) -> Coroutine[Message | None]:
@@ -299,6 +305,7 @@
         # a client that reads slowly may take until its deadline; cut off earlier, it would lose its answer
         until = max(now + _WRITE_TIMEOUT, min(due, now + _MAX_WRITE_TIMEOUT))
         yield from connection.write(data, until)
+        self._owed.end(task, AnswerEnd.WRITTEN)
         return keep
 
     def _is_last_response(self, connection: Connection) -> bool:
@@ -343,12 +350,15 @@
             task.wake()
 
         finish = self._submit(connection, task, request, payload, placement, on_answer)
+        self._owed.begin(task, payload.id)
         try:
             client_present = yield from self._await_answer(connection, answers)
         finally:
             finish()
         if not client_present:
+            self._owed.end(task, AnswerEnd.CLIENT_LEFT)
             return None
+        self._owed.decided(task)
         if answers[0] is None:
             raise RequestRejectedError(409, "another request is under this X-Request-ID")
         return answers[0]
@@ -370,24 +380,36 @@
         self.awaiting_answer.pop(job, None)
         self._host.withdraw(job)
 
+    def handed_over(self, task: Task) -> None:
+        """Ends the task of a client whose job another process has taken over."""
+        self._owed.end(task, AnswerEnd.HANDED_OVER)
+        task.cancel()
+
     def adopt(
-        self, sock: socket.socket, begin: Callable[[Callable[[Answer], None]], Callable[[], None]]
+        self,
+        sock: socket.socket,
+        job_id: str,
+        begin: Callable[[Callable[[Answer], None]], Callable[[], None]],
     ) -> Task:
         """Answers a client whose request was read by another process.
 
         ``begin`` is called with the function that takes the one final answer. It returns the function to call
         if the client disconnects before that.
         """
-        return self._loop.spawn(self._serve_adopted(adopt(sock), begin))
+        return self._loop.spawn(self._serve_adopted(adopt(sock), job_id, begin))
 
     def _serve_adopted(
-        self, connection: Connection, begin: Callable[[Callable[[Answer], None]], Callable[[], None]]
+        self,
+        connection: Connection,
+        job_id: str,
+        begin: Callable[[Callable[[Answer], None]], Callable[[], None]],
     ) -> Coroutine[None]:
         answers: list[Answer | None] = []
         task = self._loop.current
         assert task is not None
         self._slots.acquire(connection)
         cancel: Callable[[], None] | None = None
+        self._owed.begin(task, job_id)
 
         def on_answer(answer: Answer) -> None:
             answers.append(answer)
@@ -396,16 +418,21 @@
         try:
             cancel = begin(on_answer)
             if not (yield from self._await_answer(connection, answers)):
+                self._owed.end(task, AnswerEnd.CLIENT_LEFT)
                 return
+            self._owed.decided(task)
             headers: list[tuple[str, str]] = [("Connection", "close")]
             assert answers[0] is not None
             status, body = final_response(answers[0], headers)
             data = connection.response_bytes(status, headers, body)
             yield from connection.write(data, self._loop.now() + _WRITE_TIMEOUT)
+            self._owed.end(task, AnswerEnd.WRITTEN)
             connection.shutdown_write()
-        except ConnectionEndedError:
-            return
+        except ConnectionEndedError as error:
+            if error.ending in _CLIENT_LEFT:
+                self._owed.end(task, AnswerEnd.CLIENT_LEFT)
         finally:
+            self._owed.connection_closed(task)
             if cancel is not None and not answers:
                 cancel()
             self._slots.release(connection)
--- a/ironbarrow/handover/upgrade.py
+++ b/ironbarrow/handover/upgrade.py
@@ -40,9 +40,11 @@
 
     awaiting_answer: dict[Job, tuple[Connection, Task]]
 
-    def adopt(self, sock: socket.socket, start_job: _StartJob) -> Task:
-        """Answers a client whose request another process has read. Cancelling the task closes the
-        connection."""
+    def adopt(self, sock: socket.socket, job_id: str, start_job: _StartJob) -> Task:
+        """Answers a client whose request another process has read."""
+
+    def handed_over(self, task: Task) -> None:
+        """Closes the connection of a client whose job another process has taken over."""
 
 
 class Invoker(Protocol):
@@ -191,11 +193,18 @@
 
     def _hand_over_jobs(self) -> None:
         for job, (connection, task) in list(self._front.awaiting_answer.items()):
-            record = self._make_record(job) if not connection.has_unread else None
-            if record is None or not self._send_job(record, connection.sock):
+            if connection.has_unread:
+                self._count_kept("its client has sent more")
+                continue
+            record = self._make_record(job)
+            if record is None:
+                self._count_kept("an attempt is being sent or stopped, or it may have run")
+                continue
+            if not self._send_job(record, connection.sock):
+                self._count_kept("it could not be sent to the successor")
                 continue
             self._detach(job)
-            task.cancel()
+            self._front.handed_over(task)
         self._hand_over_adopted()
 
     def _hand_over_adopted(self) -> None:
@@ -214,7 +223,11 @@
             self.pending.discard(job_id)
             if host_job is not None:
                 self._detach(host_job)
-            adopted.task.cancel()
+            self._front.handed_over(adopted.task)
+
+    def _count_kept(self, reason: str) -> None:
+        """Counts a check at which a job could not be handed over."""
+        self._host.event_log.count("not handed over yet", reason)
 
     def _detach(self, job: Job) -> None:
         """Drops a job that was handed over. Its id stays in use here: this process ends soon, and until then
@@ -309,7 +322,7 @@
         self._host.job_ids.hold(record.id)
         deadline = self._loop.now() + record.time_left
         start_job = self._await_call_back if record.worker else self._start_job
-        task = self._front.adopt(sock, lambda answer: start_job(record, deadline, answer))
+        task = self._front.adopt(sock, record.id, lambda answer: start_job(record, deadline, answer))
         self._adopted[record.id] = _AdoptedJob(sock, task, record)
 
     def _await_call_back(
