--- a/ironbarrow/lab/faults/injector.py
+++ b/ironbarrow/lab/faults/injector.py
@@ -1,7 +1,9 @@
 """Replaces calls of this process by ones that fail by a plan, before the program under test is imported."""
 
+import fcntl
 import os
 import select
+import signal
 import socket
 import time
 from collections import Counter
@@ -12,6 +14,7 @@
 
 from ironbarrow.lab.faults.rules import Call, FaultPlan, FaultRule, Side
 
+_LOCK_COMMANDS = frozenset((fcntl.F_SETLK, fcntl.F_SETLKW, fcntl.F_OFD_SETLK))
 _STANDARD_ERROR = 2  # where the log is written; not one of the program's files
 
 
@@ -22,6 +25,7 @@
         self._plan = plan
         self._random = Random(plan.seed)
         self._started = time.monotonic()
+        self._stopped: float | None = None  # when the first SIGTERM was handled
         self._opened: WeakSet[socket.socket] = WeakSet()  # connections opened by this process
         self._broken: WeakKeyDictionary[socket.socket, int] = WeakKeyDictionary()
         self.failures: Counter[tuple[str, str]] = Counter()
@@ -30,18 +34,21 @@
         """Replaces the calls for the whole process. This can't be undone."""
         self._install_sockets()
         self._install_epoll()
+        self._install_poll()
         self._install_files()
         self._install_clock()
+        self._install_signals()
 
     # Decisions
 
     def _matching_rule(self, call: Call, sock: socket.socket | None = None) -> FaultRule | None:
         """The rule by which this call fails now, if any. Counts the failure."""
-        now = time.monotonic() - self._started
+        now = time.monotonic()
         for rule in self._plan.rules:
-            if rule.call is not call or not self._applies_to(rule, sock):
+            origin = self._stopped if rule.since_stop else self._started
+            if rule.call is not call or origin is None or not self._applies_to(rule, sock):
                 continue
-            if rule.should_fail(now, self._random):
+            if rule.should_fail(now - origin, self._random):
                 self.failures[call.value, os.strerror(rule.error) if rule.error else "short"] += 1
                 return rule
         return None
@@ -70,6 +77,7 @@
         injector, cls = self, socket.socket
         init, accept, connect_ex = cls.__init__, cls._accept, cls.connect_ex  # type: ignore[attr-defined]
         send, recv, sendmsg, recvmsg = cls.send, cls.recv, cls.sendmsg, cls.recvmsg
+        duplicate = cls.dup
 
         def faulty_init(sock: Any, *args: Any, **kwargs: Any) -> None:
             if kwargs.get("fileno") is None and len(args) < 4:
@@ -105,6 +113,10 @@
             injector.check(Call.RECVMSG)
             return recvmsg(sock, *args)
 
+        def faulty_dup(sock: Any) -> Any:
+            injector.check(Call.DUP)
+            return duplicate(sock)
+
         patched: dict[str, Callable[..., Any]] = {
             "__init__": faulty_init,
             "_accept": faulty_accept,
@@ -113,6 +125,7 @@
             "recv": faulty_recv,
             "sendmsg": faulty_sendmsg,
             "recvmsg": faulty_recvmsg,
+            "dup": faulty_dup,
         }
         for name, call in patched.items():
             setattr(cls, name, call)
@@ -125,7 +138,7 @@
         injector, original = self, select.epoll
 
         class FaultyEpoll:
-            """As ``select.epoll``, but adding a descriptor may fail."""
+            """As ``select.epoll``, but adding or removing a descriptor may fail."""
 
             def __init__(self, *args: Any) -> None:
                 self._epoll = original(*args)
@@ -134,13 +147,65 @@
                 injector.check(Call.WATCH)
                 self._epoll.register(fd, mask)
 
+            def unregister(self, fd: int) -> None:
+                injector.check(Call.UNWATCH)
+                self._epoll.unregister(fd)
+
             def __getattr__(self, name: str) -> Any:
                 return getattr(self._epoll, name)
 
         select.epoll = FaultyEpoll  # type: ignore[misc,assignment]
 
+    def _install_poll(self) -> None:
+        injector, original = self, select.poll
+
+        class FaultyPoll:
+            """As ``select.poll``, but the poll itself may fail."""
+
+            def __init__(self) -> None:
+                self._poll = original()
+
+            def poll(self, *args: Any) -> Any:
+                injector.check(Call.POLL)
+                return self._poll.poll(*args)
+
+            def __getattr__(self, name: str) -> Any:
+                return getattr(self._poll, name)
+
+        select.poll = FaultyPoll  # type: ignore[misc,assignment]
+
+    def _install_signals(self) -> None:
+        """Notes the first SIGTERM, and may take the wake-up byte away from a signal."""
+        injector, install, set_wakeup_fd = self, signal.signal, signal.set_wakeup_fd
+
+        def noting_signal(number: int, handler: Any) -> Any:
+            if number != signal.SIGTERM or not callable(handler):
+                return install(number, handler)
+
+            def note_and_handle(*args: Any) -> Any:
+                if injector._stopped is None:
+                    injector._stopped = time.monotonic()
+                return handler(*args)
+
+            return install(number, note_and_handle)
+
+        def faulty_set_wakeup_fd(fd: int, **options: Any) -> int:
+            lost = any(rule.call is Call.WAKE_UP for rule in injector._plan.rules)
+            return set_wakeup_fd(-1 if lost else fd, **options)
+
+        signal.signal = noting_signal  # type: ignore[assignment]
+        signal.set_wakeup_fd = faulty_set_wakeup_fd
+
     def _install_files(self) -> None:
         injector = self
+        lock = fcntl.fcntl
+
+        def faulty_fcntl(fd: Any, command: int, *args: Any) -> Any:
+            if command in _LOCK_COMMANDS:
+                injector.check(Call.LOCK)
+            return lock(fd, command, *args)
+
+        fcntl.fcntl = faulty_fcntl
         write, fsync, replace, open_file = os.write, os.fsync, os.replace, os.open
 
         def faulty_write(fd: int, data: Any) -> int:
--- a/ironbarrow/lab/faults/rules.py
+++ b/ironbarrow/lab/faults/rules.py
@@ -25,6 +25,11 @@
     SENDMSG = "sendmsg"
     RECVMSG = "recvmsg"
     WATCH = "watch"  # epoll_ctl with EPOLL_CTL_ADD
+    UNWATCH = "unwatch"  # epoll_ctl with EPOLL_CTL_DEL
+    POLL = "poll"
+    DUP = "dup"  # of a socket
+    LOCK = "lock"  # fcntl with a lock
+    WAKE_UP = "wake-up"  # the byte that a signal writes, to end the wait of the event loop
     WRITE = "write"  # to a file
     FSYNC = "fsync"
     REPLACE = "replace"  # os.replace
@@ -45,7 +50,7 @@
 
 @dataclass(slots=True)
 class FaultRule:
-    """One kind of failure. Times are in s since the start of the process."""
+    """One kind of failure. Times are in s since the start of the process, or since its first SIGTERM."""
 
     call: Call
     error: int = 0  # errno; 0: the call succeeds, but is cut short
@@ -56,6 +61,7 @@
     every_s: float = 0.0  # period at which the time window repeats; 0: it does not repeat
     most: int = 0  # maximum number of failures; 0: no limit
     skip: int = 0  # number of calls that succeed first
+    since_stop: bool = False  # times count from the first SIGTERM; before it no call fails
     breaks: bool = False  # every later call on the same connection fails with the same error
     count: int = field(default=0, compare=False)  # failures so far
     seen: int = field(default=0, compare=False)  # calls in the time window so far
