Bound the time of late jobs on every path of a shutdown, not on one of them

Cause: the time by which late jobs are answered was set in one branch of Dispatcher.stop, the one without a successor and without a fleet. Beside a successor each job kept its own time, of which 3 s count, and stayed here if it could not be handed over: messages or descriptors failed, a worker had not answered, the successor ended. A fleet's process left before it answered. The class: a promise of the whole shutdown was kept by one path of it, and nothing checked it.

Fix: core/shutdown.py is the one guard: it limits a new job's time unless a successor takes jobs over, limits what comes back from it, refuses to send past the limit, and counts each violation. Host.end_late_jobs answers what is left at the limit, whatever path it is on; 50 ms later the answers owed are checked.

--- a/ironbarrow/core/host.py
+++ b/ironbarrow/core/host.py
@@ -18,9 +18,18 @@
 from ironbarrow.core.endings import Ending, outcome_of
 from ironbarrow.core.event_log import EventLog
 from ironbarrow.core.job_ids import JobIds
-from ironbarrow.core.jobs import DEFAULT_OPTIONS, Answer, Attempt, Job, JobOptions, Payload, Verdict
+from ironbarrow.core.jobs import (
+    DEFAULT_OPTIONS,
+    Answer,
+    Attempt,
+    Job,
+    JobOptions,
+    Payload,
+    Verdict,
+    default_retry_after,
+)
 from ironbarrow.core.metrics import Metrics
-from ironbarrow.core.shutdown import Shutdown
+from ironbarrow.core.shutdown import LateJobRule, Shutdown
 from ironbarrow.runtime.clock import Clock
 
 log = structlog.get_logger()
@@ -103,7 +112,6 @@
         self._jobs_by_id: dict[str, Job] = {}
         self.job_ids = JobIds(loop)  # of this host's jobs, and those that other processes pass on
         self._last_job_number = 0
-        self.answer_deadline: int | None = None  # ns; jobs that arrive from now on are answered by then
         self._unanswered = 0
         self._pending_events: list[api.Event] = []
         self._next_run_at = 0
@@ -180,8 +188,9 @@
 
         A front end claims the id first (``job_ids``). Here it is in use until the job is out of memory."""
         now = self.loop.now()
-        if self.answer_deadline is not None:
-            time_left = max(self.settings.tick, min(time_left, self.answer_deadline - now))
+        time_left = max(
+            min(time_left, self.settings.tick), self.shutdown.limit_of_new_job(now + time_left) - now
+        )
         self._last_job_number += 1
         arrival = api.JobArrived(
             self._last_job_number,
@@ -472,7 +481,10 @@
         job.attempts.append(attempt)
         if rule is not None:
             self._log_violation(rule, job, action.worker)
-        if rule is not None or job.finished or until <= now:
+        too_late = not job.finished and not self.shutdown.may_send(job.arrived_at)
+        if too_late:
+            self.shutdown.report(LateJobRule.SENDING, job.payload.id)
+        if rule is not None or too_late or job.finished or until <= now:
             self.attempt_ended(attempt, Ending.NOT_SENT)
             return
         attempt.timer = self.loop.call_at(until, self._on_attempt_timeout, attempt)
@@ -563,7 +575,23 @@
         if job.finished:
             return
         log.error("answer overdue", id=job.payload.id)
-        self._finish_job(job, Answer(Verdict.FAILED))
+        self._answer_without_decision(job, Answer(Verdict.FAILED))
+
+    def end_late_jobs(self) -> None:
+        """Answers the jobs that arrived in the shutdown and have no answer yet: refused if that is allowed,
+        or else failed."""
+        self._run_decisions()  # events that lead to an answer may be pending
+        for job in [job for job in self._jobs.values() if self.shutdown.is_late(job.arrived_at)]:
+            if job.finished:
+                continue
+            self.event_log.record("late job ended", id=job.payload.id, attempts=len(job.attempts))
+            refused = Answer(Verdict.REFUSED, retry_after=default_retry_after(self.settings))
+            rule = rules.rule_broken_by_refusal(job, self._classes.get(job.arrival.job_class))
+            self._answer_without_decision(job, refused if rule is None else Answer(Verdict.FAILED))
+
+    def _answer_without_decision(self, job: Job, answer: Answer) -> None:
+        """Answers a job, and tells the decision module that it needs no answer any more."""
+        self._finish_job(job, answer)
         self._post_event(api.JobWithdrawn(job.number))
         self._remove_if_done(job)
 
--- a/ironbarrow/daemon/dispatcher.py
+++ b/ironbarrow/daemon/dispatcher.py
@@ -33,6 +33,7 @@
 
 _HAND_OVER_DELAY = 300 * MS  # clients and workers that are still connecting reach this process
 _DONE_CHECK_INTERVAL = 10 * MS
+_ANSWERS_CHECK_DELAY = 50 * MS  # after the last late jobs were answered
 _CHANNEL_RETRY_PAUSE = SECOND  # after the shared folder has failed
 # no process of this dispatcher can have a channel in such a folder
 _UNUSABLE_FOLDER_ERRORS = frozenset(
@@ -305,7 +306,7 @@
         self._stopping = True
         now = self.loop.now()
         self._connection_deadline = now + self.shutdown_times.connection_limit
-        self.host.shutdown.begin(now)
+        self._limit_late_jobs(now)
         if self._begin_hand_over():
             self._enter(Phase.HANDING_OVER)
             # the new process serves already and takes over the jobs that still arrive here
@@ -314,13 +315,24 @@
             self._enter(Phase.FINISHING)
             if self.fleet is not None:
                 self.loop.call_at(now + self.shutdown_times.leave_delay, self._leave_fleet)
-            else:
-                self.host.answer_deadline = now + self.shutdown_times.answer_limit
             self.loop.call_at(now + self.shutdown_times.idle_close_delay, self._close_idle)
         if self._operations is not None:
             self._operations.stopping = True
         log.info("stopping", owed=self.host.unanswered)
 
+    def _limit_late_jobs(self, began_at: int) -> None:
+        """Sets the answer limit of the jobs that arrive from now on. It holds whoever takes jobs over."""
+        limit = began_at + self.shutdown_times.answer_limit
+        if self.fleet is not None:
+            limit = began_at + self.shutdown_times.leave_delay
+        self.host.shutdown.begin(began_at, limit)
+        # the decisions answer the jobs whose time ends then, and what they leave is ended after the slack
+        self.loop.call_at(limit + self._config.settings.answer_slack, self._end_late_jobs)
+
+    def _end_late_jobs(self) -> None:
+        self.loop.call_at(self.loop.now() + _ANSWERS_CHECK_DELAY, self.server.check_late_answers)
+        self.host.end_late_jobs()
+
     def _enter(self, phase: Phase) -> None:
         self.host.shutdown.enter(phase, self.host.unanswered)
 
--- a/ironbarrow/frontend/owed_answers.py
+++ b/ironbarrow/frontend/owed_answers.py
@@ -4,7 +4,7 @@
 from enum import Enum
 
 from ironbarrow.core.event_log import EventLog
-from ironbarrow.core.shutdown import Shutdown
+from ironbarrow.core.shutdown import LateJobRule, Shutdown
 from ironbarrow.runtime.clock import MS, Clock
 from ironbarrow.runtime.loop import Task
 
@@ -16,7 +16,7 @@
     CLIENT_LEFT = "the client left"
     HANDED_OVER = "handed over"
     NOT_WRITTEN = "its connection ended before it was written"
-    NOT_DECIDED = "its connection was closed before it was decided"
+    CLOSED_HERE = "this process closed its connection"
 
 
 @dataclass(slots=True)
@@ -47,19 +47,29 @@
         owed = self._owed.pop(task, None)
         if owed is None:
             return
-        if how in (AnswerEnd.NOT_WRITTEN, AnswerEnd.NOT_DECIDED):
+        if how in (AnswerEnd.NOT_WRITTEN, AnswerEnd.CLOSED_HERE):
             self._event_log.record(
                 "answer not given",
                 how.value,
                 id=owed.job_id,
                 waited_ms=(self._clock.now() - owed.arrived_at) // MS,
                 late=self._shutdown.is_late(owed.arrived_at),
+                decided=owed.decided,
             )
         else:
             self._event_log.count("answer", how.value)
 
     def connection_closed(self, task: Task) -> None:
-        """The client's connection is closed by this process, or has ended."""
+        """This process closes the client's connection, and an answer may be owed."""
         owed = self._owed.get(task)
-        if owed is not None:
-            self.end(task, AnswerEnd.NOT_WRITTEN if owed.decided else AnswerEnd.NOT_DECIDED)
+        if owed is None:
+            return
+        self.end(task, AnswerEnd.CLOSED_HERE)
+        if self._shutdown.is_late(owed.arrived_at):
+            self._shutdown.report(LateJobRule.CLOSING, owed.job_id)
+
+    def check_late(self) -> None:
+        """Reports the late jobs whose answer is not decided."""
+        for owed in self._owed.values():
+            if not owed.decided and self._shutdown.is_late(owed.arrived_at):
+                self._shutdown.report(LateJobRule.ANSWERING, owed.job_id)
--- a/ironbarrow/frontend/server.py
+++ b/ironbarrow/frontend/server.py
@@ -114,6 +114,10 @@
             return True
         return not self._accept_task.done and sockets.has_pending_connection(self._listener)
 
+    def check_late_answers(self) -> None:
+        """Counts the late jobs of a shutdown that have no answer, past the time by which they should."""
+        self._owed.check_late()
+
     def stop_accepting(self) -> None:
         """Accepts the connections that wait, then closes the listener. Later ones reach the other processes
         that listen on the address."""
@@ -193,8 +197,7 @@
                     yield from sleep(self._loop.now())
             connection.shutdown_write()
         except ConnectionEndedError as error:
-            if error.ending in _CLIENT_LEFT:
-                self._owed.end(task, AnswerEnd.CLIENT_LEFT)
+            self._owed.end(task, _answer_end(error))
             yield from self._answer_malformed(connection, error)
         finally:
             self._owed.connection_closed(task)
@@ -429,8 +432,7 @@
             self._owed.end(task, AnswerEnd.WRITTEN)
             connection.shutdown_write()
         except ConnectionEndedError as error:
-            if error.ending in _CLIENT_LEFT:
-                self._owed.end(task, AnswerEnd.CLIENT_LEFT)
+            self._owed.end(task, _answer_end(error))
         finally:
             self._owed.connection_closed(task)
             if cancel is not None and not answers:
@@ -524,6 +526,11 @@
         }
 
 
+def _answer_end(error: ConnectionEndedError) -> AnswerEnd:
+    """How an answer that was owed ends with its connection."""
+    return AnswerEnd.CLIENT_LEFT if error.ending in _CLIENT_LEFT else AnswerEnd.NOT_WRITTEN
+
+
 def _taken_id_error(state: IdState) -> RequestRejectedError:
     """The response to a request whose id is not free."""
     if state is IdState.IN_USE:
--- a/ironbarrow/handover/upgrade.py
+++ b/ironbarrow/handover/upgrade.py
@@ -148,6 +148,7 @@
         # the stop signal may arrive before the successor's announcement has been read
         self._channel.receive()
         self._handing_over = self.successor_runs
+        self._host.shutdown.jobs_are_taken_over = self._handing_over
         self._send_retained_ids()
         return self._handing_over
 
@@ -187,6 +188,7 @@
         self._send_retained_ids()
         self.announce()
         if self._handing_over:
+            self._host.shutdown.jobs_are_taken_over = self.successor_runs
             self._hand_over_jobs()
 
     # The old process
@@ -320,7 +322,7 @@
 
     def _adopt(self, record: Record, sock: socket.socket) -> None:
         self._host.job_ids.hold(record.id)
-        deadline = self._loop.now() + record.time_left
+        deadline = self._host.shutdown.limit(self._loop.now() + record.time_left)
         start_job = self._await_call_back if record.worker else self._start_job
         task = self._front.adopt(sock, record.id, lambda answer: start_job(record, deadline, answer))
         self._adopted[record.id] = _AdoptedJob(sock, task, record)
--- a/ironbarrow/lab/sim/run.py
+++ b/ironbarrow/lab/sim/run.py
@@ -185,7 +185,7 @@
             return
         process.stopping_at = self._run.clock.now()
         self._run.load_balancer.mark_stopping(self.number)
-        process.host.answer_deadline = process.stopping_at + _ANSWER_DEADLINE
+        process.host.shutdown.begin(process.stopping_at, process.stopping_at + _ANSWER_DEADLINE)
         stop_time = self._run.world.dispatchers.stop_time
         self._run.clock.call_at(process.stopping_at + _MIN_STOP_TIME, self._end_when_done, process, down)
         self._run.clock.call_at(process.stopping_at + stop_time, self._end_now, process, down)
