Keep the process until its answers are written, not until they are known

What callers saw: the late jobs of a shutdown all get their answer at the same moment, 0.5 s before the earliest SIGKILL; where writes failed for a moment then, the process ended by itself with the answers unwritten, and their connections broke.

Cause: the end waits for jobs without an answer, and an answer counts as given once it is known. Connections hold the end up only until ShutdownTimes.connection_limit, 3.37 s, whatever they still have to carry.

Fix: answers that are known and not written hold the end up as well (their writes have limits of their own), also where a fleet is left.

--- a/ironbarrow/daemon/dispatcher.py
+++ b/ironbarrow/daemon/dispatcher.py
@@ -363,7 +363,7 @@
         self._finish_when_left()
 
     def _finish_when_left(self) -> None:
-        if self.fleet.has_left:
+        if self.fleet.has_left and not self.server.unwritten_answers:
             self._finish()
         else:
             self.loop.call_at(self.loop.now() + _DONE_CHECK_INTERVAL, self._finish_when_left)
@@ -389,7 +389,8 @@
         other_unanswered += self.fleet.adapter.unanswered if self.fleet is not None else 0
         # without this limit, a connection whose peer never closes its side would delay the exit until SIGKILL
         has_open_connections = self.server.has_connections and self.loop.now() < self._connection_deadline
-        if self.host.unanswered or other_unanswered or has_open_connections:
+        unanswered = self.host.unanswered + other_unanswered + self.server.unwritten_answers
+        if unanswered or has_open_connections:
             self.loop.call_at(self.loop.now() + _DONE_CHECK_INTERVAL, self._finish_when_done)
         elif self.fleet is None:
             self._finish()
--- a/ironbarrow/frontend/owed_answers.py
+++ b/ironbarrow/frontend/owed_answers.py
@@ -68,6 +68,11 @@
         if self._shutdown.is_late(owed.arrived_at):
             self._shutdown.report(LateJobRule.CLOSING, owed.job_id)
 
+    @property
+    def unwritten(self) -> int:
+        """The number of answers that are decided, and not written yet."""
+        return sum(owed.decided for owed in self._owed.values())
+
     def check_late(self) -> None:
         """Reports the late jobs whose answer is not decided."""
         for owed in self._owed.values():
--- a/ironbarrow/frontend/server.py
+++ b/ironbarrow/frontend/server.py
@@ -114,6 +114,11 @@
             return True
         return not self._accept_task.done and sockets.has_pending_connection(self._listener)
 
+    @property
+    def unwritten_answers(self) -> int:
+        """Number of answers that are known and not written to their clients yet."""
+        return self._owed.unwritten
+
     def check_late_answers(self) -> None:
         """Counts the late jobs of a shutdown that have no answer, past the time by which they should."""
         self._owed.check_late()
