Watch a descriptor again that could not be removed from epoll

What callers saw: connections that ended without an answer, and where it met the listener, connections that were accepted by the kernel and never served, up to SIGKILL.

Cause: Loop.unwatch ignores an epoll_ctl (DEL) that fails, ENOMEM for example, and forgets the watch; the next ADD of the descriptor finds it there (EEXIST), which counts as an error of the descriptor and ends the task. Its unread data also kept the loop spinning.

Fix: EEXIST without a watch means that the old entry is still there: it is modified; an event that nobody waits for removes the entry again. A wake-up pipe that can't be read for a moment does not end the loop either.

--- a/ironbarrow/runtime/loop.py
+++ b/ironbarrow/runtime/loop.py
@@ -192,7 +192,12 @@
     def watch(self, fd: int, mask: int, call: Callable[[int, bool], None], wait_id: int) -> None:
         """Registers a call for when the descriptor is ready, from the next iteration on. Raises OSError if
         epoll rejects the descriptor."""
-        self._epoll.register(fd, mask)
+        try:
+            self._epoll.register(fd, mask)
+        except FileExistsError:
+            if fd in self._watched:
+                raise
+            self._epoll.modify(fd, mask)  # an earlier watch of it has ended, but could not be removed
         self._watched[fd] = _Watch(call, wait_id, self._iteration)
 
     def unwatch(self, fd: int, call: Callable[[int, bool], None], wait_id: int) -> None:
@@ -202,10 +207,12 @@
         if found is None or found.call != call or found.wait_id != wait_id:
             return
         del self._watched[fd]
-        try:
+        self._remove(fd)
+
+    def _remove(self, fd: int) -> None:
+        """Removes a descriptor from epoll. If that fails for a while, its next event tries again."""
+        with suppress(OSError):  # closed while it was watched: epoll has already removed it
             self._epoll.unregister(fd)
-        except OSError:
-            return  # closed while it was watched: epoll has already removed it
 
     def task_ended(self, task: Task, error: Exception | None = None) -> None:
         """Removes a task that has ended; reports the error that ended it."""
@@ -236,14 +243,16 @@
         self._iteration += 1
         for fd, _ in self._epoll.poll(self._poll_timeout_s() if wait else 0.0):
             if fd == self._wake_read:
-                with suppress(BlockingIOError):
+                with suppress(OSError):  # the next iteration reads it
                     os.read(fd, 4096)
                 continue
             found = self._watched.get(fd)
             # A call may close a descriptor whose event is still to be handled in this iteration, and a new
             # socket may reuse its number. Taken for the new socket's, the event would make a connection in
             # progress look established.
-            if found is not None and found.iteration != self._iteration:
+            if found is None:
+                self._remove(fd)
+            elif found.iteration != self._iteration:
                 self._call_safely(found.call, (found.wait_id, True))
         now = self.now()
         due: list[Timer] = []
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -347,3 +347,47 @@
     loop.close()
     ours.close()
     theirs.close()
+
+
+class EpollThatFailsToRemove:
+    """An epoll object whose next ``failures`` removals fail for lack of memory."""
+
+    def __init__(self, epoll: Any, failures: int) -> None:
+        self._epoll, self.failures = epoll, failures
+
+    def unregister(self, fd: int) -> None:
+        if self.failures:
+            self.failures -= 1
+            raise OSError(errno.ENOMEM, os.strerror(errno.ENOMEM))
+        self._epoll.unregister(fd)
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._epoll, name)
+
+
+# Guards against a task that ends, or a loop that spins, as a descriptor could not be removed from epoll.
+@pytest.mark.parametrize("failures", [1, 2, 5])
+def test_a_descriptor_that_could_not_be_removed_is_watched_again(failures: int) -> None:
+    errors: list[Exception] = []
+    loop = Loop(errors.append)
+    loop._epoll = EpollThatFailsToRemove(loop._epoll, failures)  # type: ignore[assignment]
+    read, write = os.pipe()
+    found: list[bool] = []
+
+    def waiting() -> Coroutine[None]:
+        os.write(write, b"x")
+        found.append((yield Wait(read, READ, loop.now() + 60 * SECOND)))
+        yield from sleep(loop.now() + SECOND // 20)  # with the unread byte: its event is nobody's
+        found.append((yield Wait(read, READ, loop.now() + 60 * SECOND)))
+        os.read(read, 1)
+        found.append((yield Wait(read, READ, loop.now() + SECOND // 50)))
+        loop.stop()
+
+    loop.spawn(waiting())
+    loop.call_at(loop.now() + 2 * SECOND, loop.stop)
+    loop.run()
+    assert found == [True, True, False] and errors == []
+    assert loop._iteration < 20 + 2 * failures  # it does not spin
+    loop.close()
+    os.close(read)
+    os.close(write)
