Count the times of a shutdown from its signal, not from when it is handled

What callers saw: a process that got SIGTERM while it started, after its listener was open, took jobs and gave them 3.2 s from the end of its start; SIGKILL counts from the signal, and found them unanswered.

Cause: signals were blocked during a start, so their time was lost, and Dispatcher.stop counted from its own call. A start can last: it waits up to 5 s for sockets that the system lacks.

Fix: EarlySignals notes signals and their times from the first lines of serve on, and the handler notes the time of a later one; all limits count from there. The handler also writes the wake-up byte itself, in case the one that the interpreter writes is lost (an idle process would handle the signal at its next timer; not reproduced).

--- a/ironbarrow/cli/serve.py
+++ b/ironbarrow/cli/serve.py
@@ -8,6 +8,8 @@
 from types import ModuleType
 from typing import NoReturn, TextIO, cast
 
+from ironbarrow.runtime.early_signals import EarlySignals
+
 _SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
@@ -35,7 +37,7 @@
     the exit status if it can't start."""
     # A signal to stop or to reload during the start must neither be lost nor end the program, which would
     # reset the connections that the kernel has accepted for the listener.
-    signal.pthread_sigmask(signal.SIG_BLOCK, _SIGNALS)
+    early_signals = EarlySignals(_SIGNALS)
     structlog = _import_structlog()
     structlog.configure(
         processors=[
@@ -62,8 +64,8 @@
         return _report_failure(str(error))
     except OSError as error:
         return _report_failure(f"cannot listen on {config.listen[0]}:{config.listen[1]}: {error}")
-    dispatcher.stop_on_signals()
-    dispatcher.reload_on_signal(partial(load, os.environ, prefer_file=True))
+    dispatcher.stop_on_signals(early_signals)
+    dispatcher.reload_on_signal(partial(load, os.environ, prefer_file=True), early_signals)
     dispatcher.run()
     return _end_process()
 
--- a/ironbarrow/daemon/dispatcher.py
+++ b/ironbarrow/daemon/dispatcher.py
@@ -25,12 +25,14 @@
 from ironbarrow.daemon.shutdown_times import ShutdownTimes
 from ironbarrow.discovery.client import DiscoveryClient
 from ironbarrow.frontend.server import HttpServer
+from ironbarrow.runtime.early_signals import EarlySignals
 from ironbarrow.runtime.loop import MS, SECOND, Loop
 from ironbarrow.runtime.retry import retry_transient
 from ironbarrow.runtime.sockets import listen
 
 log = structlog.get_logger()
 
+_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 _HAND_OVER_DELAY = 300 * MS  # clients and workers that are still connecting reach this process
 _DONE_CHECK_INTERVAL = 10 * MS
 _ANSWERS_CHECK_DELAY = 50 * MS  # after the last late jobs were answered
@@ -200,26 +202,28 @@
         self.close()
         log.info("stopped", events=self.host.event_log.totals())
 
-    def stop_on_signals(self) -> None:
+    def stop_on_signals(self, early_signals: EarlySignals | None = None) -> None:
         """Installs handlers of SIGTERM and SIGINT that call ``stop``. They replace the whole process's
-        handlers, so this is for programs that only serve; call it on the main thread."""
+        handlers, so this is for programs that only serve; call it on the main thread.
+
+        ``early_signals``: those noted during the start; one of these stops at once."""
         self._wake_on_signals()
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in _STOP_SIGNALS:
             signal.signal(number, self._on_signal)
-        # A signal that came during the start may be pending. The kernel accepts connections as soon as the
-        # socket listens, and a signal that ended the program before this point would have reset them.
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, [signal.SIGTERM, signal.SIGINT])
+        came_at = None if early_signals is None else early_signals.first_at(_STOP_SIGNALS)
+        if came_at is not None:
+            self.loop.call_soon(self.stop, self.loop.at(came_at))
 
-    def reload_on_signal(self, read: Callable[[], Config]) -> None:
+    def reload_on_signal(self, read: Callable[[], Config], early_signals: EarlySignals | None = None) -> None:
         """Installs a handler of SIGHUP that calls ``reload`` with the result of ``read``. If that raises a
-        ConfigError, it is logged and nothing changes.
+        ConfigError, it is logged and nothing changes. ``early_signals``: as for ``stop_on_signals``.
 
         Without a handler, the signal would end the program, and the jobs that it has accepted would be lost.
         """
         self._wake_on_signals()
         signal.signal(signal.SIGHUP, lambda number, frame: self.loop.call_soon(self._reload, read))
-        # a signal that came during the start may be pending
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, [signal.SIGHUP])
+        if early_signals is not None and early_signals.first_at([signal.SIGHUP]) is not None:
+            self.loop.call_soon(self._reload, read)
 
     def _wake_on_signals(self) -> None:
         signal.set_wakeup_fd(self.loop.wake_fd, warn_on_full_buffer=False)
@@ -296,17 +300,20 @@
             self.admin_listener.close()
 
     def _on_signal(self, number: int, frame: FrameType | None) -> None:
-        self.loop.call_soon(self.stop)
+        self.loop.call_soon(self.stop, self.loop.now())
+        self.loop.wake()  # the byte that ``set_wakeup_fd`` writes may have been lost
 
-    def stop(self) -> None:
+    def stop(self, signalled_at: int | None = None) -> None:
         """Begins the orderly shutdown: accepts jobs for a short time more, finishes the accepted jobs and
-        then ends ``run``. Further calls have no effect."""
+        then ends ``run``. Further calls have no effect. ``signalled_at``: when the process was told to stop,
+        ns on the loop's clock; None: now. The times of the shutdown count from there."""
         if self._stopping:
             return
         self._stopping = True
         now = self.loop.now()
-        self._connection_deadline = now + self.shutdown_times.connection_limit
-        self._limit_late_jobs(now)
+        began_at = now if signalled_at is None else signalled_at
+        self._connection_deadline = began_at + self.shutdown_times.connection_limit
+        self._limit_late_jobs(began_at)
         if self._begin_hand_over():
             self._enter(Phase.HANDING_OVER)
             # the new process serves already and takes over the jobs that still arrive here
@@ -314,8 +321,8 @@
         else:
             self._enter(Phase.FINISHING)
             if self.fleet is not None:
-                self.loop.call_at(now + self.shutdown_times.leave_delay, self._leave_fleet)
-            self.loop.call_at(now + self.shutdown_times.idle_close_delay, self._close_idle)
+                self.loop.call_at(began_at + self.shutdown_times.leave_delay, self._leave_fleet)
+            self.loop.call_at(began_at + self.shutdown_times.idle_close_delay, self._close_idle)
         if self._operations is not None:
             self._operations.stopping = True
         log.info("stopping", owed=self.host.unanswered)
--- a/ironbarrow/runtime/loop.py
+++ b/ironbarrow/runtime/loop.py
@@ -164,7 +164,16 @@
 
     def now(self) -> int:
         """Unix time at the creation of the loop plus the monotonic time since then, in ns."""
-        return self._offset + time.monotonic_ns()
+        return self.at(time.monotonic_ns())
+
+    def at(self, monotonic: int) -> int:
+        """The loop's time at a time of the monotonic clock, both in ns."""
+        return self._offset + monotonic
+
+    def wake(self) -> None:
+        """Ends the poll. May be called by a signal handler."""
+        with suppress(OSError):  # a full pipe ends it as well
+            os.write(self._wake_write, b"\0")
 
     @property
     def timer_count(self) -> int:
