Refuse what arrives past the answer limit of a shutdown instead of forwarding it

What callers saw: a job that came in the last half second before SIGKILL was still sent to a worker, with one tick for its answer; a request that was half written when the process ended lost its connection, so that its client could not tell whether it was taken.

Cause: the limit shortened a job's time and nothing else: it decided neither what is accepted nor what is still read.

Evidence: two forced tests; seen to fail later, with each part of the fix taken out (the job reached the worker; no 503 came). Fix: past the limit a job is refused with 503 before it gets an id or an attempt, and a request that is not complete then gets 503: neither was sent to a worker.

--- a/ironbarrow/core/shutdown.py
+++ b/ironbarrow/core/shutdown.py
@@ -71,6 +71,11 @@
         """The deadline of a job that arrives now."""
         return deadline if self.jobs_are_taken_over else self.limit(deadline)
 
+    @property
+    def accepts_jobs(self) -> bool:
+        """Whether a job that arrives now may be accepted."""
+        return self.began_at is None or self._clock.now() < self._answer_limit
+
     def may_send(self, arrived_at: int) -> bool:
         """Whether an attempt of a job that arrived at this time may still be sent."""
         return not self.is_late(arrived_at) or self._clock.now() < self._answer_limit
--- a/ironbarrow/daemon/dispatcher.py
+++ b/ironbarrow/daemon/dispatcher.py
@@ -339,6 +339,7 @@
     def _end_late_jobs(self) -> None:
         self.loop.call_at(self.loop.now() + _ANSWERS_CHECK_DELAY, self.server.check_late_answers)
         self.host.end_late_jobs()
+        self.server.end_incomplete_requests()
 
     def _enter(self, phase: Phase) -> None:
         self.host.shutdown.enter(phase, self.host.unanswered)
--- a/ironbarrow/frontend/server.py
+++ b/ironbarrow/frontend/server.py
@@ -69,7 +69,8 @@
 # in a turn that reads hundreds of requests, disconnects of their senders would go unnoticed
 _REQUESTS_PER_TURN = 32
 _CLIENT_LEFT = frozenset((Ending.CLOSED, Ending.RESET))  # endings of a connection while it is written to
-_FULL_RETRY_AFTER = 200 * MS  # for a job that is rejected because no slot is left for jobs
+_FULL_RETRY_AFTER = 200 * MS  # for a job that is rejected as no slot is left, or as the process ends
+_LAST_READ_TIMEOUT = 20 * MS  # for a request, once the process accepts no more jobs
 
 
 class HttpServer:
@@ -104,6 +105,7 @@
         # the operators' routes; without them, the first segment of the path is the job's class
         self.router: Router | None = None
         self.fleet_jobs: FleetJobs | None = None  # without a fleet, jobs go to the host
+        self._ending = False  # no more jobs are accepted, as the process ends
         self._accepting = True
         self._accept_task = loop.spawn(self._accept_loop())
 
@@ -123,6 +125,15 @@
         """Counts the late jobs of a shutdown that have no answer, past the time by which they should."""
         self._owed.check_late()
 
+    def end_incomplete_requests(self) -> None:
+        """Refuses the requests that are not complete, and from now on each one that takes long. Their
+        connections would end with the process, and their clients could not tell whether they were taken."""
+        self._ending = True
+        for connection, task in list(self._slots.reading.items()):
+            if connection.message_started:
+                connection.read_limit = self._loop.now() + _LAST_READ_TIMEOUT
+                task.wake()
+
     def stop_accepting(self) -> None:
         """Accepts the connections that wait, then closes the listener. Later ones reach the other processes
         that listen on the address."""
@@ -227,7 +238,10 @@
             connection.last_used_at = self._loop.now()
             slots.reading[connection] = task
         yield from self._await_read_turn(task)
-        request = yield from connection.read_message(connection.last_used_at + _REQUEST_TIMEOUT)
+        limit = connection.last_used_at + _REQUEST_TIMEOUT
+        if self._ending:
+            limit = min(limit, self._loop.now() + _LAST_READ_TIMEOUT)
+        request = yield from connection.read_message(limit)
         slots.reading.pop(connection, None)
         slots.request_complete(connection)
         return request
@@ -262,8 +276,11 @@
         # not to be evicted before its response is written
         self._slots.reading.pop(connection, None)
         try:
-            body = error_body(str(error))
-            data = connection.response_bytes(error.status, [JSON_HEADER, ("Connection", "close")], body)
+            status, text = error.status, str(error)
+            if self._ending and error.ending is Ending.STALLED:
+                status, text = 503, "this process ends"  # nothing was sent to a worker
+            headers = [JSON_HEADER, ("Connection", "close")]
+            data = connection.response_bytes(status, headers, error_body(text))
             yield from connection.write(data, self._loop.now() + _WRITE_TIMEOUT)
             connection.shutdown_write()
         except ConnectionEndedError:
@@ -477,6 +494,8 @@
 
     def _placement(self, request: Message, payload: Payload, time_left: int) -> dict[str, Any]:
         """Class, key, tenant and options of a job, or RequestRejectedError."""
+        if not self._host.shutdown.accepts_jobs:
+            raise RequestRejectedError(503, "this process ends", self._retry_after_headers(_FULL_RETRY_AFTER))
         if not self._slots.has_room_for_job(len(payload.body)):
             # nothing was sent to a worker, so a retry is harmless
             raise RequestRejectedError(
--- a/ironbarrow/transport/http.py
+++ b/ironbarrow/transport/http.py
@@ -64,6 +64,7 @@
         self._codec = HttpCodec(server=server)
         self.last_used_at = 0  # set by the owner: when it accepted the connection or ended the last exchange
         self.accept_delay = 0  # ns that the connection may have waited to be accepted, with its first request
+        self.read_limit: int | None = None  # ns; earlier than the one that the running read was given
         self.message_started = False  # at least one byte of the next message has been received
         self._reads_since_wait = 0
         self.message_bytes = 0  # bytes received of the current message; the owner resets it
@@ -190,7 +191,8 @@
                     if origin_of(error) is not ErrorOrigin.LOCAL:
                         raise _io_error(error) from None
             self._reads_since_wait = 0
-            if not (yield Wait(self.sock.fileno(), READ, until)):
+            limit = until if self.read_limit is None else min(until, self.read_limit)
+            if not (yield Wait(self.sock.fileno(), READ, limit)):
                 raise ConnectionEndedError(Ending.STALLED, status=408)
 
     def read_message(self, until: int, body_limit: int = BODY_LIMIT) -> Coroutine[Message]:
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -232,6 +232,38 @@
     harness.run(f"{idle}{booking}c1 expect ^HTTP/1.1 500")
 
 
+# Guards against a request that is half written at the end of a shutdown and loses its connection.
+def test_a_request_that_is_incomplete_at_the_answer_limit_is_refused() -> None:
+    harness_with_times(answer_limit=300, connection_limit=60_000).run(
+        f"""
+        c1 send {job()[:60]}
+        stop
+        c1 expect ^HTTP/1.1 503 .*Connection: close
+        c1 ended
+        c1 close
+        p1 silent 1
+        exits
+        """
+    )
+
+
+# Guards against a job that is sent to a worker though no time for its answer is left.
+def test_a_job_that_arrives_past_the_answer_limit_is_refused_and_not_sent() -> None:
+    harness_with_times(idle_close_delay=60_000, answer_limit=100).run(
+        f"""
+        c1 send {job("j1")}
+        p1 expect : j1
+        p1 send {ACCEPTED}
+        stop
+        wait 200
+        c2 send {job("j2")}
+        c2 expect ^HTTP/1.1 503 .*Retry-After.*this process ends
+        p2 silent 50
+        c2 close
+        """
+    )
+
+
 def test_a_client_that_connects_before_the_last_check_is_served(monkeypatch: pytest.MonkeyPatch) -> None:
     harness = harness_with_times(idle_close_delay=0)
     original = HttpServer.has_connections
