Answer the late jobs of a fleet's process before it leaves, not in that moment

What callers saw: with deadlines of 1 s three connections of late jobs ended without an answer as a fleet's process left. Cause: their limit was the moment of leaving itself, and their answers need a write to the ledger and to the client. Fix: the limit comes 150 ms, or a quarter of the time until then, before.

--- a/ironbarrow/daemon/dispatcher.py
+++ b/ironbarrow/daemon/dispatcher.py
@@ -331,7 +331,7 @@
         """Sets the answer limit of the jobs that arrive from now on. It holds whoever takes jobs over."""
         limit = began_at + self.shutdown_times.answer_limit
         if self.fleet is not None:
-            limit = began_at + self.shutdown_times.leave_delay
+            limit = began_at + self.shutdown_times.fleet_answer_limit
         self.host.shutdown.begin(began_at, limit)
         # the decisions answer the jobs whose time ends then, and what they leave is ended after the slack
         self.loop.call_at(limit + self._config.settings.answer_slack, self._end_late_jobs)
--- a/ironbarrow/daemon/shutdown_times.py
+++ b/ironbarrow/daemon/shutdown_times.py
@@ -6,6 +6,9 @@
 from ironbarrow.runtime.clock import MS, SECOND
 
 _MAX_COUNTED_DEADLINE = 3 * SECOND  # a longer deadline does not delay SIGKILL any further
+_MAX_ANSWER_MARGIN = (
+    150 * MS
+)  # from the last answers of a member to its leaving, for its ledger and its writes
 _KILL_MARGIN = 700 * MS  # from the end of the longest deadline to SIGKILL
 
 
@@ -17,6 +20,7 @@
     answer_limit: int  # jobs that arrive during the shutdown are answered by this time
     connection_limit: int  # connections that clients have not closed no longer delay the exit
     leave_delay: int  # in a fleet: the other members are told to take over the unanswered jobs
+    fleet_answer_limit: int  # in a fleet: as ``answer_limit``, before ``leave_delay``
     leave_timeout: int  # ns from ``leave_delay``: the replicas are waited for this long
 
     @staticmethod
@@ -33,11 +37,13 @@
         longest = min(_MAX_COUNTED_DEADLINE, max(cls.deadline for cls in settings.classes))
         answer_limit = longest + _KILL_MARGIN - max(150 * MS, min(500 * MS, longest // 2))
         leave_timeout = min(700 * MS, answer_limit // 2)
+        leave_delay = answer_limit - leave_timeout
         kill_delay = longest + _KILL_MARGIN
         return ShutdownTimes(
             idle_close_delay=max(500 * MS, min(1500 * MS, answer_limit // 2)),
             answer_limit=answer_limit,
             connection_limit=answer_limit + (kill_delay - answer_limit) // 3,
-            leave_delay=answer_limit - leave_timeout,
+            leave_delay=leave_delay,
+            fleet_answer_limit=leave_delay - min(_MAX_ANSWER_MARGIN, leave_delay // 4),
             leave_timeout=leave_timeout,
         )
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -341,6 +341,7 @@
     assert 400 * MS < times.idle_close_delay < times.answer_limit <= earliest_kill - 150 * MS
     assert times.leave_delay + times.leave_timeout == times.answer_limit
     assert 0 < times.leave_timeout <= 700 * MS < SECOND
+    assert 0 < times.fleet_answer_limit < times.leave_delay
 
 
 # The program, with real signals
