Check the guard of late jobs at run time, and never carry out an attempt past the limit

Accepting and reading: HttpServer asks Shutdown.accepts_jobs. Sending and repeating: core/rules.py, TIME_FOR_ANSWER; such a decision is not carried out and counted, like the others. Closing: OwedAnswers counts a connection that this process closes with the answer of a late job owed.

--- a/ironbarrow/core/host.py
+++ b/ironbarrow/core/host.py
@@ -29,7 +29,7 @@
     default_retry_after,
 )
 from ironbarrow.core.metrics import Metrics
-from ironbarrow.core.shutdown import LateJobRule, Shutdown
+from ironbarrow.core.shutdown import Shutdown
 from ironbarrow.runtime.clock import Clock
 
 log = structlog.get_logger()
@@ -478,13 +478,12 @@
         rule = rules.rule_broken_by_attempt(
             job, action.worker, self._classes[job.arrival.job_class], self.settings.max_attempts, now
         )
+        if rule is None and not self.shutdown.may_send(job.arrived_at):
+            rule = rules.Rule.TIME_FOR_ANSWER
         job.attempts.append(attempt)
         if rule is not None:
             self._log_violation(rule, job, action.worker)
-        too_late = not job.finished and not self.shutdown.may_send(job.arrived_at)
-        if too_late:
-            self.shutdown.report(LateJobRule.SENDING, job.payload.id)
-        if rule is not None or too_late or job.finished or until <= now:
+        if rule is not None or job.finished or until <= now:
             self.attempt_ended(attempt, Ending.NOT_SENT)
             return
         attempt.timer = self.loop.call_at(until, self._on_attempt_timeout, attempt)
--- a/ironbarrow/core/rules.py
+++ b/ironbarrow/core/rules.py
@@ -19,6 +19,7 @@
     MOST_ATTEMPTS = "an attempt beyond those allowed"
     ONE_ATTEMPT_PER_WORKER = "an attempt at a worker that may still tell of an earlier one"
     NO_REPEATED_EFFECT = "an attempt of a job that may have run and must not run twice"
+    TIME_FOR_ANSWER = "an attempt that can't be answered before the process ends"
     LAWFUL_REFUSAL = "a refusal of a job that may have run and must not run twice"
 
 
--- a/ironbarrow/core/shutdown.py
+++ b/ironbarrow/core/shutdown.py
@@ -29,7 +29,6 @@
 class LateJobRule(Enum):
     """The rules for late jobs that a process can break."""
 
-    SENDING = "an attempt of a late job past the answer limit"
     ANSWERING = "a late job without an answer past the answer limit"
     CLOSING = "a connection closed with the answer of a late job owed"
 
--- a/ironbarrow/daemon/dispatcher.py
+++ b/ironbarrow/daemon/dispatcher.py
@@ -35,7 +35,6 @@
 _STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 _HAND_OVER_DELAY = 300 * MS  # clients and workers that are still connecting reach this process
 _DONE_CHECK_INTERVAL = 10 * MS
-_ANSWERS_CHECK_DELAY = 50 * MS  # after the last late jobs were answered
 _CHANNEL_RETRY_PAUSE = SECOND  # after the shared folder has failed
 # no process of this dispatcher can have a channel in such a folder
 _UNUSABLE_FOLDER_ERRORS = frozenset(
@@ -329,15 +328,16 @@
 
     def _limit_late_jobs(self, began_at: int) -> None:
         """Sets the answer limit of the jobs that arrive from now on. It holds whoever takes jobs over."""
-        limit = began_at + self.shutdown_times.answer_limit
+        times = self.shutdown_times
+        limit, end = began_at + times.answer_limit, began_at + times.connection_limit
         if self.fleet is not None:
-            limit = began_at + self.shutdown_times.fleet_answer_limit
+            limit, end = began_at + times.fleet_answer_limit, began_at + times.leave_delay
         self.host.shutdown.begin(began_at, limit)
+        self.loop.call_at(end, self.server.check_late_answers)
         # the decisions answer the jobs whose time ends then, and what they leave is ended after the slack
         self.loop.call_at(limit + self._config.settings.answer_slack, self._end_late_jobs)
 
     def _end_late_jobs(self) -> None:
-        self.loop.call_at(self.loop.now() + _ANSWERS_CHECK_DELAY, self.server.check_late_answers)
         self.host.end_late_jobs()
         self.server.end_incomplete_requests()
 
--- a/ironbarrow/frontend/server.py
+++ b/ironbarrow/frontend/server.py
@@ -122,7 +122,7 @@
         return self._owed.unwritten
 
     def check_late_answers(self) -> None:
-        """Counts the late jobs of a shutdown that have no answer, past the time by which they should."""
+        """Counts the late jobs of a shutdown that have no answer when the process may end."""
         self._owed.check_late()
 
     def end_incomplete_requests(self) -> None:
