Answer late requests of a fleet also while their ids are looked up

What callers saw: a booking that came 1.8 s after SIGTERM had no answer as the process left, 0.7 s later. Cause: the limit was set on jobs of the host. A request whose id is looked up at the other members, as after the beginning of a new incarnation, has no such job yet, and waited for all of its own time. Fix: the time of the request itself is limited as it enters the take-over machine, and at the limit the adapter answers the late clients that still wait, whatever state their job is in: refused if safe, or else failed, which promises nothing.

--- a/ironbarrow/daemon/dispatcher.py
+++ b/ironbarrow/daemon/dispatcher.py
@@ -339,6 +339,8 @@
 
     def _end_late_jobs(self) -> None:
         self.host.end_late_jobs()
+        if self.fleet is not None:
+            self.fleet.adapter.end_late_requests()
         self.server.end_incomplete_requests()
 
     def _enter(self, phase: Phase) -> None:
--- a/ironbarrow/fleet/takeover/adapter.py
+++ b/ironbarrow/fleet/takeover/adapter.py
@@ -77,6 +77,8 @@
 
     id: str  # the job's
     on_answer: Callable[[Answer | None], None]
+    arrived_at: int  # ns
+    safe: bool  # its job may run any number of times
     limiter: JobLimiter | None = None  # None once the host's job reports to it
     done: bool = False
 
@@ -160,6 +162,7 @@
         self.on_adopted: Callable[[LedgerAdopted], None] = lambda event: None
         self._jobs: dict[str, Job] = {}
         self._client_options: dict[str, tuple[_Waiter, dict[str, Any]]] = {}
+        self._waiters: set[_Waiter] = set()
         self._flush_scheduled = False
         self._check_scheduled = False
         host.invoker = self
@@ -217,7 +220,7 @@
             body=payload.body,
             content_type=payload.content_type,
             taken_at=now,
-            until=now + options["time_left"],
+            until=max(now + 1, self._host.shutdown.limit(now + options["time_left"])),
             stage=Stage.TAKEN,
             key=options.get("key"),
             tenant=options.get("tenant"),
@@ -226,7 +229,14 @@
             idempotency_key=payload.idempotency_key,
             digest=blake2b(text + payload.body, digest_size=16).digest(),
         )
-        waiter = _Waiter(payload.id, on_answer, job_options.limiter if job_options is not None else None)
+        waiter = _Waiter(
+            payload.id,
+            on_answer,
+            now,
+            self._classes[record.job_class].effect is api.Effect.SAFE,
+            job_options.limiter if job_options is not None else None,
+        )
+        self._waiters.add(waiter)
         if payload.id not in self._client_options:
             self._client_options[payload.id] = waiter, options
         self._run(self.machine.on_request(now, record, options["repeat"], waiter))
@@ -251,6 +261,16 @@
         """Number of jobs that this member has to answer, including those that only wait for a call-back."""
         return len(self.machine.owned)
 
+    def end_late_requests(self) -> None:
+        """Answers the clients whose requests arrived in the shutdown and have no answer yet, wherever their
+        jobs are: refused if a repeat is harmless, or else failed."""
+        for waiter in [w for w in self._waiters if self._host.shutdown.is_late(w.arrived_at)]:
+            refused = Answer(Verdict.REFUSED, retry_after=default_retry_after(self._host.settings))
+            answer = refused if waiter.safe else Answer(Verdict.FAILED)
+            self._client_done(waiter, answer)
+            self._run(self.machine.client_disconnected(self._clock.now(), waiter.id, waiter))
+            waiter.on_answer(answer)
+
     def _client_disconnected(self, waiter: _Waiter) -> None:
         if waiter.done:
             return
@@ -259,6 +279,7 @@
 
     def _client_done(self, waiter: _Waiter, answer: Answer | None) -> None:
         waiter.done = True
+        self._waiters.discard(waiter)
         options = self._client_options.get(waiter.id)
         if options is not None and options[0] is waiter:
             del self._client_options[waiter.id]
