--- a/ironbarrow/daemon/dispatcher.py
+++ b/ironbarrow/daemon/dispatcher.py
@@ -392,6 +392,8 @@
         self.server.close_idle()
 
     def _finish_when_done(self) -> None:
+        if self.loop.stopped:
+            return  # the process has left its fleet, and its listener is closed
         # the listener stays open until all jobs are answered, because workers' call-backs arrive through it
         other_unanswered = (
             self._upgrade.jobs_pending + self._upgrade.jobs_handed_over if self._upgrade is not None else 0
