Wait for the rejection of handed-over jobs no longer than SIGKILL allows

Cause: a late job was handed over just before the answer limit, 1.2 s; the exit waits 0.5 s for the successor to reject each job, that is until 1.72 s, and SIGKILL comes at 1.7 s. With long deadlines it is 3.7 s and 3.7 s. (That the job was handed over then is inferred: it is the one wait left in that state.) Evidence: the forced test fails with the limit taken out: no exit within 20 s. (Before the fix it failed for the missing field.) Fix: ShutdownTimes.rejection_limit, 0.1 s before the earliest SIGKILL. Measured by the forced test, 0.3 s with a limit of 0.3 s.

--- a/ironbarrow/daemon/dispatcher.py
+++ b/ironbarrow/daemon/dispatcher.py
@@ -65,6 +65,7 @@
         self.loop = retry_transient(lambda: Loop(_log_task_failure))
         self._stopping = False
         self._connection_deadline = 0  # ns; set by stop
+        self._rejection_deadline = 0  # ns; set by stop
         self._wakeup_fd_set = False  # to wake the loop; set by _wake_on_signals
         self.shutdown_times = ShutdownTimes.of(config.settings)
         self._config = config
@@ -312,6 +313,7 @@
         now = self.loop.now()
         began_at = now if signalled_at is None else signalled_at
         self._connection_deadline = began_at + self.shutdown_times.connection_limit
+        self._rejection_deadline = began_at + self.shutdown_times.rejection_limit
         self._limit_late_jobs(began_at)
         if self._begin_hand_over():
             self._enter(Phase.HANDING_OVER)
@@ -391,14 +393,20 @@
         self._enter(Phase.CLOSING_IDLE)
         self.server.close_idle()
 
+    def _unanswered_beside_host(self) -> int:
+        """Number of jobs that this process has to answer, or may have to, and that the host does not have."""
+        if self.fleet is not None:
+            return int(self.fleet.adapter.unanswered)
+        if self._upgrade is None:
+            return 0
+        may_be_rejected = self.loop.now() < self._rejection_deadline
+        return int(self._upgrade.jobs_pending + (self._upgrade.jobs_handed_over if may_be_rejected else 0))
+
     def _finish_when_done(self) -> None:
         if self.loop.stopped:
             return  # the process has left its fleet, and its listener is closed
         # the listener stays open until all jobs are answered, because workers' call-backs arrive through it
-        other_unanswered = (
-            self._upgrade.jobs_pending + self._upgrade.jobs_handed_over if self._upgrade is not None else 0
-        )
-        other_unanswered += self.fleet.adapter.unanswered if self.fleet is not None else 0
+        other_unanswered = self._unanswered_beside_host()
         # without this limit, a connection whose peer never closes its side would delay the exit until SIGKILL
         has_open_connections = self.server.has_connections and self.loop.now() < self._connection_deadline
         unanswered = self.host.unanswered + other_unanswered + self.server.unwritten_answers
--- a/ironbarrow/daemon/shutdown_times.py
+++ b/ironbarrow/daemon/shutdown_times.py
@@ -9,6 +9,7 @@
 _MAX_ANSWER_MARGIN = (
     150 * MS
 )  # from the last answers of a member to its leaving, for its ledger and its writes
+_EXIT_MARGIN = 100 * MS  # from the last thing that the exit waits for to SIGKILL
 _KILL_MARGIN = 700 * MS  # from the end of the longest deadline to SIGKILL
 
 
@@ -19,6 +20,7 @@
     idle_close_delay: int  # idle client connections are closed
     answer_limit: int  # jobs that arrive during the shutdown are answered by this time
     connection_limit: int  # connections that clients have not closed no longer delay the exit
+    rejection_limit: int  # what the successor may still reject no longer delays the exit
     leave_delay: int  # in a fleet: the other members are told to take over the unanswered jobs
     fleet_answer_limit: int  # in a fleet: as ``answer_limit``, before ``leave_delay``
     leave_timeout: int  # ns from ``leave_delay``: the replicas are waited for this long
@@ -43,6 +45,7 @@
             idle_close_delay=max(500 * MS, min(1500 * MS, answer_limit // 2)),
             answer_limit=answer_limit,
             connection_limit=answer_limit + (kill_delay - answer_limit) // 3,
+            rejection_limit=kill_delay - _EXIT_MARGIN,
             leave_delay=leave_delay,
             fleet_answer_limit=leave_delay - min(_MAX_ANSWER_MARGIN, leave_delay // 4),
             leave_timeout=leave_timeout,
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -264,6 +264,19 @@
     )
 
 
+# Guards against a process that SIGKILL finds as it waits for its successor to reject the last jobs.
+def test_jobs_handed_over_at_the_last_moment_do_not_delay_the_exit() -> None:
+    harness = harness_with_times(rejection_limit=300)
+    harness.dispatcher._upgrade = SimpleNamespace(
+        hand_over=lambda: True, successor_runs=True, jobs_pending=0, jobs_handed_over=1, close=lambda: None
+    )
+    harness.step("stop")
+    stopped_at = harness.dispatcher.loop.now()
+    harness.step("exits")
+    assert 300 * MS <= harness.dispatcher.loop.now() - stopped_at < 1 * SECOND
+    harness.close()
+
+
 def test_a_client_that_connects_before_the_last_check_is_served(monkeypatch: pytest.MonkeyPatch) -> None:
     harness = harness_with_times(idle_close_delay=0)
     original = HttpServer.has_connections
@@ -504,6 +517,7 @@
     times = ShutdownTimes.of(replace(read_settings(SETTINGS), classes=classes))
     earliest_kill = min(deadline_ms, 3000) * MS + 700 * MS
     assert times.answer_limit < times.connection_limit <= earliest_kill - 100 * MS
+    assert times.answer_limit < times.rejection_limit <= earliest_kill - 100 * MS
 
 
 @pytest.mark.parametrize("deadline_ms", [600, 1000, 3000])
