Judge what a process loses at its end in the soak; play successors and fleets

Now: a job that came over 0.7 s after SIGTERM, was forwarded and lost its connection is a breach; seeds take turns at nothing, a successor for half of the restarts, and a fleet; two calls fail during each shutdown, those of the hand-over and the folder included; clients keep sending both classes, two of six write slowly; a broken rule that the program itself counts is a problem. One dispatcher in two is restarted, before one in four.

Keep-alive clients sent all bookings as one request; each is one of its own now.

--- a/ironbarrow/lab/audit.py
+++ b/ironbarrow/lab/audit.py
@@ -19,6 +19,8 @@
 from ironbarrow.runtime.clock import MS, SECOND, Clock
 
 _MAX_EXAMPLES = 5
+# After SIGTERM: a job that came earlier may be found unanswered by SIGKILL
+_EXCUSED_BY_KILL = 700 * MS
 _RETENTION = 60 * SECOND  # a finished job's record is kept this long for late starts and call-backs
 
 
@@ -26,6 +28,7 @@
     """A kind of broken rule."""
 
     NO_ANSWER = "no final answer in time"
+    LOST_IN_SHUTDOWN = "accepted late in a shutdown, forwarded, and lost"
     TWO_ANSWERS = "more than one final answer"
     SECOND_COPY = "a second copy at the same time"
     TOO_MANY_ATTEMPTS = "more attempts than allowed"
@@ -44,6 +47,7 @@
     root: int  # number of the client's request, over all its tries
     unsafe: bool
     dispatcher: int
+    taken_at: int
     due: int  # latest time for the answer, slack included
     attempts: int = 0
     # workers with an attempt in flight, and since when
@@ -90,6 +94,7 @@
         self._finished: deque[tuple[int, str]] = deque()
         self._shares_jobs = world.dispatchers.fleet is not None
         self._paused: set[int] = set()  # suspended dispatchers
+        self._stopping_since: dict[int, int] = {}  # when each dispatcher was last told to stop, ns
         self._unsafe_starts: dict[int, int] = {}  # by root, for unsafe jobs
         # by dispatcher and worker: when the dispatcher learned that the worker drains or is gone
         self._not_up_since: dict[tuple[int, str], int] = {}
@@ -113,10 +118,10 @@
         due = self._clock.now() + time_left + self._slack
         job = self._jobs.get(job_id) if self._shares_jobs else None
         if job is None:
-            job = self._jobs[job_id] = _JobRecord(root, unsafe, dispatcher, due)
+            job = self._jobs[job_id] = _JobRecord(root, unsafe, dispatcher, self._clock.now(), due)
         else:
             self._checked["asked for again"] += 1
-            job.dispatcher, job.due = dispatcher, due
+            job.dispatcher, job.taken_at, job.due = dispatcher, self._clock.now(), due
             job.requests += 1
             job.answered = False
         job.excused = dispatcher in self._paused
@@ -149,6 +154,30 @@
             job.excused = True
             self._finish(job_id, job)
 
+    def connection_broken(self, job_id: str) -> None:
+        """The job's connection ended without an answer, and its client did not close it.
+
+        If the job was forwarded, that is allowed only at the end of a process that is killed, or that was
+        told to stop no more than 0.7 s before the job came."""
+        job = self._jobs.get(job_id)
+        if job is None or job.answered or job.excused:
+            return
+        told_at = self._stopping_since.get(job.dispatcher)
+        if not job.attempts or (told_at is not None and job.taken_at <= told_at + _EXCUSED_BY_KILL):
+            self.client_left(job_id)
+        elif told_at is not None:
+            after = (job.taken_at - told_at) // MS
+            self._report(Breach.LOST_IN_SHUTDOWN, f"{job_id} at {job.dispatcher}, {after} ms after SIGTERM")
+            job.excused = True
+
+    def dispatcher_stopping(self, dispatcher: int) -> None:
+        """A process of a dispatcher is told to stop. Jobs that come much later must not be lost with it."""
+        self._stopping_since[dispatcher] = self._clock.now()
+
+    def dispatcher_started(self, dispatcher: int) -> None:
+        """A dispatcher runs again, as one process."""
+        self._stopping_since.pop(dispatcher, None)
+
     def dispatcher_died(self, dispatcher: int) -> None:
         """A dispatcher's process has ended. Its jobs need no answer from it, and its attempts end with its
         connections; with a fleet, others may take the jobs over, so the attempts remain in flight."""
@@ -209,7 +238,8 @@
         since = self._not_up_since.get((sender, worker))
         if since is not None and at > since + self._drain_grace:
             self._report(
-                Breach.SENT_AFTER_DRAIN_GRACE, f"{job_id} to {worker} after {(at - since) / MS:.0f} ms"
+                Breach.SENT_AFTER_DRAIN_GRACE,
+                f"{job_id} from {sender} to {worker} after {(at - since) / MS:.0f} ms",
             )
         if not given_up:
             job.in_flight[worker] = at
--- a/ironbarrow/lab/live/clients.py
+++ b/ironbarrow/lab/live/clients.py
@@ -147,7 +147,10 @@
                 "POST", target, headers, _BODY, until, sent
             )
         except ConnectionEndedError as error:
-            self._audit.client_left(job_id)
+            if error.ending is Ending.STALLED:
+                self._audit.client_left(job_id)
+            else:
+                self._audit.connection_broken(job_id)
             if error.ending is Ending.STALLED:
                 return self._habits.timeout_outcome(order), 0
             if error.ending in (Ending.CONNECT_REFUSED, Ending.CONNECT_TIMED_OUT):
--- a/ironbarrow/lab/live/discovery_server.py
+++ b/ironbarrow/lab/live/discovery_server.py
@@ -53,7 +53,10 @@
         return self.address
 
     def known(self) -> dict[str, object]:
-        """The current list, in the discovery service's format."""
+        """The current list, in the discovery service's format, for the configuration of a process: the
+        dispatcher counts as told of it."""
+        for entry in self._known.entries:
+            self._on_status(entry.name, entry.status == "up")
         return list_object(self._known, self._addresses)
 
     def _on_update(self, list_update: ListUpdate) -> None:
--- a/ironbarrow/lab/live/ports.py
+++ b/ironbarrow/lab/live/ports.py
@@ -13,6 +13,7 @@
 
 DISPATCHER_PORT = 9000
 FLEET_PORT = 9100
+FIRST_ADMIN_PORT = 9200
 MAX_DISPATCHERS = 120
 
 _FIRST_SECOND_BYTE, _SECOND_BYTES = 64, 100
@@ -68,6 +69,10 @@
         """The address at which a dispatcher listens for the other members of its fleet."""
         return f"{self.prefix}.{_FIRST_DISPATCHER + number}", FLEET_PORT
 
+    def admin(self, number: int, process: int) -> Address:
+        """The admin address of a dispatcher's process; each of its processes has an address of its own."""
+        return f"{self.prefix}.{_FIRST_DISPATCHER + number}", FIRST_ADMIN_PORT + process
+
     def lab_listener(self, number: int) -> Address:
         """The address for the laboratory's own listeners that serve one dispatcher, at any free port.
 
--- a/ironbarrow/lab/live/processes.py
+++ b/ironbarrow/lab/live/processes.py
@@ -85,6 +85,7 @@
         self._agent, self._folder, self.program, self._seed = agent, folder, program, seed
         self._fleet_file = fleet_file
         self._process: subprocess.Popen[bytes] | None = None
+        self.admin_address: Address | None = None  # with one, a successor may take its jobs over
         self.fault_point = ""  # where the next incarnation ends by itself: "POINT:N" (BALANCER_FAULT)
         self.fault_once = False  # only if no other dispatcher has ended at the point before
         self._starts = 0
@@ -143,6 +144,9 @@
             "BALANCER_DISCOVERY": "{}:{}".format(*self._agent.address),
             "BALANCER_CONFIG": str(self.config_path),
         }
+        if self.admin_address is not None:
+            environment["BALANCER_ADMIN"] = "{}:{}".format(*self.admin_address)
+            environment["TMPDIR"] = str(self._folder)
         if self._fleet_file is not None:
             path = self._folder / f"d{self.number}.fleet.toml"
             _replace_text(path, self._fleet_file)
@@ -164,16 +168,36 @@
             )
         self._loop.spawn(self._watch(self._process))
 
+    def make_successor(self, admin_address: Address) -> "Instance":
+        """Another instance of the same dispatcher, which can be started beside this one."""
+        successor = Instance(
+            self._loop,
+            self._world,
+            self.number,
+            self.address,
+            self._agent,
+            self._folder,
+            self.program,
+            self._seed,
+        )
+        successor._starts = self._starts
+        successor.admin_address = admin_address
+        return successor
+
     def _write_config(self) -> None:
         _replace_text(self.config_path, json.dumps(self._config()))
 
     def _watch(self, process: subprocess.Popen[bytes]) -> Coroutine[None]:
         """Polls a process until it is ready, and then until it ends; reports both."""
         started_at = self._loop.now()
+        client, path = self._client, "/-/ready"
+        if self.admin_address is not None:
+            # at the clients' address its predecessor may answer
+            client, path = HttpClient(self._loop, self.admin_address), "/ops/readiness"
         while process.poll() is None:
             try:
                 until = self._loop.now() + SECOND
-                answer = yield from self._client.exchange("GET", "/-/ready", [], b"", until)
+                answer = yield from client.exchange("GET", path, [], b"", until)
                 if answer.status == 200:
                     self.startup_times.append(self._loop.now() - started_at)
                     self.on_ready(self.number)
--- a/ironbarrow/lab/live/run.py
+++ b/ironbarrow/lab/live/run.py
@@ -217,6 +217,7 @@
     # Dispatchers
 
     def _on_ready(self, number: int) -> None:
+        self.audit.dispatcher_started(number)
         self._ready.add(number)
         self.front.mark_ready(number)
 
@@ -238,6 +239,7 @@
         """Stops a dispatcher with SIGTERM, and starts it again ``down`` ns after its end."""
         self._restart_delays[number] = down
         self.front.mark_stopping(number)
+        self.audit.dispatcher_stopping(number)
         self.instances[number].stop()
 
     def reload(self, number: int) -> None:
--- a/ironbarrow/lab/soak/plan.py
+++ b/ironbarrow/lab/soak/plan.py
@@ -2,6 +2,7 @@
 
 import json
 from dataclasses import dataclass
+from enum import Enum
 from random import Random
 from typing import Any
 
@@ -19,11 +20,32 @@
     "recv": ("ENOMEM", "EINTR"),
     "send": ("ENOBUFS", "ENOMEM", "EINTR"),
     "watch": ("ENOMEM", "ENOSPC"),
+    "unwatch": ("ENOMEM",),
+    "poll": ("ENOMEM", "EINTR"),
+}
+# as above, for processes with a folder that they share with their successors
+_FOLDER_ERRORS = {
+    "sendmsg": ("ENOBUFS", "ENOMEM", "EAGAIN"),
+    "recvmsg": ("ENOMEM", "EINTR"),
+    "dup": ("EMFILE",),
+    "lock": ("ENOLCK", "EINTR"),
+    "open": ("EIO", "ENOSPC"),
+    "write": ("ENOSPC", "EIO"),
+    "fsync": ("EIO",),
+    "replace": ("EIO", "ENOSPC"),
 }
 _CONNECTION_ERRORS = ("ETIMEDOUT", "EHOSTUNREACH", "ENETUNREACH", "ECONNRESET")
 _DEADLINES_S = ((1.0, 0.6), (3.0, 2.0), (6.0, 4.0))  # of safe jobs and bookings
 
 
+class Deployment(Enum):
+    """What takes over the jobs of a dispatcher that is told to stop."""
+
+    ALONE = "nothing"
+    SUCCESSORS = "a successor, for half of the restarts"
+    FLEET = "the other members of its fleet"
+
+
 @dataclass(frozen=True, slots=True)
 class SoakPlan:
     """A soak run. ``fault_plans``: JSON for each dispatcher. ``idle_clients``: how many connect only."""
@@ -32,15 +54,21 @@
     world: World
     fault_plans: tuple[str, ...]
     idle_clients: int
+    deployment: Deployment
 
 
 def draw_plan(seed: int, dispatchers: int, duration_s: float) -> SoakPlan:
     """Generates the run of a seed. Equal arguments give equal plans."""
     rng = Random(seed)
     safe_s, booking_s = rng.choice(_DEADLINES_S)
-    world = convert(_world(rng, seed, dispatchers, duration_s, safe_s, booking_s), World, f"soak {seed}")
-    plans = tuple(json.dumps(_fault_plan(rng, seed * 1000 + n)) for n in range(dispatchers))
-    return SoakPlan(seed, world, plans, rng.choice((0, 0, 200)))
+    deployment = tuple(Deployment)[seed % len(Deployment)]
+    raw_world = _world(rng, seed, dispatchers, duration_s, safe_s, booking_s)
+    if deployment is Deployment.FLEET:
+        raw_world["dispatchers"]["fleet"] = {}
+    world = convert(raw_world, World, f"soak {seed}")
+    folder = deployment is Deployment.SUCCESSORS
+    plans = tuple(json.dumps(_fault_plan(rng, seed * 1000 + n, folder=folder)) for n in range(dispatchers))
+    return SoakPlan(seed, world, plans, rng.choice((0, 0, 200)), deployment)
 
 
 def _world(
@@ -76,10 +104,10 @@
 
 
 def _faults(rng: Random, dispatchers: int, duration_s: float) -> list[dict[str, Any]]:
-    """Overlapping faults of all parties, and graceful restarts: one for every four dispatchers."""
+    """Overlapping faults of all parties, and graceful restarts: one for every two dispatchers."""
     faults: list[dict[str, Any]] = []
     kinds = [rng.choice(tuple(_FAULT_KINDS)) for _ in range(round(duration_s * 0.8))]
-    for kind in kinds + ["dispatcher restarted"] * (dispatchers // 4):
+    for kind in kinds + ["dispatcher restarted"] * (dispatchers // 2):
         at = rng.uniform(FAULT_FREE_S, max(FAULT_FREE_S, duration_s - 1))
         fault: dict[str, Any] = {
             "kind": kind,
@@ -107,13 +135,17 @@
 }
 
 
-def _fault_plan(rng: Random, seed: int) -> dict[str, Any]:
+def _fault_plan(rng: Random, seed: int, *, folder: bool) -> dict[str, Any]:
     """The fault plan of one process: failing calls, short reads and writes, and steps of the wall clock."""
     rules: list[dict[str, Any]] = []
-    for call in rng.sample(sorted(_TRANSIENT_ERRORS), 3):
+    errors = {**_TRANSIENT_ERRORS, **(_FOLDER_ERRORS if folder else {})}
+    for call in rng.sample(sorted(errors), 3):
         window = {"after_s": rng.uniform(1, 4), "every_s": rng.uniform(2, 6), "for_s": 0.25}
-        error = rng.choice(_TRANSIENT_ERRORS[call])
+        error = rng.choice(errors[call])
         rules.append({"call": call, "error": error, "chance": rng.choice((0.3, 1.0)), **window})
+    for call in rng.sample(sorted(errors), 2):  # during the shutdown
+        window = {"after_s": rng.uniform(0, 3.5), "for_s": rng.uniform(0.1, 0.5), "since_stop": True}
+        rules.append({"call": call, "error": rng.choice(errors[call]), **window})
     rules.append(
         {
             "call": rng.choice(("recv", "send")),
--- a/ironbarrow/lab/soak/run.py
+++ b/ironbarrow/lab/soak/run.py
@@ -9,21 +9,26 @@
 from pathlib import Path
 from random import Random
 
-from ironbarrow.lab.live.processes import Program
+from ironbarrow.lab.live.processes import Instance, Program
 from ironbarrow.lab.live.run import LiveError, LiveRun
 from ironbarrow.lab.model.workload import ClientRequest
 from ironbarrow.lab.soak.keep_alive_client import KeepAliveClient
-from ironbarrow.lab.soak.plan import SoakPlan
+from ironbarrow.lab.soak.plan import Deployment, SoakPlan
 from ironbarrow.runtime.clock import MS, SECOND
+from ironbarrow.runtime.sockets import Address
 
 # After a job's deadline, as in the standing test. Until then a late answer is worthless, but not a failure.
 _ANSWER_LOST_AFTER = 500 * MS
-_KEEP_ALIVE_CLIENTS = 3  # for each dispatcher that is stopped
+_KEEP_ALIVE_CLIENTS = 6  # for each dispatcher that is stopped; two of them write slowly
+_MAX_WRITE_PAUSE_S = 2.0  # of these
 _FIRST_KEEP_ALIVE_ORDER = 10_000_000  # above the order numbers of the workload
 _SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT, signal.SIGTERM)
 _SIGNAL_GAP = 30 * MS
 _IDLE_CONNECTIONS_AT = 3 * SECOND  # after the dispatchers have become ready
-_PROBLEM_EVENTS = ("task failed",)  # events in a dispatcher's log that are a problem of the run
+_PROBLEM_EVENTS = (
+    "task failed",
+    "shutdown rule broken",
+)  # events in a dispatcher's log that are a problem of the run
 
 
 @dataclass(slots=True)
@@ -54,8 +59,18 @@
         self.keep_alive_clients: list[KeepAliveClient] = []
         self.overdue_stops: list[int] = []  # dispatchers that still ran just before SIGKILL
         self.graceful_stops = 0
+        self.replaced: list[Instance] = []  # whose successor is ready
+        self._successors: dict[int, Instance] = {}  # that are not ready yet
+        self.failed_successors: list[int] = []  # numbers of the dispatchers
+        self._processes = 0  # that have an admin address
         for instance, faults in zip(self.instances, plan.fault_plans, strict=True):
             instance.program = Program.with_faults(faults)
+            if plan.deployment is Deployment.SUCCESSORS:
+                instance.admin_address = self._new_admin_address(instance.number)
+
+    def _new_admin_address(self, number: int) -> Address:
+        self._processes += 1
+        return self._loopback.admin(number, self._processes)
 
     def restart(self, number: int, down: int) -> None:
         """Stops a dispatcher that is ready and starts it again, under harder conditions than ``LiveRun``.
@@ -64,8 +79,48 @@
         SIGKILL comes after the short stop time of the plan.
         """
         instance = self.instances[number]
-        if instance.pid is None or number not in self._ready or number in self._restart_delays:
+        if instance.pid is None or number not in self._ready or self._is_restarting(number):
+            return
+        if self._plan.deployment is Deployment.SUCCESSORS and self._rng.random() < 0.5:
+            self._replace(number)
+            return
+        self._prepare_stop(number)
+        super().restart(number, down)
+
+    def _is_restarting(self, number: int) -> bool:
+        replaced = any(old.number == number and old.pid is not None for old in self.replaced)
+        return number in self._restart_delays or number in self._successors or replaced
+
+    def _replace(self, number: int) -> None:
+        """Starts a successor beside a dispatcher's process, which is stopped once the successor is ready."""
+        old = self.instances[number]
+        new = self._successors[number] = old.make_successor(self._new_admin_address(number))
+        new.on_ready = self._on_successor_ready
+        new.on_end = self._on_successor_failed
+        new.start()
+
+    def _on_successor_failed(self, number: int) -> None:
+        del self._successors[number]
+        self.failed_successors.append(number)
+
+    def _on_successor_ready(self, number: int) -> None:
+        new, old = self._successors.pop(number), self.instances[number]
+        new.on_end = self._on_end
+        if old.pid is None:  # it has been killed meanwhile; its own restart is due
+            new.on_end = lambda number: None
+            new.close()
             return
+        self._prepare_stop(number)
+        self.instances[number] = new
+        self.replaced.append(old)
+        old.on_end = lambda number: None
+        self.audit.dispatcher_stopping(number)
+        old.stop()
+
+    def _prepare_stop(self, number: int) -> None:
+        """Lets clients go on sending to a dispatcher that is told to stop now, and lets further signals
+        follow."""
+        instance = self.instances[number]
         self.graceful_stops += 1
         self._start_keep_alive_clients(number)
         for index in range(self._rng.randrange(3)):
@@ -74,27 +129,35 @@
                 instance.send_signal,
                 self._rng.choice(_SIGNALS),
             )
-        pid = instance.pid
-        super().restart(number, down)
         kill_at = self.loop.now() + self.world.dispatchers.stop_time
-        self.loop.call_at(kill_at - MS, self._check_ended, number, pid)
+        self.loop.call_at(kill_at - MS, self._check_ended, instance, instance.pid)
 
     def kill(self, number: int, down: int) -> None:
         """As ``LiveRun.kill``, but only if the dispatcher runs and is not being restarted."""
-        if self.instances[number].pid is not None and number not in self._restart_delays:
+        if self.instances[number].pid is not None and not self._is_restarting(number):
             super().kill(number, down)
 
-    def _check_ended(self, number: int, pid: int) -> None:
-        if self.instances[number].pid == pid:
-            self.overdue_stops.append(number)
+    def _check_ended(self, instance: Instance, pid: int | None) -> None:
+        if pid is not None and instance.pid == pid:
+            self.overdue_stops.append(instance.number)
 
     def _start_keep_alive_clients(self, number: int) -> None:
-        cls = self.world.classes[0]
-        for _ in range(_KEEP_ALIVE_CLIENTS):
-            client = KeepAliveClient(self.loop, self.audit, self._habits, number, self._listen[number])
+        for index in range(_KEEP_ALIVE_CLIENTS):
+            class_number = index % len(self.world.classes)
+            cls = self.world.classes[class_number]
+            slow = index < len(self.world.classes)
+            client = KeepAliveClient(
+                self.loop,
+                self.audit,
+                self._habits,
+                number,
+                self._listen[number],
+                unsafe=cls.effect == "unsafe",
+                write_pause=int(self._rng.uniform(0, _MAX_WRITE_PAUSE_S) * SECOND) if slow else 0,
+            )
             order = ClientRequest(
                 number=_FIRST_KEEP_ALIVE_ORDER + len(self.keep_alive_clients),
-                cls=0,
+                cls=class_number,
                 due=self.loop.now(),
                 deadline=cls.deadline,
                 wanted=cls.wanted,
@@ -127,6 +190,8 @@
         """As ``LiveRun.close``; also closes the idle connections."""
         for sock in self._idle_connections:
             sock.close()
+        for instance in (*self.replaced, *self._successors.values()):
+            instance.close()
         super().close()
 
 
@@ -146,6 +211,9 @@
     for name in ("crashes", "wrong_results", "errors"):
         if outcome.notes[name]:
             result.problems.append(f"{name}: {outcome.notes[name]}")
+    crashes = [old.number for old in run.replaced if old.crashes]
+    if crashes or run.failed_successors:
+        result.problems.append(f"ended by themselves: {crashes}, successors: {run.failed_successors}")
     if run.overdue_stops:
         result.problems.append(f"still running at the time of SIGKILL: dispatchers {run.overdue_stops}")
     unanswered = [job for client in run.keep_alive_clients for job in client.unanswered]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,11 +7,14 @@
 
 import pytest
 
+from ironbarrow.lab.audit import Auditor, Breach
 from ironbarrow.lab.faults.rules import PLAN_VARIABLE, FaultPlan, FaultPlanError
 from ironbarrow.lab.live.processes import Program
-from ironbarrow.lab.soak.plan import draw_plan
+from ironbarrow.lab.soak.plan import Deployment, draw_plan
 from ironbarrow.lab.soak.run import run_soak
+from ironbarrow.runtime.clock import MS, SECOND
 from tests.test_live import routed_run
+from tests.virtual import VirtualLoop
 
 DISPATCHERS = 6
 SECONDS = 8.0
@@ -25,6 +28,43 @@
     assert result.jobs > 100
 
 
+# Guards against a soak that never stops a dispatcher in one of the ways that its judge covers.
+def test_consecutive_seeds_play_every_deployment() -> None:
+    plans = [draw_plan(seed, DISPATCHERS, SECONDS) for seed in (1, 2, 3)]
+    assert {plan.deployment for plan in plans} == set(Deployment)
+    for plan in plans:
+        stops = [fault for fault in plan.world.faults if fault.kind == "dispatcher restarted"]
+        assert len(stops) >= DISPATCHERS // 2
+        assert all('"since_stop": true' in text for text in plan.fault_plans)
+
+
+# Guards against a judge that excuses what a process loses at its end, as the former one did (65f787).
+@pytest.mark.parametrize(
+    ("taken_after_ms", "forwarded", "lost"),
+    [(-100, True, 0), (600, True, 0), (701, True, 1), (2000, True, 1), (2000, False, 0)],
+)
+def test_a_late_job_that_is_lost_at_the_end_of_a_process_is_reported(
+    taken_after_ms: int, forwarded: bool, lost: int
+) -> None:
+    clock = VirtualLoop(10 * SECOND)
+    audit = Auditor(clock, draw_plan(1, 2, 8.0).world)
+    clock.time += min(0, taken_after_ms) * MS
+    if taken_after_ms < 0:
+        audit.job_taken("j1", 1, 0, 9 * SECOND, unsafe=True)
+        clock.time -= taken_after_ms * MS
+    audit.dispatcher_stopping(0)
+    if taken_after_ms >= 0:
+        clock.time += taken_after_ms * MS
+        audit.job_taken("j1", 1, 0, 9 * SECOND, unsafe=True)
+    if forwarded:
+        audit.attempt_sent("j1", "w1")
+    clock.time += 100 * MS
+    audit.connection_broken("j1")
+    audit.dispatcher_died(0)
+    assert audit.finish().breaches[Breach.LOST_IN_SHUTDOWN.value] == lost
+    assert sum(audit.finish().breaches.values()) == lost
+
+
 def test_a_start_survives_failing_system_calls(tmp_path: Path) -> None:
     """Guards against a dispatcher that exits at its start because memory is short for a moment (bcef66)."""
     rules = [
