--- a/ironbarrow/lab/soak/run.py
+++ b/ironbarrow/lab/soak/run.py
@@ -105,7 +105,7 @@
 
     def _on_successor_ready(self, number: int) -> None:
         new, old = self._successors.pop(number), self.instances[number]
-        new.on_end = self._on_end
+        new.on_ready, new.on_end = self._on_ready, self._on_end
         if old.pid is None:  # it has been killed meanwhile; its own restart is due
             new.on_end = lambda number: None
             new.close()
