Go on reading a predecessor's messages where a received connection can't be opened

What callers would see: the jobs of the old process get no answer, as the new one reads no further message of it. Cause: opening the socket of a received descriptor asks the system about it; where that fails (ENOBUFS), the error ended the task that reads the channel. Fix: such a connection is closed and the job goes back, as one without a descriptor.

--- a/ironbarrow/handover/upgrade.py
+++ b/ironbarrow/handover/upgrade.py
@@ -3,6 +3,7 @@
 import os
 import socket
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any, Protocol
@@ -285,7 +286,7 @@
     # The new process
 
     def _on_message(self, sender: str, data: bytes, fds: list[int]) -> None:
-        socks = [socket.socket(fileno=fd) for fd in fds]
+        socks = _open_sockets(fds)
         try:
             fields = records.parse(data)
         except records.RecordError as error:
@@ -411,3 +412,17 @@
         if (adopted := self._adopted.get(record.id)) is not None:
             adopted.job, adopted.record = job, record
         return lambda: self._host.withdraw(job)
+
+
+def _open_sockets(fds: list[int]) -> list[socket.socket]:
+    """The sockets of received descriptors. One that the system can't inspect now is closed and left out: an
+    error here would end the task that reads the messages."""
+    socks = []
+    for fd in fds:
+        try:
+            socks.append(socket.socket(fileno=fd))
+        except OSError as error:
+            log.warning("connection of the other process could not be opened", error=str(error))
+            with suppress(OSError):
+                os.close(fd)
+    return socks
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -410,6 +410,28 @@
     pair.close()
 
 
+# Guards against a successor that reads no more messages, as it could not open a received connection.
+def test_a_connection_that_cannot_be_opened_stays_with_the_old_process(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    pair, _ = booking_with_a_new_process(tmp_path)
+    failures = iter((errno.ENOBUFS,))
+
+    class SocketThatFailsOnce(socket.socket):
+        def __init__(self, *args: Any, **kwargs: Any) -> None:
+            if kwargs.get("fileno") is not None and (error := next(failures, 0)):
+                raise OSError(error, os.strerror(error))
+            super().__init__(*args, **kwargs)
+
+    monkeypatch.setattr("ironbarrow.handover.upgrade.socket.socket", SocketThatFailsOnce)
+    for line in ("stop", "wait 100", f"n1 send {call_back('done', result='out')}", "n1 expect 204"):
+        pair.step(line)
+    for line in ("c1 expect HTTP/1.1 200 .*out$", "exits"):
+        pair.step(line)
+    assert next(failures, 0) == 0
+    pair.close()
+
+
 def test_the_channel_survives_failed_reads(tmp_path: Path) -> None:
     """Guards against a process that reads no more messages after one failed read (bcef66)."""
     pair, channel = booking_with_a_new_process(tmp_path)
