End late jobs 20 ms after the answer limit, whatever answer slack the settings give

The slack of the settings is the clients' allowance, 16 ms in the known deployments; nothing bounds it, and with one of 0.5 s late jobs would be ended as SIGKILL comes. Found by reading. The decisions answer at the limit itself; the grace only lets them. Evidence: the twelve plays of test_late_requests.py hold.

--- a/ironbarrow/daemon/dispatcher.py
+++ b/ironbarrow/daemon/dispatcher.py
@@ -35,6 +35,7 @@
 _STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 _HAND_OVER_DELAY = 300 * MS  # clients and workers that are still connecting reach this process
 _DONE_CHECK_INTERVAL = 10 * MS
+_DECISION_GRACE = 20 * MS  # after the answer limit, in which the decisions themselves answer the jobs
 _CHANNEL_RETRY_PAUSE = SECOND  # after the shared folder has failed
 # no process of this dispatcher can have a channel in such a folder
 _UNUSABLE_FOLDER_ERRORS = frozenset(
@@ -336,8 +337,7 @@
             limit, end = began_at + times.fleet_answer_limit, began_at + times.leave_delay
         self.host.shutdown.begin(began_at, limit)
         self.loop.call_at(end, self.server.check_late_answers)
-        # the decisions answer the jobs whose time ends then, and what they leave is ended after the slack
-        self.loop.call_at(limit + self._config.settings.answer_slack, self._end_late_jobs)
+        self.loop.call_at(limit + _DECISION_GRACE, self._end_late_jobs)
 
     def _end_late_jobs(self) -> None:
         self.host.end_late_jobs()
