--- a/ironbarrow/lab/audit.py
+++ b/ironbarrow/lab/audit.py
@@ -178,6 +178,10 @@
         """A dispatcher runs again, as one process."""
         self._stopping_since.pop(dispatcher, None)
 
+    def dispatcher_killed(self, dispatcher: int) -> None:
+        """A dispatcher's only process is killed, without having been told to stop."""
+        self._stopping_since.pop(dispatcher, None)
+
     def dispatcher_died(self, dispatcher: int) -> None:
         """A dispatcher's process has ended. Its jobs need no answer from it, and its attempts end with its
         connections; with a fleet, others may take the jobs over, so the attempts remain in flight."""
--- a/ironbarrow/lab/live/run.py
+++ b/ironbarrow/lab/live/run.py
@@ -233,6 +233,7 @@
     def kill(self, number: int, down: int) -> None:
         """Kills a dispatcher, and starts it again ``down`` ns after its end."""
         self._restart_delays[number] = down
+        self.audit.dispatcher_killed(number)
         self.instances[number].kill()
 
     def restart(self, number: int, down: int) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -65,6 +65,21 @@
     assert sum(audit.finish().breaches.values()) == lost
 
 
+# Guards against a judge that takes the kill of a successor for the end of the process that it replaced.
+def test_jobs_lost_with_a_killed_successor_are_excused() -> None:
+    clock = VirtualLoop(10 * SECOND)
+    audit = Auditor(clock, draw_plan(1, 2, 8.0).world)
+    audit.dispatcher_stopping(0)
+    clock.time += 2 * SECOND
+    audit.job_taken("j1", 1, 0, 9 * SECOND, unsafe=True)
+    audit.attempt_sent("j1", "w1")
+    audit.dispatcher_killed(0)
+    audit.connection_broken("j1")
+    audit.dispatcher_died(0)
+    clock.time += 20 * SECOND
+    assert audit.finish().kept
+
+
 def test_a_start_survives_failing_system_calls(tmp_path: Path) -> None:
     """Guards against a dispatcher that exits at its start because memory is short for a moment (bcef66)."""
     rules = [
