Let the judge see late jobs that end with their process, and allow early ones

It does now, the judge also looks at a process that ends with its jobs, and a dispatcher that stops without a limit beside hung workers is such a faulty one.

--- a/ironbarrow/lab/audit.py
+++ b/ironbarrow/lab/audit.py
@@ -165,15 +165,33 @@
         told_at = self._stopping_since.get(job.dispatcher)
         if not job.attempts or (told_at is not None and job.taken_at <= told_at + _EXCUSED_BY_KILL):
             self.client_left(job_id)
-        elif told_at is not None:
-            after = (job.taken_at - told_at) // MS
-            self._report(Breach.LOST_IN_SHUTDOWN, f"{job_id} at {job.dispatcher}, {after} ms after SIGTERM")
-            job.excused = True
+        else:
+            self._check_late_job(job_id, job)
+
+    def _check_late_job(self, job_id: str, job: _JobRecord) -> None:
+        """Reports an unanswered job that was forwarded and came late in a shutdown, at the end of its
+        connection or its process."""
+        told_at = self._stopping_since.get(job.dispatcher)
+        if told_at is None or not job.attempts or job.taken_at <= told_at + _EXCUSED_BY_KILL:
+            return
+        after = (job.taken_at - told_at) // MS
+        self._report(Breach.LOST_IN_SHUTDOWN, f"{job_id} at {job.dispatcher}, {after} ms after SIGTERM")
+        job.excused = True
 
     def dispatcher_stopping(self, dispatcher: int) -> None:
         """A process of a dispatcher is told to stop. Jobs that come much later must not be lost with it."""
         self._stopping_since[dispatcher] = self._clock.now()
 
+    def may_still_run(self, dispatcher: int) -> bool:
+        """Whether a dispatcher that was told to stop has an open job that SIGKILL may find unanswered."""
+        told_at = self._stopping_since.get(dispatcher)
+        return told_at is not None and any(
+            job.dispatcher == dispatcher
+            and not (job.answered or job.excused)
+            and job.taken_at <= told_at + _EXCUSED_BY_KILL
+            for job in self._jobs.values()
+        )
+
     def dispatcher_started(self, dispatcher: int) -> None:
         """A dispatcher runs again, as one process."""
         self._stopping_since.pop(dispatcher, None)
@@ -188,6 +206,8 @@
         self._paused.discard(dispatcher)
         for job_id, job in list(self._jobs.items()):  # a copy, because ``_finish`` deletes old records
             if job.dispatcher == dispatcher and not job.answered:
+                if not job.excused:
+                    self._check_late_job(job_id, job)
                 job.excused = True
                 if not self._shares_jobs:
                     job.in_flight.clear()
--- a/ironbarrow/lab/sim/run.py
+++ b/ironbarrow/lab/sim/run.py
@@ -117,6 +117,7 @@
     def start(self) -> None:
         """Starts a new process."""
         run = self._run
+        run.audit.dispatcher_started(self.number)
         clock = ProcessClock(run.clock)
         self._starts += 1
         seed = run.seed * 1_000_003 + self.number * 1009 + self._starts
@@ -184,6 +185,7 @@
         if process is None or process.stopping_at is not None:
             return
         process.stopping_at = self._run.clock.now()
+        self._run.audit.dispatcher_stopping(self.number)
         self._run.load_balancer.mark_stopping(self.number)
         process.host.shutdown.begin(process.stopping_at, process.stopping_at + _ANSWER_DEADLINE)
         stop_time = self._run.world.dispatchers.stop_time
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -109,6 +109,10 @@
 CRASHES = [Fault(kind="die", at=ms(500 * n), part=0.09) for n in range(1, 8)]
 DRAIN = Fault(kind="drain", at=ms(500), part=0.9)
 DEPLOY = Fault(kind="deploy", at=ms(200), lasts=ms(2000), part=0.9, batch=0.5, drain=ms(500))
+STOP_BESIDE_HUNG_WORKERS = [
+    Fault(kind="dispatcher restarted", at=ms(1000), dispatcher=0, down=ms(300)),
+    Fault(kind="hang", at=ms(2800), lasts=ms(5000), part=1.0),
+]
 FAST_FAILURES = Fault(kind="fail fast", at=ms(0), lasts=ms(6000), part=1.0, size=1.0)
 
 
@@ -164,8 +168,18 @@
 real_update_workers, real_outcome = core.Host.update_workers, core.outcome_of
 real_settings = sim.settings_object
 
+
+def stops_without_a_limit(dispatcher: Any, down: int) -> None:
+    """Goes on taking jobs until it is killed, and gives them all of their time."""
+    process, run = dispatcher.process, dispatcher._run
+    process.stopping_at = run.clock.now()
+    run.audit.dispatcher_stopping(dispatcher.number)
+    run.clock.call_at(process.stopping_at + ms(3700), dispatcher._end_now, process, down)
+
+
 FAULTY_DISPATCHERS: dict[Breach, tuple[Any, str, Any, list[Fault], float]] = {
     Breach.NO_ANSWER: (core.Host, "_finish_job", never_answers, [], 0.5),
+    Breach.LOST_IN_SHUTDOWN: (sim._Dispatcher, "stop", stops_without_a_limit, STOP_BESIDE_HUNG_WORKERS, 0.5),
     Breach.TWO_ANSWERS: (core.Host, "_finish_job", answers_twice, [], 0.5),
     Breach.SECOND_COPY: (core.Host, "_send", sends_twice, [], 0.5),
     Breach.TOO_MANY_ATTEMPTS: (
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -65,6 +65,24 @@
     assert sum(audit.finish().breaches.values()) == lost
 
 
+# Guards against a judge that wants a process to end though a job of before its stop is still open.
+@pytest.mark.parametrize(("taken_after_ms", "may_run"), [(-40, True), (600, True), (800, False)])
+def test_a_process_may_run_until_sigkill_for_a_job_of_before_alone(
+    taken_after_ms: int, may_run: bool
+) -> None:
+    clock = VirtualLoop(10 * SECOND)
+    audit = Auditor(clock, draw_plan(1, 2, 8.0).world)
+    for at, step in sorted([(0, "stop"), (taken_after_ms, "take")]):
+        clock.time = 10 * SECOND + at * MS
+        if step == "stop":
+            audit.dispatcher_stopping(0)
+        else:
+            audit.job_taken("j1", 1, 0, 9 * SECOND, unsafe=True)
+    assert audit.may_still_run(0) is may_run
+    audit.job_answered("j1", "failed")
+    assert audit.may_still_run(0) is False
+
+
 # Guards against a judge that takes the kill of a successor for the end of the process that it replaced.
 def test_jobs_lost_with_a_killed_successor_are_excused() -> None:
     clock = VirtualLoop(10 * SECOND)
