Test that an attempt past the answer limit of a shutdown is not carried out

Breaking each new check on purpose showed that the random orders do not notice when this one is taken out: they end late jobs soon after. The forced test fails then, and passes with it.

--- a/tests/test_service_rules.py
+++ b/tests/test_service_rules.py
@@ -151,3 +151,17 @@
         may_have_run = any(held.may_have_run for held in world.attempts)
         assert effect is not api.Effect.UNSAFE or not (refused and may_have_run), seed
     assert limited > 0
+
+
+# Guards against an attempt of a late job past its limit, where a successor let the job keep its own time.
+def test_an_attempt_past_the_answer_limit_is_not_carried_out() -> None:
+    world = test_attempt.World(1, api.Effect.SAFE)
+    host, limit = world.host, test_attempt.START + 100 * MS
+    host.shutdown.begin(test_attempt.START, limit)
+    host.shutdown.jobs_are_taken_over = True
+    payload = Payload("j1", "POST", "/x", b"in")
+    job = host.submit(payload, world.answers.append, job_class="x", time_left=test_attempt.DEADLINE)
+    world.loop.time = limit
+    host._send(api.Send(job.number, "p1"))
+    assert job.attempts[0].ended and job.attempts[0].never_ran
+    assert host.event_log.counts["decision not carried out", Rule.TIME_FOR_ANSWER.value] == 1
