--- a/tests/test_service_rules.py
+++ b/tests/test_service_rules.py
@@ -10,7 +10,9 @@
 from ironbarrow.backend import invoker
 from ironbarrow.core.jobs import Payload
 from ironbarrow.core.rules import Rule
-from ironbarrow.runtime.loop import MS, Coroutine
+from ironbarrow.core.shutdown import LateJobRule
+from ironbarrow.frontend.owed_answers import AnswerEnd, OwedAnswers
+from ironbarrow.runtime.loop import MS, Coroutine, Task
 from tests import test_attempt
 from tests.decisions import fixed_order
 from tests.scenario import Harness, answer, call_back, job
@@ -165,3 +167,23 @@
     host._send(api.Send(job.number, "p1"))
     assert job.attempts[0].ended and job.attempts[0].never_ran
     assert host.event_log.counts["decision not carried out", Rule.TIME_FOR_ANSWER.value] == 1
+
+
+# Guards against late answers that are missing or cut off by this process without being counted.
+def test_a_late_answer_that_is_missing_or_cut_off_is_counted() -> None:
+    world = test_attempt.World(1, api.Effect.SAFE)
+    shutdown = world.host.shutdown
+    owed = OwedAnswers(world.loop, world.host.event_log, shutdown)
+    early, late, written = (Task(world.loop, test_attempt.wait(0)) for _ in range(3))  # type: ignore[arg-type]
+    owed.begin(early, "early")
+    world.loop.time += MS
+    shutdown.begin(world.loop.now(), world.loop.now() + MS)
+    owed.begin(late, "late")
+    owed.begin(written, "written")
+    owed.decided(written)
+    owed.check_late()
+    assert shutdown.violations == {LateJobRule.ANSWERING: 1}
+    owed.end(written, AnswerEnd.WRITTEN)
+    for task in (early, late, written):
+        owed.connection_closed(task)
+    assert shutdown.violations == {LateJobRule.ANSWERING: 1, LateJobRule.CLOSING: 1}
