--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -273,12 +273,10 @@
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
         self.port = self.server.sockets[0].getsockname()[1]
 
-    def list(self, snapshot: bool = True) -> dict[str, Any]:
-        return {
-            "index": self.index,
-            "snapshot": snapshot,
-            "endpoints": [dict(e) for e in self.entries.values()],
-        }
+    def text(self) -> bytes:
+        """The whole list."""
+        content = {"index": self.index, "snapshot": True, "endpoints": list(self.entries.values())}
+        return json.dumps(content).encode()
 
     def put(self, worker: "Worker", status: str = "up", **changes: Any) -> None:
         """Lists a worker, or changes its entry, and tells all watches."""
@@ -312,10 +310,10 @@
             while True:
                 first, _headers, _body = await read_message(reader)
                 if "follow=1" not in first:
-                    writer.write(response(200, json.dumps(self.list()).encode()))
+                    writer.write(response(200, self.text()))
                     continue
                 writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-                self._chunk(writer, json.dumps(self.list()).encode() + b"\n")
+                self._chunk(writer, self.text() + b"\n")
                 self.watches.add(writer)
                 while not reader.at_eof():
                     with contextlib.suppress(TimeoutError):
