--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,100 +1,56 @@
-"""Discovery is down for 8 s after a long quiet time; workers drain at its return."""
+"""A planned restart: every request that was read before SIGTERM gets its answer."""
 
 import asyncio
 import os
+import signal
 
-from rig_2 import Case, Discovery, Worker, free_port, read_message, response, run, send_job
+from rig_2 import Case, Discovery, Worker, free_port, job_message, read_message, run
 
-QUIET = float(os.environ.get("QUIET", "35"))  # s, before the outage
-OUTAGE = 8.0  # s
-LINE_PERIOD = 2.0  # s, between the empty lines of a watch
-AFTER_LINE = 0.6  # s, from the last empty line to the outage
-GRACE = 1.0 + 0.05  # s; drainGrace of the settings, and the protocol's 50 ms
-RATE = 20  # jobs a second
-
-
-class Agent(Discovery):
-    """The agent. While discovery is down it is silent. What it left unanswered then stays so: a watch or
-    a call that has fallen silent has to be opened anew."""
-
-    down = False
-    quiet_line_at = 0.0
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        try:
-            while True:
-                first, _headers, _body = await read_message(reader)
-                self.case.note(f"discovery: {first.split(' ')[1]}{', unanswered' if self.down else ''}")
-                if self.down:
-                    await reader.read()
-                    return
-                if "follow=1" not in first:
-                    writer.write(response(200, self.text()))
-                    continue
-                writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-                self._chunk(writer, self.text() + b"\n")
-                self.watches.add(writer)
-                ended = asyncio.create_task(reader.read())
-                while not ended.done():
-                    await asyncio.wait([ended], timeout=LINE_PERIOD)
-                    if self.down:
-                        self.watches.discard(writer)
-                        await ended
-                        return
-                    self._chunk(writer, b"\n")
-                    self.quiet_line_at = self.case.now()
-                return
-        except (EOFError, OSError):
-            return
-        finally:
-            self.watches.discard(writer)
-            writer.close()
+COMMANDS = 8
+TIME_MS = 10_000
+RUNNING = 0.6  # s, of each job
+SIGTERM_AFTER = 0.3  # s
+SIGKILL_AFTER = 3.7  # s from SIGTERM: the longest deadline, counted as 3 s, and 0.7 s
 
 
 async def play(case: Case) -> None:
-    port, agent = free_port(), Agent(case)
-    await agent.start()
-    workers = [Worker(case, f"w{number}", 0.05) for number in range(4)]
+    port, discovery = free_port(), Discovery(case)
+    await discovery.start()
+    workers = [Worker(case, f"w{number}", RUNNING) for number in range(4)]
     for worker in workers:
         await worker.start(port)
-        agent.put(worker)
-    await case.dispatcher("d1", port, agent.port)
-    jobs: set[asyncio.Task[object]] = set()
-    stop = asyncio.Event()
-
-    async def load() -> None:
-        number = 0
-        while not stop.is_set():
-            task = asyncio.create_task(send_job(case, port, f"job-{number}", "/map", 3000))
-            jobs.add(task)
-            number += 1
-            await asyncio.sleep(1 / RATE)
-
-    loading = asyncio.create_task(load())
-    await asyncio.sleep(QUIET)
-    line = agent.quiet_line_at
-    while agent.quiet_line_at == line:
-        await asyncio.sleep(0.01)
-    await asyncio.sleep(agent.quiet_line_at + AFTER_LINE - case.now())
+        discovery.put(worker)
+    dispatcher = await case.dispatcher("d1", port, discovery.port)
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    jobs = [f"command-{number}" for number in range(COMMANDS)]
+    for job in jobs:
+        writer.write(job_message(job, "/map", TIME_MS))
+    await writer.drain()
+    sent = case.now()
+    case.note(f"client: {COMMANDS} requests sent")
+    await asyncio.sleep(SIGTERM_AFTER)
+    signalled = case.now()
     if case.trouble:
-        agent.down = True
-        agent.watches.clear()
-        case.note("discovery is down")
-        await asyncio.sleep(OUTAGE)
-        agent.down = False
-        case.note("discovery is back")
-    told = case.now()
-    for worker in workers[:2]:
-        agent.put(worker, "draining")
-    await asyncio.sleep(5.0)
-    stop.set()
-    await loading
-    await asyncio.gather(*jobs)
-    for worker in workers[:2]:
-        for when, job, _left, _body in worker.begun:
-            if when > told + GRACE:
-                late = when - told
-                case.breaks(f"drain: {job} was sent to {worker.name} {late:.3f} s after it was told to drain")
+        os.kill(dispatcher.pid, signal.SIGTERM)
+        case.note("SIGTERM")
+    for number, job in enumerate(jobs):
+        kill_at = signalled + SIGKILL_AFTER if case.trouble else sent + TIME_MS / 1000
+        try:
+            first, _headers, _body = await asyncio.wait_for(read_message(reader), kill_at - case.now())
+        except TimeoutError:
+            case.note(
+                f"client: no answer to {job} when SIGKILL may come; what it finds unanswered is allowed"
+            )
+            break
+        except (EOFError, OSError):
+            ended = case.now() - signalled
+            case.breaks(
+                f"lost: the dispatcher closed the connection {ended:.3f} s after SIGTERM, with no answer to"
+                f" {', '.join(jobs[number:])}, sent {SIGTERM_AFTER} s before it"
+            )
+            break
+        case.note(f"client: {job} answered {first!r} after {case.now() - sent:.3f} s")
+    writer.close()
 
 
 run(play)
--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import gc
 import json
 import os
 import signal
@@ -182,9 +183,12 @@
     case = Case()
 
     async def main() -> int:
+        this = asyncio.current_task()
+        assert this is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, this.cancel)
         try:
             await asyncio.wait_for(play(case), limit)
-        except (CannotRunError, TimeoutError, OSError) as error:
+        except (CannotRunError, TimeoutError, OSError, asyncio.CancelledError) as error:
             case.note(f"could not run: {error!r}")
             return NOT_RUN
         finally:
@@ -192,6 +196,13 @@
                 for path in sorted(Path(case.tmp.name).glob("*.log")):
                     (Path(os.environ["KEEP_LOGS"]) / path.name).write_bytes(path.read_bytes())
             await case.close()
+            rest = [task for task in asyncio.all_tasks() if task is not this]
+            for task in rest:
+                task.cancel()
+            await asyncio.gather(*rest, return_exceptions=True)
+            del rest
+            gc.collect()  # closes the connections that are left, while the loop still runs
+            await asyncio.sleep(0)
         return BROKEN if case.broken else HOLDS
 
     status = asyncio.run(main())
@@ -357,7 +368,7 @@
                 first, headers, body = await read_message(reader)
                 method, path = first.split(" ")[:2]
                 if method == "GET":
-                    writer.write(response(200))
+                    writer.write(response(200, self.load_text()))
                 elif method == "DELETE":
                     job = path.rsplit("/", 1)[1]
                     self.deleted.append(job)
@@ -389,9 +400,13 @@
         await self.call_back(job, state)
         self.jobs.pop(job, None)
 
-    async def call_back(self, job: str, state: str) -> None:
+    def load_text(self) -> bytes:
+        """The load report, as the answer to a probe."""
+        return b""
+
+    async def call_back(self, job: str, state: str, **more: Any) -> None:
         """Tries until the call is answered, ten times at most."""
-        call: dict[str, Any] = {"id": job, "from": self.name, "state": state}
+        call: dict[str, Any] = {"id": job, "from": self.name, "state": state} | more
         if state == "done":
             call["result"] = f"{self.name} did {job}"
         for _ in range(10):
