--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,31 +1,33 @@
-"""The process is replaced while discovery is down; two workers have been told to drain just before."""
+"""Discovery is down for 8 s after a long quiet time; workers drain at its return."""
 
 import asyncio
-import json
 import os
-import signal
-from pathlib import Path
 
 from rig_2 import Case, Discovery, Worker, free_port, read_message, response, run, send_job
 
+QUIET = float(os.environ.get("QUIET", "35"))  # s, before the outage
 OUTAGE = 8.0  # s
-TOLD_AFTER_YES = 2.0  # s; what discovery has told counts as told to the new process by then
+LINE_PERIOD = 2.0  # s, between the empty lines of a watch
+AFTER_LINE = 0.6  # s, from the last empty line to the outage
 GRACE = 1.0 + 0.05  # s; drainGrace of the settings, and the protocol's 50 ms
 RATE = 20  # jobs a second
 
 
 class Agent(Discovery):
-    """The agent, which is silent while discovery is down."""
+    """The agent. While discovery is down it is silent. What it left unanswered then stays so: a watch or
+    a call that has fallen silent has to be opened anew."""
 
     down = False
+    quiet_line_at = 0.0
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             while True:
                 first, _headers, _body = await read_message(reader)
                 self.case.note(f"discovery: {first.split(' ')[1]}{', unanswered' if self.down else ''}")
-                while self.down:  # what is open is answered at the return
-                    await asyncio.sleep(0.01)
+                if self.down:
+                    await reader.read()
+                    return
                 if "follow=1" not in first:
                     writer.write(response(200, self.text()))
                     continue
@@ -34,9 +36,13 @@
                 self.watches.add(writer)
                 ended = asyncio.create_task(reader.read())
                 while not ended.done():
-                    await asyncio.wait([ended], timeout=1.5)
-                    if not self.down:
-                        self._chunk(writer, b"\n")
+                    await asyncio.wait([ended], timeout=LINE_PERIOD)
+                    if self.down:
+                        self.watches.discard(writer)
+                        await ended
+                        return
+                    self._chunk(writer, b"\n")
+                    self.quiet_line_at = self.case.now()
                 return
         except (EOFError, OSError):
             return
@@ -52,48 +58,43 @@
     for worker in workers:
         await worker.start(port)
         agent.put(worker)
-    known = json.loads(agent.text())  # of now: "it may be old" for the second process
-    folder = Path(case.tmp.name) / "shared"
-    folder.mkdir()
-    old = await case.dispatcher("d1", port, agent.port, admin=free_port(), tmpdir=folder, known=known)
-    jobs: list[asyncio.Task[object]] = []
+    await case.dispatcher("d1", port, agent.port)
+    jobs: set[asyncio.Task[object]] = set()
     stop = asyncio.Event()
 
     async def load() -> None:
+        number = 0
         while not stop.is_set():
-            jobs.append(asyncio.create_task(send_job(case, port, f"job-{len(jobs)}", "/map", 3000)))
+            task = asyncio.create_task(send_job(case, port, f"job-{number}", "/map", 3000))
+            jobs.add(task)
+            number += 1
             await asyncio.sleep(1 / RATE)
 
     loading = asyncio.create_task(load())
-    await asyncio.sleep(2.0)
-    for worker in workers[:2]:
-        agent.put(worker, "draining")
-    told = case.now()
-    await asyncio.sleep(2.0)
-    down_at = case.now()
+    await asyncio.sleep(QUIET)
+    line = agent.quiet_line_at
+    while agent.quiet_line_at == line:
+        await asyncio.sleep(0.01)
+    await asyncio.sleep(agent.quiet_line_at + AFTER_LINE - case.now())
     if case.trouble:
         agent.down = True
+        agent.watches.clear()
         case.note("discovery is down")
-    await asyncio.sleep(1.0)
-    await case.dispatcher("d1", port, agent.port, admin=free_port(), tmpdir=folder, known=known)
-    yes_at = case.now()
-    os.kill(old.pid, signal.SIGTERM)
-    case.note("SIGTERM to the old process")
-    await asyncio.sleep(down_at + OUTAGE - case.now())
-    agent.down = False
-    case.note("discovery is back")
-    await asyncio.sleep(1.0)
+        await asyncio.sleep(OUTAGE)
+        agent.down = False
+        case.note("discovery is back")
+    told = case.now()
+    for worker in workers[:2]:
+        agent.put(worker, "draining")
+    await asyncio.sleep(5.0)
     stop.set()
     await loading
     await asyncio.gather(*jobs)
     for worker in workers[:2]:
-        late = [(when, job) for when, job, _left, _body in worker.begun if when > told + GRACE]
-        counted = [(when, job) for when, job in late if not told < when <= yes_at + TOLD_AFTER_YES + GRACE]
-        case.note(f"{len(late)} jobs came to {worker.name} past the grace, {len(counted)} of them count")
-        for when, job in counted:
-            case.breaks(
-                f"drain: {job} was sent to {worker.name} {when - told:.3f} s after it was told to drain"
-            )
+        for when, job, _left, _body in worker.begun:
+            if when > told + GRACE:
+                late = when - told
+                case.breaks(f"drain: {job} was sent to {worker.name} {late:.3f} s after it was told to drain")
 
 
 run(play)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,56 +1,60 @@
-"""A planned restart: every request that was read before SIGTERM gets its answer."""
+"""Silent connections fill the client slots: what waits to be accepted keeps its whole time."""
 
 import asyncio
-import os
-import signal
 
-from rig_2 import Case, Discovery, Worker, free_port, job_message, read_message, run
+from rig_2 import Case, Discovery, Worker, free_port, run, send_job
 
-COMMANDS = 8
-TIME_MS = 10_000
-RUNNING = 0.6  # s, of each job
-SIGTERM_AFTER = 0.3  # s
-SIGKILL_AFTER = 3.7  # s from SIGTERM: the longest deadline, counted as 3 s, and 0.7 s
+SILENT = 600  # connections that say nothing ("hundreds")
+TIME_MS = 1000
+DEADLINE_SLACK = 0.15  # s; for the time that is passed to a server
+ANSWER_SLACK = 0.5  # s; a later answer is a lost request
+JOBS = 6
+LONG = 2.0  # s; of every second job: more than its client waits for
 
 
 async def play(case: Case) -> None:
     port, discovery = free_port(), Discovery(case)
     await discovery.start()
-    workers = [Worker(case, f"w{number}", RUNNING) for number in range(4)]
+    workers = [Worker(case, f"w{number}", 0.2) for number in range(4)]
     for worker in workers:
+        worker.time_of = lambda job: LONG if job.endswith("long") else 0.2
         await worker.start(port)
         discovery.put(worker)
-    dispatcher = await case.dispatcher("d1", port, discovery.port)
-    reader, writer = await asyncio.open_connection("127.0.0.1", port)
-    jobs = [f"command-{number}" for number in range(COMMANDS)]
-    for job in jobs:
-        writer.write(job_message(job, "/map", TIME_MS))
-    await writer.drain()
-    sent = case.now()
-    case.note(f"client: {COMMANDS} requests sent")
-    await asyncio.sleep(SIGTERM_AFTER)
-    signalled = case.now()
+    limits = {"cores": 1.0, "memory_mb": 192, "sockets": 256}
+    await case.dispatcher("d1", port, discovery.port, limits=limits)
+    for number in range(4):
+        await send_job(case, port, f"first-{number}", "/map", 3000)
+    silent: list[asyncio.StreamWriter] = []
+
+    async def connect_and_say_nothing() -> None:
+        _reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        silent.append(writer)
+
     if case.trouble:
-        os.kill(dispatcher.pid, signal.SIGTERM)
-        case.note("SIGTERM")
-    for number, job in enumerate(jobs):
-        kill_at = signalled + SIGKILL_AFTER if case.trouble else sent + TIME_MS / 1000
-        try:
-            first, _headers, _body = await asyncio.wait_for(read_message(reader), kill_at - case.now())
-        except TimeoutError:
+        await asyncio.gather(*(connect_and_say_nothing() for _ in range(SILENT)))
+        case.note(f"{len(silent)} connections are open and say nothing")
+    sent: dict[str, float] = {}
+
+    async def one(number: int) -> None:
+        job = f"job-{number}-{'long' if number % 2 else 'short'}"
+        sent[job] = case.now()
+        status, _body, took = await send_job(case, port, job, "/map", TIME_MS, patience=4.0)
+        if status == 0:
             case.note(
-                f"client: no answer to {job} when SIGKILL may come; what it finds unanswered is allowed"
+                f"{job}: its connection was shut unread, which is allowed while idle clients fill the slots"
             )
-            break
-        except (EOFError, OSError):
-            ended = case.now() - signalled
-            case.breaks(
-                f"lost: the dispatcher closed the connection {ended:.3f} s after SIGTERM, with no answer to"
-                f" {', '.join(jobs[number:])}, sent {SIGTERM_AFTER} s before it"
-            )
-            break
-        case.note(f"client: {job} answered {first!r} after {case.now() - sent:.3f} s")
-    writer.close()
+        elif took > TIME_MS / 1000 + ANSWER_SLACK:
+            case.breaks(f"lost: {job} was answered {status} {took:.3f} s after it was sent, its time was 1 s")
+
+    await asyncio.gather(*(one(number) for number in range(JOBS)))
+    for worker in workers:
+        for when, job, told_ms, _body in worker.begun:
+            left = TIME_MS / 1000 - (when - sent[job]) if job in sent else 10.0
+            if told_ms / 1000 > left + DEADLINE_SLACK:
+                ms_left = round(left * 1000)
+                case.breaks(f"deadline: {job} went to {worker.name} with {told_ms} ms, {ms_left} were left")
+    for writer in silent:
+        writer.close()
 
 
 run(play)
