--- a/review/10/case.py
+++ b/review/10/case.py
@@ -3,7 +3,7 @@
 import asyncio
 import os
 
-from rig_2 import Case, Discovery, Worker, free_port, read_message, response, run, send_job
+from rig_2 import Case, Discovery, Worker, end_of, free_port, read_message, response, run, send_job
 
 QUIET = float(os.environ.get("QUIET", "35"))  # s, before the outage
 OUTAGE = 8.0  # s
@@ -26,7 +26,7 @@
                 first, _headers, _body = await read_message(reader)
                 self.case.note(f"discovery: {first.split(' ')[1]}{', unanswered' if self.down else ''}")
                 if self.down:
-                    await reader.read()
+                    await end_of(reader)
                     return
                 if "follow=1" not in first:
                     writer.write(response(200, self.text()))
@@ -34,7 +34,7 @@
                 writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
                 self._chunk(writer, self.text() + b"\n")
                 self.watches.add(writer)
-                ended = asyncio.create_task(reader.read())
+                ended = asyncio.create_task(end_of(reader))
                 while not ended.done():
                     await asyncio.wait([ended], timeout=LINE_PERIOD)
                     if self.down:
--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -236,6 +236,12 @@
     return lines[0], headers, body
 
 
+async def end_of(reader: asyncio.StreamReader) -> None:
+    """Waits until the peer has closed or reset the connection."""
+    with contextlib.suppress(OSError):
+        await reader.read()
+
+
 async def request(
     port: int, method: str, path: str, body: bytes = b"", timeout: float = 2.0, **headers: str
 ) -> tuple[int, bytes]:
