Answer 400 where more of a request arrives than its length, and don't run it

Cause: what follows a request was taken for another one if it began with any capital letters. That was checked once, before the job was sent, so the rest of a body in a later piece was never looked at.

Why this works: what follows has to be a request line of a usual method, a path and a version, as far as it is there. A job is held while the input is too short to tell (a part of 'POST /'), for 1 s or half its time, which is part of its time. The check goes on until the answer; a job that was sent is withdrawn and answered 400.

--- a/ironbarrow/frontend/owed_answers.py
+++ b/ironbarrow/frontend/owed_answers.py
@@ -14,6 +14,7 @@
 
     WRITTEN = "written"
     CLIENT_LEFT = "the client left"
+    MALFORMED = "an error instead, as more of the request arrived than its length"
     HANDED_OVER = "handed over"
     NOT_WRITTEN = "its connection ended before it was written"
     CLOSED_HERE = "this process closed its connection"
--- a/ironbarrow/frontend/requests.py
+++ b/ironbarrow/frontend/requests.py
@@ -1,7 +1,6 @@
 """Parses the requests of clients and builds the responses, without input or output."""
 
 import json
-import re
 from hashlib import blake2b
 from typing import Any
 from urllib.parse import unquote
@@ -26,8 +25,6 @@
 )
 _MAX_TIMEOUT_MS = 24 * 3600 * 1000
 _MAX_ID_LENGTH = 200
-# optional line ends, then a method or nothing at all
-_REQUEST_START = re.compile(rb"[\r\n]*(?:[A-Z]{1,20}(?: |\Z)|\Z)")
 
 
 class RequestRejectedError(Exception):
@@ -50,15 +47,6 @@
     return unquote(path.split("/")[1]) if path.startswith("/") else ""
 
 
-def can_start_request(data: bytes) -> bool:
-    """Whether these bytes, received directly after a request, can begin another one.
-
-    If a request's Content-Length is too short, the rest of its body follows here; without this check the job
-    would be sent to a worker with a truncated body.
-    """
-    return _REQUEST_START.match(data[:64]) is not None
-
-
 def parse_job(request: Message) -> tuple[Payload, dict[str, Any]]:
     """The part of a job that is forwarded to a worker, and the job's attributes for the host. Raises
     RequestRejectedError (400)."""
--- a/ironbarrow/frontend/server.py
+++ b/ironbarrow/frontend/server.py
@@ -15,10 +15,10 @@
 from ironbarrow.core.jobs import Answer, Job, JobOptions, Payload
 from ironbarrow.frontend.connection_slots import LINGER_TIMEOUT, NEW_CONNECTION_GRACE, ConnectionSlots
 from ironbarrow.frontend.owed_answers import AnswerEnd, OwedAnswers
+from ironbarrow.frontend.request_start import MAX_REQUEST_LINE, RequestStart, request_start
 from ironbarrow.frontend.requests import (
     JSON_HEADER,
     RequestRejectedError,
-    can_start_request,
     class_from_path,
     error_body,
     final_response,
@@ -71,6 +71,7 @@
 _CLIENT_LEFT = frozenset((Ending.CLOSED, Ending.RESET))  # endings of a connection while it is written to
 _FULL_RETRY_AFTER = 200 * MS  # for a job that is rejected as no slot is left, or as the process ends
 _LAST_READ_TIMEOUT = 20 * MS  # for a request, once the process accepts no more jobs
+_REQUEST_START_TIMEOUT = SECOND  # for input after a request to tell whether it begins another one
 
 
 class HttpServer:
@@ -97,6 +98,7 @@
         self._slots = ConnectionSlots(loop, max_connections, max_buffered_bytes)
         self._reads_this_turn = 0  # requests read in this turn of the loop
         self._read_queue: deque[Task] = deque()  # tasks whose request is read in a later turn
+        self._undecided: set[Task] = set()  # with a request that waits for the input after it
         self._wake_scheduled = False  # ``_wake_readers`` is due at the end of this turn
         self._accept_failing_since = 0  # ns; since when connections wait that can't be accepted; 0 if none
         self._closing_since: int | None = None  # ns; from then on no connection is kept alive
@@ -129,6 +131,8 @@
         """Refuses the requests that are not complete, and from now on each one that takes long. Their
         connections would end with the process, and their clients could not tell whether they were taken."""
         self._ending = True
+        for task in list(self._undecided):
+            task.wake()
         for connection, task in list(self._slots.reading.items()):
             if connection.message_started:
                 connection.read_limit = self._loop.now() + _LAST_READ_TIMEOUT
@@ -366,8 +370,10 @@
         # in a burst, the client may have disconnected before its request was read
         if not connection.read_ahead(self._slots.read_ahead_budget()):
             return None
-        if not can_start_request(connection.unread):
-            raise ConnectionEndedError(Ending.MALFORMED, "the body is longer than its length")
+        deadline = self._loop.now() + placement["time_left"]
+        if not (yield from self._await_request_start(connection, request, deadline)):
+            return None
+        placement["time_left"] = max(MS, deadline - self._loop.now())
         answers: list[Answer | None] = []
 
         def on_answer(answer: Answer | None) -> None:
@@ -377,7 +383,7 @@
         finish = self._submit(connection, task, request, payload, placement, on_answer)
         self._owed.begin(task, payload.id)
         try:
-            client_present = yield from self._await_answer(connection, answers)
+            client_present = yield from self._await_answer(connection, answers, request)
         finally:
             finish()
         if not client_present:
@@ -388,18 +394,48 @@
             raise RequestRejectedError(409, "another request is under this X-Request-ID")
         return answers[0]
 
-    def _await_answer(self, connection: Connection, answers: "list[Answer | None]") -> Coroutine[bool]:
-        """Waits for a job's answer; returns False if the client disconnected first."""
-        while not answers:
+    def _await_request_start(
+        self, connection: Connection, request: Message, deadline: int
+    ) -> Coroutine[bool]:
+        """Waits while the input after a request is too short to tell whether it belongs to the body; returns
+        False if the client disconnected first. Raises ConnectionEndedError if it does, or remains too short.
+        ``deadline``: of the job, ns."""
+        until = self._loop.now() + min(_REQUEST_START_TIMEOUT, (deadline - self._loop.now()) // 2)
+        task = self._loop.current
+        assert task is not None
+        while _check_request_start(connection, request) is RequestStart.UNDECIDED:
+            if self._ending:
+                raise RequestRejectedError(503, "this process ends")
+            if self._loop.now() >= until:
+                raise _longer_body_error()
+            self._undecided.add(task)
+            yield Wait(connection.sock.fileno(), READ, until)
+            self._undecided.discard(task)
+            if not connection.read_ahead(self._slots.read_ahead_budget()):
+                return False
+        return True
+
+    def _await_answer(
+        self, connection: Connection, answers: "list[Answer | None]", request: Message | None = None
+    ) -> Coroutine[bool]:
+        """Waits for a job's answer; returns False if the client disconnected first. Raises
+        ConnectionEndedError if input that arrives meanwhile belongs to the body of ``request``."""
+        settled = request is None
+        while True:
+            if not settled:
+                assert request is not None
+                settled = _check_request_start(connection, request) is RequestStart.LINE
+            if answers:
+                return True
             now = self._loop.now()
             if not connection.is_flooding:
                 # any job is answered long before that
                 yield Wait(connection.sock.fileno(), READ, now + 3600 * SECOND)
             else:
                 yield Wait(connection.sock.fileno(), HANGUP, now + _FLOOD_READ_INTERVAL)
-            if not answers and not connection.read_ahead(self._slots.read_ahead_budget()):
+            # with an answer, too: the rest of the body may have arrived in the same turn
+            if not connection.read_ahead(self._slots.read_ahead_budget()) and not answers:
                 return False
-        return True
 
     def _withdraw(self, job: Job) -> None:
         self.awaiting_answer.pop(job, None)
@@ -550,8 +586,22 @@
         }
 
 
+def _check_request_start(connection: Connection, request: Message) -> RequestStart:
+    """What the input after a request is; raises ConnectionEndedError if it belongs to the request's body."""
+    start = request_start(connection.unread(MAX_REQUEST_LINE))
+    if start is RequestStart.IMPOSSIBLE or (not request.keep_alive and start is not RequestStart.NOTHING):
+        raise _longer_body_error()
+    return start
+
+
+def _longer_body_error() -> ConnectionEndedError:
+    return ConnectionEndedError(Ending.MALFORMED, "the body is longer than its length")
+
+
 def _answer_end(error: ConnectionEndedError) -> AnswerEnd:
     """How an answer that was owed ends with its connection."""
+    if error.ending is Ending.MALFORMED:
+        return AnswerEnd.MALFORMED
     return AnswerEnd.CLIENT_LEFT if error.ending in _CLIENT_LEFT else AnswerEnd.NOT_WRITTEN
 
 
--- a/ironbarrow/transport/http.py
+++ b/ironbarrow/transport/http.py
@@ -146,10 +146,10 @@
         """Whether more input was discarded than a peer that has disconnected can have left in the buffers."""
         return self.discarded_bytes > _FLOOD_THRESHOLD_BYTES
 
-    @property
-    def unread(self) -> bytes:
-        """The first received bytes beyond the current message; b"" if there are none."""
-        return self._codec.unread or bytes(self._pipelined[:_RECV_BYTES])
+    def unread(self, size: int) -> bytes:
+        """The first ``size`` received bytes beyond the current message, or fewer if there are fewer."""
+        start = self._codec.unread[:size]
+        return start + bytes(self._pipelined[: size - len(start)])
 
     # Reading
 
