Take the wait for a slot off a request's time, and let silent connections make room

Cause: a request's time was counted from its reading; only failures of accept were taken off. And each generation of silent connections had 200 ms from its accept, so that the wait grew with their number.

Why this works: while connections wait, the time since their input arrived (TCP_INFO), bounded by our own clock, comes off the first request; unknown, the whole wait does. A request whose time is over is refused unsent. Silence in the queue counts towards the 200 ms.

--- a/ironbarrow/frontend/connection_slots.py
+++ b/ironbarrow/frontend/connection_slots.py
@@ -61,10 +61,11 @@
         """Ends the count of a job; does nothing if the request was not a job."""
         self._job_bytes -= self._job_sizes.pop(connection, 0)
 
-    def acquire(self, connection: Connection) -> None:
-        """Gives a new connection a slot, to be freed by ``release``."""
+    def acquire(self, connection: Connection, quiet_since: int | None = None) -> None:
+        """Gives a new connection a slot, to be freed by ``release``. ``quiet_since``: ns; when its last input
+        arrived or it was established, if it has waited to be accepted."""
         self._open_count += 1
-        connection.last_used_at = self._loop.now()
+        connection.last_used_at = self._loop.now() if quiet_since is None else quiet_since
         connection.on_buffered = self._on_buffered
 
     def release(self, connection: Connection) -> None:
--- a/ironbarrow/frontend/request_start.py
+++ b/ironbarrow/frontend/request_start.py
@@ -1,7 +1,7 @@
 """Tells whether bytes that follow a request can begin another one. No input or output.
 
-If a request's Content-Length is too short, the rest of its body follows it. Taken for pipelined input, it would
-let the job be sent to a worker with a truncated body.
+If a request's Content-Length is too short, the rest of its body follows it. Taken for pipelined input, it
+would let the job be sent to a worker with a truncated body.
 """
 
 import re
--- a/ironbarrow/frontend/server.py
+++ b/ironbarrow/frontend/server.py
@@ -100,7 +100,7 @@
         self._read_queue: deque[Task] = deque()  # tasks whose request is read in a later turn
         self._undecided: set[Task] = set()  # with a request that waits for the input after it
         self._wake_scheduled = False  # ``_wake_readers`` is due at the end of this turn
-        self._accept_failing_since = 0  # ns; since when connections wait that can't be accepted; 0 if none
+        self._accept_waiting_since: int | None = None  # ns; since when connections wait to be accepted
         self._closing_since: int | None = None  # ns; from then on no connection is kept alive
         self.awaiting_answer: dict[Job, tuple[Connection, Task]] = {}  # clients that wait
         self._owed = OwedAnswers(loop, host.event_log, host.shutdown)
@@ -159,34 +159,55 @@
     # Connections
 
     def _accept_loop(self) -> Coroutine[None]:
+        if sockets.has_pending_connection(self._listener):
+            self._note_waiting_connections()  # since the address was bound, before this process could serve
         while True:
             yield Wait(self._listener.fileno(), READ, self._loop.now() + 3600 * SECOND)
             for _ in range(_ACCEPTS_PER_TURN):
                 # without this check, ``make_room`` would evict a connection though no other one waits, and a
                 # request that is on its way on it would be lost
                 if not sockets.has_pending_connection(self._listener):
-                    self._accept_failing_since = 0
+                    self._accept_waiting_since = None
                     if not self._accepting:
                         self._listener.close()
                         return
                     break
                 if not self._slots.make_room():
+                    self._note_waiting_connections()
                     yield from sleep(self._loop.now() + _ACCEPT_RETRY_DELAY)
                     continue
                 try:
                     connection = accept(self._listener)
                 except OSError as error:
-                    self._accept_failing_since = self._accept_failing_since or self._loop.now()
+                    self._note_waiting_connections()
                     yield from self._handle_descriptor_shortage(error)
                     continue
                 if connection is None:
                     break
-                if self._accept_failing_since:
-                    connection.accept_delay = self._loop.now() - self._accept_failing_since
-                self._slots.acquire(connection)
-                # the task itself enters the connection in ``reading`` once it runs: if it was evicted before
-                # that, its ``finally`` would not run and its slot would never be freed
-                self._loop.spawn(self._serve_connection(connection))
+                self._start_serving(connection)
+            else:
+                self._note_waiting_connections()
+
+    def _note_waiting_connections(self) -> None:
+        """Connections may wait to be accepted from now on, until none is left."""
+        if self._accept_waiting_since is None:
+            self._accept_waiting_since = self._loop.now()
+
+    def _start_serving(self, connection: Connection) -> None:
+        """Serves a connection that was just accepted."""
+        quiet_since = None
+        connection.may_wait_since = self._accept_waiting_since
+        if self._accept_waiting_since is not None:
+            age = connection.input_age()
+            if age is not None:
+                # a connection that has waited to be accepted and said nothing has had that time to speak
+                quiet_since = max(self._accept_waiting_since, self._loop.now() - age)
+            elif connection.is_idle():
+                connection.may_wait_since = None  # its first request is still to come
+        self._slots.acquire(connection, quiet_since)
+        # the task itself enters the connection in ``reading`` once it runs: if it was evicted before that,
+        # its ``finally`` would not run and its slot would never be freed
+        self._loop.spawn(self._serve_connection(connection))
 
     def _handle_descriptor_shortage(self, error: OSError) -> Coroutine[None]:
         """Frees descriptors and waits: accept keeps failing at once without one, and the loop would spin."""
@@ -312,8 +333,9 @@
                 require_method(request, "POST")
                 payload, placement = parse_job(request)
                 # the client's time-out was already running while its connection could not be accepted
-                placement["time_left"] = max(MS, placement["time_left"] - connection.accept_delay)
-                connection.accept_delay = 0
+                placement["time_left"] -= self._accept_delay(connection)
+                if placement["time_left"] <= 0:
+                    raise RequestRejectedError(503, "its time was over before its connection was accepted")
                 due = self._loop.now() + placement["time_left"] + _ANSWER_GRACE
                 answer = yield from self._handle_job(connection, task, request, payload, placement)
                 if answer is None:
@@ -337,6 +359,16 @@
         self._owed.end(task, AnswerEnd.WRITTEN)
         return keep
 
+    def _accept_delay(self, connection: Connection) -> int:
+        """How long the request that was just read may have waited for its connection to be accepted, ns."""
+        since, connection.may_wait_since = connection.may_wait_since, None
+        if since is None:
+            return 0
+        delay = self._loop.now() - since
+        age = connection.input_age()
+        # input beyond the request has arrived after it, and its age says nothing of the request's
+        return delay if age is None or connection.has_unread else min(delay, age)
+
     def _is_last_response(self, connection: Connection) -> bool:
         """Whether the connection ends after the next response, because the server is closing.
 
--- a/ironbarrow/runtime/sockets.py
+++ b/ironbarrow/runtime/sockets.py
@@ -3,8 +3,11 @@
 import errno
 import select
 import socket
+import struct
 from contextlib import suppress
 
+from ironbarrow.runtime.clock import MS
+
 Address = tuple[str, int]
 _BACKLOG = 1024
 # errors of accept(2) that concern one connection, which failed before it was accepted; the listener is fine
@@ -26,6 +29,9 @@
 )
 _MAX_FAILED_ACCEPTS = 16  # in a row; if there are more, the listener stays readable and is polled again
 
+# the beginning of struct tcp_info, see tcp(7): tcpi_state, then tcpi_last_data_recv in ms
+_TCP_INFO = struct.Struct("=B51xI")
+
 
 def parse_address(text: str, min_port: int = 1) -> Address:
     """Parses ``host:port``. Raises ValueError if the text is malformed or the port is out of range."""
@@ -76,6 +82,19 @@
         return True
 
 
+def input_age(sock: socket.socket) -> int | None:
+    """Time in ns since the last input arrived at this machine, or since the connection was established if
+    none has. Whether it has been read makes no difference. None if the system doesn't tell."""
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO.size)
+    except OSError:
+        return None
+    if len(info) < _TCP_INFO.size:
+        return None
+    state, last_input_ms = _TCP_INFO.unpack(info)
+    return int(last_input_ms) * MS if state else None
+
+
 def accept(listener: socket.socket) -> socket.socket | None:
     """Accepts the next pending connection; None if there is none.
 
--- a/ironbarrow/transport/http.py
+++ b/ironbarrow/transport/http.py
@@ -63,7 +63,8 @@
         self.sock = sock
         self._codec = HttpCodec(server=server)
         self.last_used_at = 0  # set by the owner: when it accepted the connection or ended the last exchange
-        self.accept_delay = 0  # ns that the connection may have waited to be accepted, with its first request
+        # set by the owner: since when the first request may have waited for the connection to be accepted, ns
+        self.may_wait_since: int | None = None
         self.read_limit: int | None = None  # ns; earlier than the one that the running read was given
         self.message_started = False  # at least one byte of the next message has been received
         self._reads_since_wait = 0
@@ -111,6 +112,10 @@
         except OSError:
             return False  # unknown for now; the next read will tell
 
+    def input_age(self) -> int | None:
+        """Time in ns since the last input arrived, read or not; None if unknown."""
+        return sockets.input_age(self.sock)
+
     @property
     def buffered_bytes(self) -> int:
         """Bytes held for the current message and for input beyond it."""
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -16,7 +16,7 @@
 from ironbarrow.runtime.loop import MS
 from ironbarrow.transport import http
 from ironbarrow.transport.http import Connection
-from tests.scenario import SETTINGS, Harness, answer, call_back, job
+from tests.scenario import SETTINGS, Harness, Peer, answer, call_back, job
 
 NOT_PROCESSED = answer(503, "X-Not-Processed: 1\\r\\n")
 ACCEPTED = answer(202)
@@ -636,6 +636,47 @@
     run_steps(harness, f"c1 send {job('j2', ms=2000)}\np1 expect X-Timeout-Ms: (2000|19[0-9][0-9])\\r.*in$")
 
 
+@pytest.mark.parametrize("known", [True, False])
+def test_waiting_behind_silent_connections_reduces_the_time_left(
+    new_harness: Callable[..., Harness], monkeypatch: pytest.MonkeyPatch, known: bool
+) -> None:
+    """Guards against the whole time for a request that has waited for a slot (review/8)."""
+    if not known:  # the system doesn't tell when input has arrived
+        monkeypatch.setattr(Connection, "input_age", lambda self: None)
+    harness = new_harness(workers=1, sockets=38)  # room for three clients
+    run_steps(harness, "c1 silent 1\nc2 silent 1\nc3 silent 1")
+    run_steps(harness, f"c4 send {job(ms=2000)}\np1 expect X-Timeout-Ms: 1[0-8][0-9][0-9]\\r.*in$")
+    run_steps(harness, f"p1 send {ACCEPTED}\nc8 send {call_back('done', result='x')}\nc4 expect x$")
+    # the time for which a connection waited before its client sent anything doesn't count
+    run_steps(harness, "c5 silent 1\nc6 silent 1\nc7 silent 300\n")
+    run_steps(harness, f"c7 send {job('j2', ms=2000)}\np1 expect X-Timeout-Ms: (2000|19[0-9][0-9])\\r.*in$")
+
+
+def test_a_request_whose_time_is_over_when_it_is_accepted_is_not_sent(
+    new_harness: Callable[..., Harness],
+) -> None:
+    """Guards against an attempt for a client that has given up while it waited for a slot."""
+    harness = new_harness(workers=1, sockets=38)
+    sent = SentAttempts(harness)
+    run_steps(
+        harness, f"c1 silent 1\nc2 silent 1\nc3 silent 1\nc4 send {job(ms=100)}\nc4 expect ^HTTP/1.1 503"
+    )
+    assert sent.ids == []
+
+
+def test_silent_connections_use_up_their_grace_while_they_wait(
+    new_harness: Callable[..., Harness],
+) -> None:
+    """Guards against requests that wait behind silent connections for a grace of each few of them."""
+    harness = new_harness(workers=1, sockets=38)
+    silent = [Peer(harness.address) for _ in range(30)]
+    for peer in silent:
+        peer.connect()
+    run_steps(harness, f"c1 send {job(ms=2000)}\np1 expect X-Timeout-Ms: 1[5-8][0-9][0-9]\\r.*in$")
+    for peer in silent:
+        peer.close()
+
+
 # Eviction
 
 
