Forget a worker's load changes that no report can lack, so that memory is bounded

What callers saw (reported by operators, shown here): memory grew without end under a client that sends jobs under ever new ids: 22 to 34.7 MiB in 30 s; with usual traffic more slowly.

Cause: Worker.load_changes keeps each send and end until a load report or a live weight comes. With reports off none does.

Why this works: what is older than any report is taken to be is forgotten. A report would have dropped it, so that no decision changes; that is tested against the whole record.

Evidence: test_workers_without_reports_keep_a_bounded_record failed before.

--- a/heathway/state.py
+++ b/heathway/state.py
@@ -11,6 +11,7 @@
 from heathway.start_times import StartTimes
 
 SMALL_FLEET = 10  # dispatchers; with no more, the own jobs are a fair sample of all: a tenth at least
+LOAD_HISTORY = 1_000_000_000  # ns; no load report or live weight is taken to be older
 SessionName = tuple[str | None, int | None] | int
 
 
@@ -46,17 +47,23 @@
 
     def adjust_load(self, now: int, job: "Job", sign: int) -> None:
         """Adds the load of a job sent to it (``sign`` 1) or takes off that of one that ended (-1)."""
+        # without load reports nothing else would ever remove them
+        self._forget_load_changes(now - LOAD_HISTORY)
         self.attempts += sign
         self.slots_in_flight += sign * job.slots
         self.load_changes.append((now, sign * job.slots, sign * job.memory))
         if self.memory is not None:
             self.memory -= sign * job.memory
 
+    def _forget_load_changes(self, made_at: int) -> None:
+        """Forgets the changes that a load observed at ``made_at`` (ns) contains."""
+        while self.load_changes and self.load_changes[0][0] <= made_at:
+            self.load_changes.popleft()
+
     def apply_report(self, made_at: int, report: api.LoadReport) -> None:
         """Applies a load report; load beyond the own jobs of that time is that of other dispatchers' jobs."""
         free, memory = _plausible(report.free_slots), _plausible(report.free_memory)
-        while self.load_changes and self.load_changes[0][0] <= made_at:
-            self.load_changes.popleft()
+        self._forget_load_changes(made_at)
         if free is not None:
             own = self.slots_in_flight - sum(change[1] for change in self.load_changes)
             self.size = max(self.size, free + own)
@@ -78,8 +85,7 @@
             or not 0 < self.entry.weight <= idle_weight
         ):
             return
-        while self.load_changes and self.load_changes[0][0] <= made_at:
-            self.load_changes.popleft()
+        self._forget_load_changes(made_at)
         own = self.slots_in_flight - sum(change[1] for change in self.load_changes)
         self.peer_slots = max(0.0, size * (idle_weight / self.entry.weight - 1) - own)
         self.load_observed_at = made_at
