--- a/tests/test_job_ids.py
+++ b/tests/test_job_ids.py
@@ -343,6 +343,15 @@
     assert recent.remaining(5_000)["4999"] == RETENTION - 1
 
 
+def test_an_id_is_retained_for_its_time_however_many_come_after_it() -> None:
+    """Guards against a booking that runs twice as 4,096 others have run in the two minutes between."""
+    recent = RecentIds()
+    for number in range(12_000):  # 100 bookings a second
+        recent.add(f"j{number}", number * RETENTION // 12_000)
+        recent.drop_expired(number * RETENTION // 12_000)
+    assert recent.has("j0", RETENTION - 1)
+
+
 def test_a_process_sees_the_locks_of_another_one_by_the_same_file(tmp_path: Path) -> None:
     first, second = (FileIdLocks(tmp_path, "n1", lambda: True, lambda: None) for _ in range(2))
     assert first.acquire("a") is IdState.FREE and second.acquire("a") is IdState.IN_USE
