--- a/ironbarrow/frontend/connection_slots.py
+++ b/ironbarrow/frontend/connection_slots.py
@@ -82,11 +82,11 @@
         """Ends the count of a job; does nothing if the request was not a job."""
         self._job_bytes -= self._job_sizes.pop(connection, 0)
 
-    def acquire(self, connection: Connection, quiet_since: int | None = None) -> None:
-        """Gives a new connection a slot, to be freed by ``release``. ``quiet_since``: ns; when its last input
-        arrived or it was established, if it has waited to be accepted."""
+    def acquire(self, connection: Connection, last_input_at: int | None = None) -> None:
+        """Gives a new connection a slot, to be freed by ``release``. ``last_input_at``: ns; when its last
+        input arrived or it was established, if it has waited to be accepted."""
         self._open_count += 1
-        connection.last_used_at = self._loop.now() if quiet_since is None else quiet_since
+        connection.last_used_at = self._loop.now() if last_input_at is None else last_input_at
         connection.on_buffered = self._on_buffered
 
     def release(self, connection: Connection) -> None:
@@ -180,9 +180,8 @@
         if size <= 0 or self._has_room_for_input:
             return
         for other in list(self.reading):
-            if other is not connection and other.message_started and self.evict(other):
-                self._buffered_bytes -= other.buffered_bytes
-                other.message_bytes = 0
+            if other is not connection and other.message_started:
+                self.evict(other)
             if self._has_room_for_input:
                 return
         if connection in self.reading and connection.message_bytes > _SMALL_MESSAGE_BYTES:
--- a/ironbarrow/frontend/server.py
+++ b/ironbarrow/frontend/server.py
@@ -159,8 +159,6 @@
     # Connections
 
     def _accept_loop(self) -> Coroutine[None]:
-        if sockets.has_pending_connection(self._listener):
-            self._note_waiting_connections()  # since the address was bound, before this process could serve
         while True:
             yield Wait(self._listener.fileno(), READ, self._loop.now() + 3600 * SECOND)
             for _ in range(_ACCEPTS_PER_TURN):
@@ -195,16 +193,16 @@
 
     def _start_serving(self, connection: Connection) -> None:
         """Serves a connection that was just accepted."""
-        quiet_since = None
+        last_input_at = None
         connection.may_wait_since = self._accept_waiting_since
         if self._accept_waiting_since is not None:
             age = connection.input_age()
             if age is not None:
                 # a connection that has waited to be accepted and said nothing has had that time to speak
-                quiet_since = max(self._accept_waiting_since, self._loop.now() - age)
+                last_input_at = max(self._accept_waiting_since, self._loop.now() - age)
             elif connection.is_idle():
                 connection.may_wait_since = None  # its first request is still to come
-        self._slots.acquire(connection, quiet_since)
+        self._slots.acquire(connection, last_input_at)
         connection.await_turn = self._body_turns.wait
         # the task itself enters the connection in ``reading`` once it runs: if it was evicted before that,
         # its ``finally`` would not run and its slot would never be freed
@@ -378,10 +376,7 @@
     ) -> Coroutine[Answer | None]:
         """Submits a job and waits for its final answer; None if the client disconnected first."""
         deadline = self._loop.now() + placement["time_left"]
-        # in a burst, the client may have disconnected before its request was read
-        if not (yield from self._read_to_end_of_input(connection)):
-            return None
-        if not (yield from self._await_request_start(connection, request, payload, deadline)):
+        if not (yield from self._read_behind_job(connection, request, payload, deadline)):
             return None
         placement["time_left"] = deadline - self._loop.now()
         answers: list[Answer | None] = []
@@ -405,6 +400,22 @@
             raise RequestRejectedError(409, "another request is under this X-Request-ID")
         return answers[0]
 
+    def _read_behind_job(
+        self, connection: Connection, request: Message, payload: Payload, deadline: int
+    ) -> Coroutine[bool]:
+        """Reads what has arrived behind a job, which counts as a job meanwhile; returns False if the client
+        disconnected. Raises ConnectionEndedError if it is the rest of the body. The wait is part of the job's
+        time, which ends at ``deadline`` (ns)."""
+        if not self._slots.has_room_for_job(payload):
+            return True  # it is refused next
+        self._slots.begin_job(connection, payload)
+        try:
+            return (yield from self._read_to_end_of_input(connection)) and (
+                yield from self._await_request_start(connection, request, deadline)
+            )
+        finally:
+            self._slots.end_job(connection)
+
     def _read_to_end_of_input(self, connection: Connection) -> Coroutine[bool]:
         """Reads ahead until no input is left, or the client has sent more than one that has disconnected can
         leave behind. Returns False if it has disconnected: that is only seen behind all of its input."""
@@ -415,19 +426,15 @@
         return False
 
     def _await_request_start(
-        self, connection: Connection, request: Message, payload: Payload, deadline: int
+        self, connection: Connection, request: Message, deadline: int
     ) -> Coroutine[bool]:
         """Waits while the input after a job is too short to tell whether it belongs to the body; returns
         False if the client disconnected first. Raises ConnectionEndedError if it does, or remains too short.
-        The wait is part of the job's time, which ends at ``deadline`` (ns)."""
-        undecided = _check_request_start(connection, request) is RequestStart.UNDECIDED
-        if not undecided or not self._slots.has_room_for_job(payload):
-            return True  # without room, the job is refused
+        ``deadline``: of the job, ns."""
         now = self._loop.now()
         until = now + min(_REQUEST_START_TIMEOUT, (deadline - now) // 2)
         task = self._loop.current
         assert task is not None
-        self._slots.begin_job(connection, payload)
         self._undecided.add(task)
         try:
             while _check_request_start(connection, request) is RequestStart.UNDECIDED:
@@ -440,7 +447,6 @@
                     return False
         finally:
             self._undecided.discard(task)
-            self._slots.end_job(connection)
         return True
 
     def _await_answer(
--- a/ironbarrow/frontend/turn_queue.py
+++ b/ironbarrow/frontend/turn_queue.py
@@ -10,6 +10,7 @@
     """Lets ``per_turn`` tasks pass in each turn of the loop; the others wait, first come first served."""
 
     def __init__(self, loop: Loop, per_turn: int) -> None:
+        """``per_turn``: number of tasks, at least 1."""
         self._loop = loop
         self._per_turn = per_turn
         self._passed = 0  # in this turn
--- a/ironbarrow/wire/http.py
+++ b/ironbarrow/wire/http.py
@@ -10,7 +10,7 @@
 
 BODY_LIMIT = 64 * 1024  # bytes
 HEAD_LIMIT = 16 * 1024  # bytes
-HEADER_FIELDS_LIMIT = 128  # of a request; parsed, a short field takes some hundred times its bytes
+HEADER_FIELDS_LIMIT = 128  # of a request; parsed, a short field takes many times its bytes
 
 Headers = Sequence[tuple[str, str]]
 Event = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
@@ -52,24 +52,20 @@
     # Reading
 
     def receive(self, data: bytes) -> None:
-        """Adds bytes received from the peer; b"" means that it has shut down its side. Raises MalformedError,
-        also for a request with too many header fields, which is not parsed then."""
-        if self.server and self._h11.their_state is h11.IDLE:
-            self._count_head_lines(data)
+        """Adds bytes received from the peer; b"" means that it has shut down its side. Raises
+        MalformedError."""
+        if self._h11.their_state is h11.IDLE:
+            self._head_lines.receive(data)
         try:
             self._h11.receive_data(data)
         except h11.RemoteProtocolError as error:
             raise MalformedError(str(error), error.error_status_hint) from None
 
-    def _count_head_lines(self, data: bytes) -> None:
-        self._head_lines.receive(data)
-        if self._head_lines.lines > HEADER_FIELDS_LIMIT + 1:  # and the request line
-            raise MalformedError("too many header fields", 431)
-
     def next_event(self) -> Event:
-        """The next event, or NEED_DATA; raises MalformedError."""
-        if self.server and self._h11.their_state is h11.IDLE:
-            self._count_head_lines(b"")
+        """The next event, or NEED_DATA; raises MalformedError. A head of too many fields is not parsed."""
+        in_head = self.server and self._h11.their_state is h11.IDLE
+        if in_head and self._head_lines.lines > HEADER_FIELDS_LIMIT + 1:  # and the request line
+            raise MalformedError("too many header fields", 431)
         try:
             return self._h11.next_event()
         except h11.RemoteProtocolError as error:
--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -8,7 +8,8 @@
 import pytest
 
 from ironbarrow.frontend import server
-from ironbarrow.runtime.loop import MS
+from ironbarrow.runtime.loop import MS, Coroutine
+from ironbarrow.transport.http import Connection
 from ironbarrow.wire.head_lines import HeadLineCounter
 from ironbarrow.wire.http import HEADER_FIELDS_LIMIT
 from tests.scenario import Harness, job
@@ -179,11 +180,32 @@
     clients.close()
 
 
+def test_a_job_counts_while_the_input_behind_it_is_read(new_harness: Callable[..., Harness]) -> None:
+    """Guards against bodies that are counted nowhere while much more than them is read (picture a)."""
+    harness = new_harness(memory_mb=1)  # half a megabyte for jobs: 8 of these
+    server, taken = harness.dispatcher.server, []
+    read_to_end = server._read_to_end_of_input
+
+    def read_and_note(connection: Connection) -> Coroutine[bool]:
+        taken.append(server._slots._job_sizes.get(connection, 0))
+        return (yield from read_to_end(connection))
+
+    server._read_to_end_of_input = read_and_note  # type: ignore[method-assign]
+    clients = Clients(harness, 12)
+    for number, sock in enumerate(clients.socks):
+        clients._send_all(sock, request(f"j{number}") + BODY)
+    harness.run_for(0.1)
+    assert len(taken) == 8
+    assert min(taken) >= len(BODY)
+    assert sum(b"too many jobs" in answer for answer in clients.received()) == 4
+    clients.close()
+
+
 @pytest.mark.parametrize("again", [False, True])
 def test_a_head_of_very_many_fields_is_rejected_before_it_is_parsed(
     new_harness: Callable[..., Harness], again: bool
 ) -> None:
-    """Guards against heads of 16 KB that take 15 ms and half a megabyte each."""
+    """Guards against heads of thousands of fields, which take many times their bytes and 8 ms each."""
     harness = new_harness()
     run_steps(harness, "c1 silent 1")
     sock = harness.peers["c1"].sock
@@ -218,7 +240,7 @@
 
 
 def test_bodies_in_very_many_chunks_do_not_delay_others(new_harness: Callable[..., Harness]) -> None:
-    """Guards against a loop that parses one client's chunks for half a second, and those of 20 for ten."""
+    """Guards against a loop that parses one client's chunks after another's, and serves none meanwhile."""
     harness = new_harness()
     clients = Clients(harness, CLIENTS)
     for sock in clients.socks:
